--- a/internal/daemon/log.go
+++ b/internal/daemon/log.go
@@ -2,7 +2,7 @@
 
 import (
 	"io"
-	stdlog "log" //nolint:depguard // http.Server takes nothing else for its own errors
+	stdlog "log" // http.Server and http.Transport write their own errors to nothing else
 	"strings"
 
 	"github.com/apex/log"
@@ -26,6 +26,13 @@
 	return out
 }
 
+// captureStdlog takes the lines that libraries write by package log, such as
+// net/http's about an unasked-for answer, into the structured log.
+func captureStdlog(to log.Interface) {
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(lineWriter{to})
+}
+
 // quietLog takes net/http's own words, such as a client's bad TLS, as debug lines.
 func quietLog(to log.Interface) *stdlog.Logger { return stdlog.New(lineWriter{to}, "", 0) }
 
@@ -33,6 +40,6 @@
 
 // Write implements io.Writer.
 func (w lineWriter) Write(p []byte) (int, error) {
-	w.to.WithField("from", "net/http").Debug(strings.TrimSpace(string(p)))
+	w.to.WithField("from", "library").Debug(strings.TrimSpace(string(p)))
 	return len(p), nil
 }
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -66,7 +66,9 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
-	d, err := New(set, NewLogger(stderr, set.Log))
+	logger := NewLogger(stderr, set.Log)
+	captureStdlog(logger)
+	d, err := New(set, logger)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
 		return ExitFailed
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -172,6 +172,12 @@
 	params := l.params()
 	var dec route.Decision
 	route.Pick(l.view.Targets, &q, params, hints{l.d}, &dec)
+	if dec.Target == nil && len(l.tried) > 1 {
+		// Every target was tried: go round again, but not to the last one.
+		l.tried = l.tried[len(l.tried)-1:]
+		q.Exclude = l.tried
+		route.Pick(l.view.Targets, &q, params, hints{l.d}, &dec)
+	}
 	var k kept
 	if dec.Target != nil && l.worthLookup(&dec) {
 		if k = l.d.lookup(l.ctx, l.view.Config, l.keys); k.found.Covered > 0 {
