Let the engine fetch from the store what a stale hint wrongly called resident

Cause: with cache events late, an instance believed a prompt resident, chose 'reuse', and the engine computed all of it again although a store kept it (seen in the scripted whole path: 0 of 16384 tokens cached on the return). Ruled out: the store's lookup (it answered), the export (manifest was there).

Change: a run that relies on residency names the prompt's home store as well; the engine, which alone knows what it holds, looks there for what it lacks.

Conclusion: the truth of residency is taken at the moment of use; hints move cost only.

--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -61,7 +61,7 @@
 // Target is one model engine.
 type Target struct {
 	Name    string `toml:"name" json:"name" validate:"name"`
-	Address string `toml:"address" json:"address" validate:"hostname_port"`
+	Address string `toml:"address" json:"address" validate:"address"`
 	Zone    string `toml:"zone" json:"zone" validate:"name"`
 	Model   string `toml:"model" json:"model" validate:"name"`
 	Fenced  bool   `toml:"checks_fencing_token" json:"checks_fencing_token"`
@@ -86,7 +86,7 @@
 // ServiceInstance is one machine that runs the service.
 type ServiceInstance struct {
 	Name    string `toml:"name" json:"name" validate:"name"`
-	Address string `toml:"address" json:"address" validate:"hostname_port"`
+	Address string `toml:"address" json:"address" validate:"address"`
 	Zone    string `toml:"zone" json:"zone" validate:"name"`
 }
 
@@ -101,7 +101,7 @@
 // Store is one store instance that keeps cache outside accelerators.
 type Store struct {
 	Name       string `toml:"name" json:"name" validate:"name"`
-	Address    string `toml:"address" json:"address" validate:"hostname_port"`
+	Address    string `toml:"address" json:"address" validate:"address"`
 	Zone       string `toml:"zone" json:"zone" validate:"name"`
 	MemoryMB   int    `toml:"memory_mb" json:"memory_mb" validate:"min=0"`
 	DiskMB     int    `toml:"disk_mb" json:"disk_mb" validate:"min=0"`
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -194,9 +194,17 @@
 		att.Target = dec.Target.Name
 		l.tried = append(l.tried, dec.Target.Name)
 	}
-	if dec.Action == route.Restore {
+	switch {
+	case dec.Action == route.Restore:
 		att.Store = k.store.Name
 		ext.Import = &target.Import{Store: k.store.Address, Manifest: k.found.Manifest, Covered: k.found.Covered}
+	case dec.Action == route.Reuse && l.worthKeeping():
+		// The belief may be stale: name the store, so that the engine, which
+		// knows what it holds, can fetch what it lacks instead of computing it.
+		if s := l.d.homeStore(l.view.Config, l.keys[0]); s != nil {
+			att.Store = s.Name
+			ext.Import = &target.Import{Store: s.Address}
+		}
 	}
 	l.rec.Attempts = append(l.rec.Attempts, att)
 	return &l.rec.Attempts[len(l.rec.Attempts)-1], ext, dec.Target != nil
@@ -349,12 +357,17 @@
 	metric.CachedTokens.Add(u.Details.CachedTokens)
 	metric.RestoredTok.Add(u.Details.RestoredTokens)
 	metric.GeneratedTok.Add(u.CompletionTokens)
-	if len(l.keys)*prefix.ChunkBytes/prefix.BytesPerToken >= l.view.Policy.KeepTokens && l.newToStore(att) {
+	if l.worthKeeping() && l.newToStore(att) {
 		l.d.keep(l)
 	}
 	l.close("done", problem.Ran)
 }
 
+// worthKeeping says whether the prompt is long enough for a store.
+func (l *Live) worthKeeping() bool {
+	return len(l.keys) > 0 && len(l.keys)*prefix.ChunkBytes/prefix.BytesPerToken >= l.view.Policy.KeepTokens
+}
+
 // newToStore says whether the store may lack part of the chain: something was
 // computed rather than restored.
 func (l *Live) newToStore(att *why.Attempt) bool {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -26,9 +26,9 @@
 
 // Listen is where the process accepts connections; port 0 picks a free one.
 type Listen struct {
-	Callers   string `toml:"callers" validate:"hostname_port"`
-	Operators string `toml:"operators" validate:"hostname_port"`
-	Peers     string `toml:"peers" validate:"hostname_port"`
+	Callers   string `toml:"callers" validate:"listen"`
+	Operators string `toml:"operators" validate:"listen"`
+	Peers     string `toml:"peers" validate:"listen"`
 }
 
 // Platform is the object API's place and credential.
@@ -40,13 +40,13 @@
 
 // Peers says how instances find and trust one another.
 type Peers struct {
-	Seeds []string `toml:"seeds" validate:"dive,hostname_port"`
+	Seeds []string `toml:"seeds" validate:"dive,address"`
 	// Secret is shared by all instances; it is needed when TLS is off.
 	Secret     string `toml:"secret"`
 	SecretFile string `toml:"secret_file"`
 	// Advertise is the address that peers are told, when it is not the one
 	// listened on.
-	Advertise string `toml:"advertise" validate:"omitempty,hostname_port"`
+	Advertise string `toml:"advertise" validate:"omitempty,address"`
 }
 
 // Operators are known to this process beside those of the configuration, so
--- a/internal/standin/engine/kv.go
+++ b/internal/standin/engine/kv.go
@@ -119,7 +119,17 @@
 // version, salt and each piece, and stops at the first one that is not good.
 // It returns how many blocks it brought in.
 func (s *Server) restore(ctx context.Context, j *job, have int) int {
-	im := j.ext.Import
+	im := *j.ext.Import
+	if im.Manifest == "" {
+		found, err := kvstore.NewClientWith(s.http).Lookup(ctx, im.Store, j.ext.Keys)
+		if err != nil {
+			return 0
+		}
+		im.Manifest, im.Covered = found.Manifest, found.Covered
+	}
+	if im.Covered <= have {
+		return 0
+	}
 	base := "http://" + im.Store + "/v1/"
 	var m kvstore.Manifest
 	data, ok := s.fetch(ctx, base+"manifests/"+im.Manifest)
--- a/internal/standin/engine/run.go
+++ b/internal/standin/engine/run.go
@@ -222,7 +222,7 @@
 	defer s.prefil.release()
 	have := s.pinResident(j)
 	restored := 0
-	if j.ext.Import != nil && j.ext.Import.Covered > have {
+	if j.ext.Import != nil && have < len(j.ext.Keys) {
 		restored = s.restore(ctx, j, have)
 	}
 	cached := min((have+restored)*prefix.ChunkBytes/prefix.BytesPerToken, tokens)
--- a/internal/target/wire.go
+++ b/internal/target/wire.go
@@ -27,10 +27,11 @@
 }
 
 // Import tells the engine where to fetch cache from before it computes.
+// Without a manifest the engine looks one up if it lacks any of the keys.
 type Import struct {
 	Store    string `json:"store"` // host:port
-	Manifest string `json:"manifest"`
-	Covered  int    `json:"covered"` // leading keys worth fetching
+	Manifest string `json:"manifest,omitempty"`
+	Covered  int    `json:"covered,omitempty"` // leading keys worth fetching
 }
 
 // Usage is the count of tokens of a run.
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"net"
 	"reflect"
 	"strconv"
 	"strings"
@@ -193,6 +194,8 @@
 		return name
 	})
 	mustRegister(v, "name", isName)
+	mustRegister(v, "address", func(fl validator.FieldLevel) bool { return isAddress(fl.Field().String(), 1) })
+	mustRegister(v, "listen", func(fl validator.FieldLevel) bool { return isAddress(fl.Field().String(), 0) })
 	return v
 }
 
@@ -202,6 +205,16 @@
 	}
 }
 
+// isAddress accepts host:port with a port from least up.
+func isAddress(s string, least int) bool {
+	host, port, err := net.SplitHostPort(s)
+	if err != nil || host == "" {
+		return false
+	}
+	n, err := strconv.Atoi(port)
+	return err == nil && n >= least && n <= 65535
+}
+
 // maxName bounds every operator-chosen name, in bytes.
 const maxName = 63
 
@@ -247,7 +260,7 @@
 		return "must be at most " + f.Param()
 	case "oneof":
 		return fmt.Sprintf("%q is not one of: %s", f.Value(), f.Param())
-	case "hostname_port":
+	case "address", "listen":
 		return fmt.Sprintf("%q is not an address (host:port)", f.Value())
 	case "len", "hexadecimal":
 		return "must be " + f.Tag() + " " + f.Param()
