Ready only when every target was asked; search two stores; let slow senders go

Cause 1: a rolling replacement under 64 callers gave 503s: a new instance said it was ready before it had heard any target. It is now ready when each target was asked once.

Lookups now go to the first two stores by rendezvous order at once, and may take a share of what they save.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -83,6 +83,7 @@
 	arrived  time.Time
 	view     *view.View
 	customer *view.Customer
+	bodyRead bool
 }
 
 type callKey struct{}
@@ -157,7 +158,7 @@
 }
 
 // encodeError writes a failure. What is not a problem already is our fault.
-func encodeError(_ context.Context, err error, w http.ResponseWriter) {
+func encodeError(ctx context.Context, err error, w http.ResponseWriter) {
 	var p *problem.Problem
 	if !errors.As(err, &p) {
 		p = problem.New(problem.Internal, "internal error")
@@ -165,12 +166,19 @@
 	}
 	out := *p
 	out.RequestID = w.Header().Get(target.HeaderRequestID)
-	if out.Kind == problem.SlowSender || out.Kind == problem.TooLarge {
-		w.Header().Set("Connection", "close")
+	if !callOf(ctx).bodyRead {
+		abandonBody(w)
 	}
 	out.Write(w)
 }
 
+// abandonBody gives up the rest of a request's body. Without it net/http would
+// wait for that rest before it sends the answer, as long as the sender likes.
+func abandonBody(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
+}
+
 // readProblem names the failure to read a caller's body.
 func readProblem(err error) error {
 	var tooLarge *http.MaxBytesError
--- a/internal/caller/model.go
+++ b/internal/caller/model.go
@@ -53,6 +53,7 @@
 	if err != nil {
 		return nil, readProblem(err)
 	}
+	callOf(ctx).bodyRead = true
 	if w != nil {
 		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	}
--- a/internal/core/observe/observe.go
+++ b/internal/core/observe/observe.go
@@ -101,6 +101,16 @@
 	}
 }
 
+// Settled says whether every target has been asked at least once.
+func (t *Tracker) Settled() bool {
+	for _, e := range t.entries {
+		if e.at.IsZero() && e.failures == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // Targets returns the state of all targets at now, in the order declared.
 func (t *Tracker) Targets(now time.Time) []route.Target {
 	out := make([]route.Target, 0, len(t.order))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -194,10 +194,11 @@
 	d.log.WithField("callers", d.CallerAddr()).WithField("operators", d.OperatorAddr()).WithField("peers", advertise).Info("started")
 }
 
-// Ready says whether this instance should get callers' requests.
+// Ready says whether this instance should get callers' requests: it has a
+// configuration, has asked every target once, and does not drain.
 func (d *Daemon) Ready() bool {
 	v := d.view.Load()
-	return v.Config != nil && !v.Draining
+	return v.Config != nil && v.Settled && !v.Draining
 }
 
 // callerHandler adds the balancer's probes to the callers' endpoints, and asks
--- a/internal/dispatch/keep.go
+++ b/internal/dispatch/keep.go
@@ -1,8 +1,10 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,29 +17,40 @@
 	"github.com/shedhoist/shedhoist/internal/view"
 )
 
-// Time bounds of store work.
+// Time bounds of store work. A lookup may take a share of the time that it can
+// save, within bounds.
 const (
-	lookupTimeout = 50 * time.Millisecond
+	lookupLeast   = 20 * time.Millisecond
+	lookupMost    = 250 * time.Millisecond
+	lookupShare   = 0.5
 	exportTimeout = 30 * time.Second
 )
 
-// homeStore returns the store that keeps a prompt: the highest rendezvous
-// score of its root key among the stores that may be called. Any instance
-// computes the same one while the same stores answer.
-func (d *Dispatcher) homeStore(c *view.Config, root prefix.Key) *config.Store {
-	var best *config.Store
-	var top uint64
+// storeCopies is how many stores may hold a prompt: its home, and the next one
+// that keeps it while the home does not answer.
+const storeCopies = 2
+
+// homeStores returns the stores of a prompt, home first: the highest rendezvous
+// scores of its root key among the stores that may be called. Any instance
+// computes the same ones while the same stores answer.
+func (d *Dispatcher) homeStores(c *view.Config, root prefix.Key) []*config.Store {
+	type ranked struct {
+		s     *config.Store
+		score uint64
+	}
+	var all []ranked
 	for i := range c.Bundle.Stores {
 		s := &c.Bundle.Stores[i]
-		if c.Drained[s.Name] || !d.stores.open(s.Name) {
-			continue
-		}
-		score := xxhash.Sum64(append([]byte(s.Name+"\x00"), root[:]...))
-		if best == nil || score > top {
-			best, top = s, score
+		if !c.Drained[s.Name] && d.stores.open(s.Name) {
+			all = append(all, ranked{s, xxhash.Sum64(append([]byte(s.Name+"\x00"), root[:]...))})
 		}
 	}
-	return best
+	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
+	var out []*config.Store
+	for _, r := range all[:min(len(all), storeCopies)] {
+		out = append(out, r.s)
+	}
+	return out
 }
 
 // kept is a store's answer about one prompt.
@@ -47,22 +60,40 @@
 	ms    float64 // predicted time to bring it to a target
 }
 
-// lookup asks the prompt's home store what it keeps. A store that does not
-// answer in time costs a recompute, nothing else.
-func (d *Dispatcher) lookup(ctx context.Context, c *view.Config, keys []prefix.Key) kept {
-	s := d.homeStore(c, keys[0])
-	if s == nil {
-		return kept{}
-	}
-	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+// lookup asks the prompt's stores what they keep, and returns the answer that
+// covers most. A store that does not answer in time costs a recompute, nothing
+// else. saveMS is the time that a restore can save at most.
+func (d *Dispatcher) lookup(ctx context.Context, c *view.Config, keys []prefix.Key, saveMS float64) kept {
+	patience := time.Duration(saveMS * lookupShare * float64(time.Millisecond))
+	ctx, cancel := context.WithTimeout(ctx, min(max(patience, lookupLeast), lookupMost))
 	defer cancel()
-	found, err := d.Stores.Lookup(ctx, s.Address, hexKeys(keys))
-	d.stores.result(s.Name, err == nil)
-	if err != nil {
-		metric.StoreErrors(s.Name).Inc()
-		return kept{}
+	stores := d.homeStores(c, keys[0])
+	answers := make(chan kept, len(stores))
+	names := hexKeys(keys)
+	for _, s := range stores {
+		go func() {
+			found, err := d.Stores.Lookup(ctx, s.Address, names)
+			if !errors.Is(err, context.Canceled) { // a caller that left says nothing of the store
+				d.stores.result(s.Name, err == nil)
+			}
+			if err != nil {
+				metric.StoreErrors(s.Name).Inc()
+				found = kvstore.Found{}
+			}
+			answers <- kept{store: s, found: found, ms: restoreMS(s, found)}
+		}()
+	}
+	var best kept
+	for range stores {
+		k := <-answers
+		if k.found.Covered > best.found.Covered || (k.found.Covered == best.found.Covered && k.ms < best.ms) {
+			best = k
+		}
+		if best.found.Covered == len(keys) {
+			break
+		}
 	}
-	return kept{store: s, found: found, ms: restoreMS(s, found)}
+	return best
 }
 
 // restoreMS predicts the time on the store's link: its queue, then the bytes.
@@ -90,10 +121,11 @@
 // store. It does not wait; an instance with too many exports under way lets
 // this one go: the prompt will be offered again when it returns.
 func (d *Dispatcher) keep(l *Live) {
-	s := d.homeStore(l.view.Config, l.keys[0])
-	if s == nil {
+	stores := d.homeStores(l.view.Config, l.keys[0])
+	if len(stores) == 0 {
 		return
 	}
+	s := stores[0]
 	select {
 	case d.keeps <- struct{}{}:
 	default:
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -180,7 +180,7 @@
 	}
 	var k kept
 	if dec.Target != nil && l.worthLookup(&dec) {
-		if k = l.d.lookup(l.ctx, l.view.Config, l.keys); k.found.Covered > 0 {
+		if k = l.d.lookup(l.ctx, l.view.Config, l.keys, dec.FirstMS); k.found.Covered > 0 {
 			q.Stored, q.StoreMS = k.found.Covered, k.ms
 			route.Pick(l.view.Targets, &q, params, hints{l.d}, &dec)
 		}
@@ -197,19 +197,26 @@
 	switch {
 	case dec.Action == route.Restore:
 		att.Store = k.store.Name
-		ext.Import = &target.Import{Store: k.store.Address, Manifest: k.found.Manifest, Covered: k.found.Covered}
+		ext.Import = &target.Import{Stores: []string{k.store.Address}, Manifest: k.found.Manifest, Covered: k.found.Covered}
 	case dec.Action == route.Reuse && l.worthKeeping():
 		// The belief may be stale: name the store, so that the engine, which
 		// knows what it holds, can fetch what it lacks instead of computing it.
-		if s := l.d.homeStore(l.view.Config, l.keys[0]); s != nil {
-			att.Store = s.Name
-			ext.Import = &target.Import{Store: s.Address}
+		for _, s := range l.d.homeStores(l.view.Config, l.keys[0]) {
+			att.Store = strings.TrimSpace(att.Store + " " + s.Name)
+			ext.Import = &target.Import{Stores: append(importStores(ext.Import), s.Address)}
 		}
 	}
 	l.rec.Attempts = append(l.rec.Attempts, att)
 	return &l.rec.Attempts[len(l.rec.Attempts)-1], ext, dec.Target != nil
 }
 
+func importStores(im *target.Import) []string {
+	if im == nil {
+		return nil
+	}
+	return im.Stores
+}
+
 // worthLookup says whether a store could spare enough work to be asked.
 func (l *Live) worthLookup(dec *route.Decision) bool {
 	if len(l.keys) == 0 || dec.Action == route.Reuse {
--- a/internal/e2e/cache_test.go
+++ b/internal/e2e/cache_test.go
@@ -44,7 +44,7 @@
 	is.Equal(got.text, a.want(fleet.Version))
 	is.Equal(got.usage.Details.RestoredTokens, 16*1024)
 	is.Equal(f.Daemons[0].Explain(got.header.Get("X-Request-Id")).LastAction(), "reuse") // the belief was wrong
-	is.Equal(f.Engines[0].Counters().ComputedTokens, int64(16*1024))                    // once, the first time
+	is.Equal(f.Engines[0].Counters().ComputedTokens, int64(16*1024))                     // once, the first time
 }
 
 // TestStoreFaults: whatever becomes of the kept pieces, the answer is whole
--- a/internal/e2e/script_test.go
+++ b/internal/e2e/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"os"
 	"os/exec"
 	"strconv"
@@ -41,7 +42,7 @@
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"start": startCmd, "signal": signalCmd, "subst": substCmd, "until": untilCmd,
+			"start": startCmd, "signal": signalCmd, "subst": substCmd, "until": untilCmd, "code": codeCmd,
 		},
 	})
 }
@@ -145,3 +146,18 @@
 
 // untilTries bounds until by tries, each a process start, not by time.
 const untilTries = 500
+
+// codeCmd: code N PROGRAM ARGS... runs a program and wants its exit code.
+func codeCmd(ts *testscript.TestScript, _ bool, args []string) {
+	err := ts.Exec(args[1], args[2:]...)
+	var exit *exec.ExitError
+	got := 0
+	if errors.As(err, &exit) {
+		got = exit.ExitCode()
+	} else if err != nil {
+		ts.Fatalf("%v", err)
+	}
+	if strconv.Itoa(got) != args[0] {
+		ts.Fatalf("exit code %d, want %s", got, args[0])
+	}
+}
--- a/internal/standin/engine/kv.go
+++ b/internal/standin/engine/kv.go
@@ -119,18 +119,11 @@
 // version, salt and each piece, and stops at the first one that is not good.
 // It returns how many blocks it brought in.
 func (s *Server) restore(ctx context.Context, j *job, have int) int {
-	im := *j.ext.Import
-	if im.Manifest == "" {
-		found, err := kvstore.NewClientWith(s.http).Lookup(ctx, im.Store, j.ext.Keys)
-		if err != nil {
-			return 0
-		}
-		im.Manifest, im.Covered = found.Manifest, found.Covered
-	}
+	store, im := s.findManifest(ctx, j)
 	if im.Covered <= have {
 		return 0
 	}
-	base := "http://" + im.Store + "/v1/"
+	base := "http://" + store + "/v1/"
 	var m kvstore.Manifest
 	data, ok := s.fetch(ctx, base+"manifests/"+im.Manifest)
 	if !ok || json.Unmarshal(data, &m) != nil {
@@ -149,6 +142,26 @@
 	return n
 }
 
+// findManifest returns the store to read from and what to read there.
+func (s *Server) findManifest(ctx context.Context, j *job) (string, target.Import) {
+	im := *j.ext.Import
+	if im.Manifest != "" && len(im.Stores) == 1 {
+		return im.Stores[0], im
+	}
+	var best target.Import
+	var from string
+	for _, store := range im.Stores {
+		found, err := kvstore.NewClientWith(s.http).Lookup(ctx, store, j.ext.Keys)
+		if err == nil && found.Covered > best.Covered {
+			best, from = target.Import{Manifest: found.Manifest, Covered: found.Covered}, store
+		}
+		if best.Covered == len(j.ext.Keys) {
+			break
+		}
+	}
+	return from, best
+}
+
 func (s *Server) importPiece(ctx context.Context, j *job, i int, base string, p kvstore.Piece) bool {
 	body, ok := s.fetch(ctx, base+"pieces/"+p.Key)
 	if !ok {
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -46,7 +47,8 @@
 	Policy    config.Policy
 	Limits    config.Limits // of every customer
 	Log       log.Interface
-	Edit      func(*config.Bundle) // last change to the bundle before it is applied
+	Edit      func(*config.Bundle)     // last change to the bundle before it is applied
+	Settings  func(*settings.Settings) // last change to each instance's settings
 }
 
 // Model and version that every engine of a fleet starts with.
@@ -302,6 +304,9 @@
 	for _, d := range f.Daemons {
 		set.Peers.Seeds = append(set.Peers.Seeds, d.PeerAddr())
 	}
+	if f.Options.Settings != nil {
+		f.Options.Settings(&set)
+	}
 	d, err := daemon.New(&set, f.Options.Log)
 	if err != nil {
 		return nil, err
@@ -317,9 +322,12 @@
 func (f *Fleet) StopInstance(ctx context.Context, i int) error {
 	f.mu.Lock()
 	d := f.Daemons[i]
-	f.Daemons = append(f.Daemons[:i:i], f.Daemons[i+1:]...)
 	f.mu.Unlock()
-	return d.Shutdown(ctx)
+	err := d.Shutdown(ctx)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Daemons = slices.DeleteFunc(slices.Clone(f.Daemons), func(x *daemon.Daemon) bool { return x == d })
+	return err
 }
 
 // NotReadyError says what a fleet still lacked.
@@ -364,6 +372,19 @@
 // URL is the callers' address of the i-th entry instance.
 func (f *Fleet) URL(i int) string { return "http://" + f.Daemons[i%len(f.Daemons)].CallerAddr() }
 
+// Balance plays the platform's balancer: the callers' address of one of the
+// instances that say they are ready.
+func (f *Fleet) Balance(n int) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range f.Daemons {
+		if d := f.Daemons[(n+i)%len(f.Daemons)]; d.Ready() {
+			return "http://" + d.CallerAddr()
+		}
+	}
+	return "http://" + f.Daemons[n%len(f.Daemons)].CallerAddr()
+}
+
 // Close ends everything at once.
 func (f *Fleet) Close() {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/target/wire.go
+++ b/internal/target/wire.go
@@ -27,11 +27,12 @@
 }
 
 // Import tells the engine where to fetch cache from before it computes.
-// Without a manifest the engine looks one up if it lacks any of the keys.
+// Without a manifest the engine, if it lacks any of the keys, looks for one in
+// the stores, in their order.
 type Import struct {
-	Store    string `json:"store"` // host:port
-	Manifest string `json:"manifest,omitempty"`
-	Covered  int    `json:"covered,omitempty"` // leading keys worth fetching
+	Stores   []string `json:"stores"` // host:port; one, if a manifest is named
+	Manifest string   `json:"manifest,omitempty"`
+	Covered  int      `json:"covered,omitempty"` // leading keys worth fetching
 }
 
 // Usage is the count of tokens of a run.
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -130,6 +130,7 @@
 	*Config
 	Targets  *route.Snapshot
 	Draining bool    // this instance takes no new work
+	Settled  bool    // every target was asked once since the start
 	Share    float64 // this instance's part of the fleet's limits
 }
 
