--- /dev/null
+++ b/internal/core/attempt/attempt_test.go
@@ -0,0 +1,87 @@
+package attempt_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/shedhoist/shedhoist/internal/core/attempt"
+	"github.com/shedhoist/shedhoist/internal/problem"
+)
+
+func yes() bool { return true }
+func no() bool  { return false }
+
+// TestStep is the whole table of first ends.
+func TestStep(t *testing.T) {
+	fail := func(k problem.Kind, e problem.Execution) attempt.Verdict {
+		return attempt.Verdict{Action: attempt.Fail, Kind: k, Execution: e}
+	}
+	retry, resume := attempt.Verdict{Action: attempt.Retry}, attempt.Verdict{Action: attempt.Resume}
+	cases := []struct {
+		name       string
+		ev         attempt.Event
+		idempotent attempt.Verdict // of an idempotent, resumable request
+		once       attempt.Verdict // of one that is neither
+	}{
+		{"not sent", attempt.NotSent, retry, retry},
+		{"refused", attempt.Refused, retry, retry},
+		{"broke early", attempt.BrokeEarly, retry, fail(problem.TargetFailed, problem.MayHaveRun)},
+		{"broke late", attempt.BrokeLate, resume, fail(problem.BadAnswer, problem.Ran)},
+		{"mismatched", attempt.Mismatched, retry, fail(problem.BadAnswer, problem.MayHaveRun)},
+		{"timed out", attempt.TimedOut, fail(problem.TargetTimeout, problem.MayHaveRun), fail(problem.TargetTimeout, problem.MayHaveRun)},
+		{"caller gone", attempt.CallerGone, fail(problem.CallerGone, problem.MayHaveRun), fail(problem.CallerGone, problem.MayHaveRun)},
+		{"done", attempt.Done, attempt.Verdict{Action: attempt.Finish, Execution: problem.Ran}, attempt.Verdict{Action: attempt.Finish, Execution: problem.Ran}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(attempt.New(true, true, 3).Step(c.ev, yes), c.idempotent)
+			is.Equal(attempt.New(false, false, 3).Step(c.ev, yes), c.once)
+			is.True(attempt.New(true, true, 1).Step(c.ev, yes).Action != attempt.Retry) // no attempts left
+			is.True(attempt.New(true, true, 3).Step(c.ev, no).Action != attempt.Retry)  // no budget
+		})
+	}
+}
+
+// TestTruth: over any life, "not run" is said only if no attempt was touched,
+// and a request that is not idempotent is never sent after one that was.
+func TestTruth(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		idempotent := rapid.Bool().Draw(t, "idempotent")
+		r := attempt.New(idempotent, rapid.Bool().Draw(t, "resumable"), rapid.IntRange(1, 6).Draw(t, "attempts"))
+		touched, answered := false, false
+		for {
+			ev := attempt.Event(rapid.IntRange(int(attempt.NotSent), int(attempt.Done)).Draw(t, "event"))
+			if ev != attempt.NotSent && ev != attempt.Refused {
+				touched = true
+			}
+			answered = answered || ev == attempt.BrokeLate || ev == attempt.Done
+			v := r.Step(ev, func() bool { return rapid.Bool().Draw(t, "budget") })
+			switch v.Action {
+			case attempt.Retry, attempt.Resume:
+				if touched && !idempotent {
+					t.Fatal("a request that may have run is sent again")
+				}
+				continue
+			case attempt.Finish:
+				if ev != attempt.Done {
+					t.Fatalf("finished by %d", ev)
+				}
+			case attempt.Fail:
+				want := problem.NotRun
+				if touched {
+					want = problem.MayHaveRun
+				}
+				if answered {
+					want = problem.Ran
+				}
+				if v.Execution != want {
+					t.Fatalf("execution %s, want %s", v.Execution, want)
+				}
+			}
+			return
+		}
+	})
+}
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -8,6 +8,7 @@
 package route
 
 import (
+	"encoding/binary"
 	"math"
 
 	"github.com/cespare/xxhash/v2"
@@ -46,34 +47,6 @@
 	Queued   int     // prompt tokens waiting, from the last load report
 	ReportMS float64 // age of that report
 	RTT      float64 // network round trip from this instance, ms
-	hash     uint64
-}
-
-// Snapshot is an immutable view of all targets.
-type Snapshot struct {
-	Targets []Target
-	byModel map[string][]int32
-}
-
-// NewSnapshot indexes targets; the slice must not change afterwards.
-func NewSnapshot(targets []Target) *Snapshot {
-	s := &Snapshot{Targets: targets, byModel: map[string][]int32{}}
-	for i := range targets {
-		t := &targets[i]
-		t.hash = xxhash.Sum64String(t.Name)
-		s.byModel[t.Model] = append(s.byModel[t.Model], int32(i))
-	}
-	return s
-}
-
-// Find returns the target with the given name, or nil.
-func (s *Snapshot) Find(name string) *Target {
-	for i := range s.Targets {
-		if s.Targets[i].Name == name {
-			return &s.Targets[i]
-		}
-	}
-	return nil
 }
 
 // Hints tells what is believed to be where. Hints may be wrong: they move
@@ -159,70 +132,76 @@
 // Pick decides one query.
 func Pick(s *Snapshot, q *Query, p Params, h Hints, d *Decision) {
 	*d = Decision{}
-	var homes [MaxCandidates]scored
-	var pool [randomCandidates]int32
-	n, extra := gather(s, q, p, &homes, &pool, &d.Filtered)
 	best := math.Inf(1)
-	consider := func(i int32, home bool) {
-		t := &s.Targets[i]
+	pl := s.pools[poolKey{q.Model, q.Version}]
+	d.Filtered = s.passedOver(q.Model, pl)
+	if pl == nil {
+		return
+	}
+	var chosen [MaxCandidates]int32
+	for _, i := range chosen[:gather(s, pl, q, p, &chosen, &d.Filtered)] {
+		t := &s.Targets[i&^randomMark]
 		c, action, first := predict(t, q, p, h)
-		c.Home = home
+		c.Home = i&randomMark == 0
 		d.Candidates[d.N] = c
 		d.N++
 		if c.CostMS < best {
 			best, d.Target, d.Action, d.FirstMS = c.CostMS, t, action, first
 		}
 	}
-	for i := range n {
-		consider(homes[i].index, true)
-	}
-	for i := range extra {
-		if !contains(homes[:n], pool[i]) && (i == 0 || pool[i] != pool[0]) {
-			consider(pool[i], false)
-		}
-	}
 }
 
-type scored struct {
-	score uint64
-	index int32
-}
+// randomMark tells a random candidate's index from a home's.
+const randomMark = 1 << 30
 
-func contains(list []scored, index int32) bool {
-	for _, s := range list {
-		if s.index == index {
-			return true
+// gather lists the candidates: the first homes of the prompt's root that pass
+// the filter, then some at random. When no home passes, the whole pool is
+// gone through, so that there is a candidate whenever any target passes.
+func gather(s *Snapshot, pl *pool, q *Query, p Params, out *[MaxCandidates]int32, f *Filtered) int {
+	want := min(max(p.Candidates, 1), MaxCandidates-randomCandidates)
+	n := 0
+	for _, i := range pl.homes(rootHash(q)) {
+		if n < want && i >= 0 && admit(&s.Targets[i], q, f) {
+			out[n] = i
+			n++
 		}
 	}
-	return false
-}
-
-// gather finds the homes (highest rendezvous scores) and two random targets in
-// one pass over the model's targets.
-func gather(s *Snapshot, q *Query, p Params, homes *[MaxCandidates]scored, pool *[randomCandidates]int32, f *Filtered) (int, int) {
-	want := min(max(p.Candidates, 1), MaxCandidates-randomCandidates)
-	root := rootHash(q)
-	n, extra, seen := 0, 0, uint64(0)
 	rnd := q.Rand
-	for _, i := range s.byModel[q.Model] {
+	for range randomCandidates {
+		rnd = mix(rnd)
+		i := pl.ready[rnd%uint64(len(pl.ready))]
+		if !seen(out[:n], i) && admit(&s.Targets[i], q, nil) {
+			out[n] = i | randomMark
+			n++
+		}
+	}
+	if n > 0 {
+		return n
+	}
+	best := scored{index: -1}
+	for _, i := range pl.ready {
 		t := &s.Targets[i]
 		if !admit(t, q, f) {
 			continue
 		}
-		seen++
-		n = insert(homes, n, want, scored{score: mix(root ^ t.hash), index: i})
-		// reservoir sampling: each of the targets seen is kept with equal chance
-		if extra < randomCandidates {
-			pool[extra] = i
-			extra++
-			continue
+		if score := mix(rootHash(q) ^ xxhash.Sum64String(t.Name)); best.index < 0 || score > best.score {
+			best = scored{score, i}
 		}
-		rnd = mix(rnd)
-		if slot := rnd % seen; slot < randomCandidates {
-			pool[slot] = i
+	}
+	if best.index < 0 {
+		return 0
+	}
+	out[0] = best.index
+	return 1
+}
+
+func seen(list []int32, index int32) bool {
+	for _, i := range list {
+		if i&^randomMark == index {
+			return true
 		}
 	}
-	return n, extra
+	return false
 }
 
 // rootHash identifies the prompt's first chunk; a prompt shorter than a chunk
@@ -231,7 +210,7 @@
 	if len(q.Keys) == 0 {
 		return mix(q.Rand)
 	}
-	return xxhash.Sum64(q.Keys[0][:])
+	return binary.LittleEndian.Uint64(q.Keys[0][:8]) // a key is a hash already
 }
 
 // mix is the finalizer of SplitMix64: every input bit changes every output bit.
@@ -242,30 +221,13 @@
 	return x ^ (x >> 31)
 }
 
-// insert keeps homes sorted by falling score, want at most.
-func insert(homes *[MaxCandidates]scored, n, want int, s scored) int {
-	if n == want && s.score <= homes[n-1].score {
-		return n
-	}
-	if n < want {
-		n++
-	}
-	i := n - 1
-	for i > 0 && homes[i-1].score < s.score {
-		homes[i] = homes[i-1]
-		i--
-	}
-	homes[i] = s
-	return n
-}
-
-// admit is the filter: state, weight version, adapter, not yet tried.
+// admit is the part of the filter that depends on the query: adapter, and not
+// yet tried. State, model and version are settled by the pool.
 func admit(t *Target, q *Query, f *Filtered) bool {
+	if f == nil {
+		f = &Filtered{}
+	}
 	switch {
-	case t.State != Ready:
-		f.State++
-	case t.Version != q.Version:
-		f.Version++
 	case q.Adapter != "" && !has(t.Adapters, q.Adapter):
 		f.Adapter++
 	case has(q.Exclude, t.Name):
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -18,8 +18,9 @@
 	parts    map[string][]byte // buckets in force, by hash
 	targets  *observe.Tracker
 	members  *member.Machine
-	draining bool // by a signal
-	settled  bool // stays true: a target added later makes no instance unready
+	draining bool            // by a signal
+	snapshot *route.Snapshot // the last one published
+	settled  bool            // stays true: a target added later makes no instance unready
 	now      func() time.Time
 }
 
@@ -83,7 +84,8 @@
 
 // view builds the picture that request goroutines read.
 func (c *control) view(self string) *view.View {
-	out := &view.View{Config: c.cfg, Targets: route.NewSnapshot(c.targets.Targets(c.now())), Draining: c.draining, Share: 1}
+	out := &view.View{Config: c.cfg, Targets: route.NewSnapshot(c.targets.Targets(c.now()), c.snapshot), Draining: c.draining, Share: 1}
+	c.snapshot = out.Targets
 	c.settled = c.settled || (c.cfg != nil && c.targets.Settled())
 	out.Settled = c.settled
 	if c.cfg != nil && c.cfg.Drained[self] {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -142,7 +142,7 @@
 	if v := h.p.Load(); v != nil {
 		return v
 	}
-	return &View{Targets: route.NewSnapshot(nil)}
+	return &View{Targets: route.NewSnapshot(nil, nil)}
 }
 
 // Store publishes a view.
