--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,185 @@
+package config_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/fstest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/shedhoist/shedhoist/internal/config"
+	"github.com/shedhoist/shedhoist/internal/platform"
+	standin "github.com/shedhoist/shedhoist/internal/standin/platform"
+)
+
+func customer(name string) config.Customer {
+	return config.Customer{Name: name, KeyHashes: []string{fmt.Sprintf("%064x", len(name))}, Secret: fmt.Sprintf("%064x", 7)}
+}
+
+func bundle(n int) *config.Bundle {
+	b := &config.Bundle{Policy: &config.Policy{Candidates: 2}}
+	for i := range n {
+		b.Customers = append(b.Customers, customer(fmt.Sprintf("c%d", i)))
+		b.Targets = append(b.Targets, config.Target{Name: fmt.Sprintf("t%d", i), Address: "127.0.0.1:1", Zone: "z", Model: "m"})
+	}
+	return b
+}
+
+func repo(t *testing.T) (*config.Repo, *standin.Server) {
+	t.Helper()
+	p := standin.New("")
+	srv := httptest.NewServer(p.Handler())
+	t.Cleanup(srv.Close)
+	return &config.Repo{Store: platform.NewClient(srv.URL, "", nil), Now: time.Now, Pause: time.Millisecond}, p
+}
+
+// TestSplitJoin: splitting a bundle and joining its parts gives it back, in
+// whatever order it was written; one change touches one part.
+func TestSplitJoin(t *testing.T) {
+	is := is.New(t)
+	b := bundle(100)
+	parts, err := config.Split(b)
+	is.NoErr(err)
+	back, err := config.Join(parts)
+	is.NoErr(err)
+	edits, err := config.Diff(b, back)
+	is.NoErr(err)
+	is.Equal(len(edits), 0)
+
+	b.Customers[0], b.Customers[99] = b.Customers[99], b.Customers[0]
+	again, err := config.Split(b)
+	is.NoErr(err)
+	is.Equal(again, parts)
+
+	b.Targets[5].Zone = "y"
+	changed, err := config.Split(b)
+	is.NoErr(err)
+	differ := 0
+	for id := range changed {
+		if string(changed[id]) != string(parts[id]) {
+			differ++
+		}
+	}
+	is.Equal(differ, 1)
+}
+
+// TestRacingOperators: of many changes made from one generation exactly one is
+// accepted; each loser is told by whom, and nothing of his is in the history.
+func TestRacingOperators(t *testing.T) {
+	is := is.New(t)
+	r, _ := repo(t)
+	const operators = 16
+	errs := make([]error, operators)
+	var wg sync.WaitGroup
+	for i := range operators {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			parts, err := config.Split(bundle(i + 1))
+			if err == nil {
+				_, err = r.Accept(t.Context(), config.Change{Parts: parts, Message: fmt.Sprint(i)})
+			}
+			errs[i] = err
+		}()
+	}
+	wg.Wait()
+	h, _, err := r.Head(t.Context())
+	is.NoErr(err)
+	is.Equal(h.Generation, uint64(1))
+	won := 0
+	for i, err := range errs {
+		var race *config.RaceError
+		if err == nil {
+			won++
+			is.Equal(h.Message, fmt.Sprint(i))
+			continue
+		}
+		is.True(errors.As(err, &race))
+		is.Equal(race.Winner.Nonce, h.Nonce)
+		is.Equal(race.Mine, fmt.Sprint(i))
+	}
+	is.Equal(won, 1)
+}
+
+// TestLostAnswers: with any number of writes lost before or behind their
+// effect, an apply that says accepted is in the history once, and one that
+// says conflict or uncertain is told apart truthfully.
+func TestLostAnswers(t *testing.T) {
+	r, p := repo(t)
+	message := 0
+	rapid.Check(t, func(t *rapid.T) {
+		p.SetFaults(standin.Faults{LoseWrites: rapid.IntRange(0, 4).Draw(t, "lost answers"), DropWrites: rapid.IntRange(0, 2).Draw(t, "dropped")})
+		ctx := context.Background()
+		before, _, err := r.Head(ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		parts, err := config.Split(bundle(rapid.IntRange(1, 3).Draw(t, "size")))
+		if err != nil {
+			t.Fatal(err)
+		}
+		message++
+		_, err = r.Accept(ctx, config.Change{Base: before.Generation, Parts: parts, Message: fmt.Sprint(message)})
+		p.SetFaults(standin.Faults{})
+		history, herr := r.History(ctx, 10)
+		if herr != nil {
+			t.Fatal(herr)
+		}
+		found := 0
+		for _, h := range history {
+			if h.Message == fmt.Sprint(message) {
+				found++
+			}
+		}
+		var race *config.RaceError
+		var uncertain *config.UncertainError
+		switch {
+		case err == nil && found == 1, errors.As(err, &race) && found == 0, errors.As(err, &uncertain) && found <= 1:
+		default:
+			t.Fatalf("apply said %v, the history holds it %d times", err, found)
+		}
+	})
+}
+
+// TestLoadProblems: problems name the file and line of the later declaration.
+func TestLoadProblems(t *testing.T) {
+	is := is.New(t)
+	_, err := config.Load(fstest.MapFS{
+		"a.toml": {Data: []byte("[[target]]\nname = \"t\"\naddress = \"127.0.0.1:1\"\nzone = \"z\"\nmodel = \"m\"\n")},
+		"b.toml": {Data: []byte("\n[[target]]\nname = \"t\"\naddress = \"127.0.0.1:1\"\nzone = \"z\"\nmodel = \"m\"\n")},
+	})
+	is.True(err != nil)
+	is.Equal(err.Error(), "b.toml:3: target[0].name: duplicate target \"t\", first at a.toml:1\n"+
+		"a.toml:5: target[0].model: no model \"m\"\nb.toml:6: target[0].model: no model \"m\"")
+}
+
+// FuzzLoad: whatever stands in a file, loading it ends in a bundle or in
+// problems, and a bundle that loads can be split and joined.
+func FuzzLoad(f *testing.F) {
+	f.Add([]byte("[[customer]]\nname = \"c\"\n"))
+	f.Add([]byte("[policy]\ncandidates = 99\n[policy]\n"))
+	f.Add([]byte("[[model]]\nname=\"m\"\nversion=\"v\"\nversions=[\"v\"]\n[[model.adapter]]\nname=\"a\"\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		b, err := config.Load(fstest.MapFS{"f.toml": {Data: data}})
+		if err != nil {
+			return
+		}
+		parts, err := config.Split(b)
+		if err != nil {
+			return
+		}
+		back, err := config.Join(parts)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if edits, err := config.Diff(b, back); err != nil || len(edits) > 0 {
+			t.Fatalf("%v %v", edits, err)
+		}
+	})
+}
--- a/internal/config/generation.go
+++ b/internal/config/generation.go
@@ -200,6 +200,22 @@
 type Repo struct {
 	Store platform.Store
 	Now   func() time.Time
+	Pause time.Duration // between tries of a write without an answer; 0 means DefaultPause
+}
+
+func (r *Repo) pause(ctx context.Context) bool {
+	d := r.Pause
+	if d == 0 {
+		d = DefaultPause
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // Head returns the head in force and its version; a zero head before the first apply.
@@ -314,7 +330,7 @@
 		if headErr == nil && v != version {
 			return r.verdict(ctx, now, next, c)
 		}
-		if !pause(ctx, settlePause) {
+		if !r.pause(ctx) {
 			break
 		}
 	}
@@ -333,23 +349,12 @@
 	return &RaceError{Base: c.Base, Winner: now, Mine: c.Message}
 }
 
-// Bounds of swap.
+// Bounds of a write without an answer.
 const (
-	settleTries = 5
-	settlePause = 200 * time.Millisecond
+	settleTries  = 5
+	DefaultPause = 200 * time.Millisecond
 )
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // accepted walks back from head h to the generation of next.
 func (r *Repo) accepted(ctx context.Context, h, next Head) (bool, error) {
 	for h.Generation > next.Generation {
@@ -424,7 +429,7 @@
 		if err == nil || errors.As(err, &conflict) {
 			return nil
 		}
-		if !pause(ctx, settlePause) {
+		if !r.pause(ctx) {
 			break
 		}
 	}
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -123,7 +123,7 @@
 	if r == nil {
 		return nil
 	}
-	return []Probe{{To: r.Name, Address: r.Address, Updates: m.batch()}}
+	return []Probe{{To: r.Name, Address: r.Address, Updates: m.Batch(r.Name)}}
 }
 
 // age turns lasting suspicion into death and forgets the long gone.
@@ -183,7 +183,7 @@
 	var out []Probe
 	for len(others) > 0 && len(out) < m.p.Indirect {
 		i := m.rand(len(others))
-		out = append(out, Probe{To: name, Address: r.Address, Via: others[i].Address, Updates: m.batch()})
+		out = append(out, Probe{To: name, Address: r.Address, Via: others[i].Address, Updates: m.Batch(name)})
 		others = slices.Delete(others, i, i+1)
 	}
 	if len(out) == 0 {
@@ -276,7 +276,7 @@
 	var out []Probe
 	for range m.p.Indirect {
 		if r := m.pick(); r != nil {
-			out = append(out, Probe{To: r.Name, Address: r.Address, Updates: m.batch()})
+			out = append(out, Probe{To: r.Name, Address: r.Address, Updates: m.Batch(r.Name)})
 		}
 	}
 	return out
@@ -294,8 +294,16 @@
 	m.rumors = append(m.rumors, rumor{m: u})
 }
 
-// Batch returns the updates for a message that answers another.
-func (m *Machine) Batch() []Member { return m.batch() }
+// Batch returns the updates for a message to a member. One that is believed
+// suspect or dead is told so first, whether or not that is still news: only it
+// can refute it.
+func (m *Machine) Batch(to string) []Member {
+	out := m.batch()
+	if r := m.members[to]; r != nil && r.State != Alive {
+		out = append([]Member{r.Member}, out...)
+	}
+	return out
+}
 
 // batch takes the least sent updates. Each is sent some multiple of log2 of
 // the number of members times, which reaches all with high probability.
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -136,7 +136,7 @@
 		if req.Join {
 			out.Updates = c.members.Members()
 		} else {
-			out.Updates = c.members.Batch()
+			out.Updates = c.members.Batch(req.From.Name)
 		}
 	})
 	if req.Generation > out.Generation {
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,20 @@
+package settings_test
+
+import (
+	"testing"
+
+	"github.com/shedhoist/shedhoist/internal/settings"
+)
+
+// FuzzParse: whatever stands in a settings file, it ends in settings or in
+// problems.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("name = \"a\"\nzone = \"z\"\n[platform]\nurl = \"http://x\"\n[peers]\nsecret = \"s\"\n"))
+	f.Add([]byte("[listen]\ncallers = \"127.0.0.1:0\"\n[listen]"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := settings.Parse("f.toml", data)
+		if (s == nil) == (err == nil) {
+			t.Fatalf("settings %v with error %v", s, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/target/fuzz_test.go
@@ -0,0 +1,17 @@
+package target
+
+import "testing"
+
+// FuzzParseChunk: whatever an engine streams ends in a chunk or a typed failure.
+func FuzzParseChunk(f *testing.F) {
+	f.Add(`{"id":"x","choices":[{"index":0,"text":" a","finish_reason":null}]}`)
+	f.Add(`{"choices":[],"usage":{"prompt_tokens":1}}`)
+	f.Add(`{"usage":{"prompt_tokens":"x"}}`)
+	f.Add(`{"error":{"message":"x"}}`)
+	f.Fuzz(func(t *testing.T, data string) {
+		_, err := parseChunk("t", data)
+		if _, ok := err.(*BrokenError); err != nil && !ok {
+			t.Fatalf("%T", err)
+		}
+	})
+}
