Keep an at-most-once ledger in the platform: claims before dispatch, group commit

Cause: a keyed request that may not be repeated ran again when its caller repeated it through another instance.

Change: claims are hashed to 16 partitions; each is one chain changed only by conditional writes of one tip object, so no lease is needed. The partition's keeper, found by rendezvous over live members, commits many claims in one write at most every 100 ms; any instance may write by itself if the keeper is silent. Outcomes follow; a claim that was given up is freed by a void outcome.

End to end: repeats through three instances at once, unknown outcome, outage, lost and dropped answers, death of a keeper.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,9 +21,11 @@
 	"github.com/shedhoist/shedhoist/internal/core/cache"
 	"github.com/shedhoist/shedhoist/internal/core/member"
 	"github.com/shedhoist/shedhoist/internal/core/observe"
+	"github.com/shedhoist/shedhoist/internal/core/once"
 	"github.com/shedhoist/shedhoist/internal/dispatch"
 	"github.com/shedhoist/shedhoist/internal/keys"
 	"github.com/shedhoist/shedhoist/internal/kvstore"
+	"github.com/shedhoist/shedhoist/internal/ledger"
 	"github.com/shedhoist/shedhoist/internal/operator"
 	"github.com/shedhoist/shedhoist/internal/peer"
 	"github.com/shedhoist/shedhoist/internal/platform"
@@ -55,6 +57,7 @@
 	dispatch *dispatch.Dispatcher
 	callers  *caller.Edge
 	admit    *admission
+	ledger   *ledger.Ledger
 	pool     *peer.Pool
 	peers    *peer.Server
 
@@ -79,11 +82,12 @@
 	d.ctx, d.stop = context.WithCancel(context.Background())
 	d.store = platform.NewClient(set.Platform.URL, set.Platform.Token, nil)
 	d.repo = &config.Repo{Store: d.store, Now: d.now}
+	d.ledger = ledger.New(d.ctx, d.store, once.DefaultParams, d.now)
 	d.engines = target.NewClient(settings.Duration(set.Timing.ConnectMS))
 	d.admit = newAdmission(d.now)
 	d.dispatch = &dispatch.Dispatcher{Instance: set.Name, Zone: set.Zone, View: &d.view, Targets: d.engines,
 		Stores: kvstore.NewClient(settings.Duration(set.Timing.ConnectMS)), Hints: d.hints, Why: d.whys, Log: d.log, Now: d.now,
-		Stall: stallTimeout, Answer: int64(set.Limits.AnswerBytes)}
+		Ledger: keeper{d}, Stall: stallTimeout, Answer: int64(set.Limits.AnswerBytes)}
 	d.dispatch.Init(d.ctx)
 	d.callers = &caller.Edge{View: &d.view, Dispatch: d.dispatch, Admit: d.admit, Limits: set.Limits, Log: d.log, Now: d.now}
 	if err := d.listen(); err != nil {
@@ -255,6 +259,7 @@
 	d.stop()
 	d.done.Wait()
 	d.dispatch.Wait()
+	d.ledger.Wait()
 	d.pool.Close()
 	d.engines.Close()
 	if err != nil && cut > 0 {
@@ -265,6 +270,18 @@
 	return nil
 }
 
+// Kill ends the daemon as a crash would: listeners and connections are closed
+// under whatever is in hand, and nobody is told.
+func (d *Daemon) Kill() {
+	d.stop()
+	d.callerSrv.Close()
+	d.operatorSrv.Close()
+	d.peerLn.Close()
+	d.peers.Close()
+	d.pool.Close()
+	d.engines.Close()
+}
+
 // leave tells some peers goodbye.
 func (d *Daemon) leave() {
 	var probes []member.Probe
--- /dev/null
+++ b/internal/daemon/keeper.go
@@ -0,0 +1,85 @@
+package daemon
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/shedhoist/shedhoist/internal/core/member"
+	"github.com/shedhoist/shedhoist/internal/core/once"
+	"github.com/shedhoist/shedhoist/internal/ledger"
+	"github.com/shedhoist/shedhoist/internal/peer"
+)
+
+// keeper finds the instance where the claims of a partition meet: the highest
+// rendezvous score among live members. Instances that disagree, for a moment,
+// only meet each other's writes in the platform.
+type keeper struct{ d *Daemon }
+
+// claimTimeout bounds one claim, over a peer or not.
+const claimTimeout = 5 * time.Second
+
+// peerClaimTimeout bounds the part of it that a peer may take.
+const peerClaimTimeout = 2 * time.Second
+
+// of returns the keeper's address, or "" if it is this instance.
+func (k keeper) of(ctx context.Context, partition int) string {
+	var best member.Member
+	var top uint64
+	for _, m := range k.d.members(ctx) {
+		if m.State != member.Alive {
+			continue
+		}
+		if score := xxhash.Sum64String(m.Name + "/" + strconv.Itoa(partition)); best.Name == "" || score > top {
+			best, top = m, score
+		}
+	}
+	if best.Name == k.d.set.Name {
+		return ""
+	}
+	return best.Address
+}
+
+// Claim implements dispatch.Ledger: it goes to the keeper, and to the platform
+// by itself if the keeper does not answer. Both may then write the claim; it
+// carries one nonce, so it is one claim.
+func (k keeper) Claim(ctx context.Context, e once.Entry) (once.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	if address := k.of(ctx, ledger.PartitionOf(e.ID)); address != "" {
+		pctx, pcancel := context.WithTimeout(ctx, peerClaimTimeout)
+		defer pcancel()
+		var out peer.Claimed
+		if err := k.d.pool.Call(pctx, address, "Peer.Claim", &peer.Claim{Entry: e}, &out); err == nil {
+			return once.Answer{Verdict: out.Verdict, Outcome: out.Outcome}, nil
+		}
+	}
+	return k.d.ledger.Claim(ctx, e)
+}
+
+// Settle implements dispatch.Ledger. It does not wait.
+func (k keeper) Settle(id once.ID, nonce once.Nonce, o once.Outcome) {
+	go func() {
+		ctx, cancel := context.WithTimeout(k.d.ctx, claimTimeout)
+		defer cancel()
+		if address := k.of(ctx, ledger.PartitionOf(id)); address != "" {
+			if k.d.pool.Call(ctx, address, "Peer.Settle", &peer.Settle{ID: id, Nonce: nonce, Outcome: o}, &peer.Settled{}) == nil {
+				return
+			}
+		}
+		k.d.ledger.Settle(id, nonce, o)
+	}()
+}
+
+// Claim implements peer.Handler.
+func (d *Daemon) Claim(req peer.Claim) (peer.Claimed, error) {
+	ctx, cancel := context.WithTimeout(d.ctx, claimTimeout)
+	defer cancel()
+	a, err := d.ledger.Claim(ctx, req.Entry)
+	return peer.Claimed{Verdict: a.Verdict, Outcome: a.Outcome}, err
+}
+
+// Settle implements peer.Handler.
+func (d *Daemon) Settle(req peer.Settle) { d.ledger.Settle(req.ID, req.Nonce, req.Outcome) }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 	"github.com/shedhoist/shedhoist/internal/core/attempt"
 	"github.com/shedhoist/shedhoist/internal/core/cache"
 	"github.com/shedhoist/shedhoist/internal/core/limit"
+	"github.com/shedhoist/shedhoist/internal/core/once"
 	"github.com/shedhoist/shedhoist/internal/kvstore"
 	"github.com/shedhoist/shedhoist/internal/metric"
 	"github.com/shedhoist/shedhoist/internal/problem"
@@ -36,6 +37,7 @@
 	Now      func() time.Time
 	Stall    time.Duration // longest silence within a stream
 	Answer   int64         // largest service answer, bytes
+	Ledger   Ledger
 
 	load   loads
 	stores breakers
@@ -48,6 +50,15 @@
 	keepsCtx context.Context
 }
 
+// Ledger makes claims durable before their requests are dispatched.
+type Ledger interface {
+	// Claim returns an error if it is not known whether the claim is durable:
+	// its request must not be dispatched.
+	Claim(ctx context.Context, e once.Entry) (once.Answer, error)
+	// Settle brings the outcome, or frees a claim whose request was not sent.
+	Settle(id once.ID, nonce once.Nonce, o once.Outcome)
+}
+
 // maxKeeps bounds the exports that one instance has under way.
 const maxKeeps = 8
 
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -55,11 +55,12 @@
 	load   *load
 	queued bool // its prompt still counts as queued at the target
 
-	first  *target.Chunk // read ahead by Start
-	text   strings.Builder
-	rec    *why.Record
-	usage  target.Usage
-	ending bool
+	first   *target.Chunk // read ahead by Start
+	text    strings.Builder
+	rec     *why.Record
+	usage   target.Usage
+	tokenMS float64 // when the last token came, ms after arrival
+	ending  bool
 
 	repinned bool
 }
@@ -338,14 +339,25 @@
 	if c.Text == "" && c.Finish == "" && l.text.Len() > 0 {
 		return false
 	}
-	if c.Text != "" && l.rec.FirstMS == 0 {
-		l.rec.FirstMS = l.sinceMS()
-		metric.FirstToken.Update(l.rec.FirstMS / 1000)
+	if c.Text != "" {
+		l.timeToken()
 	}
 	l.text.WriteString(c.Text)
 	return true
 }
 
+// timeToken measures the time to the first token, and from token to token.
+func (l *Live) timeToken() {
+	at := l.sinceMS()
+	if l.rec.FirstMS == 0 {
+		l.rec.FirstMS = at
+		metric.FirstToken.Update(at / 1000)
+	} else {
+		metric.BetweenTokens.Update((at - l.tokenMS) / 1000)
+	}
+	l.tokenMS = at
+}
+
 // learn: the target has just computed, restored or reused the whole chain.
 func (l *Live) learn() { l.d.Hints.Learn(l.target.Name, l.keys) }
 
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -66,6 +66,11 @@
 	idempotent := Idempotent(req.Service, req.Method, req.Path)
 	rec := &why.Record{ID: req.ID, Instance: d.Instance, Customer: req.Customer.Name, Kind: "service", Name: req.Service.Name,
 		Generation: req.View.Head.Generation, Arrived: req.Arrived}
+	claim, replay, err := d.claim(ctx, req, idempotent)
+	if replay != nil || err != nil {
+		d.closeReplay(rec, err)
+		return replay, err
+	}
 	machine := attempt.New(idempotent, false, req.View.Policy.MaxAttempts)
 	d.earn(req.View.Policy.RetryShare)
 	answer, verdict, cause := d.tryInstances(ctx, req, machine, rec, idempotent)
@@ -74,6 +79,7 @@
 		outcome = string(verdict.Kind)
 	}
 	d.closeCall(rec, outcome, verdict.Execution)
+	d.settle(claim, answer, verdict.Execution)
 	if answer == nil {
 		return nil, failure(req.ID, verdict, cause)
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/core/member"
+	"github.com/shedhoist/shedhoist/internal/core/once"
 	"github.com/shedhoist/shedhoist/internal/why"
 )
 
@@ -80,12 +81,35 @@
 	Version    string `cbor:"8,keyasint" json:"version"`
 }
 
+// Claim asks a keeper to make a claim durable.
+type Claim struct {
+	Entry once.Entry `cbor:"1,keyasint"`
+}
+
+// Claimed is the answer to a Claim.
+type Claimed struct {
+	Verdict once.Verdict  `cbor:"1,keyasint"`
+	Outcome *once.Outcome `cbor:"2,keyasint,omitempty"`
+}
+
+// Settle brings a keeper a claim's outcome.
+type Settle struct {
+	ID      once.ID      `cbor:"1,keyasint"`
+	Nonce   once.Nonce   `cbor:"2,keyasint"`
+	Outcome once.Outcome `cbor:"3,keyasint"`
+}
+
+// Settled is the answer to a Settle.
+type Settled struct{}
+
 // Handler answers peers. Its methods are called from many goroutines.
 type Handler interface {
 	Ping(Ping) Pong
 	Config(ConfigRequest) (ConfigReply, error)
 	Explain(id string) *why.Record
 	Status() Status
+	Claim(Claim) (Claimed, error)
+	Settle(Settle)
 }
 
 // service is the net/rpc face of a Handler. net/rpc wants these signatures.
@@ -121,6 +145,18 @@
 	return nil
 }
 
+// Claim makes a claim durable for a peer.
+func (s *service) Claim(req *Claim, out *Claimed) (err error) {
+	*out, err = s.h.Claim(*req)
+	return err
+}
+
+// Settle takes a claim's outcome from a peer.
+func (s *service) Settle(req *Settle, _ *Settled) error {
+	s.h.Settle(*req)
+	return nil
+}
+
 // Status tells this instance's state.
 func (s *service) Status(_ *StatusRequest, out *Status) error {
 	*out = s.h.Status()
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -330,6 +330,15 @@
 	return err
 }
 
+// Kill ends the i-th entry instance at once: its connections break, it says no
+// goodbye.
+func (f *Fleet) Kill(i int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Daemons[i].Kill()
+	f.Daemons = slices.Delete(slices.Clone(f.Daemons), i, i+1)
+}
+
 // NotReadyError says what a fleet still lacked.
 type NotReadyError struct{ Reason string }
 
