Bound what control costs an instance; measure it as slopes

Cause: 'standin capacity' (20 targets, quiet fleets) showed 12.5 ms/s of processor time an instance at 64 instances (1.25% of a core; the budget is 1.1%) and 3.7 kB/s written to peers (4 kB/s). A reading of the code found the choice of observers worked out for all targets and members eight times a second, and a probe rate that grows with the targets observed.

Change: observers are worked out when members or configuration change; an instance makes at most 8 probes a second however many targets it observes, and looks again soon at one that just failed; views are published 10 times a second; digests are told at the rate that messages can carry.

A try that failed: 10 digests a message with 24 refreshes a second: more was offered than could be told, words grew old on the way, and targets became suspect by silence at 32 instances. The rate now follows the messages, and silence is the fallback it is meant to be: a failure is told by its observers.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -64,7 +64,7 @@
 // targetFailed brings a probe that had no answer.
 type targetFailed struct{ name string }
 
-func (e targetFailed) apply(c *control) { c.targets.Failed(e.name) }
+func (e targetFailed) apply(c *control) { c.targets.Failed(e.name, c.now()) }
 
 // machinesListed brings the lagging list.
 type machinesListed struct{ leaving map[string]bool }
@@ -96,6 +96,9 @@
 		if m.State <= member.Suspect {
 			alive++
 		}
+		if m.State == member.Alive {
+			out.Observers = append(out.Observers, observe.Observer{Name: m.Name, Zone: m.Zone})
+		}
 	}
 	if alive > 0 {
 		out.Share = 1 / float64(alive)
@@ -105,7 +108,7 @@
 
 // publishEvery bounds how often a view is built: targets' reports come often,
 // and each view costs a pass over all targets.
-const publishEvery = 50 * time.Millisecond
+const publishEvery = 100 * time.Millisecond
 
 // run is the control goroutine.
 func (d *Daemon) run(ctx context.Context, c *control) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -63,6 +63,7 @@
 
 	pulling    atomic.Bool
 	platformOK atomic.Bool
+	observing  atomic.Int64 // targets that this instance probes
 
 	callerLn, operatorLn, peerLn net.Listener
 	callerSrv, operatorSrv       *http.Server
@@ -292,7 +293,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			d.ping(d.ctx, p, self, true)
+			d.ping(d.ctx, p, self, nil, true)
 		}()
 	}
 	wg.Wait()
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/core/member"
+	"github.com/shedhoist/shedhoist/internal/core/observe"
 	"github.com/shedhoist/shedhoist/internal/peer"
 	"github.com/shedhoist/shedhoist/internal/settings"
 	"github.com/shedhoist/shedhoist/internal/version"
@@ -14,7 +15,7 @@
 // probePeers carries out the probes that are due; it runs on the control goroutine.
 func (d *Daemon) probePeers(c *control) {
 	for _, p := range c.members.Tick(c.now()) {
-		go d.ping(d.ctx, p, c.members.Self(), false)
+		go d.ping(d.ctx, p, c.members.Self(), c.targets.News(c.now()), false)
 	}
 }
 
@@ -23,12 +24,13 @@
 	d     *Daemon
 	probe member.Probe
 	ok    bool
-	news  []member.Member
+	pong  peer.Pong
 }
 
 func (e pinged) apply(c *control) {
 	now := c.now()
-	c.members.Receive(e.news, now)
+	c.members.Receive(e.pong.Updates, now)
+	c.targets.Told(e.pong.Targets, now)
 	if e.ok {
 		c.members.Ack(e.probe.To, now)
 		return
@@ -47,23 +49,22 @@
 func (e memberFailed) apply(c *control) { c.members.Fail(e.name, c.now()) }
 
 // heardFrom brings the news on a peer's own message.
-type heardFrom struct {
-	from member.Member
-	news []member.Member
-}
+type heardFrom struct{ ping peer.Ping }
 
 func (e heardFrom) apply(c *control) {
-	c.members.Receive([]member.Member{e.from}, c.now())
-	c.members.Receive(e.news, c.now())
+	now := c.now()
+	c.members.Receive([]member.Member{e.ping.From}, now)
+	c.members.Receive(e.ping.Updates, now)
+	c.targets.Told(e.ping.Targets, now)
 }
 
 func (d *Daemon) pingTimeout() time.Duration { return settings.Duration(d.set.Timing.HeartbeatMS) }
 
 // ping sends one direct probe.
-func (d *Daemon) ping(ctx context.Context, p member.Probe, self member.Member, join bool) {
+func (d *Daemon) ping(ctx context.Context, p member.Probe, self member.Member, news []observe.Digest, join bool) {
 	ctx, cancel := context.WithTimeout(ctx, d.pingTimeout())
 	defer cancel()
-	req := peer.Ping{From: self, Generation: d.generation(), Updates: p.Updates, Join: join}
+	req := peer.Ping{From: self, Generation: d.generation(), Updates: p.Updates, Join: join, Targets: news}
 	var pong peer.Pong
 	err := d.pool.Call(ctx, p.Address, "Peer.Ping", &req, &pong)
 	if err == nil && pong.Generation > d.generation() {
@@ -72,7 +73,7 @@
 	if join && err != nil {
 		return // a seed that does not answer is no member yet
 	}
-	d.send(d.ctx, pinged{d: d, probe: p, ok: err == nil, news: pong.Updates})
+	d.send(d.ctx, pinged{d: d, probe: p, ok: err == nil, pong: pong})
 }
 
 // pingAround asks other members to probe a silent one.
@@ -108,7 +109,7 @@
 		}
 	})
 	if !known {
-		go d.ping(d.ctx, member.Probe{Address: address}, self, true)
+		go d.ping(d.ctx, member.Probe{Address: address}, self, nil, true)
 	}
 }
 
@@ -132,11 +133,11 @@
 func (d *Daemon) Ping(req peer.Ping) peer.Pong {
 	out := peer.Pong{Generation: d.generation()}
 	d.query(func(c *control) {
-		heardFrom{from: req.From, news: req.Updates}.apply(c)
+		heardFrom{ping: req}.apply(c)
 		if req.Join {
-			out.Updates = c.members.Members()
+			out.Updates, out.Targets = c.members.Members(), c.targets.All(c.now())
 		} else {
-			out.Updates = c.members.Batch(req.From.Name)
+			out.Updates, out.Targets = c.members.Batch(req.From.Name), c.targets.News(c.now())
 		}
 	})
 	if req.Generation > out.Generation {
--- a/internal/daemon/probe.go
+++ b/internal/daemon/probe.go
@@ -3,39 +3,42 @@
 import (
 	"context"
 	"encoding/hex"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/shedhoist/shedhoist/internal/config"
 	"github.com/shedhoist/shedhoist/internal/core/observe"
 	"github.com/shedhoist/shedhoist/internal/core/prefix"
+	"github.com/shedhoist/shedhoist/internal/metric"
 	"github.com/shedhoist/shedhoist/internal/settings"
 	"github.com/shedhoist/shedhoist/internal/target"
+	"github.com/shedhoist/shedhoist/internal/view"
 )
 
-// probeTargets runs one prober for each configured target and follows changes
-// of the configuration.
+// probeTargets runs a prober for each target that this instance observes, and
+// follows changes of the configuration and of the members.
 func (d *Daemon) probeTargets(ctx context.Context) {
 	type running struct {
 		address string
 		stop    context.CancelFunc
 	}
 	probers := map[string]running{}
-	var seen uint64
+	var seen assignment
 	for pause(ctx, settings.Duration(d.set.Timing.ProbeMS)/2) {
 		v := d.view.Load()
-		if v.Config == nil || v.Head.Generation == seen {
+		now := assignmentOf(v)
+		if now == seen {
 			continue
 		}
-		seen = v.Head.Generation
-		want := map[string]config.Target{}
-		for _, t := range v.Bundle.Targets {
-			want[t.Name] = t
-		}
+		seen = now
+		want := d.observed(v)
+		d.observing.Store(int64(len(want)))
 		for name, p := range probers {
 			if t, ok := want[name]; !ok || t.Address != p.address {
 				p.stop()
 				delete(probers, name)
-				d.hints.Drop(name)
 			}
 		}
 		for name, t := range want {
@@ -49,19 +52,66 @@
 	}
 }
 
+// assignment is what the choice of observers depends on. To work it out again
+// costs targets times members, so it is done only when one of them changed.
+type assignment struct{ generation, members uint64 }
+
+func assignmentOf(v *view.View) assignment {
+	if v.Config == nil {
+		return assignment{}
+	}
+	var h xxhash.Digest
+	h.Reset()
+	for _, o := range v.Observers {
+		_, _ = h.WriteString(o.Name + "/" + o.Zone + "\x00")
+	}
+	return assignment{generation: v.Head.Generation, members: h.Sum64()}
+}
+
+// probeSpacing is the least time between two probes of one instance on the
+// average: what it spends on probes does not grow with the targets it observes.
+const probeSpacing = 125 * time.Millisecond
+
+// probePeriod is the time between two probes of one target. One that has just
+// failed is looked at again soon, so that it is known sooner.
+func (d *Daemon) probePeriod(failures int) time.Duration {
+	least := settings.Duration(d.set.Timing.ProbeMS)
+	if failures > 0 && failures < observe.DefaultParams.Failures {
+		return least
+	}
+	return max(least, time.Duration(d.observing.Load())*probeSpacing)
+}
+
+// observed are the targets that fall to this instance.
+func (d *Daemon) observed(v *view.View) map[string]config.Target {
+	out := map[string]config.Target{}
+	if v.Config == nil {
+		return out
+	}
+	for _, t := range v.Bundle.Targets {
+		if slices.Contains(observe.Observers(t.Name, v.Observers), d.set.Name) {
+			out[t.Name] = t
+		}
+	}
+	return out
+}
+
 // probe asks one target for its report until ctx ends.
 func (d *Daemon) probe(ctx context.Context, t config.Target) {
 	period := settings.Duration(d.set.Timing.ProbeMS)
 	var seq uint64
 	var version string
+	failures := 0
 	for {
 		st, rtt, err := d.askTarget(ctx, t, period)
 		if ctx.Err() != nil {
 			return
 		}
 		if err != nil {
+			failures++
 			d.send(ctx, targetFailed{name: t.Name})
 		} else {
+			failures = 0
 			d.send(ctx, targetHeard{name: t.Name, report: reportOf(st, rtt)})
 			if version != st.Version && version != "" {
 				d.hints.Drop(t.Name) // other weights: all of its cache is gone
@@ -69,7 +119,7 @@
 			version = st.Version
 			seq = d.readEvents(ctx, t, seq, st.EventSeq)
 		}
-		if !pause(ctx, jitter(period)) {
+		if !pause(ctx, jitter(d.probePeriod(failures))) {
 			return
 		}
 	}
@@ -78,6 +128,7 @@
 func (d *Daemon) askTarget(ctx context.Context, t config.Target, period time.Duration) (target.Status, time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, max(4*period, time.Second))
 	defer cancel()
+	metric.ProbeCalls.Inc()
 	start := d.now()
 	st, err := d.engines.Status(ctx, t.Address)
 	return st, d.now().Sub(start), err
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -23,6 +23,9 @@
 	LedgerWrites    = metrics.NewCounter("shedhoist_ledger_writes_total")
 	LedgerErrors    = metrics.NewCounter("shedhoist_ledger_errors_total")
 	LedgerConflicts = metrics.NewCounter("shedhoist_ledger_conflicts_total")
+	PeerBytes       = metrics.NewCounter("shedhoist_peer_bytes_total") // written to peers
+	PeerMessages    = metrics.NewCounter("shedhoist_peer_messages_total")
+	ProbeCalls      = metrics.NewCounter("shedhoist_target_probes_total")
 	Panics          = metrics.NewCounter("shedhoist_panics_total")
 	ConfigErrors    = metrics.NewCounter("shedhoist_config_errors_total")
 	PlatformDown    = metrics.NewCounter("shedhoist_platform_errors_total")
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -12,6 +12,8 @@
 	"strconv"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/shedhoist/shedhoist/internal/metric"
 )
 
 // MaxMessage bounds one message between peers, in bytes. The largest is the
@@ -68,6 +70,8 @@
 	}
 	var n [4]byte
 	binary.BigEndian.PutUint32(n[:], uint32(len(data)))
+	metric.PeerBytes.Add(len(n) + len(data))
+	metric.PeerMessages.Inc()
 	if _, err := f.w.Write(n[:]); err != nil {
 		return err
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/core/member"
+	"github.com/shedhoist/shedhoist/internal/core/observe"
 	"github.com/shedhoist/shedhoist/internal/core/once"
 	"github.com/shedhoist/shedhoist/internal/why"
 )
@@ -21,16 +22,18 @@
 
 // Ping probes a peer and carries news both ways.
 type Ping struct {
-	From       member.Member   `cbor:"1,keyasint"`
-	Generation uint64          `cbor:"2,keyasint"`
-	Updates    []member.Member `cbor:"3,keyasint"`
-	Join       bool            `cbor:"4,keyasint,omitempty"` // answer with all members
+	From       member.Member    `cbor:"1,keyasint"`
+	Generation uint64           `cbor:"2,keyasint"`
+	Updates    []member.Member  `cbor:"3,keyasint"`
+	Join       bool             `cbor:"4,keyasint,omitempty"` // answer with all members and targets
+	Targets    []observe.Digest `cbor:"5,keyasint,omitempty"`
 }
 
 // Pong is the answer to a Ping.
 type Pong struct {
-	Generation uint64          `cbor:"1,keyasint"`
-	Updates    []member.Member `cbor:"2,keyasint"`
+	Generation uint64           `cbor:"1,keyasint"`
+	Updates    []member.Member  `cbor:"2,keyasint"`
+	Targets    []observe.Digest `cbor:"3,keyasint,omitempty"`
 }
 
 // Indirect asks a peer to probe another one.
--- a/internal/standin/cli/measure.go
+++ b/internal/standin/cli/measure.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"text/tabwriter"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -60,3 +61,42 @@
 	table(tw)
 	return tw.Flush()
 }
+
+// capacityCmd measures every slope of docs/CAPACITY.md again.
+func capacityCmd() *cobra.Command {
+	var o measure.CapacityOptions
+	var output string
+	cmd := &cobra.Command{Use: "capacity", Short: "Measure the slopes of docs/CAPACITY.md again; fails if a shape is not as the page says", Args: cobra.NoArgs,
+		Example: "  standin capacity -o json"}
+	f := cmd.Flags()
+	f.IntSliceVar(&o.Nodes, "nodes", []int{8, 16, 32, 64, 128}, "numbers of entry instances in this process")
+	f.DurationVar(&o.Settle, "quiet", 5*time.Second, "time measured for each number of instances")
+	f.StringVarP(&output, "output", "o", "table", "table or json")
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		o.Log = cmd.ErrOrStderr()
+		slopes, err := measure.Capacity(cmd.Context(), o)
+		if err != nil {
+			return err
+		}
+		if err := show(cmd.OutOrStdout(), output, slopes, func(w io.Writer) { capacityTable(w, slopes) }); err != nil {
+			return err
+		}
+		return measure.CheckShapes(slopes)
+	}
+	return cmd
+}
+
+func capacityTable(w io.Writer, slopes []*measure.Slope) {
+	fmt.Fprintln(w, "FIGURE\tUNIT\tOVER\tMEASURED\tFIT\tRESIDUAL\tSHAPE\tAT TARGET SIZE")
+	for _, s := range slopes {
+		points := ""
+		for i := range s.X {
+			points += fmt.Sprintf("%.4g:%.3g ", s.X[i], s.Y[i])
+		}
+		note := ""
+		if s.Extrapolated() {
+			note = " extrapolated"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%.3g + %.3g n\t%.0f%%\t%s\t%.4g at %.4g%s\n", s.Figure, s.Unit, s.Over, points, s.Base, s.Per, 100*s.Resid, s.Shape, s.At, s.Target, note)
+	}
+}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -12,6 +12,7 @@
 
 	"github.com/shedhoist/shedhoist/internal/config"
 	"github.com/shedhoist/shedhoist/internal/core/limit"
+	"github.com/shedhoist/shedhoist/internal/core/observe"
 	"github.com/shedhoist/shedhoist/internal/core/route"
 )
 
@@ -132,6 +133,8 @@
 	Draining bool    // this instance takes no new work
 	Settled  bool    // every target was asked once since the start
 	Share    float64 // this instance's part of the fleet's limits
+
+	Observers []observe.Observer // live instances, this one included
 }
 
 // Holder publishes views.
