Roll weight versions under a fenced lease; move a refused run to the other version

Cause: nothing gave orders to targets, so a configured version reached none.

Change: one lease object whose version is the fencing token; holders count from before their own write, contenders from when they first saw a version, each on its own clock, with a margin on both sides, checked right before each send. The planner's orders are absolute: at most three loads at once, a floor of ready targets, a version that will not load stops the rollout and goes back.

A run of which nothing was delivered now moves to another allowed version, each once.

--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -49,6 +49,11 @@
 	PrefillUS float64 `toml:"prefill_us_per_token" json:"prefill_us_per_token" validate:"min=0"`
 	// KVBytes is the size of one token's cache, in bytes.
 	KVBytes int `toml:"kv_bytes_per_token" json:"kv_bytes_per_token" validate:"min=0"`
+	// FirstTokenMS is the longest predicted time to the first token with which
+	// a request of priority 0 is taken up, in milliseconds; 0 is no bound.
+	// Each step of priority takes a twentieth off, so that what is served last
+	// is refused first.
+	FirstTokenMS float64 `toml:"first_token_ms" json:"first_token_ms,omitempty" validate:"min=0"`
 	// DeadlineMS bounds one request from its arrival, in milliseconds.
 	DeadlineMS int `toml:"deadline_ms" json:"deadline_ms" validate:"min=0"`
 }
@@ -121,12 +126,19 @@
 	// milliseconds of first token: near 0 favours latency, higher values
 	// favour the recomputed share.
 	RecomputeWeight float64 `toml:"recompute_weight_ms_per_token" json:"recompute_weight_ms_per_token" validate:"min=0"`
+	// Router is "" for the predicted cost, or a baseline to compare with.
+	Router string `toml:"router" json:"router,omitempty" validate:"omitempty,oneof=round-robin least-load affinity oracle"`
+	// NoStores keeps no cache in stores and restores none.
+	NoStores bool `toml:"no_stores" json:"no_stores,omitempty"`
 	// Candidates is how many homes a prompt's root has; 0 means DefaultCandidates.
 	Candidates int `toml:"candidates" json:"candidates" validate:"min=0,max=64"`
 	// KeepTokens is the shortest prefix worth keeping in a store; 0 means DefaultKeepTokens.
 	KeepTokens int `toml:"keep_min_tokens" json:"keep_min_tokens" validate:"min=0"`
 	// MaxAttempts bounds the attempts of one request; 0 means DefaultAttempts.
 	MaxAttempts int `toml:"max_attempts" json:"max_attempts" validate:"min=0,max=10"`
+	// MinReady is the share of a model's targets that a rollout leaves ready;
+	// 0 means DefaultMinReady.
+	MinReady float64 `toml:"rollout_min_ready" json:"rollout_min_ready,omitempty" validate:"min=0,max=1"`
 	// RetryShare is the share of requests that may be retried; 0 means DefaultRetryShare.
 	RetryShare float64 `toml:"retry_share" json:"retry_share" validate:"min=0,max=1"`
 }
@@ -137,6 +149,7 @@
 	DefaultKeepTokens = 2048
 	DefaultAttempts   = 3
 	DefaultRetryShare = 0.1
+	DefaultMinReady   = 0.75
 	DefaultDeadlineMS = 60_000
 	DefaultPrefillUS  = 50
 	DefaultKVBytes    = 2048
@@ -157,6 +170,9 @@
 	if p.MaxAttempts == 0 {
 		p.MaxAttempts = DefaultAttempts
 	}
+	if p.MinReady == 0 {
+		p.MinReady = DefaultMinReady
+	}
 	if p.RetryShare == 0 {
 		p.RetryShare = DefaultRetryShare
 	}
--- /dev/null
+++ b/internal/core/order/lease.go
@@ -0,0 +1,102 @@
+// Package order decides who may give orders to targets, and which. It is pure.
+//
+// The right to give orders is a lease: one object in the platform, written
+// conditionally. Its version is the fencing token. Time is never compared
+// between machines: a holder counts from before its own write, another instance
+// from when it first saw the present version, each on its own monotonic clock.
+package order
+
+import "time"
+
+// Params are the lease's times. A contender waits Term + Margin; a holder acts
+// for Term - Margin: however their clocks' rates differ by less than the
+// margins, no two act at once.
+type Params struct {
+	Term   time.Duration
+	Margin time.Duration
+	Renew  time.Duration // between renewals
+}
+
+// DefaultParams suit a platform that answers in milliseconds.
+var DefaultParams = Params{Term: 10 * time.Second, Margin: 2 * time.Second, Renew: 3 * time.Second}
+
+// Step is what the lease wants done in the platform.
+type Step uint8
+
+// Steps.
+const (
+	Nothing Step = iota
+	Read         // read the object, then call Saw
+	Write        // write it on condition of Version, then call Wrote or Failed
+)
+
+// Lease is one instance's view of one lease. It belongs to one goroutine.
+type Lease struct {
+	p       Params
+	self    string
+	known   bool
+	holder  string
+	version uint64    // of the object as last seen
+	since   time.Time // when that version was first seen here
+	acted   time.Time // start of the last own write that took effect; zero: not held
+	token   uint64
+	fresh   bool // the next hold is a new one, not a renewal
+}
+
+// NewLease returns a lease that self does not hold.
+func NewLease(p Params, self string) *Lease { return &Lease{p: p, self: self} }
+
+// Next says what to do now. For Write, Version is the condition.
+func (l *Lease) Next(now time.Time) (step Step, version uint64) {
+	switch {
+	case !l.known:
+		return Read, 0
+	case l.holder == l.self && !l.acted.IsZero():
+		if now.Sub(l.acted) >= l.p.Renew {
+			return Write, l.version
+		}
+		return Nothing, 0
+	case l.holder == "" || now.Sub(l.since) >= l.p.Term+l.p.Margin:
+		return Write, l.version
+	}
+	return Read, 0
+}
+
+// Saw takes the object as read at now; holder is "" if there is none.
+func (l *Lease) Saw(holder string, version uint64, now time.Time) {
+	if !l.known || version != l.version {
+		l.since = now
+	}
+	if version != l.version || holder != l.self {
+		l.acted = time.Time{} // another's write, or a former life's
+	}
+	l.known, l.holder, l.version = true, holder, version
+}
+
+// Wrote says that an own write, begun at start, took effect.
+func (l *Lease) Wrote(version uint64, start time.Time) {
+	l.fresh = l.fresh || l.acted.IsZero()
+	l.known, l.holder, l.version, l.since = true, l.self, version, start
+	l.acted, l.token = start, version
+}
+
+// Failed says that a write did not take effect, or that this is not known. The
+// term of an earlier write goes on to its own end.
+func (l *Lease) Failed() { l.known = false }
+
+// Held returns the fencing token if orders may be sent now. Ask right before
+// each send.
+func (l *Lease) Held(now time.Time) (token uint64, ok bool) {
+	if l.acted.IsZero() || now.Sub(l.acted) >= l.p.Term-l.p.Margin {
+		return 0, false
+	}
+	return l.token, true
+}
+
+// Fresh says, once, that the lease was newly taken: another's orders may be
+// under way.
+func (l *Lease) Fresh() bool {
+	f := l.fresh
+	l.fresh = false
+	return f
+}
--- /dev/null
+++ b/internal/core/order/order_test.go
@@ -0,0 +1,225 @@
+package order_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shedhoist/shedhoist/internal/core/order"
+)
+
+var params = order.DefaultParams
+
+// TestLease is one instance's course: take, act, renew, lose.
+func TestLease(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	at := func(s float64) time.Time { return now.Add(time.Duration(s * float64(time.Second))) }
+	l := order.NewLease(params, "a")
+	step, _ := l.Next(at(0))
+	is.Equal(step, order.Read)
+	l.Saw("", 0, at(0))
+	step, want := l.Next(at(0))
+	is.Equal(step, order.Write)
+	is.Equal(want, uint64(0))
+	l.Wrote(7, at(0))
+	is.True(l.Fresh())
+	is.True(!l.Fresh())
+	token, ok := l.Held(at(7.9))
+	is.True(ok)
+	is.Equal(token, uint64(7))
+	_, ok = l.Held(at(8)) // the margin
+	is.True(!ok)
+	step, want = l.Next(at(3))
+	is.Equal(step, order.Write) // renew
+	is.Equal(want, uint64(7))
+	l.Wrote(9, at(3))
+	is.True(!l.Fresh())
+	l.Saw("b", 12, at(4)) // taken by another
+	_, ok = l.Held(at(4))
+	is.True(!ok)
+	step, _ = l.Next(at(15.9))
+	is.Equal(step, order.Read)
+	step, _ = l.Next(at(16))
+	is.Equal(step, order.Write) // it was silent for term and margin
+}
+
+// contender is an instance with a clock and pauses of its own.
+type contender struct {
+	l      *order.Lease
+	name   string
+	paused int
+	saved  *saved // an order decided on before a pause, sent after it
+}
+
+type saved struct{ token uint64 }
+
+// TestOneActs: contenders that are paused, whose writes are lost or answered
+// late, never act at once: tokens at the moment of sending only rise, as long
+// as a sender checks right before; a paused one that does not is found out by
+// its token.
+func TestOneActs(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	now := time.Unix(0, 0)
+	version, holder := uint64(0), ""
+	var all []*contender
+	for i := range 4 {
+		all = append(all, &contender{l: order.NewLease(params, fmt.Sprint(i)), name: fmt.Sprint(i)})
+	}
+	last, acts, stale := uint64(0), 0, 0
+	for range 200_000 {
+		now = now.Add(time.Duration(r.IntN(50)) * time.Millisecond)
+		c := all[r.IntN(len(all))]
+		if c.paused > 0 {
+			c.paused--
+			continue
+		}
+		if c.saved != nil { // wakes up and sends without looking again
+			if c.saved.token < last {
+				stale++ // a target that checks refuses this one
+			}
+			c.saved = nil
+		}
+		if token, ok := c.l.Held(now); ok {
+			if token < last {
+				t.Fatalf("%s acts with token %d behind %d", c.name, token, last)
+			}
+			last = token
+			acts++
+			if r.IntN(50) == 0 {
+				c.saved, c.paused = &saved{token}, r.IntN(2000)
+				continue
+			}
+		}
+		switch step, want := c.l.Next(now); step {
+		case order.Read:
+			c.l.Saw(holder, version, now)
+		case order.Write:
+			start := now
+			fate := r.IntN(10)
+			took := want == version && fate != 0
+			if took {
+				version += 1 + uint64(r.IntN(3))
+				holder = c.name
+			}
+			now = now.Add(time.Duration(r.IntN(200)) * time.Millisecond)
+			if took && fate != 1 { // else its answer is lost
+				c.l.Wrote(version, start)
+			} else {
+				c.l.Failed()
+			}
+		}
+	}
+	is := is.New(t)
+	is.True(acts > 1000)
+	is.True(stale > 10) // the planted danger was there
+	t.Logf("%d acts, %d old orders after a pause", acts, stale)
+}
+
+func fleet(n int, version string) []order.Target {
+	var out []order.Target
+	for i := range n {
+		out = append(out, order.Target{Name: fmt.Sprint("t", i), Model: "m", Version: version, Ready: true})
+	}
+	return out
+}
+
+// TestPlan rolls a version over a fleet of twenty: never more than three
+// loads, never fewer ready than the share asked for, and an end.
+func TestPlan(t *testing.T) {
+	is := is.New(t)
+	targets, now := fleet(20, "v1"), time.Unix(0, 0)
+	p := order.NewPlanner(15 * time.Second)
+	wish := map[string]order.Wish{"m": {Version: "v2", Allowed: []string{"v1", "v2"}, MinReady: 0.75}}
+	loading := map[int]time.Time{}
+	for steps := 0; ; steps++ {
+		is.True(steps < 1000)
+		for _, l := range p.Plan(targets, wish, now) {
+			for i := range targets {
+				if targets[i].Name == l.Target {
+					targets[i].Ready, targets[i].Loading, targets[i].Version = false, true, ""
+					loading[i] = now
+				}
+			}
+		}
+		ready := 0
+		for _, x := range targets {
+			if x.Ready {
+				ready++
+			}
+		}
+		is.True(len(loading) <= order.MaxLoads)
+		is.True(ready >= 15)
+		if ready == 20 && targets[0].Version == "v2" && len(p.Plan(targets, wish, now)) == 0 {
+			break
+		}
+		now = now.Add(250 * time.Millisecond)
+		for i, at := range loading {
+			if now.Sub(at) >= time.Second {
+				targets[i].Ready, targets[i].Loading, targets[i].Version = true, false, "v2"
+				delete(loading, i)
+				p.Ended(order.Load{Target: targets[i].Name, Model: "m", Version: "v2"}, false)
+			}
+		}
+	}
+	for _, x := range targets {
+		is.Equal(x.Version, "v2")
+	}
+}
+
+// TestPlanner is a table of what is ordered of one target among four.
+func TestPlanner(t *testing.T) {
+	start := time.Unix(100, 0)
+	wish := order.Wish{Version: "v2", Allowed: []string{"v1", "v2"}, MinReady: 0.5}
+	cases := []struct {
+		name   string
+		change func(p *order.Planner, ts []order.Target, w *order.Wish)
+		want   int
+		to     string
+	}{
+		{"three of four at most, half stay", func(*order.Planner, []order.Target, *order.Wish) {}, 2, "v2"},
+		{"all but one may go", func(_ *order.Planner, _ []order.Target, w *order.Wish) { w.MinReady = 0.25 }, 3, "v2"},
+		{"loads of others count", func(_ *order.Planner, ts []order.Target, w *order.Wish) {
+			w.MinReady = 0.1
+			ts[0].Loading, ts[0].Ready, ts[1].Loading, ts[1].Ready = true, false, true, false
+		}, 1, "v2"},
+		{"a new holder waits", func(p *order.Planner, _ []order.Target, _ *order.Wish) { p.Took(start.Add(-time.Second)) }, 0, ""},
+		{"all are there", func(_ *order.Planner, ts []order.Target, _ *order.Wish) {
+			for i := range ts {
+				ts[i].Version = "v2"
+			}
+		}, 0, ""},
+		{"a stray is repaired", func(_ *order.Planner, ts []order.Target, _ *order.Wish) {
+			for i := range ts {
+				ts[i].Version = "v2"
+			}
+			ts[3].Version = "v0"
+		}, 1, "v2"},
+		{"a bad version goes back", func(p *order.Planner, ts []order.Target, _ *order.Wish) {
+			p.Ended(order.Load{Target: "t0", Model: "m", Version: "v2"}, true)
+			ts[1].Version = "v2"
+		}, 1, "v1"},
+		{"nothing good is left", func(p *order.Planner, _ []order.Target, _ *order.Wish) {
+			p.SetBad(map[string][]string{"m": {"v1", "v2"}})
+		}, 0, ""},
+		{"a withdrawn version needs no floor", func(_ *order.Planner, _ []order.Target, w *order.Wish) {
+			w.Allowed, w.MinReady = []string{"v2"}, 1
+		}, 3, "v2"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p, ts, w := order.NewPlanner(15*time.Second), fleet(4, "v1"), wish
+			c.change(p, ts, &w)
+			got := p.Plan(ts, map[string]order.Wish{"m": w}, start)
+			is.Equal(len(got), c.want)
+			for _, l := range got {
+				is.Equal(l.Version, c.to)
+			}
+			is.Equal(len(p.Plan(ts, map[string]order.Wish{"m": w}, start)) <= max(0, order.MaxLoads-c.want), true) // not ordered twice
+		})
+	}
+}
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -68,10 +68,12 @@
 	StoreMS                 float64  // predicted time to restore them, ms
 	Exclude                 []string // targets already tried
 	Rand                    uint64   // for the two random candidates
+	Turn                    uint64   // counts requests, for RoundRobin
 }
 
 // Params are the dials, from the policy and the model.
 type Params struct {
+	Policy          Policy
 	Candidates      int
 	RecomputeWeight float64 // ms per recomputed token
 	PrefillMS       float64 // ms to compute one prompt token
@@ -138,6 +140,10 @@
 	if pl == nil {
 		return
 	}
+	if p.Policy != Cost {
+		pickBaseline(s, pl, q, p, h, d)
+		return
+	}
 	var chosen [MaxCandidates]int32
 	for _, i := range chosen[:gather(s, pl, q, p, &chosen, &d.Filtered)] {
 		t := &s.Targets[i&^randomMark]
--- a/internal/core/route/snapshot.go
+++ b/internal/core/route/snapshot.go
@@ -154,6 +154,11 @@
 	return &s.Targets[i]
 }
 
+// Serves says whether any ready target serves a model at a version.
+func (s *Snapshot) Serves(model, version string) bool {
+	return s.pools[poolKey{model, version}] != nil
+}
+
 // Version picks the weight version of a new request. While a rollout is under
 // way several allowed versions are served; a prompt takes the wanted one if its
 // root falls into that version's share of the ready targets. So load follows
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/shedhoist/shedhoist/internal/core/member"
 	"github.com/shedhoist/shedhoist/internal/core/observe"
 	"github.com/shedhoist/shedhoist/internal/core/once"
+	"github.com/shedhoist/shedhoist/internal/core/route"
 	"github.com/shedhoist/shedhoist/internal/dispatch"
 	"github.com/shedhoist/shedhoist/internal/keys"
 	"github.com/shedhoist/shedhoist/internal/kvstore"
@@ -178,7 +179,7 @@
 	self := member.Member{Name: d.set.Name, Address: advertise, Zone: d.set.Zone, Incarnation: uint64(d.now().UnixMilli())}
 	c := &control{targets: observe.New(observe.DefaultParams), members: member.New(params, self, rand.IntN), now: d.now}
 	for _, f := range [...]func(context.Context){
-		func(ctx context.Context) { d.run(ctx, c) }, d.follow, d.followMachines, d.probeTargets, d.greetSeeds,
+		func(ctx context.Context) { d.run(ctx, c) }, d.follow, d.followMachines, d.probeTargets, d.greetSeeds, d.giveOrders,
 	} {
 		d.done.Add(1)
 		go func() {
@@ -298,3 +299,7 @@
 	}
 	wg.Wait()
 }
+
+// SetTruth replaces this instance's beliefs about targets, for the oracle of
+// experiments. It must be called before traffic comes.
+func (d *Daemon) SetTruth(h route.Hints) { d.dispatch.Truth = h }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -16,6 +17,7 @@
 	"github.com/shedhoist/shedhoist/internal/core/cache"
 	"github.com/shedhoist/shedhoist/internal/core/limit"
 	"github.com/shedhoist/shedhoist/internal/core/once"
+	"github.com/shedhoist/shedhoist/internal/core/route"
 	"github.com/shedhoist/shedhoist/internal/kvstore"
 	"github.com/shedhoist/shedhoist/internal/metric"
 	"github.com/shedhoist/shedhoist/internal/problem"
@@ -39,8 +41,13 @@
 	Answer   int64         // largest service answer, bytes
 	Ledger   Ledger
 
+	// Truth replaces this instance's beliefs, for the oracle of experiments.
+	Truth route.Hints
+
 	load   loads
 	stores breakers
+	sick   breakers // targets whose runs fail
+	turn   atomic.Uint64
 
 	mu     sync.Mutex
 	budget *limit.Budget
@@ -66,6 +73,7 @@
 func (d *Dispatcher) Init(ctx context.Context) {
 	d.load.init()
 	d.stores.init(d.Now)
+	d.sick.init(d.Now)
 	d.budget = limit.NewBudget(0)
 	d.keeps = make(chan struct{}, maxKeeps)
 	d.keepsCtx = ctx
@@ -93,6 +101,25 @@
 	return ok
 }
 
+// beliefs are what routing goes by.
+func (d *Dispatcher) beliefs() route.Hints {
+	if d.Truth != nil {
+		return d.Truth
+	}
+	return hints{d}
+}
+
+// judgeTarget counts an attempt for or against its target. A refusal is no sign of
+// sickness, nor is anything that the caller did.
+func (d *Dispatcher) judgeTarget(name string, ev attempt.Event) {
+	switch ev {
+	case attempt.NotSent, attempt.BrokeEarly, attempt.BrokeLate, attempt.Mismatched:
+		d.sick.result(name, false)
+	case attempt.Done:
+		d.sick.result(name, true)
+	}
+}
+
 // eventOf translates an edge's error into the attempt machine's event. An end
 // of the request's own context goes before what the edge reports of it.
 func eventOf(ctx context.Context, err error) attempt.Event {
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -57,6 +57,8 @@
 	mu  sync.Mutex
 	now func() time.Time
 	m   map[string]*breaker
+
+	failing int // entries with failures
 }
 
 type breaker struct {
@@ -89,6 +91,32 @@
 	return true
 }
 
+// resting returns the names that may not be called now; the common answer is none.
+func (b *breakers) resting() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.failing == 0 {
+		return nil
+	}
+	var out []string
+	now := b.now()
+	for name, e := range b.m {
+		if e.failures < sickAfter {
+			continue
+		}
+		if now.Before(e.until) {
+			out = append(out, name)
+			continue
+		}
+		e.until = now.Add(restBase) // one request tries it
+	}
+	return out
+}
+
+// sickAfter is how many failures in a row make a target sick: one can be the
+// request's own.
+const sickAfter = 2
+
 // result notes a call's end.
 func (b *breakers) result(store string, ok bool) {
 	b.mu.Lock()
@@ -99,9 +127,15 @@
 		b.m[store] = e
 	}
 	if ok {
+		if e.failures > 0 {
+			b.failing--
+		}
 		e.failures = 0
 		return
 	}
+	if e.failures == 0 {
+		b.failing++
+	}
 	e.failures++
 	e.until = b.now().Add(min(restBase<<min(e.failures-1, 8), restMax))
 }
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -62,7 +63,7 @@
 	tokenMS float64 // when the last token came, ms after arrival
 	ending  bool
 
-	repinned bool
+	pinned []string // versions that no target took the run with
 }
 
 // Start places a run and returns when its first event is there, or the final
@@ -95,24 +96,33 @@
 func (l *Live) pin() {
 	m := l.req.Model
 	root := prefix.RootHash(l.req.Customer.Secret, l.req.Canonical)
-	l.version = route.Version(l.view.Targets, m.Name, m.Version, m.Versions, root)
-	l.rec.Version = l.version
-	seed := prefix.NewSeed(l.req.Customer.Secret, m.Name, l.version, l.req.Adapter)
+	l.pinTo(route.Version(l.view.Targets, m.Name, m.Version, m.Versions, root))
+}
+
+func (l *Live) pinTo(version string) {
+	l.version, l.rec.Version = version, version
+	seed := prefix.NewSeed(l.req.Customer.Secret, l.req.Model.Name, version, l.req.Adapter)
 	l.keys = seed.Chain(l.req.Canonical, l.keys[:0])
 	l.salt = seed.Salt()
 }
 
-// repin moves a run of which nothing was delivered to the version now served,
-// once: its own may have left the fleet while it waited.
+// repin moves a run of which nothing was delivered to another allowed version,
+// each at most once: its own may have left the fleet while it waited, and the
+// targets that refused it may be the ones that now serve the other.
 func (l *Live) repin() bool {
-	if l.repinned || l.req.Canonical == "" {
+	if l.req.Canonical == "" {
 		return false
 	}
-	l.repinned = true
-	old := l.version
+	l.pinned = append(l.pinned, l.version)
 	l.view = l.d.View.Load()
-	l.pin()
-	return l.version != old
+	for _, v := range append([]string{l.req.Model.Version}, l.req.Model.Versions...) {
+		if !slices.Contains(l.pinned, v) && l.view.Targets.Serves(l.req.Model.Name, v) {
+			l.pinTo(v)
+			l.tried = nil
+			return true
+		}
+	}
+	return false
 }
 
 // attempt places the run and starts its stream, as often as the machine says.
@@ -125,6 +135,9 @@
 		if !ok {
 			return l.fail(l.machine.NoTarget(), nil)
 		}
+		if err := l.shed(att); err != nil {
+			return err
+		}
 		stream, err := l.send(ext)
 		if err == nil {
 			l.stream = stream
@@ -140,9 +153,29 @@
 	}
 }
 
+// priorityStep is the part of the first-token bound that each step of priority
+// gives up.
+const priorityStep = 0.05
+
+// shed refuses, at once and before anything is sent, a request whose first
+// token would come too late. It tells when the queue will have shrunk.
+func (l *Live) shed(att *why.Attempt) error {
+	bound := l.req.Model.FirstTokenMS * (1 - priorityStep*float64(l.req.Customer.Priority))
+	if bound <= 0 || l.retries > 0 || l.sinceMS()+att.PredictedMS <= bound {
+		return nil
+	}
+	att.Ended = "shed"
+	l.ending = true
+	l.close(string(problem.Overloaded), problem.NotRun)
+	late := time.Duration((l.sinceMS() + att.PredictedMS - bound) * float64(time.Millisecond))
+	return &problem.Problem{Kind: problem.Overloaded, Execution: problem.NotRun, RequestID: l.req.ID, RetryAfter: max(late, time.Second),
+		Detail: "the first token would come later than the model's bound"}
+}
+
 // after takes an attempt's failed end. It returns nil if another attempt follows.
 func (l *Live) after(ev attempt.Event, cause error, att *why.Attempt) error {
 	l.leave()
+	l.d.judgeTarget(att.Target, ev)
 	att.Ended = ended[ev]
 	metric.TargetEnds(att.Target, ended[ev]).Inc()
 	if ev == attempt.Mismatched {
@@ -169,21 +202,28 @@
 // place asks for a target and writes down why it is the one.
 func (l *Live) place() (*why.Attempt, target.Extension, bool) {
 	q := route.Query{Model: l.req.Model.Name, Version: l.version, Adapter: l.req.Adapter, Keys: l.keys, Tokens: l.tokens,
-		Exclude: l.tried, Rand: rand.Uint64()}
+		Exclude: l.tried, Rand: rand.Uint64(), Turn: l.d.turn.Add(1)}
 	params := l.params()
 	var dec route.Decision
-	route.Pick(l.view.Targets, &q, params, hints{l.d}, &dec)
+	if sick := l.d.sick.resting(); len(sick) > 0 {
+		q.Exclude = append(sick, l.tried...)
+	}
+	route.Pick(l.view.Targets, &q, params, l.d.beliefs(), &dec)
+	if dec.Target == nil && len(q.Exclude) > len(l.tried) {
+		q.Exclude = l.tried // all that is left is sick: better that than nothing
+		route.Pick(l.view.Targets, &q, params, l.d.beliefs(), &dec)
+	}
 	if dec.Target == nil && len(l.tried) > 1 {
 		// Every target was tried: go round again, but not to the last one.
 		l.tried = l.tried[len(l.tried)-1:]
 		q.Exclude = l.tried
-		route.Pick(l.view.Targets, &q, params, hints{l.d}, &dec)
+		route.Pick(l.view.Targets, &q, params, l.d.beliefs(), &dec)
 	}
 	var k kept
 	if dec.Target != nil && l.worthLookup(&dec) {
 		if k = l.d.lookup(l.ctx, l.view.Config, l.keys, dec.FirstMS); k.found.Covered > 0 {
 			q.Stored, q.StoreMS = k.found.Covered, k.ms
-			route.Pick(l.view.Targets, &q, params, hints{l.d}, &dec)
+			route.Pick(l.view.Targets, &q, params, l.d.beliefs(), &dec)
 		}
 	}
 	att := why.Attempt{StartMS: l.sinceMS(), Filtered: dec.Filtered, Action: dec.Action.String(), PredictedMS: dec.FirstMS,
@@ -220,7 +260,7 @@
 
 // worthLookup says whether a store could spare enough work to be asked.
 func (l *Live) worthLookup(dec *route.Decision) bool {
-	if len(l.keys) == 0 || dec.Action == route.Reuse {
+	if len(l.keys) == 0 || dec.Action == route.Reuse || l.view.Policy.NoStores {
 		return false
 	}
 	for i := range dec.N {
@@ -232,7 +272,7 @@
 }
 
 func (l *Live) params() route.Params {
-	return route.Params{Candidates: l.view.Policy.Candidates, RecomputeWeight: l.view.Policy.RecomputeWeight,
+	return route.Params{Policy: route.Policy(l.view.Policy.Router), Candidates: l.view.Policy.Candidates, RecomputeWeight: l.view.Policy.RecomputeWeight,
 		PrefillMS: l.req.Model.PrefillUS / 1000, DecodeMS: decodeMS}
 }
 
@@ -369,6 +409,7 @@
 func (l *Live) finish(att *why.Attempt) {
 	l.ending = true
 	l.machine.Step(attempt.Done, l.d.spend)
+	l.d.judgeTarget(att.Target, attempt.Done)
 	att.Ended = ended[attempt.Done]
 	metric.TargetEnds(att.Target, att.Ended).Inc()
 	u := l.usage
@@ -385,7 +426,7 @@
 
 // worthKeeping says whether the prompt is long enough for a store.
 func (l *Live) worthKeeping() bool {
-	return len(l.keys) > 0 && len(l.keys)*prefix.ChunkBytes/prefix.BytesPerToken >= l.view.Policy.KeepTokens
+	return len(l.keys) > 0 && !l.view.Policy.NoStores && len(l.keys)*prefix.ChunkBytes/prefix.BytesPerToken >= l.view.Policy.KeepTokens
 }
 
 // newToStore says whether the store may lack part of the chain: something was
--- a/internal/e2e/client_test.go
+++ b/internal/e2e/client_test.go
@@ -113,24 +113,34 @@
 // send carries out the request and reads the answer to its end.
 func (a ask) send(t *testing.T, base, key string) reply {
 	t.Helper()
-	resp, err := http.DefaultClient.Do(a.request(t, t.Context(), base, key))
+	out, err := a.try(t, base, key)
 	if err != nil {
 		t.Fatal(err)
 	}
+	return out
+}
+
+// try is send for a test in which the connection may break.
+func (a ask) try(t *testing.T, base, key string) (reply, error) {
+	t.Helper()
+	resp, err := http.DefaultClient.Do(a.request(t, t.Context(), base, key))
+	if err != nil {
+		return reply{}, err
+	}
 	defer resp.Body.Close()
 	out := reply{status: resp.StatusCode, header: resp.Header}
 	if resp.Header.Get("Content-Type") == "text/event-stream" {
 		out.readStream(t, resp.Body)
-		return out
+		return out, nil
 	}
 	data, err := io.ReadAll(resp.Body)
 	if err != nil {
-		t.Fatal(err)
+		return out, err
 	}
 	out.raw = string(data)
 	if resp.StatusCode != http.StatusOK {
 		out.problem = decodeProblem(t, resp.Header, data)
-		return out
+		return out, nil
 	}
 	var doc struct {
 		Choices []struct {
@@ -144,7 +154,7 @@
 	}
 	out.text = doc.Choices[0].Text + doc.Choices[0].Message.Content
 	out.done, out.usage = true, doc.Usage
-	return out
+	return out, nil
 }
 
 func decodeProblem(t *testing.T, h http.Header, data []byte) *problemDoc {
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -26,6 +26,7 @@
 	PeerBytes       = metrics.NewCounter("shedhoist_peer_bytes_total") // written to peers
 	PeerMessages    = metrics.NewCounter("shedhoist_peer_messages_total")
 	ProbeCalls      = metrics.NewCounter("shedhoist_target_probes_total")
+	Orders          = metrics.NewCounter("shedhoist_orders_total")
 	Panics          = metrics.NewCounter("shedhoist_panics_total")
 	ConfigErrors    = metrics.NewCounter("shedhoist_config_errors_total")
 	PlatformDown    = metrics.NewCounter("shedhoist_platform_errors_total")
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/shedhoist/shedhoist/internal/core/prefix"
 	"github.com/shedhoist/shedhoist/internal/target"
 )
 
@@ -34,6 +35,7 @@
 	LagMS       float64 // age of status reports
 	EventLagMS  float64 // delay of cache events
 	TimeScale   float64
+	OnLoad      func(delta int) // called as a load begins (1) and ends (-1)
 }
 
 // Faults are the failures to show; counts are taken down by one when used.
@@ -312,6 +314,10 @@
 	s.loading = true
 	s.counters.Loads++
 	s.mu.Unlock()
+	if s.o.OnLoad != nil {
+		s.o.OnLoad(1)
+		defer s.o.OnLoad(-1)
+	}
 	sleep(ctx, s.scaled(s.o.LoadMS))
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -354,3 +360,22 @@
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(v)
 }
+
+// Resident is the true number of leading keys in memory.
+func (s *Server) Resident(keys []prefix.Key) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, k := range keys {
+		if s.cache.blocks[k.String()] == nil {
+			return i
+		}
+	}
+	return len(keys)
+}
+
+// Load is the true load: runs, and prompt tokens waiting or being computed.
+func (s *Server) Load() (runs, tokens int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running + s.waiting, s.queued
+}
