--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -33,6 +33,7 @@
 	"github.com/shedhoist/shedhoist/internal/settings"
 	"github.com/shedhoist/shedhoist/internal/target"
 	"github.com/shedhoist/shedhoist/internal/view"
+	"github.com/shedhoist/shedhoist/internal/wait"
 	"github.com/shedhoist/shedhoist/internal/why"
 )
 
@@ -246,7 +247,7 @@
 		d.view.Store(c.view(d.set.Name))
 	})
 	d.log.WithField("in_hand", d.callers.InHand()).Info("draining")
-	pause(ctx, settings.Duration(d.set.Timing.DrainNoticeMS))
+	wait.For(ctx, settings.Duration(d.set.Timing.DrainNoticeMS))
 	dctx, cancel := context.WithTimeout(ctx, settings.Duration(d.set.Timing.DrainMS))
 	defer cancel()
 	err := d.callerSrv.Shutdown(dctx)
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -12,6 +12,7 @@
 	"github.com/shedhoist/shedhoist/internal/platform"
 	"github.com/shedhoist/shedhoist/internal/settings"
 	"github.com/shedhoist/shedhoist/internal/view"
+	"github.com/shedhoist/shedhoist/internal/wait"
 )
 
 // jitter spreads a period over half to one and a half of itself, so that
@@ -20,17 +21,6 @@
 	return d/2 + time.Duration(rand.Int64N(int64(d)+1))
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // watchWait is how long one watch of the platform waits for a change.
 const watchWait = 30 * time.Second
 
@@ -53,8 +43,8 @@
 		failures++
 		metric.PlatformDown.Inc()
 		d.log.WithError(err).WithField("failures", failures).Warn("platform not reached for configuration")
-		wait := min(settings.Duration(d.set.Timing.ConfigPollMS)<<min(failures-1, 4), maxPlatformPause)
-		if !pause(ctx, jitter(wait)) {
+		delay := min(settings.Duration(d.set.Timing.ConfigPollMS)<<min(failures-1, 4), maxPlatformPause)
+		if !wait.For(ctx, jitter(delay)) {
 			return
 		}
 	}
@@ -74,7 +64,7 @@
 		return seen, err
 	}
 	if version == 0 { // nothing was ever applied: look again soon
-		pause(ctx, jitter(settings.Duration(d.set.Timing.ConfigPollMS)/4))
+		wait.For(ctx, jitter(settings.Duration(d.set.Timing.ConfigPollMS)/4))
 		return 0, nil
 	}
 	if h.Generation > d.generation() {
@@ -193,7 +183,7 @@
 		if err == nil {
 			d.listed(ctx, list)
 		}
-		if !pause(ctx, jitter(settings.Duration(d.set.Timing.ConfigPollMS))) {
+		if !wait.For(ctx, jitter(settings.Duration(d.set.Timing.ConfigPollMS))) {
 			return
 		}
 	}
--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -18,6 +18,7 @@
 	"github.com/shedhoist/shedhoist/internal/settings"
 	"github.com/shedhoist/shedhoist/internal/target"
 	"github.com/shedhoist/shedhoist/internal/view"
+	"github.com/shedhoist/shedhoist/internal/wait"
 )
 
 // Keys of the platform that orders use.
@@ -60,7 +61,7 @@
 func (d *Daemon) giveOrders(ctx context.Context) {
 	o := &orders{d: d, lease: order.NewLease(d.leaseParams(), d.set.Name), planner: order.NewPlanner(d.loadTimeout())}
 	defer o.flying.Wait()
-	for pause(ctx, orderTick) {
+	for wait.For(ctx, orderTick) {
 		v := d.view.Load()
 		if v.Config == nil || v.Draining || leader(v.Observers) != d.set.Name {
 			continue
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -9,6 +9,7 @@
 	"github.com/shedhoist/shedhoist/internal/peer"
 	"github.com/shedhoist/shedhoist/internal/settings"
 	"github.com/shedhoist/shedhoist/internal/version"
+	"github.com/shedhoist/shedhoist/internal/wait"
 	"github.com/shedhoist/shedhoist/internal/why"
 )
 
@@ -120,7 +121,7 @@
 		for _, seed := range d.set.Peers.Seeds {
 			d.greet(ctx, seed)
 		}
-		if !pause(ctx, jitter(seedPeriod)) {
+		if !wait.For(ctx, jitter(seedPeriod)) {
 			return
 		}
 	}
--- a/internal/daemon/probe.go
+++ b/internal/daemon/probe.go
@@ -15,6 +15,7 @@
 	"github.com/shedhoist/shedhoist/internal/settings"
 	"github.com/shedhoist/shedhoist/internal/target"
 	"github.com/shedhoist/shedhoist/internal/view"
+	"github.com/shedhoist/shedhoist/internal/wait"
 )
 
 // probeTargets runs a prober for each target that this instance observes, and
@@ -26,7 +27,7 @@
 	}
 	probers := map[string]running{}
 	var seen assignment
-	for pause(ctx, settings.Duration(d.set.Timing.ProbeMS)/2) {
+	for wait.For(ctx, settings.Duration(d.set.Timing.ProbeMS)/2) {
 		v := d.view.Load()
 		now := assignmentOf(v)
 		if now == seen {
@@ -119,7 +120,7 @@
 			version = st.Version
 			seq = d.readEvents(ctx, t, seq, st.EventSeq)
 		}
-		if !pause(ctx, jitter(d.probePeriod(failures))) {
+		if !wait.For(ctx, jitter(d.probePeriod(failures))) {
 			return
 		}
 	}
--- /dev/null
+++ b/internal/dispatch/place.go
@@ -0,0 +1,146 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/shedhoist/shedhoist/internal/core/prefix"
+	"github.com/shedhoist/shedhoist/internal/core/route"
+	"github.com/shedhoist/shedhoist/internal/problem"
+	"github.com/shedhoist/shedhoist/internal/target"
+	"github.com/shedhoist/shedhoist/internal/why"
+)
+
+// pin fixes the weight version, and with it the cache keys, of the whole run.
+func (l *Live) pin() {
+	m := l.req.Model
+	root := prefix.RootHash(l.req.Customer.Secret, l.req.Canonical)
+	l.pinTo(route.Version(l.view.Targets, m.Name, m.Version, m.Versions, root))
+}
+
+func (l *Live) pinTo(version string) {
+	l.version, l.rec.Version = version, version
+	seed := prefix.NewSeed(l.req.Customer.Secret, l.req.Model.Name, version, l.req.Adapter)
+	l.keys = seed.Chain(l.req.Canonical, l.keys[:0])
+	l.salt = seed.Salt()
+}
+
+// repin moves a run of which nothing was delivered to another allowed version,
+// each at most once: its own may have left the fleet while it waited, and the
+// targets that refused it may be the ones that now serve the other.
+func (l *Live) repin() bool {
+	if l.req.Canonical == "" {
+		return false
+	}
+	l.pinned = append(l.pinned, l.version)
+	l.view = l.d.View.Load()
+	for _, v := range append([]string{l.req.Model.Version}, l.req.Model.Versions...) {
+		if !slices.Contains(l.pinned, v) && l.view.Targets.Serves(l.req.Model.Name, v) {
+			l.pinTo(v)
+			l.tried = nil
+			return true
+		}
+	}
+	return false
+}
+
+// place asks for a target and writes down why it is the one.
+func (l *Live) place() (*why.Attempt, target.Extension, bool) {
+	q := route.Query{Model: l.req.Model.Name, Version: l.version, Adapter: l.req.Adapter, Keys: l.keys, Tokens: l.tokens,
+		Exclude: l.tried, Rand: rand.Uint64(), Turn: l.d.turn.Add(1)}
+	params := l.params()
+	var dec route.Decision
+	if sick := l.d.sick.resting(); len(sick) > 0 {
+		q.Exclude = append(sick, l.tried...)
+	}
+	route.Pick(l.view.Targets, &q, params, l.d.beliefs(), &dec)
+	if dec.Target == nil && len(q.Exclude) > len(l.tried) {
+		q.Exclude = l.tried // all that is left is sick: better that than nothing
+		route.Pick(l.view.Targets, &q, params, l.d.beliefs(), &dec)
+	}
+	if dec.Target == nil && len(l.tried) > 1 {
+		// Every target was tried: go round again, but not to the last one.
+		l.tried = l.tried[len(l.tried)-1:]
+		q.Exclude = l.tried
+		route.Pick(l.view.Targets, &q, params, l.d.beliefs(), &dec)
+	}
+	var k kept
+	if dec.Target != nil && l.worthLookup(&dec) {
+		if k = l.d.lookup(l.ctx, l.view.Config, l.keys, dec.FirstMS); k.found.Covered > 0 {
+			q.Stored, q.StoreMS = k.found.Covered, k.ms
+			route.Pick(l.view.Targets, &q, params, l.d.beliefs(), &dec)
+		}
+	}
+	att := why.Attempt{StartMS: l.sinceMS(), Filtered: dec.Filtered, Action: dec.Action.String(), PredictedMS: dec.FirstMS,
+		Candidates: append([]route.Candidate(nil), dec.Candidates[:dec.N]...)}
+	ext := target.Extension{Version: l.version, Adapter: l.req.Adapter, Priority: l.req.Customer.Priority, Salt: l.salt,
+		Keys: hexKeys(l.keys), Resume: l.text.String()}
+	if dec.Target != nil {
+		l.target = dec.Target
+		att.Target = dec.Target.Name
+		l.tried = append(l.tried, dec.Target.Name)
+	}
+	switch {
+	case dec.Action == route.Restore:
+		att.Store = k.store.Name
+		ext.Import = &target.Import{Stores: []string{k.store.Address}, Manifest: k.found.Manifest, Covered: k.found.Covered}
+	case dec.Action == route.Reuse && l.worthKeeping():
+		// The belief may be stale: name the store, so that the engine, which
+		// knows what it holds, can fetch what it lacks instead of computing it.
+		for _, s := range l.d.homeStores(l.view.Config, l.keys[0]) {
+			att.Store = strings.TrimSpace(att.Store + " " + s.Name)
+			ext.Import = &target.Import{Stores: append(importStores(ext.Import), s.Address)}
+		}
+	}
+	l.rec.Attempts = append(l.rec.Attempts, att)
+	return &l.rec.Attempts[len(l.rec.Attempts)-1], ext, dec.Target != nil
+}
+
+func importStores(im *target.Import) []string {
+	if im == nil {
+		return nil
+	}
+	return im.Stores
+}
+
+// worthLookup says whether a store could spare enough work to be asked.
+func (l *Live) worthLookup(dec *route.Decision) bool {
+	if len(l.keys) == 0 || dec.Action == route.Reuse || l.view.Policy.NoStores {
+		return false
+	}
+	for i := range dec.N {
+		if dec.Candidates[i].Target == dec.Target.Name {
+			return dec.Candidates[i].Recompute >= l.view.Policy.KeepTokens/2
+		}
+	}
+	return false
+}
+
+func (l *Live) params() route.Params {
+	return route.Params{Policy: route.Policy(l.view.Policy.Router), Candidates: l.view.Policy.Candidates, RecomputeWeight: l.view.Policy.RecomputeWeight,
+		PrefillMS: l.req.Model.PrefillUS / 1000, DecodeMS: decodeMS}
+}
+
+// decodeMS is what one running request adds to another's first token, in ms.
+const decodeMS = 0.5
+
+// priorityStep is the part of the first-token bound that each step of priority
+// gives up.
+const priorityStep = 0.05
+
+// shed refuses, at once and before anything is sent, a request whose first
+// token would come too late. It tells when the queue will have shrunk.
+func (l *Live) shed(att *why.Attempt) error {
+	bound := l.req.Model.FirstTokenMS * (1 - priorityStep*float64(l.req.Customer.Priority))
+	if bound <= 0 || l.retries > 0 || l.sinceMS()+att.PredictedMS <= bound {
+		return nil
+	}
+	att.Ended = "shed"
+	l.ending = true
+	l.close(string(problem.Overloaded), problem.NotRun)
+	late := time.Duration((l.sinceMS() + att.PredictedMS - bound) * float64(time.Millisecond))
+	return &problem.Problem{Kind: problem.Overloaded, Execution: problem.NotRun, RequestID: l.req.ID, RetryAfter: max(late, time.Second),
+		Detail: "the first token would come later than the model's bound"}
+}
--- a/internal/standin/cli/cli.go
+++ b/internal/standin/cli/cli.go
@@ -28,7 +28,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	root := &cobra.Command{Use: "standin", Short: "Small stand-ins for the systems that shedhoist serves (docs/STANDINS.md)", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(platformCmd(), engineCmd(), storeCmd(), serviceCmd(), fleetCmd(), askCmd(), httpCmd(), overheadCmd(), capacityCmd(), benchCmd())
+	root.AddCommand(platformCmd(), engineCmd(), storeCmd(), serviceCmd(), fleetCmd(), askCmd(), httpCmd(), overheadCmd(), capacityCmd(), benchCmd(), ledgerCmd())
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
--- a/internal/standin/cli/measure.go
+++ b/internal/standin/cli/measure.go
@@ -100,3 +100,34 @@
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%.3g + %.3g n\t%.0f%%\t%s\t%.4g at %.4g%s\n", s.Figure, s.Unit, s.Over, points, s.Base, s.Per, 100*s.Resid, s.Shape, s.At, s.Target, note)
 	}
 }
+
+// ledgerCmd measures what the at-most-once ledger costs.
+func ledgerCmd() *cobra.Command {
+	var o measure.LedgerOptions
+	var output string
+	cmd := &cobra.Command{Use: "ledger", Short: "Measure platform writes and added time of the at-most-once ledger", Args: cobra.NoArgs,
+		Example: "  standin ledger --platform-ms 5"}
+	f := cmd.Flags()
+	f.IntSliceVar(&o.Rates, "rates", []int{1, 10, 100, 1000}, "claims a second")
+	f.DurationVar(&o.Time, "time", 3*time.Second, "time of each rate")
+	f.IntVar(&o.PlatformMS, "platform-ms", 5, "time of one platform call")
+	f.IntSliceVar(&o.Recover, "recover", []int{10_000, 50_000, 200_000}, "claims in a partition that is taken over")
+	f.StringVarP(&output, "output", "o", "table", "table or json")
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		res, err := measure.MeasureLedger(cmd.Context(), o)
+		if err != nil {
+			return err
+		}
+		return show(cmd.OutOrStdout(), output, res, func(w io.Writer) {
+			fmt.Fprintln(w, "CLAIMS A SECOND\tCLAIMS\tWRITES A CLAIM\tADDED P50\tADDED P99")
+			for _, r := range res.Rates {
+				fmt.Fprintf(w, "%d\t%d\t%.3f\t%.1f ms\t%.1f ms\n", r.Rate, r.Claims, r.Writes, r.P50, r.P99)
+			}
+			fmt.Fprintln(w, "CLAIMS IN A PARTITION\tPLATFORM READS\tTAKEN OVER IN")
+			for _, r := range res.Recovery {
+				fmt.Fprintf(w, "%d\t%d\t%.2f s\n", r.Claims, r.Reads, r.Seconds)
+			}
+		})
+	}
+	return cmd
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -16,6 +16,7 @@
 
 	"github.com/shedhoist/shedhoist/internal/core/prefix"
 	"github.com/shedhoist/shedhoist/internal/target"
+	"github.com/shedhoist/shedhoist/internal/wait"
 )
 
 // Options size the stand-in. Times are modelled; TimeScale turns them into
@@ -318,7 +319,7 @@
 		s.o.OnLoad(1)
 		defer s.o.OnLoad(-1)
 	}
-	sleep(ctx, s.scaled(s.o.LoadMS))
+	wait.For(ctx, s.scaled(s.o.LoadMS))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.loading = false
@@ -341,20 +342,6 @@
 	stop()
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/internal/standin/engine/run.go
+++ b/internal/standin/engine/run.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"crypto/sha256"
-	"encoding/binary"
-	"encoding/hex"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -14,6 +12,7 @@
 
 	"github.com/shedhoist/shedhoist/internal/core/prefix"
 	"github.com/shedhoist/shedhoist/internal/target"
+	"github.com/shedhoist/shedhoist/internal/wait"
 )
 
 // runRequest is what the stand-in reads of a run.
@@ -165,26 +164,6 @@
 	}
 }
 
-// Token returns the n-th token that an engine generates for a prompt.
-func Token(canonical string, version, adapter string, n int) string {
-	sum := sha256.Sum256([]byte(canonical))
-	return tokenOf(sum, version, adapter, n)
-}
-
-func token(j *job, n int) string {
-	return tokenOf(sha256.Sum256([]byte(j.canonical)), j.version, j.ext.Adapter, n)
-}
-
-func tokenOf(sum [sha256.Size]byte, version, adapter string, n int) string {
-	h := sha256.New()
-	h.Write(sum[:])
-	h.Write([]byte(version + "\x00" + adapter))
-	var b [8]byte
-	binary.BigEndian.PutUint64(b[:], uint64(n))
-	h.Write(b[:])
-	return " " + hex.EncodeToString(h.Sum(nil)[:3])
-}
-
 // serve queues, computes the prompt and streams the answer. It returns false
 // if the run was cut.
 func (s *Server) serve(ctx context.Context, w http.ResponseWriter, j *job) bool {
@@ -227,7 +206,7 @@
 	}
 	cached := min((have+restored)*prefix.ChunkBytes/prefix.BytesPerToken, tokens)
 	missing := tokens - cached
-	if !sleep(ctx, s.scaled(float64(missing)*s.o.PrefillUS/1000)) {
+	if !wait.For(ctx, s.scaled(float64(missing)*s.o.PrefillUS/1000)) {
 		return false
 	}
 	s.keep(j, have+restored)
@@ -296,7 +275,7 @@
 
 // stream sends the answer, one token an event, then the usage, then the terminator.
 func (s *Server) stream(ctx context.Context, w http.ResponseWriter, j *job) bool {
-	if stall := s.stall(); stall > 0 && !sleep(ctx, stall) {
+	if stall := s.stall(); stall > 0 && !wait.For(ctx, stall) {
 		return false
 	}
 	s.cross(w, j)
@@ -314,7 +293,7 @@
 		if j.die == dieMid && n-j.skip >= j.dieAfter {
 			return false
 		}
-		if !sleep(ctx, step) {
+		if !wait.For(ctx, step) {
 			return false
 		}
 		finish := ""
--- a/internal/standin/measure/bench.go
+++ b/internal/standin/measure/bench.go
@@ -21,6 +21,7 @@
 	"github.com/shedhoist/shedhoist/internal/standin/engine"
 	"github.com/shedhoist/shedhoist/internal/standin/fleet"
 	"github.com/shedhoist/shedhoist/internal/standin/store"
+	"github.com/shedhoist/shedhoist/internal/wait"
 )
 
 // BenchOptions describe one experiment. Loads are shares of the rate at which
@@ -176,7 +177,7 @@
 		if fault != nil && i == len(arrivals)/2 {
 			fault(f)
 		}
-		wait(ctx, time.Until(start.Add(time.Duration(a.At*o.Scale*float64(time.Second)))))
+		wait.For(ctx, time.Until(start.Add(time.Duration(a.At*o.Scale*float64(time.Second)))))
 		base := f.URL(balancer.IntN(len(f.Daemons)))
 		wg.Add(1)
 		go func() {
--- a/internal/standin/measure/capacity.go
+++ b/internal/standin/measure/capacity.go
@@ -21,6 +21,7 @@
 	"github.com/shedhoist/shedhoist/internal/standin/engine"
 	"github.com/shedhoist/shedhoist/internal/standin/fleet"
 	"github.com/shedhoist/shedhoist/internal/view"
+	"github.com/shedhoist/shedhoist/internal/wait"
 	"github.com/shedhoist/shedhoist/internal/why"
 )
 
@@ -154,9 +155,9 @@
 		return err
 	}
 	defer f.Close()
-	wait(ctx, 2*time.Second) // the joining has come to its end
+	wait.For(ctx, 2*time.Second) // the joining has come to its end
 	startCPU, startBytes, startMsgs, startCalls := cpuTime(), metric.PeerBytes.Get(), metric.PeerMessages.Get(), total(f.Platform.Calls())
-	wait(ctx, o.Settle)
+	wait.For(ctx, o.Settle)
 	per := float64(n) * o.Settle.Seconds()
 	add := func(s *Slope, y float64) { s.X, s.Y = append(s.X, float64(n)), append(s.Y, y) }
 	add(cpu, float64((cpuTime()-startCPU).Microseconds())/per)
@@ -175,15 +176,6 @@
 	return n
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // timePer runs f often enough to time it, in microseconds each.
 func timePer(f func()) float64 {
 	const budget = 100 * time.Millisecond
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -4,7 +4,6 @@
 package platform
 
 import (
-	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -15,6 +14,7 @@
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/platform"
+	"github.com/shedhoist/shedhoist/internal/wait"
 )
 
 // Faults are the failures to show. Zero values show none.
@@ -104,9 +104,7 @@
 		s.calls[kind]++
 		f := s.faults
 		s.mu.Unlock()
-		if f.SlowMS > 0 {
-			sleep(r.Context(), time.Duration(f.SlowMS)*time.Millisecond)
-		}
+		wait.For(r.Context(), time.Duration(f.SlowMS)*time.Millisecond)
 		if f.Outage {
 			http.Error(w, "outage", http.StatusServiceUnavailable)
 			return
@@ -119,15 +117,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func (s *Server) get(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	o, ok := s.objects[r.PathValue("key")]
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/kvstore"
+	"github.com/shedhoist/shedhoist/internal/wait"
 )
 
 // Options size the stand-in. Rates are in bytes per second; 0 is unlimited.
@@ -125,7 +126,7 @@
 		if f.Down {
 			panic(http.ErrAbortHandler)
 		}
-		s.wait(r.Context(), time.Duration(f.SlowMS)*time.Millisecond)
+		wait.For(r.Context(), time.Duration(float64(f.SlowMS)*s.o.TimeScale)*time.Millisecond)
 		if f.Full && r.Method == http.MethodPut {
 			http.Error(w, "full", http.StatusInsufficientStorage)
 			return
@@ -134,18 +135,6 @@
 	}
 }
 
-func (s *Server) wait(ctx context.Context, d time.Duration) {
-	if d = time.Duration(float64(d) * s.o.TimeScale); d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // transfer takes a turn on a tier's link: bytes queue behind one another.
 func (s *Server) transfer(ctx context.Context, dir string, tier kvstore.Tier, bytes int64) {
 	s.mu.Lock()
@@ -163,9 +152,7 @@
 	end := start.Add(busy)
 	s.free[tier] = end
 	s.mu.Unlock()
-	if wait := end.Sub(now); wait > 0 {
-		s.wait(ctx, time.Duration(float64(wait)/s.o.TimeScale))
-	}
+	wait.For(ctx, end.Sub(now))
 }
 
 func (s *Server) rate(tier kvstore.Tier) float64 {
@@ -181,8 +168,7 @@
 
 // queueMS is how long a transfer would wait now, in modelled ms; s.mu is held.
 func (s *Server) queueMS(tier kvstore.Tier) float64 {
-	wait := time.Until(s.free[tier])
-	return max(0, float64(wait)/float64(time.Millisecond)/s.o.TimeScale)
+	return max(0, float64(time.Until(s.free[tier]))/float64(time.Millisecond)/s.o.TimeScale)
 }
 
 func (s *Server) lookup(w http.ResponseWriter, r *http.Request) {
