--- a/internal/standin/cli/measure.go
+++ b/internal/standin/cli/measure.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"os"
+	"path/filepath"
 	"text/tabwriter"
 	"time"
 
@@ -65,13 +67,15 @@
 // capacityCmd measures every slope of docs/CAPACITY.md again.
 func capacityCmd() *cobra.Command {
 	var o measure.CapacityOptions
-	var output string
+	var output, page, plots string
 	cmd := &cobra.Command{Use: "capacity", Short: "Measure the slopes of docs/CAPACITY.md again; fails if a shape is not as the page says", Args: cobra.NoArgs,
 		Example: "  standin capacity -o json"}
 	f := cmd.Flags()
 	f.IntSliceVar(&o.Nodes, "nodes", []int{8, 16, 32, 64, 128}, "numbers of entry instances in this process")
 	f.DurationVar(&o.Settle, "quiet", 5*time.Second, "time measured for each number of instances")
 	f.StringVarP(&output, "output", "o", "table", "table or json")
+	f.StringVar(&page, "page", "docs/CAPACITY.md", "page that must state the same shapes; empty checks none")
+	f.StringVar(&plots, "plots", "", "directory for a plot of each slope")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
 		o.Log = cmd.ErrOrStderr()
 		slopes, err := measure.Capacity(cmd.Context(), o)
@@ -81,7 +85,10 @@
 		if err := show(cmd.OutOrStdout(), output, slopes, func(w io.Writer) { capacityTable(w, slopes) }); err != nil {
 			return err
 		}
-		return measure.CheckShapes(slopes)
+		if err := writePlots(plots, slopes); err != nil {
+			return err
+		}
+		return checkCapacity(page, slopes)
 	}
 	return cmd
 }
@@ -131,3 +138,31 @@
 	}
 	return cmd
 }
+
+func writePlots(dir string, slopes []*measure.Slope) error {
+	if dir == "" {
+		return nil
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	for i, s := range slopes {
+		if err := measure.PlotSlope(filepath.Join(dir, fmt.Sprintf("slope-%02d.svg", i+1)), s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkCapacity fails if a figure's shape is not the one expected, or not the
+// one that the page states.
+func checkCapacity(page string, slopes []*measure.Slope) error {
+	if err := measure.CheckShapes(slopes); err != nil || page == "" {
+		return err
+	}
+	data, err := os.ReadFile(page)
+	if err != nil {
+		return err
+	}
+	return measure.CheckPage(slopes, string(data))
+}
--- a/internal/standin/measure/capacity.go
+++ b/internal/standin/measure/capacity.go
@@ -363,6 +363,25 @@
 	return "capacity: not of the shape that docs/CAPACITY.md states: " + strings.Join(e.Figures, "; ")
 }
 
+// CheckPage compares the figures with the committed page: each must stand there
+// on a line of its own that names its shape.
+func CheckPage(slopes []*Slope, page string) error {
+	var bad []string
+	for _, s := range slopes {
+		found := false
+		for _, line := range strings.Split(page, "\n") {
+			found = found || (strings.Contains(line, s.Figure) && strings.Contains(line, string(s.Shape)))
+		}
+		if !found {
+			bad = append(bad, fmt.Sprintf("%s is %s, which the page does not say", s.Figure, s.Shape))
+		}
+	}
+	if len(bad) > 0 {
+		return &ShapeError{Figures: bad}
+	}
+	return nil
+}
+
 // CheckShapes compares each figure's shape with the one expected of it.
 func CheckShapes(slopes []*Slope) error {
 	var bad []string
--- a/internal/standin/measure/plot.go
+++ b/internal/standin/measure/plot.go
@@ -40,3 +40,24 @@
 	}
 	return p.Save(18*vg.Centimeter, 11*vg.Centimeter, file)
 }
+
+// PlotSlope writes an SVG of one slope: its points and its line.
+func PlotSlope(file string, s *Slope) error {
+	p := plot.New()
+	p.Title.Text = s.Figure
+	p.X.Label.Text, p.Y.Label.Text = s.Over, s.Unit
+	p.Y.Min = 0
+	pts := make(plotter.XYs, len(s.X))
+	for i := range s.X {
+		pts[i] = plotter.XY{X: s.X[i], Y: s.Y[i]}
+	}
+	dots, err := plotter.NewScatter(pts)
+	if err != nil {
+		return err
+	}
+	dots.Color = palette[0]
+	line := plotter.NewFunction(func(x float64) float64 { return s.Base + s.Per*x })
+	line.Color, line.XMin, line.XMax = palette[3], s.X[0], s.X[len(s.X)-1]
+	p.Add(dots, line)
+	return p.Save(14*vg.Centimeter, 9*vg.Centimeter, file)
+}
