--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -145,16 +145,56 @@
 		return
 	}
 	var chosen [MaxCandidates]int32
-	for _, i := range chosen[:gather(s, pl, q, p, &chosen, &d.Filtered)] {
+	n := gather(s, pl, q, p, &chosen, &d.Filtered)
+	first := firstHome(s, q, chosen[:n])
+	for _, i := range chosen[:n] {
 		t := &s.Targets[i&^randomMark]
-		c, action, first := predict(t, q, p, h)
+		c, action, firstMS := predict(t, q, p, h)
 		c.Home = i&randomMark == 0
+		if i != first && c.Resident == 0 {
+			c.CostMS += stray(c.Home) * float64(q.Tokens) * p.PrefillMS
+		}
 		d.Candidates[d.N] = c
 		d.N++
 		if c.CostMS < best {
-			best, d.Target, d.Action, d.FirstMS = c.CostMS, t, action, first
+			best, d.Target, d.Action, d.FirstMS = c.CostMS, t, action, firstMS
+		}
+	}
+}
+
+// strayShare is the share of a prompt's prefill that the first home is trusted
+// to save where nothing is known of residency. So a prompt that returns through
+// another instance finds its cache, as long as the first home's queue is not
+// longer than that.
+const strayShare = 0.3
+
+// stray is the share of the prefill that a candidate other than the first home
+// is charged. Another home may hold the head that the root's prompts share; a
+// random target holds nothing.
+func stray(home bool) float64 {
+	if home {
+		return strayShare
+	}
+	return 2 * strayShare
+}
+
+// firstHome orders the homes by the prompt's longest key: all prompts of a
+// root share its homes, each draft or session of them has its own first one.
+func firstHome(s *Snapshot, q *Query, chosen []int32) int32 {
+	if len(q.Keys) == 0 {
+		return -1
+	}
+	last := binary.LittleEndian.Uint64(q.Keys[len(q.Keys)-1][:8])
+	best, top := int32(-1), uint64(0)
+	for _, i := range chosen {
+		if i&randomMark != 0 {
+			continue
+		}
+		if score := mix(last ^ xxhash.Sum64String(s.Targets[i].Name)); best < 0 || score > top {
+			best, top = i, score
 		}
 	}
+	return best
 }
 
 // randomMark tells a random candidate's index from a home's.
--- a/internal/daemon/probe.go
+++ b/internal/daemon/probe.go
@@ -69,9 +69,10 @@
 	return assignment{generation: v.Head.Generation, members: h.Sum64()}
 }
 
-// probeSpacing is the least time between two probes of one instance on the
-// average: what it spends on probes does not grow with the targets it observes.
-const probeSpacing = 125 * time.Millisecond
+// probeShare of the probe period is the least time between two probes of one
+// instance on the average: what it spends on probes does not grow with the
+// targets it observes. At the default period that is 8 probes a second.
+const probeShare = 2
 
 // probePeriod is the time between two probes of one target. One that has just
 // failed is looked at again soon, so that it is known sooner.
@@ -80,7 +81,7 @@
 	if failures > 0 && failures < observe.DefaultParams.Failures {
 		return least
 	}
-	return max(least, time.Duration(d.observing.Load())*probeSpacing)
+	return max(least, time.Duration(d.observing.Load())*least/probeShare)
 }
 
 // observed are the targets that fall to this instance.
--- a/internal/standin/measure/bench.go
+++ b/internal/standin/measure/bench.go
@@ -118,6 +118,9 @@
 func (o *BenchOptions) start(ctx context.Context, name string) (*fleet.Fleet, error) {
 	timing := settings.Default().Timing
 	timing.DrainNoticeMS = 0
+	// Control lives in real time; its periods are scaled as the engines are.
+	timing.ProbeMS = max(int(float64(timing.ProbeMS)*o.Scale), 10)
+	timing.HeartbeatMS = max(int(float64(timing.HeartbeatMS)*o.Scale), 10)
 	f, err := fleet.Start(ctx, fleet.Options{Instances: o.Instances, Engines: o.Engines, Stores: o.Stores, Customers: customers, Timing: timing, Policy: o.policy(name),
 		Engine: engine.Options{PrefillUS: benchPrefillUS, DecodeMS: benchDecodeMS, CachePieces: benchPieces, Slots: benchSlots, KVBytes: benchKVBytes,
 			LagMS: 100, EventLagMS: 200, TimeScale: o.Scale},
--- a/internal/tool/config.go
+++ b/internal/tool/config.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -154,6 +155,12 @@
 	if err != nil {
 		return err
 	}
+	if base, err = pastDrains(actx, r, base, old); err != nil {
+		return err
+	}
+	if base, err = pastDrains(actx, r, base, old); err != nil {
+		return err
+	}
 	h, err := r.Accept(actx, config.Change{Base: base, Parts: parts, Drained: old.Drained, Author: author(), Message: f.message})
 	if err != nil {
 		return o.explainRace(ctx, r, err, b)
@@ -164,6 +171,22 @@
 	return o.accepted(ctx, h, f.wait, f.forTime)
 }
 
+// pastDrains moves a base up to the head if only drains were accepted since: they
+// stand beside the files, so an edit of these conflicts with none of them.
+func pastDrains(ctx context.Context, r *config.Repo, base uint64, head config.Head) (uint64, error) {
+	if base == 0 || base >= head.Generation {
+		return base, nil
+	}
+	was, err := headAt(ctx, r, base)
+	if err != nil {
+		return 0, err
+	}
+	if maps.Equal(was.Buckets, head.Buckets) {
+		return head.Generation, nil
+	}
+	return base, nil
+}
+
 // accepted reports an accepted generation and waits for it if asked to.
 func (o *options) accepted(ctx context.Context, h config.Head, wait bool, forTime time.Duration) error {
 	if wait {
