--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -67,6 +67,7 @@
 	Stored                  int      // leading keys that a store is believed to hold
 	StoreMS                 float64  // predicted time to restore them, ms
 	Exclude                 []string // targets already tried
+	AvoidZone               string   // zone of a target that just failed; "" is none
 	Rand                    uint64   // for the two random candidates
 	Turn                    uint64   // counts requests, for RoundRobin
 }
@@ -276,7 +277,7 @@
 	switch {
 	case q.Adapter != "" && !has(t.Adapters, q.Adapter):
 		f.Adapter++
-	case has(q.Exclude, t.Name):
+	case has(q.Exclude, t.Name), q.AvoidZone != "" && t.Zone == q.AvoidZone:
 		f.Tried++
 	default:
 		return true
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -52,12 +52,18 @@
 		Exclude: l.tried, Rand: rand.Uint64(), Turn: l.d.turn.Add(1)}
 	params := l.params()
 	var dec route.Decision
-	if sick := l.d.sick.resting(); len(sick) > 0 {
-		q.Exclude = append(sick, l.tried...)
-	}
+	// Strictest first: a retry leaves the zone that failed, since a zone fails as
+	// a whole, and nothing goes to the sick. Each bound is given up in turn if
+	// no target is left within it.
+	q.AvoidZone = l.failedZone
+	q.Exclude = append(l.d.sick.resting(), l.tried...)
 	route.Pick(l.view.Targets, &q, params, l.d.beliefs(), &dec)
+	if dec.Target == nil && q.AvoidZone != "" {
+		q.AvoidZone = ""
+		route.Pick(l.view.Targets, &q, params, l.d.beliefs(), &dec)
+	}
 	if dec.Target == nil && len(q.Exclude) > len(l.tried) {
-		q.Exclude = l.tried // all that is left is sick: better that than nothing
+		q.Exclude = l.tried
 		route.Pick(l.view.Targets, &q, params, l.d.beliefs(), &dec)
 	}
 	if dec.Target == nil && len(l.tried) > 1 {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -61,7 +61,8 @@
 	tokenMS float64 // when the last token came, ms after arrival
 	ending  bool
 
-	pinned []string // versions that no target took the run with
+	failedZone string   // zone of the last target that failed
+	pinned     []string // versions that no target took the run with
 }
 
 // Start places a run and returns when its first event is there, or the final
@@ -122,6 +123,9 @@
 func (l *Live) after(ev attempt.Event, cause error, att *why.Attempt) error {
 	l.leave()
 	l.d.judgeTarget(att.Target, ev)
+	if ev != attempt.Refused {
+		l.failedZone = l.target.Zone
+	}
 	att.Ended = ended[ev]
 	metric.TargetEnds(att.Target, ended[ev]).Inc()
 	if ev == attempt.Mismatched {
