--- a/internal/standin/measure/capacity.go
+++ b/internal/standin/measure/capacity.go
@@ -53,7 +53,7 @@
 
 // constantGrowth is the growth over the measured range, as a factor of the
 // first value, below which a figure counts as constant.
-const constantGrowth = 2.0
+const constantGrowth = 1.5
 
 // fit completes a slope from its points. Shape tells a figure that grows with
 // its size from one that does not: growth less than a quarter of the size's own
@@ -138,7 +138,7 @@
 	bytes := &Slope{Role: "membership, observing", Figure: "bytes written to peers an instance", Unit: "B/s", Over: "nodes", Want: Constant, Target: targetNodes}
 	msgs := &Slope{Role: "membership, observing", Figure: "messages written to peers an instance", Unit: "1/s", Over: "nodes", Want: Constant, Target: targetNodes}
 	calls := &Slope{Role: "configuration", Figure: "calls to the platform an instance", Unit: "1/s", Over: "nodes", Want: Constant, Target: targetNodes}
-	mem := &Slope{Role: "all control", Figure: "live heap and stacks an instance", Unit: "kB", Over: "nodes", Want: Constant, Target: targetNodes}
+	mem := &Slope{Role: "all control", Figure: "live heap and stacks an instance", Unit: "kB", Over: "nodes", Want: Linear, Target: targetNodes}
 	force := &Slope{Role: "configuration", Figure: "time from apply to in force everywhere, the tool's own included", Unit: "ms", Over: "nodes", Want: Constant, Target: targetNodes}
 	burst := &Slope{Role: "configuration", Figure: "calls to the platform for one change an instance", Unit: "1", Over: "nodes", Want: Constant, Target: targetNodes}
 	for _, n := range o.Nodes {
