--- a/internal/core/cache/hints.go
+++ b/internal/core/cache/hints.go
@@ -18,12 +18,24 @@
 	limit   int
 }
 
-// DefaultHintKeys bounds the keys remembered for one target.
-const DefaultHintKeys = 8192
+// Bounds on what is remembered: keys of one target, and of all together. At 73
+// bytes a key the latter is 44 MB.
+const (
+	DefaultHintKeys = 8192
+	MaxHintKeys     = 600_000
+	leastHintKeys   = 128 // of one target, however many there are
+)
 
-// NewHints remembers up to limit keys a target.
+// NewHints remembers up to limit keys a target, and MaxHintKeys in all.
 func NewHints(limit int) *Hints { return &Hints{targets: map[string]*holder{}, limit: limit} }
 
+// perTarget is the bound on one target's keys while there are so many targets.
+func (h *Hints) perTarget() int {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return min(h.limit, max(MaxHintKeys/max(len(h.targets), 1), leastHintKeys))
+}
+
 // holder is one target's keys, oldest forgotten first.
 type holder struct {
 	mu   sync.RWMutex
@@ -74,11 +86,11 @@
 	if len(keys) == 0 {
 		return
 	}
-	e := h.holder(target)
+	e, limit := h.holder(target), h.perTarget()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, k := range keys {
-		e.add(k, h.limit)
+		e.add(k, limit)
 	}
 }
 
@@ -86,6 +98,12 @@
 	if _, ok := e.at[k]; ok {
 		return
 	}
+	if len(e.ring) > limit { // more targets have come: each keeps less
+		for _, old := range e.ring[limit:] {
+			delete(e.at, old)
+		}
+		e.ring, e.next = e.ring[:limit], 0
+	}
 	if len(e.ring) < limit {
 		e.at[k] = len(e.ring)
 		e.ring = append(e.ring, k)
@@ -122,7 +140,7 @@
 // Event applies one cache event. A sequence that is not the next one marks a
 // gap: what was lost may be a removal, so all that was believed is dropped.
 func (h *Hints) Event(target string, seq uint64, key prefix.Key, removed bool) (gap bool) {
-	e := h.holder(target)
+	e, limit := h.holder(target), h.perTarget()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if seq <= e.seq {
@@ -137,7 +155,7 @@
 		delete(e.at, key)
 		return gap
 	}
-	e.add(key, h.limit)
+	e.add(key, limit)
 	return gap
 }
 
--- /dev/null
+++ b/internal/core/cache/hints_test.go
@@ -0,0 +1,79 @@
+package cache_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/shedhoist/shedhoist/internal/core/cache"
+	"github.com/shedhoist/shedhoist/internal/core/prefix"
+)
+
+func key(n int) (k prefix.Key) {
+	binary.BigEndian.PutUint64(k[:], uint64(n))
+	return k
+}
+
+func keys(from, n int) []prefix.Key {
+	out := make([]prefix.Key, n)
+	for i := range out {
+		out[i] = key(from + i)
+	}
+	return out
+}
+
+// TestEvents is a table of what late, lost, replayed and reordered events do.
+func TestEvents(t *testing.T) {
+	type event struct {
+		seq     uint64
+		key     int
+		removed bool
+	}
+	cases := []struct {
+		name   string
+		events []event
+		want   int // leading keys of 0, 1, 2 believed resident
+	}{
+		{"in order", []event{{1, 0, false}, {2, 1, false}, {3, 2, false}}, 3},
+		{"removed", []event{{1, 0, false}, {2, 1, false}, {3, 0, true}}, 0},
+		{"replayed", []event{{1, 0, false}, {2, 0, true}, {1, 0, false}}, 0},
+		{"a gap drops what was believed", []event{{1, 0, false}, {2, 1, false}, {4, 2, false}}, 0},
+		{"and what comes behind it counts", []event{{1, 5, false}, {3, 0, false}, {4, 1, false}}, 2},
+		{"nothing", nil, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			h := cache.NewHints(100)
+			for _, e := range c.events {
+				h.Event("t", e.seq, key(e.key), e.removed)
+			}
+			is.Equal(h.Resident("t", keys(0, 3)), c.want)
+		})
+	}
+}
+
+// TestBounds: however many keys and targets come, memory is bounded, the newest
+// keys are kept, and a key that was forgotten counts as not resident.
+func TestBounds(t *testing.T) {
+	is := is.New(t)
+	h := cache.NewHints(10)
+	h.Learn("t", keys(0, 25))
+	is.Equal(h.Keys(), 10)
+	is.Equal(h.Resident("t", keys(15, 10)), 10)
+	is.Equal(h.Resident("t", keys(0, 5)), 0)
+	h.Forget("t", keys(15, 1))
+	is.Equal(h.Resident("t", keys(15, 10)), 0)
+	h.Drop("t")
+	is.Equal(h.Keys(), 0)
+
+	h = cache.NewHints(cache.DefaultHintKeys)
+	for round := range 2 { // the second time all targets are known
+		for i := range 600 {
+			h.Learn(fmt.Sprint("t", i), keys(i*10_000+round*4000, 2000))
+		}
+	}
+	is.True(h.Keys() <= cache.MaxHintKeys)
+}
--- a/internal/core/observe/observe.go
+++ b/internal/core/observe/observe.go
@@ -28,10 +28,21 @@
 	PerSec   float64       // refreshes a second over all targets
 }
 
-// DefaultParams: with four messages a second of 10 digests, and four tellings
-// of each, 10 refreshes a second are what can be told. A higher rate would only
-// make every word older on its way.
-var DefaultParams = Params{Failures: 3, Silence: 10 * time.Second, Digests: 10, Refresh: 250 * time.Millisecond, PerSec: 10}
+// messagesPerBeat is how many messages with digests an instance writes in one
+// heartbeat period: a probe, and on the average an answer to one.
+const messagesPerBeat = 2
+
+// ParamsFor suits members that probe one another every beat. The rate of
+// refreshes is what the messages can carry, each told spreadTimes: a higher one
+// would only make every word older on its way.
+func ParamsFor(beat time.Duration) Params {
+	p := Params{Failures: 3, Silence: 20 * beat, Digests: 10, Refresh: beat / 2}
+	p.PerSec = messagesPerBeat / beat.Seconds() * float64(p.Digests) / spreadTimes
+	return p
+}
+
+// DefaultParams suit a heartbeat of half a second: 10 refreshes a second.
+var DefaultParams = ParamsFor(500 * time.Millisecond)
 
 // ObserverCount is how many instances probe one target.
 const ObserverCount = 3
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -178,7 +178,7 @@
 	params.Period = settings.Duration(d.set.Timing.HeartbeatMS)
 	params.Suspicion = 6 * params.Period
 	self := member.Member{Name: d.set.Name, Address: advertise, Zone: d.set.Zone, Incarnation: uint64(d.now().UnixMilli())}
-	c := &control{targets: observe.New(observe.DefaultParams), members: member.New(params, self, rand.IntN), now: d.now}
+	c := &control{targets: observe.New(observe.ParamsFor(params.Period)), members: member.New(params, self, rand.IntN), now: d.now}
 	for _, f := range [...]func(context.Context){
 		func(ctx context.Context) { d.run(ctx, c) }, d.follow, d.followMachines, d.probeTargets, d.greetSeeds, d.giveOrders,
 	} {
