--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -49,66 +49,72 @@
 // place asks for a target and writes down why it is the one.
 func (l *Live) place() (*why.Attempt, target.Extension, bool) {
 	q := route.Query{Model: l.req.Model.Name, Version: l.version, Adapter: l.req.Adapter, Keys: l.keys, Tokens: l.tokens,
-		Exclude: l.tried, Rand: rand.Uint64(), Turn: l.d.turn.Add(1)}
-	params := l.params()
+		Rand: rand.Uint64(), Turn: l.d.turn.Add(1)}
 	var dec route.Decision
-	// Strictest first: a retry leaves the zone that failed, since a zone fails as
-	// a whole, and nothing goes to the sick. Each bound is given up in turn if
-	// no target is left within it.
-	q.AvoidZone = l.failedZone
-	q.Exclude = append(l.d.sick.resting(), l.tried...)
-	route.Pick(l.view.Targets, &q, params, l.d.beliefs(), &dec)
-	if dec.Target == nil && q.AvoidZone != "" {
-		q.AvoidZone = ""
-		route.Pick(l.view.Targets, &q, params, l.d.beliefs(), &dec)
-	}
-	if dec.Target == nil && len(q.Exclude) > len(l.tried) {
-		q.Exclude = l.tried
-		route.Pick(l.view.Targets, &q, params, l.d.beliefs(), &dec)
-	}
-	if dec.Target == nil && len(l.tried) > 1 {
-		// Every target was tried: go round again, but not to the last one.
-		l.tried = l.tried[len(l.tried)-1:]
-		q.Exclude = l.tried
-		route.Pick(l.view.Targets, &q, params, l.d.beliefs(), &dec)
-	}
+	l.choose(&q, &dec)
 	var k kept
 	if dec.Target != nil && l.worthLookup(&dec) {
 		if k = l.d.lookup(l.ctx, l.view.Config, l.keys, dec.FirstMS); k.found.Covered > 0 {
 			q.Stored, q.StoreMS = k.found.Covered, k.ms
-			route.Pick(l.view.Targets, &q, params, l.d.beliefs(), &dec)
+			route.Pick(l.view.Targets, &q, l.params(), l.d.beliefs(), &dec)
 		}
 	}
 	att := why.Attempt{StartMS: l.sinceMS(), Filtered: dec.Filtered, Action: dec.Action.String(), PredictedMS: dec.FirstMS,
 		Candidates: append([]route.Candidate(nil), dec.Candidates[:dec.N]...)}
-	ext := target.Extension{Version: l.version, Adapter: l.req.Adapter, Priority: l.req.Customer.Priority, Salt: l.salt,
-		Keys: hexKeys(l.keys), Resume: l.text.String()}
 	if dec.Target != nil {
-		l.target = dec.Target
-		att.Target = dec.Target.Name
+		l.target, att.Target = dec.Target, dec.Target.Name
 		l.tried = append(l.tried, dec.Target.Name)
 	}
+	ext := l.extension(&dec, k, &att)
+	l.rec.Attempts = append(l.rec.Attempts, att)
+	return &l.rec.Attempts[len(l.rec.Attempts)-1], ext, dec.Target != nil
+}
+
+// choose picks within ever fewer bounds, strictest first: a retry leaves the
+// zone that failed, since a zone fails as a whole; nothing goes to the sick, or
+// to a target twice. Each bound is given up only if no target is left within it;
+// in the end all but the last tried may be tried again.
+func (l *Live) choose(q *route.Query, dec *route.Decision) {
+	well := append(l.d.sick.resting(), l.tried...)
+	last := l.tried[max(len(l.tried)-1, 0):]
+	bounds := [...]struct {
+		zone    string
+		exclude []string
+	}{{l.failedZone, well}, {"", well}, {"", l.tried}, {"", last}}
+	for i, b := range bounds {
+		q.AvoidZone, q.Exclude = b.zone, b.exclude
+		route.Pick(l.view.Targets, q, l.params(), l.d.beliefs(), dec)
+		if dec.Target == nil {
+			continue
+		}
+		if i == len(bounds)-1 {
+			l.tried = last // a new round
+		}
+		return
+	}
+}
+
+// extension is what the engine must know of this attempt.
+func (l *Live) extension(dec *route.Decision, k kept, att *why.Attempt) target.Extension {
+	ext := target.Extension{Version: l.version, Adapter: l.req.Adapter, Priority: l.req.Customer.Priority, Salt: l.salt,
+		Keys: hexKeys(l.keys), Resume: l.text.String()}
 	switch {
 	case dec.Action == route.Restore:
 		att.Store = k.store.Name
 		ext.Import = &target.Import{Stores: []string{k.store.Address}, Manifest: k.found.Manifest, Covered: k.found.Covered}
 	case dec.Action == route.Reuse && l.worthKeeping():
-		// The belief may be stale: name the store, so that the engine, which
+		// The belief may be stale: name the stores, so that the engine, which
 		// knows what it holds, can fetch what it lacks instead of computing it.
+		var names, addresses []string
 		for _, s := range l.d.homeStores(l.view.Config, l.keys[0]) {
-			att.Store = strings.TrimSpace(att.Store + " " + s.Name)
-			ext.Import = &target.Import{Stores: append(importStores(ext.Import), s.Address)}
+			names, addresses = append(names, s.Name), append(addresses, s.Address)
+		}
+		if len(names) > 0 {
+			att.Store = strings.Join(names, " ")
+			ext.Import = &target.Import{Stores: addresses}
 		}
 	}
-	l.rec.Attempts = append(l.rec.Attempts, att)
-	return &l.rec.Attempts[len(l.rec.Attempts)-1], ext, dec.Target != nil
-}
-
-func importStores(im *target.Import) []string {
-	if im == nil {
-		return nil
-	}
-	return im.Stores
+	return ext
 }
 
 // worthLookup says whether a store could spare enough work to be asked.
