--- a/internal/core/cache/hints.go
+++ b/internal/core/cache/hints.go
@@ -30,10 +30,19 @@
 func NewHints(limit int) *Hints { return &Hints{targets: map[string]*holder{}, limit: limit} }
 
 // perTarget is the bound on one target's keys while there are so many targets.
+// It falls by halves, so that room has to be made only a few times.
 func (h *Hints) perTarget() int {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
-	return min(h.limit, max(MaxHintKeys/max(len(h.targets), 1), leastHintKeys))
+	return h.bound(len(h.targets))
+}
+
+func (h *Hints) bound(targets int) int {
+	limit := h.limit
+	for limit > leastHintKeys && limit*targets > MaxHintKeys {
+		limit /= 2
+	}
+	return limit
 }
 
 // holder is one target's keys, oldest forgotten first.
@@ -62,9 +71,21 @@
 	}
 	e := &holder{at: map[prefix.Key]int{}}
 	h.targets[target] = e
+	if n := len(h.targets); h.bound(n) < h.bound(n-1) {
+		h.trimAll(h.bound(n))
+	}
 	return e
 }
 
+// trimAll makes room for more targets; h.mu is held.
+func (h *Hints) trimAll(limit int) {
+	for _, e := range h.targets {
+		e.mu.Lock()
+		e.trim(limit)
+		e.mu.Unlock()
+	}
+}
+
 // Resident is how many leading keys the target is believed to hold.
 func (h *Hints) Resident(target string, keys []prefix.Key) int {
 	e := h.find(target)
@@ -94,16 +115,22 @@
 	}
 }
 
+// trim forgets keys beyond the limit, and frees their space.
+func (e *holder) trim(limit int) {
+	if len(e.ring) <= limit {
+		return
+	}
+	kept := append([]prefix.Key(nil), e.ring[len(e.ring)-limit:]...)
+	e.ring, e.next, e.at = kept, 0, make(map[prefix.Key]int, limit)
+	for i, k := range kept {
+		e.at[k] = i
+	}
+}
+
 func (e *holder) add(k prefix.Key, limit int) {
 	if _, ok := e.at[k]; ok {
 		return
 	}
-	if len(e.ring) > limit { // more targets have come: each keeps less
-		for _, old := range e.ring[limit:] {
-			delete(e.at, old)
-		}
-		e.ring, e.next = e.ring[:limit], 0
-	}
 	if len(e.ring) < limit {
 		e.at[k] = len(e.ring)
 		e.ring = append(e.ring, k)
--- a/internal/core/cache/hints_test.go
+++ b/internal/core/cache/hints_test.go
@@ -70,10 +70,10 @@
 	is.Equal(h.Keys(), 0)
 
 	h = cache.NewHints(cache.DefaultHintKeys)
-	for round := range 2 { // the second time all targets are known
-		for i := range 600 {
-			h.Learn(fmt.Sprint("t", i), keys(i*10_000+round*4000, 2000))
-		}
+	for i := range 600 {
+		h.Learn(fmt.Sprint("t", i), keys(i*10_000, 4000))
+		is.True(i%50 != 0 || h.Keys() <= cache.MaxHintKeys)
 	}
 	is.True(h.Keys() <= cache.MaxHintKeys)
+	is.Equal(h.Resident("t0", keys(0, 4000)), 0) // its first ones made room
 }
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -208,6 +208,9 @@
 
 func (f *Fleet) zone(i int) string { return f.Options.Zones[i%len(f.Options.Zones)] }
 
+// fleetSeeds is how many instances a new one is told of.
+const fleetSeeds = 3
+
 // AddInstance starts one more entry instance, which joins by the first ones.
 func (f *Fleet) AddInstance() (*daemon.Daemon, error) {
 	f.mu.Lock()
@@ -217,7 +220,7 @@
 	set.Timing = f.Options.Timing
 	set.Platform.URL = f.PlatformURL
 	set.Peers.Secret = secret("peers")
-	for _, d := range f.Daemons {
+	for _, d := range f.Daemons[:min(len(f.Daemons), fleetSeeds)] {
 		set.Peers.Seeds = append(set.Peers.Seeds, d.PeerAddr())
 	}
 	if f.Options.Settings != nil {
