--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/bits"
+	"math/rand/v2"
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/core/member"
@@ -118,18 +120,39 @@
 }
 
 // greetSeeds joins, and joins again after a long cut in which the members
-// forgot one another.
+// forgot one another. A young instance also asks some members for all they know,
+// ever more rarely: when many start at once their news would otherwise queue
+// behind one another on the probes.
 func (d *Daemon) greetSeeds(ctx context.Context) {
-	for {
+	for round := 1; ; round++ {
 		for _, seed := range d.set.Peers.Seeds {
 			d.greet(ctx, seed)
 		}
+		if round <= youngRounds && bits.OnesCount(uint(round)) == 1 {
+			d.askAllOf(ctx)
+		}
 		if !wait.For(ctx, jitter(seedPeriod)) {
 			return
 		}
 	}
 }
 
+// youngRounds is how many rounds of greeting an instance is young for; it asks
+// in rounds 1, 2, 4, 8, 16.
+const youngRounds = 16
+
+// askAllOf joins again by way of a random member, whose answer holds all.
+func (d *Daemon) askAllOf(ctx context.Context) {
+	others := d.others(ctx)
+	if len(others) == 0 {
+		return
+	}
+	m := others[rand.IntN(len(others))]
+	var self member.Member
+	d.query(func(c *control) { self = c.members.Self() })
+	go d.ping(d.ctx, member.Probe{To: m.Name, Address: m.Address}, self, nil, true)
+}
+
 // seedPeriod is how often seeds that are no live members are tried again.
 const seedPeriod = 2 * time.Second
 
