--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -23,6 +23,7 @@
 	"github.com/shedhoist/shedhoist/internal/problem"
 	"github.com/shedhoist/shedhoist/internal/target"
 	"github.com/shedhoist/shedhoist/internal/view"
+	"github.com/shedhoist/shedhoist/internal/wait"
 	"github.com/shedhoist/shedhoist/internal/why"
 )
 
@@ -181,12 +182,7 @@
 		return
 	}
 	base := min(backoffBase<<retries, backoffMax)
-	t := time.NewTimer(time.Duration(rand.Int64N(int64(base))))
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
+	wait.For(ctx, time.Duration(rand.Int64N(int64(base))))
 }
 
 // Bounds of the backoff between retries.
--- a/internal/dispatch/keep.go
+++ b/internal/dispatch/keep.go
@@ -63,13 +63,12 @@
 // lookup asks the prompt's stores what they keep, and returns the answer that
 // covers most. A store that does not answer in time costs a recompute, nothing
 // else. saveMS is the time that a restore can save at most.
-func (d *Dispatcher) lookup(ctx context.Context, c *view.Config, keys []prefix.Key, saveMS float64) kept {
+func (d *Dispatcher) lookup(ctx context.Context, c *view.Config, keys []prefix.Key, names []string, saveMS float64) kept {
 	patience := time.Duration(saveMS * lookupShare * float64(time.Millisecond))
 	ctx, cancel := context.WithTimeout(ctx, min(max(patience, lookupLeast), lookupMost))
 	defer cancel()
 	stores := d.homeStores(c, keys[0])
 	answers := make(chan kept, len(stores))
-	names := hexKeys(keys)
 	for _, s := range stores {
 		go func() {
 			found, err := d.Stores.Lookup(ctx, s.Address, names)
@@ -133,7 +132,7 @@
 		return
 	}
 	l.rec.Kept = s.Name
-	order := target.Export{Store: s.Address, Version: l.version, Adapter: l.req.Adapter, Salt: l.salt, Keys: hexKeys(l.keys)}
+	order := target.Export{Store: s.Address, Version: l.version, Adapter: l.req.Adapter, Salt: l.salt, Keys: l.names}
 	address, name := l.target.Address, l.target.Name
 	d.keepsWG.Add(1)
 	go func() {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -24,6 +24,7 @@
 	l.version, l.rec.Version = version, version
 	seed := prefix.NewSeed(l.req.Customer.Secret, l.req.Model.Name, version, l.req.Adapter)
 	l.keys = seed.Chain(l.req.Canonical, l.keys[:0])
+	l.names = hexKeys(l.keys)
 	l.salt = seed.Salt()
 }
 
@@ -54,7 +55,7 @@
 	l.choose(&q, &dec)
 	var k kept
 	if dec.Target != nil && l.worthLookup(&dec) {
-		if k = l.d.lookup(l.ctx, l.view.Config, l.keys, dec.FirstMS); k.found.Covered > 0 {
+		if k = l.d.lookup(l.ctx, l.view.Config, l.keys, l.names, dec.FirstMS); k.found.Covered > 0 {
 			q.Stored, q.StoreMS = k.found.Covered, k.ms
 			route.Pick(l.view.Targets, &q, l.params(), l.d.beliefs(), &dec)
 		}
@@ -97,7 +98,7 @@
 // extension is what the engine must know of this attempt.
 func (l *Live) extension(dec *route.Decision, k kept, att *why.Attempt) target.Extension {
 	ext := target.Extension{Version: l.version, Adapter: l.req.Adapter, Priority: l.req.Customer.Priority, Salt: l.salt,
-		Keys: hexKeys(l.keys), Resume: l.text.String()}
+		Keys: l.names, Resume: l.text.String()}
 	switch {
 	case dec.Action == route.Restore:
 		att.Store = k.store.Name
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -42,6 +42,7 @@
 	view    *view.View
 	version string
 	keys    []prefix.Key
+	names   []string // of the keys, in hexadecimal
 	salt    string
 	tokens  int
 	machine *attempt.Request
--- a/internal/e2e/cut_test.go
+++ b/internal/e2e/cut_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"sync"
 	"testing"
 
 	"github.com/matryer/is"
@@ -57,16 +56,7 @@
 	conflicts := metric.LedgerConflicts.Get()
 	for i := range 20 {
 		c := call{method: "POST", path: "/swaps", key: fmt.Sprint("k", i), op: fmt.Sprint("o", i)}
-		var wg sync.WaitGroup
-		got := make([]reply, 3)
-		for n := range got {
-			wg.Add(1)
-			go func() {
-				defer wg.Done()
-				got[n] = c.send(t, f.URL(n), f.Keys[0])
-			}()
-		}
-		wg.Wait()
+		got := c.atOnce(t, f, 3)
 		is.Equal(runs(f, c.op), 1)
 		for _, r := range got {
 			is.True(r.status == http.StatusOK || r.status == http.StatusConflict)
--- a/internal/e2e/once_test.go
+++ b/internal/e2e/once_test.go
@@ -22,6 +22,22 @@
 	return n
 }
 
+// atOnce sends the same call n times at once, in turn through all instances.
+func (c call) atOnce(t *testing.T, f *fleet.Fleet, n int) []reply {
+	t.Helper()
+	got := make([]reply, n)
+	var wg sync.WaitGroup
+	for i := range got {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			got[i] = c.send(t, f.URL(i), f.Keys[0])
+		}()
+	}
+	wg.Wait()
+	return got
+}
+
 // TestKeyedRepeats: a caller repeats one keyed request through three instances
 // at once and again later; it runs once, and the repeats are answered truly.
 func TestKeyedRepeats(t *testing.T) {
@@ -29,16 +45,7 @@
 	f := start(t, fleet.Options{Instances: 3, Engines: 1})
 	for i := range 8 {
 		c := call{method: "POST", path: "/swaps", key: fmt.Sprint("swap-", i), body: `{"swap":1}`, op: fmt.Sprint("op-", i)}
-		var wg sync.WaitGroup
-		got := make([]reply, 6)
-		for n := range got {
-			wg.Add(1)
-			go func() {
-				defer wg.Done()
-				got[n] = c.send(t, f.URL(n), f.Keys[0])
-			}()
-		}
-		wg.Wait()
+		got := c.atOnce(t, f, 6)
 		is.Equal(runs(f, c.op), 1)
 		answered := 0
 		for _, r := range got {
--- a/internal/standin/fleet/demo.go
+++ b/internal/standin/fleet/demo.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/target"
+	"github.com/shedhoist/shedhoist/internal/wait"
 )
 
 // Answer is a whole completion as a caller reads it.
@@ -163,9 +164,7 @@
 				return nil
 			}
 		}
-		select {
-		case <-time.After(5 * time.Millisecond):
-		case <-ctx.Done():
+		if !wait.For(ctx, 5*time.Millisecond) {
 			return ctx.Err()
 		}
 	}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -26,6 +26,7 @@
 	standin "github.com/shedhoist/shedhoist/internal/standin/platform"
 	"github.com/shedhoist/shedhoist/internal/standin/service"
 	"github.com/shedhoist/shedhoist/internal/standin/store"
+	"github.com/shedhoist/shedhoist/internal/wait"
 )
 
 // Options size a fleet. Zero values take the defaults of Defaults.
@@ -272,9 +273,7 @@
 		if reason == "" {
 			return nil
 		}
-		select {
-		case <-time.After(10 * time.Millisecond):
-		case <-ctx.Done():
+		if !wait.For(ctx, 10*time.Millisecond) {
 			return &NotReadyError{Reason: reason}
 		}
 	}
--- a/internal/standin/measure/slopes.go
+++ b/internal/standin/measure/slopes.go
@@ -128,18 +128,27 @@
 	return []*Slope{change, whole, held}, nil
 }
 
+// held is the memory, in kB, that stays in use with what build returns.
+func held(build func() any) float64 {
+	before := memory()
+	kept := build()
+	out := float64(memory()-before) / 1000
+	runtime.KeepAlive(kept)
+	return out
+}
+
 func hintSlope() *Slope {
 	s := &Slope{Role: "restore and keep decisions", Figure: "memory of residency hints, bounded", Unit: "kB", Over: "prompts of one key seen", Want: Constant, Target: targetPrompts}
 	for _, n := range []int{10_000, 100_000, 300_000, 600_000, 3_000_000} {
-		before := memory()
-		h := cache.NewHints(cache.DefaultHintKeys)
-		var key prefix.Key
-		for i := range n {
-			key[0], key[1], key[2] = byte(i), byte(i>>8), byte(i>>16)
-			h.Learn(fmt.Sprintf("engine-%d", i/4096), []prefix.Key{key})
-		}
-		s.X, s.Y = append(s.X, float64(n)), append(s.Y, float64(memory()-before)/1000)
-		runtime.KeepAlive(h)
+		s.X, s.Y = append(s.X, float64(n)), append(s.Y, held(func() any {
+			h := cache.NewHints(cache.DefaultHintKeys)
+			var key prefix.Key
+			for i := range n {
+				key[0], key[1], key[2] = byte(i), byte(i>>8), byte(i>>16)
+				h.Learn(fmt.Sprintf("engine-%d", i/4096), []prefix.Key{key})
+			}
+			return h
+		}))
 	}
 	return s
 }
@@ -147,14 +156,14 @@
 func whySlope() *Slope {
 	s := &Slope{Role: "why-records", Figure: "memory of why-records", Unit: "kB", Over: "records", Want: Linear, Target: 4096}
 	for _, n := range []int{500, 1000, 2000, 4096} {
-		before := memory()
-		l := why.NewLog(n)
-		for i := range n {
-			l.Add(&why.Record{ID: fmt.Sprintf("%036d", i), Instance: "entry-1", Customer: "customer-1", Name: "m", Version: "v",
-				Attempts: []why.Attempt{{Target: "engine-1", Candidates: make([]route.Candidate, 5)}}})
-		}
-		s.X, s.Y = append(s.X, float64(n)), append(s.Y, float64(memory()-before)/1000)
-		runtime.KeepAlive(l)
+		s.X, s.Y = append(s.X, float64(n)), append(s.Y, held(func() any {
+			l := why.NewLog(n)
+			for i := range n {
+				l.Add(&why.Record{ID: fmt.Sprintf("%036d", i), Instance: "entry-1", Customer: "customer-1", Name: "m", Version: "v",
+					Attempts: []why.Attempt{{Target: "engine-1", Candidates: make([]route.Candidate, 5)}}})
+			}
+			return l
+		}))
 	}
 	return s
 }
@@ -162,16 +171,15 @@
 func ledgerSlope() *Slope {
 	s := &Slope{Role: "ledger keeping", Figure: "memory of a partition's index", Unit: "kB", Over: "claims held", Want: Linear, Target: 250_000}
 	for _, n := range []int{10_000, 30_000, 100_000, 300_000} {
-		before := memory()
-		p := once.New(once.DefaultParams)
-		entries := make([]once.Entry, n)
-		for i := range entries {
-			entries[i].ID[0], entries[i].ID[1], entries[i].ID[2] = byte(i), byte(i>>8), byte(i>>16)
-		}
-		p.Load(once.Tip{}, 1, [][]once.Entry{entries})
-		entries = nil
-		s.X, s.Y = append(s.X, float64(n)), append(s.Y, float64(memory()-before)/1000)
-		runtime.KeepAlive(p)
+		s.X, s.Y = append(s.X, float64(n)), append(s.Y, held(func() any {
+			p := once.New(once.DefaultParams)
+			entries := make([]once.Entry, n)
+			for i := range entries {
+				entries[i].ID[0], entries[i].ID[1], entries[i].ID[2] = byte(i), byte(i>>8), byte(i>>16)
+			}
+			p.Load(once.Tip{}, 1, [][]once.Entry{entries})
+			return p
+		}))
 	}
 	return s
 }
--- a/internal/tool/state.go
+++ b/internal/tool/state.go
@@ -17,6 +17,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/shedhoist/shedhoist/internal/operator"
+	"github.com/shedhoist/shedhoist/internal/wait"
 	"github.com/shedhoist/shedhoist/internal/why"
 )
 
@@ -131,9 +132,7 @@
 		} else if ctx.Err() == nil && !mayPass(err) {
 			return err
 		}
-		select {
-		case <-time.After(waitPeriod):
-		case <-ctx.Done():
+		if !wait.For(ctx, waitPeriod) {
 			return &NotInForceError{Generation: generation, Behind: last}
 		}
 	}
