Decode a peer's answer into a value of the call's own

A torn answer could so reach the members' state.

Change: Pool.Call, which every peer call goes through, decodes into a fresh value and copies it to the caller's reply only when the call succeeded.

Shown: TestLateReply gives up a call just as its answer comes, 300 times; the race detector fails it without the change and passes it with it.

--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"time"
 )
@@ -47,13 +48,16 @@
 }
 
 // Call calls a method and waits for its reply until ctx ends. A call that
-// fails on the way drops its connection; net/rpc can't take one call back.
+// fails on the way drops its connection; net/rpc can't take one call back. It
+// decodes into a value of the call's own, so that an answer that comes late never
+// writes to a reply which its caller has gone on to read.
 func (p *Pool) Call(ctx context.Context, address, method string, args, reply any) error {
 	c, err := p.client(ctx, address)
 	if err != nil {
 		return &CallError{Address: address, Method: method, Cause: err}
 	}
-	call := c.Go(method, args, reply, make(chan *rpc.Call, 1))
+	own := reflect.New(reflect.TypeOf(reply).Elem())
+	call := c.Go(method, args, own.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 		err = call.Error
@@ -61,6 +65,7 @@
 		err = ctx.Err()
 	}
 	if err == nil {
+		reflect.ValueOf(reply).Elem().Set(own.Elem())
 		return nil
 	}
 	if _, answered := err.(rpc.ServerError); !answered {
