--- a/internal/core/order/lease.go
+++ b/internal/core/order/lease.go
@@ -1,7 +1,7 @@
 // Package order decides who may give orders to targets, and which. It is pure.
 //
 // The right to give orders is a lease: one object in the platform, written
-// conditionally. Its version is the fencing token. Time is never compared
+// conditionally. Its version when it was taken is the fencing token. Time is never compared
 // between machines: a holder counts from before its own write, another instance
 // from when it first saw the present version, each on its own monotonic clock.
 package order
@@ -63,7 +63,11 @@
 }
 
 // Saw takes the object as read at now; holder is "" if there is none.
+// A version older than one seen before is old news, and changes nothing.
 func (l *Lease) Saw(holder string, version uint64, now time.Time) {
+	if version != 0 && version < l.version {
+		return
+	}
 	if !l.known || version != l.version {
 		l.since = now
 	}
@@ -75,9 +79,10 @@
 
 // Wrote says that an own write, begun at start, took effect.
 func (l *Lease) Wrote(version uint64, start time.Time) {
-	l.fresh = l.fresh || l.acted.IsZero()
-	l.known, l.holder, l.version, l.since = true, l.self, version, start
-	l.acted, l.token = start, version
+	if l.acted.IsZero() {
+		l.fresh, l.token = true, version
+	}
+	l.known, l.holder, l.version, l.since, l.acted = true, l.self, version, start, start
 }
 
 // Failed says that a write did not take effect, or that this is not known. The
@@ -85,7 +90,8 @@
 func (l *Lease) Failed() { l.known = false }
 
 // Held returns the fencing token if orders may be sent now. Ask right before
-// each send.
+// each send. The token is the version at which the lease was taken: it stays the
+// same over renewals, and any later holder's is higher.
 func (l *Lease) Held(now time.Time) (token uint64, ok bool) {
 	if l.acted.IsZero() || now.Sub(l.acted) >= l.p.Term-l.p.Margin {
 		return 0, false
@@ -100,3 +106,13 @@
 	l.fresh = false
 	return f
 }
+
+// Holder returns the holder as last seen, "" if none is known.
+func (l *Lease) Holder() string { return l.holder }
+
+// ParamsFor returns times with which two holders never act within gap of one
+// another, and one holder may act for work after each of its writes.
+func ParamsFor(gap, work time.Duration) Params {
+	margin := gap/2 + gap/20 // a contender waits Term + Margin, a holder acts for Term - Margin: 2 * Margin > gap
+	return Params{Term: margin + work, Margin: margin, Renew: work / 2}
+}
--- a/internal/core/order/order_test.go
+++ b/internal/core/order/order_test.go
@@ -223,3 +223,56 @@
 		})
 	}
 }
+
+// TestParamsFor: the last act of one holder and the first of the next are at
+// least the gap apart.
+func TestParamsFor(t *testing.T) {
+	is := is.New(t)
+	p := order.ParamsFor(3*time.Second, 600*time.Millisecond)
+	old, next := order.NewLease(p, "old"), order.NewLease(p, "next")
+	start := time.Unix(0, 0)
+	old.Saw("", 0, start)
+	old.Wrote(5, start)
+	next.Saw("old", 5, start)
+	last := start
+	for now := start; ; now = now.Add(time.Millisecond) {
+		if _, held := old.Held(now); held {
+			last = now
+		}
+		if step, _ := next.Next(now); step == order.Write {
+			is.True(now.Sub(last) >= 3*time.Second)
+			break
+		}
+	}
+	is.True(last.After(start.Add(500 * time.Millisecond)))
+}
+
+// TestTokenStays: renewals keep the token; a new hold has a higher one.
+func TestTokenStays(t *testing.T) {
+	is := is.New(t)
+	l := order.NewLease(params, "a")
+	now := time.Unix(0, 0)
+	l.Saw("", 0, now)
+	l.Wrote(7, now)
+	l.Wrote(9, now)
+	token, held := l.Held(now)
+	is.True(held)
+	is.Equal(token, uint64(7))
+	l.Saw("b", 12, now)
+	l.Wrote(15, now)
+	token, _ = l.Held(now)
+	is.Equal(token, uint64(15))
+}
+
+// TestOldNews: a watch that tells an own earlier write late takes no lease away.
+func TestOldNews(t *testing.T) {
+	is := is.New(t)
+	l := order.NewLease(params, "a")
+	now := time.Unix(0, 0)
+	l.Saw("", 0, now)
+	l.Wrote(7, now)
+	l.Wrote(9, now)
+	l.Saw("a", 7, now)
+	_, held := l.Held(now)
+	is.True(held)
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -126,7 +126,7 @@
 	for i, t := range serving {
 		w := x.g.upstream.work.Of(t.ID)
 		options[i] = place.Target{ID: t.ID, Zone: t.Zone, Runs: int(w.Runs.Load()), LatencyMS: w.Latency(x.g.now()),
-			Excluded: slices.Contains(x.tried, t.ID), Resting: slices.Contains(resting, t.ID)}
+			Excluded: slices.Contains(x.tried, t.ID), Resting: slices.Contains(resting, t.ID) || x.g.rollout.underOrder(t.ID)}
 		if x.call.Prompt != nil {
 			options[i].Version = t.VersionOf(x.call.Prompt.Model)
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,6 +59,7 @@
 	sick     *breaker.Set // targets whose requests fail
 	budgets  budgets
 	cache    *cacheDirectory
+	rollout  *rollout
 	inHand   atomic.Int64
 
 	callerLn, readyLn, peerLn net.Listener
@@ -75,6 +76,7 @@
 	g.upstream = newUpstream()
 	g.sick = breaker.New(g.now)
 	g.cache = newCacheDirectory(g)
+	g.rollout = newRollout(g)
 	g.budgets.g = g
 	g.storeOK.Store(true) // until a call says otherwise
 	if err := g.listen(); err != nil {
