Tell peers of news at once; close targets before loads; free old cache

(3) Stores filled with cache of weights that nobody serves.

Change: three lookouts by rank watch for 0.8 s and tell the others what changed; a peer's news is taken by revision, an older word of an entry never undoes a newer one. The lease's value counts renewals. Targets are closed to new requests 350 ms before an order that cuts their streams, which go on elsewhere; the oldest weights go first; at most three loads run. A keeper per store frees what no target's weights can use.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -203,6 +203,7 @@
 // Target is one incarnation of a server: a restart has another ID.
 type Target struct {
 	ID       string
+	Revision uint64 // of its entry in the object store
 	Service  string
 	Address  string // host:port
 	Zone     string
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -323,19 +323,19 @@
 // spreadFactor times log2(members) is how often an update is sent on.
 const spreadFactor = 3
 
-// Random returns a probe of a live member chosen at random, without the next
-// period's turn being taken; its address is empty if there is none.
-func (m *Machine) Random() Probe {
-	var alive []*record
+// Sample returns up to n live members chosen at random, this one not included.
+// No period's turn is taken.
+func (m *Machine) Sample(n int) []Member {
+	var alive []Member
 	for _, r := range m.members {
 		if r.State == Alive {
-			alive = append(alive, r)
+			alive = append(alive, r.Member)
 		}
 	}
-	if len(alive) == 0 {
-		return Probe{}
+	slices.SortFunc(alive, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	for i := range min(n, len(alive)) {
+		j := i + m.rand(len(alive)-i)
+		alive[i], alive[j] = alive[j], alive[i]
 	}
-	slices.SortFunc(alive, func(a, b *record) int { return cmp.Compare(a.Name, b.Name) })
-	r := alive[m.rand(len(alive))]
-	return Probe{To: r.Name, Address: r.Address, Updates: m.Batch(r.Name)}
+	return alive[:min(n, len(alive))]
 }
--- a/internal/core/order/plan.go
+++ b/internal/core/order/plan.go
@@ -41,6 +41,7 @@
 	bad    map[string][]string // versions by model that would not load
 	quiet  time.Time           // no order before: another's may be under way
 	grace  time.Duration       // longest time an order may take
+	ahead  int                 // loads planned beyond those that may run
 }
 
 // NewPlanner returns a planner for orders that take grace at most.
@@ -55,6 +56,10 @@
 	p.flying = map[string]pending{}
 }
 
+// PlanAhead lets n more loads be planned than may run at once, for targets that
+// must be made ready for theirs. Who sends the orders holds to MaxLoads.
+func (p *Planner) PlanAhead(n int) { p.ahead = n }
+
 // SetBad replaces what is known of bad versions.
 func (p *Planner) SetBad(bad map[string][]string) { p.bad = bad }
 
@@ -84,8 +89,8 @@
 	return ""
 }
 
-// Plan returns the loads to order now. Never more than MaxLoads run at once,
-// and no model falls below its share of ready targets.
+// Plan returns the loads to order now, or to prepare. Never more than MaxLoads,
+// and what is planned ahead, are under way at once, and no model falls below its share of ready targets.
 func (p *Planner) Plan(targets []Target, wishes map[string]Wish, now time.Time) []Load {
 	if now.Before(p.quiet) {
 		return nil
@@ -106,7 +111,7 @@
 		w, ok := wishes[t.Model]
 		version := p.Wanted(t.Model, w)
 		_, flying := p.flying[t.Name]
-		if !ok || version == "" || t.Version == version || flying || t.Loading || busy >= MaxLoads {
+		if !ok || version == "" || t.Version == version || flying || t.Loading || busy >= MaxLoads+p.ahead {
 			continue
 		}
 		if t.Ready && slices.Contains(w.Allowed, t.Version) && ready[t.Model]-1 < floor(w.MinReady, total[t.Model]) {
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -14,16 +14,17 @@
 	Zone      string
 	Runs      int     // own requests under way
 	LatencyMS float64 // to the first answer of late, typical of its requests; 0: not observed
-	Version   uint64  // weight version it serves of the request's model; 0: none, or not asked for
 	Excluded  bool    // tried before by this request
 	Resting   bool    // failed lately
+	Unfit     bool    // does not serve the request's model
+	// BehindFor is how long newer weights than the target's have been named; 0:
+	// it has the newest, or the request names no model.
+	BehindFor time.Duration
 }
 
 // Query is the request to place.
 type Query struct {
 	Zone      string
-	Named     uint64        // newest weight version that is named; 0: the request names no model
-	NamedFor  time.Duration // how long that has been known
 	Rollout   time.Duration // time that a rollout may take
 	TypicalMS float64       // latency assumed of a target that was not observed
 	Rand      func() float64
@@ -67,10 +68,7 @@
 // usable rules out a target without the model, and at the end of a rollout's
 // time those with old weights.
 func usable(t *Target, q Query) bool {
-	if q.Named == 0 {
-		return true
-	}
-	return t.Version != 0 && (t.Version >= q.Named || q.NamedFor < q.Rollout-rolloutMargin)
+	return !t.Unfit && (t.BehindFor == 0 || t.BehindFor < q.Rollout-rolloutMargin)
 }
 
 // score is the predicted time to an answer, in ms, weighted by what else the
@@ -84,7 +82,7 @@
 	if t.Zone != q.Zone {
 		s *= otherZone
 	}
-	if t.Version < q.Named && q.NamedFor >= oldGrace {
+	if t.BehindFor >= oldGrace {
 		s *= oldWeights
 	}
 	if t.Resting {
--- a/internal/core/stock/stock.go
+++ b/internal/core/stock/stock.go
@@ -101,6 +101,14 @@
 	return !gap
 }
 
+// Drop takes parts as no longer held, ahead of the store's own word.
+func (s *Shelf) Drop(parts []Key) {
+	for _, k := range parts {
+		s.used -= space(s.held[k])
+		delete(s.held, k)
+	}
+}
+
 // Forget drops all knowledge: the store does not answer, or started again.
 func (s *Shelf) Forget() { *s = Shelf{} }
 
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -23,7 +23,12 @@
 	raw      []byte // cfg as stored, for peers
 	targets  targetTable
 	named    map[string]Named
-	namedAt  platform.Version
+	namedAt  platform.Version // revision up to which named is complete
+	namedIn  platform.Version // revision of the last change of named
+	rollout  RolloutNews      // the newest heard of, or this instance's own
+	ownNews  bool             // it is this instance's own
+	heardOf  time.Time        // when it was heard
+	shut     bool             // the view published last leaves out closing targets
 	members  *member.Machine
 	draining bool
 	storeOK  bool
@@ -90,19 +95,20 @@
 // versionsNamed brings named weight versions. A version never goes back.
 type versionsNamed struct {
 	revision platform.Version
+	changed  platform.Version // revision of the last change among versions
 	versions []catalog.ModelVersion
 	from     source
 }
 
 func (e versionsNamed) apply(c *control) {
-	c.namedAt = max(c.namedAt, e.revision)
+	c.namedAt, c.namedIn = max(c.namedAt, e.revision), max(c.namedIn, e.changed)
 	for _, v := range e.versions {
 		if v.Version <= c.named[v.Model].Version {
 			continue
 		}
 		c.log.WithField("model", v.Model).WithField("version", v.Version).WithField("before", c.named[v.Model].Version).
 			WithField("from", string(e.from)).Info("weight version named")
-		c.named[v.Model] = Named{Version: v.Version, Since: c.now()}
+		c.named[v.Model] = c.named[v.Model].with(v.Version, c.now())
 	}
 }
 
@@ -125,6 +131,38 @@
 	c.log.WithError(e.cause).Warn("object store lost")
 }
 
+// closingFor is how long targets stay closed by one word of the instance that
+// gives orders; it repeats itself more often, for as long as it lives.
+const closingFor = 4 * time.Second
+
+// rolloutHeard brings the news of a rollout.
+type rolloutHeard struct {
+	news RolloutNews
+	own  bool
+}
+
+func (e rolloutHeard) apply(c *control) {
+	if !e.news.Stamp.after(c.rollout.Stamp) {
+		return
+	}
+	c.rollout, c.ownNews, c.heardOf = e.news, e.own, c.now()
+	for _, a := range e.news.Arrived {
+		c.targets.serves(a.Target, a.Serves)
+	}
+}
+
+// closing names the targets that shall get no new requests, since they are
+// about to load weights.
+func (c *control) closing() map[string]bool {
+	out := map[string]bool{}
+	if c.now().Sub(c.heardOf) < closingFor {
+		for _, id := range c.rollout.Closing {
+			out[id] = true
+		}
+	}
+	return out
+}
+
 // stopping takes this instance out of service.
 type stopping struct{}
 
@@ -137,9 +175,11 @@
 	for m, n := range c.named {
 		v.Named[m] = n
 	}
+	closing := c.closing()
+	c.shut = len(closing) > 0
 	for id, t := range c.targets.byID {
 		v.Targets[id] = &t.Target
-		if !t.Leaving {
+		if !t.Leaving && !closing[id] {
 			v.Serving[t.Service] = append(v.Serving[t.Service], &t.Target)
 		}
 	}
@@ -174,14 +214,17 @@
 		case <-ctx.Done():
 			return
 		case e := <-g.events:
+			before := c.have()
 			e.apply(c)
 			for range len(g.events) {
 				(<-g.events).apply(c)
 			}
 			g.view.Store(c.view())
+			g.spreadNews(c, before)
 		case <-tick.C:
 			g.probePeers(c)
-			if c.targets.expire(c.now()) || c.members.Changed() {
+			reopened := c.shut && len(c.closing()) == 0
+			if c.targets.expire(c.now()) || c.members.Changed() || reopened {
 				g.view.Store(c.view())
 			}
 		}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -118,17 +118,16 @@
 	serving := x.view.Serving[x.service]
 	resting := x.g.sick.Resting()
 	q := place.Query{Zone: x.g.settings().Zone, Rollout: x.g.settings().RolloutWithin, TypicalMS: x.typicalMS(), Rand: rand.Float64}
-	if p := x.call.Prompt; p != nil {
-		named := x.view.Named[p.Model]
-		q.Named, q.NamedFor = max(named.Version, 1), x.g.now().Sub(named.Since)
-	}
+	now := x.g.now()
 	options := make([]place.Target, len(serving))
 	for i, t := range serving {
 		w := x.g.upstream.work.Of(t.ID)
-		options[i] = place.Target{ID: t.ID, Zone: t.Zone, Runs: int(w.Runs.Load()), LatencyMS: w.Latency(x.g.now()),
-			Excluded: slices.Contains(x.tried, t.ID), Resting: slices.Contains(resting, t.ID) || x.g.rollout.underOrder(t.ID)}
-		if x.call.Prompt != nil {
-			options[i].Version = t.VersionOf(x.call.Prompt.Model)
+		options[i] = place.Target{ID: t.ID, Zone: t.Zone, Runs: int(w.Runs.Load()), LatencyMS: w.Latency(now),
+			Excluded: slices.Contains(x.tried, t.ID), Resting: slices.Contains(resting, t.ID)}
+		if p := x.call.Prompt; p != nil {
+			version := t.VersionOf(p.Model)
+			options[i].Unfit = version == 0
+			options[i].BehindFor = x.view.Named[p.Model].behindFor(version, now)
 		}
 	}
 	i := place.Pick(options, q)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -16,7 +16,14 @@
 const (
 	// watchWait is how long one watch waits. Each waiting watch is a call that is
 	// paid for; one that is cut off without a word is noticed when it is over.
-	watchWait = 5 * time.Second
+	watchWait = 6 * time.Second
+	// lookoutWait is the same for the few instances that notice it for all others,
+	// within the 2 s in which a change must be in force everywhere.
+	lookoutWait = 800 * time.Millisecond
+	// lookouts is how many instances are: two may fail at the same time.
+	lookouts = 3
+	// slowKindWait is a watch of what may take longer to be in force.
+	slowKindWait = 3 * time.Second
 	// retryBase and retryMax bound the jittered pause after a failed call, so that
 	// the end of an outage meets no crowd.
 	retryBase = 150 * time.Millisecond
@@ -34,6 +41,7 @@
 // feed turns what the store says of one kind into events.
 type feed struct {
 	kind    string
+	lookout time.Duration // how long a lookout's watch waits
 	list    func(platform.Snapshot) error
 	changes func(platform.Changes) error
 }
@@ -42,10 +50,10 @@
 func (g *Gateway) followAll(ctx context.Context) {
 	config, targets, versions := g.codec.Kinds()
 	feeds := []feed{
-		{config, func(s platform.Snapshot) error { return g.readConfigs(s.Objects) },
+		{config, lookoutWait, func(s platform.Snapshot) error { return g.readConfigs(s.Objects) },
 			func(c platform.Changes) error { return g.readConfigs(present(c)) }},
-		{targets, g.listTargets, g.changeTargets},
-		{versions, func(s platform.Snapshot) error { return g.readVersions(s.Revision, s.Objects) },
+		{targets, lookoutWait, g.listTargets, g.changeTargets},
+		{versions, slowKindWait, func(s platform.Snapshot) error { return g.readVersions(s.Revision, s.Objects) },
 			func(c platform.Changes) error { return g.readVersions(c.Revision, present(c)) }},
 	}
 	for _, f := range feeds {
@@ -80,12 +88,12 @@
 			continue
 		case err == nil:
 			at, listed, failures = next, true, 0
-			g.contact(nil)
+			g.contact(f.kind, nil)
 			continue
 		}
 		failures++
 		metric.PlatformDown.Inc()
-		g.contact(err)
+		g.contact(f.kind, err)
 		if !wait.For(ctx, pause(failures)) {
 			return
 		}
@@ -100,17 +108,34 @@
 		}
 		return s.Revision, f.list(s)
 	}
-	c, err := g.store.Follow(ctx, f.kind, at, watchWait)
+	c, err := g.store.Follow(ctx, f.kind, at, g.watchFor(f))
 	if err != nil {
 		return at, err
 	}
 	return max(c.Revision, at), f.changes(c)
 }
 
-// contact notes whether the store answers; only a change makes an event.
-func (g *Gateway) contact(err error) {
-	if g.storeOK.Swap(err == nil) != (err == nil) {
-		g.send(storeReached{ok: err == nil, cause: err})
+// watchFor is how long a watch waits. Instances agree by function on who the
+// lookouts are.
+func (g *Gateway) watchFor(f feed) time.Duration {
+	if rankOf(g.view.Load().Alive, g.settings().Name, lookoutRole) < lookouts {
+		return f.lookout
+	}
+	return watchWait
+}
+
+// contact notes whether the store answers about a kind; only a change of the
+// whole makes an event.
+func (g *Gateway) contact(kind string, err error) {
+	g.failingMu.Lock()
+	defer g.failingMu.Unlock()
+	if err != nil {
+		g.failing[kind] = true
+	} else {
+		delete(g.failing, kind)
+	}
+	if ok := len(g.failing) == 0; g.storeOK.Swap(ok) != ok {
+		g.send(storeReached{ok: ok, cause: err})
 	}
 }
 
@@ -141,9 +166,6 @@
 // changeTargets takes a page of changes; of several changes of one object the
 // last one counts.
 func (g *Gateway) changeTargets(c platform.Changes) error {
-	if len(c.Changes) == 0 {
-		return nil
-	}
 	last := map[string]platform.Change{}
 	for _, ch := range c.Changes {
 		last[ch.Name] = ch
@@ -167,6 +189,7 @@
 	out := make([]catalog.Target, 0, len(objects))
 	for _, o := range objects {
 		t, err := g.codec.Target(o.Name, o.Value)
+		t.Revision = uint64(o.Version)
 		if err != nil {
 			g.log.WithError(err).WithField("target", o.Name).Error("target's entry not readable, left out")
 			continue
@@ -179,6 +202,7 @@
 func (g *Gateway) readVersions(revision platform.Version, objects []platform.Named) error {
 	e := versionsNamed{revision: revision, from: fromStore}
 	for _, o := range objects {
+		e.changed = max(e.changed, o.Version)
 		v, err := g.codec.NamedVersion(o.Name, o.Value)
 		if err != nil {
 			g.log.WithError(err).WithField("object", o.Name).Error("weight version not readable, left out")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,8 +52,12 @@
 
 	view    viewHolder
 	storeOK atomic.Bool
-	pool    *peer.Pool
-	peers   *peer.Server
+	// failing has the kinds about which the store does not answer.
+	failingMu sync.Mutex
+	failing   map[string]bool
+	catching  atomic.Bool // news are being taken from a peer
+	pool      *peer.Pool
+	peers     *peer.Server
 
 	upstream *upstream
 	sick     *breaker.Set // targets whose requests fail
@@ -70,7 +74,7 @@
 // failure leaves nothing open.
 func New(set *Settings, ports Ports, logger log.Interface) (*Gateway, error) {
 	g := &Gateway{log: logger.WithField("instance", set.Name).WithField("zone", set.Zone), now: time.Now, codec: ports.Codec, store: ports.Store,
-		engines: ports.Engines, events: make(chan event, eventBacklog), controlDone: make(chan struct{})}
+		engines: ports.Engines, events: make(chan event, eventBacklog), controlDone: make(chan struct{}), failing: map[string]bool{}}
 	g.set.Store(set)
 	g.ctx, g.stop = context.WithCancel(context.Background())
 	g.upstream = newUpstream()
@@ -169,7 +173,7 @@
 		targets: targetTable{log: g.log, byID: map[string]*heldTarget{}}}
 	g.start(func() { g.runControl(g.ctx, c) })
 	g.followAll(g.ctx)
-	for _, f := range [...]func(context.Context){g.greetSeeds, g.askWhileCutOff, g.rollOut, g.cache.run} {
+	for _, f := range [...]func(context.Context){g.greetSeeds, g.askWhileCutOff, g.rollOut, g.cache.run, g.cache.keepStores} {
 		g.start(func() { f(g.ctx) })
 	}
 	g.serve("callers", func() error { return g.callerSrv.Serve(g.callerLn) })
--- /dev/null
+++ b/internal/gateway/keeper.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/shedhoist/shedhoist/internal/core/stock"
+	"github.com/shedhoist/shedhoist/internal/wait"
+)
+
+// Times and sizes of freeing.
+const (
+	// keeperTick is how often a keeper looks for what can be freed.
+	keeperTick = 400 * time.Millisecond
+	// settleTime is how long all targets must have been seen with newer weights
+	// before older cache is freed: a target with newer weights refuses requests that
+	// expect older ones, so that none can fetch it; this covers the entries of the
+	// list that are being written.
+	settleTime = time.Second
+	// freeTime is how long an order to free may be under way.
+	freeTime = time.Second
+	// freeBatch is how many parts one call frees.
+	freeBatch = 1000
+)
+
+// keepStores frees cache of weights that no target serves any more, in the
+// stores that fall to this instance. Two that both think so do no harm: what they
+// free is nobody's.
+func (c *cacheDirectory) keepStores(ctx context.Context) {
+	var settled settling
+	for wait.For(ctx, jitter(keeperTick)) {
+		v := c.g.view.Load()
+		if v.Config == nil || v.Draining || !v.StoreOK {
+			continue // what targets serve is not known for sure
+		}
+		oldest := settled.update(oldestServed(v), c.g.now())
+		if len(oldest) == 0 {
+			continue
+		}
+		for _, s := range v.Config.Stores {
+			if s.Managed && rankOf(v.Alive, c.g.settings().Name, s.Address) == 0 {
+				c.free(ctx, s.Address, oldest)
+			}
+		}
+	}
+}
+
+// oldestServed is each model's oldest weight version that any target serves,
+// leaving ones too.
+func oldestServed(v *View) map[string]uint64 {
+	out := map[string]uint64{}
+	for _, t := range v.Targets {
+		for _, m := range t.Models {
+			if at, ok := out[m.Model]; !ok || m.Version < at {
+				out[m.Model] = m.Version
+			}
+		}
+	}
+	return out
+}
+
+// settling remembers since when versions have been the oldest served.
+type settling struct {
+	at    map[string]uint64
+	since map[string]time.Time
+}
+
+// update takes the oldest versions as seen now, and returns those that have been
+// so for long enough.
+func (s *settling) update(oldest map[string]uint64, now time.Time) map[string]uint64 {
+	if s.at == nil {
+		s.at, s.since = map[string]uint64{}, map[string]time.Time{}
+	}
+	out := map[string]uint64{}
+	for model, version := range oldest {
+		if s.at[model] != version {
+			s.at[model], s.since[model] = version, now
+		}
+		if now.Sub(s.since[model]) >= settleTime {
+			out[model] = version
+		}
+	}
+	return out
+}
+
+// free frees a store's parts of versions older than oldest.
+func (c *cacheDirectory) free(ctx context.Context, address string, oldest map[string]uint64) {
+	c.mu.Lock()
+	sh := c.shelves[address]
+	var parts []stock.Key
+	var epoch uint64
+	if sh != nil && sh.Known(c.g.now(), shelfAge) {
+		parts = sh.Older(oldest, freeBatch)
+		epoch, _, _ = sh.Position()
+	}
+	c.mu.Unlock()
+	if len(parts) == 0 {
+		return
+	}
+	err := c.g.engines.Free(ctx, address, epoch, c.clockMS(freeTime), parts)
+	c.g.log.WithField("address", address).WithField("parts", len(parts)).WithField("oldest", oldest).WithField("epoch", epoch).
+		WithField("error", errText(err)).Info("old cache freed")
+	if err != nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now, _, _ := sh.Position(); now == epoch {
+		sh.Drop(parts) // its events tell the same a moment later
+	}
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -20,6 +20,12 @@
 	// needyPeriod is how often an instance that the object store refuses asks a
 	// peer for news.
 	needyPeriod = 300 * time.Millisecond
+	// catchUpDelay is what the store usually takes to tell all instances of a change.
+	catchUpDelay = 100 * time.Millisecond
+	// spreadTo is how many peers are told of a change at once; it spreads on by probes.
+	spreadTo = 12
+	// lookoutRole ranks the instances that tell the others.
+	lookoutRole = "lookout"
 )
 
 // peerService is the name of the exchange in net/rpc.
@@ -30,11 +36,37 @@
 // strays, such as another service at a reused address.
 const peersKey = "shedhoist/fleet/1"
 
-// Have says how new an instance's beliefs are.
+// Have says how new an instance's beliefs are. Of a list it tells the revision
+// of its last change: whoever knows all up to that revision has missed nothing.
 type Have struct {
 	Config   uint64           `cbor:"1,keyasint"` // version
-	Targets  platform.Version `cbor:"2,keyasint"` // revision up to which the list is complete
-	Versions platform.Version `cbor:"3,keyasint"`
+	Targets  platform.Version `cbor:"2,keyasint"` // last change of the targets
+	Versions platform.Version `cbor:"3,keyasint"` // last change of the named versions
+	Rollout  RolloutStamp     `cbor:"4,keyasint"`
+}
+
+// RolloutStamp orders the news of rollouts: a later holder's token is higher.
+type RolloutStamp struct {
+	Token uint64 `cbor:"1,keyasint"`
+	Seq   uint64 `cbor:"2,keyasint"`
+}
+
+// after says whether s is newer than o.
+func (s RolloutStamp) after(o RolloutStamp) bool {
+	return s.Token > o.Token || (s.Token == o.Token && s.Seq > o.Seq)
+}
+
+// RolloutNews is what the instance that gives orders is doing.
+type RolloutNews struct {
+	Stamp   RolloutStamp `cbor:"1,keyasint"`
+	Closing []string     `cbor:"2,keyasint,omitempty"` // ids of targets that shall get no new requests
+	Arrived []Arrival    `cbor:"3,keyasint,omitempty"` // targets with new weights
+}
+
+// Arrival is a target that was seen to serve new weights.
+type Arrival struct {
+	Target string               `cbor:"1,keyasint"`
+	Serves catalog.ModelVersion `cbor:"2,keyasint"`
 }
 
 // Hello probes a peer and carries news of members both ways.
@@ -44,6 +76,15 @@
 	Have    Have            `cbor:"3,keyasint"`
 	Join    bool            `cbor:"4,keyasint,omitempty"` // answer with all members
 	Need    bool            `cbor:"5,keyasint,omitempty"` // answer with what is newer than Have
+	Known   Known           `cbor:"6,keyasint"`
+}
+
+// Known is up to where an instance's beliefs are complete.
+type Known struct {
+	Config   uint64           `cbor:"1,keyasint"`
+	Targets  platform.Version `cbor:"2,keyasint"`
+	Versions platform.Version `cbor:"3,keyasint"`
+	Rollout  RolloutStamp     `cbor:"4,keyasint"`
 }
 
 // Welcome is the answer to a Hello.
@@ -61,7 +102,9 @@
 	Targets  []catalog.Target       `cbor:"3,keyasint,omitempty"`
 	Revision platform.Version       `cbor:"4,keyasint,omitempty"` // of Targets
 	Versions []catalog.ModelVersion `cbor:"5,keyasint,omitempty"`
-	NamedAt  platform.Version       `cbor:"6,keyasint,omitempty"` // revision of Versions
+	NamedAt  platform.Version       `cbor:"6,keyasint,omitempty"` // up to which Versions are complete
+	NamedIn  platform.Version       `cbor:"7,keyasint,omitempty"` // of their last change
+	Rollout  *RolloutNews           `cbor:"8,keyasint,omitempty"`
 }
 
 // Reach asks a peer to probe another one.
@@ -80,7 +123,14 @@
 
 // Hello answers a probe.
 func (f *peerFace) Hello(req *Hello, out *Welcome) error {
-	f.g.query(func(c *control) { *out = c.welcome(req) })
+	behind := false
+	f.g.query(func(c *control) {
+		*out = c.welcome(req)
+		behind = c.known().lacks(req.Have)
+	})
+	if behind && req.From.Address != "" {
+		f.g.start(func() { f.g.catchUp(req.From, req.Have) })
+	}
 	return nil
 }
 
@@ -89,22 +139,36 @@
 	ctx, cancel := context.WithTimeout(f.g.ctx, peerTimeout)
 	defer cancel()
 	var w Welcome
-	hello := Hello{}
-	f.g.query(func(c *control) { hello = Hello{From: c.members.Self(), Have: c.have()} })
-	err := f.g.pool.Call(ctx, req.Address, peerService+".Hello", &hello, &w)
+	hello := &Hello{}
+	f.g.query(func(c *control) { hello = c.greeting(false) })
+	err := f.g.pool.Call(ctx, req.Address, peerService+".Hello", hello, &w)
 	out.OK = err == nil && w.From.Name == req.Name
 	return nil
 }
 
 // have says how new the beliefs are.
 func (c *control) have() Have {
-	h := Have{Targets: c.targets.revision, Versions: c.namedAt}
+	h := Have{Targets: c.targets.changed, Versions: c.namedIn, Rollout: c.rollout.Stamp}
 	if c.cfg != nil {
 		h.Config = c.cfg.Version
 	}
 	return h
 }
 
+// known says up to where they are complete.
+func (c *control) known() Known {
+	k := Known{Targets: c.targets.revision, Versions: c.namedAt, Rollout: c.rollout.Stamp}
+	if c.cfg != nil {
+		k.Config = c.cfg.Version
+	}
+	return k
+}
+
+// lacks says whether a peer has news that are missing here.
+func (k Known) lacks(h Have) bool {
+	return h.Config > k.Config || h.Targets > k.Targets || h.Versions > k.Versions || h.Rollout.after(k.Rollout)
+}
+
 // welcome takes a peer's probe and answers it.
 func (c *control) welcome(req *Hello) Welcome {
 	now := c.now()
@@ -119,38 +183,48 @@
 		out.Updates = c.members.Batch(req.From.Name)
 	}
 	if req.Need {
-		out.News = c.newsFor(req.Have)
+		out.News = c.newsFor(req.Known)
 	}
 	return out
 }
 
 // newsFor collects what is newer here; nil if nothing is.
-func (c *control) newsFor(have Have) *News {
+func (c *control) newsFor(k Known) *News {
 	mine := c.have()
+	if !k.lacks(mine) {
+		return nil
+	}
 	n := &News{}
-	if mine.Config > have.Config {
+	if mine.Config > k.Config {
 		n.Config = c.raw
 	}
-	if c.targets.listed && mine.Targets > have.Targets {
-		n.Listed, n.Targets, n.Revision = true, c.targets.all(), mine.Targets
+	if c.targets.listed && mine.Targets > k.Targets {
+		n.Listed, n.Targets, n.Revision = true, c.targets.all(), c.targets.revision
 	}
-	if mine.Versions > have.Versions {
+	if mine.Versions > k.Versions {
 		for m, v := range c.named {
 			n.Versions = append(n.Versions, catalog.ModelVersion{Model: m, Version: v.Version})
 		}
-		n.NamedAt = mine.Versions
+		n.NamedAt, n.NamedIn = c.namedAt, mine.Versions
 	}
-	if n.Config == nil && !n.Listed && n.NamedAt == 0 {
-		return nil
+	if mine.Rollout.after(k.Rollout) {
+		news := c.rollout
+		n.Rollout = &news
 	}
 	return n
 }
 
+// greeting is a Hello with all that is known here.
+func (c *control) greeting(need bool) *Hello {
+	return &Hello{From: c.members.Self(), Have: c.have(), Known: c.known(), Need: need}
+}
+
 // probePeers carries out the probes that are due; it runs on the control goroutine.
 func (g *Gateway) probePeers(c *control) {
 	need := !c.storeOK
 	for _, p := range c.members.Tick(c.now()) {
-		hello := &Hello{From: c.members.Self(), Updates: p.Updates, Have: c.have(), Need: need}
+		hello := c.greeting(need)
+		hello.Updates = p.Updates
 		g.start(func() { g.hello(p, hello) })
 	}
 }
@@ -193,6 +267,61 @@
 	g.send(helloEnded{g: g, probe: p, ok: err == nil, reply: reply})
 	if reply.News != nil {
 		g.takeNews(reply.News)
+		return
+	}
+	behind := false
+	g.query(func(c *control) { behind = c.known().lacks(reply.Have) })
+	if behind && err == nil && !req.Need {
+		g.catchUp(reply.From, reply.Have)
+	}
+}
+
+// catchUp takes a peer's news, unless the store tells them within the moment
+// that this usually takes. One call at a time is enough.
+func (g *Gateway) catchUp(from member.Member, have Have) {
+	if !g.catching.CompareAndSwap(false, true) {
+		return
+	}
+	defer g.catching.Store(false)
+	wait.For(g.ctx, catchUpDelay)
+	var hello *Hello
+	g.query(func(c *control) {
+		if c.known().lacks(have) {
+			hello = c.greeting(true)
+		}
+	})
+	if hello == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(g.ctx, peerTimeout)
+	defer cancel()
+	var reply Welcome
+	if err := g.pool.Call(ctx, from.Address, peerService+".Hello", hello, &reply); err != nil {
+		g.log.WithError(err).WithField("peer", from.Name).Warn("news not had")
+		return
+	}
+	if reply.News != nil {
+		g.log.WithField("peer", from.Name).WithField("config", len(reply.News.Config) > 0).WithField("targets", reply.News.Listed).
+			WithField("versions", len(reply.News.Versions)).WithField("rollout", reply.News.Rollout != nil).Info("news taken from a peer")
+		g.takeNews(reply.News)
+	}
+}
+
+// spreadNews tells peers at once what changed, if this instance is one that
+// hears of changes first: a lookout, or the one that gives orders.
+func (g *Gateway) spreadNews(c *control, before Have) {
+	now := c.have()
+	if now == before || g.ctx.Err() != nil {
+		return
+	}
+	lookout := rankOf(g.view.Load().Alive, g.settings().Name, lookoutRole) < lookouts
+	ownRollout := now.Rollout != before.Rollout && c.ownNews
+	if !lookout && !ownRollout {
+		return
+	}
+	hello := c.greeting(false)
+	for _, m := range c.members.Sample(spreadTo) {
+		g.start(func() { g.hello(member.Probe{To: m.Name, Address: m.Address}, hello) })
 	}
 }
 
@@ -205,7 +334,10 @@
 		g.send(targetsListed{revision: n.Revision, targets: n.Targets, from: fromPeer})
 	}
 	if n.NamedAt > 0 {
-		g.send(versionsNamed{revision: n.NamedAt, versions: n.Versions, from: fromPeer})
+		g.send(versionsNamed{revision: n.NamedAt, changed: n.NamedIn, versions: n.Versions, from: fromPeer})
+	}
+	if n.Rollout != nil {
+		g.send(rolloutHeard{news: *n.Rollout})
 	}
 }
 
@@ -246,14 +378,15 @@
 // greet joins by way of an address, unless its instance is a live member already.
 func (g *Gateway) greet(address string) {
 	known := false
-	hello := &Hello{Join: true}
+	var hello *Hello
 	g.query(func(c *control) {
-		hello.From, hello.Have, hello.Need = c.members.Self(), c.have(), !c.storeOK
+		hello = c.greeting(!c.storeOK)
+		hello.Join = true
 		for _, m := range c.members.Members() {
 			known = known || (m.Address == address && m.State == member.Alive)
 		}
 	})
-	if !known && address != hello.From.Address {
+	if hello != nil && !known && address != hello.From.Address {
 		g.start(func() { g.hello(member.Probe{Address: address}, hello) })
 	}
 }
@@ -266,10 +399,12 @@
 			continue
 		}
 		var probe member.Probe
-		hello := &Hello{Need: true}
+		var hello *Hello
 		g.query(func(c *control) {
-			hello.From, hello.Have = c.members.Self(), c.have()
-			probe = c.members.Random()
+			hello = c.greeting(true)
+			for _, m := range c.members.Sample(1) {
+				probe = member.Probe{To: m.Name, Address: m.Address}
+			}
 		})
 		if probe.Address != "" {
 			g.start(func() { g.hello(probe, hello) })
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -122,6 +122,7 @@
 	Holder          string
 	Token           uint64 // fencing token
 	ExpectedSeq     uint64 // the order is void if the target has accepted others since
+	Cut             bool   // break the model's runs off instead of waiting for their ends
 }
 
 // CacheEvents is a page of events of what a store holds.
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -45,17 +46,31 @@
 	// loadTime is the longest time that one load may take: runs finish first.
 	loadTime = 15 * time.Second
 	// loadPoll is how often a load's progress is asked for.
-	loadPoll = 250 * time.Millisecond
+	loadPoll = 100 * time.Millisecond
 	// loadTaken is how long after an order without effect it is given again: a
 	// report lags some hundred ms.
 	loadTaken = 900 * time.Millisecond
 	// leastServing is the share of a model's targets that keep serving.
 	leastServing = 0.5
+	// planAhead is how many targets are closed to new requests while others load.
+	planAhead = 2
+	// closeTime is how long a target is closed before its order: instances hear of
+	// it in milliseconds, and most short answers end meanwhile.
+	closeTime = 350 * time.Millisecond
+	// loadLeast is the time before the first look at a load: none was seen faster.
+	loadLeast = 600 * time.Millisecond
+	// renewTries is how often an order that is due looks for the lease's renewal.
+	renewTries = 20
+	// newsEvery is how often the holder repeats what it does.
+	newsEvery = time.Second
 )
 
 // leaseValue is the lease's object.
 type leaseValue struct {
 	Holder string `json:"holder"`
+	// Renewals makes each renewal a change: the store ignores writes that change
+	// nothing, and a contender must see that the holder lives.
+	Renewals uint64 `json:"renewals"`
 }
 
 // rollout gives orders while this instance holds the lease.
@@ -64,10 +79,18 @@
 	due     time.Time // since when there is work; zero: none
 	renewed time.Time // last try to take or renew the lease
 
-	mu      sync.Mutex // guards lease, planner and loading
+	renewals uint64
+	wanted   atomic.Bool   // an order waits for the lease to be renewed
+	slots    chan struct{} // of loads that run
+
+	mu      sync.Mutex // guards the rest
 	lease   *order.Lease
 	planner *order.Planner
-	loading map[string]bool // ids of targets under an order of ours
+	loading map[string]bool // ids of targets with a load planned or under way
+	arrived []Arrival       // in this hold of the lease
+	token   uint64          // of this hold
+	seq     uint64          // of the news told
+	told    time.Time       // when
 }
 
 // rollOut brings targets to the weight versions named, while the lease is here.
@@ -82,14 +105,8 @@
 
 func newRollout(g *Gateway) *rollout {
 	set := g.settings()
-	return &rollout{g: g, lease: order.NewLease(order.ParamsFor(set.LeaseGap, leaseWork), set.Name), planner: order.NewPlanner(loadTime), loading: map[string]bool{}}
-}
-
-// underOrder says whether a target is loading by an order of this instance.
-func (o *rollout) underOrder(id string) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.loading[id]
+	return &rollout{g: g, lease: order.NewLease(order.ParamsFor(set.LeaseGap, leaseWork), set.Name), planner: order.NewPlanner(loadTime), loading: map[string]bool{},
+		slots: make(chan struct{}, order.MaxLoads)}
 }
 
 // round does what is due now.
@@ -104,27 +121,46 @@
 	if o.due.IsZero() {
 		o.due = now
 	}
-	rank := rankOf(v.Alive, o.g.settings().Name)
+	rank := rankOf(v.Alive, o.g.settings().Name, leaseName)
 	if rank >= contenders || now.Sub(o.due) < time.Duration(rank)*contenderStep {
 		return
 	}
-	if o.idle(behind) {
-		if now.Sub(o.renewed) >= leasePulse {
-			o.keepLease(ctx)
-		}
-		return
+	if now.Sub(o.renewed) >= leasePulse || o.wanted.Swap(false) || !o.idle(len(behind)) {
+		o.keepLease(ctx)
 	}
-	o.keepLease(ctx)
 	for _, l := range o.planLoads(v) {
 		o.g.start(func() { o.load(ctx, l, v.Targets[l.Target]) })
 	}
+	o.tellNews()
 }
 
-// idle says that all loads that may run at once do.
-func (o *rollout) idle(behind []*catalog.Target) bool {
+// idle says that all loads that may be under way are.
+func (o *rollout) idle(behind int) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return len(o.loading) >= min(order.MaxLoads, len(behind))
+	return len(o.loading) >= min(order.MaxLoads+planAhead, behind)
+}
+
+// tellNews tells the other instances what this one does, again and again as long
+// as it does anything.
+func (o *rollout) tellNews() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.loading) > 0 && o.g.now().Sub(o.told) >= newsEvery {
+		o.announce()
+	}
+}
+
+// announce makes news of what is closed and what has arrived; o.mu is held.
+func (o *rollout) announce() {
+	o.seq++
+	o.told = o.g.now()
+	news := RolloutNews{Stamp: RolloutStamp{Token: o.token, Seq: o.seq}, Arrived: slices.Clone(o.arrived)}
+	for id := range o.loading {
+		news.Closing = append(news.Closing, id)
+	}
+	slices.Sort(news.Closing)
+	o.g.send(rolloutHeard{news: news, own: true})
 }
 
 // behindTargets lists the targets that serve older weights than named.
@@ -144,9 +180,10 @@
 	return out
 }
 
-// rankOf is an instance's place among the live ones, the same at all of them.
-func rankOf(alive []string, self string) int {
-	score := func(name string) uint64 { return xxhash.Sum64String(name + "/" + leaseName) }
+// rankOf is an instance's place among the live ones for a role, the same at all
+// of them (rendezvous hashing).
+func rankOf(alive []string, self, role string) int {
+	score := func(name string) uint64 { return xxhash.Sum64String(name + "/" + role) }
 	mine, rank := score(self), 0
 	for _, name := range alive {
 		if name != self && score(name) > mine {
@@ -159,6 +196,7 @@
 // planLoads chooses the loads to order now; none without the lease.
 func (o *rollout) planLoads(v *View) []order.Load {
 	var targets []order.Target
+	now, age := o.g.now(), map[string]time.Duration{}
 	wishes := map[string]order.Wish{}
 	for model, n := range v.Named {
 		wishes[model] = order.Wish{Version: versionText(n.Version), MinReady: leastServing}
@@ -170,6 +208,7 @@
 		for _, m := range t.Models {
 			at := min(m.Version, v.Named[m.Model].Version) // newer than we know of is as good
 			targets = append(targets, order.Target{Name: t.ID, Model: m.Model, Version: versionText(at), Ready: true})
+			age[t.ID] = v.Named[m.Model].behindFor(m.Version, now)
 		}
 	}
 	slices.SortFunc(targets, func(a, b order.Target) int {
@@ -187,6 +226,9 @@
 	for _, l := range loads {
 		o.loading[l.Target] = true
 	}
+	if len(loads) > 0 {
+		o.announce()
+	}
 	return loads
 }
 
@@ -203,47 +245,79 @@
 	o.mu.Lock()
 	delete(o.loading, l.Target)
 	o.planner.Ended(l, false)
+	o.announce()
 	o.mu.Unlock()
 	o.g.log.WithField("target", l.Target).WithField("model", l.Model).WithField("version", version).WithField("outcome", outcome).
 		WithField("ms", o.g.now().Sub(began).Milliseconds()).Info("load ended")
 }
 
-// follow gives an order and waits for its effect. It returns how it ended.
+// follow closes a target, gives the order and waits for its effect. It returns
+// how it ended.
 func (o *rollout) follow(ctx context.Context, model string, version uint64, t *catalog.Target) string {
 	ctx, cancel := context.WithTimeout(ctx, loadTime)
 	defer cancel()
+	wait.For(ctx, closeTime)
+	select {
+	case o.slots <- struct{}{}:
+		defer func() { <-o.slots }()
+	case <-ctx.Done():
+		return "no turn in time"
+	}
 	before, err := o.g.engines.Report(ctx, t.Address, t.ID)
 	if err != nil {
 		return "no report: " + err.Error()
 	}
-	if o.arrived(before, model, version, t) {
+	if o.hasArrived(before, model, version, t) {
 		return "already there"
 	}
+	if refusal := o.order(ctx, model, version, t, before.OrderSeq); refusal != "" {
+		return refusal
+	}
+	return o.await(ctx, model, version, t, before.OrderSeq)
+}
+
+// order gives one order, if the lease is held right before. It returns "" unless
+// the target surely did not take it.
+func (o *rollout) order(ctx context.Context, model string, version uint64, t *catalog.Target, seq uint64) string {
 	o.mu.Lock()
 	token, held := o.lease.Held(o.g.now())
 	o.mu.Unlock()
-	if !held {
+	if !held && !o.renewFor(ctx) {
 		return "lease lapsed before the order"
 	}
+	if !held {
+		o.mu.Lock()
+		token, held = o.lease.Held(o.g.now())
+		o.mu.Unlock()
+		if !held {
+			return "lease lapsed before the order"
+		}
+	}
 	metric.Orders.Inc()
-	sent := o.g.now()
-	err = o.g.engines.Load(ctx, LoadOrder{Target: t.ID, Address: t.Address, Model: model, Version: version, Holder: o.g.settings().Name,
-		Token: token, ExpectedSeq: before.OrderSeq})
+	err := o.g.engines.Load(ctx, LoadOrder{Target: t.ID, Address: t.Address, Model: model, Version: version, Holder: o.g.settings().Name,
+		Token: token, ExpectedSeq: seq, Cut: true})
 	o.g.log.WithField("target", t.ID).WithField("model", model).WithField("version", version).WithField("token", token).
-		WithField("expected", before.OrderSeq).WithField("error", errText(err)).Info("load ordered")
+		WithField("expected", seq).WithField("error", errText(err)).Info("load ordered")
 	var call *CallError
 	if errors.As(err, &call) && call.Status != 0 && call.Status != http.StatusConflict {
 		return "refused with status " + strconv.Itoa(call.Status)
 	}
+	return ""
+}
+
+// await asks for reports until the version is there.
+func (o *rollout) await(ctx context.Context, model string, version uint64, t *catalog.Target, seq uint64) string {
+	sent := o.g.now()
+	wait.For(ctx, loadLeast)
 	for wait.For(ctx, loadPoll) {
 		r, err := o.g.engines.Report(ctx, t.Address, t.ID)
 		if err != nil {
 			continue // a report that is lost is asked for again, until the load's time is over
 		}
-		if o.arrived(r, model, version, t) {
+		if o.hasArrived(r, model, version, t) {
 			return "done"
 		}
-		if !r.Ordered && r.OrderSeq == before.OrderSeq && o.g.now().Sub(sent) > loadTaken {
+		if !r.Ordered && r.OrderSeq == seq && o.g.now().Sub(sent) > loadTaken {
 			return "not taken"
 		}
 	}
@@ -257,10 +331,13 @@
 	return err.Error()
 }
 
-// arrived says whether a report shows the version, and tells the control state.
-func (o *rollout) arrived(r Report, model string, version uint64, t *catalog.Target) bool {
+// hasArrived says whether a report shows the version, and takes note of it.
+func (o *rollout) hasArrived(r Report, model string, version uint64, t *catalog.Target) bool {
 	for _, m := range r.Models {
 		if m.Model == model && m.Version >= version {
+			o.mu.Lock()
+			o.arrived = append(o.arrived, Arrival{Target: t.ID, Serves: m})
+			o.mu.Unlock()
 			o.g.send(targetServes{id: t.ID, at: m})
 			return true
 		}
@@ -268,7 +345,8 @@
 	return false
 }
 
-// keepLease takes or renews the lease if that is due.
+// keepLease takes or renews the lease if that is due. One call at a time: only
+// the loop makes it.
 func (o *rollout) keepLease(ctx context.Context) {
 	o.mu.Lock()
 	step, version := o.lease.Next(o.g.now())
@@ -283,6 +361,23 @@
 	}
 }
 
+// renewFor waits for the loop to renew the lease for an order that is due.
+func (o *rollout) renewFor(ctx context.Context) bool {
+	o.wanted.Store(true)
+	for range renewTries {
+		if !wait.For(ctx, rolloutTick/2) {
+			return false
+		}
+		o.mu.Lock()
+		_, held := o.lease.Held(o.g.now())
+		o.mu.Unlock()
+		if held {
+			return true
+		}
+	}
+	return false
+}
+
 func (o *rollout) readLease(ctx context.Context) {
 	o.renewed = o.g.now()
 	obj, err := o.g.store.Get(ctx, leaseKind, leaseName)
@@ -309,9 +404,10 @@
 }
 
 func (o *rollout) writeLease(ctx context.Context, want platform.Version) {
-	data, err := json.Marshal(leaseValue{Holder: o.g.settings().Name})
+	o.renewals++
+	data, err := json.Marshal(leaseValue{Holder: o.g.settings().Name, Renewals: o.renewals})
 	if err != nil {
-		panic(err) // a string always marshals
+		panic(err) // a string and a number always marshal
 	}
 	start := o.g.now()
 	o.renewed = start
@@ -326,6 +422,8 @@
 	o.lease.Wrote(uint64(version), start)
 	if o.lease.Fresh() {
 		o.planner = order.NewPlanner(loadTime)
+		o.planner.PlanAhead(planAhead)
+		o.arrived, o.token, o.seq = nil, uint64(version), 0
 		o.g.log.WithField("token", uint64(version)).Info("lease for orders taken")
 	}
 }
@@ -346,7 +444,7 @@
 }
 
 func (o *rollout) watchOnce(ctx context.Context, at *platform.Version) error {
-	if rankOf(o.g.view.Load().Alive, o.g.settings().Name) >= contenders {
+	if rankOf(o.g.view.Load().Alive, o.g.settings().Name, leaseName) >= contenders {
 		wait.For(ctx, leasePulse)
 		return nil
 	}
--- a/internal/gateway/targets.go
+++ b/internal/gateway/targets.go
@@ -18,6 +18,8 @@
 	// massLapse is how many entries that were not leaving must vanish at once to
 	// be taken for lapsed rather than gone: an outage may end before it is noticed.
 	massLapse = 3
+	// maxGone bounds the memory of vanished entries.
+	maxGone = 4096
 )
 
 // heldTarget is a target with its doubt.
@@ -31,7 +33,9 @@
 type targetTable struct {
 	log      log.Interface
 	byID     map[string]*heldTarget
-	revision platform.Version
+	revision platform.Version  // up to which the list is complete
+	changed  platform.Version  // of the last change
+	gone     map[string]uint64 // revisions at which entries vanished
 	listed   bool
 	regained time.Time // when contact with the object store was regained
 }
@@ -64,6 +68,9 @@
 	for _, x := range present {
 		t.put(x)
 	}
+	if len(gone) > 0 {
+		t.changed = max(t.changed, revision)
+	}
 	sudden := 0
 	for _, id := range gone {
 		if x := t.byID[id]; x != nil && !x.Leaving {
@@ -79,10 +86,15 @@
 	}
 }
 
-// put takes an entry. Weights never go back within one incarnation, though an
-// entry may be older than what the target's own answers told.
+// put takes an entry, unless a newer word of it is known: news by way of a peer
+// may overtake the store's own. Weights never go back within one incarnation,
+// though an entry may be older than what the target's own answers told.
 func (t *targetTable) put(x catalog.Target) {
 	old := t.byID[x.ID]
+	if x.Revision <= t.gone[x.ID] || (old != nil && x.Revision < old.Revision) {
+		return
+	}
+	t.changed = max(t.changed, platform.Version(x.Revision))
 	if old != nil {
 		x.Models = newest(x.Models, old.Models)
 	}
@@ -108,9 +120,13 @@
 // vanish drops an entry, or holds it for a while if it may have lapsed.
 func (t *targetTable) vanish(id string, until, now time.Time) {
 	x := t.byID[id]
-	if x == nil || !x.until.IsZero() {
+	if x == nil || !x.until.IsZero() || x.Revision > uint64(t.revision) {
 		return
 	}
+	if t.gone == nil || len(t.gone) > maxGone {
+		t.gone = map[string]uint64{}
+	}
+	t.gone[id] = uint64(t.revision)
 	if !x.Leaving && until.After(now) {
 		t.byID[id] = &heldTarget{Target: x.Target, until: until}
 		t.log.WithField("target", id).WithField("for_ms", until.Sub(now).Milliseconds()).Info("target's entry vanished, held")
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -1,16 +1,45 @@
 package gateway
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
 )
 
-// Named is the newest weight version named of a model.
+// Named is what weight versions were named of a model.
 type Named struct {
-	Version uint64
-	Since   time.Time // when this instance learned it
+	Version uint64     // the newest
+	history []namedOne // rising, the last few
+}
+
+type namedOne struct {
+	version uint64
+	since   time.Time // when this instance learned it
+}
+
+// namedKept is how many versions are remembered: more are not under way at once.
+const namedKept = 8
+
+// with returns n with a newer version, learned at now.
+func (n Named) with(version uint64, now time.Time) Named {
+	history := append(slices.Clone(n.history), namedOne{version, now})
+	if len(history) > namedKept {
+		history = history[1:]
+	}
+	return Named{Version: version, history: history}
+}
+
+// behindFor is how long it has been known that a version is not the newest; 0 if
+// it is.
+func (n Named) behindFor(version uint64, now time.Time) time.Duration {
+	for _, h := range n.history {
+		if h.version > version {
+			return max(now.Sub(h.since), 1)
+		}
+	}
+	return 0
 }
 
 // View is the picture that request goroutines read. Nobody changes one after
