Place by a predicted first answer; spend store links where they are near

Ruled out: too few slots (33% of reading speed is used), saves taking the links.

Change: core/place predicts the first answer by target and plan (reading, transfer by link speed and zone, delays learned per target and per link, fast to distrust and slow to trust); a part is fetched where that is predicted in time, and one begun may end a little late; small parts live in the stores with the least fixed delay.

--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -10,13 +10,14 @@
 
 // Target is one target as seen by the pick.
 type Target struct {
-	ID        string
-	Zone      string
-	Runs      int     // own requests under way
-	LatencyMS float64 // to the first answer of late, typical of its requests; 0: not observed
-	Excluded  bool    // tried before by this request
-	Resting   bool    // failed lately
-	Unfit     bool    // does not serve the request's model
+	ID       string
+	Zone     string
+	Runs     int     // own requests under way
+	FirstMS  float64 // predicted time to the first answer, without the network
+	LinkMS   float64 // time that the request's fetch keeps a link from others
+	Excluded bool    // tried before by this request
+	Resting  bool    // failed lately
+	Unfit    bool    // does not serve the request's model
 	// BehindFor is how long newer weights than the target's have been named; 0:
 	// it has the newest, or the request names no model.
 	BehindFor time.Duration
@@ -24,20 +25,24 @@
 
 // Query is the request to place.
 type Query struct {
-	Zone      string
-	Rollout   time.Duration // time that a rollout may take
-	TypicalMS float64       // latency assumed of a target that was not observed
-	Rand      func() float64
+	Zone    string
+	Rollout time.Duration // time that a rollout may take
+	CrowdMS float64       // how much each own run at a target delays another, ms
+	Bytes   int           // of the request
+	Rand    func() float64
 }
 
-// Weights of the pick.
+// Weights of the pick, in ms or as factors of the predicted time.
 const (
-	// otherZone is how much worse a target of another zone must look here to be
-	// passed over: bytes between zones cost, and take a millisecond more.
-	otherZone = 1.6
-	// oldWeights is the same for a target that serves an older version than the
-	// newest one named, once the rollout is under way.
-	oldWeights = 4.0
+	// otherZoneMS and otherZoneKBMS are what a target in another zone costs: two
+	// more milliseconds on the way, and bytes between zones, which are paid for.
+	otherZoneMS   = 4.0
+	otherZoneKBMS = 1.0
+	// linkWeight is what a millisecond of a shared link costs the others.
+	linkWeight = 0.5
+	// oldWeights is how much worse a target counts that serves an older version
+	// than the newest one named, once the rollout is under way.
+	oldWeights = 1.5
 	// restingWeight makes a resting target the last resort.
 	restingWeight = 1000.0
 	// spread shakes scores by up to this share, so that instances which see the
@@ -74,13 +79,9 @@
 // score is the predicted time to an answer, in ms, weighted by what else the
 // choice costs.
 func score(t *Target, q Query) float64 {
-	latency := t.LatencyMS
-	if latency <= 0 {
-		latency = q.TypicalMS
-	}
-	s := math.Max(latency, 1) * float64(t.Runs+1)
+	s := math.Max(t.FirstMS, 1) + linkWeight*t.LinkMS + q.CrowdMS*float64(t.Runs)
 	if t.Zone != q.Zone {
-		s *= otherZone
+		s += otherZoneMS + otherZoneKBMS*float64(q.Bytes)/1024
 	}
 	if t.BehindFor >= oldGrace {
 		s *= oldWeights
--- a/internal/core/place/place_test.go
+++ b/internal/core/place/place_test.go
@@ -11,15 +11,16 @@
 
 // TestPick is a table of two targets, the second of which is changed.
 func TestPick(t *testing.T) {
-	query := place.Query{Zone: "a", Rollout: 10 * time.Second, TypicalMS: 50, Rand: func() float64 { return 0.5 }}
-	base := place.Target{ID: "x", Zone: "a", LatencyMS: 50}
+	query := place.Query{Zone: "a", Rollout: 10 * time.Second, CrowdMS: 20, Rand: func() float64 { return 0.5 }}
+	base := place.Target{ID: "x", Zone: "a", FirstMS: 50}
 	cases := []struct {
 		name   string
 		change func(x, y *place.Target)
 		want   int
 	}{
 		{"fewer own requests", func(x, _ *place.Target) { x.Runs = 1 }, 1},
-		{"faster", func(x, _ *place.Target) { x.LatencyMS = 100 }, 1},
+		{"faster", func(x, _ *place.Target) { x.FirstMS = 100 }, 1},
+		{"the nearer store", func(x, _ *place.Target) { x.LinkMS = 50 }, 1},
 		{"own zone", func(x, _ *place.Target) { x.Zone = "b" }, 1},
 		{"another zone rather than a queue", func(x, y *place.Target) { x.Runs, y.Zone = 1, "b" }, 1},
 		{"new weights", func(x, _ *place.Target) { x.BehindFor = 2 * time.Second }, 1},
--- /dev/null
+++ b/internal/core/place/predict_test.go
@@ -0,0 +1,67 @@
+package place_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shedhoist/shedhoist/internal/core/place"
+)
+
+// TestPredictor: over targets and links of hidden speeds and queues, the
+// predictor finds the speed of reading, tells a slow target and a slow link from
+// the others, and believes them again once they are well.
+func TestPredictor(t *testing.T) {
+	is := is.New(t)
+	r := rand.New(rand.NewPCG(3, 4))
+	p := place.NewPredictor()
+	now := time.Unix(0, 0)
+	targets, links := []string{"a", "b", "slow"}, []string{"x", "thin"}
+	const readMS = 0.0176
+	round := func(slowMS, thinMS float64) {
+		for range 600 {
+			now = now.Add(20 * time.Millisecond)
+			id, w := targets[r.IntN(3)], place.Work{ReadTokens: 200 + r.IntN(8000)}
+			ms := float64(w.ReadTokens)*readMS + 10*r.Float64()
+			if id == "slow" {
+				ms += slowMS
+			}
+			if r.IntN(2) == 0 {
+				w.FetchMS, w.Link, w.ReadTokens = 30, links[r.IntN(2)], 1500
+				ms = float64(w.ReadTokens)*readMS + w.FetchMS
+				if id == "slow" {
+					ms += slowMS
+				}
+				if w.Link == "thin" {
+					ms += thinMS
+				}
+			}
+			p.Observe(id, w, ms, now)
+		}
+	}
+	round(200, 300)
+	is.True(math.Abs(p.Read(1000)-1000*readMS) < 5)
+	is.True(p.Target("slow", now) > p.Target("a", now)+60)
+	fetch := func(link string) float64 { return p.Fetch(place.Work{FetchMS: 30, Link: link}, now) }
+	is.True(fetch("thin") > fetch("x")+100)
+	round(0, 0)
+	is.True(p.Target("slow", now) < 40)
+	is.True(fetch("thin") < 80)
+}
+
+// TestForget: what nothing confirms is forgotten, so that a target that got no
+// requests since it was slow is tried again.
+func TestForget(t *testing.T) {
+	is := is.New(t)
+	p := place.NewPredictor()
+	now := time.Unix(0, 0)
+	p.Observe("a", place.Work{}, 1000, now)
+	before := p.Target("a", now)
+	is.True(before > 300)
+	is.True(p.Target("a", now.Add(6*time.Second)) < before/3)
+	p.Keep(func(string) bool { return false })
+	is.Equal(p.Target("a", now), 0.0)
+}
--- a/internal/core/stock/stock.go
+++ b/internal/core/stock/stock.go
@@ -147,24 +147,60 @@
 
 // Place is one store that a part may be kept in.
 type Place struct {
-	Address  string
-	Capacity int // tokens
-	Used     int // tokens, own saves under way included
+	Address   string
+	Capacity  int // tokens
+	Used      int // tokens
+	FirstByte time.Duration
 }
 
+const (
+	// smallPart is the largest part, in tokens, for which a store's fixed delay
+	// outweighs the transfer: it belongs in the stores with the least of it.
+	smallPart = 1500
+	// fastForLarge is the share of those stores' space that larger parts may take.
+	fastForLarge = 0.35
+)
+
 // Home returns the store that a part belongs in: by rendezvous hashing weighted
-// by capacity (Wang and Ravishankar, 1998; weights after Schindelhauer and
-// Schomaker, 2005), among those with room. -1: none has room.
+// by capacity (Thaler and Ravishankar, 1998; weights after Schindelhauer and
+// Schomaker, 2005), among those with room. Small parts go to the fastest stores
+// as long as these have room. -1: none has room.
 func Home(k Key, tokens int, places []Place) int {
+	fastest := time.Duration(math.MaxInt64)
+	for _, p := range places {
+		fastest = min(fastest, p.FirstByte)
+	}
+	if tokens <= smallPart {
+		if i := pick(k, tokens, places, func(p Place) float64 { return only(p.FirstByte == fastest) }); i >= 0 {
+			return i
+		}
+	}
+	return pick(k, tokens, places, func(p Place) float64 {
+		if p.FirstByte == fastest && tokens > smallPart {
+			return fastForLarge
+		}
+		return 1
+	})
+}
+
+func only(yes bool) float64 {
+	if yes {
+		return 1
+	}
+	return 0
+}
+
+// pick draws a place with room, by capacity times share.
+func pick(k Key, tokens int, places []Place, share func(Place) float64) int {
 	best, top := -1, math.Inf(-1)
 	for i, p := range places {
-		if p.Used+space(tokens) > p.Capacity {
+		weight := float64(p.Capacity) * share(p)
+		if weight <= 0 || float64(p.Used+space(tokens)) > float64(p.Capacity) {
 			continue
 		}
 		h := xxhash.Sum64String(k.Salt + "/" + k.Part + "/" + p.Address)
 		unit := (float64(h>>11) + 0.5) / (1 << 53) // in (0, 1)
-		score := -float64(p.Capacity) / math.Log(unit)
-		if score > top {
+		if score := -weight / math.Log(unit); score > top {
 			best, top = i, score
 		}
 	}
--- a/internal/core/stock/stock_test.go
+++ b/internal/core/stock/stock_test.go
@@ -83,3 +83,19 @@
 	places[0].Used = places[0].Capacity
 	is.Equal(stock.Home(stock.Key{Part: "x"}, 100, places), -1)
 }
+
+// TestSmallParts: small parts go to the fastest stores while these have room,
+// large ones mostly elsewhere.
+func TestSmallParts(t *testing.T) {
+	is := is.New(t)
+	places := []stock.Place{{Address: "fast", Capacity: 100_000}, {Address: "big", Capacity: 900_000, FirstByte: 6 * time.Millisecond}}
+	large := 0
+	for i := range 1000 {
+		k := stock.Key{Salt: "s", Part: fmt.Sprint(i)}
+		is.Equal(stock.Home(k, 500, places), 0)
+		large += 1 - stock.Home(k, 5000, places)
+	}
+	is.True(large > 10 && large < 80)
+	places[0].Used = places[0].Capacity
+	is.Equal(stock.Home(stock.Key{Part: "x"}, 500, places), 1)
+}
--- a/internal/gateway/cache.go
+++ b/internal/gateway/cache.go
@@ -175,10 +175,27 @@
 	return int64(c.clock + float64(c.g.now().Add(d).Sub(c.clockAt))/float64(time.Millisecond))
 }
 
+// sources finds the parts of a prompt that stores hold. The last part is the
+// request's own: nobody asks for it again, and it is not looked for.
+func (c *cacheDirectory) sources(stores []catalog.CacheStore, salt string, parts []Part) []partSource {
+	out := make([]partSource, len(parts))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.clockAt.IsZero() {
+		return out // no end could be stated for a fetch
+	}
+	now := c.g.now()
+	for i, p := range parts[:max(len(parts)-1, 0)] {
+		if src := c.find(stores, stock.Key{Salt: salt, Part: p.ID}, now); src.tokens >= p.Tokens {
+			out[i] = src
+		}
+	}
+	return out
+}
+
 // plan says for each part where it is fetched from, and where it is kept if no
-// store is known to have it. The last part is the request's own: nobody asks for
-// it again.
-func (c *cacheDirectory) plan(stores []catalog.CacheStore, salt string, version uint64, parts []Part) cachePlan {
+// store is known to have it.
+func (c *cacheDirectory) plan(stores []catalog.CacheStore, salt string, version uint64, parts []Part, from []partSource, fetch []bool) cachePlan {
 	out := cachePlan{version: version}
 	if len(parts) < 2 || len(stores) == 0 {
 		return out
@@ -188,14 +205,14 @@
 	now := c.g.now()
 	out.parts = make([]PartPlan, len(parts))
 	for i, p := range parts[:len(parts)-1] {
-		key := stock.Key{Salt: salt, Part: p.ID}
-		if address, tokens := c.find(stores, key, now); tokens >= p.Tokens && tokens > 0 {
-			if !c.clockAt.IsZero() {
-				out.parts[i].FetchFrom, out.parts[i].FetchTokens = address, tokens
+		if from[i].store != nil {
+			if fetch[i] {
+				out.parts[i].FetchFrom, out.parts[i].FetchTokens = from[i].store.Address, from[i].tokens
 				out.fetches++
 			}
 			continue
 		}
+		key := stock.Key{Salt: salt, Part: p.ID}
 		if to := c.home(stores, key, p.Tokens, now); to != "" {
 			out.parts[i].SaveTo = to
 			c.saving[key] = now
@@ -206,17 +223,18 @@
 }
 
 // find returns the store that holds most of a part; c.mu is held.
-func (c *cacheDirectory) find(stores []catalog.CacheStore, key stock.Key, now time.Time) (address string, tokens int) {
-	for _, s := range stores {
-		sh := c.shelves[s.Address]
+func (c *cacheDirectory) find(stores []catalog.CacheStore, key stock.Key, now time.Time) partSource {
+	var out partSource
+	for i := range stores {
+		sh := c.shelves[stores[i].Address]
 		if sh == nil {
 			continue
 		}
-		if n := sh.Tokens(key, now, shelfAge); n > tokens {
-			address, tokens = s.Address, n
+		if n := sh.Tokens(key, now, shelfAge); n > out.tokens {
+			out = partSource{store: &stores[i], tokens: n}
 		}
 	}
-	return address, tokens
+	return out
 }
 
 // home returns the address of the store to keep a part in; "" if none is to.
@@ -230,7 +248,7 @@
 	var places []stock.Place
 	for _, s := range stores {
 		if sh := c.shelves[s.Address]; sh != nil && sh.Known(now, shelfAge) {
-			places = append(places, stock.Place{Address: s.Address, Capacity: s.Capacity, Used: sh.Used()})
+			places = append(places, stock.Place{Address: s.Address, Capacity: s.Capacity, Used: sh.Used(), FirstByte: s.FirstByte})
 		}
 	}
 	if i := stock.Home(key, tokens, places); i >= 0 {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -41,11 +41,15 @@
 	begun     bool   // the caller has the header of an answer
 	lastEvent string // id of the last event that the caller has
 	firstMS   float64
-	targets   []string // of all attempts, for the log
-	causes    []string // their ends
+	targets   []string                // of all attempts, for the log
+	causes    []string                // their ends
+	sources   map[uint64][]partSource // where the prompt's parts are, by weight version
+	work      cacheWork               // what the attempt asks of its target
 	plan      cachePlan
-	spare     *spareAnswer // a failure of a target's own, delivered if nothing better comes
-	ended     bool
+
+	predictedMS float64
+	spare       *spareAnswer // a failure of a target's own, delivered if nothing better comes
+	ended       bool
 }
 
 // Bounds of one request's attempts beyond those that may have run, which its
@@ -117,29 +121,45 @@
 func (x *exchange) pick() *catalog.Target {
 	serving := x.view.Serving[x.service]
 	resting := x.g.sick.Resting()
-	q := place.Query{Zone: x.g.settings().Zone, Rollout: x.g.settings().RolloutWithin, TypicalMS: x.typicalMS(), Rand: rand.Float64}
+	q := place.Query{Zone: x.g.settings().Zone, Rollout: x.g.settings().RolloutWithin, CrowdMS: x.crowdMS(), Bytes: len(x.body), Rand: rand.Float64}
 	now := x.g.now()
-	options := make([]place.Target, len(serving))
+	options, works := make([]place.Target, len(serving)), make([]cacheWork, len(serving))
+	x.g.predictorMu.Lock()
 	for i, t := range serving {
-		w := x.g.upstream.work.Of(t.ID)
-		options[i] = place.Target{ID: t.ID, Zone: t.Zone, Runs: int(w.Runs.Load()), LatencyMS: w.Latency(now),
-			Excluded: slices.Contains(x.tried, t.ID), Resting: slices.Contains(resting, t.ID)}
+		load := x.g.upstream.work.Of(t.ID)
+		o := place.Target{ID: t.ID, Zone: t.Zone, Runs: int(load.Runs.Load()), Excluded: slices.Contains(x.tried, t.ID), Resting: slices.Contains(resting, t.ID)}
 		if p := x.call.Prompt; p != nil {
 			version := t.VersionOf(p.Model)
-			options[i].Unfit = version == 0
-			options[i].BehindFor = x.view.Named[p.Model].behindFor(version, now)
+			o.Unfit = version == 0
+			o.BehindFor = x.view.Named[p.Model].behindFor(version, now)
+			works[i] = x.workAt(t, version, now)
 		}
+		o.FirstMS = x.g.predictor.First(t.ID, works[i].Work, now) + x.g.predictor.Read(int(load.Tokens.Load()))
+		o.LinkMS = works[i].FetchMS
+		options[i] = o
 	}
+	x.g.predictorMu.Unlock()
 	i := place.Pick(options, q)
 	if i < 0 {
 		return nil
 	}
+	x.work, x.predictedMS = works[i], options[i].FirstMS
 	return serving[i]
 }
 
-// typicalMS is the latency assumed of a target that was not observed yet.
-func (x *exchange) typicalMS() float64 {
-	return float64(x.route.Objective) / float64(time.Millisecond) / 4
+// What an own run at a target is assumed to delay another by.
+const (
+	engineCrowdMS = 2.0 // one more in the batch slows each step a little
+	// plainCrowd is the same at a plain service, as a share of the route's
+	// objective: a few places serve all.
+	plainCrowd = 0.05
+)
+
+func (x *exchange) crowdMS() float64 {
+	if x.call.Prompt != nil {
+		return engineCrowdMS
+	}
+	return plainCrowd * float64(x.route.Objective) / float64(time.Millisecond)
 }
 
 // ending is how one attempt ended.
@@ -255,10 +275,11 @@
 	e := x.g.log.WithField("request", x.call.ID).WithField("route", route).WithField("service", x.service).WithField("targets", x.targets).
 		WithField("outcome", outcome).WithField("status", status).WithField("ms", x.sinceMS()).WithField("config", x.configVersion())
 	if x.firstMS > 0 {
-		e = e.WithField("first_ms", x.firstMS)
+		e = e.WithField("first_ms", x.firstMS).WithField("predicted_ms", x.predictedMS)
 	}
 	if x.plan.version > 0 {
-		e = e.WithField("weights", x.plan.version).WithField("fetched_parts", x.plan.fetches).WithField("saved_parts", x.plan.saves)
+		e = e.WithField("weights", x.plan.version).WithField("fetched_parts", x.plan.fetches).WithField("saved_parts", x.plan.saves).WithField("link", x.work.Link).
+			WithField("read_tokens", x.work.ReadTokens)
 	}
 	if detail != "" {
 		e = e.WithField("detail", detail)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 
 	"github.com/shedhoist/shedhoist/internal/breaker"
 	"github.com/shedhoist/shedhoist/internal/core/member"
+	"github.com/shedhoist/shedhoist/internal/core/place"
 	"github.com/shedhoist/shedhoist/internal/netx"
 	"github.com/shedhoist/shedhoist/internal/peer"
 	"github.com/shedhoist/shedhoist/internal/platform"
@@ -62,9 +63,12 @@
 	upstream *upstream
 	sick     *breaker.Set // targets whose requests fail
 	budgets  budgets
-	cache    *cacheDirectory
-	rollout  *rollout
-	inHand   atomic.Int64
+	// predictor is shared by all requests.
+	predictorMu sync.Mutex
+	predictor   *place.Predictor
+	cache       *cacheDirectory
+	rollout     *rollout
+	inHand      atomic.Int64
 
 	callerLn, readyLn, peerLn net.Listener
 	callerSrv, readySrv       *http.Server
@@ -79,6 +83,7 @@
 	g.ctx, g.stop = context.WithCancel(context.Background())
 	g.upstream = newUpstream()
 	g.sick = breaker.New(g.now)
+	g.predictor = place.NewPredictor()
 	g.cache = newCacheDirectory(g)
 	g.rollout = newRollout(g)
 	g.budgets.g = g
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -4,9 +4,22 @@
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
+	"github.com/shedhoist/shedhoist/internal/core/place"
 	"github.com/shedhoist/shedhoist/internal/core/stock"
 )
 
+// partSource is where one part of a prompt is held; the zero value is nowhere.
+type partSource struct {
+	store  *catalog.CacheStore
+	tokens int
+}
+
+// cacheWork is what a prompt asks of one target.
+type cacheWork struct {
+	place.Work
+	fetch []bool // the parts to fetch
+}
+
 // cachePlan is where the parts of a prompt come from and where they are kept.
 type cachePlan struct {
 	version uint64 // weight version that the plan is for
@@ -18,16 +31,96 @@
 // lowestPriority is the least urgent value that model servers know.
 const lowestPriority = 9
 
+// salt is the text under which the prompt's parts are cached with weights of a version.
+func (x *exchange) salt(version uint64) string {
+	return stock.Salt{Wall: x.view.Config.Wall(x.customer), Model: x.call.Prompt.Model, Version: version}.String()
+}
+
+// sourcesOf finds the prompt's parts in the stores, once for each version.
+func (x *exchange) sourcesOf(version uint64) []partSource {
+	if found, ok := x.sources[version]; ok {
+		return found
+	}
+	if x.sources == nil {
+		x.sources = map[uint64][]partSource{}
+	}
+	found := x.g.cache.sources(x.view.Config.Stores, x.salt(version), x.call.Prompt.Parts)
+	x.sources[version] = found
+	return found
+}
+
+// Bounds of fetching, as shares of the route's latency objective.
+const (
+	// fetchShare is how long a fetch may be predicted to take: what is left is
+	// enough to read the prompt's own part.
+	fetchShare = 0.7
+	// untilShare is how long one that was begun may take before it is given up and
+	// the prompt is read. To wait a little past the objective costs less than to
+	// read what others had read before.
+	untilShare = 1.6
+)
+
+// workAt says what the prompt asks of a target: a part is fetched if its store
+// can be expected to deliver it in time. The first part is shared by so many
+// that targets have it: to fetch it takes no time worth counting. x.g.predictorMu
+// is held.
+func (x *exchange) workAt(t *catalog.Target, version uint64, now time.Time) cacheWork {
+	p := x.call.Prompt
+	w := cacheWork{Work: place.Work{ReadTokens: p.Tokens}, fetch: make([]bool, len(p.Parts))}
+	limit := fetchShare*float64(x.route.Objective)/float64(time.Millisecond) - x.sinceMS()
+	largest := 0.0
+	for i, src := range x.sourcesOf(version) {
+		if src.store == nil {
+			continue
+		}
+		ms := x.transferMS(src, t)
+		if i > 0 && x.g.predictor.Fetch(place.Work{FetchMS: ms, Link: src.store.Address}, now) > limit {
+			continue
+		}
+		w.fetch[i] = true
+		w.ReadTokens -= p.Parts[i].Tokens
+		if i == 0 {
+			continue
+		}
+		w.FetchMS += ms
+		if ms > largest {
+			largest, w.Link = ms, src.store.Address
+		}
+	}
+	w.ReadTokens = max(w.ReadTokens, 0)
+	return w
+}
+
+// zoneFactor is how much longer a transfer takes between zones.
+const zoneFactor = 2.0
+
+// transferMS is the time of a transfer by the speed of its links alone.
+func (x *exchange) transferMS(src partSource, t *catalog.Target) float64 {
+	e := x.view.Config.Services[t.Service].Engine
+	if e == nil || src.store.LinkMbps <= 0 {
+		return 0
+	}
+	mbps := src.store.LinkMbps
+	if e.LinkMbps > 0 {
+		mbps = min(mbps, e.LinkMbps)
+	}
+	ms := float64(src.tokens) * float64(e.TokenBytes) * 8 / (mbps * 1000)
+	if src.store.Zone != t.Zone {
+		ms *= zoneFactor
+	}
+	return ms + float64(src.store.FirstByte)/float64(time.Millisecond)
+}
+
 // modelAttempt says what a model server is told. The salt names the weights that
 // the target is believed to serve, and the target refuses if it serves others:
 // so cache of other weights can't be read, whatever this instance believes.
 func (x *exchange) modelAttempt(t *catalog.Target) *ModelAttempt {
-	p := x.call.Prompt
-	version := t.VersionOf(p.Model)
-	salt := stock.Salt{Wall: x.view.Config.Wall(x.customer), Model: p.Model, Version: version}.String()
-	x.plan = x.g.cache.plan(x.view.Config.Stores, salt, version, p.Parts)
+	version := t.VersionOf(x.call.Prompt.Model)
+	salt := x.salt(version)
+	x.plan = x.g.cache.plan(x.view.Config.Stores, salt, version, x.call.Prompt.Parts, x.sourcesOf(version), x.work.fetch)
+	until := time.Duration(untilShare*float64(x.route.Objective)) - x.g.now().Sub(x.arrived)
 	return &ModelAttempt{Priority: min(x.priority(), lowestPriority), Version: version, Salt: salt, Cache: x.plan.parts,
-		FetchUntilMS: x.g.cache.clockMS(x.fetchPatience())}
+		FetchUntilMS: x.g.cache.clockMS(max(until, 0))}
 }
 
 // priority is the customer's if it has one, else the route's.
@@ -37,14 +130,3 @@
 	}
 	return max(x.route.Priority, 0)
 }
-
-// fetchShare is the share of the latency objective that fetching cache may take:
-// what is left is enough to read a prompt of the usual size instead.
-const fetchShare = 0.6
-
-// fetchPatience is how long a fetch may take from now on. It is given up then,
-// and the prompt is read.
-func (x *exchange) fetchPatience() time.Duration {
-	allowed := time.Duration(fetchShare * float64(x.route.Objective))
-	return max(allowed-x.g.now().Sub(x.arrived), 0)
-}
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -54,6 +55,16 @@
 	watch  *time.Timer // ends the attempt if the target stays silent; nil: never
 	resp   *http.Response
 	answer Answer
+	asked  cacheWork
+	done   bool // the prompt no longer waits at the target
+}
+
+// answered says that the prompt no longer waits to be read.
+func (w *work) answered() {
+	if !w.done {
+		w.done = true
+		w.load.Tokens.Add(-int64(w.asked.ReadTokens))
+	}
 }
 
 // try makes one attempt at a target. All that it holds is let go when it returns:
@@ -62,9 +73,11 @@
 func (x *exchange) try(t *catalog.Target) ending {
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
-	at := &work{target: t, load: x.g.upstream.work.Of(t.ID), cancel: cancel, began: x.g.now()}
+	at := &work{target: t, load: x.g.upstream.work.Of(t.ID), cancel: cancel, began: x.g.now(), asked: x.work}
 	at.load.Runs.Add(1)
 	defer at.load.Runs.Add(-1)
+	at.load.Tokens.Add(int64(x.work.ReadTokens))
+	defer at.answered()
 	x.tried, x.targets = append(x.tried, t.ID), append(x.targets, t.ID)
 	if x.route.Repeatable() {
 		at.watch = time.AfterFunc(x.patience(), cancel)
@@ -232,8 +245,13 @@
 	if at.watch != nil {
 		at.watch.Stop()
 	}
-	ms := float64(x.g.now().Sub(at.began)) / float64(time.Millisecond)
-	at.load.Observe(ms, x.g.now())
+	at.answered()
+	now := x.g.now()
+	ms := float64(now.Sub(at.began)) / float64(time.Millisecond)
+	x.g.predictorMu.Lock()
+	surprise := x.g.predictor.Observe(at.target.ID, at.asked.Work, ms, now)
+	x.g.predictorMu.Unlock()
+	metric.PredictionError.Update(math.Abs(surprise) / 1000)
 	if x.firstMS == 0 {
 		x.firstMS = x.sinceMS()
 		metric.FirstToken.Update(x.firstMS / 1000)
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -31,6 +31,7 @@
 	ConfigErrors    = metrics.NewCounter("shedhoist_config_errors_total")
 	PlatformDown    = metrics.NewCounter("shedhoist_platform_errors_total")
 	FirstToken      = metrics.NewHistogram("shedhoist_first_token_seconds")
+	PredictionError = metrics.NewHistogram("shedhoist_prediction_error_seconds") // of the first answer, either way
 	BetweenTokens   = metrics.NewHistogram("shedhoist_between_tokens_seconds")
 )
 
