Load the targets that are behind for longest first; close one ahead

Cause: after a second naming the planner loaded targets of the first again while others still had the oldest weights; five targets were closed at once.

--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -52,7 +52,7 @@
 	oldGrace = time.Second
 	// rolloutMargin is how long before the end of a rollout's time the last
 	// request goes to an older version.
-	rolloutMargin = 1500 * time.Millisecond
+	rolloutMargin = time.Second
 )
 
 // Pick returns the index of the best target, or -1 if none may be used.
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -53,7 +53,7 @@
 	// leastServing is the share of a model's targets that keep serving.
 	leastServing = 0.5
 	// planAhead is how many targets are closed to new requests while others load.
-	planAhead = 2
+	planAhead = 1
 	// closeTime is how long a target is closed before its order: instances hear of
 	// it in milliseconds, and most short answers end meanwhile.
 	closeTime = 350 * time.Millisecond
@@ -211,8 +211,10 @@
 			age[t.ID] = v.Named[m.Model].behindFor(m.Version, now)
 		}
 	}
+	// Those that have been behind for longest go first; else in an order that
+	// mixes the zones.
 	slices.SortFunc(targets, func(a, b order.Target) int {
-		return cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name))
+		return cmp.Or(cmp.Compare(age[b.Name], age[a.Name]), cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)))
 	})
 	o.mu.Lock()
 	defer o.mu.Unlock()
