Distrust what is overdue before it answers

Change: requests that wait longer than predicted count against their target and link at once; a caller's leaving ends a request at the first attempt that fails; a link's time weighs 1.5 in placement.

--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -39,7 +39,7 @@
 	otherZoneMS   = 4.0
 	otherZoneKBMS = 1.0
 	// linkWeight is what a millisecond of a shared link costs the others.
-	linkWeight = 0.5
+	linkWeight = 1.5
 	// oldWeights is how much worse a target counts that serves an older version
 	// than the newest one named, once the rollout is under way.
 	oldWeights = 1.5
--- a/internal/core/place/predict.go
+++ b/internal/core/place/predict.go
@@ -15,11 +15,13 @@
 // Predictor predicts the time to a request's first answer. It knows nominal
 // times only, and corrects them by what is seen: the speed of reading, and for
 // each target and each link how much longer than predicted it takes of late.
-// It is not safe for concurrent use.
+// Requests that are overdue count before they are answered. It is not safe for
+// concurrent use.
 type Predictor struct {
 	readMS  float64 // ms to read one prompt token on an idle target
 	targets map[string]*delay
 	links   map[string]*delay
+	waiting map[*Ticket]struct{}
 }
 
 // delay is how much longer than nominal something takes, ms.
@@ -28,6 +30,14 @@
 	at time.Time
 }
 
+// Ticket is a request that waits for its first answer.
+type Ticket struct {
+	target    string
+	work      Work
+	began     time.Time
+	predicted float64 // ms
+}
+
 // Constants of learning.
 const (
 	// firstReadMS is the speed of reading assumed before anything was seen.
@@ -51,7 +61,7 @@
 
 // NewPredictor returns a predictor that has seen nothing.
 func NewPredictor() *Predictor {
-	return &Predictor{readMS: firstReadMS, targets: map[string]*delay{}, links: map[string]*delay{}}
+	return &Predictor{readMS: firstReadMS, targets: map[string]*delay{}, links: map[string]*delay{}, waiting: map[*Ticket]struct{}{}}
 }
 
 // now is a delay's value at a time.
@@ -63,14 +73,41 @@
 }
 
 // Target is the delay expected at a target.
-func (p *Predictor) Target(id string, now time.Time) float64 { return p.targets[id].now(now) }
+func (p *Predictor) Target(id string, now time.Time) float64 {
+	out := p.targets[id].now(now)
+	for t := range p.waiting {
+		if t.target == id {
+			out = math.Max(out, t.overdue(now)*t.targetPart())
+		}
+	}
+	return out
+}
+
+// overdue is how much longer than predicted a request has waited, ms.
+func (t *Ticket) overdue(now time.Time) float64 {
+	return float64(now.Sub(t.began))/float64(time.Millisecond) - t.predicted
+}
+
+// targetPart is the part of a surprise that is put down to the target.
+func (t *Ticket) targetPart() float64 {
+	if t.work.FetchMS > 0 {
+		return 1 - linkPart
+	}
+	return 1
+}
 
 // Fetch is the time expected for a fetch.
 func (p *Predictor) Fetch(w Work, now time.Time) float64 {
 	if w.FetchMS <= 0 {
 		return 0
 	}
-	return w.FetchMS + p.links[w.Link].now(now)
+	late := p.links[w.Link].now(now)
+	for t := range p.waiting {
+		if t.work.FetchMS > 0 && t.work.Link == w.Link {
+			late = math.Max(late, t.overdue(now)*linkPart)
+		}
+	}
+	return w.FetchMS + late
 }
 
 // Read is the time expected for reading tokens on an idle target.
@@ -81,19 +118,30 @@
 	return p.Target(id, now) + p.Fetch(w, now) + p.Read(w.ReadTokens)
 }
 
-// Observe takes how long a request took, and returns how much of it was not
-// predicted, ms.
-func (p *Predictor) Observe(id string, w Work, ms float64, now time.Time) (surprise float64) {
-	surprise = ms - p.First(id, w, now)
+// Begin notes a request that is sent now.
+func (p *Predictor) Begin(id string, w Work, now time.Time) *Ticket {
+	t := &Ticket{target: id, work: w, began: now, predicted: p.First(id, w, now)}
+	p.waiting[t] = struct{}{}
+	return t
+}
+
+// Drop forgets a request that ended without an answer, or was answered.
+func (p *Predictor) Drop(t *Ticket) { delete(p.waiting, t) }
+
+// Observe takes a request's first answer, and returns how much of the time it
+// took was not predicted, ms.
+func (p *Predictor) Observe(t *Ticket, now time.Time) (surprise float64) {
+	p.Drop(t)
+	w, id := t.work, t.target
+	surprise = t.overdue(now)
+	ms := surprise + t.predicted
 	if w.ReadTokens >= leastRead && w.FetchMS <= 0 {
 		p.learnRead(ms / float64(w.ReadTokens))
 	}
 	if w.FetchMS > 0 {
 		p.links[w.Link] = p.links[w.Link].after(surprise*linkPart, now)
-		p.targets[id] = p.targets[id].after(surprise*(1-linkPart), now)
-		return surprise
 	}
-	p.targets[id] = p.targets[id].after(surprise, now)
+	p.targets[id] = p.targets[id].after(surprise*t.targetPart(), now)
 	return surprise
 }
 
--- a/internal/core/place/predict_test.go
+++ b/internal/core/place/predict_test.go
@@ -39,7 +39,8 @@
 					ms += thinMS
 				}
 			}
-			p.Observe(id, w, ms, now)
+			ticket := p.Begin(id, w, now)
+			p.Observe(ticket, now.Add(time.Duration(ms*float64(time.Millisecond))))
 		}
 	}
 	round(200, 300)
@@ -58,10 +59,30 @@
 	is := is.New(t)
 	p := place.NewPredictor()
 	now := time.Unix(0, 0)
-	p.Observe("a", place.Work{}, 1000, now)
+	p.Observe(p.Begin("a", place.Work{}, now), now.Add(time.Second))
+	now = now.Add(time.Second)
 	before := p.Target("a", now)
 	is.True(before > 300)
 	is.True(p.Target("a", now.Add(6*time.Second)) < before/3)
 	p.Keep(func(string) bool { return false })
 	is.Equal(p.Target("a", now), 0.0)
 }
+
+// TestOverdue: a target or a link that stays silent is distrusted before it
+// answers, and at once no longer when the request is dropped.
+func TestOverdue(t *testing.T) {
+	is := is.New(t)
+	p := place.NewPredictor()
+	now := time.Unix(0, 0)
+	fetch := place.Work{FetchMS: 30, Link: "x"}
+	silent, stuck := p.Begin("a", place.Work{}, now), p.Begin("b", fetch, now)
+	later := now.Add(500 * time.Millisecond)
+	is.True(p.Target("a", later) > 400)
+	is.True(p.Fetch(fetch, later) > 250)
+	is.True(p.Target("b", later) < p.Target("a", later))
+	is.Equal(p.Target("c", later), 0.0)
+	p.Drop(silent)
+	p.Drop(stuck)
+	is.Equal(p.Target("a", later), 0.0)
+	is.Equal(p.Fetch(fetch, later), 30.0)
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -182,6 +182,9 @@
 	default:
 		x.ran++
 	}
+	if errors.Is(x.r.Context().Err(), context.Canceled) {
+		end.event = attempt.CallerGone // whatever the attempt met since
+	}
 	v := x.machine.Step(end.event, func() bool { return x.allowed(end.event) })
 	if v.Action != attempt.Fail {
 		metric.Retries.Inc()
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -130,3 +130,17 @@
 	}
 	return max(x.route.Priority, 0)
 }
+
+// beginTicket notes a request that is sent now.
+func (g *Gateway) beginTicket(target string, w place.Work, now time.Time) *place.Ticket {
+	g.predictorMu.Lock()
+	defer g.predictorMu.Unlock()
+	return g.predictor.Begin(target, w, now)
+}
+
+// dropTicket forgets a request that has ended.
+func (g *Gateway) dropTicket(t *place.Ticket) {
+	g.predictorMu.Lock()
+	defer g.predictorMu.Unlock()
+	g.predictor.Drop(t)
+}
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -11,6 +11,7 @@
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
 	"github.com/shedhoist/shedhoist/internal/core/attempt"
+	"github.com/shedhoist/shedhoist/internal/core/place"
 	"github.com/shedhoist/shedhoist/internal/inflight"
 	"github.com/shedhoist/shedhoist/internal/metric"
 )
@@ -56,6 +57,7 @@
 	resp   *http.Response
 	answer Answer
 	asked  cacheWork
+	ticket *place.Ticket
 	done   bool // the prompt no longer waits at the target
 }
 
@@ -78,6 +80,8 @@
 	defer at.load.Runs.Add(-1)
 	at.load.Tokens.Add(int64(x.work.ReadTokens))
 	defer at.answered()
+	at.ticket = x.g.beginTicket(t.ID, at.asked.Work, at.began)
+	defer x.g.dropTicket(at.ticket)
 	x.tried, x.targets = append(x.tried, t.ID), append(x.targets, t.ID)
 	if x.route.Repeatable() {
 		at.watch = time.AfterFunc(x.patience(), cancel)
@@ -246,10 +250,8 @@
 		at.watch.Stop()
 	}
 	at.answered()
-	now := x.g.now()
-	ms := float64(now.Sub(at.began)) / float64(time.Millisecond)
 	x.g.predictorMu.Lock()
-	surprise := x.g.predictor.Observe(at.target.ID, at.asked.Work, ms, now)
+	surprise := x.g.predictor.Observe(at.ticket, x.g.now())
 	x.g.predictorMu.Unlock()
 	metric.PredictionError.Update(math.Abs(surprise) / 1000)
 	if x.firstMS == 0 {
