Take over a rollout in 1.4 s; fence only the targets the last holder closed

Ruled out: slow loads, a wrong order of targets. Change: the lease lapses after 1.4 s. Orders of two holders to one target stay the asked gap apart: the holder tells which targets it closes before it orders them, and its successor leaves those alone (all, if it heard nothing).

--- a/internal/core/order/lease.go
+++ b/internal/core/order/lease.go
@@ -107,12 +107,6 @@
 	return f
 }
 
-// Holder returns the holder as last seen, "" if none is known.
-func (l *Lease) Holder() string { return l.holder }
-
-// ParamsFor returns times with which two holders never act within gap of one
-// another, and one holder may act for work after each of its writes.
-func ParamsFor(gap, work time.Duration) Params {
-	margin := gap/2 + gap/20 // a contender waits Term + Margin, a holder acts for Term - Margin: 2 * Margin > gap
-	return Params{Term: margin + work, Margin: margin, Renew: work / 2}
-}
+// Holder returns the holder as last seen, "" if none is known, and when that word
+// of it was first seen here: its last act came no later than Term - Margin after.
+func (l *Lease) Holder() (name string, since time.Time) { return l.holder, l.since }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -58,6 +58,7 @@
 
 // RolloutNews is what the instance that gives orders is doing.
 type RolloutNews struct {
+	Holder  string       `cbor:"4,keyasint"` // the instance
 	Stamp   RolloutStamp `cbor:"1,keyasint"`
 	Closing []string     `cbor:"2,keyasint,omitempty"` // ids of targets that shall get no new requests
 	Arrived []Arrival    `cbor:"3,keyasint,omitempty"` // targets with new weights
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -35,11 +35,9 @@
 	contenders = 4
 	// contenderStep is how much later each next contender tries for a free lease.
 	contenderStep = 700 * time.Millisecond
-	// leaseWork is how long a holder acts after a write of the lease: a few calls.
-	leaseWork = 600 * time.Millisecond
 	// leasePulse is how often a holder that waits for loads renews, so that the
 	// contenders see it alive.
-	leasePulse = time.Second
+	leasePulse = 400 * time.Millisecond
 	// leaseWatch is how long a contender's watch of the lease waits: it changes
 	// only during rollouts.
 	leaseWatch = 20 * time.Second
@@ -65,6 +63,12 @@
 	newsEvery = time.Second
 )
 
+// leaseParams make a contender take over from a holder that died within 1.4 s; a
+// holder acts for 600 ms after a write of the lease, which is a few calls. Two
+// holders are then 800 ms apart at least. Targets that the first one may have
+// given orders to are left alone for longer, see fence.
+var leaseParams = order.Params{Term: time.Second, Margin: 400 * time.Millisecond, Renew: 250 * time.Millisecond}
+
 // leaseValue is the lease's object.
 type leaseValue struct {
 	Holder string `json:"holder"`
@@ -91,6 +95,34 @@
 	token   uint64          // of this hold
 	seq     uint64          // of the news told
 	told    time.Time       // when
+	fenced  fence           // after another's hold
+}
+
+// fence keeps orders of a new holder away from targets to which the one before
+// may have sent some lately.
+type fence struct {
+	until time.Time
+	all   bool            // it is not known which targets those are
+	ids   map[string]bool // those that it closed
+}
+
+// blocks says whether a target must not get orders yet.
+func (f fence) blocks(id string, now time.Time) bool {
+	return now.Before(f.until) && (f.all || f.ids[id])
+}
+
+// fenceAfter builds the fence that a hold of another leaves: its last order was
+// sent no later than lastAct. What it did is known by its news, which it tells
+// before it gives an order.
+func fenceAfter(holder string, lastAct time.Time, gap time.Duration, news RolloutNews) fence {
+	f := fence{until: lastAct.Add(gap), all: news.Holder != holder, ids: map[string]bool{}}
+	for _, id := range news.Closing {
+		f.ids[id] = true
+	}
+	for _, a := range news.Arrived {
+		f.ids[a.Target] = true
+	}
+	return f
 }
 
 // rollOut brings targets to the weight versions named, while the lease is here.
@@ -105,7 +137,7 @@
 
 func newRollout(g *Gateway) *rollout {
 	set := g.settings()
-	return &rollout{g: g, lease: order.NewLease(order.ParamsFor(set.LeaseGap, leaseWork), set.Name), planner: order.NewPlanner(loadTime), loading: map[string]bool{},
+	return &rollout{g: g, lease: order.NewLease(leaseParams, set.Name), planner: order.NewPlanner(loadTime), loading: map[string]bool{},
 		slots: make(chan struct{}, order.MaxLoads)}
 }
 
@@ -155,7 +187,7 @@
 func (o *rollout) announce() {
 	o.seq++
 	o.told = o.g.now()
-	news := RolloutNews{Stamp: RolloutStamp{Token: o.token, Seq: o.seq}, Arrived: slices.Clone(o.arrived)}
+	news := RolloutNews{Holder: o.g.settings().Name, Stamp: RolloutStamp{Token: o.token, Seq: o.seq}, Arrived: slices.Clone(o.arrived)}
 	for id := range o.loading {
 		news.Closing = append(news.Closing, id)
 	}
@@ -201,8 +233,11 @@
 	for model, n := range v.Named {
 		wishes[model] = order.Wish{Version: versionText(n.Version), MinReady: leastServing}
 	}
+	o.mu.Lock()
+	fenced := o.fenced
+	o.mu.Unlock()
 	for _, t := range v.Targets {
-		if t.Leaving {
+		if t.Leaving || fenced.blocks(t.ID, now) {
 			continue
 		}
 		for _, m := range t.Models {
@@ -413,6 +448,7 @@
 	}
 	start := o.g.now()
 	o.renewed = start
+	before, changed := o.lastHolder()
 	version, err := o.g.store.Put(ctx, leaseKind, leaseName, data, want)
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -425,11 +461,23 @@
 	if o.lease.Fresh() {
 		o.planner = order.NewPlanner(loadTime)
 		o.planner.PlanAhead(planAhead)
-		o.arrived, o.token, o.seq = nil, uint64(version), 0
-		o.g.log.WithField("token", uint64(version)).Info("lease for orders taken")
+		o.arrived, o.token, o.seq, o.fenced = nil, uint64(version), 0, fence{}
+		if before != "" && before != o.g.settings().Name {
+			lastAct := changed.Add(leaseParams.Term - leaseParams.Margin)
+			o.fenced = fenceAfter(before, lastAct, o.g.settings().LeaseGap, o.g.view.Load().Rollout)
+		}
+		o.g.log.WithField("token", uint64(version)).WithField("before", before).WithField("fenced", len(o.fenced.ids)).
+			WithField("fence_all", o.fenced.all).WithField("fence_ms", o.fenced.until.Sub(o.g.now()).Milliseconds()).Info("lease for orders taken")
 	}
 }
 
+// lastHolder is who held the lease as last seen, and since when that word stands.
+func (o *rollout) lastHolder() (holder string, since time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.lease.Holder()
+}
+
 // watchLease tells the lease of others' writes, so that a contender knows how
 // long it has not been renewed.
 func (o *rollout) watchLease(ctx context.Context) {
--- /dev/null
+++ b/internal/gateway/rollout_test.go
@@ -0,0 +1,26 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestFence: a new holder leaves alone the targets that the one before closed, or
+// all if that is not known, until its orders are old enough.
+func TestFence(t *testing.T) {
+	is := is.New(t)
+	last, gap := time.Unix(100, 0), 3*time.Second
+	early, late := last.Add(gap-time.Millisecond), last.Add(gap)
+	news := RolloutNews{Holder: "old", Closing: []string{"a"}, Arrived: []Arrival{{Target: "b"}}}
+	known := fenceAfter("old", last, gap, news)
+	is.True(known.blocks("a", early))
+	is.True(known.blocks("b", early))
+	is.True(!known.blocks("c", early))
+	is.True(!known.blocks("a", late))
+	unknown := fenceAfter("another", last, gap, news)
+	is.True(unknown.blocks("c", early))
+	is.True(!unknown.blocks("c", late))
+	is.True(!fence{}.blocks("a", early))
+}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -53,6 +53,7 @@
 	Alive     []string                     // names of live instances, this one included, sorted
 	Listed    bool                         // targets were listed at least once
 	Draining  bool                         // this instance is stopping
+	Rollout   RolloutNews                  // what the instance that gives orders told last
 	StoreOK   bool                         // the object store answers
 }
 
