Give a fetch up soon after it should have been there

Cause: a fetch from a store whose link turned slow was waited for up to 1.6 of the objective, and the prompt then read: late by both. Change: it is given up at 2.5 times its prediction and 120 ms.

--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -17,7 +17,8 @@
 // cacheWork is what a prompt asks of one target.
 type cacheWork struct {
 	place.Work
-	fetch []bool // the parts to fetch
+	fetch   []bool  // the parts to fetch
+	fetchMS float64 // how long that is predicted to take, link delays included
 }
 
 // cachePlan is where the parts of a prompt come from and where they are kept.
@@ -54,10 +55,13 @@
 	// fetchShare is how long a fetch may be predicted to take: what is left is
 	// enough to read the prompt's own part.
 	fetchShare = 0.7
-	// untilShare is how long one that was begun may take before it is given up and
-	// the prompt is read. To wait a little past the objective costs less than to
-	// read what others had read before.
+	// untilShare is how long one that was begun may take at most before it is given
+	// up and the prompt is read.
 	untilShare = 1.6
+	// untilFactor times what was predicted, and untilSlack, is the same for one that
+	// takes longer than predicted: its link has turned slow, or its store is gone.
+	untilFactor = 2.5
+	untilSlack  = 120 * time.Millisecond
 )
 
 // workAt says what the prompt asks of a target: a part is fetched if its store
@@ -88,6 +92,7 @@
 		}
 	}
 	w.ReadTokens = max(w.ReadTokens, 0)
+	w.fetchMS = x.g.predictor.Fetch(w.Work, now)
 	return w
 }
 
@@ -119,6 +124,7 @@
 	salt := x.salt(version)
 	x.plan = x.g.cache.plan(x.view.Config.Stores, salt, version, x.call.Prompt.Parts, x.sourcesOf(version), x.work.fetch)
 	until := time.Duration(untilShare*float64(x.route.Objective)) - x.g.now().Sub(x.arrived)
+	until = min(until, time.Duration(untilFactor*x.work.fetchMS*float64(time.Millisecond))+untilSlack)
 	return &ModelAttempt{Priority: min(x.priority(), lowestPriority), Version: version, Salt: salt, Cache: x.plan.parts,
 		FetchUntilMS: x.g.cache.clockMS(max(until, 0))}
 }
