--- a/internal/core/place/predict.go
+++ b/internal/core/place/predict.go
@@ -7,9 +7,11 @@
 
 // Work is what one request asks of a target before its first answer.
 type Work struct {
-	ReadTokens int     // prompt tokens that the target must read
-	FetchMS    float64 // nominal time to fetch the rest, by link speed alone; 0: nothing is fetched
-	Link       string  // where it is fetched from
+	ReadTokens int // prompt tokens that the target must read
+	// AheadTokens are those of other requests that it must read before.
+	AheadTokens int
+	FetchMS     float64 // nominal time to fetch the rest, by link speed alone; 0: nothing is fetched
+	Link        string  // where it is fetched from
 }
 
 // Predictor predicts the time to a request's first answer. It knows nominal
@@ -115,7 +117,7 @@
 
 // First is the time expected from sending a request until its first answer.
 func (p *Predictor) First(id string, w Work, now time.Time) float64 {
-	return p.Target(id, now) + p.Fetch(w, now) + p.Read(w.ReadTokens)
+	return p.Target(id, now) + p.Fetch(w, now) + p.Read(w.ReadTokens+w.AheadTokens)
 }
 
 // Begin notes a request that is sent now.
@@ -135,7 +137,7 @@
 	w, id := t.work, t.target
 	surprise = t.overdue(now)
 	ms := surprise + t.predicted
-	if w.ReadTokens >= leastRead && w.FetchMS <= 0 {
+	if w.ReadTokens >= leastRead && w.FetchMS <= 0 && w.AheadTokens == 0 {
 		p.learnRead(ms / float64(w.ReadTokens))
 	}
 	if w.FetchMS > 0 {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -124,6 +124,7 @@
 	q := place.Query{Zone: x.g.settings().Zone, Rollout: x.g.settings().RolloutWithin, CrowdMS: x.crowdMS(), Bytes: len(x.body), Rand: rand.Float64}
 	now := x.g.now()
 	options, works := make([]place.Target, len(serving)), make([]cacheWork, len(serving))
+	waiting := x.g.others.at(now)
 	x.g.predictorMu.Lock()
 	for i, t := range serving {
 		load := x.g.upstream.work.Of(t.ID)
@@ -134,7 +135,8 @@
 			o.BehindFor = x.view.Named[p.Model].behindFor(version, now)
 			works[i] = x.workAt(t, version, now)
 		}
-		o.FirstMS = x.g.predictor.First(t.ID, works[i].Work, now) + x.g.predictor.Read(int(load.Tokens.Load()))
+		works[i].AheadTokens = int(load.Tokens.Load()) + waiting[t.ID]
+		o.FirstMS = x.g.predictor.First(t.ID, works[i].Work, now)
 		o.LinkMS = works[i].FetchMS
 		options[i] = o
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,6 +66,7 @@
 	// predictor is shared by all requests.
 	predictorMu sync.Mutex
 	predictor   *place.Predictor
+	others      othersLoads
 	cache       *cacheDirectory
 	rollout     *rollout
 	inHand      atomic.Int64
@@ -178,7 +179,7 @@
 		targets: targetTable{log: g.log, byID: map[string]*heldTarget{}}}
 	g.start(func() { g.runControl(g.ctx, c) })
 	g.followAll(g.ctx)
-	for _, f := range [...]func(context.Context){g.greetSeeds, g.askWhileCutOff, g.rollOut, g.cache.run, g.cache.keepStores} {
+	for _, f := range [...]func(context.Context){g.greetSeeds, g.askWhileCutOff, g.tellLoads, g.rollOut, g.cache.run, g.cache.keepStores} {
 		g.start(func() { f(g.ctx) })
 	}
 	g.serve("callers", func() error { return g.callerSrv.Serve(g.callerLn) })
