List the stores as soon as a new process knows them; free parts that broke off

Cause: after a start nothing was fetched for half a second, though all was held; parts that broke off keep their space for good.

--- a/internal/core/stock/stock.go
+++ b/internal/core/stock/stock.go
@@ -66,6 +66,38 @@
 	held  map[Key]int // tokens
 	used  int         // space of held
 	heard time.Time   // of the last answer
+
+	broken map[Key]brokenPart // incomplete parts of the last list
+}
+
+// brokenPart is a part that takes space and is not complete.
+type brokenPart struct {
+	tokens int
+	since  time.Time // first seen with these tokens
+}
+
+// Broken takes the incomplete parts of a list, heard at now.
+func (s *Shelf) Broken(partial []Held, now time.Time) {
+	next := make(map[Key]brokenPart, len(partial))
+	for _, p := range partial {
+		b, seen := s.broken[p.Key]
+		if !seen || b.tokens != p.Tokens {
+			b = brokenPart{tokens: p.Tokens, since: now}
+		}
+		next[p.Key] = b
+	}
+	s.broken = next
+}
+
+// Stuck returns the incomplete parts that have not grown for at least d.
+func (s *Shelf) Stuck(now time.Time, d time.Duration) []Key {
+	var out []Key
+	for k, b := range s.broken {
+		if now.Sub(b.since) >= d {
+			out = append(out, k)
+		}
+	}
+	return out
 }
 
 // Position returns the epoch and the event to go on from; known is false if the
@@ -106,6 +138,7 @@
 	for _, k := range parts {
 		s.used -= space(s.held[k])
 		delete(s.held, k)
+		delete(s.broken, k)
 	}
 }
 
--- a/internal/core/stock/stock_test.go
+++ b/internal/core/stock/stock_test.go
@@ -99,3 +99,22 @@
 	places[0].Used = places[0].Capacity
 	is.Equal(stock.Home(stock.Key{Part: "x"}, 500, places), 1)
 }
+
+// TestStuck: only a part that stays incomplete without growing is broken off.
+func TestStuck(t *testing.T) {
+	is := is.New(t)
+	var s stock.Shelf
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	part := func(name string, tokens int) stock.Held {
+		return stock.Held{Key: stock.Key{Salt: "s", Part: name}, Tokens: tokens, Reserved: 100}
+	}
+	s.List(1, 1, nil, at(0))
+	s.Broken([]stock.Held{part("stuck", 5), part("grows", 5), part("ends", 5)}, at(0))
+	is.Equal(len(s.Stuck(at(9), 10*time.Second)), 0)
+	s.Broken([]stock.Held{part("stuck", 5), part("grows", 6)}, at(12))
+	is.Equal(s.Stuck(at(12), 10*time.Second), []stock.Key{{Salt: "s", Part: "stuck"}})
+	s.Drop(s.Stuck(at(12), 10*time.Second))
+	is.Equal(len(s.Stuck(at(12), 10*time.Second)), 0)
+	s.Forget()
+	is.Equal(len(s.Stuck(at(60), 10*time.Second)), 0)
+}
--- a/internal/gateway/cache.go
+++ b/internal/gateway/cache.go
@@ -25,8 +25,11 @@
 	shelfAge = pollWait + pollGap + 300*time.Millisecond
 	// relistEvery is how often a store is listed anew, for the events that were lost.
 	relistEvery = 12 * time.Second
-	// storesEvery is how often the configuration is looked at for new stores.
+	// storesEvery is how often the configuration is looked at for new stores, and
+	// storesFirst the same until there is one: a new process reads prompts that the
+	// stores hold until it has listed them.
 	storesEvery = 500 * time.Millisecond
+	storesFirst = 10 * time.Millisecond
 	// saveMemory is how long an own save counts as under way.
 	saveMemory = 3 * time.Second
 	// leastKept is the smallest part that is worth a store's space, in tokens:
@@ -58,10 +61,12 @@
 // run follows the stores that the configuration names, until ctx ends.
 func (c *cacheDirectory) run(ctx context.Context) {
 	for {
+		every := storesFirst
 		if cfg := c.g.view.Load().Config; cfg != nil {
 			c.follow(ctx, cfg.Stores)
+			every = storesEvery
 		}
-		if !wait.For(ctx, storesEvery) {
+		if !wait.For(ctx, every) {
 			return
 		}
 	}
@@ -139,6 +144,7 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		sh.List(l.Epoch, l.Next, l.Held, asked)
+		sh.Broken(l.Partial, asked)
 		sh.listed = asked
 		c.setClock(l.ClockMS)
 		entry.WithField("epoch", l.Epoch).WithField("parts", len(l.Held)).WithField("partial", len(l.Partial)).WithField("tokens", sh.Used()).Info("cache store listed")
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -21,11 +21,14 @@
 	freeTime = time.Second
 	// freeBatch is how many parts one call frees.
 	freeBatch = 1000
+	// brokenTime is how long a part must have been incomplete, without any more of
+	// it coming, to be taken for broken off: a save takes well under a second.
+	brokenTime = 10 * time.Second
 )
 
-// keepStores frees cache of weights that no target serves any more, in the
-// stores that fall to this instance. Two that both think so do no harm: what they
-// free is nobody's.
+// keepStores frees cache of weights that no target serves any more, and parts that
+// broke off, in the stores that fall to this instance. Two that both think so do
+// no harm: what they free is nobody's.
 func (c *cacheDirectory) keepStores(ctx context.Context) {
 	var settled settling
 	for wait.For(ctx, jitter(keeperTick)) {
@@ -90,7 +93,7 @@
 	var parts []stock.Key
 	var epoch uint64
 	if sh != nil && sh.Known(c.g.now(), shelfAge) {
-		parts = sh.Older(oldest, freeBatch)
+		parts = append(sh.Older(oldest, freeBatch), sh.Stuck(c.g.now(), brokenTime)...)
 		epoch, _, _ = sh.Position()
 	}
 	c.mu.Unlock()
