Meet by the store, serve metrics, bound lines, reload changed settings

Cause: instances with dead seeds never met; a settings file may change without a signal; metrics had no address on the platform; lines of successes had no bound a second; a header beyond the configured size was taken. Change: one object names up to eight live instances, rewritten when half are gone; metrics at the deploy file's address; 100 success lines a second, the rest counted; settings looked at every 2 s; 431 beyond the configured header. Targets are closed 500 ms before their order.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -86,7 +86,7 @@
 		end := x.try(t)
 		if end.delivered {
 			x.machine.Step(attempt.Done, nil)
-			x.finish(end.status, "done", "")
+			x.finish(end.status, outcomeDone, "")
 			return
 		}
 		if !x.again(end) {
@@ -266,6 +266,9 @@
 	return float64(x.g.now().Sub(x.arrived)) / float64(time.Millisecond)
 }
 
+// outcomeDone is the outcome of a request whose answer was delivered.
+const outcomeDone = "done"
+
 // finish writes the one line of a request's end and counts it.
 func (x *exchange) finish(status int, outcome, detail string) {
 	if x.ended {
@@ -277,6 +280,13 @@
 		kind, route = x.route.Kind.String(), x.route.Name
 	}
 	metric.Requests(kind, outcome).Inc()
+	leftOut := int64(0)
+	if outcome == outcomeDone {
+		var ok bool
+		if ok, leftOut = x.g.successes.allow(x.g.now()); !ok {
+			return
+		}
+	}
 	e := x.g.log.WithField("request", x.call.ID).WithField("route", route).WithField("service", x.service).WithField("targets", x.targets).
 		WithField("outcome", outcome).WithField("status", status).WithField("ms", x.sinceMS()).WithField("config", x.configVersion())
 	if x.firstMS > 0 {
@@ -286,6 +296,9 @@
 		e = e.WithField("weights", x.plan.version).WithField("fetched_parts", x.plan.fetches).WithField("saved_parts", x.plan.saves).WithField("link", x.work.Link).
 			WithField("read_tokens", x.work.ReadTokens)
 	}
+	if leftOut > 0 {
+		e = e.WithField("lines_left_out", leftOut)
+	}
 	if detail != "" {
 		e = e.WithField("detail", detail)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/shedhoist/shedhoist/internal/breaker"
 	"github.com/shedhoist/shedhoist/internal/core/member"
 	"github.com/shedhoist/shedhoist/internal/core/place"
+	"github.com/shedhoist/shedhoist/internal/metric"
 	"github.com/shedhoist/shedhoist/internal/netx"
 	"github.com/shedhoist/shedhoist/internal/peer"
 	"github.com/shedhoist/shedhoist/internal/platform"
@@ -71,8 +72,10 @@
 	rollout     *rollout
 	inHand      atomic.Int64
 
-	callerLn, readyLn, peerLn net.Listener
-	callerSrv, readySrv       *http.Server
+	successes sampler // of log lines
+
+	callerLn, readyLn, peerLn, metricsLn net.Listener
+	callerSrv, readySrv, metricsSrv      *http.Server
 }
 
 // New listens on all addresses of the settings, and starts nothing else. A
@@ -129,7 +132,10 @@
 	for _, l := range [...]struct {
 		into    *net.Listener
 		address string
-	}{{&g.callerLn, set.CallerListen}, {&g.readyLn, set.ReadyListen}, {&g.peerLn, set.PeerListen}} {
+	}{{&g.callerLn, set.CallerListen}, {&g.readyLn, set.ReadyListen}, {&g.peerLn, set.PeerListen}, {&g.metricsLn, set.MetricsListen}} {
+		if l.address == "" {
+			continue
+		}
 		if *l.into, err = netx.Listen(l.address); err != nil {
 			return err
 		}
@@ -138,11 +144,12 @@
 	g.callerSrv = &http.Server{Handler: http.HandlerFunc(g.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeader, ErrorLog: quiet}
 	g.readySrv = &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: quiet}
+	g.metricsSrv = &http.Server{Handler: http.HandlerFunc(g.serveMetrics), ReadHeaderTimeout: headerTimeout, ErrorLog: quiet}
 	return nil
 }
 
 func (g *Gateway) closeListeners() {
-	for _, ln := range [...]net.Listener{g.callerLn, g.readyLn, g.peerLn} {
+	for _, ln := range [...]net.Listener{g.callerLn, g.readyLn, g.peerLn, g.metricsLn} {
 		if ln != nil {
 			ln.Close()
 		}
@@ -179,11 +186,14 @@
 		targets: targetTable{log: g.log, byID: map[string]*heldTarget{}}}
 	g.start(func() { g.runControl(g.ctx, c) })
 	g.followAll(g.ctx)
-	for _, f := range [...]func(context.Context){g.greetSeeds, g.askWhileCutOff, g.tellLoads, g.rollOut, g.cache.run, g.cache.keepStores} {
+	for _, f := range [...]func(context.Context){g.greetSeeds, g.askWhileCutOff, g.meet, g.tellLoads, g.rollOut, g.cache.run, g.cache.keepStores} {
 		g.start(func() { f(g.ctx) })
 	}
 	g.serve("callers", func() error { return g.callerSrv.Serve(g.callerLn) })
 	g.serve("readiness", func() error { return g.readySrv.Serve(g.readyLn) })
+	if g.metricsLn != nil {
+		g.serve("metrics", func() error { return g.metricsSrv.Serve(g.metricsLn) })
+	}
 	g.serve("peers", func() error { return g.peers.Serve(g.peerLn) })
 	g.log.WithField("callers", g.CallerAddr()).WithField("peers", g.PeerAddr()).WithField("store", set.PlatformAddress).Info("started")
 }
@@ -203,12 +213,41 @@
 	return v.Config != nil && v.Listed && !v.Draining
 }
 
+// Alive is the number of live instances known of, this one included.
+func (g *Gateway) Alive() int { return len(g.view.Load().Alive) }
+
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !g.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
+// serveMetrics writes all metrics, and the ages of what this instance believes.
+func (g *Gateway) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	v := g.view.Load()
+	metric.SetGauge("shedhoist_config_version", float64(g.configVersion()))
+	metric.SetGauge("shedhoist_targets", float64(len(v.Targets)))
+	metric.SetGauge("shedhoist_instances_alive", float64(len(v.Alive)))
+	metric.SetGauge("shedhoist_store_reached", asNumber(v.StoreOK))
+	metric.SetGauge("shedhoist_ready", asNumber(g.Ready()))
+	metric.SetGauge("shedhoist_requests_in_hand", float64(g.inHand.Load()))
+	metric.Write(w)
+}
+
+func asNumber(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (g *Gateway) configVersion() uint64 {
+	if cfg := g.view.Load().Config; cfg != nil {
+		return cfg.Version
+	}
+	return 0
+}
+
 // Times of a graceful stop.
 const (
 	// noticeTime is how long the balancer may still send new connections: it asks
@@ -256,6 +295,7 @@
 	g.stop()
 	g.callerSrv.Close()
 	g.readySrv.Close()
+	g.metricsSrv.Close()
 	g.peerLn.Close()
 	g.peers.Close()
 	g.pool.Close()
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
@@ -58,6 +59,35 @@
 	<-l.ended
 }
 
+// successLines is how many requests a second get their line if all is well with
+// them. Failures always do.
+const successLines = 100
+
+// sampler lets a number of lines through each second and counts the others.
+type sampler struct {
+	mu      sync.Mutex
+	second  time.Time
+	written int
+	left    int64 // left out since the last line
+}
+
+// allow says whether a line may be written at now, and how many were left out
+// since the last one that was.
+func (s *sampler) allow(now time.Time) (ok bool, leftOut int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.second) >= time.Second {
+		s.second, s.written = now, 0
+	}
+	if s.written >= successLines {
+		s.left++
+		return false, 0
+	}
+	s.written++
+	leftOut, s.left = s.left, 0
+	return true, leftOut
+}
+
 // NewLogger returns a logger of JSON lines.
 func NewLogger(w io.Writer) *log.Logger {
 	return &log.Logger{Level: log.InfoLevel, Handler: json.New(w)}
--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -7,7 +7,13 @@
 	stdlog "log" // libraries write to it
 	"os"
 	"os/signal"
+	"reflect"
 	"syscall"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/shedhoist/shedhoist/internal/wait"
 )
 
 // Exit codes.
@@ -24,6 +30,26 @@
 	Ports func(*Settings) Ports
 }
 
+// settingsEvery is how often the settings file is looked at: it may change
+// without a signal.
+const settingsEvery = 2 * time.Second
+
+// reloadChanged takes settings that changed without a signal.
+func reloadChanged(g *Gateway, s Start, logger log.Interface, last Settings) {
+	for wait.For(g.ctx, settingsEvery) {
+		next, err := s.Load()
+		if err != nil {
+			logger.WithError(err).Warn("settings not readable, those before stay in force")
+			continue
+		}
+		if reflect.DeepEqual(*next, last) {
+			continue
+		}
+		last = *next
+		g.Reload(next)
+	}
+}
+
 // Run serves until a signal ends it and returns the exit code. SIGTERM and
 // SIGINT stop it, a second one at once; SIGHUP reloads the settings.
 func Run(s Start, stdout io.Writer) int {
@@ -46,6 +72,7 @@
 		return ExitFailed
 	}
 	g.Start()
+	g.start(func() { reloadChanged(g, s, logger, *set) })
 	for sig := range signals {
 		if sig != syscall.SIGHUP {
 			break
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -54,7 +54,7 @@
 	planAhead = 1
 	// closeTime is how long a target is closed before its order: instances hear of
 	// it in milliseconds, and most short answers end meanwhile.
-	closeTime = 350 * time.Millisecond
+	closeTime = 500 * time.Millisecond
 	// loadLeast is the time before the first look at a load: none was seen faster.
 	loadLeast = 600 * time.Millisecond
 	// renewTries is how often an order that is due looks for the lease's renewal.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -55,6 +55,9 @@
 		return later(problem.Draining, "this instance has no configuration yet", comeBackNew)
 	}
 	cfg := x.view.Config
+	if l := cfg.Limits.HeaderBytes; l > 0 && headerSize(x.r) > l {
+		return problem.New(problem.HeaderTooLarge, "the header is larger than allowed")
+	}
 	if x.route = cfg.Route(x.r.Host, x.r.URL.EscapedPath()); x.route == nil {
 		return problem.New(problem.NotFound, "no route takes this host and path")
 	}
@@ -69,6 +72,17 @@
 	return x.readBody(cfg.Limits)
 }
 
+// headerSize is the size of a request's header in bytes, line ends included.
+func headerSize(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(" ")*2 + len(r.Proto) + len("\r\n") + len("Host: \r\n") + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(": ") + len(v) + len("\r\n")
+		}
+	}
+	return n
+}
+
 func later(k problem.Kind, detail string, after time.Duration) *problem.Problem {
 	p := problem.New(k, detail)
 	p.RetryAfter = after
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -9,6 +9,7 @@
 	CallerListen    string   // host:port that callers reach
 	ReadyListen     string   // host:port that the balancer asks for readiness
 	PeerListen      string   // host:port that other instances reach; told to them as it is
+	MetricsListen   string   // host:port of the metrics; "": none
 	Seeds           []string // peer addresses to begin with; any may be stale
 	PlatformAddress string   // host:port of the object store
 	MemoryBytes     int64    // limit of the process; 0: none
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"io"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -35,6 +36,12 @@
 	BetweenTokens   = metrics.NewHistogram("shedhoist_between_tokens_seconds")
 )
 
+// SetGauge sets a gauge by its name.
+func SetGauge(name string, value float64) { metrics.GetOrCreateGauge(name, nil).Set(value) }
+
+// Write writes all metrics, the process's own included, as Prometheus text.
+func Write(w io.Writer) { metrics.WritePrometheus(w, true) }
+
 // Requests counts final answers by kind ("model", "service") and outcome.
 func Requests(kind, outcome string) *metrics.Counter {
 	return metrics.GetOrCreateCounter(fmt.Sprintf(`shedhoist_requests_total{kind=%q,outcome=%q}`, kind, outcome))
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -35,6 +35,7 @@
 	UnknownService Kind = "unknown-service"
 	NotFound       Kind = "not-found"
 	TooLarge       Kind = "too-large"
+	HeaderTooLarge Kind = "header-too-large"
 	SlowSender     Kind = "slow-sender"
 	LimitExceeded  Kind = "limit-exceeded"
 	Overloaded     Kind = "overloaded"
@@ -54,7 +55,8 @@
 	BadRequest: http.StatusBadRequest, Unauthorized: http.StatusUnauthorized,
 	Forbidden: http.StatusForbidden, UnknownModel: http.StatusNotFound,
 	UnknownService: http.StatusNotFound, NotFound: http.StatusNotFound,
-	TooLarge: http.StatusRequestEntityTooLarge, SlowSender: http.StatusRequestTimeout,
+	HeaderTooLarge: http.StatusRequestHeaderFieldsTooLarge,
+	TooLarge:       http.StatusRequestEntityTooLarge, SlowSender: http.StatusRequestTimeout,
 	LimitExceeded: http.StatusTooManyRequests, Overloaded: http.StatusServiceUnavailable,
 	NoTarget: http.StatusServiceUnavailable, TargetFailed: http.StatusBadGateway,
 	TargetTimeout: http.StatusGatewayTimeout, BadAnswer: http.StatusBadGateway,
