--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -171,7 +171,7 @@
 // view builds the picture that request goroutines read.
 func (c *control) view() *View {
 	v := &View{Config: c.cfg, Targets: map[string]*catalog.Target{}, Serving: map[string][]*catalog.Target{}, Named: map[string]Named{},
-		Rollout: c.rollout, Listed: c.targets.listed, Draining: c.draining, StoreOK: c.storeOK}
+		Revision: c.targets.revision, Rollout: c.rollout, Listed: c.targets.listed, Draining: c.draining, StoreOK: c.storeOK}
 	for m, n := range c.named {
 		v.Named[m] = n
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -302,6 +302,9 @@
 	if detail != "" {
 		e = e.WithField("detail", detail)
 	}
+	if outcome != outcomeDone {
+		e = e.WithField("targets_revision", uint64(x.view.Revision)).WithField("store_age_ms", x.g.storeAge().Milliseconds())
+	}
 	e.Info("request")
 }
 
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -133,6 +133,7 @@
 		g.failing[kind] = true
 	} else {
 		delete(g.failing, kind)
+		g.heard.Store(int64(g.now().Sub(g.began)))
 	}
 	if ok := len(g.failing) == 0; g.storeOK.Swap(ok) != ok {
 		g.send(storeReached{ok: ok, cause: err})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,6 +54,8 @@
 
 	view    viewHolder
 	storeOK atomic.Bool
+	heard   atomic.Int64 // when the object store answered last, ns after began
+	began   time.Time
 	// failing has the kinds about which the store does not answer.
 	failingMu sync.Mutex
 	failing   map[string]bool
@@ -84,6 +86,7 @@
 	g := &Gateway{log: logger.WithField("instance", set.Name).WithField("zone", set.Zone), now: time.Now, codec: ports.Codec, store: ports.Store,
 		engines: ports.Engines, events: make(chan event, eventBacklog), controlDone: make(chan struct{}), failing: map[string]bool{}}
 	g.set.Store(set)
+	g.began = g.now()
 	g.ctx, g.stop = context.WithCancel(context.Background())
 	g.upstream = newUpstream()
 	g.sick = breaker.New(g.now)
@@ -213,6 +216,11 @@
 	return v.Config != nil && v.Listed && !v.Draining
 }
 
+// storeAge is how long ago the object store answered last.
+func (g *Gateway) storeAge() time.Duration {
+	return g.now().Sub(g.began) - time.Duration(g.heard.Load())
+}
+
 // Alive is the number of live instances known of, this one included.
 func (g *Gateway) Alive() int { return len(g.view.Load().Alive) }
 
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
+	"github.com/shedhoist/shedhoist/internal/platform"
 )
 
 // Named is what weight versions were named of a model.
@@ -53,6 +54,7 @@
 	Alive     []string                     // names of live instances, this one included, sorted
 	Listed    bool                         // targets were listed at least once
 	Draining  bool                         // this instance is stopping
+	Revision  platform.Version             // up to which the list of targets is complete
 	Rollout   RolloutNews                  // what the instance that gives orders told last
 	StoreOK   bool                         // the object store answers
 }
