Contenders read the lease only where their watch fails

Cause: three contenders read it every 400 ms during a rollout that their watch tells them of anyway.

--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -85,6 +85,7 @@
 
 	renewals uint64
 	wanted   atomic.Bool   // an order waits for the lease to be renewed
+	watched  atomic.Bool   // the watch tells of changes of the lease
 	slots    chan struct{} // of loads that run
 
 	mu      sync.Mutex // guards the rest
@@ -390,7 +391,7 @@
 	o.mu.Unlock()
 	switch step {
 	case order.Read:
-		if o.g.now().Sub(o.renewed) >= leasePulse { // the watch tells of changes; this is for what it missed
+		if !o.watched.Load() && o.g.now().Sub(o.renewed) >= leasePulse {
 			o.readLease(ctx)
 		}
 	case order.Write:
@@ -454,6 +455,7 @@
 	defer o.mu.Unlock()
 	if err != nil {
 		o.lease.Failed()
+		o.watched.Store(false) // read what came of it
 		o.g.log.WithError(err).Warn("lease not written")
 		return
 	}
@@ -484,10 +486,12 @@
 	at, failures := platform.Version(0), 0
 	for ctx.Err() == nil {
 		err := o.watchOnce(ctx, &at)
+		o.watched.Store(err == nil)
 		if err == nil {
 			failures = 0
 			continue
 		}
+		at = 0 // list it anew: an own write may have failed meanwhile
 		failures++
 		wait.For(ctx, pause(failures))
 	}
