--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -178,16 +177,3 @@
 	w.Header().Set("Connection", "close")
 	_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
 }
-
-// readProblem names the failure to read a caller's body.
-func readProblem(err error) error {
-	var tooLarge *http.MaxBytesError
-	var timeout net.Error
-	switch {
-	case errors.As(err, &tooLarge):
-		return problem.New(problem.TooLarge, "the body is larger than this instance takes")
-	case errors.As(err, &timeout) && timeout.Timeout():
-		return problem.New(problem.SlowSender, "the body did not arrive in time")
-	}
-	return problem.New(problem.BadRequest, "the body could not be read")
-}
--- a/internal/caller/model.go
+++ b/internal/caller/model.go
@@ -12,6 +12,7 @@
 
 	"github.com/tidwall/gjson"
 
+	"github.com/shedhoist/shedhoist/internal/body"
 	"github.com/shedhoist/shedhoist/internal/core/prefix"
 	"github.com/shedhoist/shedhoist/internal/dispatch"
 	"github.com/shedhoist/shedhoist/internal/problem"
@@ -49,9 +50,9 @@
 	if w != nil {
 		_ = http.NewResponseController(w).SetReadDeadline(e.Now().Add(time.Duration(e.Limits.BodySeconds) * time.Second))
 	}
-	data, err := readSized(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
+	data, err := body.Read(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
 	if err != nil {
-		return nil, readProblem(err)
+		return nil, body.Problem(err)
 	}
 	callOf(ctx).bodyRead = true
 	if w != nil {
@@ -60,17 +61,6 @@
 	return data, nil
 }
 
-// readSized reads to the end, into one buffer of the announced size if that is
-// known: a long prompt is not copied as a buffer grows.
-func readSized(r io.Reader, size int64) ([]byte, error) {
-	if size < 0 {
-		return io.ReadAll(r)
-	}
-	data := make([]byte, size)
-	_, err := io.ReadFull(r, data)
-	return data, err
-}
-
 type writerKey struct{}
 
 // decodeModel authenticates before it reads: a stranger's body is not read.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"github.com/shedhoist/shedhoist/internal/keys"
 	"github.com/shedhoist/shedhoist/internal/kvstore"
 	"github.com/shedhoist/shedhoist/internal/ledger"
+	"github.com/shedhoist/shedhoist/internal/logline"
 	"github.com/shedhoist/shedhoist/internal/operator"
 	"github.com/shedhoist/shedhoist/internal/peer"
 	"github.com/shedhoist/shedhoist/internal/platform"
@@ -135,7 +136,7 @@
 
 func (d *Daemon) server(h http.Handler, l settings.Limits) *http.Server {
 	return &http.Server{Handler: h, ReadHeaderTimeout: time.Duration(l.HeaderSeconds) * time.Second,
-		IdleTimeout: time.Duration(l.IdleSeconds) * time.Second, MaxHeaderBytes: l.HeaderBytes, ErrorLog: quietLog(d.log)}
+		IdleTimeout: time.Duration(l.IdleSeconds) * time.Second, MaxHeaderBytes: l.HeaderBytes, ErrorLog: logline.Logger(d.log)}
 }
 
 func (d *Daemon) listenTLS(address, cert, key string) (net.Listener, error) {
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/config"
@@ -15,12 +14,6 @@
 	"github.com/shedhoist/shedhoist/internal/wait"
 )
 
-// jitter spreads a period over half to one and a half of itself, so that
-// instances started together do not call together.
-func jitter(d time.Duration) time.Duration {
-	return d/2 + time.Duration(rand.Int64N(int64(d)+1))
-}
-
 // watchWait is how long one watch of the platform waits for a change.
 const watchWait = 30 * time.Second
 
@@ -44,7 +37,7 @@
 		metric.PlatformDown.Inc()
 		d.log.WithError(err).WithField("failures", failures).Warn("platform not reached for configuration")
 		delay := min(settings.Duration(d.set.Timing.ConfigPollMS)<<min(failures-1, 4), maxPlatformPause)
-		if !wait.For(ctx, jitter(delay)) {
+		if !wait.For(ctx, wait.Jitter(delay)) {
 			return
 		}
 	}
@@ -64,7 +57,7 @@
 		return seen, err
 	}
 	if version == 0 { // nothing was ever applied: look again soon
-		wait.For(ctx, jitter(settings.Duration(d.set.Timing.ConfigPollMS)/4))
+		wait.For(ctx, wait.Jitter(settings.Duration(d.set.Timing.ConfigPollMS)/4))
 		return 0, nil
 	}
 	if h.Generation > d.generation() {
@@ -183,7 +176,7 @@
 		if err == nil {
 			d.listed(ctx, list)
 		}
-		if !wait.For(ctx, jitter(settings.Duration(d.set.Timing.ConfigPollMS))) {
+		if !wait.For(ctx, wait.Jitter(settings.Duration(d.set.Timing.ConfigPollMS))) {
 			return
 		}
 	}
--- a/internal/daemon/log.go
+++ b/internal/daemon/log.go
@@ -2,8 +2,6 @@
 
 import (
 	"io"
-	stdlog "log" // http.Server and http.Transport write their own errors to nothing else
-	"strings"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
@@ -25,21 +23,3 @@
 	}
 	return out
 }
-
-// captureStdlog takes the lines that libraries write by package log, such as
-// net/http's about an unasked-for answer, into the structured log.
-func captureStdlog(to log.Interface) {
-	stdlog.SetFlags(0)
-	stdlog.SetOutput(lineWriter{to})
-}
-
-// quietLog takes net/http's own words, such as a client's bad TLS, as debug lines.
-func quietLog(to log.Interface) *stdlog.Logger { return stdlog.New(lineWriter{to}, "", 0) }
-
-type lineWriter struct{ to log.Interface }
-
-// Write implements io.Writer.
-func (w lineWriter) Write(p []byte) (int, error) {
-	w.to.WithField("from", "library").Debug(strings.TrimSpace(string(p)))
-	return len(p), nil
-}
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/shedhoist/shedhoist/internal/logline"
 	"github.com/shedhoist/shedhoist/internal/settings"
 	"github.com/shedhoist/shedhoist/internal/version"
 )
@@ -67,7 +68,7 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
 	logger := NewLogger(stderr, set.Log)
-	captureStdlog(logger)
+	logline.Capture(logger)
 	d, err := New(set, logger)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -131,7 +131,7 @@
 		if round <= youngRounds && bits.OnesCount(uint(round)) == 1 {
 			d.askAllOf(ctx)
 		}
-		if !wait.For(ctx, jitter(seedPeriod)) {
+		if !wait.For(ctx, wait.Jitter(seedPeriod)) {
 			return
 		}
 	}
--- a/internal/daemon/probe.go
+++ b/internal/daemon/probe.go
@@ -121,7 +121,7 @@
 			version = st.Version
 			seq = d.readEvents(ctx, t, seq, st.EventSeq)
 		}
-		if !wait.For(ctx, jitter(d.probePeriod(failures))) {
+		if !wait.For(ctx, wait.Jitter(d.probePeriod(failures))) {
 			return
 		}
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -6,8 +6,6 @@
 import (
 	"context"
 	"errors"
-	"github.com/shedhoist/shedhoist/internal/breaker"
-	"github.com/shedhoist/shedhoist/internal/inflight"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -15,11 +13,13 @@
 
 	"github.com/apex/log"
 
+	"github.com/shedhoist/shedhoist/internal/breaker"
 	"github.com/shedhoist/shedhoist/internal/core/attempt"
 	"github.com/shedhoist/shedhoist/internal/core/cache"
 	"github.com/shedhoist/shedhoist/internal/core/limit"
 	"github.com/shedhoist/shedhoist/internal/core/once"
 	"github.com/shedhoist/shedhoist/internal/core/route"
+	"github.com/shedhoist/shedhoist/internal/inflight"
 	"github.com/shedhoist/shedhoist/internal/kvstore"
 	"github.com/shedhoist/shedhoist/internal/metric"
 	"github.com/shedhoist/shedhoist/internal/problem"
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"github.com/shedhoist/shedhoist/internal/inflight"
 	"io"
 	"net/http"
 	"strings"
@@ -13,6 +12,7 @@
 	"github.com/shedhoist/shedhoist/internal/core/attempt"
 	"github.com/shedhoist/shedhoist/internal/core/prefix"
 	"github.com/shedhoist/shedhoist/internal/core/route"
+	"github.com/shedhoist/shedhoist/internal/inflight"
 	"github.com/shedhoist/shedhoist/internal/metric"
 	"github.com/shedhoist/shedhoist/internal/problem"
 	"github.com/shedhoist/shedhoist/internal/target"
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
@@ -30,12 +29,9 @@
 	retryMax  = 1200 * time.Millisecond
 )
 
-// jitter spreads a pause over half to one and a half of itself.
-func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d+1) }
-
 // pause is the time before the next try after so many failures in a row.
 func pause(failures int) time.Duration {
-	return jitter(min(retryBase<<min(failures-1, 8), retryMax))
+	return wait.Jitter(min(retryBase<<min(failures-1, 8), retryMax))
 }
 
 // feed turns what the store says of one kind into events.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/shedhoist/shedhoist/internal/breaker"
 	"github.com/shedhoist/shedhoist/internal/core/member"
 	"github.com/shedhoist/shedhoist/internal/core/place"
+	"github.com/shedhoist/shedhoist/internal/logline"
 	"github.com/shedhoist/shedhoist/internal/metric"
 	"github.com/shedhoist/shedhoist/internal/netx"
 	"github.com/shedhoist/shedhoist/internal/peer"
@@ -143,7 +144,7 @@
 			return err
 		}
 	}
-	quiet := lineLog(g.log)
+	quiet := logline.Logger(g.log)
 	g.callerSrv = &http.Server{Handler: http.HandlerFunc(g.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeader, ErrorLog: quiet}
 	g.readySrv = &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: quiet}
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -31,7 +31,7 @@
 // no harm: what they free is nobody's.
 func (c *cacheDirectory) keepStores(ctx context.Context) {
 	var settled settling
-	for wait.For(ctx, jitter(keeperTick)) {
+	for wait.For(ctx, wait.Jitter(keeperTick)) {
 		v := c.g.view.Load()
 		if v.Config == nil || v.Draining || !v.StoreOK {
 			continue // what targets serve is not known for sure
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"io"
-	stdlog "log" // http.Server writes its own errors to nothing else
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -92,14 +90,3 @@
 func NewLogger(w io.Writer) *log.Logger {
 	return &log.Logger{Level: log.InfoLevel, Handler: json.New(w)}
 }
-
-// lineLog takes a library's own words as debug lines.
-func lineLog(to log.Interface) *stdlog.Logger { return stdlog.New(lineWriter{to}, "", 0) }
-
-type lineWriter struct{ to log.Interface }
-
-// Write implements io.Writer.
-func (w lineWriter) Write(p []byte) (int, error) {
-	w.to.WithField("from", "library").Debug(strings.TrimSpace(string(p)))
-	return len(p), nil
-}
--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	stdlog "log" // libraries write to it
 	"os"
 	"os/signal"
 	"reflect"
@@ -13,6 +12,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/shedhoist/shedhoist/internal/logline"
 	"github.com/shedhoist/shedhoist/internal/wait"
 )
 
@@ -59,8 +59,7 @@
 	lines := NewLogWriter(stdout)
 	defer lines.Close()
 	logger := NewLogger(lines)
-	stdlog.SetFlags(0)
-	stdlog.SetOutput(lineWriter{logger})
+	logline.Capture(logger)
 	set, err := s.Load()
 	if err != nil {
 		logger.WithError(err).Error("settings refused")
--- a/internal/gateway/meeting.go
+++ b/internal/gateway/meeting.go
@@ -46,7 +46,7 @@
 		case rankOf(alive, g.settings().Name, meetingName) == 0:
 			g.refreshMeeting(ctx)
 		}
-		if !wait.For(ctx, jitter(every)) {
+		if !wait.For(ctx, wait.Jitter(every)) {
 			return
 		}
 	}
--- /dev/null
+++ b/internal/gateway/news.go
@@ -0,0 +1,196 @@
+package gateway
+
+import (
+	"context"
+
+	"github.com/shedhoist/shedhoist/internal/catalog"
+	"github.com/shedhoist/shedhoist/internal/core/member"
+	"github.com/shedhoist/shedhoist/internal/platform"
+	"github.com/shedhoist/shedhoist/internal/wait"
+)
+
+// Have says how new an instance's beliefs are. Of a list it tells the revision
+// of its last change: whoever knows all up to that revision has missed nothing.
+type Have struct {
+	Config   uint64           `cbor:"1,keyasint"` // version
+	Targets  platform.Version `cbor:"2,keyasint"` // last change of the targets
+	Versions platform.Version `cbor:"3,keyasint"` // last change of the named versions
+	Rollout  RolloutStamp     `cbor:"4,keyasint"`
+}
+
+// RolloutStamp orders the news of rollouts: a later holder's token is higher.
+type RolloutStamp struct {
+	Token uint64 `cbor:"1,keyasint"`
+	Seq   uint64 `cbor:"2,keyasint"`
+}
+
+// after says whether s is newer than o.
+func (s RolloutStamp) after(o RolloutStamp) bool {
+	return s.Token > o.Token || (s.Token == o.Token && s.Seq > o.Seq)
+}
+
+// RolloutNews is what the instance that gives orders is doing.
+type RolloutNews struct {
+	Holder  string       `cbor:"4,keyasint"` // the instance
+	Stamp   RolloutStamp `cbor:"1,keyasint"`
+	Closing []string     `cbor:"2,keyasint,omitempty"` // ids of targets that shall get no new requests
+	Arrived []Arrival    `cbor:"3,keyasint,omitempty"` // targets with new weights
+}
+
+// Arrival is a target that was seen to serve new weights.
+type Arrival struct {
+	Target string               `cbor:"1,keyasint"`
+	Serves catalog.ModelVersion `cbor:"2,keyasint"`
+}
+
+// Hello probes a peer and carries news of members both ways.
+type Hello struct {
+	From    member.Member   `cbor:"1,keyasint"`
+	Updates []member.Member `cbor:"2,keyasint"`
+	Have    Have            `cbor:"3,keyasint"`
+	Join    bool            `cbor:"4,keyasint,omitempty"` // answer with all members
+	Need    bool            `cbor:"5,keyasint,omitempty"` // answer with what is newer than Have
+	Known   Known           `cbor:"6,keyasint"`
+}
+
+// Known is up to where an instance's beliefs are complete.
+type Known struct {
+	Config   uint64           `cbor:"1,keyasint"`
+	Targets  platform.Version `cbor:"2,keyasint"`
+	Versions platform.Version `cbor:"3,keyasint"`
+	Rollout  RolloutStamp     `cbor:"4,keyasint"`
+}
+
+// Welcome is the answer to a Hello.
+type Welcome struct {
+	From    member.Member   `cbor:"1,keyasint"`
+	Updates []member.Member `cbor:"2,keyasint"`
+	Have    Have            `cbor:"3,keyasint"`
+	News    *News           `cbor:"4,keyasint,omitempty"`
+}
+
+// News is what a peer believes, as far as it is newer than what the asker has.
+type News struct {
+	Config   []byte                 `cbor:"1,keyasint,omitempty"` // as stored
+	Listed   bool                   `cbor:"2,keyasint,omitempty"`
+	Targets  []catalog.Target       `cbor:"3,keyasint,omitempty"`
+	Revision platform.Version       `cbor:"4,keyasint,omitempty"` // of Targets
+	Versions []catalog.ModelVersion `cbor:"5,keyasint,omitempty"`
+	NamedAt  platform.Version       `cbor:"6,keyasint,omitempty"` // up to which Versions are complete
+	NamedIn  platform.Version       `cbor:"7,keyasint,omitempty"` // of their last change
+	Rollout  *RolloutNews           `cbor:"8,keyasint,omitempty"`
+}
+
+// have says how new the beliefs are.
+func (c *control) have() Have {
+	h := Have{Targets: c.targets.changed, Versions: c.namedIn, Rollout: c.rollout.Stamp}
+	if c.cfg != nil {
+		h.Config = c.cfg.Version
+	}
+	return h
+}
+
+// known says up to where they are complete.
+func (c *control) known() Known {
+	k := Known{Targets: c.targets.revision, Versions: c.namedAt, Rollout: c.rollout.Stamp}
+	if c.cfg != nil {
+		k.Config = c.cfg.Version
+	}
+	return k
+}
+
+// lacks says whether a peer has news that are missing here.
+func (k Known) lacks(h Have) bool {
+	return h.Config > k.Config || h.Targets > k.Targets || h.Versions > k.Versions || h.Rollout.after(k.Rollout)
+}
+
+// newsFor collects what is newer here; nil if nothing is.
+func (c *control) newsFor(k Known) *News {
+	mine := c.have()
+	if !k.lacks(mine) {
+		return nil
+	}
+	n := &News{}
+	if mine.Config > k.Config {
+		n.Config = c.raw
+	}
+	if c.targets.listed && mine.Targets > k.Targets {
+		n.Listed, n.Targets, n.Revision = true, c.targets.all(), c.targets.revision
+	}
+	if mine.Versions > k.Versions {
+		for m, v := range c.named {
+			n.Versions = append(n.Versions, catalog.ModelVersion{Model: m, Version: v.Version})
+		}
+		n.NamedAt, n.NamedIn = c.namedAt, mine.Versions
+	}
+	if mine.Rollout.after(k.Rollout) {
+		news := c.rollout
+		n.Rollout = &news
+	}
+	return n
+}
+
+// takeNews takes a peer's beliefs as far as they are newer.
+func (g *Gateway) takeNews(n *News) {
+	if n.Config != nil {
+		g.readConfig(n.Config, fromPeer)
+	}
+	if n.Listed {
+		g.send(targetsListed{revision: n.Revision, targets: n.Targets, from: fromPeer})
+	}
+	if n.NamedAt > 0 {
+		g.send(versionsNamed{revision: n.NamedAt, changed: n.NamedIn, versions: n.Versions, from: fromPeer})
+	}
+	if n.Rollout != nil {
+		g.send(rolloutHeard{news: *n.Rollout})
+	}
+}
+
+// catchUp takes a peer's news, unless the store tells them within the moment
+// that this usually takes. One call at a time is enough.
+func (g *Gateway) catchUp(from member.Member, have Have) {
+	if !g.catching.CompareAndSwap(false, true) {
+		return
+	}
+	defer g.catching.Store(false)
+	wait.For(g.ctx, catchUpDelay)
+	var hello *Hello
+	g.query(func(c *control) {
+		if c.known().lacks(have) {
+			hello = c.greeting(true)
+		}
+	})
+	if hello == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(g.ctx, peerTimeout)
+	defer cancel()
+	var reply Welcome
+	if err := g.pool.Call(ctx, from.Address, peerService+".Hello", hello, &reply); err != nil {
+		g.log.WithError(err).WithField("peer", from.Name).Warn("news not had")
+		return
+	}
+	if reply.News != nil {
+		g.log.WithField("peer", from.Name).WithField("config", len(reply.News.Config) > 0).WithField("targets", reply.News.Listed).
+			WithField("versions", len(reply.News.Versions)).WithField("rollout", reply.News.Rollout != nil).Info("news taken from a peer")
+		g.takeNews(reply.News)
+	}
+}
+
+// spreadNews tells peers at once what changed, if this instance is one that
+// hears of changes first: a lookout, or the one that gives orders.
+func (g *Gateway) spreadNews(c *control, before Have) {
+	now := c.have()
+	if now == before || g.ctx.Err() != nil {
+		return
+	}
+	lookout := rankOf(g.view.Load().Alive, g.settings().Name, lookoutRole) < lookouts
+	ownRollout := now.Rollout != before.Rollout && c.ownNews
+	if !lookout && !ownRollout {
+		return
+	}
+	hello := c.greeting(false)
+	for _, m := range c.members.Sample(spreadTo) {
+		g.start(func() { g.hello(member.Probe{To: m.Name, Address: m.Address}, hello) })
+	}
+}
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"net/http"
 	"slices"
@@ -17,7 +16,6 @@
 	"github.com/shedhoist/shedhoist/internal/catalog"
 	"github.com/shedhoist/shedhoist/internal/core/order"
 	"github.com/shedhoist/shedhoist/internal/metric"
-	"github.com/shedhoist/shedhoist/internal/platform"
 	"github.com/shedhoist/shedhoist/internal/wait"
 )
 
@@ -63,20 +61,6 @@
 	newsEvery = time.Second
 )
 
-// leaseParams make a contender take over from a holder that died within 1.4 s; a
-// holder acts for 600 ms after a write of the lease, which is a few calls. Two
-// holders are then 800 ms apart at least. Targets that the first one may have
-// given orders to are left alone for longer, see fence.
-var leaseParams = order.Params{Term: time.Second, Margin: 400 * time.Millisecond, Renew: 250 * time.Millisecond}
-
-// leaseValue is the lease's object.
-type leaseValue struct {
-	Holder string `json:"holder"`
-	// Renewals makes each renewal a change: the store ignores writes that change
-	// nothing, and a contender must see that the holder lives.
-	Renewals uint64 `json:"renewals"`
-}
-
 // rollout gives orders while this instance holds the lease.
 type rollout struct {
 	g       *Gateway
@@ -99,33 +83,6 @@
 	fenced  fence           // after another's hold
 }
 
-// fence keeps orders of a new holder away from targets to which the one before
-// may have sent some lately.
-type fence struct {
-	until time.Time
-	all   bool            // it is not known which targets those are
-	ids   map[string]bool // those that it closed
-}
-
-// blocks says whether a target must not get orders yet.
-func (f fence) blocks(id string, now time.Time) bool {
-	return now.Before(f.until) && (f.all || f.ids[id])
-}
-
-// fenceAfter builds the fence that a hold of another leaves: its last order was
-// sent no later than lastAct. What it did is known by its news, which it tells
-// before it gives an order.
-func fenceAfter(holder string, lastAct time.Time, gap time.Duration, news RolloutNews) fence {
-	f := fence{until: lastAct.Add(gap), all: news.Holder != holder, ids: map[string]bool{}}
-	for _, id := range news.Closing {
-		f.ids[id] = true
-	}
-	for _, a := range news.Arrived {
-		f.ids[a.Target] = true
-	}
-	return f
-}
-
 // rollOut brings targets to the weight versions named, while the lease is here.
 // The lease lapses when there is nothing to do; whoever ranks first takes it.
 func (g *Gateway) rollOut(ctx context.Context) {
@@ -382,154 +339,3 @@
 	}
 	return false
 }
-
-// keepLease takes or renews the lease if that is due. One call at a time: only
-// the loop makes it.
-func (o *rollout) keepLease(ctx context.Context) {
-	o.mu.Lock()
-	step, version := o.lease.Next(o.g.now())
-	o.mu.Unlock()
-	switch step {
-	case order.Read:
-		if !o.watched.Load() && o.g.now().Sub(o.renewed) >= leasePulse {
-			o.readLease(ctx)
-		}
-	case order.Write:
-		o.writeLease(ctx, platform.Version(version))
-	}
-}
-
-// renewFor waits for the loop to renew the lease for an order that is due.
-func (o *rollout) renewFor(ctx context.Context) bool {
-	o.wanted.Store(true)
-	for range renewTries {
-		if !wait.For(ctx, rolloutTick/2) {
-			return false
-		}
-		o.mu.Lock()
-		_, held := o.lease.Held(o.g.now())
-		o.mu.Unlock()
-		if held {
-			return true
-		}
-	}
-	return false
-}
-
-func (o *rollout) readLease(ctx context.Context) {
-	o.renewed = o.g.now()
-	obj, err := o.g.store.Get(ctx, leaseKind, leaseName)
-	var missing *platform.NotFoundError
-	if err != nil && !errors.As(err, &missing) {
-		o.g.log.WithError(err).Warn("lease not read")
-		return
-	}
-	o.saw(obj)
-}
-
-// saw takes the lease's object as the store told it.
-func (o *rollout) saw(obj platform.Named) {
-	var v leaseValue
-	if obj.Version != 0 {
-		if err := json.Unmarshal(obj.Value, &v); err != nil {
-			o.g.log.WithError(err).Error("lease not readable, taken for another's")
-			v.Holder = "unreadable"
-		}
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.lease.Saw(v.Holder, uint64(obj.Version), o.g.now())
-}
-
-func (o *rollout) writeLease(ctx context.Context, want platform.Version) {
-	o.renewals++
-	data, err := json.Marshal(leaseValue{Holder: o.g.settings().Name, Renewals: o.renewals})
-	if err != nil {
-		panic(err) // a string and a number always marshal
-	}
-	start := o.g.now()
-	o.renewed = start
-	before, changed := o.lastHolder()
-	version, err := o.g.store.Put(ctx, leaseKind, leaseName, data, want)
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if err != nil {
-		o.lease.Failed()
-		o.watched.Store(false) // read what came of it
-		o.g.log.WithError(err).Warn("lease not written")
-		return
-	}
-	o.lease.Wrote(uint64(version), start)
-	if o.lease.Fresh() {
-		o.planner = order.NewPlanner(loadTime)
-		o.planner.PlanAhead(planAhead)
-		o.arrived, o.token, o.seq, o.fenced = nil, uint64(version), 0, fence{}
-		if before != "" && before != o.g.settings().Name {
-			lastAct := changed.Add(leaseParams.Term - leaseParams.Margin)
-			o.fenced = fenceAfter(before, lastAct, o.g.settings().LeaseGap, o.g.view.Load().Rollout)
-		}
-		o.g.log.WithField("token", uint64(version)).WithField("before", before).WithField("fenced", len(o.fenced.ids)).
-			WithField("fence_all", o.fenced.all).WithField("fence_ms", o.fenced.until.Sub(o.g.now()).Milliseconds()).Info("lease for orders taken")
-	}
-}
-
-// lastHolder is who held the lease as last seen, and since when that word stands.
-func (o *rollout) lastHolder() (holder string, since time.Time) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.lease.Holder()
-}
-
-// watchLease tells the lease of others' writes, so that a contender knows how
-// long it has not been renewed.
-func (o *rollout) watchLease(ctx context.Context) {
-	at, failures := platform.Version(0), 0
-	for ctx.Err() == nil {
-		err := o.watchOnce(ctx, &at)
-		o.watched.Store(err == nil)
-		if err == nil {
-			failures = 0
-			continue
-		}
-		at = 0 // list it anew: an own write may have failed meanwhile
-		failures++
-		wait.For(ctx, pause(failures))
-	}
-}
-
-func (o *rollout) watchOnce(ctx context.Context, at *platform.Version) error {
-	if rankOf(o.g.view.Load().Alive, o.g.settings().Name, leaseName) >= contenders {
-		wait.For(ctx, leasePulse)
-		return nil
-	}
-	if *at == 0 {
-		s, err := o.g.store.All(ctx, leaseKind)
-		if err != nil {
-			return err
-		}
-		if len(s.Objects) == 0 {
-			o.saw(platform.Named{})
-		}
-		for _, obj := range s.Objects {
-			o.saw(obj)
-		}
-		*at = s.Revision
-		return nil
-	}
-	c, err := o.g.store.Follow(ctx, leaseKind, *at, leaseWatch)
-	var lost *platform.HistoryLostError
-	if errors.As(err, &lost) {
-		*at = 0
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	for _, ch := range c.Changes {
-		if !ch.Deleted {
-			o.saw(ch.Named)
-		}
-	}
-	*at = max(*at, c.Revision)
-	return nil
-}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -2,11 +2,10 @@
 
 import (
 	"errors"
-	"io"
-	"net"
 	"net/http"
 	"time"
 
+	"github.com/shedhoist/shedhoist/internal/body"
 	"github.com/shedhoist/shedhoist/internal/catalog"
 	"github.com/shedhoist/shedhoist/internal/metric"
 	"github.com/shedhoist/shedhoist/internal/problem"
@@ -109,8 +108,8 @@
 		x.g.log.WithError(err).WithField("request", x.call.ID).Warn("no bound on the time for the body")
 	}
 	var err error
-	if x.body, err = readSized(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength); err != nil {
-		return bodyProblem(err)
+	if x.body, err = body.Read(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength); err != nil {
+		return body.Problem(err)
 	}
 	_ = rc.SetReadDeadline(time.Time{}) // a connection on which this fails is gone
 	return nil
@@ -119,29 +118,6 @@
 // maxBody bounds a body where the configuration does not, in bytes.
 const maxBody = 8 << 20
 
-// readSized reads to the end, into one buffer of the announced size if that is known.
-func readSized(r io.Reader, size int64) ([]byte, error) {
-	if size < 0 {
-		return io.ReadAll(r)
-	}
-	data := make([]byte, size)
-	_, err := io.ReadFull(r, data)
-	return data, err
-}
-
-// bodyProblem names the failure to read a caller's body.
-func bodyProblem(err error) *problem.Problem {
-	var tooLarge *http.MaxBytesError
-	var timeout net.Error
-	switch {
-	case errors.As(err, &tooLarge):
-		return problem.New(problem.TooLarge, "the body is larger than allowed")
-	case errors.As(err, &timeout) && timeout.Timeout():
-		return problem.New(problem.SlowSender, "the body did not arrive in time")
-	}
-	return problem.New(problem.BadRequest, "the body could not be read")
-}
-
 // refuse gives the final answer of our own, at once.
 func (x *exchange) refuse(p *problem.Problem) {
 	p.RequestID = x.call.ID
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"crypto/tls"
-	"github.com/shedhoist/shedhoist/internal/netx"
 	"net"
 	"net/rpc"
 	"reflect"
 	"sync"
 	"time"
+
+	"github.com/shedhoist/shedhoist/internal/netx"
 )
 
 // CallError says that a call to a peer failed.
--- a/internal/target/engine.go
+++ b/internal/target/engine.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"github.com/shedhoist/shedhoist/internal/netx"
 	"io"
 	"iter"
 	"net"
@@ -14,6 +13,8 @@
 
 	"github.com/tidwall/gjson"
 	"github.com/tmaxmax/go-sse"
+
+	"github.com/shedhoist/shedhoist/internal/netx"
 )
 
 // Bounds of one exchange with an engine.
--- a/internal/target/service.go
+++ b/internal/target/service.go
@@ -3,10 +3,11 @@
 import (
 	"bytes"
 	"context"
-	"github.com/shedhoist/shedhoist/internal/netx"
 	"io"
 	"net/http"
 	"strconv"
+
+	"github.com/shedhoist/shedhoist/internal/netx"
 )
 
 // Call is one request to a plain service.
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 )
 
@@ -21,3 +22,7 @@
 		return false
 	}
 }
+
+// Jitter spreads a period over half to one and a half of itself, so that
+// instances started together do not act together.
+func Jitter(d time.Duration) time.Duration { return d/2 + rand.N(d+1) }
