--- a/internal/core/stock/stock.go
+++ b/internal/core/stock/stock.go
@@ -67,7 +67,8 @@
 	used  int         // space of held
 	heard time.Time   // of the last answer
 
-	broken map[Key]brokenPart // incomplete parts of the last list
+	broken   map[Key]brokenPart // incomplete parts of the last list
+	brokenAt time.Time          // of that list
 }
 
 // brokenPart is a part that takes space and is not complete.
@@ -86,14 +87,15 @@
 		}
 		next[p.Key] = b
 	}
-	s.broken = next
+	s.broken, s.brokenAt = next, now
 }
 
-// Stuck returns the incomplete parts that have not grown for at least d.
-func (s *Shelf) Stuck(now time.Time, d time.Duration) []Key {
+// Stuck returns the parts that two lists at least d apart, and no event since,
+// show incomplete and of the same size.
+func (s *Shelf) Stuck(d time.Duration) []Key {
 	var out []Key
 	for k, b := range s.broken {
-		if now.Sub(b.since) >= d {
+		if s.brokenAt.Sub(b.since) >= d {
 			out = append(out, k)
 		}
 	}
@@ -124,6 +126,7 @@
 	for _, e := range events {
 		s.used -= space(s.held[e.Key])
 		delete(s.held, e.Key)
+		delete(s.broken, e.Key)
 		if e.Added {
 			s.held[e.Key] = e.Tokens
 			s.used += space(e.Tokens)
--- a/internal/core/stock/stock_test.go
+++ b/internal/core/stock/stock_test.go
@@ -110,11 +110,16 @@
 	}
 	s.List(1, 1, nil, at(0))
 	s.Broken([]stock.Held{part("stuck", 5), part("grows", 5), part("ends", 5)}, at(0))
-	is.Equal(len(s.Stuck(at(9), 10*time.Second)), 0)
+	is.Equal(len(s.Stuck(10*time.Second)), 0)
+	is.True(s.Apply(1, 2, false, []stock.Event{{Key: stock.Key{Salt: "s", Part: "ends"}, Added: true, Tokens: 100}}, at(11)))
+	is.Equal(len(s.Stuck(10*time.Second)), 0) // one list says nothing of what came after it
 	s.Broken([]stock.Held{part("stuck", 5), part("grows", 6)}, at(12))
-	is.Equal(s.Stuck(at(12), 10*time.Second), []stock.Key{{Salt: "s", Part: "stuck"}})
-	s.Drop(s.Stuck(at(12), 10*time.Second))
-	is.Equal(len(s.Stuck(at(12), 10*time.Second)), 0)
+	is.Equal(s.Stuck(10*time.Second), []stock.Key{{Salt: "s", Part: "stuck"}})
+	is.True(s.Apply(1, 3, false, []stock.Event{{Key: stock.Key{Salt: "s", Part: "stuck"}, Added: true, Tokens: 100}}, at(13)))
+	is.Equal(len(s.Stuck(10*time.Second)), 0) // complete after all
+	s.Broken([]stock.Held{part("grows", 6)}, at(24))
+	s.Drop(s.Stuck(10 * time.Second))
+	is.Equal(len(s.Stuck(10*time.Second)), 0)
 	s.Forget()
-	is.Equal(len(s.Stuck(at(60), 10*time.Second)), 0)
+	is.Equal(len(s.Stuck(10*time.Second)), 0)
 }
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -13,10 +13,10 @@
 	// keeperTick is how often a keeper looks for what can be freed.
 	keeperTick = 400 * time.Millisecond
 	// settleTime is how long all targets must have been seen with newer weights
-	// before older cache is freed: a target with newer weights refuses requests that
-	// expect older ones, so that none can fetch it; this covers the entries of the
-	// list that are being written.
-	settleTime = time.Second
+	// before older cache is freed. A target with newer weights refuses requests that
+	// expect older ones, so that none can fetch it; this covers a target that left
+	// the list and that others hold on to for returnTime, with a fetch under way.
+	settleTime = returnTime + 2*time.Second
 	// freeTime is how long an order to free may be under way.
 	freeTime = time.Second
 	// freeBatch is how many parts one call frees.
@@ -93,7 +93,7 @@
 	var parts []stock.Key
 	var epoch uint64
 	if sh != nil && sh.Known(c.g.now(), shelfAge) {
-		parts = append(sh.Older(oldest, freeBatch), sh.Stuck(c.g.now(), brokenTime)...)
+		parts = append(sh.Older(oldest, freeBatch), sh.Stuck(brokenTime)...)
 		epoch, _, _ = sh.Position()
 	}
 	c.mu.Unlock()
--- a/internal/gateway/lease.go
+++ b/internal/gateway/lease.go
@@ -68,21 +68,22 @@
 	}
 }
 
-// renewFor waits for the loop to renew the lease for an order that is due.
-func (o *rollout) renewFor(ctx context.Context) bool {
-	o.wanted.Store(true)
+// holdFor returns the fencing token for an order that is due. Where the lease is
+// about to lapse it waits for the loop to renew it.
+func (o *rollout) holdFor(ctx context.Context) (token uint64, held bool) {
 	for range renewTries {
-		if !wait.For(ctx, rolloutTick/2) {
-			return false
-		}
 		o.mu.Lock()
-		_, held := o.lease.Held(o.g.now())
+		token, held = o.lease.Held(o.g.now())
 		o.mu.Unlock()
 		if held {
-			return true
+			return token, true
+		}
+		o.wanted.Store(true)
+		if !wait.For(ctx, rolloutTick/2) {
+			break
 		}
 	}
-	return false
+	return 0, false
 }
 
 func (o *rollout) readLease(ctx context.Context) {
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -274,19 +274,9 @@
 // order gives one order, if the lease is held right before. It returns "" unless
 // the target surely did not take it.
 func (o *rollout) order(ctx context.Context, model string, version uint64, t *catalog.Target, seq uint64) string {
-	o.mu.Lock()
-	token, held := o.lease.Held(o.g.now())
-	o.mu.Unlock()
-	if !held && !o.renewFor(ctx) {
-		return "lease lapsed before the order"
-	}
+	token, held := o.holdFor(ctx)
 	if !held {
-		o.mu.Lock()
-		token, held = o.lease.Held(o.g.now())
-		o.mu.Unlock()
-		if !held {
-			return "lease lapsed before the order"
-		}
+		return "lease lapsed before the order"
 	}
 	metric.Orders.Inc()
 	err := o.g.engines.Load(ctx, LoadOrder{Target: t.ID, Address: t.Address, Model: model, Version: version, Holder: o.g.settings().Name,
