--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -175,6 +175,7 @@
 	for m, n := range c.named {
 		v.Named[m] = n
 	}
+	v.Departed = slices.Clone(c.targets.departed)
 	closing := c.closing()
 	c.shut = len(closing) > 0
 	for id, t := range c.targets.byID {
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/shedhoist/shedhoist/internal/catalog"
 	"github.com/shedhoist/shedhoist/internal/core/stock"
 	"github.com/shedhoist/shedhoist/internal/wait"
 )
@@ -14,9 +15,12 @@
 	keeperTick = 400 * time.Millisecond
 	// settleTime is how long all targets must have been seen with newer weights
 	// before older cache is freed. A target with newer weights refuses requests that
-	// expect older ones, so that none can fetch it; this covers a target that left
-	// the list and that others hold on to for returnTime, with a fetch under way.
-	settleTime = returnTime + 2*time.Second
+	// expect older ones, so that none can fetch it; this covers lists that differ by
+	// what is being told.
+	settleTime = time.Second
+	// lingerTime is how long a target that left the list counts as serving: others
+	// may hold on to it for returnTime, with a fetch under way.
+	lingerTime = returnTime + 2*time.Second
 	// freeTime is how long an order to free may be under way.
 	freeTime = time.Second
 	// freeBatch is how many parts one call frees.
@@ -36,7 +40,7 @@
 		if v.Config == nil || v.Draining || !v.StoreOK {
 			continue // what targets serve is not known for sure
 		}
-		oldest := settled.update(oldestServed(v), c.g.now())
+		oldest := settled.update(oldestServed(v, c.g.now()), c.g.now())
 		if len(oldest) == 0 {
 			continue
 		}
@@ -48,17 +52,25 @@
 	}
 }
 
-// oldestServed is each model's oldest weight version that any target serves,
-// leaving ones too.
-func oldestServed(v *View) map[string]uint64 {
+// oldestServed is each model's oldest weight version that any target serves, or
+// may serve still: leaving ones, and those that left the list lately.
+func oldestServed(v *View, now time.Time) map[string]uint64 {
 	out := map[string]uint64{}
-	for _, t := range v.Targets {
-		for _, m := range t.Models {
+	add := func(models []catalog.ModelVersion) {
+		for _, m := range models {
 			if at, ok := out[m.Model]; !ok || m.Version < at {
 				out[m.Model] = m.Version
 			}
 		}
 	}
+	for _, t := range v.Targets {
+		add(t.Models)
+	}
+	for _, d := range v.Departed {
+		if now.Sub(d.at) < lingerTime {
+			add(d.models)
+		}
+	}
 	return out
 }
 
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -15,7 +16,8 @@
 	// loadAge is how long a peer's word counts; it fades until then, since targets
 	// work on what waits.
 	loadAge = 360 * time.Millisecond
-	// loadTo is how many peers are told each time: all of a small fleet.
+	// loadTo is how many peers are told each time: all of a small fleet, else some
+	// of the own zone, whose targets are mostly the same.
 	loadTo = 12
 	// leastTold is the smallest number of tokens worth telling.
 	leastTold = 256
@@ -107,14 +109,28 @@
 			continue
 		}
 		told = len(l.Waiting) > 0
-		var to []member.Member
-		g.query(func(c *control) { to = c.members.Sample(loadTo) })
-		for _, m := range to {
+		for _, m := range g.loadPeers() {
 			g.start(func() { g.tellLoad(m, l) })
 		}
 	}
 }
 
+// loadPeers are the peers to tell this time.
+func (g *Gateway) loadPeers() []member.Member {
+	var all []member.Member
+	g.query(func(c *control) { all = c.members.Sample(math.MaxInt) })
+	if len(all) <= loadTo {
+		return all
+	}
+	near := all[:0]
+	for _, m := range all {
+		if m.Zone == g.settings().Zone && len(near) < loadTo {
+			near = append(near, m)
+		}
+	}
+	return near
+}
+
 // tellLoad sends one word. A lost one is replaced by the next; silence is the
 // business of probes.
 func (g *Gateway) tellLoad(m member.Member, l *Loads) {
--- a/internal/gateway/targets.go
+++ b/internal/gateway/targets.go
@@ -36,10 +36,26 @@
 	revision platform.Version  // up to which the list is complete
 	changed  platform.Version  // of the last change
 	gone     map[string]uint64 // revisions at which entries vanished
+	departed []departure       // the lately removed
 	listed   bool
 	regained time.Time // when contact with the object store was regained
 }
 
+// departure is a target that was removed from the list.
+type departure struct {
+	models []catalog.ModelVersion
+	at     time.Time
+}
+
+// remove drops a target.
+func (t *targetTable) remove(id string, now time.Time) {
+	t.departed = slices.DeleteFunc(t.departed, func(d departure) bool { return now.Sub(d.at) >= lingerTime })
+	if x := t.byID[id]; len(x.Models) > 0 {
+		t.departed = append(t.departed, departure{models: x.Models, at: now})
+	}
+	delete(t.byID, id)
+}
+
 // contactRegained says that the object store answers again.
 func (t *targetTable) contactRegained(now time.Time) { t.regained = now }
 
@@ -132,7 +148,7 @@
 		t.log.WithField("target", id).WithField("for_ms", until.Sub(now).Milliseconds()).Info("target's entry vanished, held")
 		return
 	}
-	delete(t.byID, id)
+	t.remove(id, now)
 	t.log.WithField("target", id).WithField("revision", uint64(t.revision)).Info("target gone")
 }
 
@@ -141,7 +157,7 @@
 	changed := false
 	for id, x := range t.byID {
 		if !x.until.IsZero() && !now.Before(x.until) {
-			delete(t.byID, id)
+			t.remove(id, now)
 			changed = true
 			t.log.WithField("target", id).Info("target gone, its entry did not return")
 		}
--- a/internal/gateway/targets_test.go
+++ b/internal/gateway/targets_test.go
@@ -127,3 +127,17 @@
 	}
 	is.Equal(len(seen), len(alive))
 }
+
+// TestDeparted: a target that left the list counts as serving its weights for as
+// long as others may hold on to it.
+func TestDeparted(t *testing.T) {
+	is := is.New(t)
+	tt := table()
+	newer := entry("b", 2)
+	newer.Models = []catalog.ModelVersion{{Model: "m", Version: 2}}
+	tt.list(5, []catalog.Target{entry("a", 1), newer}, at0)
+	tt.change(6, nil, []string{"a"}, at0)
+	v := &View{Targets: map[string]*catalog.Target{"b": &newer}, Departed: tt.departed}
+	is.Equal(oldestServed(v, at0.Add(lingerTime-time.Millisecond))["m"], uint64(1))
+	is.Equal(oldestServed(v, at0.Add(lingerTime))["m"], uint64(2))
+}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -50,6 +50,7 @@
 	Targets   map[string]*catalog.Target   // by id
 	Serving   map[string][]*catalog.Target // by service: those that take new requests, sorted by id
 	Named     map[string]Named             // by model
+	Departed  []departure                  // targets that left the list lately
 	Instances int                          // known of, this one included, the lately lost too
 	Alive     []string                     // names of live instances, this one included, sorted
 	Listed    bool                         // targets were listed at least once
