--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/core/attempt"
@@ -33,7 +34,13 @@
 	events := eventReader{r: bufio.NewReader(at.resp.Body)}
 	flush := http.NewResponseController(x.w)
 	for first := true; ; first = false {
+		if at.watch != nil && !first {
+			at.watch.Reset(stallTime)
+		}
 		data, id, err := events.next()
+		if at.watch != nil {
+			at.watch.Stop() // a caller that reads slowly is no silence of the target
+		}
 		if errors.Is(err, io.EOF) {
 			return x.streamEnd(at, first)
 		}
@@ -43,8 +50,8 @@
 		if first {
 			x.observe(at)
 		}
-		if at.watch != nil {
-			at.watch.Reset(stallTime)
+		if !x.follows(id) {
+			return ending{event: attempt.BrokeLate, cause: &BadAnswerError{Target: at.target.ID, Reason: "event " + id + " after event " + x.lastEvent}}
 		}
 		if !x.begun {
 			x.writeHeader(at.resp.StatusCode, at.resp.Header, -1)
@@ -63,6 +70,17 @@
 	}
 }
 
+// follows says whether an event may come behind the last one passed on: ids rise,
+// also where the stream went on at another target.
+func (x *exchange) follows(id string) bool {
+	next, err := strconv.ParseUint(id, 10, 64)
+	if err != nil {
+		return true // an id that is no number tells no order
+	}
+	last, err := strconv.ParseUint(x.lastEvent, 10, 64)
+	return err != nil || next > last
+}
+
 // streamEnd takes a stream's proper end. One without any event is an answer all
 // the same.
 func (x *exchange) streamEnd(at *work, empty bool) ending {
