Hold entries that vanish together for 1.2 s; know the age of a rollout after a start

Change: 1.2 s where no outage was noticed; a version found at a start counts as named 7 s ago, and a peer that it joins tells how long ago it really was.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -19,16 +19,20 @@
 	log log.Interface
 	now func() time.Time
 
-	cfg      *catalog.Config
-	raw      []byte // cfg as stored, for peers
-	targets  targetTable
-	named    map[string]Named
-	namedAt  platform.Version // revision up to which named is complete
-	namedIn  platform.Version // revision of the last change of named
-	rollout  RolloutNews      // the newest heard of, or this instance's own
-	ownNews  bool             // it is this instance's own
-	heardOf  time.Time        // when it was heard
-	shut     bool             // the view published last leaves out closing targets
+	cfg     *catalog.Config
+	raw     []byte // cfg as stored, for peers
+	targets targetTable
+	named   map[string]Named
+	namedAt platform.Version // revision up to which named is complete
+	namedIn platform.Version // revision of the last change of named
+	// versionsListed is set once the named versions were heard of at all.
+	versionsListed bool
+	rolloutWithin  time.Duration // time that a rollout may take
+
+	rollout  RolloutNews // the newest heard of, or this instance's own
+	ownNews  bool        // it is this instance's own
+	heardOf  time.Time   // when it was heard
+	shut     bool        // the view published last leaves out closing targets
 	members  *member.Machine
 	draining bool
 	storeOK  bool
@@ -83,6 +87,40 @@
 
 func (e targetsChanged) apply(c *control) { c.targets.change(e.revision, e.present, e.gone, c.now()) }
 
+// unknownAge is how long ago a version is taken to have been named that this
+// process finds at its start: it may have missed most of the rollout's time. What
+// is left is enough for the first targets to load.
+func (c *control) unknownAge() time.Duration {
+	if c.versionsListed {
+		return 0
+	}
+	return max(c.rolloutWithin-freshGrace, 0)
+}
+
+// freshGrace is the time for which a new process still uses older weights than
+// it found named, if no peer knows better.
+const freshGrace = 3 * time.Second
+
+// namedAges brings a peer's word of how long ago versions were named.
+type namedAges struct{ ages []NamedAge }
+
+func (e namedAges) apply(c *control) {
+	for _, a := range e.ages {
+		c.named[a.Model] = c.named[a.Model].agedBy(a.Version, time.Duration(a.MS)*time.Millisecond, c.now())
+	}
+}
+
+// ages tells a peer how long ago versions were named.
+func (c *control) ages() []NamedAge {
+	var out []NamedAge
+	for model, n := range c.named {
+		for _, h := range n.history {
+			out = append(out, NamedAge{Model: model, Version: h.version, MS: c.now().Sub(h.since).Milliseconds()})
+		}
+	}
+	return out
+}
+
 // targetServes brings news of the weights that a target serves, from its own
 // answer to us.
 type targetServes struct {
@@ -108,8 +146,9 @@
 		}
 		c.log.WithField("model", v.Model).WithField("version", v.Version).WithField("before", c.named[v.Model].Version).
 			WithField("from", string(e.from)).Info("weight version named")
-		c.named[v.Model] = c.named[v.Model].with(v.Version, c.now())
+		c.named[v.Model] = c.named[v.Model].with(v.Version, c.now().Add(-c.unknownAge()))
 	}
+	c.versionsListed = true
 }
 
 // storeReached says whether the object store answered.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -186,7 +186,7 @@
 	// The first incarnation is 1, not a time of day: one that lived before under
 	// this name is refuted as soon as a peer tells of it.
 	self := member.Member{Name: set.Name, Address: g.PeerAddr(), Zone: set.Zone, Incarnation: 1}
-	c := &control{log: g.log, now: g.now, named: map[string]Named{}, members: member.New(params, self, rand.IntN), storeOK: true,
+	c := &control{log: g.log, now: g.now, named: map[string]Named{}, members: member.New(params, self, rand.IntN), storeOK: true, rolloutWithin: set.RolloutWithin,
 		targets: targetTable{log: g.log, byID: map[string]*heldTarget{}}}
 	g.start(func() { g.runControl(g.ctx, c) })
 	g.followAll(g.ctx)
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -67,6 +67,14 @@
 	Updates []member.Member `cbor:"2,keyasint"`
 	Have    Have            `cbor:"3,keyasint"`
 	News    *News           `cbor:"4,keyasint,omitempty"`
+	Ages    []NamedAge      `cbor:"5,keyasint,omitempty"` // to one that joins
+}
+
+// NamedAge is how long ago a weight version was named, by the teller's own clock.
+type NamedAge struct {
+	Model   string `cbor:"1,keyasint"`
+	Version uint64 `cbor:"2,keyasint"`
+	MS      int64  `cbor:"3,keyasint"`
 }
 
 // News is what a peer believes, as far as it is newer than what the asker has.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -82,7 +82,7 @@
 	c.members.Receive(req.Updates, now)
 	out := Welcome{From: c.members.Self(), Have: c.have()}
 	if req.Join {
-		out.Updates = c.members.Members()
+		out.Updates, out.Ages = c.members.Members(), c.ages()
 	} else {
 		out.Updates = c.members.Batch(req.From.Name)
 	}
@@ -118,6 +118,7 @@
 func (e helloEnded) apply(c *control) {
 	now := c.now()
 	c.members.Receive(e.reply.Updates, now)
+	namedAges{e.reply.Ages}.apply(c)
 	if e.ok {
 		c.members.Receive([]member.Member{e.reply.From}, now)
 		c.members.Ack(e.probe.To, now)
--- a/internal/gateway/targets.go
+++ b/internal/gateway/targets.go
@@ -18,6 +18,9 @@
 	// massLapse is how many entries that were not leaving must vanish at once to
 	// be taken for lapsed rather than gone: an outage may end before it is noticed.
 	massLapse = 3
+	// massHold is how long those are held if no outage was noticed: they may have
+	// left in order, and must get no requests 2 s after they said so.
+	massHold = 1200 * time.Millisecond
 	// maxGone bounds the memory of vanished entries.
 	maxGone = 4096
 )
@@ -95,7 +98,7 @@
 	}
 	until := t.regained.Add(returnTime)
 	if sudden >= massLapse && until.Before(now) {
-		until = now.Add(returnTime)
+		until = now.Add(massHold)
 	}
 	for _, id := range gone {
 		t.vanish(id, until, now)
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -32,6 +32,18 @@
 	return Named{Version: version, history: history}
 }
 
+// agedBy returns n with a version known to have been named that long ago, or
+// longer.
+func (n Named) agedBy(version uint64, age time.Duration, now time.Time) Named {
+	history := slices.Clone(n.history)
+	for i, h := range history {
+		if since := now.Add(-age); h.version == version && since.Before(h.since) {
+			history[i].since = since
+		}
+	}
+	return Named{Version: n.Version, history: history}
+}
+
 // behindFor is how long it has been known that a version is not the newest; 0 if
 // it is.
 func (n Named) behindFor(version uint64, now time.Time) time.Duration {
