--- a/internal/gateway/lease.go
+++ b/internal/gateway/lease.go
@@ -139,7 +139,7 @@
 			o.fenced = fenceAfter(before, lastAct, o.g.settings().LeaseGap, o.g.view.Load().Rollout)
 		}
 		o.g.log.WithField("token", uint64(version)).WithField("before", before).WithField("fenced", len(o.fenced.ids)).
-			WithField("fence_all", o.fenced.all).WithField("fence_ms", o.fenced.until.Sub(o.g.now()).Milliseconds()).Info("lease for orders taken")
+			WithField("fence_all", o.fenced.all).WithField("fence_ms", max(o.fenced.until.Sub(o.g.now()), 0).Milliseconds()).Info("lease for orders taken")
 	}
 }
 
