In a large fleet only the lookouts watch the targets' entries

Change: with more than 16 instances those that are no lookouts go by peers' news as long as a peer answered lately; news tell what changed since a revision, not whole lists. Small fleets are as before.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -38,6 +38,7 @@
 type feed struct {
 	kind    string
 	lookout time.Duration // how long a lookout's watch waits
+	byNews  bool          // in a large fleet only the lookouts watch it
 	list    func(platform.Snapshot) error
 	changes func(platform.Changes) error
 }
@@ -46,10 +47,10 @@
 func (g *Gateway) followAll(ctx context.Context) {
 	config, targets, versions := g.codec.Kinds()
 	feeds := []feed{
-		{config, lookoutWait, func(s platform.Snapshot) error { return g.readConfigs(s.Objects) },
+		{config, lookoutWait, false, func(s platform.Snapshot) error { return g.readConfigs(s.Objects) },
 			func(c platform.Changes) error { return g.readConfigs(present(c)) }},
-		{targets, lookoutWait, g.listTargets, g.changeTargets},
-		{versions, slowKindWait, func(s platform.Snapshot) error { return g.readVersions(s.Revision, s.Objects) },
+		{targets, lookoutWait, true, g.listTargets, g.changeTargets},
+		{versions, slowKindWait, false, func(s platform.Snapshot) error { return g.readVersions(s.Revision, s.Objects) },
 			func(c platform.Changes) error { return g.readVersions(c.Revision, present(c)) }},
 	}
 	for _, f := range feeds {
@@ -73,6 +74,10 @@
 func (g *Gateway) follow(ctx context.Context, f feed) {
 	at, listed, failures := platform.Version(0), false, 0
 	for ctx.Err() == nil {
+		if listed && f.byNews && g.newsComes() {
+			wait.For(ctx, newsPoll)
+			continue
+		}
 		next, err := g.followOnce(ctx, f, at, listed)
 		var lost *platform.HistoryLostError
 		switch {
@@ -111,6 +116,20 @@
 	return max(c.Revision, at), f.changes(c)
 }
 
+// newsPoll is how often an instance that goes by news looks whether it may still.
+const newsPoll = 250 * time.Millisecond
+
+// newsComes says whether this instance may go by its peers' news instead of a
+// watch of its own: the fleet is large, others are its lookouts, and a peer was
+// heard lately.
+func (g *Gateway) newsComes() bool {
+	v := g.view.Load()
+	if len(v.Alive) <= smallFleet || rankOf(v.Alive, g.settings().Name, lookoutRole) < lookouts {
+		return false
+	}
+	return g.now().Sub(g.began)-time.Duration(g.heardPeer.Load()) < newsAge
+}
+
 // watchFor is how long a watch waits. Instances agree by function on who the
 // lookouts are.
 func (g *Gateway) watchFor(f feed) time.Duration {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,8 @@
 	storeOK atomic.Bool
 	heard   atomic.Int64 // when the object store answered last, ns after began
 	began   time.Time
+	// heardPeer is when a peer answered last, ns after began.
+	heardPeer atomic.Int64
 	// failing has the kinds about which the store does not answer.
 	failingMu sync.Mutex
 	failing   map[string]bool
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -80,13 +80,14 @@
 // News is what a peer believes, as far as it is newer than what the asker has.
 type News struct {
 	Config   []byte                 `cbor:"1,keyasint,omitempty"` // as stored
-	Listed   bool                   `cbor:"2,keyasint,omitempty"`
+	Listed   bool                   `cbor:"2,keyasint,omitempty"` // Targets are all there are, else those that changed
 	Targets  []catalog.Target       `cbor:"3,keyasint,omitempty"`
 	Revision platform.Version       `cbor:"4,keyasint,omitempty"` // of Targets
 	Versions []catalog.ModelVersion `cbor:"5,keyasint,omitempty"`
 	NamedAt  platform.Version       `cbor:"6,keyasint,omitempty"` // up to which Versions are complete
 	NamedIn  platform.Version       `cbor:"7,keyasint,omitempty"` // of their last change
 	Rollout  *RolloutNews           `cbor:"8,keyasint,omitempty"`
+	Gone     []string               `cbor:"9,keyasint,omitempty"` // ids of targets that are no more
 }
 
 // have says how new the beliefs are.
@@ -123,7 +124,8 @@
 		n.Config = c.raw
 	}
 	if c.targets.listed && mine.Targets > k.Targets {
-		n.Listed, n.Targets, n.Revision = true, c.targets.all(), c.targets.revision
+		n.Revision = c.targets.revision
+		n.Targets, n.Gone, n.Listed = c.targets.since(k.Targets)
 	}
 	if mine.Versions > k.Versions {
 		for m, v := range c.named {
@@ -143,8 +145,11 @@
 	if n.Config != nil {
 		g.readConfig(n.Config, fromPeer)
 	}
-	if n.Listed {
+	switch {
+	case n.Listed:
 		g.send(targetsListed{revision: n.Revision, targets: n.Targets, from: fromPeer})
+	case n.Revision > 0:
+		g.send(targetsChanged{revision: n.Revision, present: n.Targets, gone: n.Gone})
 	}
 	if n.NamedAt > 0 {
 		g.send(versionsNamed{revision: n.NamedAt, changed: n.NamedIn, versions: n.Versions, from: fromPeer})
@@ -192,10 +197,11 @@
 	if now == before || g.ctx.Err() != nil {
 		return
 	}
+	members := len(g.view.Load().Alive)
 	lookout := rankOf(g.view.Load().Alive, g.settings().Name, lookoutRole) < lookouts
 	ownRollout := now.Rollout != before.Rollout && c.ownNews
-	if !lookout && !ownRollout {
-		return
+	if !lookout && !ownRollout && members <= smallFleet {
+		return // the lookouts reach all of a small fleet
 	}
 	hello := c.greeting(false)
 	for _, m := range c.members.Sample(spreadTo) {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -20,6 +20,11 @@
 	needyPeriod = 300 * time.Millisecond
 	// catchUpDelay is what the store usually takes to tell all instances of a change.
 	catchUpDelay = 100 * time.Millisecond
+	// smallFleet is the largest number of instances in which all watch the targets'
+	// entries. In a larger one the lookouts do, and news spread from peer to peer.
+	smallFleet = 16
+	// newsAge is how old the last exchange with a peer may be for that.
+	newsAge = 1500 * time.Millisecond
 	// spreadTo is how many peers are told of a change at once; it spreads on by probes.
 	spreadTo = 12
 	// lookoutRole ranks the instances that tell the others.
@@ -144,6 +149,9 @@
 		return // a seed that does not answer is no member yet
 	}
 	g.send(helloEnded{g: g, probe: p, ok: err == nil, reply: reply})
+	if err == nil {
+		g.heardPeer.Store(int64(g.now().Sub(g.began)))
+	}
 	if reply.News != nil {
 		g.takeNews(reply.News)
 		return
--- a/internal/gateway/targets.go
+++ b/internal/gateway/targets.go
@@ -39,6 +39,7 @@
 	revision platform.Version  // up to which the list is complete
 	changed  platform.Version  // of the last change
 	gone     map[string]uint64 // revisions at which entries vanished
+	goneFrom platform.Version  // from which on gone is complete
 	departed []departure       // the lately removed
 	listed   bool
 	regained time.Time // when contact with the object store was regained
@@ -77,6 +78,9 @@
 			gone = append(gone, id)
 		}
 	}
+	if !t.listed {
+		t.goneFrom = revision
+	}
 	t.listed = true
 	t.change(revision, targets, gone, now)
 }
@@ -142,9 +146,12 @@
 	if x == nil || !x.until.IsZero() || x.Revision > uint64(t.revision) {
 		return
 	}
-	if t.gone == nil || len(t.gone) > maxGone {
+	if t.gone == nil {
 		t.gone = map[string]uint64{}
 	}
+	if len(t.gone) > maxGone {
+		t.gone, t.goneFrom = map[string]uint64{}, t.revision
+	}
 	t.gone[id] = uint64(t.revision)
 	if !x.Leaving && until.After(now) {
 		t.byID[id] = &heldTarget{Target: x.Target, until: until}
@@ -180,6 +187,25 @@
 	t.log.WithField("target", id).WithField("model", at.Model).WithField("version", at.Version).Info("target serves newer weights")
 }
 
+// since returns what changed after a revision: entries, and ids that are gone. If
+// that is not known it returns all entries, and all is true.
+func (t *targetTable) since(revision platform.Version) (entries []catalog.Target, gone []string, all bool) {
+	if revision < t.goneFrom {
+		return t.all(), nil, true
+	}
+	for _, x := range t.byID {
+		if x.until.IsZero() && x.Revision > uint64(revision) {
+			entries = append(entries, x.Target)
+		}
+	}
+	for id, at := range t.gone {
+		if x := t.byID[id]; at > uint64(revision) && (x == nil || !x.until.IsZero()) {
+			gone = append(gone, id)
+		}
+	}
+	return entries, gone, false
+}
+
 // all returns the entries that stand, held ones too.
 func (t *targetTable) all() []catalog.Target {
 	out := make([]catalog.Target, 0, len(t.byID))
--- a/internal/gateway/targets_test.go
+++ b/internal/gateway/targets_test.go
@@ -160,3 +160,27 @@
 	is.Equal(c.named["m"].behindFor(2, now), time.Duration(1)) // just named
 	is.Equal(len(c.ages()), 2)
 }
+
+// TestSince: a peer that knows up to a revision is told what changed since, and one
+// that knows less than this instance remembers is told all.
+func TestSince(t *testing.T) {
+	is := is.New(t)
+	tt := table()
+	tt.list(5, []catalog.Target{entry("a", 1), entry("b", 2), entry("c", 3)}, at0)
+	tt.change(7, []catalog.Target{entry("b", 7)}, []string{"a"}, at0)
+	entries, gone, all := tt.since(5)
+	is.True(!all)
+	is.Equal(len(entries), 1)
+	is.Equal(entries[0].ID, "b")
+	is.Equal(gone, []string{"a"})
+	peer := table()
+	peer.list(5, []catalog.Target{entry("a", 1), entry("b", 2), entry("c", 3)}, at0)
+	peer.change(7, entries, gone, at0)
+	is.Equal(len(peer.byID), 2)
+	is.Equal(peer.byID["b"].Revision, uint64(7))
+	entries, _, all = tt.since(4)
+	is.True(all)
+	is.Equal(len(entries), 2)
+	entries, gone, all = tt.since(7)
+	is.True(!all && len(entries) == 0 && len(gone) == 0)
+}
