--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -76,7 +76,10 @@
 	from     source
 }
 
-func (e targetsListed) apply(c *control) { c.targets.list(e.revision, e.targets, c.now()) }
+func (e targetsListed) apply(c *control) {
+	c.log.WithField("revision", uint64(e.revision)).WithField("targets", len(e.targets)).WithField("from", string(e.from)).Info("targets listed")
+	c.targets.list(e.revision, e.targets, c.now())
+}
 
 // targetsChanged brings changes up to a revision.
 type targetsChanged struct {
