Tell only witnessed ages of named versions

Change: a guess is told to nobody; the word of a peer that saw the naming replaces it. TestNewProcess states it (written with the change, not run against the code before).

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -94,9 +94,6 @@
 // process finds at its start: it may have missed most of the rollout's time. What
 // is left is enough for the first targets to load.
 func (c *control) unknownAge() time.Duration {
-	if c.versionsListed {
-		return 0
-	}
 	return max(c.rolloutWithin-freshGrace, 0)
 }
 
@@ -113,11 +110,14 @@
 	}
 }
 
-// ages tells a peer how long ago versions were named.
+// ages tells a peer how long ago versions were named, as far as that is no guess.
 func (c *control) ages() []NamedAge {
 	var out []NamedAge
 	for model, n := range c.named {
 		for _, h := range n.history {
+			if h.assumed {
+				continue
+			}
 			out = append(out, NamedAge{Model: model, Version: h.version, MS: c.now().Sub(h.since).Milliseconds()})
 		}
 	}
@@ -149,7 +149,11 @@
 		}
 		c.log.WithField("model", v.Model).WithField("version", v.Version).WithField("before", c.named[v.Model].Version).
 			WithField("from", string(e.from)).Info("weight version named")
-		c.named[v.Model] = c.named[v.Model].with(v.Version, c.now().Add(-c.unknownAge()))
+		one := namedOne{version: v.Version, since: c.now()}
+		if !c.versionsListed {
+			one.since, one.assumed = one.since.Add(-c.unknownAge()), true
+		}
+		c.named[v.Model] = c.named[v.Model].with(one)
 	}
 	c.versionsListed = true
 }
--- a/internal/gateway/targets_test.go
+++ b/internal/gateway/targets_test.go
@@ -101,7 +101,7 @@
 func TestNamed(t *testing.T) {
 	is := is.New(t)
 	var n Named
-	n = n.with(2, at0).with(3, at0.Add(4*time.Second))
+	n = n.with(namedOne{version: 2, since: at0}).with(namedOne{version: 3, since: at0.Add(4 * time.Second)})
 	now := at0.Add(5 * time.Second)
 	is.Equal(n.behindFor(1, now), 5*time.Second)
 	is.Equal(n.behindFor(2, now), time.Second)
@@ -152,10 +152,11 @@
 	two := []catalog.ModelVersion{{Model: "m", Version: 2}}
 	versionsNamed{revision: 5, changed: 5, versions: two, from: fromStore}.apply(c)
 	is.Equal(c.named["m"].behindFor(1, now), 10*time.Second-freshGrace)
-	namedAges{[]NamedAge{{Model: "m", Version: 2, MS: 9000}, {Model: "other", Version: 1, MS: 1}}}.apply(c)
-	is.Equal(c.named["m"].behindFor(1, now), 9*time.Second)
-	namedAges{[]NamedAge{{Model: "m", Version: 2, MS: 100}}}.apply(c) // learned it later
-	is.Equal(c.named["m"].behindFor(1, now), 9*time.Second)
+	is.Equal(len(c.ages()), 0) // a guess is told to nobody
+	namedAges{[]NamedAge{{Model: "m", Version: 2, MS: 2000}, {Model: "other", Version: 1, MS: 1}}}.apply(c)
+	is.Equal(c.named["m"].behindFor(1, now), 2*time.Second) // less than guessed
+	namedAges{[]NamedAge{{Model: "m", Version: 2, MS: 9000}}}.apply(c)
+	is.Equal(c.named["m"].behindFor(1, now), 2*time.Second) // known already
 	versionsNamed{revision: 6, changed: 6, versions: []catalog.ModelVersion{{Model: "m", Version: 3}}, from: fromStore}.apply(c)
 	is.Equal(c.named["m"].behindFor(2, now), time.Duration(1)) // just named
 	is.Equal(len(c.ages()), 2)
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -18,27 +18,28 @@
 type namedOne struct {
 	version uint64
 	since   time.Time // when this instance learned it
+	assumed bool      // it found the version at its start: since is a guess
 }
 
 // namedKept is how many versions are remembered: more are not under way at once.
 const namedKept = 8
 
-// with returns n with a newer version, learned at now.
-func (n Named) with(version uint64, now time.Time) Named {
-	history := append(slices.Clone(n.history), namedOne{version, now})
+// with returns n with a newer version.
+func (n Named) with(one namedOne) Named {
+	history := append(slices.Clone(n.history), one)
 	if len(history) > namedKept {
 		history = history[1:]
 	}
-	return Named{Version: version, history: history}
+	return Named{Version: one.version, history: history}
 }
 
-// agedBy returns n with a version known to have been named that long ago, or
-// longer.
+// agedBy returns n with a version that was named that long ago by the word of a
+// peer that saw it, unless this instance saw it too.
 func (n Named) agedBy(version uint64, age time.Duration, now time.Time) Named {
 	history := slices.Clone(n.history)
 	for i, h := range history {
-		if since := now.Add(-age); h.version == version && since.Before(h.since) {
-			history[i].since = since
+		if h.version == version && h.assumed {
+			history[i] = namedOne{version: version, since: now.Add(-age)}
 		}
 	}
 	return Named{Version: n.Version, history: history}
