A service that is no longer declared breaks no request; forget targets that are gone

Cause (by reading): a retry under a newer configuration without the target's service would have dereferenced nothing and cut the caller; what is kept by target's id grew for ever.

--- a/internal/breaker/breaker.go
+++ b/internal/breaker/breaker.go
@@ -112,3 +112,18 @@
 		e.until = until
 	}
 }
+
+// Keep forgets all names but those that keep names.
+func (b *Set) Keep(keep func(name string) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for name, e := range b.m {
+		if keep(name) {
+			continue
+		}
+		if e.failures > 0 {
+			b.failing--
+		}
+		delete(b.m, name)
+	}
+}
--- /dev/null
+++ b/internal/breaker/breaker_test.go
@@ -0,0 +1,32 @@
+package breaker_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shedhoist/shedhoist/internal/breaker"
+)
+
+// TestSet: two failures in a row make a rest that doubles; one call tries it at its
+// end; a success ends it; what is forgotten rests no longer.
+func TestSet(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	s := breaker.New(func() time.Time { return now })
+	s.Result("a", false)
+	is.Equal(len(s.Resting()), 0)
+	s.Result("a", false)
+	is.Equal(s.Resting(), []string{"a"})
+	now = now.Add(time.Second)
+	is.Equal(len(s.Resting()), 0)        // one request tries it
+	is.Equal(s.Resting(), []string{"a"}) // the others wait
+	s.Result("a", true)
+	is.Equal(len(s.Resting()), 0)
+	s.Rest("b", 100*time.Millisecond)
+	is.Equal(s.Resting(), []string{"b"})
+	s.Keep(func(name string) bool { return name == "a" })
+	is.Equal(len(s.Resting()), 0)
+	is.True(s.Open("b"))
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -33,18 +33,16 @@
 	ctx      context.Context
 	deadline time.Time
 	machine  *attempt.Request
-	tried    []string // ids of targets
-	ran      int      // attempts that may have run
-	dials    int      // attempts of which nothing was sent
-	refusals int      // attempts that the target refused without running
+	ran      int // attempts that may have run
+	dials    int // attempts of which nothing was sent
+	refusals int // attempts that the target refused without running
 
 	begun     bool   // the caller has the header of an answer
 	lastEvent string // id of the last event that the caller has
 	firstMS   float64
-	targets   []string                // of all attempts, for the log
-	causes    []string                // their ends
+	targets   []string                // ids of those tried
 	sources   map[uint64][]partSource // where the prompt's parts are, by weight version
-	work      cacheWork               // what the attempt asks of its target
+	asks      cacheWork               // what the attempt asks of its target
 	plan      cachePlan
 
 	predictedMS float64
@@ -80,7 +78,7 @@
 	for {
 		t := x.pick()
 		if t == nil {
-			x.fail(x.machine.NoTarget(), nil)
+			x.failAfter(x.machine.NoTarget(), ending{})
 			return
 		}
 		end := x.try(t)
@@ -128,7 +126,7 @@
 	x.g.predictorMu.Lock()
 	for i, t := range serving {
 		load := x.g.upstream.work.Of(t.ID)
-		o := place.Target{ID: t.ID, Zone: t.Zone, Runs: int(load.Runs.Load()), Excluded: slices.Contains(x.tried, t.ID), Resting: slices.Contains(resting, t.ID)}
+		o := place.Target{ID: t.ID, Zone: t.Zone, Runs: int(load.Runs.Load()), Excluded: slices.Contains(x.targets, t.ID), Resting: slices.Contains(resting, t.ID)}
 		if p := x.call.Prompt; p != nil {
 			version := t.VersionOf(p.Model)
 			o.Unfit = version == 0
@@ -145,7 +143,7 @@
 	if i < 0 {
 		return nil
 	}
-	x.work, x.predictedMS = works[i], options[i].FirstMS
+	x.asks, x.predictedMS = works[i], options[i].FirstMS
 	return serving[i]
 }
 
@@ -212,11 +210,8 @@
 	return x.ran < x.route.MaxAttempts && x.g.budgets.retry(x.service)
 }
 
-// fail ends the request with an answer of our own.
-func (x *exchange) fail(v attempt.Verdict, cause error) {
-	x.failAfter(v, ending{cause: cause})
-}
-
+// failAfter ends the request: with a target's own failure if there is one, else
+// with an answer of our own, or with a cut if an answer has begun.
 func (x *exchange) failAfter(v attempt.Verdict, end ending) {
 	if errors.Is(x.r.Context().Err(), context.Canceled) {
 		x.finish(0, string(problem.CallerGone), "")
@@ -293,8 +288,8 @@
 		e = e.WithField("first_ms", x.firstMS).WithField("predicted_ms", x.predictedMS)
 	}
 	if x.plan.version > 0 {
-		e = e.WithField("weights", x.plan.version).WithField("fetched_parts", x.plan.fetches).WithField("saved_parts", x.plan.saves).WithField("link", x.work.Link).
-			WithField("read_tokens", x.work.ReadTokens)
+		e = e.WithField("weights", x.plan.version).WithField("fetched_parts", x.plan.fetches).WithField("saved_parts", x.plan.saves).WithField("link", x.asks.Link).
+			WithField("read_tokens", x.asks.ReadTokens)
 	}
 	if leftOut > 0 {
 		e = e.WithField("lines_left_out", leftOut)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -192,7 +192,7 @@
 		targets: targetTable{log: g.log, byID: map[string]*heldTarget{}}}
 	g.start(func() { g.runControl(g.ctx, c) })
 	g.followAll(g.ctx)
-	for _, f := range [...]func(context.Context){g.greetSeeds, g.askWhileCutOff, g.meet, g.tellLoads, g.rollOut, g.cache.run, g.cache.keepStores} {
+	for _, f := range [...]func(context.Context){g.greetSeeds, g.askWhileCutOff, g.meet, g.tidy, g.tellLoads, g.rollOut, g.cache.run, g.cache.keepStores} {
 		g.start(func() { f(g.ctx) })
 	}
 	g.serve("callers", func() error { return g.callerSrv.Serve(g.callerLn) })
@@ -219,6 +219,31 @@
 	return v.Config != nil && v.Listed && !v.Draining
 }
 
+// tidyEvery is how often what is known of targets that are gone is forgotten.
+const tidyEvery = 10 * time.Second
+
+// tidy forgets targets and stores that are no more.
+func (g *Gateway) tidy(ctx context.Context) {
+	for wait.For(ctx, wait.Jitter(tidyEvery)) {
+		v := g.view.Load()
+		known := map[string]bool{}
+		for id := range v.Targets {
+			known[id] = true
+		}
+		if v.Config != nil {
+			for _, s := range v.Config.Stores {
+				known[s.Address] = true
+			}
+		}
+		keep := func(name string) bool { return known[name] }
+		g.upstream.work.Keep(keep)
+		g.sick.Keep(keep)
+		g.predictorMu.Lock()
+		g.predictor.Keep(keep)
+		g.predictorMu.Unlock()
+	}
+}
+
 // storeAge is how long ago the object store answered last.
 func (g *Gateway) storeAge() time.Duration {
 	return g.now().Sub(g.began) - time.Duration(g.heard.Load())
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -101,10 +101,11 @@
 
 // transferMS is the time of a transfer by the speed of its links alone.
 func (x *exchange) transferMS(src partSource, t *catalog.Target) float64 {
-	e := x.view.Config.Services[t.Service].Engine
-	if e == nil || src.store.LinkMbps <= 0 {
-		return 0
+	svc := x.view.Config.Services[t.Service]
+	if svc == nil || svc.Engine == nil || src.store.LinkMbps <= 0 {
+		return 0 // the service is no longer declared, or its links are not
 	}
+	e := svc.Engine
 	mbps := src.store.LinkMbps
 	if e.LinkMbps > 0 {
 		mbps = min(mbps, e.LinkMbps)
@@ -122,9 +123,9 @@
 func (x *exchange) modelAttempt(t *catalog.Target) *ModelAttempt {
 	version := t.VersionOf(x.call.Prompt.Model)
 	salt := x.salt(version)
-	x.plan = x.g.cache.plan(x.view.Config.Stores, salt, version, x.call.Prompt.Parts, x.sourcesOf(version), x.work.fetch)
+	x.plan = x.g.cache.plan(x.view.Config.Stores, salt, version, x.call.Prompt.Parts, x.sourcesOf(version), x.asks.fetch)
 	until := time.Duration(untilShare*float64(x.route.Objective)) - x.g.now().Sub(x.arrived)
-	until = min(until, time.Duration(untilFactor*x.work.fetchMS*float64(time.Millisecond))+untilSlack)
+	until = min(until, time.Duration(untilFactor*x.asks.fetchMS*float64(time.Millisecond))+untilSlack)
 	return &ModelAttempt{Priority: min(x.priority(), lowestPriority), Version: version, Salt: salt, Cache: x.plan.parts,
 		FetchUntilMS: x.g.cache.clockMS(max(until, 0))}
 }
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -51,7 +51,6 @@
 type work struct {
 	target *catalog.Target
 	load   *inflight.Load
-	cancel context.CancelFunc
 	began  time.Time
 	watch  *time.Timer // ends the attempt if the target stays silent; nil: never
 	resp   *http.Response
@@ -75,14 +74,14 @@
 func (x *exchange) try(t *catalog.Target) ending {
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
-	at := &work{target: t, load: x.g.upstream.work.Of(t.ID), cancel: cancel, began: x.g.now(), asked: x.work}
+	at := &work{target: t, load: x.g.upstream.work.Of(t.ID), began: x.g.now(), asked: x.asks}
 	at.load.Runs.Add(1)
 	defer at.load.Runs.Add(-1)
-	at.load.Tokens.Add(int64(x.work.ReadTokens))
+	at.load.Tokens.Add(int64(x.asks.ReadTokens))
 	defer at.answered()
 	at.ticket = x.g.beginTicket(t.ID, at.asked.Work, at.began)
 	defer x.g.dropTicket(at.ticket)
-	x.tried, x.targets = append(x.tried, t.ID), append(x.targets, t.ID)
+	x.targets = append(x.targets, t.ID)
 	if x.route.Repeatable() {
 		at.watch = time.AfterFunc(x.patience(), cancel)
 		defer at.watch.Stop()
