Close callers' connections by the idle limit in force

Cause: the configuration's idle limit was not followed: http.Server's is fixed at its start. TestIdleConns.

--- /dev/null
+++ b/internal/gateway/conns_test.go
@@ -0,0 +1,47 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// fakeConn notes that it was closed.
+type fakeConn struct {
+	net.Conn
+	closed atomic.Bool
+}
+
+func (c *fakeConn) Close() error {
+	c.closed.Store(true)
+	return nil
+}
+
+// TestIdleConns: a connection is closed when it stayed unused beyond the limit in
+// force when it became so, and never while a request is under way. Time is that
+// of the test's bubble.
+func TestIdleConns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		limit := 4 * time.Second
+		c := &idleConns{limit: func() time.Duration { return limit }}
+		unused, used := &fakeConn{}, &fakeConn{}
+		c.state(unused, http.StateIdle)
+		c.state(used, http.StateIdle)
+		time.Sleep(4 * time.Second)
+		is.True(!unused.closed.Load()) // within the slack
+		c.state(used, http.StateActive)
+		time.Sleep(time.Minute)
+		is.True(unused.closed.Load())
+		is.True(!used.closed.Load())
+		limit = 0
+		c.state(used, http.StateIdle)
+		time.Sleep(time.Hour)
+		is.True(!used.closed.Load())
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -147,13 +147,22 @@
 		}
 	}
 	quiet := logline.Logger(g.log)
+	idle := &idleConns{limit: g.idleLimit}
 	g.callerSrv = &http.Server{Handler: http.HandlerFunc(g.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeader, ErrorLog: quiet}
+		MaxHeaderBytes: maxHeader, ErrorLog: quiet, ConnState: idle.state}
 	g.readySrv = &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: quiet}
 	g.metricsSrv = &http.Server{Handler: http.HandlerFunc(g.serveMetrics), ReadHeaderTimeout: headerTimeout, ErrorLog: quiet}
 	return nil
 }
 
+// idleLimit is the configuration's limit on unused connections; 0 is none.
+func (g *Gateway) idleLimit() time.Duration {
+	if cfg := g.view.Load().Config; cfg != nil {
+		return cfg.Limits.IdleTimeout
+	}
+	return 0
+}
+
 func (g *Gateway) closeListeners() {
 	for _, ln := range [...]net.Listener{g.callerLn, g.readyLn, g.peerLn, g.metricsLn} {
 		if ln != nil {
