--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,7 +51,6 @@
 	events      chan event
 	controlDone chan struct{}
 	done        sync.WaitGroup
-	ended       atomic.Bool
 
 	view    viewHolder
 	storeOK atomic.Bool
