Large fleets: stores followed by two instances a zone, a fifth of the targets load at once

Cause: on the grown rota fleet (59 instances, 13 cache stores) every instance polled and listed every store: 62,238 polls refused, 0.38 GB between zones, most of it lists. And three loads at once move 60 targets in 26 s, more than the time a rollout may take; requests then met too few targets that might serve them. Ruled out: that requests between zones made the bytes (0.078 GB are left with them).

--- a/internal/core/order/order_test.go
+++ b/internal/core/order/order_test.go
@@ -278,3 +278,20 @@
 	_, held := l.Held(now)
 	is.True(held)
 }
+
+// TestLoadsAtOnce: a small fleet loads three at a time, a large one a fifth of its
+// targets, and never more than that are under way.
+func TestLoadsAtOnce(t *testing.T) {
+	for _, c := range []struct{ targets, want int }{{0, 3}, {18, 3}, {20, 4}, {60, 12}, {600, 120}} {
+		is := is.New(t)
+		is.Equal(order.LoadsAtOnce(c.targets), c.want)
+		p := order.NewPlanner(time.Minute)
+		p.Limit(c.want, 2)
+		var ts []order.Target
+		for i := range c.targets {
+			ts = append(ts, order.Target{Name: fmt.Sprint(i), Model: "m", Version: "1", Ready: true})
+		}
+		loads := p.Plan(ts, map[string]order.Wish{"m": {Version: "2"}}, time.Unix(0, 0))
+		is.Equal(len(loads), min(c.want+2, c.targets))
+	}
+}
--- a/internal/core/order/plan.go
+++ b/internal/core/order/plan.go
@@ -9,6 +9,13 @@
 // weight store is rate-limited (brief, "Sizes of today").
 const MaxLoads = 3
 
+// loadShare is the share of a large fleet's targets that may load at once: the
+// weight store's rate grows with the fleet, and more could not be missed.
+const loadShare = 0.2
+
+// LoadsAtOnce is how many weight loads may run at once in a fleet of targets.
+func LoadsAtOnce(targets int) int { return max(MaxLoads, int(loadShare*float64(targets))) }
+
 // Target is a target as the planner sees it.
 type Target struct {
 	Name    string
@@ -41,12 +48,13 @@
 	bad    map[string][]string // versions by model that would not load
 	quiet  time.Time           // no order before: another's may be under way
 	grace  time.Duration       // longest time an order may take
+	most   int                 // loads that may run at once
 	ahead  int                 // loads planned beyond those that may run
 }
 
 // NewPlanner returns a planner for orders that take grace at most.
 func NewPlanner(grace time.Duration) *Planner {
-	return &Planner{flying: map[string]pending{}, bad: map[string][]string{}, grace: grace}
+	return &Planner{flying: map[string]pending{}, bad: map[string][]string{}, grace: grace, most: MaxLoads}
 }
 
 // Took says that the lease was newly taken at now: for the longest time that an
@@ -56,9 +64,9 @@
 	p.flying = map[string]pending{}
 }
 
-// PlanAhead lets n more loads be planned than may run at once, for targets that
-// must be made ready for theirs. Who sends the orders holds to MaxLoads.
-func (p *Planner) PlanAhead(n int) { p.ahead = n }
+// Limit sets how many loads may run at once, and how many more may be planned, for
+// targets that must be made ready for theirs. Who sends the orders holds to most.
+func (p *Planner) Limit(most, ahead int) { p.most, p.ahead = most, ahead }
 
 // SetBad replaces what is known of bad versions.
 func (p *Planner) SetBad(bad map[string][]string) { p.bad = bad }
@@ -89,8 +97,8 @@
 	return ""
 }
 
-// Plan returns the loads to order now, or to prepare. Never more than MaxLoads,
-// and what is planned ahead, are under way at once, and no model falls below its share of ready targets.
+// Plan returns the loads to order now, or to prepare. Never more than the limit are
+// under way at once, and no model falls below its share of ready targets.
 func (p *Planner) Plan(targets []Target, wishes map[string]Wish, now time.Time) []Load {
 	if now.Before(p.quiet) {
 		return nil
@@ -111,7 +119,7 @@
 		w, ok := wishes[t.Model]
 		version := p.Wanted(t.Model, w)
 		_, flying := p.flying[t.Name]
-		if !ok || version == "" || t.Version == version || flying || t.Loading || busy >= MaxLoads+p.ahead {
+		if !ok || version == "" || t.Version == version || flying || t.Loading || busy >= p.most+p.ahead {
 			continue
 		}
 		if t.Ready && slices.Contains(w.Allowed, t.Version) && ready[t.Model]-1 < floor(w.MinReady, total[t.Model]) {
--- /dev/null
+++ b/internal/core/stock/journal_test.go
@@ -0,0 +1,97 @@
+package stock_test
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shedhoist/shedhoist/internal/core/stock"
+)
+
+// contents is what a shelf holds, by part.
+func contents(s *stock.Shelf) map[string]int {
+	out := map[string]int{}
+	for _, h := range s.All() {
+		out[h.Part] = h.Tokens
+	}
+	return out
+}
+
+// TestJournal: one that looks now and then, and takes only what changed since its
+// last look, holds the same as one that saw everything, whatever came between:
+// events, lists anew, restarts, silences, and more changes than are remembered.
+func TestJournal(t *testing.T) {
+	is := is.New(t)
+	r := rand.New(rand.NewPCG(7, 1))
+	const store = "a"
+	var source, copied stock.Shelf
+	var j stock.Journal
+	seq, epoch, now := uint64(0), uint64(1), time.Unix(0, 0)
+	key := func() stock.Key { return stock.Key{Salt: "s", Part: fmt.Sprint(r.IntN(40))} }
+	list := func(held []stock.Held) {
+		changes, anew := source.List(epoch, 1, held, now)
+		if anew {
+			j.Renew(store)
+		}
+		j.Add(store, changes)
+	}
+	wholes := 0
+	for step := range 20_000 {
+		now = now.Add(time.Millisecond)
+		switch n := r.IntN(1000); {
+		case n < 900:
+			e := stock.Event{Key: key(), Added: r.IntN(3) > 0, Tokens: 1 + r.IntN(99)}
+			if source.Apply(epoch, 1, false, []stock.Event{e}, now) {
+				j.Add(store, []stock.Event{e})
+			}
+		case n < 950:
+			held := source.All()
+			list(append(held[:len(held)/2:len(held)/2], stock.Held{Key: key(), Tokens: 7}))
+		case n < 955:
+			epoch++
+			list(nil)
+		case n < 960:
+			source.Forget()
+		case n < 963:
+			j.Add("another", make([]stock.Event, 9000)) // more than are remembered
+		}
+		if step%50 != 0 {
+			continue
+		}
+		if at, _, known := source.Position(); known {
+			events, whole := j.Since(store, seq)
+			if whole {
+				wholes++
+				copied.List(at, 0, source.All(), now)
+			} else {
+				is.True(copied.Apply(at, 0, false, events, now))
+			}
+			seq = j.Seq()
+			is.True(maps.Equal(contents(&source), contents(&copied)))
+		}
+	}
+	is.True(wholes > 10 && wholes < 300) // both ways were taken
+}
+
+// TestSettled: after a restart, and at first, a store is not settled for a while;
+// a silence that is no restart changes nothing.
+func TestSettled(t *testing.T) {
+	is := is.New(t)
+	var s stock.Shelf
+	at := func(seconds int) time.Time { return time.Unix(int64(seconds), 0) }
+	const calm = 3 * time.Second
+	s.List(1, 0, nil, at(0))
+	is.True(!s.Settled(at(2), calm))
+	is.True(s.Settled(at(3), calm))
+	s.Forget()
+	is.True(!s.Settled(at(4), calm)) // not known
+	s.List(1, 0, nil, at(5))
+	is.True(s.Settled(at(5), calm))
+	s.List(2, 0, nil, at(6))
+	is.True(!s.Settled(at(8), calm))
+	is.True(s.Settled(at(9), calm))
+}
--- a/internal/core/stock/stock.go
+++ b/internal/core/stock/stock.go
@@ -66,6 +66,7 @@
 	held  map[Key]int // tokens
 	used  int         // space of held
 	heard time.Time   // of the last answer
+	since time.Time   // when this epoch was first heard of
 
 	broken   map[Key]brokenPart // incomplete parts of the last list
 	brokenAt time.Time          // of that list
@@ -106,14 +107,34 @@
 // store must be listed first.
 func (s *Shelf) Position() (epoch, next uint64, known bool) { return s.epoch, s.next, s.known }
 
-// List takes a whole list, heard at now.
-func (s *Shelf) List(epoch, next uint64, held []Held, now time.Time) {
+// List takes a whole list, heard at now. It returns what it changes; anew says
+// that this is no mere change: the store was not known, or started again.
+func (s *Shelf) List(epoch, next uint64, held []Held, now time.Time) (changes []Event, anew bool) {
+	anew = !s.known || s.epoch != epoch
+	if s.epoch != epoch || s.since.IsZero() {
+		s.since = now
+	}
+	before := s.held
 	s.epoch, s.next, s.known, s.heard = epoch, next, true, now
 	s.held, s.used = make(map[Key]int, len(held)), 0
 	for _, h := range held {
 		s.held[h.Key] = h.Tokens
 		s.used += space(h.Tokens)
 	}
+	if anew {
+		return nil, true
+	}
+	for k := range before {
+		if _, still := s.held[k]; !still {
+			changes = append(changes, Event{Key: k})
+		}
+	}
+	for k, n := range s.held {
+		if old, had := before[k]; !had || old != n {
+			changes = append(changes, Event{Key: k, Added: true, Tokens: n})
+		}
+	}
+	return changes, false
 }
 
 // Apply takes a page of events, heard at now. It returns false if the store must
@@ -132,10 +153,22 @@
 			s.used += space(e.Tokens)
 		}
 	}
-	s.next, s.heard = next, now
+	s.next = next
+	if now.After(s.heard) { // another instance's word may be older than the last one's
+		s.heard = now
+	}
 	return !gap
 }
 
+// All returns all that the store holds.
+func (s *Shelf) All() []Held {
+	out := make([]Held, 0, len(s.held))
+	for k, n := range s.held {
+		out = append(out, Held{Key: k, Tokens: n})
+	}
+	return out
+}
+
 // Drop takes parts as no longer held, ahead of the store's own word.
 func (s *Shelf) Drop(parts []Key) {
 	for _, k := range parts {
@@ -145,8 +178,20 @@
 	}
 }
 
-// Forget drops all knowledge: the store does not answer, or started again.
-func (s *Shelf) Forget() { *s = Shelf{} }
+// Forget drops all knowledge of the contents: the store does not answer, or
+// started again. Its epoch stays in mind, to tell a restart from a silence.
+func (s *Shelf) Forget() { *s = Shelf{epoch: s.epoch, since: s.since} }
+
+// Settled says whether the store's epoch has been known for d. Until then other
+// instances may fetch what they believe it held before, and must not meet a part
+// that is being written anew.
+func (s *Shelf) Settled(now time.Time, d time.Duration) bool {
+	return s.known && now.Sub(s.since) >= d
+}
+
+// Heard is when the store answered last, to this instance or to the one that told
+// of it.
+func (s *Shelf) Heard() time.Time { return s.heard }
 
 // Tokens returns how many tokens of a part the store holds complete, as of an
 // answer not older than maxAge.
--- a/internal/gateway/cache.go
+++ b/internal/gateway/cache.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -22,7 +23,7 @@
 	pollGap = 300 * time.Millisecond
 	// shelfAge is how old a store's last word may be for a fetch: one that does not
 	// answer for longer may have started again, empty.
-	shelfAge = pollWait + pollGap + 300*time.Millisecond
+	shelfAge = pollWait + pollGap + 300*time.Millisecond + relayAge
 	// relistEvery is how often a store is listed anew, for the events that were lost.
 	relistEvery = 12 * time.Second
 	// storesEvery is how often the configuration is looked at for new stores, and
@@ -41,8 +42,11 @@
 type cacheDirectory struct {
 	g *Gateway
 
+	process uint64 // tells this process's numbers from those of one before
+
 	mu      sync.Mutex
 	shelves map[string]*shelf // by address
+	journal stock.Journal
 	saving  map[stock.Key]time.Time
 	clock   float64   // servers' clock, ms, at clockAt
 	clockAt time.Time // zero: not known
@@ -50,20 +54,20 @@
 
 type shelf struct {
 	stock.Shelf
-	cancel context.CancelFunc
+	cancel context.CancelFunc // ends the polls; nil: told by other instances
 	listed time.Time
 }
 
 func newCacheDirectory(g *Gateway) *cacheDirectory {
-	return &cacheDirectory{g: g, shelves: map[string]*shelf{}, saving: map[stock.Key]time.Time{}}
+	return &cacheDirectory{g: g, process: rand.Uint64(), shelves: map[string]*shelf{}, saving: map[stock.Key]time.Time{}}
 }
 
-// run follows the stores that the configuration names, until ctx ends.
+// run keeps the shelves of the stores that the configuration names, until ctx ends.
 func (c *cacheDirectory) run(ctx context.Context) {
 	for {
 		every := storesFirst
 		if cfg := c.g.view.Load().Config; cfg != nil {
-			c.follow(ctx, cfg.Stores)
+			c.follow(ctx, cfg.Stores, c.place())
 			every = storesEvery
 		}
 		if !wait.For(ctx, every) {
@@ -72,26 +76,38 @@
 	}
 }
 
-// follow starts and ends the goroutines of stores that came and went.
-func (c *cacheDirectory) follow(ctx context.Context, stores []catalog.CacheStore) {
+// follow makes a shelf for each store, and starts and ends the polls of them.
+func (c *cacheDirectory) follow(ctx context.Context, stores []catalog.CacheStore, at position) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	named := map[string]bool{}
 	for _, s := range stores {
 		named[s.Address] = true
-		if c.shelves[s.Address] != nil {
+		sh := c.shelves[s.Address]
+		if sh == nil {
+			sh = &shelf{}
+			c.shelves[s.Address] = sh
+		}
+		if at.follows == (sh.cancel != nil) {
+			continue
+		}
+		if !at.follows {
+			sh.cancel()
+			sh.cancel = nil
 			continue
 		}
 		own, cancel := context.WithCancel(ctx)
-		sh := &shelf{cancel: cancel}
-		c.shelves[s.Address] = sh
+		sh.cancel, sh.listed = cancel, time.Time{}
 		c.g.start(func() { c.poll(own, s, sh) })
 	}
 	for address, sh := range c.shelves {
-		if !named[address] {
+		if named[address] {
+			continue
+		}
+		if sh.cancel != nil {
 			sh.cancel()
-			delete(c.shelves, address)
 		}
+		delete(c.shelves, address)
 	}
 	now := c.g.now()
 	for k, at := range c.saving {
@@ -101,6 +117,15 @@
 	}
 }
 
+// listed takes all that a store holds; c.mu is held.
+func (c *cacheDirectory) listed(sh *shelf, address string, epoch, next uint64, held []stock.Held, heard time.Time) {
+	changes, anew := sh.List(epoch, next, held, heard)
+	if anew {
+		c.journal.Renew(address)
+	}
+	c.journal.Add(address, changes)
+}
+
 // poll keeps one store's shelf up to date.
 func (c *cacheDirectory) poll(ctx context.Context, s catalog.CacheStore, sh *shelf) {
 	entry := c.g.log.WithField("store", s.Name).WithField("address", s.Address)
@@ -143,7 +168,10 @@
 		}
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		sh.List(l.Epoch, l.Next, l.Held, asked)
+		if ctx.Err() != nil {
+			return ctx.Err() // others tell of the store by now
+		}
+		c.listed(sh, address, l.Epoch, l.Next, l.Held, asked)
 		sh.Broken(l.Partial, asked)
 		sh.listed = asked
 		c.setClock(l.ClockMS)
@@ -156,8 +184,15 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
 	c.setClock(p.ClockMS)
-	if !sh.Apply(p.Epoch, p.Next, p.Gap, p.Events, c.g.now()) {
+	told := sh.Apply(p.Epoch, p.Next, p.Gap, p.Events, c.g.now())
+	if _, _, known = sh.Position(); known {
+		c.journal.Add(address, p.Events)
+	}
+	if !told {
 		entry.WithField("epoch", p.Epoch).WithField("gap", p.Gap).Info("cache store started again, or events are lost: listing anew")
 		sh.listed = time.Time{}
 	}
@@ -253,7 +288,7 @@
 	}
 	var places []stock.Place
 	for _, s := range stores {
-		if sh := c.shelves[s.Address]; sh != nil && sh.Known(now, shelfAge) {
+		if sh := c.shelves[s.Address]; sh != nil && sh.Known(now, shelfAge) && sh.Settled(now, shelfAge) {
 			places = append(places, stock.Place{Address: s.Address, Capacity: s.Capacity, Used: sh.Used(), FirstByte: s.FirstByte})
 		}
 	}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -239,6 +239,7 @@
 		}
 		if m.State == member.Alive {
 			v.Alive = append(v.Alive, m.Name)
+			v.Peers = append(v.Peers, m)
 		}
 	}
 	return v
--- /dev/null
+++ b/internal/gateway/directory.go
@@ -0,0 +1,299 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/shedhoist/shedhoist/internal/core/member"
+	"github.com/shedhoist/shedhoist/internal/core/stock"
+	"github.com/shedhoist/shedhoist/internal/wait"
+)
+
+// In a large fleet not every instance follows every cache store: a store bears few
+// polls, and its lists are long. In each zone one or two instances follow the
+// stores, and the others of the zone take what changed from them, along a tree of
+// bounded width, so that neither polls nor bytes between zones grow with the fleet.
+
+// Shape of the tree and pace of going through it.
+const (
+	// followers is how many instances of a zone follow the stores: one may fail.
+	followers = 2
+	// storePolls is how many instances in all may follow one store; stores have
+	// been seen to bear 12 polls at a time.
+	storePolls = 10
+	// directoryFan is how many instances take the directory from one other: each
+	// asks some three times a second, which then costs half a percent of a core.
+	directoryFan = 12
+	// pullGap is the pause between two looks at another's directory.
+	pullGap = 300 * time.Millisecond
+	// pullTimeout bounds one look.
+	pullTimeout = 500 * time.Millisecond
+	// relayAge is how much older a store's last word may be for having come by way
+	// of others: two steps of the tree.
+	relayAge = 2 * (pullGap + 100*time.Millisecond)
+	// joinTime is how long a new process waits to learn how large the fleet is
+	// before it follows stores itself.
+	joinTime = 500 * time.Millisecond
+	// directoryRole ranks the instances of a zone.
+	directoryRole = "directory"
+)
+
+// position is an instance's place in the tree.
+type position struct {
+	follows bool     // it follows the stores itself
+	sources []string // addresses of those it asks else, the preferred one first
+}
+
+// directoryPosition finds an instance's place by function of the live members, so
+// that all agree without a message.
+func directoryPosition(alive []member.Member, self member.Member) position {
+	if len(alive) <= smallFleet {
+		return position{follows: true}
+	}
+	zones := directoryRanks(alive)
+	near, tops := zones[self.Zone], directoryTops(zones)
+	own := slices.IndexFunc(near, func(m member.Member) bool { return m.Name == self.Name })
+	if own < tops {
+		return position{follows: true}
+	}
+	parent := (own - tops) / directoryFan
+	out := position{sources: []string{near[parent].Address}}
+	for i, m := range near[:tops] {
+		if i != parent {
+			out.sources = append(out.sources, m.Address)
+		}
+	}
+	return out
+}
+
+// directoryRanks sorts each zone's members by their rank in the tree.
+func directoryRanks(alive []member.Member) map[string][]member.Member {
+	zones := map[string][]member.Member{}
+	for _, m := range alive {
+		zones[m.Zone] = append(zones[m.Zone], m)
+	}
+	for _, near := range zones {
+		slices.SortFunc(near, func(a, b member.Member) int { return cmp.Compare(directoryScore(b), directoryScore(a)) })
+	}
+	return zones
+}
+
+// directoryTops is how many instances of each zone follow the stores.
+func directoryTops(zones map[string][]member.Member) int {
+	return max(min(followers, storePolls/len(zones)), 1)
+}
+
+// directoryFollowers names the instances that follow the stores.
+func directoryFollowers(alive []member.Member) []string {
+	zones := directoryRanks(alive)
+	tops := directoryTops(zones)
+	if len(alive) <= smallFleet {
+		tops = len(alive)
+	}
+	var out []string
+	for _, near := range zones {
+		for _, m := range near[:min(tops, len(near))] {
+			out = append(out, m.Name)
+		}
+	}
+	return out
+}
+
+func directoryScore(m member.Member) uint64 { return xxhash.Sum64String(m.Name + "/" + directoryRole) }
+
+// DirectoryAsk asks for what changed in the cache stores.
+type DirectoryAsk struct {
+	Process uint64 `cbor:"1,keyasint"` // whose numbers Seq is of
+	Seq     uint64 `cbor:"2,keyasint"` // the last change that the asker has
+}
+
+// Directory is the answer.
+type Directory struct {
+	Process uint64      `cbor:"1,keyasint"`
+	Seq     uint64      `cbor:"2,keyasint"`
+	ClockMS float64     `cbor:"3,keyasint"` // servers' clock now, 0: not known
+	Stores  []StoreNews `cbor:"4,keyasint"` // those that answer
+}
+
+// StoreNews is what changed in one store.
+type StoreNews struct {
+	Address string     `cbor:"1,keyasint"`
+	Epoch   uint64     `cbor:"2,keyasint"`
+	AgeMS   int64      `cbor:"3,keyasint"`           // since the store answered
+	Whole   bool       `cbor:"4,keyasint,omitempty"` // Parts is all that it holds
+	Salts   []string   `cbor:"5,keyasint,omitempty"` // each once
+	Parts   []PartNews `cbor:"6,keyasint,omitempty"` // in order
+}
+
+// PartNews is one change.
+type PartNews struct {
+	_      struct{} `cbor:",toarray"`
+	Salt   int      // index in Salts
+	Part   string
+	Tokens int // -1: no longer held
+}
+
+// gonePart stands for the tokens of a part that is no longer held.
+const gonePart = -1
+
+// Directory answers another instance's look.
+func (f *peerFace) Directory(req *DirectoryAsk, out *Directory) error {
+	*out = f.g.cache.tell(*req)
+	return nil
+}
+
+// tell collects what the asker lacks.
+func (c *cacheDirectory) tell(ask DirectoryAsk) Directory {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.g.now()
+	out := Directory{Process: c.process, Seq: c.journal.Seq()}
+	if !c.clockAt.IsZero() {
+		out.ClockMS = c.clock + float64(now.Sub(c.clockAt))/float64(time.Millisecond)
+	}
+	for address, sh := range c.shelves {
+		epoch, _, known := sh.Position()
+		if !known {
+			continue
+		}
+		events, whole := c.journal.Since(address, ask.Seq)
+		n := StoreNews{Address: address, Epoch: epoch, AgeMS: now.Sub(sh.Heard()).Milliseconds(), Whole: whole || ask.Process != c.process}
+		if n.Whole {
+			events = events[:0]
+			for _, h := range sh.All() {
+				events = append(events, stock.Event{Key: h.Key, Added: true, Tokens: h.Tokens})
+			}
+		}
+		n.pack(events)
+		out.Stores = append(out.Stores, n)
+	}
+	return out
+}
+
+// pack writes events with each salt once.
+func (n *StoreNews) pack(events []stock.Event) {
+	index := map[string]int{}
+	for _, e := range events {
+		i, ok := index[e.Salt]
+		if !ok {
+			i = len(n.Salts)
+			index[e.Salt] = i
+			n.Salts = append(n.Salts, e.Salt)
+		}
+		p := PartNews{Salt: i, Part: e.Part, Tokens: gonePart}
+		if e.Added {
+			p.Tokens = e.Tokens
+		}
+		n.Parts = append(n.Parts, p)
+	}
+}
+
+// events reads what pack wrote; parts that name no salt are left out.
+func (n *StoreNews) events() []stock.Event {
+	out := make([]stock.Event, 0, len(n.Parts))
+	for _, p := range n.Parts {
+		if p.Salt < 0 || p.Salt >= len(n.Salts) {
+			continue
+		}
+		e := stock.Event{Key: stock.Key{Salt: n.Salts[p.Salt], Part: p.Part}, Added: p.Tokens >= 0, Tokens: max(p.Tokens, 0)}
+		out = append(out, e)
+	}
+	return out
+}
+
+// place is this instance's place in the tree now.
+func (c *cacheDirectory) place() position {
+	v := c.g.view.Load()
+	if len(v.Alive) <= 1 && c.g.now().Sub(c.g.began) < joinTime {
+		return position{} // not known yet
+	}
+	return directoryPosition(v.Peers, member.Member{Name: c.g.settings().Name, Zone: c.g.settings().Zone})
+}
+
+// pull takes the directory from others, as long as this instance does not follow
+// the stores itself.
+func (c *cacheDirectory) pull(ctx context.Context) {
+	var from string // whose numbers ask has
+	var ask DirectoryAsk
+	failures := 0
+	for wait.For(ctx, pullGap*3/4+rand.N(pullGap/2)) {
+		at := c.place()
+		if len(at.sources) == 0 {
+			ask = DirectoryAsk{}
+			continue
+		}
+		source := at.sources[failures%len(at.sources)]
+		if source != from {
+			from, ask = source, DirectoryAsk{}
+		}
+		started := c.g.now()
+		d, err := c.look(ctx, source, ask)
+		if err != nil {
+			failures++
+			c.g.log.WithError(err).WithField("peer", source).WithField("failures", failures).Warn("cache directory not had")
+			continue
+		}
+		if failures > 0 {
+			c.g.log.WithField("peer", source).WithField("stores", len(d.Stores)).Info("cache directory had again")
+		}
+		failures = 0
+		ask = DirectoryAsk{Process: d.Process, Seq: d.Seq}
+		if !c.take(d, started) {
+			ask = DirectoryAsk{}
+		}
+	}
+}
+
+func (c *cacheDirectory) look(ctx context.Context, source string, ask DirectoryAsk) (Directory, error) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	var d Directory
+	err := c.g.pool.Call(ctx, source, peerService+".Directory", &ask, &d)
+	return d, err
+}
+
+// take brings the shelves up to date with another's word, asked for at started. It
+// returns false if some store must be told anew.
+func (c *cacheDirectory) take(d Directory, started time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if d.ClockMS > 0 {
+		c.clock, c.clockAt = d.ClockMS, c.g.now()
+	}
+	all := true
+	for i := range d.Stores {
+		n := &d.Stores[i]
+		sh := c.shelves[n.Address]
+		if sh == nil || sh.cancel != nil {
+			continue // not declared here yet, or followed by this instance itself
+		}
+		heard := started.Add(-time.Duration(n.AgeMS) * time.Millisecond)
+		all = c.takeStore(sh, n, heard) && all
+	}
+	return all
+}
+
+// takeStore is take for one store; c.mu is held.
+func (c *cacheDirectory) takeStore(sh *shelf, n *StoreNews, heard time.Time) bool {
+	events := n.events()
+	if !n.Whole {
+		ok := sh.Apply(n.Epoch, 0, false, events, heard)
+		if ok {
+			c.journal.Add(n.Address, events)
+		}
+		return ok
+	}
+	held := make([]stock.Held, len(events))
+	for i, e := range events {
+		held[i] = stock.Held{Key: e.Key, Tokens: e.Tokens}
+	}
+	c.listed(sh, n.Address, n.Epoch, 0, held, heard)
+	c.g.log.WithField("address", n.Address).WithField("epoch", n.Epoch).WithField("parts", len(held)).WithField("age_ms", n.AgeMS).
+		Info("cache store taken over from a peer")
+	return true
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -200,7 +200,7 @@
 		targets: targetTable{log: g.log, byID: map[string]*heldTarget{}}}
 	g.start(func() { g.runControl(g.ctx, c) })
 	g.followAll(g.ctx)
-	for _, f := range [...]func(context.Context){g.greetSeeds, g.askWhileCutOff, g.meet, g.tidy, g.tellLoads, g.rollOut, g.cache.run, g.cache.keepStores} {
+	for _, f := range [...]func(context.Context){g.greetSeeds, g.askWhileCutOff, g.meet, g.tidy, g.tellLoads, g.rollOut, g.cache.run, g.cache.pull, g.cache.keepStores} {
 		g.start(func() { f(g.ctx) })
 	}
 	g.serve("callers", func() error { return g.callerSrv.Serve(g.callerLn) })
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
@@ -44,8 +45,13 @@
 		if len(oldest) == 0 {
 			continue
 		}
+		// Only those that follow a store know of the parts that broke off there.
+		follow := directoryFollowers(v.Peers)
+		if !slices.Contains(follow, c.g.settings().Name) {
+			continue
+		}
 		for _, s := range v.Config.Stores {
-			if s.Managed && rankOf(v.Alive, c.g.settings().Name, s.Address) == 0 {
+			if s.Managed && rankOf(follow, c.g.settings().Name, s.Address) == 0 {
 				c.free(ctx, s.Address, oldest)
 			}
 		}
@@ -122,5 +128,15 @@
 	defer c.mu.Unlock()
 	if now, _, _ := sh.Position(); now == epoch {
 		sh.Drop(parts) // its events tell the same a moment later
+		c.journal.Add(address, removals(parts))
+	}
+}
+
+// removals are the changes that say that parts are no longer held.
+func removals(parts []stock.Key) []stock.Event {
+	out := make([]stock.Event, len(parts))
+	for i, k := range parts {
+		out[i] = stock.Event{Key: k}
 	}
+	return out
 }
--- a/internal/gateway/lease.go
+++ b/internal/gateway/lease.go
@@ -132,7 +132,6 @@
 	o.lease.Wrote(uint64(version), start)
 	if o.lease.Fresh() {
 		o.planner = order.NewPlanner(loadTime)
-		o.planner.PlanAhead(planAhead)
 		o.arrived, o.token, o.seq, o.fenced = nil, uint64(version), 0, fence{}
 		if before != "" && before != o.g.settings().Name {
 			lastAct := changed.Add(leaseParams.Term - leaseParams.Margin)
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -48,8 +48,9 @@
 	loadTaken = 900 * time.Millisecond
 	// leastServing is the share of a model's targets that keep serving.
 	leastServing = 0.5
-	// planAhead is how many targets are closed to new requests while others load.
-	planAhead = 1
+	// planAhead is one target closed to new requests for so many that may load: a
+	// load takes about twice as long as a target is closed before it.
+	planAhead = 3
 	// closeTime is how long a target is closed before its order: instances hear of
 	// it in milliseconds, and most short answers end meanwhile.
 	closeTime = 500 * time.Millisecond
@@ -68,14 +69,15 @@
 	renewed time.Time // last try to take or renew the lease
 
 	renewals uint64
-	wanted   atomic.Bool   // an order waits for the lease to be renewed
-	watched  atomic.Bool   // the watch tells of changes of the lease
-	slots    chan struct{} // of loads that run
+	wanted   atomic.Bool // an order waits for the lease to be renewed
+	watched  atomic.Bool // the watch tells of changes of the lease
 
 	mu      sync.Mutex // guards the rest
 	lease   *order.Lease
 	planner *order.Planner
 	loading map[string]bool // ids of targets with a load planned or under way
+	running int             // loads under way
+	most    int             // that may be
 	arrived []Arrival       // in this hold of the lease
 	token   uint64          // of this hold
 	seq     uint64          // of the news told
@@ -95,8 +97,7 @@
 
 func newRollout(g *Gateway) *rollout {
 	set := g.settings()
-	return &rollout{g: g, lease: order.NewLease(leaseParams, set.Name), planner: order.NewPlanner(loadTime), loading: map[string]bool{},
-		slots: make(chan struct{}, order.MaxLoads)}
+	return &rollout{g: g, lease: order.NewLease(leaseParams, set.Name), planner: order.NewPlanner(loadTime), loading: map[string]bool{}, most: order.MaxLoads}
 }
 
 // round does what is due now.
@@ -128,7 +129,7 @@
 func (o *rollout) idle(behind int) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return len(o.loading) >= min(order.MaxLoads+planAhead, behind)
+	return len(o.loading) >= min(o.most+o.most/planAhead, behind)
 }
 
 // tellNews tells the other instances what this one does, again and again as long
@@ -217,6 +218,8 @@
 	for i := range targets {
 		targets[i].Loading = o.loading[targets[i].Name]
 	}
+	o.most = order.LoadsAtOnce(len(targets))
+	o.planner.Limit(o.most, o.most/planAhead)
 	loads := o.planner.Plan(targets, wishes, o.g.now())
 	for _, l := range loads {
 		o.loading[l.Target] = true
@@ -252,12 +255,12 @@
 	ctx, cancel := context.WithTimeout(ctx, loadTime)
 	defer cancel()
 	wait.For(ctx, closeTime)
-	select {
-	case o.slots <- struct{}{}:
-		defer func() { <-o.slots }()
-	case <-ctx.Done():
-		return "no turn in time"
+	for !o.begin() {
+		if !wait.For(ctx, rolloutTick/2) {
+			return "no turn in time"
+		}
 	}
+	defer o.end()
 	before, err := o.g.engines.Report(ctx, t.Address, t.ID)
 	if err != nil {
 		return "no report: " + err.Error()
@@ -271,6 +274,24 @@
 	return o.await(ctx, model, version, t, before.OrderSeq)
 }
 
+// begin takes a turn to load, if one is free.
+func (o *rollout) begin() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.running >= o.most {
+		return false
+	}
+	o.running++
+	return true
+}
+
+// end gives the turn back.
+func (o *rollout) end() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.running--
+}
+
 // order gives one order, if the lease is held right before. It returns "" unless
 // the target surely did not take it.
 func (o *rollout) order(ctx context.Context, model string, version uint64, t *catalog.Target, seq uint64) string {
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
+	"github.com/shedhoist/shedhoist/internal/core/member"
 	"github.com/shedhoist/shedhoist/internal/platform"
 )
 
@@ -66,6 +67,7 @@
 	Departed  []departure                  // targets that left the list lately
 	Instances int                          // known of, this one included, the lately lost too
 	Alive     []string                     // names of live instances, this one included, sorted
+	Peers     []member.Member              // the same as members
 	Listed    bool                         // targets were listed at least once
 	Draining  bool                         // this instance is stopping
 	Revision  platform.Version             // up to which the list of targets is complete
