--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -41,6 +41,7 @@
 	lastEvent string // id of the last event that the caller has
 	firstMS   float64
 	targets   []string                // ids of those tried
+	lastZone  string                  // zone of the last one
 	sources   map[uint64][]partSource // where the prompt's parts are, by weight version
 	asks      cacheWork               // what the attempt asks of its target
 	plan      cachePlan
@@ -274,7 +275,7 @@
 		e = e.WithField("first_ms", x.firstMS).WithField("predicted_ms", x.predictedMS)
 	}
 	if x.plan.version > 0 {
-		e = e.WithField("weights", x.plan.version).WithField("fetched_parts", x.plan.fetches).WithField("saved_parts", x.plan.saves).WithField("link", x.asks.Link).
+		e = e.WithField("weights", x.plan.version).WithField("fetch_ms", x.asks.FetchMS).WithField("target_zone", x.lastZone).WithField("fetched_parts", x.plan.fetches).WithField("saved_parts", x.plan.saves).WithField("link", x.asks.Link).
 			WithField("read_tokens", x.asks.ReadTokens)
 	}
 	if leftOut > 0 {
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -81,7 +81,7 @@
 	defer at.answered()
 	at.ticket = x.g.beginTicket(t.ID, at.asked.Work, at.began)
 	defer x.g.dropTicket(at.ticket)
-	x.targets = append(x.targets, t.ID)
+	x.targets, x.lastZone = append(x.targets, t.ID), t.Zone
 	if x.route.Repeatable() {
 		at.watch = time.AfterFunc(x.patience(), cancel)
 		defer at.watch.Stop()
