Large fleets: three instances watch the store for all, and step down when it leaves them

Every instance watched configuration and named versions, and 32 instances that the store refused asked for three kinds each, again and again. Change: in a fleet of more than 16 only the lookouts watch any kind; the others go by their news. An instance that the store does not answer says so as a member (Detached); roles that need the store (lookouts, contenders for the lease) skip it, and a lookout tells at once. While the store does not answer about the first kind, others are not asked for.

--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -38,6 +38,7 @@
 	Zone        string `cbor:"3,keyasint" json:"zone"`
 	Incarnation uint64 `cbor:"4,keyasint" json:"incarnation"` // only the member itself raises it
 	State       State  `cbor:"5,keyasint" json:"state"`
+	Detached    bool   `cbor:"6,keyasint,omitempty" json:"detached,omitempty"` // the object store does not answer it
 }
 
 // Probe is a message to send. Via is empty for a direct probe; else it is the
@@ -268,6 +269,19 @@
 	m.spread(m.self)
 }
 
+// SetDetached tells the others whether the object store answers this instance; it
+// returns whether that is news.
+func (m *Machine) SetDetached(yes bool) bool {
+	if m.self.Detached == yes {
+		return false
+	}
+	m.self.Detached = yes
+	m.self.Incarnation++
+	m.changed = true
+	m.spread(m.self)
+	return true
+}
+
 // Leave says goodbye: the update spreads with the last messages.
 func (m *Machine) Leave() []Probe {
 	m.self.State = Left
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -169,6 +169,7 @@
 		return
 	}
 	c.storeOK = e.ok
+	c.members.SetDetached(!e.ok)
 	if e.ok {
 		c.targets.contactRegained(c.now())
 		c.log.Info("object store reached")
@@ -240,8 +241,15 @@
 		if m.State == member.Alive {
 			v.Alive = append(v.Alive, m.Name)
 			v.Peers = append(v.Peers, m)
+			if !m.Detached {
+				v.Attached = append(v.Attached, m.Name)
+			}
 		}
 	}
+	v.Followers = directoryFollowers(v.Peers)
+	if len(v.Attached) == 0 {
+		v.Attached = v.Alive // nobody reaches the store: the roles stay where they are
+	}
 	return v
 }
 
@@ -262,13 +270,13 @@
 		case <-ctx.Done():
 			return
 		case e := <-g.events:
-			before := c.have()
+			before, attached := c.have(), c.storeOK
 			e.apply(c)
 			for range len(g.events) {
 				(<-g.events).apply(c)
 			}
+			g.spreadNews(c, before, attached)
 			g.view.Store(c.view())
-			g.spreadNews(c, before)
 		case <-tick.C:
 			g.probePeers(c)
 			reopened := c.shut && len(c.closing()) == 0
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -38,7 +38,6 @@
 type feed struct {
 	kind    string
 	lookout time.Duration // how long a lookout's watch waits
-	byNews  bool          // in a large fleet only the lookouts watch it
 	list    func(platform.Snapshot)
 	changes func(platform.Changes)
 }
@@ -47,14 +46,14 @@
 func (g *Gateway) followAll(ctx context.Context) {
 	config, targets, versions := g.codec.Kinds()
 	feeds := []feed{
-		{config, lookoutWait, false, func(s platform.Snapshot) { g.readConfigs(s.Objects) },
+		{config, lookoutWait, func(s platform.Snapshot) { g.readConfigs(s.Objects) },
 			func(c platform.Changes) { g.readConfigs(present(c)) }},
-		{targets, lookoutWait, true, g.listTargets, g.changeTargets},
-		{versions, slowKindWait, false, func(s platform.Snapshot) { g.readVersions(s.Revision, s.Objects) },
+		{targets, lookoutWait, g.listTargets, g.changeTargets},
+		{versions, slowKindWait, func(s platform.Snapshot) { g.readVersions(s.Revision, s.Objects) },
 			func(c platform.Changes) { g.readVersions(c.Revision, present(c)) }},
 	}
 	for _, f := range feeds {
-		g.start(func() { g.follow(ctx, f) })
+		g.start(func() { g.follow(ctx, f, feeds[0].kind) })
 	}
 }
 
@@ -70,11 +69,12 @@
 }
 
 // follow lists a kind, then watches it. A failed call is repeated after a pause
-// that grows; a watch goes on from where it was, unless that history is lost.
-func (g *Gateway) follow(ctx context.Context, f feed) {
+// that grows; a watch goes on from where it was, unless that history is lost. While
+// the store does not answer about the first kind, the others are not asked for.
+func (g *Gateway) follow(ctx context.Context, f feed, first string) {
 	at, listed, failures := platform.Version(0), false, 0
 	for ctx.Err() == nil {
-		if listed && f.byNews && g.newsComes() {
+		if listed && (g.newsComes() || f.kind != first && g.fails(first)) {
 			wait.For(ctx, newsPoll)
 			continue
 		}
@@ -123,24 +123,37 @@
 
 // newsComes says whether this instance may go by its peers' news instead of a
 // watch of its own: the fleet is large, others are its lookouts, and a peer was
-// heard lately.
+// heard lately. One that the store did not answer last tries until it does.
 func (g *Gateway) newsComes() bool {
 	v := g.view.Load()
-	if len(v.Alive) <= smallFleet || rankOf(v.Alive, g.settings().Name, lookoutRole) < lookouts {
+	if len(v.Alive) <= smallFleet || g.isLookout(v) || !g.storeOK.Load() {
 		return false
 	}
 	return g.now().Sub(g.began)-time.Duration(g.heardPeer.Load()) < newsAge
 }
 
+// isLookout says whether this instance is one that notices changes for all: one of
+// the first-ranked among those that the store answers.
+func (g *Gateway) isLookout(v *View) bool {
+	return rankOf(v.Attached, g.settings().Name, lookoutRole) < lookouts
+}
+
 // watchFor is how long a watch waits. Instances agree by function on who the
 // lookouts are.
 func (g *Gateway) watchFor(f feed) time.Duration {
-	if rankOf(g.view.Load().Alive, g.settings().Name, lookoutRole) < lookouts {
+	if g.isLookout(g.view.Load()) {
 		return f.lookout
 	}
 	return watchWait
 }
 
+// fails says whether the store does not answer about a kind.
+func (g *Gateway) fails(kind string) bool {
+	g.failingMu.Lock()
+	defer g.failingMu.Unlock()
+	return g.failing[kind]
+}
+
 // contact notes whether the store answers about a kind; only a change of the
 // whole makes an event.
 func (g *Gateway) contact(kind string, err error) {
--- a/internal/gateway/lease.go
+++ b/internal/gateway/lease.go
@@ -167,7 +167,7 @@
 }
 
 func (o *rollout) watchOnce(ctx context.Context, at *platform.Version) error {
-	if rankOf(o.g.view.Load().Alive, o.g.settings().Name, leaseName) >= contenders {
+	if rankOf(o.g.view.Load().Attached, o.g.settings().Name, leaseName) >= contenders {
 		wait.For(ctx, leasePulse)
 		return nil
 	}
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -191,16 +191,19 @@
 }
 
 // spreadNews tells peers at once what changed, if this instance is one that
-// hears of changes first: a lookout, or the one that gives orders.
-func (g *Gateway) spreadNews(c *control, before Have) {
+// hears of changes first: a lookout, or the one that gives orders. A lookout that
+// the store left, or found again, tells that too: another must take its place. The
+// view published last is the one before the change.
+func (g *Gateway) spreadNews(c *control, before Have, attached bool) {
 	now := c.have()
-	if now == before || g.ctx.Err() != nil {
+	v := g.view.Load()
+	lookout := g.isLookout(v)
+	reattached := lookout && c.storeOK != attached
+	if now == before && !reattached || g.ctx.Err() != nil {
 		return
 	}
-	alive := g.view.Load().Alive
-	lookout := rankOf(alive, g.settings().Name, lookoutRole) < lookouts
 	ownRollout := now.Rollout != before.Rollout && c.ownNews
-	if !lookout && !ownRollout && len(alive) <= smallFleet {
+	if !lookout && !ownRollout && len(v.Alive) <= smallFleet {
 		return // the lookouts reach all of a small fleet
 	}
 	hello := c.greeting(false)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -20,8 +20,8 @@
 	needyPeriod = 300 * time.Millisecond
 	// catchUpDelay is what the store usually takes to tell all instances of a change.
 	catchUpDelay = 100 * time.Millisecond
-	// smallFleet is the largest number of instances in which all watch the targets'
-	// entries. In a larger one the lookouts do, and news spread from peer to peer.
+	// smallFleet is the largest number of instances in which all watch the object
+	// store. In a larger one the lookouts do, and news spread from peer to peer.
 	smallFleet = 16
 	// newsAge is how old the last exchange with a peer may be for that.
 	newsAge = 1500 * time.Millisecond
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -112,7 +112,7 @@
 	if o.due.IsZero() {
 		o.due = now
 	}
-	rank := rankOf(v.Alive, o.g.settings().Name, leaseName)
+	rank := rankOf(v.Attached, o.g.settings().Name, leaseName)
 	if rank >= contenders || now.Sub(o.due) < time.Duration(rank)*contenderStep {
 		return
 	}
