shedhoist logs explain: the story of a request from several instances' logs

Cause: an on-call engineer had grep alone; to see whether a refusal was stale or a load cut a stream, lines of several instances must be put side by side.

--- /dev/null
+++ b/internal/tool/logs.go
@@ -0,0 +1,95 @@
+package tool
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/shedhoist/shedhoist/internal/logstory"
+)
+
+// NoRequestError says that no line of the logs names a request.
+type NoRequestError struct{ Request string }
+
+// Error implements error.
+func (e *NoRequestError) Error() string { return "no line names request " + e.Request }
+
+func (o *options) logsCmd() *cobra.Command {
+	logs := &cobra.Command{Use: "logs", Short: "Read the instances' logs, offline"}
+	logs.AddCommand(&cobra.Command{Use: "explain REQUEST-ID FILE...", Short: "Join the log lines of several instances into the story of one request",
+		Long: "Reads JSON log lines of any number of instances, - for standard input, and prints the\n" +
+			"request's own lines, what changed around it, and what follows from them.",
+		Example: "  shedhoist logs explain 81f7ad7fca34baef *.log\n  cat *.log | shedhoist logs explain -o json 81f7ad7fca34baef -",
+		Args:    cobra.MinimumNArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			lines, err := readLogs(cmd.InOrStdin(), args[1:])
+			if err != nil {
+				return err
+			}
+			s := logstory.Tell(lines, args[0])
+			if s == nil {
+				return &NoRequestError{Request: args[0]}
+			}
+			return o.show(s, func(w io.Writer) { storyTable(w, s) })
+		}})
+	return logs
+}
+
+func readLogs(stdin io.Reader, files []string) ([]logstory.Line, error) {
+	var out []logstory.Line
+	for _, name := range files {
+		lines, err := readLog(stdin, name)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, lines...)
+	}
+	return out, nil
+}
+
+func readLog(stdin io.Reader, name string) ([]logstory.Line, error) {
+	if name == "-" {
+		return logstory.Read(stdin)
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	return logstory.Read(f)
+}
+
+func storyTable(w io.Writer, s *logstory.Story) {
+	fmt.Fprintf(w, "request %s\n", s.Request)
+	linesTable(w, s.Lines)
+	if len(s.Around) > 0 {
+		fmt.Fprintln(w, "around it")
+		linesTable(w, s.Around)
+	}
+	fmt.Fprintln(w, "findings")
+	for _, f := range s.Findings {
+		fmt.Fprintf(w, "  - %s\n", f)
+	}
+	if len(s.Findings) == 0 {
+		fmt.Fprintln(w, "  none: nothing in these logs explains more than its own lines")
+	}
+}
+
+// storyFields are the fields shown of each line, in this order.
+var storyFields = []string{"target", "targets", "outcome", "status", "ended", "next", "detail", "error", "config", "version", "before", "from", "leaving",
+	"weights", "ms", "first_ms", "predicted_ms", "link", "read_tokens", "age_ms", "store_age_ms", "token"}
+
+func linesTable(w io.Writer, lines []logstory.Line) {
+	for _, l := range lines {
+		fmt.Fprintf(w, "  %s\t%s\t%s\t", l.Time.Format(time.TimeOnly+".000"), l.Instance, l.Message)
+		for _, name := range storyFields {
+			if v, ok := l.Fields[name]; ok && v != "" {
+				fmt.Fprintf(w, "%s=%v ", name, v)
+			}
+		}
+		fmt.Fprintln(w)
+	}
+}
--- a/internal/tool/tool.go
+++ b/internal/tool/tool.go
@@ -146,7 +146,7 @@
 		return nil
 	}
 	root.AddCommand(o.initCmd(), o.validateCmd(), o.diffCmd(), o.applyCmd(), o.getCmd(), o.historyCmd(), o.rollbackCmd(), o.drainCmd(),
-		o.statusCmd(), o.membersCmd(), o.targetsCmd(), o.dumpCmd(), o.explainCmd(), versionCmd(o))
+		o.statusCmd(), o.membersCmd(), o.targetsCmd(), o.dumpCmd(), o.explainCmd(), o.logsCmd(), versionCmd(o))
 	return root
 }
 
