--- a/internal/logstory/findings.go
+++ b/internal/logstory/findings.go
@@ -125,6 +125,20 @@
 	return first > predicted+slowMS && first > slowFactor*predicted
 }
 
+// youngTime is how long after its start an instance may still lack what it needs.
+const youngTime = 3 * time.Second
+
+// young finds that the instance had just started.
+func young(_ []Line, s *Story) []string {
+	end := s.end()
+	for _, l := range s.Around {
+		if age := end.Time.Sub(l.Time); l.Message == "started" && age >= 0 && age < youngTime {
+			return []string{fmt.Sprintf("%s had started %s before", end.Instance, age.Round(time.Millisecond))}
+		}
+	}
+	return nil
+}
+
 // staleStore is from which age on the object store's last word is worth telling:
 // watches of the instances that notice changes end sooner.
 const staleStore = 2 * time.Second
--- a/internal/logstory/logstory.go
+++ b/internal/logstory/logstory.go
@@ -19,6 +19,7 @@
 	Instance string    `json:"instance"`
 	Message  string    `json:"message"`
 	Fields   Fields    `json:"fields"`
+	Others   int       `json:"others,omitempty"` // instances that wrote the same of a target
 }
 
 // Fields are a line's fields as JSON has them.
@@ -124,7 +125,8 @@
 		}
 	}
 	byTime(s.Around)
-	for _, find := range [...]func([]Line, *Story) []string{staleConfig, ownOrders, vanished, together, slowAnswer, storeAway} {
+	s.Around = merge(s.Around, end.Instance)
+	for _, find := range [...]func([]Line, *Story) []string{staleConfig, ownOrders, vanished, together, slowAnswer, storeAway, young} {
 		s.Findings = append(s.Findings, find(lines, s)...)
 	}
 	return s
@@ -134,5 +136,36 @@
 	slices.SortStableFunc(lines, func(a, b Line) int { return cmp.Compare(a.Time.UnixNano(), b.Time.UnixNano()) })
 }
 
+// merge leaves one line of those in which several instances tell the same of a
+// target: the given instance's, else the first.
+func merge(lines []Line, instance string) []Line {
+	type news struct {
+		message, target string
+		leaving         any
+		version         any
+	}
+	at := map[news]int{}
+	var out []Line
+	for _, l := range lines {
+		if !slices.Contains(aboutTarget, l.Message) {
+			out = append(out, l)
+			continue
+		}
+		n := news{l.Message, l.Fields.Text("target"), l.Fields["leaving"], l.Fields["version"]}
+		i, told := at[n]
+		if !told {
+			at[n] = len(out)
+			out = append(out, l)
+			continue
+		}
+		others := out[i].Others + 1
+		if l.Instance == instance {
+			out[i] = l
+		}
+		out[i].Others = others
+	}
+	return out
+}
+
 // end is the last line of the request.
 func (s *Story) end() Line { return s.Lines[len(s.Lines)-1] }
--- a/internal/logstory/logstory_test.go
+++ b/internal/logstory/logstory_test.go
@@ -52,6 +52,7 @@
 		{"two that failed there too", append([]string{cut, cutEnd}, others[:2]...), nil},
 		{"a slow link", []string{late, at(5100, "b", "request", `"request":"x","link":"s:1","first_ms":600,"predicted_ms":80`),
 			at(5200, "b", "request", `"request":"y","link":"s:1","first_ms":90,"predicted_ms":80`)}, []string{"predicted 90 ms", "1 of 2 other requests"}},
+		{"an instance that has just started", []string{at(4000, "a", "started", ""), refused}, []string{"not by a stale belief", "a had started 1s before"}},
 		{"an instance that the store left", []string{at(1000, "a", "object store lost", ""), refused}, []string{"not by a stale belief", "did not answer a"}},
 		{"one that the store answers again", []string{at(1000, "a", "object store lost", ""), at(2000, "a", "object store reached", ""), refused}, []string{"not by a stale belief"}},
 	}
@@ -69,6 +70,20 @@
 	}
 }
 
+// TestMerged: what many instances tell of a target alike is one line of the story.
+func TestMerged(t *testing.T) {
+	is := is.New(t)
+	lines := []string{at(5000, "a", "request", `"request":"r","targets":["t1"],"outcome":"cut"`)}
+	for i, instance := range []string{"c", "b", "a", "d"} {
+		lines = append(lines, at(4000+i, instance, "target changed", `"target":"t1","leaving":true,"models":[{"Model":"m"}]`))
+	}
+	lines = append(lines, at(4500, "b", "target changed", `"target":"t1","leaving":false`))
+	s := logstory.Tell(read(t, lines...), "r")
+	is.Equal(len(s.Around), 2)
+	is.Equal(s.Around[0].Instance, "a")
+	is.Equal(s.Around[0].Others, 3)
+}
+
 // TestRead: lines of collectors and others' lines are no trouble; an unknown request
 // has no story; a line without an end is an error.
 func TestRead(t *testing.T) {
--- a/internal/tool/logs.go
+++ b/internal/tool/logs.go
@@ -90,6 +90,9 @@
 				fmt.Fprintf(w, "%s=%v ", name, v)
 			}
 		}
+		if l.Others > 0 {
+			fmt.Fprintf(w, "(and %d instances more)", l.Others)
+		}
 		fmt.Fprintln(w)
 	}
 }
