Requests that are predicted to be late wait behind those that can be in time

Change: a prompt whose predicted first answer takes more than 0.9 of the time left is sent with a rank four lower: targets admit it after the others. Test: TestUrgency.

--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -126,10 +126,29 @@
 	x.plan = x.g.cache.plan(x.view.Config.Stores, salt, version, x.call.Prompt.Parts, x.sourcesOf(version), x.asks.fetch)
 	until := time.Duration(untilShare*float64(x.route.Objective)) - x.g.now().Sub(x.arrived)
 	until = min(until, time.Duration(untilFactor*x.asks.fetchMS*float64(time.Millisecond))+untilSlack)
-	return &ModelAttempt{Priority: min(x.priority(), lowestPriority), Version: version, Salt: salt, Cache: x.plan.parts,
+	return &ModelAttempt{Priority: x.urgency(), Version: version, Salt: salt, Cache: x.plan.parts,
 		FetchUntilMS: x.g.cache.clockMS(max(until, 0))}
 }
 
+const (
+	// hopelessShare of the time left for the first answer, if it is predicted to take
+	// longer, makes a request wait behind those that can be in time: read first, it
+	// would make them late too. A tenth is for what predictions leave out.
+	hopelessShare = 0.9
+	// hopelessRanks is by how much: more than the ranks that operators declare, 0 to 3.
+	hopelessRanks = 4
+)
+
+// urgency is the rank at the target, 0 being the most urgent.
+func (x *exchange) urgency() int {
+	rank := x.priority()
+	left := float64(x.route.Objective)/float64(time.Millisecond) - x.sinceMS()
+	if x.predictedMS > hopelessShare*left {
+		rank += hopelessRanks
+	}
+	return min(rank, lowestPriority)
+}
+
 // priority is the customer's if it has one, else the route's.
 func (x *exchange) priority() int {
 	if x.customer != nil && x.customer.HasPriority {
--- a/internal/gateway/model_test.go
+++ b/internal/gateway/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -15,3 +16,34 @@
 	src := partSource{store: &catalog.CacheStore{LinkMbps: 1000}, tokens: 100}
 	is.New(t).Equal(x.transferMS(src, &catalog.Target{Service: "gone"}), 0.0)
 }
+
+// TestUrgency: a request that can hardly be answered in time waits behind those that
+// can, behind none of a rank that targets do not know, and its customer's rank counts
+// before its route's.
+func TestUrgency(t *testing.T) {
+	start := time.Unix(0, 0)
+	cases := []struct {
+		name      string
+		predicted float64 // ms
+		waited    time.Duration
+		rank      int
+		customer  *catalog.Customer
+		want      int
+	}{
+		{"in time", 300, 0, 1, nil, 1},
+		{"late", 460, 0, 1, nil, 5},
+		{"late since it has waited", 300, 200 * time.Millisecond, 1, nil, 5},
+		{"its time is over", 1, 600 * time.Millisecond, 0, nil, 4},
+		{"the lowest rank there is", 460, 0, 8, nil, lowestPriority},
+		{"a customer's own rank", 300, 0, 1, &catalog.Customer{Priority: 3, HasPriority: true}, 3},
+		{"a customer's own rank, late", 460, 0, 1, &catalog.Customer{Priority: 0, HasPriority: true}, 4},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := &Gateway{now: func() time.Time { return start.Add(c.waited) }}
+			x := &exchange{g: g, arrived: start, predictedMS: c.predicted, customer: c.customer,
+				route: &catalog.Route{Objective: 500 * time.Millisecond, Priority: c.rank}}
+			is.New(t).Equal(x.urgency(), c.want)
+		})
+	}
+}
