--- a/internal/gateway/cache.go
+++ b/internal/gateway/cache.go
@@ -23,7 +23,10 @@
 	pollGap = 300 * time.Millisecond
 	// shelfAge is how old a store's last word may be for a fetch: one that does not
 	// answer for longer may have started again, empty.
-	shelfAge = pollWait + pollGap + 300*time.Millisecond + relayAge
+	shelfAge = pollWait + pollGap + 300*time.Millisecond
+	// epochCalm is how long a store's epoch must have been known before anything is
+	// saved there: no instance believes in the one before for longer.
+	epochCalm = shelfAge + relayAge
 	// relistEvery is how often a store is listed anew, for the events that were lost.
 	relistEvery = 12 * time.Second
 	// storesEvery is how often the configuration is looked at for new stores, and
@@ -58,6 +61,15 @@
 	listed time.Time
 }
 
+// ageLimit is how old the store's last word may be, see shelfAge; one that came by
+// way of other instances is older.
+func (s *shelf) ageLimit() time.Duration {
+	if s.cancel == nil {
+		return shelfAge + relayAge
+	}
+	return shelfAge
+}
+
 func newCacheDirectory(g *Gateway) *cacheDirectory {
 	return &cacheDirectory{g: g, process: rand.Uint64(), shelves: map[string]*shelf{}, saving: map[stock.Key]time.Time{}}
 }
@@ -271,7 +283,7 @@
 		if sh == nil {
 			continue
 		}
-		if n := sh.Tokens(key, now, shelfAge); n > out.tokens {
+		if n := sh.Tokens(key, now, sh.ageLimit()); n > out.tokens {
 			out = partSource{store: &stores[i], tokens: n}
 		}
 	}
@@ -288,7 +300,7 @@
 	}
 	var places []stock.Place
 	for _, s := range stores {
-		if sh := c.shelves[s.Address]; sh != nil && sh.Known(now, shelfAge) && sh.Settled(now, shelfAge) {
+		if sh := c.shelves[s.Address]; sh != nil && sh.Known(now, sh.ageLimit()) && sh.Settled(now, epochCalm) {
 			places = append(places, stock.Place{Address: s.Address, Capacity: s.Capacity, Used: sh.Used(), FirstByte: s.FirstByte})
 		}
 	}
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -218,30 +218,32 @@
 // pull takes the directory from others, as long as this instance does not follow
 // the stores itself.
 func (c *cacheDirectory) pull(ctx context.Context) {
-	var from string // whose numbers ask has
-	var ask DirectoryAsk
-	failures := 0
+	var sources []string // as of the last look
+	var ask DirectoryAsk // by the numbers of the source asked last
+	failures := 0        // since sources changed; it chooses among them
+	missing := false     // the last look failed
 	for wait.For(ctx, pullGap*3/4+rand.N(pullGap/2)) {
 		at := c.place()
 		if len(at.sources) == 0 {
 			ask = DirectoryAsk{}
 			continue
 		}
-		source := at.sources[failures%len(at.sources)]
-		if source != from {
-			from, ask = source, DirectoryAsk{}
+		if !slices.Equal(sources, at.sources) {
+			sources, failures, ask = at.sources, 0, DirectoryAsk{}
 		}
+		source := sources[failures%len(sources)]
 		started := c.g.now()
 		d, err := c.look(ctx, source, ask)
 		if err != nil {
 			failures++
+			missing, ask = true, DirectoryAsk{}
 			c.g.log.WithError(err).WithField("peer", source).WithField("failures", failures).Warn("cache directory not had")
 			continue
 		}
-		if failures > 0 {
+		if missing {
 			c.g.log.WithField("peer", source).WithField("stores", len(d.Stores)).Info("cache directory had again")
 		}
-		failures = 0
+		missing = false
 		ask = DirectoryAsk{Process: d.Process, Seq: d.Seq}
 		if !c.take(d, started) {
 			ask = DirectoryAsk{}
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -109,7 +109,7 @@
 	sh := c.shelves[address]
 	var parts []stock.Key
 	var epoch uint64
-	if sh != nil && sh.Known(c.g.now(), shelfAge) {
+	if sh != nil && sh.Known(c.g.now(), sh.ageLimit()) {
 		parts = append(sh.Older(oldest, freeBatch), sh.Stuck(brokenTime)...)
 		epoch, _, _ = sh.Position()
 	}
