An instance that stops alone no longer fails on a list without zones

In the field a process that stops alone would have ended by a panic after its requests. Change: at least one zone is counted. Test: TestLastOneLeaves, which panics without it.

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -83,9 +83,10 @@
 	return zones
 }
 
-// directoryTops is how many instances of each zone follow the stores.
+// directoryTops is how many instances of each zone follow the stores. An instance that
+// stops, alone, knows of no zone at all.
 func directoryTops(zones map[string][]member.Member) int {
-	return max(min(followers, storePolls/len(zones)), 1)
+	return max(min(followers, storePolls/max(len(zones), 1)), 1)
 }
 
 // directoryFollowers names the instances that follow the stores.
--- a/internal/gateway/directory_test.go
+++ b/internal/gateway/directory_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -55,6 +56,18 @@
 	}
 }
 
+// TestLastOneLeaves: an instance that stops knows of no live member, not even itself.
+func TestLastOneLeaves(t *testing.T) {
+	is := is.New(t)
+	self := member.Member{Name: "a", Address: "10.0.0.1:1", Zone: "z", Incarnation: 1}
+	c := &control{now: time.Now, members: member.New(member.DefaultParams, self, func(int) int { return 0 })}
+	c.members.Leave()
+	v := c.view()
+	is.Equal(len(v.Alive), 0)
+	is.Equal(len(v.Followers), 0)
+	is.True(directoryPosition(v.Peers, self).follows)
+}
+
 // TestStoreNews: changes come out as they were put in; a part that names no salt
 // is left out.
 func TestStoreNews(t *testing.T) {
