--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -269,17 +269,15 @@
 	m.spread(m.self)
 }
 
-// SetDetached tells the others whether the object store answers this instance; it
-// returns whether that is news.
-func (m *Machine) SetDetached(yes bool) bool {
+// SetDetached tells the others whether the object store answers this instance.
+func (m *Machine) SetDetached(yes bool) {
 	if m.self.Detached == yes {
-		return false
+		return
 	}
 	m.self.Detached = yes
 	m.self.Incarnation++
 	m.changed = true
 	m.spread(m.self)
-	return true
 }
 
 // Leave says goodbye: the update spreads with the last messages.
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -246,7 +246,6 @@
 			}
 		}
 	}
-	v.Followers = directoryFollowers(v.Peers)
 	if len(v.Attached) == 0 {
 		v.Attached = v.Alive // nobody reaches the store: the roles stay where they are
 	}
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -7,8 +7,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/shedhoist/shedhoist/internal/core/member"
 	"github.com/shedhoist/shedhoist/internal/core/stock"
 	"github.com/shedhoist/shedhoist/internal/wait"
@@ -105,7 +103,7 @@
 	return out
 }
 
-func directoryScore(m member.Member) uint64 { return xxhash.Sum64String(m.Name + "/" + directoryRole) }
+func directoryScore(m member.Member) uint64 { return roleScore(m.Name, directoryRole) }
 
 // DirectoryAsk asks for what changed in the cache stores.
 type DirectoryAsk struct {
@@ -265,9 +263,7 @@
 func (c *cacheDirectory) take(d Directory, started time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if d.ClockMS > 0 {
-		c.clock, c.clockAt = d.ClockMS, c.g.now()
-	}
+	c.setClock(d.ClockMS)
 	all := true
 	for i := range d.Stores {
 		n := &d.Stores[i]
--- a/internal/gateway/directory_test.go
+++ b/internal/gateway/directory_test.go
@@ -64,7 +64,7 @@
 	c.members.Leave()
 	v := c.view()
 	is.Equal(len(v.Alive), 0)
-	is.Equal(len(v.Followers), 0)
+	is.Equal(len(directoryFollowers(v.Peers)), 0)
 	is.True(directoryPosition(v.Peers, self).follows)
 }
 
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -46,11 +46,12 @@
 			continue
 		}
 		// Only those that follow a store know of the parts that broke off there.
-		if !slices.Contains(v.Followers, c.g.settings().Name) {
+		follow := directoryFollowers(v.Peers)
+		if !slices.Contains(follow, c.g.settings().Name) {
 			continue
 		}
 		for _, s := range v.Config.Stores {
-			if s.Managed && rankOf(v.Followers, c.g.settings().Name, s.Address) == 0 {
+			if s.Managed && rankOf(follow, c.g.settings().Name, s.Address) == 0 {
 				c.free(ctx, s.Address, oldest)
 			}
 		}
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -174,16 +174,18 @@
 // rankOf is an instance's place among the live ones for a role, the same at all
 // of them (rendezvous hashing).
 func rankOf(alive []string, self, role string) int {
-	score := func(name string) uint64 { return xxhash.Sum64String(name + "/" + role) }
-	mine, rank := score(self), 0
+	mine, rank := roleScore(self, role), 0
 	for _, name := range alive {
-		if name != self && score(name) > mine {
+		if name != self && roleScore(name, role) > mine {
 			rank++
 		}
 	}
 	return rank
 }
 
+// roleScore is an instance's score for a role: the highest ranks first.
+func roleScore(name, role string) uint64 { return xxhash.Sum64String(name + "/" + role) }
+
 // planLoads chooses the loads to order now; none without the lease.
 func (o *rollout) planLoads(v *View) []order.Load {
 	var targets []order.Target
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -68,7 +68,6 @@
 	Instances int                          // known of, this one included, the lately lost too
 	Alive     []string                     // names of live instances, this one included, sorted
 	Peers     []member.Member              // the same as members
-	Followers []string                     // those that follow the cache stores, the tops of the tree
 	Attached  []string                     // those of them that the object store answers; all, if it answers none
 	Listed    bool                         // targets were listed at least once
 	Draining  bool                         // this instance is stopping
