Soak: a request that meets a process younger than itself; say which belief is missing

Ruled out: a refusal by the process that stops (it always has a configuration). (2) An instance that knows the configuration and no list of targets said that no target is fit; it now says what is missing. TestNoList fails without it.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -53,6 +53,9 @@
 	if x.view.Config == nil {
 		return later(problem.Draining, "this instance has no configuration yet", comeBackNew)
 	}
+	if !x.view.Listed {
+		return later(problem.Draining, "this instance has no list of targets yet", comeBackNew)
+	}
 	cfg := x.view.Config
 	if l := cfg.Limits.HeaderBytes; l > 0 && headerSize(x.r) > l {
 		return problem.New(problem.HeaderTooLarge, "the header is larger than allowed")
