Large fleets: parts of views kept, changes told along a tree, a bounded choice of targets

A trial of 100 instances and 1,000 targets in one process, no traffic, showed where: 29% of the time made views anew at each probe, 11% looked for held entries 20 times a second, 9% for targets behind, 7% at what waits; each change was told by all to 12 others (1,400 messages a change), and a starting instance took the whole list of targets from peers (130 kB each). Changes: (1) a view's parts on instances and on targets are made anew only when what they come from changed (parts.go). (2) tree.go, the directory's tree, now also carries changes: those that hear first tell the tops of the zones, each instance those that it serves; told at most every 50 ms. (3) A list of over 256 targets is handed over by a peer only to one that the store does not answer; others take the changes from the store, once (askTargets). (4) Of a service with over 64 targets an instance considers 64, of its zone first, by rendezvous hashing; more only where fewer than 8 are fit. (5) Predictions look only at the requests of one target or link. (6) 50 ms at least from one watch to the next.

--- a/internal/core/place/predict.go
+++ b/internal/core/place/predict.go
@@ -23,7 +23,25 @@
 	readMS  float64 // ms to read one prompt token on an idle target
 	targets map[string]*delay
 	links   map[string]*delay
-	waiting map[*Ticket]struct{}
+	waiting waiting // by target
+	fetches waiting // those that fetch, by link
+}
+
+// waiting is the requests that wait for their first answer, by what they wait for.
+type waiting map[string]map[*Ticket]struct{}
+
+func (w waiting) add(name string, t *Ticket) {
+	if w[name] == nil {
+		w[name] = map[*Ticket]struct{}{}
+	}
+	w[name][t] = struct{}{}
+}
+
+func (w waiting) drop(name string, t *Ticket) {
+	delete(w[name], t)
+	if len(w[name]) == 0 {
+		delete(w, name)
+	}
 }
 
 // delay is how much longer than nominal something takes, ms.
@@ -63,7 +81,7 @@
 
 // NewPredictor returns a predictor that has seen nothing.
 func NewPredictor() *Predictor {
-	return &Predictor{readMS: firstReadMS, targets: map[string]*delay{}, links: map[string]*delay{}, waiting: map[*Ticket]struct{}{}}
+	return &Predictor{readMS: firstReadMS, targets: map[string]*delay{}, links: map[string]*delay{}, waiting: waiting{}, fetches: waiting{}}
 }
 
 // now is a delay's value at a time.
@@ -77,10 +95,8 @@
 // Target is the delay expected at a target.
 func (p *Predictor) Target(id string, now time.Time) float64 {
 	out := p.targets[id].now(now)
-	for t := range p.waiting {
-		if t.target == id {
-			out = math.Max(out, t.overdue(now)*t.targetPart())
-		}
+	for t := range p.waiting[id] {
+		out = math.Max(out, t.overdue(now)*t.targetPart())
 	}
 	return out
 }
@@ -104,10 +120,8 @@
 		return 0
 	}
 	late := p.links[w.Link].now(now)
-	for t := range p.waiting {
-		if t.work.FetchMS > 0 && t.work.Link == w.Link {
-			late = math.Max(late, t.overdue(now)*linkPart)
-		}
+	for t := range p.fetches[w.Link] {
+		late = math.Max(late, t.overdue(now)*linkPart)
 	}
 	return w.FetchMS + late
 }
@@ -123,12 +137,18 @@
 // Begin notes a request that is sent now.
 func (p *Predictor) Begin(id string, w Work, now time.Time) *Ticket {
 	t := &Ticket{target: id, work: w, began: now, predicted: p.First(id, w, now)}
-	p.waiting[t] = struct{}{}
+	p.waiting.add(id, t)
+	if w.FetchMS > 0 {
+		p.fetches.add(w.Link, t)
+	}
 	return t
 }
 
 // Drop forgets a request that ended without an answer, or was answered.
-func (p *Predictor) Drop(t *Ticket) { delete(p.waiting, t) }
+func (p *Predictor) Drop(t *Ticket) {
+	p.waiting.drop(t.target, t)
+	p.fetches.drop(t.work.Link, t)
+}
 
 // Observe takes a request's first answer, and returns how much of the time it
 // took was not predicted, ms.
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -1,9 +1,7 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -32,10 +30,14 @@
 	rollout  RolloutNews // the newest heard of, or this instance's own
 	ownNews  bool        // it is this instance's own
 	heardOf  time.Time   // when it was heard
-	shut     bool        // the view published last leaves out closing targets
 	members  *member.Machine
 	draining bool
 	storeOK  bool
+
+	// Parts of views, kept until what they are made from changes.
+	fleet   fleetPart
+	serving servingPart
+	news    untold
 }
 
 // event is one change of control state. Apply runs on the control goroutine.
@@ -198,60 +200,11 @@
 	}
 }
 
-// closing names the targets that shall get no new requests, since they are
-// about to load weights.
-func (c *control) closing() map[string]bool {
-	out := map[string]bool{}
-	if c.now().Sub(c.heardOf) < closingFor {
-		for _, id := range c.rollout.Closing {
-			out[id] = true
-		}
-	}
-	return out
-}
-
 // stopping takes this instance out of service.
 type stopping struct{}
 
 func (stopping) apply(c *control) { c.draining = true }
 
-// view builds the picture that request goroutines read.
-func (c *control) view() *View {
-	v := &View{Config: c.cfg, Targets: map[string]*catalog.Target{}, Serving: map[string][]*catalog.Target{}, Named: map[string]Named{},
-		Revision: c.targets.revision, Rollout: c.rollout, Listed: c.targets.listed, Draining: c.draining, StoreOK: c.storeOK}
-	for m, n := range c.named {
-		v.Named[m] = n
-	}
-	v.Departed = slices.Clone(c.targets.departed)
-	closing := c.closing()
-	c.shut = len(closing) > 0
-	for id, t := range c.targets.byID {
-		v.Targets[id] = &t.Target
-		if !t.Leaving && !closing[id] {
-			v.Serving[t.Service] = append(v.Serving[t.Service], &t.Target)
-		}
-	}
-	for _, ts := range v.Serving {
-		slices.SortFunc(ts, func(a, b *catalog.Target) int { return cmp.Compare(a.ID, b.ID) })
-	}
-	for _, m := range c.members.Members() {
-		if m.State != member.Left {
-			v.Instances++
-		}
-		if m.State == member.Alive {
-			v.Alive = append(v.Alive, m.Name)
-			v.Peers = append(v.Peers, m)
-			if !m.Detached {
-				v.Attached = append(v.Attached, m.Name)
-			}
-		}
-	}
-	if len(v.Attached) == 0 {
-		v.Attached = v.Alive // nobody reaches the store: the roles stay where they are
-	}
-	return v
-}
-
 // Pace of the control goroutine.
 const (
 	controlTick  = 50 * time.Millisecond // probes of peers, and lapses of held entries
@@ -269,19 +222,22 @@
 		case <-ctx.Done():
 			return
 		case e := <-g.events:
-			before, attached := c.have(), c.storeOK
+			old := c.before()
 			e.apply(c)
 			for range len(g.events) {
 				(<-g.events).apply(c)
 			}
-			g.spreadNews(c, before, attached)
-			g.view.Store(c.view())
+			v := c.view()
+			g.view.Store(v)
+			c.noteNews(v, old)
+			g.spreadNews(c, v)
 		case <-tick.C:
 			g.probePeers(c)
-			reopened := c.shut && len(c.closing()) == 0
-			if c.targets.expire(c.now()) || c.members.Changed() || reopened {
+			expired := c.targets.expire(c.now())
+			if expired || c.fleetChanged() || c.reopened() {
 				g.view.Store(c.view())
 			}
+			g.spreadNews(c, g.view.Load())
 		}
 	}
 }
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -1,13 +1,11 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
 	"time"
 
-	"github.com/shedhoist/shedhoist/internal/core/member"
 	"github.com/shedhoist/shedhoist/internal/core/stock"
 	"github.com/shedhoist/shedhoist/internal/wait"
 )
@@ -17,16 +15,8 @@
 // stores, and the others of the zone take what changed from them, along a tree of
 // bounded width, so that neither polls nor bytes between zones grow with the fleet.
 
-// Shape of the tree and pace of going through it.
+// Pace of going through the tree.
 const (
-	// followers is how many instances of a zone follow the stores: one may fail.
-	followers = 2
-	// storePolls is how many instances in all may follow one store; stores have
-	// been seen to bear 12 polls at a time.
-	storePolls = 10
-	// directoryFan is how many instances take the directory from one other: each
-	// asks some three times a second, which then costs half a percent of a core.
-	directoryFan = 12
 	// pullGap is the pause between two looks at another's directory.
 	pullGap = 300 * time.Millisecond
 	// pullTimeout bounds one look.
@@ -37,74 +27,8 @@
 	// joinTime is how long a new process waits to learn how large the fleet is
 	// before it follows stores itself.
 	joinTime = 500 * time.Millisecond
-	// directoryRole ranks the instances of a zone.
-	directoryRole = "directory"
 )
 
-// position is an instance's place in the tree.
-type position struct {
-	follows bool     // it follows the stores itself
-	sources []string // addresses of those it asks else, the preferred one first
-}
-
-// directoryPosition finds an instance's place by function of the live members, so
-// that all agree without a message.
-func directoryPosition(alive []member.Member, self member.Member) position {
-	if len(alive) <= smallFleet {
-		return position{follows: true}
-	}
-	zones := directoryRanks(alive)
-	near, tops := zones[self.Zone], directoryTops(zones)
-	own := slices.IndexFunc(near, func(m member.Member) bool { return m.Name == self.Name })
-	if own < tops {
-		return position{follows: true}
-	}
-	parent := (own - tops) / directoryFan
-	out := position{sources: []string{near[parent].Address}}
-	for i, m := range near[:tops] {
-		if i != parent {
-			out.sources = append(out.sources, m.Address)
-		}
-	}
-	return out
-}
-
-// directoryRanks sorts each zone's members by their rank in the tree.
-func directoryRanks(alive []member.Member) map[string][]member.Member {
-	zones := map[string][]member.Member{}
-	for _, m := range alive {
-		zones[m.Zone] = append(zones[m.Zone], m)
-	}
-	for _, near := range zones {
-		slices.SortFunc(near, func(a, b member.Member) int { return cmp.Compare(directoryScore(b), directoryScore(a)) })
-	}
-	return zones
-}
-
-// directoryTops is how many instances of each zone follow the stores. An instance that
-// stops, alone, knows of no zone at all.
-func directoryTops(zones map[string][]member.Member) int {
-	return max(min(followers, storePolls/max(len(zones), 1)), 1)
-}
-
-// directoryFollowers names the instances that follow the stores.
-func directoryFollowers(alive []member.Member) []string {
-	zones := directoryRanks(alive)
-	tops := directoryTops(zones)
-	if len(alive) <= smallFleet {
-		tops = len(alive)
-	}
-	var out []string
-	for _, near := range zones {
-		for _, m := range near[:min(tops, len(near))] {
-			out = append(out, m.Name)
-		}
-	}
-	return out
-}
-
-func directoryScore(m member.Member) uint64 { return roleScore(m.Name, directoryRole) }
-
 // DirectoryAsk asks for what changed in the cache stores.
 type DirectoryAsk struct {
 	Process uint64 `cbor:"1,keyasint"` // whose numbers Seq is of
@@ -211,7 +135,7 @@
 	if len(v.Alive) <= 1 && c.g.now().Sub(c.g.began) < joinTime {
 		return position{} // not known yet
 	}
-	return directoryPosition(v.Peers, member.Member{Name: c.g.settings().Name, Zone: c.g.settings().Zone})
+	return v.Tree.position()
 }
 
 // pull takes the directory from others, as long as this instance does not follow
--- a/internal/gateway/directory_test.go
+++ b/internal/gateway/directory_test.go
@@ -20,10 +20,10 @@
 	return out
 }
 
-// TestDirectoryTree: at any size of the fleet few instances follow the stores,
+// TestTree: at any size of the fleet few instances follow the stores,
 // nobody is asked by many, all are in the zone of whom they ask, and each reaches
 // one that follows in few steps.
-func TestDirectoryTree(t *testing.T) {
+func TestTree(t *testing.T) {
 	for _, c := range []struct{ n, zones, depth int }{{1, 1, 0}, {9, 3, 0}, {16, 3, 0}, {17, 3, 1}, {59, 3, 1}, {91, 4, 1}, {300, 3, 2}, {330, 7, 2}, {1000, 3, 3}} {
 		t.Run(fmt.Sprintf("%d in %d", c.n, c.zones), func(t *testing.T) {
 			is := is.New(t)
@@ -33,8 +33,8 @@
 				byAddress[m.Address] = m
 			}
 			for _, m := range all {
-				at := directoryPosition(all, m)
-				is.Equal(at.follows, slices.Contains(directoryFollowers(all), m.Name))
+				at := newTree(all, m).position()
+				is.Equal(at.follows, slices.Contains(newTree(all, m).followers(), m.Name))
 				if at.follows {
 					follow++
 					continue
@@ -44,13 +44,13 @@
 				for ; !at.follows; steps++ {
 					parent := byAddress[at.sources[0]]
 					is.Equal(parent.Zone, m.Zone)
-					at = directoryPosition(all, parent)
+					at = newTree(all, parent).position()
 				}
 				is.True(steps <= c.depth)
 			}
 			is.True(follow <= max(smallFleet, storePolls))
 			for _, n := range asked {
-				is.True(n <= directoryFan)
+				is.True(n <= treeFan)
 			}
 		})
 	}
@@ -64,8 +64,8 @@
 	c.members.Leave()
 	v := c.view()
 	is.Equal(len(v.Alive), 0)
-	is.Equal(len(directoryFollowers(v.Peers)), 0)
-	is.True(directoryPosition(v.Peers, self).follows)
+	is.Equal(len(v.Tree.followers()), 0)
+	is.True(v.Tree.position().follows)
 }
 
 // TestStoreNews: changes come out as they were put in; a part that names no salt
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -116,16 +116,75 @@
 	return backends[len(backends)-1].Service
 }
 
+// leastFit is how many of the candidates must be fit for the request; if fewer are, more
+// are looked for among all targets of the service.
+const leastFit = 8
+
 // pick chooses the target of the next attempt, or nil.
 func (x *exchange) pick() *catalog.Target {
-	serving := x.view.Serving[x.service]
 	resting := x.g.sick.Resting()
+	candidates, serving := x.view.Candidates[x.service], x.view.Serving[x.service]
+	if len(candidates) < len(serving) && x.countFit(candidates, resting) < leastFit {
+		candidates = x.widen(serving, resting)
+	}
 	q := place.Query{Zone: x.g.settings().Zone, Rollout: x.g.settings().RolloutWithin, CrowdMS: x.crowdMS(), Bytes: len(x.body), Rand: rand.Float64}
+	options, works := x.options(candidates, resting)
+	i := place.Pick(options, q)
+	if i < 0 {
+		return nil
+	}
+	x.asks, x.predictedMS = works[i], options[i].FirstMS
+	return candidates[i]
+}
+
+// fit says whether a target serves the request's model with the newest weights, was not
+// tried, and does not rest.
+func (x *exchange) fit(t *catalog.Target, resting []string) bool {
+	if slices.Contains(x.targets, t.ID) || slices.Contains(resting, t.ID) {
+		return false
+	}
+	p := x.call.Prompt
+	return p == nil || t.VersionOf(p.Model) >= max(x.view.Named[p.Model].Version, 1)
+}
+
+func (x *exchange) countFit(targets []*catalog.Target, resting []string) int {
+	n := 0
+	for _, t := range targets {
+		if x.fit(t, resting) {
+			n++
+		}
+	}
+	return n
+}
+
+// widen takes as many as are considered at a time from all targets of a service, the fit
+// ones first, from a random one on.
+func (x *exchange) widen(serving []*catalog.Target, resting []string) []*catalog.Target {
+	var good, rest []*catalog.Target
+	start := rand.IntN(len(serving))
+	for i := range serving {
+		t := serving[(start+i)%len(serving)]
+		switch {
+		case x.fit(t, resting):
+			good = append(good, t)
+		case len(rest) < mostCandidates:
+			rest = append(rest, t)
+		}
+		if len(good) == mostCandidates {
+			return good
+		}
+	}
+	return append(good, rest[:min(len(rest), mostCandidates-len(good))]...)
+}
+
+// options are the targets as place sees them, and what the request asks of each.
+func (x *exchange) options(targets []*catalog.Target, resting []string) ([]place.Target, []cacheWork) {
 	now := x.g.now()
-	options, works := make([]place.Target, len(serving)), make([]cacheWork, len(serving))
+	options, works := make([]place.Target, len(targets)), make([]cacheWork, len(targets))
 	waiting := x.g.others.at(now)
 	x.g.predictorMu.Lock()
-	for i, t := range serving {
+	defer x.g.predictorMu.Unlock()
+	for i, t := range targets {
 		load := x.g.upstream.work.Of(t.ID)
 		o := place.Target{ID: t.ID, Zone: t.Zone, Runs: int(load.Runs.Load()), Excluded: slices.Contains(x.targets, t.ID), Resting: slices.Contains(resting, t.ID)}
 		if p := x.call.Prompt; p != nil {
@@ -139,13 +198,7 @@
 		o.LinkMS = works[i].FetchMS
 		options[i] = o
 	}
-	x.g.predictorMu.Unlock()
-	i := place.Pick(options, q)
-	if i < 0 {
-		return nil
-	}
-	x.asks, x.predictedMS = works[i], options[i].FirstMS
-	return serving[i]
+	return options, works
 }
 
 // What an own run at a target is assumed to delay another by.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -23,6 +23,9 @@
 	lookouts = 3
 	// slowKindWait is a watch of what may take longer to be in force.
 	slowKindWait = 3 * time.Second
+	// watchGap is the least time from one watch to the next: in a storm of changes a
+	// watch brings several.
+	watchGap = 50 * time.Millisecond
 	// retryBase and retryMax bound the jittered pause after a failed call, so that
 	// the end of an outage meets no crowd.
 	retryBase = 150 * time.Millisecond
@@ -40,17 +43,22 @@
 	lookout time.Duration // how long a lookout's watch waits
 	list    func(platform.Snapshot)
 	changes func(platform.Changes)
+	// due asks for one look at the store by an instance that goes by news; nil: never.
+	due chan struct{}
+	// known is up to where news made the beliefs complete; nil: they say nothing of it.
+	known func() platform.Version
 }
 
 // followAll keeps all kinds up to date.
 func (g *Gateway) followAll(ctx context.Context) {
 	config, targets, versions := g.codec.Kinds()
 	feeds := []feed{
-		{config, lookoutWait, func(s platform.Snapshot) { g.readConfigs(s.Objects) },
-			func(c platform.Changes) { g.readConfigs(present(c)) }},
-		{targets, lookoutWait, g.listTargets, g.changeTargets},
-		{versions, slowKindWait, func(s platform.Snapshot) { g.readVersions(s.Revision, s.Objects) },
-			func(c platform.Changes) { g.readVersions(c.Revision, present(c)) }},
+		{kind: config, lookout: lookoutWait, list: func(s platform.Snapshot) { g.readConfigs(s.Objects) },
+			changes: func(c platform.Changes) { g.readConfigs(present(c)) }},
+		{kind: targets, lookout: lookoutWait, list: g.listTargets, changes: g.changeTargets, due: g.storeDue,
+			known: func() platform.Version { return g.view.Load().Revision }},
+		{kind: versions, lookout: slowKindWait, list: func(s platform.Snapshot) { g.readVersions(s.Revision, s.Objects) },
+			changes: func(c platform.Changes) { g.readVersions(c.Revision, present(c)) }},
 	}
 	for _, f := range feeds {
 		g.start(func() { g.follow(ctx, f, feeds[0].kind) })
@@ -73,12 +81,18 @@
 // the store does not answer about the first kind, the others are not asked for.
 func (g *Gateway) follow(ctx context.Context, f feed, first string) {
 	at, listed, failures := platform.Version(0), false, 0
+	var last time.Time
 	for ctx.Err() == nil {
-		if listed && (g.newsComes() || f.kind != first && g.fails(first)) {
-			wait.For(ctx, newsPoll)
+		news := g.newsComes()
+		if listed && (news || f.kind != first && g.fails(first)) && !f.isDue(ctx) {
 			continue
 		}
-		next, err := g.followOnce(ctx, f, at, listed)
+		wait.For(ctx, watchGap-g.now().Sub(last))
+		last = g.now()
+		if f.known != nil {
+			at = max(at, f.known())
+		}
+		next, err := g.followOnce(ctx, f, at, listed, g.watchFor(f, news))
 		var lost *platform.HistoryLostError
 		switch {
 		case ctx.Err() != nil:
@@ -101,7 +115,29 @@
 	}
 }
 
-func (g *Gateway) followOnce(ctx context.Context, f feed, at platform.Version, listed bool) (platform.Version, error) {
+// isDue waits for newsPoll, or until the feed is due before that.
+func (f feed) isDue(ctx context.Context) bool {
+	timer := time.NewTimer(newsPoll)
+	defer timer.Stop()
+	select {
+	case <-f.due:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// askTargets has the targets' changes taken from the object store once, though this
+// instance goes by news.
+func (g *Gateway) askTargets() {
+	select {
+	case g.storeDue <- struct{}{}:
+	default: // it is to be done already
+	}
+}
+
+func (g *Gateway) followOnce(ctx context.Context, f feed, at platform.Version, listed bool, watch time.Duration) (platform.Version, error) {
 	if !listed {
 		s, err := g.store.All(ctx, f.kind)
 		if err != nil {
@@ -110,7 +146,7 @@
 		f.list(s)
 		return s.Revision, nil
 	}
-	c, err := g.store.Follow(ctx, f.kind, at, g.watchFor(f))
+	c, err := g.store.Follow(ctx, f.kind, at, watch)
 	if err != nil {
 		return at, err
 	}
@@ -126,22 +162,18 @@
 // heard lately. One that the store did not answer last tries until it does.
 func (g *Gateway) newsComes() bool {
 	v := g.view.Load()
-	if len(v.Alive) <= smallFleet || g.isLookout(v) || !g.storeOK.Load() {
+	if len(v.Alive) <= smallFleet || v.Lookout || !g.storeOK.Load() {
 		return false
 	}
 	return g.now().Sub(g.began)-time.Duration(g.heardPeer.Load()) < newsAge
 }
 
-// isLookout says whether this instance is one that notices changes for all: one of
-// the first-ranked among those that the store answers.
-func (g *Gateway) isLookout(v *View) bool {
-	return rankOf(v.Attached, g.settings().Name, lookoutRole) < lookouts
-}
-
-// watchFor is how long a watch waits. Instances agree by function on who the
-// lookouts are.
-func (g *Gateway) watchFor(f feed) time.Duration {
-	if g.isLookout(g.view.Load()) {
+// watchFor is how long a watch waits; one who goes by news and looks once does not.
+func (g *Gateway) watchFor(f feed, news bool) time.Duration {
+	switch {
+	case news:
+		return watchGap
+	case g.view.Load().Lookout:
 		return f.lookout
 	}
 	return watchWait
--- /dev/null
+++ b/internal/gateway/follow_test.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+
+	"github.com/shedhoist/shedhoist/internal/core/member"
+	"github.com/shedhoist/shedhoist/internal/platform"
+)
+
+// countingKinds is an object store that counts calls: lists, and changes asked for. A watch
+// ends at once, as in a storm of changes.
+type countingKinds struct {
+	platform.Kinds
+	lists, watches atomic.Int64
+	after          atomic.Uint64 // the revision that the last watch went on from
+}
+
+func (k *countingKinds) All(context.Context, string) (platform.Snapshot, error) {
+	k.lists.Add(1)
+	return platform.Snapshot{Revision: 5}, nil
+}
+
+func (k *countingKinds) Follow(_ context.Context, _ string, after platform.Version, _ time.Duration) (platform.Changes, error) {
+	k.watches.Add(1)
+	k.after.Store(uint64(after))
+	return platform.Changes{Revision: after + 1}, nil
+}
+
+// followed plays an instance of a fleet that follows a kind for a while.
+func followed(t *testing.T, fleet int, play func(g *Gateway, store *countingKinds)) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &countingKinds{}
+		g := &Gateway{log: &log.Logger{Handler: discard.Default}, now: time.Now, began: time.Now(), store: store, storeDue: make(chan struct{}, 1),
+			failing: map[string]bool{}}
+		g.storeOK.Store(true)
+		all := fleetOf(fleet, 3)
+		g.view.Store(&View{Alive: make([]string, fleet), Tree: newTree(all, member.Member{}), Revision: 7})
+		f := feed{kind: "k", lookout: lookoutWait, list: func(platform.Snapshot) {}, changes: func(platform.Changes) {}, due: g.storeDue,
+			known: func() platform.Version { return g.view.Load().Revision }}
+		ctx, cancel := context.WithCancel(t.Context())
+		g.heardPeer.Store(int64(time.Hour)) // a peer is always heard
+		go g.follow(ctx, f, "k")
+		play(g, store)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestAskTargets: an instance of a large fleet that goes by news lists a kind once and asks
+// no more, but once when it is told to, from where the news have brought it.
+func TestAskTargets(t *testing.T) {
+	is := is.New(t)
+	followed(t, smallFleet+1, func(g *Gateway, store *countingKinds) {
+		time.Sleep(10 * time.Second)
+		is.Equal(store.lists.Load(), int64(1))
+		is.Equal(store.watches.Load(), int64(0))
+		g.askTargets()
+		g.askTargets() // it is the same
+		time.Sleep(10 * time.Second)
+		is.Equal(store.watches.Load(), int64(1))
+		is.Equal(store.after.Load(), uint64(7))
+	})
+}
+
+// TestWatchGap: a storm of changes costs a bounded number of calls.
+func TestWatchGap(t *testing.T) {
+	is := is.New(t)
+	followed(t, 3, func(_ *Gateway, store *countingKinds) {
+		time.Sleep(10 * time.Second)
+		is.True(store.watches.Load() <= int64(10*time.Second/watchGap))
+		is.True(store.watches.Load() > 100)
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,9 +61,12 @@
 	// failing has the kinds about which the store does not answer.
 	failingMu sync.Mutex
 	failing   map[string]bool
-	catching  atomic.Bool // news are being taken from a peer
-	pool      *peer.Pool
-	peers     *peer.Server
+	catching  atomic.Bool          // news are being taken from a peer
+	behind    atomic.Pointer[lead] // a peer that knows more, not looked after yet
+	// storeDue wakes the following of targets, see askTargets.
+	storeDue chan struct{}
+	pool     *peer.Pool
+	peers    *peer.Server
 
 	upstream *upstream
 	sick     *breaker.Set // targets whose requests fail
@@ -86,7 +89,7 @@
 // failure leaves nothing open.
 func New(set *Settings, ports Ports, logger log.Interface) (*Gateway, error) {
 	g := &Gateway{log: logger.WithField("instance", set.Name).WithField("zone", set.Zone), now: time.Now, codec: ports.Codec, store: ports.Store,
-		engines: ports.Engines, events: make(chan event, eventBacklog), controlDone: make(chan struct{}), failing: map[string]bool{}}
+		engines: ports.Engines, events: make(chan event, eventBacklog), controlDone: make(chan struct{}), storeDue: make(chan struct{}, 1), failing: map[string]bool{}}
 	g.set.Store(set)
 	g.began = g.now()
 	g.ctx, g.stop = context.WithCancel(context.Background())
@@ -197,7 +200,7 @@
 	// this name is refuted as soon as a peer tells of it.
 	self := member.Member{Name: set.Name, Address: g.PeerAddr(), Zone: set.Zone, Incarnation: 1}
 	c := &control{log: g.log, now: g.now, named: map[string]Named{}, members: member.New(params, self, rand.IntN), storeOK: true, rolloutWithin: set.RolloutWithin,
-		targets: targetTable{log: g.log, byID: map[string]*heldTarget{}}}
+		targets: targetTable{log: g.log, self: set.Name, byID: map[string]*heldTarget{}}}
 	g.start(func() { g.runControl(g.ctx, c) })
 	g.followAll(g.ctx)
 	for _, f := range [...]func(context.Context){g.greetSeeds, g.askWhileCutOff, g.meet, g.tidy, g.tellLoads, g.rollOut, g.cache.run, g.cache.pull, g.cache.keepStores} {
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -41,13 +41,14 @@
 		if v.Config == nil || v.Draining || !v.StoreOK {
 			continue // what targets serve is not known for sure
 		}
-		oldest := settled.update(oldestServed(v, c.g.now()), c.g.now())
-		if len(oldest) == 0 {
-			continue
-		}
 		// Only those that follow a store know of the parts that broke off there.
-		follow := directoryFollowers(v.Peers)
+		follow := v.Tree.followers()
 		if !slices.Contains(follow, c.g.settings().Name) {
+			settled = settling{} // it was not looked at meanwhile
+			continue
+		}
+		oldest := settled.update(oldestServed(v, c.g.now()), c.g.now())
+		if len(oldest) == 0 {
 			continue
 		}
 		for _, s := range v.Config.Stores {
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
-	"math"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/core/member"
+	"github.com/shedhoist/shedhoist/internal/inflight"
 	"github.com/shedhoist/shedhoist/internal/wait"
 )
 
@@ -98,13 +100,11 @@
 	told := false
 	for seq := uint64(1); wait.For(ctx, loadEvery); seq++ {
 		l := &Loads{From: g.settings().Name, Seq: seq}
-		for _, ts := range g.view.Load().Serving {
-			for _, t := range ts {
-				if n := int(g.upstream.work.Of(t.ID).Tokens.Load()); n >= leastTold {
-					l.Waiting = append(l.Waiting, TargetLoad{Target: t.ID, Tokens: n})
-				}
+		g.upstream.work.Each(func(target string, load *inflight.Load) {
+			if n := int(load.Tokens.Load()); n >= leastTold {
+				l.Waiting = append(l.Waiting, TargetLoad{Target: target, Tokens: n})
 			}
-		}
+		})
 		if len(l.Waiting) == 0 && !told {
 			continue
 		}
@@ -115,20 +115,20 @@
 	}
 }
 
-// loadPeers are the peers to tell this time.
+// loadPeers are the peers to tell this time: all, or some of the own zone.
 func (g *Gateway) loadPeers() []member.Member {
-	var all []member.Member
-	g.query(func(c *control) { all = c.members.Sample(math.MaxInt) })
-	if len(all) <= loadTo {
-		return all
+	v := g.view.Load()
+	self := g.settings().Name
+	if len(v.Peers) <= loadTo+1 {
+		return slices.DeleteFunc(slices.Clone(v.Peers), func(m member.Member) bool { return m.Name == self })
 	}
-	near := all[:0]
-	for _, m := range all {
-		if m.Zone == g.settings().Zone && len(near) < loadTo {
-			near = append(near, m)
+	var out []member.Member
+	for _, i := range rand.Perm(len(v.Tree.near)) {
+		if m := v.Tree.near[i]; m.Name != self && len(out) < loadTo {
+			out = append(out, m)
 		}
 	}
-	return near
+	return out
 }
 
 // tellLoad sends one word. A lost one is replaced by the next; silence is the
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
 	"github.com/shedhoist/shedhoist/internal/core/member"
@@ -51,6 +52,7 @@
 	Join    bool            `cbor:"4,keyasint,omitempty"` // answer with all members
 	Need    bool            `cbor:"5,keyasint,omitempty"` // answer with what is newer than Have
 	Known   Known           `cbor:"6,keyasint"`
+	Alone   bool            `cbor:"7,keyasint,omitempty"` // the object store does not answer the sender
 }
 
 // Known is up to where an instance's beliefs are complete.
@@ -88,6 +90,9 @@
 	NamedIn  platform.Version       `cbor:"7,keyasint,omitempty"` // of their last change
 	Rollout  *RolloutNews           `cbor:"8,keyasint,omitempty"`
 	Gone     []string               `cbor:"9,keyasint,omitempty"` // ids of targets that are no more
+	// AskStore says that the teller does not know all that vanished since the asker's
+	// list, which is long: the asker shall take the changes from the object store.
+	AskStore bool `cbor:"10,keyasint,omitempty"`
 }
 
 // have says how new the beliefs are.
@@ -113,8 +118,13 @@
 	return h.Config > k.Config || h.Targets > k.Targets || h.Versions > k.Versions || h.Rollout.after(k.Rollout)
 }
 
-// newsFor collects what is newer here; nil if nothing is.
-func (c *control) newsFor(k Known) *News {
+// longList is the longest list of targets that a peer hands over whole to one that can ask
+// the object store as well: 30 kB.
+const longList = 256
+
+// newsFor collects what is newer here; nil if nothing is. alone says that the asker
+// can't ask the object store.
+func (c *control) newsFor(k Known, alone bool) *News {
 	mine := c.have()
 	if !k.lacks(mine) {
 		return nil
@@ -126,6 +136,9 @@
 	if c.targets.listed && mine.Targets > k.Targets {
 		n.Revision = c.targets.revision
 		n.Targets, n.Gone, n.Listed = c.targets.since(k.Targets)
+		if n.Listed && !alone && len(n.Targets) > longList {
+			*n = News{Config: n.Config, AskStore: true}
+		}
 	}
 	if mine.Versions > k.Versions {
 		for m, v := range c.named {
@@ -145,6 +158,9 @@
 	if n.Config != nil {
 		g.readConfig(n.Config, fromPeer)
 	}
+	if n.AskStore {
+		g.askTargets()
+	}
 	switch {
 	case n.Listed:
 		g.send(targetsListed{revision: n.Revision, targets: n.Targets, from: fromPeer})
@@ -160,16 +176,32 @@
 }
 
 // catchUp takes a peer's news, unless the store tells them within the moment
-// that this usually takes. One call at a time is enough.
+// that this usually takes. One call at a time is enough; what is heard of meanwhile
+// is looked after behind it.
 func (g *Gateway) catchUp(from member.Member, have Have) {
+	g.behind.Store(&lead{from: from, have: have})
 	if !g.catching.CompareAndSwap(false, true) {
 		return
 	}
 	defer g.catching.Store(false)
-	wait.For(g.ctx, catchUpDelay)
+	for l := g.behind.Swap(nil); l != nil; l = g.behind.Swap(nil) {
+		if !wait.For(g.ctx, catchUpDelay) {
+			return
+		}
+		g.catchUpOnce(*l)
+	}
+}
+
+// lead is a peer that knows more.
+type lead struct {
+	from member.Member
+	have Have
+}
+
+func (g *Gateway) catchUpOnce(l lead) {
 	var hello *Hello
 	g.query(func(c *control) {
-		if c.known().lacks(have) {
+		if c.known().lacks(l.have) {
 			hello = c.greeting(true)
 		}
 	})
@@ -179,35 +211,74 @@
 	ctx, cancel := context.WithTimeout(g.ctx, peerTimeout)
 	defer cancel()
 	var reply Welcome
-	if err := g.pool.Call(ctx, from.Address, peerService+".Hello", hello, &reply); err != nil {
-		g.log.WithError(err).WithField("peer", from.Name).Warn("news not had")
+	if err := g.pool.Call(ctx, l.from.Address, peerService+".Hello", hello, &reply); err != nil {
+		g.log.WithError(err).WithField("peer", l.from.Name).Warn("news not had")
 		return
 	}
-	if reply.News != nil {
-		g.log.WithField("peer", from.Name).WithField("config", len(reply.News.Config) > 0).WithField("targets", reply.News.Listed).
-			WithField("versions", len(reply.News.Versions)).WithField("rollout", reply.News.Rollout != nil).Info("news taken from a peer")
-		g.takeNews(reply.News)
+	if n := reply.News; n != nil {
+		g.log.WithField("peer", l.from.Name).WithField("config", len(n.Config) > 0).WithField("targets", len(n.Targets)+len(n.Gone)).WithField("all", n.Listed).
+			WithField("ask_store", n.AskStore).WithField("versions", len(n.Versions)).WithField("rollout", n.Rollout != nil).Info("news taken from a peer")
+		g.takeNews(n)
 	}
 }
 
-// spreadNews tells peers at once what changed, if this instance is one that
-// hears of changes first: a lookout, or the one that gives orders. A lookout that
-// the store left, or found again, tells that too: another must take its place. The
-// view published last is the one before the change.
-func (g *Gateway) spreadNews(c *control, before Have, attached bool) {
+// spreadGap is the least time between two rounds of telling peers of changes: in a
+// storm of changes they are told of several at once.
+const spreadGap = controlTick
+
+// untold is what this instance has not told its peers of yet.
+type untold struct {
+	pending bool
+	first   bool // this instance is among the first to know
+	roles   bool // it left the lookouts, or came back to them
+	at      time.Time
+}
+
+// before is what a change is measured against.
+type before struct {
+	have              Have
+	attached, lookout bool
+}
+
+func (c *control) before() before {
+	return before{have: c.have(), attached: c.storeOK, lookout: c.fleet.lookout}
+}
+
+// noteNews notes what has to be told of a change. A lookout that the store left, or
+// found again, tells that too: another must take its place.
+func (c *control) noteNews(v *View, old before) {
 	now := c.have()
-	v := g.view.Load()
-	lookout := g.isLookout(v)
-	reattached := lookout && c.storeOK != attached
-	if now == before && !reattached || g.ctx.Err() != nil {
+	lookout := v.Lookout || old.lookout
+	n := &c.news
+	n.roles = n.roles || lookout && c.storeOK != old.attached
+	n.first = n.first || lookout || now.Rollout != old.have.Rollout && c.ownNews
+	n.pending = n.pending || now != old.have
+}
+
+// spreadNews tells peers what changed. In a small fleet those that hear of changes
+// first tell all the others. In a large one they tell the tops of the tree, and each
+// instance the ones that it serves there; who is missed, since another is down, learns it
+// from the next probe.
+func (g *Gateway) spreadNews(c *control, v *View) {
+	n, now := c.news, c.now()
+	if !n.pending && !n.roles || now.Sub(n.at) < spreadGap || g.ctx.Err() != nil {
 		return
 	}
-	ownRollout := now.Rollout != before.Rollout && c.ownNews
-	if !lookout && !ownRollout && len(v.Alive) <= smallFleet {
-		return // the lookouts reach all of a small fleet
+	c.news = untold{at: now}
+	var to []member.Member
+	switch {
+	case n.roles || n.first && v.Tree.small:
+		to = c.members.Sample(spreadTo)
+	case n.first:
+		to = append(v.Tree.topsElsewhere(), v.Tree.children()...)
+	default:
+		to = v.Tree.children()
+	}
+	if len(to) == 0 {
+		return
 	}
 	hello := c.greeting(false)
-	for _, m := range c.members.Sample(spreadTo) {
+	for _, m := range to {
 		g.start(func() { g.hello(member.Probe{To: m.Name, Address: m.Address}, hello) })
 	}
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -92,14 +92,14 @@
 		out.Updates = c.members.Batch(req.From.Name)
 	}
 	if req.Need {
-		out.News = c.newsFor(req.Known)
+		out.News = c.newsFor(req.Known, req.Alone)
 	}
 	return out
 }
 
 // greeting is a Hello with all that is known here.
 func (c *control) greeting(need bool) *Hello {
-	return &Hello{From: c.members.Self(), Have: c.have(), Known: c.known(), Need: need}
+	return &Hello{From: c.members.Self(), Have: c.have(), Known: c.known(), Need: need, Alone: !c.storeOK}
 }
 
 // probePeers carries out the probes that are due; it runs on the control goroutine.
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -103,7 +103,7 @@
 // round does what is due now.
 func (o *rollout) round(ctx context.Context) {
 	v := o.g.view.Load()
-	behind := behindTargets(v)
+	behind := v.Behind
 	if len(behind) == 0 || v.Draining {
 		o.due = time.Time{}
 		return
@@ -154,23 +154,6 @@
 	o.g.send(rolloutHeard{news: news, own: true})
 }
 
-// behindTargets lists the targets that serve older weights than named.
-func behindTargets(v *View) []*catalog.Target {
-	var out []*catalog.Target
-	for _, t := range v.Targets {
-		if t.Leaving {
-			continue
-		}
-		for _, m := range t.Models {
-			if m.Version < v.Named[m.Model].Version {
-				out = append(out, t)
-				break
-			}
-		}
-	}
-	return out
-}
-
 // rankOf is an instance's place among the live ones for a role, the same at all
 // of them (rendezvous hashing).
 func rankOf(alive []string, self, role string) int {
--- a/internal/gateway/targets.go
+++ b/internal/gateway/targets.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -29,13 +30,18 @@
 type heldTarget struct {
 	catalog.Target
 	until time.Time // set: its entry vanished, and it counts as gone from then on
+	score uint64    // rank among those that this instance uses, see control.candidates
 }
 
 // targetTable is the list of targets. A target whose entry vanishes is gone at
 // once, but for those that may have lapsed during an outage of the object store.
 type targetTable struct {
 	log      log.Interface
+	self     string // this instance
 	byID     map[string]*heldTarget
+	sorted   []*heldTarget     // the same by id
+	held     map[string]bool   // ids of those whose entry vanished
+	edits    uint64            // rises with each change
 	revision platform.Version  // up to which the list is complete
 	changed  platform.Version  // of the last change
 	gone     map[string]uint64 // revisions at which entries vanished
@@ -58,8 +64,55 @@
 		t.departed = append(t.departed, departure{models: x.Models, at: now})
 	}
 	delete(t.byID, id)
+	delete(t.held, id)
+	if i, ok := t.find(id); ok {
+		t.sorted = slices.Delete(t.sorted, i, i+1)
+	}
+	t.edits++
+}
+
+// find is the place of a target among the sorted ones.
+func (t *targetTable) find(id string) (int, bool) {
+	return slices.BinarySearchFunc(t.sorted, id, func(x *heldTarget, id string) int { return cmp.Compare(x.ID, id) })
 }
 
+// set keeps a target in place of what was known of it.
+func (t *targetTable) set(x *heldTarget) {
+	old := t.byID[x.ID]
+	if old != nil {
+		x.score = old.score
+	} else {
+		x.score = roleScore(t.self, x.ID)
+	}
+	if old == nil || !sameTarget(&old.Target, &x.Target) {
+		t.edits++
+	}
+	t.byID[x.ID] = x
+	if x.until.IsZero() {
+		delete(t.held, x.ID)
+	} else {
+		if t.held == nil {
+			t.held = map[string]bool{}
+		}
+		t.held[x.ID] = true
+	}
+	i, ok := t.find(x.ID)
+	if ok {
+		t.sorted[i] = x
+	} else {
+		t.sorted = slices.Insert(t.sorted, i, x)
+	}
+}
+
+// sameTarget says whether two words of a target differ in nothing that views are used for.
+func sameTarget(a, b *catalog.Target) bool {
+	return a.Service == b.Service && a.Address == b.Address && a.Zone == b.Zone && a.Slots == b.Slots && a.Leaving == b.Leaving &&
+		slices.Equal(a.Models, b.Models)
+}
+
+// score is a target's rank among those that this instance uses.
+func (t *targetTable) score(id string) uint64 { return t.byID[id].score }
+
 // contactRegained says that the object store answers again.
 func (t *targetTable) contactRegained(now time.Time) { t.regained = now }
 
@@ -121,7 +174,7 @@
 	if old != nil {
 		x.Models = newest(x.Models, old.Models)
 	}
-	t.byID[x.ID] = &heldTarget{Target: x}
+	t.set(&heldTarget{Target: x})
 	if old == nil || old.Leaving != x.Leaving || !slices.Equal(old.Models, x.Models) {
 		t.log.WithField("target", x.ID).WithField("service", x.Service).WithField("leaving", x.Leaving).WithField("models", x.Models).
 			WithField("revision", uint64(t.revision)).Info("target changed")
@@ -154,7 +207,7 @@
 	}
 	t.gone[id] = uint64(t.revision)
 	if !x.Leaving && until.After(now) {
-		t.byID[id] = &heldTarget{Target: x.Target, until: until}
+		t.set(&heldTarget{Target: x.Target, until: until})
 		t.log.WithField("target", id).WithField("for_ms", until.Sub(now).Milliseconds()).Info("target's entry vanished, held")
 		return
 	}
@@ -165,8 +218,8 @@
 // expire drops the held entries whose time is over; it says whether there were any.
 func (t *targetTable) expire(now time.Time) bool {
 	changed := false
-	for id, x := range t.byID {
-		if !x.until.IsZero() && !now.Before(x.until) {
+	for id := range t.held {
+		if !now.Before(t.byID[id].until) {
 			t.remove(id, now)
 			changed = true
 			t.log.WithField("target", id).Info("target gone, its entry did not return")
@@ -183,7 +236,7 @@
 	}
 	next := *x
 	next.Models = newest(x.Models, []catalog.ModelVersion{at})
-	t.byID[id] = &next
+	t.set(&next)
 	t.log.WithField("target", id).WithField("model", at.Model).WithField("version", at.Version).Info("target serves newer weights")
 }
 
--- /dev/null
+++ b/internal/gateway/tree.go
@@ -0,0 +1,113 @@
+package gateway
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/shedhoist/shedhoist/internal/core/member"
+)
+
+// Shape of the tree.
+const (
+	// followers is how many instances of a zone hear for themselves: one may fail.
+	followers = 2
+	// storePolls is how many instances in all may follow one cache store; stores have
+	// been seen to bear 12 polls at a time.
+	storePolls = 10
+	// treeFan is how many instances one other serves: each takes the directory some
+	// three times a second, which then costs half a percent of a core.
+	treeFan = 12
+	// treeRole ranks the instances of a zone.
+	treeRole = "directory"
+)
+
+// tree is how the live instances of a large fleet pass things on: in each zone a few,
+// the tops, hear for themselves, and each instance serves up to treeFan others of its
+// zone. Instances that know the same live members agree on it without a message. In a
+// small fleet all hear for themselves. A tree is not changed once it is made.
+type tree struct {
+	self  string
+	small bool
+	tops  int                        // of each zone
+	zones map[string][]member.Member // live members, the highest rank first
+	near  []member.Member            // those of the own zone
+	own   int                        // index in near; -1: this instance is no live member
+}
+
+// newTree works the tree out from the live members.
+func newTree(alive []member.Member, self member.Member) *tree {
+	t := &tree{self: self.Name, small: len(alive) <= smallFleet, zones: map[string][]member.Member{}}
+	for _, m := range alive {
+		t.zones[m.Zone] = append(t.zones[m.Zone], m)
+	}
+	for _, near := range t.zones {
+		scores := make(map[string]uint64, len(near))
+		for _, m := range near {
+			scores[m.Name] = roleScore(m.Name, treeRole)
+		}
+		slices.SortFunc(near, func(a, b member.Member) int { return cmp.Compare(scores[b.Name], scores[a.Name]) })
+	}
+	// An instance that stops, alone, knows of no zone at all.
+	t.tops = max(min(followers, storePolls/max(len(t.zones), 1)), 1)
+	t.near = t.zones[self.Zone]
+	t.own = slices.IndexFunc(t.near, func(m member.Member) bool { return m.Name == self.Name })
+	return t
+}
+
+// position is an instance's place in the tree.
+type position struct {
+	follows bool     // it hears for itself
+	sources []string // addresses of those it asks else, the preferred one first
+}
+
+// position is this instance's.
+func (t *tree) position() position {
+	if t.small || t.own < t.tops {
+		return position{follows: true}
+	}
+	parent := (t.own - t.tops) / treeFan
+	out := position{sources: []string{t.near[parent].Address}}
+	for i, m := range t.near[:t.tops] {
+		if i != parent {
+			out.sources = append(out.sources, m.Address)
+		}
+	}
+	return out
+}
+
+// children are those that this instance serves; none in a small fleet.
+func (t *tree) children() []member.Member {
+	if t.small || t.own < 0 {
+		return nil
+	}
+	from := min(t.tops+t.own*treeFan, len(t.near))
+	return t.near[from:min(from+treeFan, len(t.near))]
+}
+
+// topsElsewhere are the tops of all zones but this instance.
+func (t *tree) topsElsewhere() []member.Member {
+	var out []member.Member
+	for _, near := range t.zones {
+		for _, m := range near[:min(t.tops, len(near))] {
+			if m.Name != t.self {
+				out = append(out, m)
+			}
+		}
+	}
+	return out
+}
+
+// followers names the instances that hear for themselves.
+func (t *tree) followers() []string {
+	var out []string
+	for _, near := range t.zones {
+		n := t.tops
+		if t.small {
+			n = len(near)
+		}
+		for _, m := range near[:min(n, len(near))] {
+			out = append(out, m.Name)
+		}
+	}
+	return out
+}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -60,20 +60,25 @@
 // View is the picture that request goroutines read. Nobody changes one after
 // it was published.
 type View struct {
-	Config    *catalog.Config              // nil: none yet
-	Targets   map[string]*catalog.Target   // by id
-	Serving   map[string][]*catalog.Target // by service: those that take new requests, sorted by id
-	Named     map[string]Named             // by model
-	Departed  []departure                  // targets that left the list lately
-	Instances int                          // known of, this one included, the lately lost too
-	Alive     []string                     // names of live instances, this one included, sorted
-	Peers     []member.Member              // the same as members
-	Attached  []string                     // those of them that the object store answers; all, if it answers none
-	Listed    bool                         // targets were listed at least once
-	Draining  bool                         // this instance is stopping
-	Revision  platform.Version             // up to which the list of targets is complete
-	Rollout   RolloutNews                  // what the instance that gives orders told last
-	StoreOK   bool                         // the object store answers
+	Config  *catalog.Config              // nil: none yet
+	Targets map[string]*catalog.Target   // by id
+	Serving map[string][]*catalog.Target // by service: those that take new requests, sorted by id
+	// Candidates are those of Serving that this instance uses by preference.
+	Candidates map[string][]*catalog.Target
+	Behind     []*catalog.Target // those with older weights than named that do not leave
+	Named      map[string]Named  // by model
+	Departed   []departure       // targets that left the list lately
+	Instances  int               // known of, this one included, the lately lost too
+	Alive      []string          // names of live instances, this one included, sorted
+	Peers      []member.Member   // the same as members
+	Attached   []string          // those of them that the object store answers; all, if it answers none
+	Tree       *tree             // how they pass things on
+	Lookout    bool              // this instance notices changes for all
+	Listed     bool              // targets were listed at least once
+	Draining   bool              // this instance is stopping
+	Revision   platform.Version  // up to which the list of targets is complete
+	Rollout    RolloutNews       // what the instance that gives orders told last
+	StoreOK    bool              // the object store answers
 }
 
 // viewHolder publishes views.
@@ -84,7 +89,7 @@
 	if v := h.p.Load(); v != nil {
 		return v
 	}
-	return &View{Instances: 1}
+	return &View{Instances: 1, Tree: newTree(nil, member.Member{})}
 }
 
 // Store publishes a view.
--- a/internal/inflight/inflight.go
+++ b/internal/inflight/inflight.go
@@ -38,6 +38,15 @@
 	return e
 }
 
+// Each calls f for each target that there are counters of.
+func (l *Loads) Each(f func(target string, load *Load)) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	for name, e := range l.targets {
+		f(name, e)
+	}
+}
+
 // Keep forgets all targets but those that keep names and those with work.
 func (l *Loads) Keep(keep func(target string) bool) {
 	l.mu.Lock()
