Young processes: requests wait for what is missing; seeds one after the other; bounded lines on targets

Cause: in a trial of 300 instances and 3,000 targets whose processes are all killed (a scratch deployment, --no-cpu), 402 requests got a 503 of a process that had no list of targets yet, the list of all took 2.5 s, a process wrote a line for each of 3,000 targets, and each young process took all members from three seeds: 30 to 130 kB of the bytes between zones. Changes: a request that meets a process without configuration or list waits for it, up to 1 s and a third of its caller's patience, before it is refused; seeds are greeted 60 ms apart in a random order, so that the first one's answer makes the others needless; a word of changes writes 64 lines at most and tells how many are left out, the first list none.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -229,6 +229,9 @@
 			}
 			v := c.view()
 			g.view.Store(v)
+			if v.informed() {
+				g.informedOnce.Do(func() { close(g.informed) })
+			}
 			c.noteNews(v, old)
 			g.spreadNews(c, v)
 		case <-tick.C:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,10 +52,13 @@
 	controlDone chan struct{}
 	done        sync.WaitGroup
 
-	view    viewHolder
-	storeOK atomic.Bool
-	heard   atomic.Int64 // when the object store answered last, ns after began
-	began   time.Time
+	view viewHolder
+	// informed is closed when a view first has all that requests need.
+	informed     chan struct{}
+	informedOnce sync.Once
+	storeOK      atomic.Bool
+	heard        atomic.Int64 // when the object store answered last, ns after began
+	began        time.Time
 	// heardPeer is when a peer answered last, ns after began.
 	heardPeer atomic.Int64
 	// failing has the kinds about which the store does not answer.
@@ -89,7 +92,7 @@
 // failure leaves nothing open.
 func New(set *Settings, ports Ports, logger log.Interface) (*Gateway, error) {
 	g := &Gateway{log: logger.WithField("instance", set.Name).WithField("zone", set.Zone), now: time.Now, codec: ports.Codec, store: ports.Store,
-		engines: ports.Engines, events: make(chan event, eventBacklog), controlDone: make(chan struct{}), storeDue: make(chan struct{}, 1), failing: map[string]bool{}}
+		engines: ports.Engines, events: make(chan event, eventBacklog), controlDone: make(chan struct{}), storeDue: make(chan struct{}, 1), informed: make(chan struct{}), failing: map[string]bool{}}
 	g.set.Store(set)
 	g.began = g.now()
 	g.ctx, g.stop = context.WithCancel(context.Background())
@@ -227,7 +230,7 @@
 // configuration and a list of targets, and does not stop.
 func (g *Gateway) Ready() bool {
 	v := g.view.Load()
-	return v.Config != nil && v.Listed && !v.Draining
+	return v.informed() && !v.Draining
 }
 
 // tidyEvery is how often what is known of targets that are gone is forgotten.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/core/member"
@@ -15,6 +17,9 @@
 	peerTimeout = 600 * time.Millisecond
 	// seedPeriod is how often seeds that are no live members are tried again.
 	seedPeriod = time.Second
+	// seedStep is the pause between two seeds: the first one's answer names the others
+	// and all live members, 20 kB in a fleet of 300, which need not come three times.
+	seedStep = 60 * time.Millisecond
 	// needyPeriod is how often an instance that the object store refuses asks a
 	// peer for news.
 	needyPeriod = 300 * time.Millisecond
@@ -188,8 +193,13 @@
 // members forgot one another.
 func (g *Gateway) greetSeeds(ctx context.Context) {
 	for {
-		for _, seed := range g.seeds() {
+		seeds := slices.Clone(g.seeds())
+		rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+		for _, seed := range seeds {
 			g.greet(seed)
+			if !wait.For(ctx, seedStep) {
+				return
+			}
 		}
 		if !wait.For(ctx, wait.Jitter(seedPeriod)) {
 			return
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -50,6 +50,7 @@
 func (x *exchange) admit() *problem.Problem {
 	var err error
 	x.call, err = x.g.codec.ReadCall(x.r.Header)
+	x.awaitBeliefs()
 	if x.view.Config == nil {
 		return later(problem.Draining, "this instance has no configuration yet", comeBackNew)
 	}
@@ -74,6 +75,36 @@
 	return x.readBody(cfg.Limits)
 }
 
+// Bounds of the wait of a request that meets a new process.
+const (
+	// youngWait is long enough for a start in which the object store answers: 20 ms for
+	// one process, about a second for hundreds at a time.
+	youngWait = time.Second
+	// youngShare is the part of the caller's patience that the wait may take: what is
+	// left is enough for an answer, or for another try elsewhere.
+	youngShare = 1.0 / 3
+)
+
+// awaitBeliefs lets a request that comes in a process's first moments wait until the
+// process knows the configuration and the targets.
+func (x *exchange) awaitBeliefs() {
+	if x.view.informed() {
+		return
+	}
+	limit := youngWait
+	if x.call.Patience > 0 {
+		limit = min(limit, time.Duration(youngShare*float64(x.call.Patience)))
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-x.g.informed:
+	case <-timer.C:
+	case <-x.r.Context().Done():
+	}
+	x.view = x.g.view.Load()
+}
+
 // headerSize is the size of a request's header in bytes, line ends included.
 func headerSize(r *http.Request) int {
 	n := len(r.Method) + len(r.RequestURI) + len(" ")*2 + len(r.Proto) + len("\r\n") + len("Host: \r\n") + len(r.Host)
--- a/internal/gateway/targets.go
+++ b/internal/gateway/targets.go
@@ -24,6 +24,9 @@
 	massHold = 1200 * time.Millisecond
 	// maxGone bounds the memory of vanished entries.
 	maxGone = 4096
+	// linesAtOnce is how many lines one word of changes may cost: a start of a large
+	// fleet changes thousands of entries.
+	linesAtOnce = 64
 )
 
 // heldTarget is a target with its doubt.
@@ -42,6 +45,8 @@
 	sorted   []*heldTarget     // the same by id
 	held     map[string]bool   // ids of those whose entry vanished
 	edits    uint64            // rises with each change
+	lines    int               // log lines that the present word may still cost
+	leftOut  int               // those that it would have cost beyond
 	revision platform.Version  // up to which the list is complete
 	changed  platform.Version  // of the last change
 	gone     map[string]uint64 // revisions at which entries vanished
@@ -131,15 +136,36 @@
 			gone = append(gone, id)
 		}
 	}
+	lines := linesAtOnce
 	if !t.listed {
 		t.goneFrom = revision
+		lines = 0 // all are new, which the line on the list says
 	}
 	t.listed = true
-	t.change(revision, targets, gone, now)
+	t.take(revision, targets, gone, now, lines)
 }
 
 // change takes what changed up to a revision.
 func (t *targetTable) change(revision platform.Version, present []catalog.Target, gone []string, now time.Time) {
+	t.take(revision, present, gone, now, linesAtOnce)
+	if t.leftOut > 0 {
+		t.log.WithField("targets", len(present)+len(gone)).WithField("lines_left_out", t.leftOut).WithField("revision", uint64(t.revision)).Info("targets changed")
+	}
+}
+
+// mayLog says whether one more line may be written of the present word.
+func (t *targetTable) mayLog() bool {
+	if t.lines == 0 {
+		t.leftOut++
+		return false
+	}
+	t.lines--
+	return true
+}
+
+// take takes a list or changes, at the cost of so many log lines at most.
+func (t *targetTable) take(revision platform.Version, present []catalog.Target, gone []string, now time.Time, lines int) {
+	t.lines, t.leftOut = lines, 0
 	t.revision = max(t.revision, revision)
 	for _, x := range present {
 		t.put(x)
@@ -175,7 +201,7 @@
 		x.Models = newest(x.Models, old.Models)
 	}
 	t.set(&heldTarget{Target: x})
-	if old == nil || old.Leaving != x.Leaving || !slices.Equal(old.Models, x.Models) {
+	if (old == nil || old.Leaving != x.Leaving || !slices.Equal(old.Models, x.Models)) && t.mayLog() {
 		t.log.WithField("target", x.ID).WithField("service", x.Service).WithField("leaving", x.Leaving).WithField("models", x.Models).
 			WithField("revision", uint64(t.revision)).Info("target changed")
 	}
@@ -208,11 +234,15 @@
 	t.gone[id] = uint64(t.revision)
 	if !x.Leaving && until.After(now) {
 		t.set(&heldTarget{Target: x.Target, until: until})
-		t.log.WithField("target", id).WithField("for_ms", until.Sub(now).Milliseconds()).Info("target's entry vanished, held")
+		if t.mayLog() {
+			t.log.WithField("target", id).WithField("for_ms", until.Sub(now).Milliseconds()).Info("target's entry vanished, held")
+		}
 		return
 	}
 	t.remove(id, now)
-	t.log.WithField("target", id).WithField("revision", uint64(t.revision)).Info("target gone")
+	if t.mayLog() {
+		t.log.WithField("target", id).WithField("revision", uint64(t.revision)).Info("target gone")
+	}
 }
 
 // expire drops the held entries whose time is over; it says whether there were any.
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -81,6 +81,9 @@
 	StoreOK    bool              // the object store answers
 }
 
+// informed says whether all that requests need is known.
+func (v *View) informed() bool { return v.Config != nil && v.Listed }
+
 // viewHolder publishes views.
 type viewHolder struct{ p atomic.Pointer[View] }
 
