A fetch that was begun is left to come: it is given up at three objectives

Ruled out: single slow stores (all are alike), the fast stores' links (3% busy, but full). Change: a fetch is begun if predicted to take half of the objective (0.7 before) and may take three objectives, 2 s at most. A store that started again is saved into 2 s later, since such a fetch may then still be under way. Test: TestFetchBounds.

--- a/internal/gateway/cache.go
+++ b/internal/gateway/cache.go
@@ -25,8 +25,9 @@
 	// answer for longer may have started again, empty.
 	shelfAge = pollWait + pollGap + 300*time.Millisecond
 	// epochCalm is how long a store's epoch must have been known before anything is
-	// saved there: no instance believes in the one before for longer.
-	epochCalm = shelfAge + relayAge
+	// saved there: no instance believes in the one before for longer, and what it began
+	// to fetch in that belief has ended.
+	epochCalm = shelfAge + relayAge + longestFetch
 	// relistEvery is how often a store is listed anew, for the events that were lost.
 	relistEvery = 12 * time.Second
 	// storesEvery is how often the configuration is looked at for new stores, and
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -17,8 +17,7 @@
 // cacheWork is what a prompt asks of one target.
 type cacheWork struct {
 	place.Work
-	fetch   []bool  // the parts to fetch
-	fetchMS float64 // how long that is predicted to take, link delays included
+	fetch []bool // the parts to fetch
 }
 
 // cachePlan is where the parts of a prompt come from and where they are kept.
@@ -50,20 +49,32 @@
 	return found
 }
 
-// Bounds of fetching, as shares of the route's latency objective.
+// Bounds of fetching, as shares of the route's latency objective. A fetch that is given
+// up costs most: the time that it took, and a prompt that is read again. So it is begun
+// only where it can be expected to leave much time, and then left to come, even late
+// (docs/ROUTING.md has what other bounds gave).
 const (
-	// fetchShare is how long a fetch may be predicted to take: what is left is
-	// enough to read the prompt's own part.
-	fetchShare = 0.7
-	// untilShare is how long one that was begun may take at most before it is given
-	// up and the prompt is read.
-	untilShare = 1.6
-	// untilFactor times what was predicted, and untilSlack, is the same for one that
-	// takes longer than predicted: its link has turned slow, or its store is gone.
-	untilFactor = 2.5
-	untilSlack  = 120 * time.Millisecond
+	// fetchShare is how long a fetch may be predicted to take.
+	fetchShare = 0.5
+	// untilShare is how long one that was begun may take before it is given up and the
+	// prompt is read. Callers wait for a first answer for 4 objectives at least.
+	untilShare = 3.0
+	// longestFetch bounds that for any objective: the cache stores' parts are freed, and
+	// written anew after a start, only when no fetch of them can still be under way.
+	longestFetch = 2 * time.Second
 )
 
+// worthFetching says whether a fetch that is predicted to take ms leaves enough time for
+// the rest of the answer.
+func (x *exchange) worthFetching(ms float64) bool {
+	return ms <= fetchShare*float64(x.route.Objective)/float64(time.Millisecond)-x.sinceMS()
+}
+
+// fetchUntil is how much longer a fetch that is begun now may take.
+func (x *exchange) fetchUntil() time.Duration {
+	return min(max(time.Duration(untilShare*float64(x.route.Objective))-x.g.now().Sub(x.arrived), 0), longestFetch)
+}
+
 // workAt says what the prompt asks of a target: a part is fetched if its store
 // can be expected to deliver it in time. The first part is shared by so many
 // that targets have it: to fetch it takes no time worth counting. x.g.predictorMu
@@ -71,14 +82,13 @@
 func (x *exchange) workAt(t *catalog.Target, version uint64, now time.Time) cacheWork {
 	p := x.call.Prompt
 	w := cacheWork{Work: place.Work{ReadTokens: p.Tokens}, fetch: make([]bool, len(p.Parts))}
-	limit := fetchShare*float64(x.route.Objective)/float64(time.Millisecond) - x.sinceMS()
 	largest := 0.0
 	for i, src := range x.sourcesOf(version) {
 		if src.store == nil {
 			continue
 		}
 		ms := x.transferMS(src, t)
-		if i > 0 && x.g.predictor.Fetch(place.Work{FetchMS: ms, Link: src.store.Address}, now) > limit {
+		if i > 0 && !x.worthFetching(x.g.predictor.Fetch(place.Work{FetchMS: ms, Link: src.store.Address}, now)) {
 			continue
 		}
 		w.fetch[i] = true
@@ -92,7 +102,6 @@
 		}
 	}
 	w.ReadTokens = max(w.ReadTokens, 0)
-	w.fetchMS = x.g.predictor.Fetch(w.Work, now)
 	return w
 }
 
@@ -124,10 +133,8 @@
 	version := t.VersionOf(x.call.Prompt.Model)
 	salt := x.salt(version)
 	x.plan = x.g.cache.plan(x.view.Config.Stores, salt, version, x.call.Prompt.Parts, x.sourcesOf(version), x.asks.fetch)
-	until := time.Duration(untilShare*float64(x.route.Objective)) - x.g.now().Sub(x.arrived)
-	until = min(until, time.Duration(untilFactor*x.asks.fetchMS*float64(time.Millisecond))+untilSlack)
 	return &ModelAttempt{Priority: x.urgency(), Version: version, Salt: salt, Cache: x.plan.parts,
-		FetchUntilMS: x.g.cache.clockMS(max(until, 0))}
+		FetchUntilMS: x.g.cache.clockMS(x.fetchUntil())}
 }
 
 const (
--- a/internal/gateway/model_test.go
+++ b/internal/gateway/model_test.go
@@ -49,3 +49,27 @@
 		})
 	}
 }
+
+// TestFetchBounds: a fetch is begun only if it is predicted to leave half of the objective,
+// and once begun may take three times as long as the objective before it is given up.
+func TestFetchBounds(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(0, 0)
+	waited := time.Duration(0)
+	g := &Gateway{now: func() time.Time { return start.Add(waited) }}
+	x := &exchange{g: g, arrived: start, route: &catalog.Route{Objective: 400 * time.Millisecond}}
+	is.True(x.worthFetching(200))
+	is.True(!x.worthFetching(201))
+	is.Equal(x.fetchUntil(), 1200*time.Millisecond)
+	waited = 150 * time.Millisecond // after an attempt elsewhere
+	is.True(x.worthFetching(50))
+	is.True(!x.worthFetching(51))
+	is.Equal(x.fetchUntil(), 1050*time.Millisecond)
+	waited = 0
+	x.route = &catalog.Route{Objective: 10 * time.Second}
+	is.Equal(x.fetchUntil(), longestFetch)
+	x.route = &catalog.Route{Objective: 400 * time.Millisecond}
+	waited = 2 * time.Second
+	is.True(!x.worthFetching(0))
+	is.Equal(x.fetchUntil(), time.Duration(0))
+}
