Heads of prompts are kept in the fastest stores, and not fetched over a late link

The wait was put down to the targets. Change: a first part goes to the fastest stores whatever its size, where 4 in 100 of the space is left to such parts; it is fetched only where its link is predicted to deliver in time, like any other part. Tests: TestHeads.

--- a/internal/core/stock/stock.go
+++ b/internal/core/stock/stock.go
@@ -240,23 +240,31 @@
 	smallPart = 1500
 	// fastForLarge is the share of those stores' space that larger parts may take.
 	fastForLarge = 0.35
+	// keptForHeads is the share of a store's space that is left to parts with which many
+	// prompts begin.
+	keptForHeads = 0.04
 )
 
 // Home returns the store that a part belongs in: by rendezvous hashing weighted
 // by capacity (Thaler and Ravishankar, 1998; weights after Schindelhauer and
 // Schomaker, 2005), among those with room. Small parts go to the fastest stores
-// as long as these have room. -1: none has room.
-func Home(k Key, tokens int, places []Place) int {
+// as long as these have room, and so do heads, the parts with which prompts begin:
+// they are few and asked for by all targets at once. -1: none has room.
+func Home(k Key, tokens int, head bool, places []Place) int {
 	fastest := time.Duration(math.MaxInt64)
 	for _, p := range places {
 		fastest = min(fastest, p.FirstByte)
 	}
-	if tokens <= smallPart {
-		if i := pick(k, tokens, places, func(p Place) float64 { return only(p.FirstByte == fastest) }); i >= 0 {
+	kept := keptForHeads
+	if head {
+		kept = 0
+	}
+	if head || tokens <= smallPart {
+		if i := pick(k, tokens, kept, places, func(p Place) float64 { return only(p.FirstByte == fastest) }); i >= 0 {
 			return i
 		}
 	}
-	return pick(k, tokens, places, func(p Place) float64 {
+	return pick(k, tokens, kept, places, func(p Place) float64 {
 		if p.FirstByte == fastest && tokens > smallPart {
 			return fastForLarge
 		}
@@ -271,12 +279,13 @@
 	return 0
 }
 
-// pick draws a place with room, by capacity times share.
-func pick(k Key, tokens int, places []Place, share func(Place) float64) int {
+// pick draws a place with room, by capacity times share. kept is the share of the space
+// that is not for this part.
+func pick(k Key, tokens int, kept float64, places []Place, share func(Place) float64) int {
 	best, top := -1, math.Inf(-1)
 	for i, p := range places {
 		weight := float64(p.Capacity) * share(p)
-		if weight <= 0 || float64(p.Used+space(tokens)) > float64(p.Capacity) {
+		if weight <= 0 || float64(p.Used+space(tokens)) > (1-kept)*float64(p.Capacity) {
 			continue
 		}
 		h := xxhash.Sum64String(k.Salt + "/" + k.Part + "/" + p.Address)
--- a/internal/core/stock/stock_test.go
+++ b/internal/core/stock/stock_test.go
@@ -73,15 +73,15 @@
 	count := [2]int{}
 	for i := range 10_000 {
 		k := stock.Key{Salt: "s", Part: fmt.Sprint(i)}
-		h := stock.Home(k, 100, places)
-		is.Equal(stock.Home(k, 100, places), h)
+		h := stock.Home(k, 100, false, places)
+		is.Equal(stock.Home(k, 100, false, places), h)
 		count[h]++
 	}
 	is.True(count[0] > 900 && count[0] < 1100)
 	places[1].Used = places[1].Capacity
-	is.Equal(stock.Home(stock.Key{Part: "x"}, 100, places), 0)
+	is.Equal(stock.Home(stock.Key{Part: "x"}, 100, false, places), 0)
 	places[0].Used = places[0].Capacity
-	is.Equal(stock.Home(stock.Key{Part: "x"}, 100, places), -1)
+	is.Equal(stock.Home(stock.Key{Part: "x"}, 100, false, places), -1)
 }
 
 // TestSmallParts: small parts go to the fastest stores while these have room,
@@ -92,12 +92,27 @@
 	large := 0
 	for i := range 1000 {
 		k := stock.Key{Salt: "s", Part: fmt.Sprint(i)}
-		is.Equal(stock.Home(k, 500, places), 0)
-		large += 1 - stock.Home(k, 5000, places)
+		is.Equal(stock.Home(k, 500, false, places), 0)
+		large += 1 - stock.Home(k, 5000, false, places)
 	}
 	is.True(large > 10 && large < 80)
 	places[0].Used = places[0].Capacity
-	is.Equal(stock.Home(stock.Key{Part: "x"}, 500, places), 1)
+	is.Equal(stock.Home(stock.Key{Part: "x"}, 500, false, places), 1)
+}
+
+// TestHeads: parts with which prompts begin go to the fastest stores whatever their size,
+// and find room there that other parts do not take.
+func TestHeads(t *testing.T) {
+	is := is.New(t)
+	places := []stock.Place{{Address: "fast", Capacity: 100_000, Used: 95_000}, {Address: "big", Capacity: 900_000, FirstByte: 6 * time.Millisecond}}
+	for i := range 100 {
+		k := stock.Key{Salt: "s", Part: fmt.Sprint(i)}
+		is.Equal(stock.Home(k, 2500, true, places), 0)
+		is.Equal(stock.Home(k, 2500, false, places), 1)
+		is.Equal(stock.Home(k, 1200, false, places), 1)
+	}
+	places[0].Used = 98_000
+	is.Equal(stock.Home(stock.Key{Part: "x"}, 2500, true, places), 1)
 }
 
 // TestStuck: only a part that stays incomplete without growing is broken off.
--- a/internal/gateway/cache.go
+++ b/internal/gateway/cache.go
@@ -267,7 +267,7 @@
 			continue
 		}
 		key := stock.Key{Salt: salt, Part: p.ID}
-		if to := c.home(stores, key, p.Tokens, now); to != "" {
+		if to := c.home(stores, key, p.Tokens, i == 0, now); to != "" {
 			out.parts[i].SaveTo = to
 			c.saving[key] = now
 			out.saves++
@@ -292,7 +292,7 @@
 }
 
 // home returns the address of the store to keep a part in; "" if none is to.
-func (c *cacheDirectory) home(stores []catalog.CacheStore, key stock.Key, tokens int, now time.Time) string {
+func (c *cacheDirectory) home(stores []catalog.CacheStore, key stock.Key, tokens int, head bool, now time.Time) string {
 	if tokens < leastKept {
 		return ""
 	}
@@ -305,7 +305,7 @@
 			places = append(places, stock.Place{Address: s.Address, Capacity: s.Capacity, Used: sh.Used(), FirstByte: s.FirstByte})
 		}
 	}
-	if i := stock.Home(key, tokens, places); i >= 0 {
+	if i := stock.Home(key, tokens, head, places); i >= 0 {
 		return places[i].Address
 	}
 	return ""
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -77,7 +77,8 @@
 
 // workAt says what the prompt asks of a target: a part is fetched if its store
 // can be expected to deliver it in time. The first part is shared by so many
-// that targets have it: to fetch it takes no time worth counting. x.g.predictorMu
+// that targets have it: to fetch it takes no time worth counting, unless the target was
+// emptied and the link is slow. x.g.predictorMu
 // is held.
 func (x *exchange) workAt(t *catalog.Target, version uint64, now time.Time) cacheWork {
 	p := x.call.Prompt
@@ -88,7 +89,7 @@
 			continue
 		}
 		ms := x.transferMS(src, t)
-		if i > 0 && !x.worthFetching(x.g.predictor.Fetch(place.Work{FetchMS: ms, Link: src.store.Address}, now)) {
+		if !x.worthFetching(x.g.predictor.Fetch(place.Work{FetchMS: ms, Link: src.store.Address}, now)) {
 			continue
 		}
 		w.fetch[i] = true
