--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -37,7 +37,7 @@
 	// Parts of views, kept until what they are made from changes.
 	fleet   fleetPart
 	serving servingPart
-	news    untold
+	news    pendingNews
 }
 
 // event is one change of control state. Apply runs on the control goroutine.
@@ -222,7 +222,7 @@
 		case <-ctx.Done():
 			return
 		case e := <-g.events:
-			old := c.before()
+			old := c.newsMark()
 			e.apply(c)
 			for range len(g.events) {
 				(<-g.events).apply(c)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,8 +64,8 @@
 	// failing has the kinds about which the store does not answer.
 	failingMu sync.Mutex
 	failing   map[string]bool
-	catching  atomic.Bool          // news are being taken from a peer
-	behind    atomic.Pointer[lead] // a peer that knows more, not looked after yet
+	catching  atomic.Bool               // news are being taken from a peer
+	newer     atomic.Pointer[newerPeer] // a peer that knows more and was not asked yet
 	// storeDue wakes the following of targets, see askTargets.
 	storeDue chan struct{}
 	pool     *peer.Pool
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -179,29 +179,27 @@
 // that this usually takes. One call at a time is enough; what is heard of meanwhile
 // is looked after behind it.
 func (g *Gateway) catchUp(from member.Member, have Have) {
-	g.behind.Store(&lead{from: from, have: have})
-	if !g.catching.CompareAndSwap(false, true) {
-		return
-	}
-	defer g.catching.Store(false)
-	for l := g.behind.Swap(nil); l != nil; l = g.behind.Swap(nil) {
-		if !wait.For(g.ctx, catchUpDelay) {
-			return
+	g.newer.Store(&newerPeer{from: from, have: have})
+	for g.newer.Load() != nil && g.catching.CompareAndSwap(false, true) {
+		for p := g.newer.Swap(nil); p != nil; p = g.newer.Swap(nil) {
+			wait.For(g.ctx, catchUpDelay)
+			g.catchUpOnce(*p)
 		}
-		g.catchUpOnce(*l)
+		g.catching.Store(false)
 	}
 }
 
-// lead is a peer that knows more.
-type lead struct {
+// newerPeer is a peer that knows more than this instance.
+type newerPeer struct {
 	from member.Member
 	have Have
 }
 
-func (g *Gateway) catchUpOnce(l lead) {
+// catchUpOnce takes the news of one peer, unless they came from elsewhere meanwhile.
+func (g *Gateway) catchUpOnce(p newerPeer) {
 	var hello *Hello
 	g.query(func(c *control) {
-		if c.known().lacks(l.have) {
+		if c.known().lacks(p.have) {
 			hello = c.greeting(true)
 		}
 	})
@@ -211,12 +209,12 @@
 	ctx, cancel := context.WithTimeout(g.ctx, peerTimeout)
 	defer cancel()
 	var reply Welcome
-	if err := g.pool.Call(ctx, l.from.Address, peerService+".Hello", hello, &reply); err != nil {
-		g.log.WithError(err).WithField("peer", l.from.Name).Warn("news not had")
+	if err := g.pool.Call(ctx, p.from.Address, peerService+".Hello", hello, &reply); err != nil {
+		g.log.WithError(err).WithField("peer", p.from.Name).Warn("news not had")
 		return
 	}
 	if n := reply.News; n != nil {
-		g.log.WithField("peer", l.from.Name).WithField("config", len(n.Config) > 0).WithField("targets", len(n.Targets)+len(n.Gone)).WithField("all", n.Listed).
+		g.log.WithField("peer", p.from.Name).WithField("config", len(n.Config) > 0).WithField("targets", len(n.Targets)+len(n.Gone)).WithField("all", n.Listed).
 			WithField("ask_store", n.AskStore).WithField("versions", len(n.Versions)).WithField("rollout", n.Rollout != nil).Info("news taken from a peer")
 		g.takeNews(n)
 	}
@@ -226,33 +224,33 @@
 // storm of changes they are told of several at once.
 const spreadGap = controlTick
 
-// untold is what this instance has not told its peers of yet.
-type untold struct {
-	pending bool
-	first   bool // this instance is among the first to know
-	roles   bool // it left the lookouts, or came back to them
-	at      time.Time
+// pendingNews is what this instance has still to tell its peers.
+type pendingNews struct {
+	changed bool
+	first   bool      // this instance is among the first to know
+	roles   bool      // it left the lookouts, or came back to them
+	at      time.Time // of the last round
 }
 
-// before is what a change is measured against.
-type before struct {
+// newsMark is the state that a change is measured against.
+type newsMark struct {
 	have              Have
 	attached, lookout bool
 }
 
-func (c *control) before() before {
-	return before{have: c.have(), attached: c.storeOK, lookout: c.fleet.lookout}
+func (c *control) newsMark() newsMark {
+	return newsMark{have: c.have(), attached: c.storeOK, lookout: c.fleet.lookout}
 }
 
 // noteNews notes what has to be told of a change. A lookout that the store left, or
 // found again, tells that too: another must take its place.
-func (c *control) noteNews(v *View, old before) {
+func (c *control) noteNews(v *View, old newsMark) {
 	now := c.have()
 	lookout := v.Lookout || old.lookout
 	n := &c.news
 	n.roles = n.roles || lookout && c.storeOK != old.attached
 	n.first = n.first || lookout || now.Rollout != old.have.Rollout && c.ownNews
-	n.pending = n.pending || now != old.have
+	n.changed = n.changed || now != old.have
 }
 
 // spreadNews tells peers what changed. In a small fleet those that hear of changes
@@ -261,10 +259,10 @@
 // from the next probe.
 func (g *Gateway) spreadNews(c *control, v *View) {
 	n, now := c.news, c.now()
-	if !n.pending && !n.roles || now.Sub(n.at) < spreadGap || g.ctx.Err() != nil {
+	if !n.changed && !n.roles || now.Sub(n.at) < spreadGap || g.ctx.Err() != nil {
 		return
 	}
-	c.news = untold{at: now}
+	c.news = pendingNews{at: now}
 	var to []member.Member
 	switch {
 	case n.roles || n.first && v.Tree.small:
