News of targets leave nothing out and bring nothing back: a random mix, and four faults that it found

TestNewsAreComplete mixes at random targets that come, change and go, instances that list, go on, start again and take one another's news, some of it late; at any time each must know exactly what there was at its revision. It failed on the code before, in this order: 1. an entry that came and went between two words of the store was told to nobody: an instance that had learned of it from another kept it for good, and went on sending it requests; 2. after a list anew (history lost) it is not known what came and went in between, but was told as if it were: now only what vanished since the last list is told as changes; 3. an entry held for its return that returned and vanished again unnoticed was not told; 4. an answer with older news that came late took away an entry which had returned since. Found by reading beside it: a whole list handed over by a peer contained the entries that this peer holds for their return, as if they stood; they are now named, and held by the taker too.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -75,12 +75,13 @@
 type targetsListed struct {
 	revision platform.Version
 	targets  []catalog.Target
+	vanished []string // of targets: their entries are gone, and a peer holds them for a while
 	from     source
 }
 
 func (e targetsListed) apply(c *control) {
 	c.log.WithField("revision", uint64(e.revision)).WithField("targets", len(e.targets)).WithField("from", string(e.from)).Info("targets listed")
-	c.targets.list(e.revision, e.targets, c.now())
+	c.targets.list(e.revision, e.targets, e.vanished, c.now())
 }
 
 // targetsChanged brings changes up to a revision.
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -89,7 +89,7 @@
 	NamedAt  platform.Version       `cbor:"6,keyasint,omitempty"` // up to which Versions are complete
 	NamedIn  platform.Version       `cbor:"7,keyasint,omitempty"` // of their last change
 	Rollout  *RolloutNews           `cbor:"8,keyasint,omitempty"`
-	Gone     []string               `cbor:"9,keyasint,omitempty"` // ids of targets that are no more
+	Gone     []string               `cbor:"9,keyasint,omitempty"` // ids of targets that are no more; with Listed, of those among Targets that may return
 	// AskStore says that the teller does not know all that vanished since the asker's
 	// list, which is long: the asker shall take the changes from the object store.
 	AskStore bool `cbor:"10,keyasint,omitempty"`
@@ -163,7 +163,7 @@
 	}
 	switch {
 	case n.Listed:
-		g.send(targetsListed{revision: n.Revision, targets: n.Targets, from: fromPeer})
+		g.send(targetsListed{revision: n.Revision, targets: n.Targets, vanished: n.Gone, from: fromPeer})
 	case n.Revision > 0:
 		g.send(targetsChanged{revision: n.Revision, present: n.Targets, gone: n.Gone})
 	}
--- /dev/null
+++ b/internal/gateway/news_test.go
@@ -0,0 +1,167 @@
+package gateway
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shedhoist/shedhoist/internal/platform"
+)
+
+// storedTargets is an object store's targets with their whole history.
+type storedTargets struct {
+	revision uint64
+	now      map[string]uint64            // revision of each entry, by id
+	at       map[uint64]map[string]uint64 // the same as of each revision
+	changed  []string                     // id by revision, less one
+}
+
+func (s *storedTargets) set(id string, present bool) {
+	s.revision++
+	s.changed = append(s.changed, id)
+	s.now = maps.Clone(s.now)
+	delete(s.now, id)
+	if present {
+		s.now[id] = s.revision
+	}
+	s.at[s.revision] = s.now
+}
+
+// list is what an instance gets that lists all.
+func (s *storedTargets) list() targetsListed {
+	e := targetsListed{revision: platform.Version(s.revision), from: fromStore}
+	for id, at := range s.now {
+		e.targets = append(e.targets, entry(id, at))
+	}
+	return e
+}
+
+// changes is what an instance gets that goes on from a revision: also that targets are
+// gone which came since.
+func (s *storedTargets) changes(after uint64) targetsChanged {
+	e := targetsChanged{revision: platform.Version(s.revision)}
+	seen := map[string]bool{}
+	for _, id := range s.changed[after:] {
+		if seen[id] {
+			continue
+		}
+		seen[id] = true
+		if at, there := s.now[id]; there {
+			e.present = append(e.present, entry(id, at))
+		} else {
+			e.gone = append(e.gone, id)
+		}
+	}
+	return e
+}
+
+// TestNewsAreComplete mixes at random: targets that come, change and go; instances that
+// list them, go on from where they were, take one another's news, and start again. At any
+// time each instance knows exactly the targets that there were at its revision: news leave
+// nothing out, and bring nothing back, late ones neither. The list is long enough that peers do not hand it
+// over whole to an instance that can ask the store.
+func TestNewsAreComplete(t *testing.T) {
+	is := is.New(t)
+	r := rand.New(rand.NewPCG(5, 6))
+	s := &storedTargets{now: map[string]uint64{}, at: map[uint64]map[string]uint64{0: {}}}
+	id := func() string { return fmt.Sprintf("i-%03d", r.IntN(longList*3/2)) }
+	for i := range longList + 20 {
+		s.set(fmt.Sprintf("i-%03d", i), true)
+	}
+	now := at0
+	start := func(i int) *control {
+		c := controlOf(fmt.Sprintf("e-%d", i), "z0")
+		c.now = func() time.Time { return now }
+		return c
+	}
+	fleet := make([]*control, 6)
+	for i := range fleet {
+		fleet[i] = start(i)
+	}
+	var late []lateNews
+	took := map[string]int{}
+	for range 20_000 {
+		now = now.Add(10 * time.Millisecond)
+		i := r.IntN(len(fleet))
+		c := fleet[i]
+		switch n := r.IntN(100); {
+		case n < 40:
+			s.set(id(), r.IntN(3) > 0)
+		case n < 45 && c.targets.listed:
+			s.changes(uint64(c.targets.revision)).apply(c)
+		case n < 48:
+			s.list().apply(c)
+		case n == 48:
+			fleet[i] = start(i)
+		case n < 90:
+			from := fleet[r.IntN(len(fleet))]
+			takeNews(c, from.newsFor(c.known(), r.IntN(4) == 0), s, took)
+		default: // the answer comes later
+			from := fleet[r.IntN(len(fleet))]
+			late = append(late, lateNews{c, from.newsFor(c.known(), r.IntN(4) == 0)})
+		}
+		if len(late) > 5 {
+			j := r.IntN(len(late))
+			to := late[j].to
+			takeNews(to, late[j].news, s, took)
+			late = append(late[:j], late[j+1:]...)
+			checkTable(t, to, s.at[uint64(to.targets.revision)])
+		}
+		for _, c := range fleet {
+			c.targets.expire(now)
+		}
+		checkTable(t, fleet[i], s.at[uint64(fleet[i].targets.revision)])
+	}
+	is.True(took["changes"] > 100 && took["all"] > 10 && took["store"] > 10)
+}
+
+// lateNews is an answer under way.
+type lateNews struct {
+	to   *control
+	news *News
+}
+
+// takeNews lets an instance take another's news as Gateway.takeNews does.
+func takeNews(c *control, n *News, s *storedTargets, took map[string]int) {
+	switch {
+	case n == nil:
+	case n.AskStore && c.targets.listed:
+		took["store"]++
+		s.changes(uint64(c.targets.revision)).apply(c)
+	case n.AskStore:
+		s.list().apply(c)
+	case n.Listed:
+		took["all"]++
+		targetsListed{revision: n.Revision, targets: n.Targets, vanished: n.Gone, from: fromPeer}.apply(c)
+	case n.Revision > 0:
+		took["changes"]++
+		targetsChanged{revision: n.Revision, present: n.Targets, gone: n.Gone}.apply(c)
+	}
+}
+
+// checkTable compares what an instance knows with what there was at its revision. Entries
+// that vanished together may be held for a while.
+func checkTable(t *testing.T, c *control, want map[string]uint64) {
+	t.Helper()
+	if !c.targets.listed {
+		return
+	}
+	for id, at := range want {
+		x := c.targets.byID[id]
+		if x == nil || x.Revision != at {
+			t.Fatalf("at revision %d %s is not known as of %d: %v", c.targets.revision, id, at, x)
+		}
+	}
+	for id, x := range c.targets.byID {
+		if _, there := want[id]; !there && x.until.IsZero() {
+			t.Fatalf("at revision %d %s is known and gone", c.targets.revision, id)
+		}
+	}
+	if len(c.targets.sorted) != len(c.targets.byID) {
+		t.Fatalf("%d targets sorted, %d known", len(c.targets.sorted), len(c.targets.byID))
+	}
+}
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -39,7 +39,7 @@
 func TestPartsAreShared(t *testing.T) {
 	is := is.New(t)
 	c := controlOf("a", "z0")
-	c.targets.list(9, targetsOf(3, 1), at0)
+	c.targets.list(9, targetsOf(3, 1), nil, at0)
 	first := c.view()
 	same := entry("i-0001", 10)
 	same.Zone = "z0"
@@ -82,7 +82,7 @@
 	uses := map[string]int{}
 	for i := range instances {
 		c := controlOf(fmt.Sprintf("e-%d", i), fmt.Sprintf("z%d", i%zones))
-		c.targets.list(targets, targetsOf(targets, zones), at0)
+		c.targets.list(targets, targetsOf(targets, zones), nil, at0)
 		chosen := c.view().Candidates["s"]
 		is.Equal(len(chosen), mostCandidates)
 		had := map[string]bool{}
@@ -108,7 +108,7 @@
 
 	few := controlOf("e", "z0")
 	some := targetsOf(200, 20) // ten in the zone
-	few.targets.list(9, some, at0)
+	few.targets.list(9, some, nil, at0)
 	near := 0
 	for _, x := range few.view().Candidates["s"] {
 		if x.Zone == "z0" {
@@ -130,7 +130,7 @@
 			all[i].Models[0].Version = 2
 		}
 	}
-	c.targets.list(9, all, at0)
+	c.targets.list(9, all, nil, at0)
 	versionsNamed{revision: 11, changed: 11, versions: []catalog.ModelVersion{{Model: "m", Version: 2}}}.apply(c)
 	v := c.view()
 	g := &Gateway{now: func() time.Time { return at0 }, sick: breaker.New(func() time.Time { return at0 })}
@@ -148,7 +148,7 @@
 func TestLongList(t *testing.T) {
 	is := is.New(t)
 	c := controlOf("e", "z0")
-	c.targets.list(1000, targetsOf(longList+1, 3), at0)
+	c.targets.list(1000, targetsOf(longList+1, 3), nil, at0)
 	n := c.newsFor(Known{Targets: 5}, false)
 	is.True(n.AskStore && !n.Listed && len(n.Targets) == 0)
 	n = c.newsFor(Known{Targets: 5}, true)
@@ -159,6 +159,6 @@
 	is.True(!n.AskStore && !n.Listed)
 	is.Equal(n.Gone, []string{"i-0003"})
 	short := controlOf("e", "z0")
-	short.targets.list(1000, targetsOf(3, 3), at0)
+	short.targets.list(1000, targetsOf(3, 3), nil, at0)
 	is.True(short.newsFor(Known{}, false).Listed)
 }
--- a/internal/gateway/targets.go
+++ b/internal/gateway/targets.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -121,8 +122,9 @@
 // contactRegained says that the object store answers again.
 func (t *targetTable) contactRegained(now time.Time) { t.regained = now }
 
-// list replaces the list by that of a later revision.
-func (t *targetTable) list(revision platform.Version, targets []catalog.Target, now time.Time) {
+// list replaces the list by that of a later revision. Of its targets those that vanished
+// are named apart: whoever told the list holds them for their return.
+func (t *targetTable) list(revision platform.Version, targets []catalog.Target, vanished []string, now time.Time) {
 	if t.listed && revision < t.revision {
 		return
 	}
@@ -130,7 +132,7 @@
 	for _, x := range targets {
 		present[x.ID] = true
 	}
-	var gone []string
+	gone := slices.Clone(vanished)
 	for id := range t.byID {
 		if !present[id] {
 			gone = append(gone, id)
@@ -138,9 +140,9 @@
 	}
 	lines := linesAtOnce
 	if !t.listed {
-		t.goneFrom = revision
 		lines = 0 // all are new, which the line on the list says
 	}
+	t.goneFrom = revision // what came and went since the list before is not known
 	t.listed = true
 	t.take(revision, targets, gone, now, lines)
 }
@@ -184,7 +186,7 @@
 		until = now.Add(massHold)
 	}
 	for _, id := range gone {
-		t.vanish(id, until, now)
+		t.vanish(id, uint64(revision), until, now)
 	}
 }
 
@@ -219,19 +221,17 @@
 	return out
 }
 
-// vanish drops an entry, or holds it for a while if it may have lapsed.
-func (t *targetTable) vanish(id string, until, now time.Time) {
+// vanish drops an entry that was gone at a revision, or holds it for a while if it may
+// have lapsed. Late news may name one that has returned since.
+func (t *targetTable) vanish(id string, revision uint64, until, now time.Time) {
 	x := t.byID[id]
-	if x == nil || !x.until.IsZero() || x.Revision > uint64(t.revision) {
+	if x != nil && x.Revision > revision {
 		return
 	}
-	if t.gone == nil {
-		t.gone = map[string]uint64{}
+	t.noteGone(id, revision)
+	if x == nil || !x.until.IsZero() {
+		return // it came and went since the last word, or is held already; others may know it
 	}
-	if len(t.gone) > maxGone {
-		t.gone, t.goneFrom = map[string]uint64{}, t.revision
-	}
-	t.gone[id] = uint64(t.revision)
 	if !x.Leaving && until.After(now) {
 		t.set(&heldTarget{Target: x.Target, until: until})
 		if t.mayLog() {
@@ -245,6 +245,17 @@
 	}
 }
 
+// noteGone remembers that an entry vanished, for those who know less.
+func (t *targetTable) noteGone(id string, revision uint64) {
+	if t.gone == nil {
+		t.gone = map[string]uint64{}
+	}
+	if len(t.gone) > maxGone {
+		t.gone, t.goneFrom = map[string]uint64{}, t.revision
+	}
+	t.gone[id] = max(t.gone[id], revision)
+}
+
 // expire drops the held entries whose time is over; it says whether there were any.
 func (t *targetTable) expire(now time.Time) bool {
 	changed := false
@@ -271,10 +282,11 @@
 }
 
 // since returns what changed after a revision: entries, and ids that are gone. If
-// that is not known it returns all entries, and all is true.
+// that is not known it returns all entries, and all is true; gone then names those among
+// them that vanished and are held here.
 func (t *targetTable) since(revision platform.Version) (entries []catalog.Target, gone []string, all bool) {
 	if revision < t.goneFrom {
-		return t.all(), nil, true
+		return t.all(), slices.Sorted(maps.Keys(t.held)), true
 	}
 	for _, x := range t.byID {
 		if x.until.IsZero() && x.Revision > uint64(revision) {
--- a/internal/gateway/targets_test.go
+++ b/internal/gateway/targets_test.go
@@ -26,7 +26,7 @@
 func TestVanish(t *testing.T) {
 	is := is.New(t)
 	tt := table()
-	tt.list(5, []catalog.Target{entry("a", 1), entry("b", 2)}, at0)
+	tt.list(5, []catalog.Target{entry("a", 1), entry("b", 2)}, nil, at0)
 	tt.change(6, nil, []string{"a"}, at0)
 	is.Equal(len(tt.byID), 1)
 }
@@ -38,9 +38,9 @@
 	tt := table()
 	leaving := entry("leaving", 3)
 	leaving.Leaving = true
-	tt.list(5, []catalog.Target{entry("back", 1), entry("gone", 2), leaving}, at0)
+	tt.list(5, []catalog.Target{entry("back", 1), entry("gone", 2), leaving}, nil, at0)
 	tt.contactRegained(at0)
-	tt.list(9, nil, at0)
+	tt.list(9, nil, nil, at0)
 	is.Equal(len(tt.byID), 2)
 	tt.change(10, []catalog.Target{entry("back", 10)}, nil, at0.Add(time.Second))
 	is.True(!tt.expire(at0.Add(returnTime - time.Millisecond)))
@@ -61,7 +61,7 @@
 		all = append(all, entry(fmt.Sprint(i), 1))
 		ids = append(ids, fmt.Sprint(i))
 	}
-	tt.list(5, all, at0)
+	tt.list(5, all, nil, at0)
 	tt.change(6, nil, ids, at0)
 	is.Equal(len(tt.byID), massLapse)
 	tt.expire(at0.Add(1500 * time.Millisecond))
@@ -73,17 +73,17 @@
 func TestOvertaken(t *testing.T) {
 	is := is.New(t)
 	tt := table()
-	tt.list(5, []catalog.Target{entry("a", 1), entry("b", 2)}, at0)
+	tt.list(5, []catalog.Target{entry("a", 1), entry("b", 2)}, nil, at0)
 	draining := entry("a", 8)
 	draining.Leaving = true
-	tt.list(9, []catalog.Target{draining}, at0) // by a peer
+	tt.list(9, []catalog.Target{draining}, nil, at0) // by a peer
 	is.True(tt.byID["a"].Leaving)
 	tt.change(7, []catalog.Target{entry("a", 6), entry("b", 7)}, nil, at0) // late, by the store
 	is.True(tt.byID["a"].Leaving)
 	is.True(tt.byID["b"] == nil)
 	tt.change(12, []catalog.Target{entry("b", 12)}, nil, at0)
 	is.True(tt.byID["b"] != nil)
-	tt.list(8, nil, at0) // an old list
+	tt.list(8, nil, nil, at0) // an old list
 	is.Equal(len(tt.byID), 2)
 }
 
@@ -91,7 +91,7 @@
 func TestServes(t *testing.T) {
 	is := is.New(t)
 	tt := table()
-	tt.list(5, []catalog.Target{entry("a", 1)}, at0)
+	tt.list(5, []catalog.Target{entry("a", 1)}, nil, at0)
 	tt.serves("a", catalog.ModelVersion{Model: "m", Version: 3})
 	tt.change(6, []catalog.Target{entry("a", 6)}, nil, at0)
 	is.Equal(tt.byID["a"].VersionOf("m"), uint64(3))
@@ -136,7 +136,7 @@
 	tt := table()
 	newer := entry("b", 2)
 	newer.Models = []catalog.ModelVersion{{Model: "m", Version: 2}}
-	tt.list(5, []catalog.Target{entry("a", 1), newer}, at0)
+	tt.list(5, []catalog.Target{entry("a", 1), newer}, nil, at0)
 	tt.change(6, nil, []string{"a"}, at0)
 	v := &View{Targets: map[string]*catalog.Target{"b": &newer}, Departed: tt.departed}
 	is.Equal(oldestServed(v, at0.Add(lingerTime-time.Millisecond))["m"], uint64(1))
@@ -167,7 +167,7 @@
 func TestSince(t *testing.T) {
 	is := is.New(t)
 	tt := table()
-	tt.list(5, []catalog.Target{entry("a", 1), entry("b", 2), entry("c", 3)}, at0)
+	tt.list(5, []catalog.Target{entry("a", 1), entry("b", 2), entry("c", 3)}, nil, at0)
 	tt.change(7, []catalog.Target{entry("b", 7)}, []string{"a"}, at0)
 	entries, gone, all := tt.since(5)
 	is.True(!all)
@@ -175,7 +175,7 @@
 	is.Equal(entries[0].ID, "b")
 	is.Equal(gone, []string{"a"})
 	peer := table()
-	peer.list(5, []catalog.Target{entry("a", 1), entry("b", 2), entry("c", 3)}, at0)
+	peer.list(5, []catalog.Target{entry("a", 1), entry("b", 2), entry("c", 3)}, nil, at0)
 	peer.change(7, entries, gone, at0)
 	is.Equal(len(peer.byID), 2)
 	is.Equal(peer.byID["b"].Revision, uint64(7))
