A silent stream is left only for an attempt that is allowed

Cause: a target that has more to read than it can is silent for seconds. Our own watch ended the attempt after 1.2 s; the first time the stream went on elsewhere, the second time no attempt was left and the caller's stream was cut with 7 s to go. Ruled out: the change of configuration beside it, which neither the log nor the trace touches.

Change: no watch on a last attempt; an attempt is ended for silence only when the retry budget has paid for the next; the silence that is borne is four of the route's longest pauses (2.4 s there), 1.2 s at least.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -223,6 +223,7 @@
 	event      attempt.Event // if it was not delivered
 	cause      error
 	retryAfter time.Duration
+	paid       bool // another attempt is paid for already
 }
 
 // again decides what follows an attempt that delivered nothing whole. It returns
@@ -239,7 +240,7 @@
 	if errors.Is(x.r.Context().Err(), context.Canceled) {
 		end.event = attempt.CallerGone // whatever the attempt met since
 	}
-	v := x.machine.Step(end.event, func() bool { return x.allowed(end.event) })
+	v := x.machine.Step(end.event, func() bool { return x.allowed(end) })
 	if v.Action != attempt.Fail {
 		metric.Retries.Inc()
 		x.logAttempt(end, v.Action.String())
@@ -251,17 +252,17 @@
 }
 
 // allowed says whether the route, the time and the budget leave another attempt.
-func (x *exchange) allowed(ev attempt.Event) bool {
+func (x *exchange) allowed(end ending) bool {
 	if x.deadline.Sub(x.g.now()) < leastLeft {
 		return false
 	}
-	switch ev {
+	switch end.event {
 	case attempt.NotSent:
 		return x.dials <= maxDials // it reached no target, and so costs no budget
 	case attempt.Refused:
 		return x.refusals <= maxRefusals && x.g.budgets.retry(x.service)
 	}
-	return x.ran < x.route.MaxAttempts && x.g.budgets.retry(x.service)
+	return x.ran < x.route.MaxAttempts && (end.paid || x.g.budgets.retry(x.service))
 }
 
 // failAfter ends the request: with a target's own failure if there is one, else
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -16,11 +16,17 @@
 // Bounds of a stream.
 const (
 	maxEvent = 1 << 20 // bytes of one event
-	// stallTime is the longest silence between the events of a stream that can go
-	// on elsewhere: callers give up after two seconds at the earliest.
-	stallTime = 1200 * time.Millisecond
+	// stallGaps times a route's longest pause between events, and leastStall at least, is
+	// the silence after which a stream goes on elsewhere. Callers bear eight such pauses,
+	// and two seconds at least; the other target needs the rest to read the prompt.
+	stallGaps  = 4
+	leastStall = 1200 * time.Millisecond
 )
 
+// stallTime is the longest silence between the events of a stream that can go on
+// elsewhere.
+func (x *exchange) stallTime() time.Duration { return max(stallGaps*x.route.GapLimit, leastStall) }
+
 // EventSizeError says that an event is longer than maxEvent.
 type EventSizeError struct{}
 
@@ -35,7 +41,7 @@
 	flush := http.NewResponseController(x.w)
 	for first := true; ; first = false {
 		if at.watch != nil && !first {
-			at.watch.Reset(stallTime)
+			at.watch.Reset(x.stallTime())
 		}
 		data, id, err := events.next()
 		if at.watch != nil {
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -7,6 +7,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
@@ -53,6 +54,7 @@
 	load   *inflight.Load
 	began  time.Time
 	watch  *time.Timer // ends the attempt if the target stays silent; nil: never
+	paid   atomic.Bool // the attempt after this one is paid for from the retry budget
 	resp   *http.Response
 	answer Answer
 	asked  cacheWork
@@ -82,8 +84,8 @@
 	at.ticket = x.g.beginTicket(t.ID, at.asked.Work, at.began)
 	defer x.g.dropTicket(at.ticket)
 	x.targets, x.lastZone = append(x.targets, t.ID), t.Zone
-	if x.route.Repeatable() {
-		at.watch = time.AfterFunc(x.patience(), cancel)
+	if x.mayLeave() {
+		at.watch = time.AfterFunc(x.patience(), func() { x.leave(at, cancel) })
 		defer at.watch.Stop()
 	}
 	resp, sent, err := x.g.upstream.send(ctx, x.outgoing(t))
@@ -99,10 +101,28 @@
 	if !end.delivered {
 		end.event = x.whoEnded(end.event)
 	}
+	end.paid = at.paid.Load()
 	x.judge(at, end)
 	return end
 }
 
+// mayLeave says whether the request may go on elsewhere if its target stays silent. A
+// last attempt is left to come for as long as the caller waits: a target that has more
+// to read than it can is silent for seconds, and its answer is worth more than none.
+func (x *exchange) mayLeave() bool {
+	return x.route.Repeatable() && x.ran+1 < x.route.MaxAttempts
+}
+
+// leave ends an attempt at a silent target, if the attempt that would follow can be paid
+// for.
+func (x *exchange) leave(at *work, cancel context.CancelFunc) {
+	if !x.g.budgets.retry(x.service) {
+		return
+	}
+	at.paid.Store(true)
+	cancel()
+}
+
 // patience is the longest wait for the first word of a repeatable request.
 func (x *exchange) patience() time.Duration {
 	return max(patienceFactor*x.route.Objective, leastPatience)
