Requests are refused at once while every target's memory is full; homes for prompts

The state outlasts its cause by tens of seconds. Nobody was refused.

Change: instances tell one another what their runs keep of targets' memory beside what waits there; place.Decide sends, or refuses at once where all that could take a request are full.

--- a/cmd/shedhoistd/main.go
+++ b/cmd/shedhoistd/main.go
@@ -16,8 +16,8 @@
 const hosted = "hosted"
 
 func main() {
-	if len(os.Args) == 2 && os.Args[1] == hosted {
-		os.Exit(gateway.Run(platform.Start(), os.Stdout))
+	if len(os.Args) >= 2 && os.Args[1] == hosted {
+		os.Exit(gateway.Main(platform.Start(), os.Args[2:], os.Stdout, os.Stderr))
 	}
 	os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr))
 }
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -158,6 +158,14 @@
 	return c
 }
 
+// MemoryOf is the memory of one target of a service, in tokens; 0 if it is not declared.
+func (c *Config) MemoryOf(service string) int {
+	if s := c.Services[service]; s != nil && s.Engine != nil {
+		return s.Engine.CacheTokens
+	}
+	return 0
+}
+
 // Route finds the route of a request, or nil. The longest prefix that begins
 // the path wins; path is as the caller wrote it, without the query.
 func (c *Config) Route(host, path string) *Route {
--- a/internal/core/place/predict.go
+++ b/internal/core/place/predict.go
@@ -134,6 +134,9 @@
 	return p.Target(id, now) + p.Fetch(w, now) + p.Read(w.ReadTokens+w.AheadTokens)
 }
 
+// Nominal is First for a target and a link that are as fast as they should be.
+func (p *Predictor) Nominal(w Work) float64 { return w.FetchMS + p.Read(w.ReadTokens+w.AheadTokens) }
+
 // Begin notes a request that is sent now.
 func (p *Predictor) Begin(id string, w Work, now time.Time) *Ticket {
 	t := &Ticket{target: id, work: w, began: now, predicted: p.First(id, w, now)}
--- /dev/null
+++ b/internal/core/policy/policy.go
@@ -0,0 +1,73 @@
+// Package policy names the mechanisms by which requests are placed, so that experiments
+// can switch them off one at a time and measure what each is worth. It is pure.
+package policy
+
+import (
+	"slices"
+	"strings"
+)
+
+// Policy says which mechanisms are in use.
+type Policy struct {
+	Admission  bool // requests are refused while targets' memory is full
+	Homes      bool // prompts go to the home of their last shared part by preference
+	Spread     bool // scores are shaken, so that instances do not all pick the same target
+	LinkWeight bool // time on a shared link counts more than other time
+	OldWeights bool // targets with old weights count less
+	PeerLoads  bool // what peers have waiting at targets counts
+	Overdue    bool // what is learned of slow targets and links counts
+	LateBehind bool // in large fleets, requests that are predicted late wait behind others
+	HeadsApart bool // parts with which prompts begin are kept in the fastest stores
+}
+
+// switches are the mechanisms by the names under which experiments know them.
+var switches = map[string]func(*Policy) *bool{
+	"admission":   func(p *Policy) *bool { return &p.Admission },
+	"homes":       func(p *Policy) *bool { return &p.Homes },
+	"spread":      func(p *Policy) *bool { return &p.Spread },
+	"link-weight": func(p *Policy) *bool { return &p.LinkWeight },
+	"old-weights": func(p *Policy) *bool { return &p.OldWeights },
+	"peer-loads":  func(p *Policy) *bool { return &p.PeerLoads },
+	"overdue":     func(p *Policy) *bool { return &p.Overdue },
+	"late-behind": func(p *Policy) *bool { return &p.LateBehind },
+	"heads-apart": func(p *Policy) *bool { return &p.HeadsApart },
+}
+
+// Default returns the policy with all mechanisms in use.
+func Default() Policy {
+	var p Policy
+	for _, at := range switches {
+		*at(&p) = true
+	}
+	return p
+}
+
+// Names are the mechanisms that can be switched off, sorted.
+func Names() []string {
+	var out []string
+	for name := range switches {
+		out = append(out, name)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// UnknownError says that there is no mechanism of a name.
+type UnknownError struct{ Name string }
+
+// Error implements error.
+func (e *UnknownError) Error() string {
+	return "policy: no mechanism " + e.Name + "; there are " + strings.Join(Names(), ", ")
+}
+
+// Without returns p without the mechanisms named.
+func (p Policy) Without(names ...string) (Policy, error) {
+	for _, name := range names {
+		at, ok := switches[name]
+		if !ok {
+			return p, &UnknownError{Name: name}
+		}
+		*at(&p) = false
+	}
+	return p, nil
+}
--- /dev/null
+++ b/internal/core/policy/policy_test.go
@@ -0,0 +1,31 @@
+package policy_test
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/shedhoist/shedhoist/internal/core/policy"
+)
+
+// TestWithout: each mechanism is in use unless it is left out by its name, and a name that
+// is none is refused.
+func TestWithout(t *testing.T) {
+	is := is.New(t)
+	all := policy.Default()
+	seen := map[policy.Policy]bool{all: true}
+	for _, name := range policy.Names() {
+		p, err := all.Without(name)
+		is.NoErr(err)
+		is.True(!seen[p]) // each name is another mechanism
+		seen[p] = true
+	}
+	none, err := all.Without(policy.Names()...)
+	is.NoErr(err)
+	is.Equal(none, policy.Policy{})
+	_, err = all.Without("admission", "magic")
+	var unknown *policy.UnknownError
+	is.True(errors.As(err, &unknown))
+	is.Equal(unknown.Name, "magic")
+}
--- a/internal/gateway/cache.go
+++ b/internal/gateway/cache.go
@@ -267,7 +267,7 @@
 			continue
 		}
 		key := stock.Key{Salt: salt, Part: p.ID}
-		if to := c.home(stores, key, p.Tokens, i == 0, now); to != "" {
+		if to := c.home(stores, key, p.Tokens, i == 0 && c.g.settings().Policy.HeadsApart, now); to != "" {
 			out.parts[i].SaveTo = to
 			c.saving[key] = now
 			out.saves++
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -46,6 +46,7 @@
 	asks      cacheWork               // what the attempt asks of its target
 	plan      cachePlan
 
+	decision    place.Decision // the one that refused the request
 	predictedMS float64
 	spare       *spareAnswer // a failure of a target's own, delivered if nothing better comes
 	ended       bool
@@ -77,8 +78,12 @@
 	x.machine = attempt.New(x.route.Repeatable(), x.route.Resumable, maxDials+maxRefusals+x.route.MaxAttempts+1)
 	x.g.budgets.request(x.service)
 	for {
-		t := x.pick()
-		if t == nil {
+		t, d := x.pick()
+		switch d.Action {
+		case place.Refuse:
+			x.refuseFull(d)
+			return
+		case place.None:
 			x.failAfter(x.machine.NoTarget(), ending{})
 			return
 		}
@@ -120,21 +125,41 @@
 // are looked for among all targets of the service.
 const leastFit = 8
 
-// pick chooses the target of the next attempt, or nil.
-func (x *exchange) pick() *catalog.Target {
+// pick decides on the next attempt: its target, or nil if there is to be none.
+func (x *exchange) pick() (*catalog.Target, place.Decision) {
 	resting := x.g.sick.Resting()
 	candidates, serving := x.view.Candidates[x.service], x.view.Serving[x.service]
 	if len(candidates) < len(serving) && x.countFit(candidates, resting) < leastFit {
 		candidates = x.widen(serving, resting)
 	}
-	q := place.Query{Zone: x.g.settings().Zone, Rollout: x.g.settings().RolloutWithin, CrowdMS: x.crowdMS(), Bytes: len(x.body), Rand: rand.Float64}
 	options, works := x.options(candidates, resting)
-	i := place.Pick(options, q)
-	if i < 0 {
-		return nil
+	d := place.Decide(options, x.query())
+	if d.Action != place.Send {
+		return nil, d
 	}
-	x.asks, x.predictedMS = works[i], options[i].FirstMS
-	return candidates[i]
+	x.asks, x.predictedMS = works[d.Index], options[d.Index].FirstMS
+	return candidates[d.Index], d
+}
+
+// query is the request as place sees it.
+func (x *exchange) query() place.Query {
+	set := x.g.settings()
+	q := place.Query{Zone: set.Zone, Rollout: set.RolloutWithin, CrowdMS: x.crowdMS(), Bytes: len(x.body), Rand: rand.Float64, Policy: set.Policy,
+		Tokens: x.call.keeps(), Begun: x.begun || x.ran > 0}
+	p := x.call.Prompt
+	if p == nil || len(p.Parts) < 2 {
+		return q
+	}
+	shared := p.Parts[:len(p.Parts)-1]
+	q.Subject = shared[len(shared)-1].ID
+	tokens := 0
+	for _, part := range shared {
+		tokens += part.Tokens
+	}
+	x.g.predictorMu.Lock()
+	defer x.g.predictorMu.Unlock()
+	q.SharedMS = x.g.predictor.Read(tokens)
+	return q
 }
 
 // fit says whether a target serves the request's model with the newest weights, was not
@@ -181,7 +206,11 @@
 func (x *exchange) options(targets []*catalog.Target, resting []string) ([]place.Target, []cacheWork) {
 	now := x.g.now()
 	options, works := make([]place.Target, len(targets)), make([]cacheWork, len(targets))
-	waiting := x.g.others.at(now)
+	set := x.g.settings()
+	others, heard := map[string]TargetLoad{}, 1.0
+	if set.Policy.PeerLoads {
+		others, heard = x.g.others.at(now), x.view.heardShare()
+	}
 	x.g.predictorMu.Lock()
 	defer x.g.predictorMu.Unlock()
 	for i, t := range targets {
@@ -192,9 +221,14 @@
 			o.Unfit = version == 0
 			o.BehindFor = x.view.Named[p.Model].behindFor(version, now)
 			works[i] = x.workAt(t, version, now)
+			o.Capacity = x.view.Config.MemoryOf(t.Service)
+			o.InMemory = int(load.Memory.Load()) + int(float64(others[t.ID].Memory)/heard)
+		}
+		works[i].AheadTokens = int(load.Tokens.Load()) + others[t.ID].Tokens
+		o.FirstMS = x.g.predictor.Nominal(works[i].Work)
+		if set.Policy.Overdue {
+			o.FirstMS = x.g.predictor.First(t.ID, works[i].Work, now)
 		}
-		works[i].AheadTokens = int(load.Tokens.Load()) + waiting[t.ID]
-		o.FirstMS = x.g.predictor.First(t.ID, works[i].Work, now)
 		o.LinkMS = works[i].FetchMS
 		options[i] = o
 	}
@@ -288,6 +322,20 @@
 	x.refuse(p)
 }
 
+// Advice on when to come back to a target whose memory was full, from half of it to one
+// and a half times as long, so that callers do not return together. A target's memory turns
+// over in one to four seconds; 0.5, 2 and 5 s were worth the same (docs/DECIDING.md).
+const comeBackFull = time.Second
+
+// refuseFull refuses a request, of which nothing has run, since every target that could
+// take it is full.
+func (x *exchange) refuseFull(d place.Decision) {
+	x.machine.NoTarget()
+	x.decision = d
+	metric.FullRefusals.Inc()
+	x.refuse(later(problem.Overloaded, "the targets' memory is full", comeBackFull/2+rand.N(comeBackFull)))
+}
+
 // logAttempt writes one line for an attempt that did not deliver.
 func (x *exchange) logAttempt(end ending, next string) {
 	e := x.g.log.WithField("request", x.call.ID).WithField("target", x.targets[len(x.targets)-1]).WithField("ended", end.event.String()).
@@ -338,6 +386,9 @@
 	if detail != "" {
 		e = e.WithField("detail", detail)
 	}
+	if x.decision.Action == place.Refuse {
+		e = e.WithField("full_targets", x.decision.Full).WithField("free_tokens", x.decision.FreeTokens).WithField("needed_tokens", x.call.keeps())
+	}
 	if outcome != outcomeDone {
 		e = e.WithField("targets_revision", uint64(x.view.Revision)).WithField("store_age_ms", x.g.storeAge().Milliseconds())
 	}
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -12,7 +13,7 @@
 	"github.com/shedhoist/shedhoist/internal/wait"
 )
 
-// Pace of telling one another what waits at the targets.
+// Pace of telling one another what is under way at the targets.
 const (
 	loadEvery = 120 * time.Millisecond
 	// loadAge is how long a peer's word counts; it fades until then, since targets
@@ -25,17 +26,18 @@
 	leastTold = 256
 )
 
-// TargetLoad is what an instance has waiting at one target.
+// TargetLoad is what an instance has under way at one target.
 type TargetLoad struct {
 	Target string `cbor:"1,keyasint"`
 	Tokens int    `cbor:"2,keyasint"` // of prompts that are not read yet
+	Memory int    `cbor:"3,keyasint"` // tokens of the target's memory that runs keep
 }
 
-// Loads is what an instance has waiting at all targets.
+// Loads is what an instance has under way at all targets.
 type Loads struct {
 	From    string       `cbor:"1,keyasint"`
 	Seq     uint64       `cbor:"2,keyasint"` // rises with each word of a process
-	Waiting []TargetLoad `cbor:"3,keyasint,omitempty"`
+	Targets []TargetLoad `cbor:"3,keyasint,omitempty"`
 }
 
 // Heard is the answer to Loads.
@@ -56,7 +58,7 @@
 type othersWord struct {
 	seq     uint64
 	at      time.Time
-	waiting map[string]int // tokens by target
+	targets []TargetLoad
 }
 
 // take keeps a peer's word, unless a newer one is known or it is a former
@@ -67,48 +69,63 @@
 	if old, ok := o.m[l.From]; ok && l.Seq <= old.seq && now.Sub(old.at) < loadAge {
 		return
 	}
-	w := othersWord{seq: l.Seq, at: now, waiting: make(map[string]int, len(l.Waiting))}
-	for _, t := range l.Waiting {
-		w.waiting[t.Target] = t.Tokens
-	}
 	if o.m == nil {
 		o.m = map[string]othersWord{}
 	}
-	o.m[l.From] = w
+	o.m[l.From] = othersWord{seq: l.Seq, at: now, targets: l.Targets}
 }
 
-// at is what the peers have waiting, in tokens by target.
-func (o *othersLoads) at(now time.Time) map[string]int {
+// at is what the peers have under way by target, as told lately. What waits fades with
+// the age of the word, since targets work on it; what runs keep does not, since runs last
+// longer than a word counts.
+func (o *othersLoads) at(now time.Time) map[string]TargetLoad {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	out := map[string]int{}
+	out := map[string]TargetLoad{}
 	for from, w := range o.m {
 		left := 1 - float64(now.Sub(w.at))/float64(loadAge)
 		if left <= 0 {
 			delete(o.m, from)
 			continue
 		}
-		for id, tokens := range w.waiting {
-			out[id] += int(float64(tokens) * left)
+		for _, t := range w.targets {
+			sum := out[t.Target]
+			sum.Tokens += int(float64(t.Tokens) * left)
+			sum.Memory += t.Memory
+			out[t.Target] = sum
 		}
 	}
 	return out
 }
 
-// tellLoads tells peers what this instance has waiting, as long as it is anything.
+// heardShare is the part of the peers whose words an instance has at a time: all of a
+// small fleet; of a large one those of its zone that chose it in one of the last rounds.
+// What is told of a target is about the same part of what there is.
+func (v *View) heardShare() float64 {
+	others, near := len(v.Peers)-1, len(v.Tree.near)-1
+	if others <= loadTo || near <= 0 {
+		return 1
+	}
+	rounds := float64(loadAge) / float64(loadEvery)
+	missed := math.Pow(max(1-float64(loadTo)/float64(near), 0), rounds)
+	return (1 - missed) * float64(near) / float64(others)
+}
+
+// tellLoads tells peers what this instance has under way, as long as it is anything.
 func (g *Gateway) tellLoads(ctx context.Context) {
 	told := false
 	for seq := uint64(1); wait.For(ctx, loadEvery); seq++ {
 		l := &Loads{From: g.settings().Name, Seq: seq}
 		g.upstream.work.Each(func(target string, load *inflight.Load) {
-			if n := int(load.Tokens.Load()); n >= leastTold {
-				l.Waiting = append(l.Waiting, TargetLoad{Target: target, Tokens: n})
+			t := TargetLoad{Target: target, Tokens: int(load.Tokens.Load()), Memory: int(load.Memory.Load())}
+			if max(t.Tokens, t.Memory) >= leastTold {
+				l.Targets = append(l.Targets, t)
 			}
 		})
-		if len(l.Waiting) == 0 && !told {
+		if len(l.Targets) == 0 && !told {
 			continue
 		}
-		told = len(l.Waiting) > 0
+		told = len(l.Targets) > 0
 		for _, m := range g.loadPeers() {
 			g.start(func() { g.tellLoad(m, l) })
 		}
--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -3,16 +3,21 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"os"
 	"os/signal"
 	"reflect"
+	"strings"
 	"syscall"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/spf13/cobra"
 
+	"github.com/shedhoist/shedhoist/internal/core/policy"
 	"github.com/shedhoist/shedhoist/internal/logline"
+	"github.com/shedhoist/shedhoist/internal/version"
 	"github.com/shedhoist/shedhoist/internal/wait"
 )
 
@@ -28,6 +33,18 @@
 type Start struct {
 	Load  func() (*Settings, error) // reads the settings, again on SIGHUP
 	Ports func(*Settings) Ports
+	// Without names the mechanisms that an experiment leaves out, see policy.Names.
+	Without []string
+}
+
+// load reads the settings, and leaves out what an experiment leaves out.
+func (s Start) load() (*Settings, error) {
+	set, err := s.Load()
+	if err != nil {
+		return nil, err
+	}
+	set.Policy, err = set.Policy.Without(s.Without...)
+	return set, err
 }
 
 // settingsEvery is how often the settings file is looked at: it may change
@@ -37,7 +54,7 @@
 // reloadChanged takes settings that changed without a signal.
 func reloadChanged(g *Gateway, s Start, logger log.Interface, last Settings) {
 	for wait.For(g.ctx, settingsEvery) {
-		next, err := s.Load()
+		next, err := s.load()
 		if err != nil {
 			logger.WithError(err).Warn("settings not readable, those before stay in force")
 			continue
@@ -50,6 +67,32 @@
 	}
 }
 
+// Main runs the command with its arguments and returns the exit code, see Run.
+func Main(s Start, args []string, stdout, stderr io.Writer) int {
+	code := ExitOK
+	cmd := &cobra.Command{
+		Use:           "shedhoistd hosted",
+		Short:         "Serve callers on a platform that declares routes, services and targets in its object store",
+		Version:       version.String,
+		Args:          cobra.NoArgs,
+		SilenceErrors: true,
+		SilenceUsage:  true,
+		RunE: func(*cobra.Command, []string) error {
+			code = Run(s, stdout)
+			return nil
+		},
+	}
+	cmd.Flags().StringSliceVar(&s.Without, "without", nil, "for experiments: mechanisms to leave out, of "+strings.Join(policy.Names(), ", "))
+	cmd.SetArgs(args)
+	cmd.SetOut(stdout)
+	cmd.SetErr(stderr)
+	if err := cmd.Execute(); err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitSettings
+	}
+	return code
+}
+
 // Run serves until a signal ends it and returns the exit code. SIGTERM and
 // SIGINT stop it, a second one at once; SIGHUP reloads the settings.
 func Run(s Start, stdout io.Writer) int {
@@ -60,7 +103,7 @@
 	defer lines.Close()
 	logger := NewLogger(lines)
 	logline.Capture(logger)
-	set, err := s.Load()
+	set, err := s.load()
 	if err != nil {
 		logger.WithError(err).Error("settings refused")
 		return ExitSettings
@@ -76,7 +119,7 @@
 		if sig != syscall.SIGHUP {
 			break
 		}
-		next, err := s.Load()
+		next, err := s.load()
 		if err != nil {
 			logger.WithError(err).Error("settings refused, those before stay in force")
 			continue
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -153,7 +153,7 @@
 // those put behind would only lose their memory to others (docs/ROUTING.md).
 func (x *exchange) urgency() int {
 	rank := x.priority()
-	if len(x.view.Alive) <= smallFleet {
+	if len(x.view.Alive) <= smallFleet || !x.g.settings().Policy.LateBehind {
 		return min(rank, lowestPriority)
 	}
 	left := float64(x.route.Objective)/float64(time.Millisecond) - x.sinceMS()
--- a/internal/gateway/model_test.go
+++ b/internal/gateway/model_test.go
@@ -43,6 +43,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			g := &Gateway{now: func() time.Time { return start.Add(c.waited) }}
+			g.set.Store((&Settings{}).WithDefaults())
 			x := &exchange{g: g, arrived: start, view: &View{Alive: make([]string, c.fleet)}, predictedMS: c.predicted, customer: c.customer,
 				route: &catalog.Route{Objective: 500 * time.Millisecond, Priority: c.rank}}
 			is.New(t).Equal(x.urgency(), c.want)
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -50,6 +50,16 @@
 	Parts     []Part // in order; the last is the request's own
 }
 
+// keeps is how much of a target's memory the request will keep while it runs, in tokens:
+// its prompt, and half of the longest answer, since callers ask for twice what most get.
+// 0 for a plain request.
+func (c *Call) keeps() int {
+	if c.Prompt == nil {
+		return 0
+	}
+	return c.Prompt.Tokens + c.Prompt.MaxOutput/2
+}
+
 // Part is one part of a prompt. Equal ids are equal text.
 type Part struct {
 	ID     string
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"github.com/shedhoist/shedhoist/internal/core/policy"
+)
 
 // Settings are one entry instance's own settings, as an adapter has read them.
 type Settings struct {
@@ -17,6 +21,7 @@
 	LeaseGap        time.Duration // time in which no two instances may give orders in turn
 	RolloutWithin   time.Duration // time in which new weights must be in place everywhere
 	Retry           RetryBudget
+	Policy          policy.Policy // how requests are placed; all mechanisms but in experiments
 }
 
 // RetryBudget bounds the retries of the whole fleet to one service: in any
@@ -38,6 +43,7 @@
 // WithDefaults fills in what is zero.
 func (s *Settings) WithDefaults() *Settings {
 	out := *s
+	out.Policy = policy.Default()
 	if out.StopWithin <= 0 {
 		out.StopWithin = defaultStopWithin
 	}
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -81,6 +81,9 @@
 	defer at.load.Runs.Add(-1)
 	at.load.Tokens.Add(int64(x.asks.ReadTokens))
 	defer at.answered()
+	keeps := int64(x.call.keeps())
+	at.load.Memory.Add(keeps)
+	defer at.load.Memory.Add(-keeps)
 	at.ticket = x.g.beginTicket(t.ID, at.asked.Work, at.began)
 	defer x.g.dropTicket(at.ticket)
 	x.targets, x.lastZone = append(x.targets, t.ID), t.Zone
--- a/internal/inflight/inflight.go
+++ b/internal/inflight/inflight.go
@@ -16,6 +16,7 @@
 type Load struct {
 	Runs   atomic.Int64
 	Tokens atomic.Int64 // of prompts, not yet computed
+	Memory atomic.Int64 // tokens of the target's memory that the runs keep
 }
 
 // New returns counters that are all zero.
