Streams share kept connections, for as long as targets say they keep theirs

Targets say 10 s.

Change: the Keep-Alive time is read; connections are kept for it less 1.5 s, 8 s at most, 4 a target; prompts use them whether or not they may run twice.

--- a/internal/core/policy/policy.go
+++ b/internal/core/policy/policy.go
@@ -9,28 +9,30 @@
 
 // Policy says which mechanisms are in use.
 type Policy struct {
-	Admission  bool // requests are refused while targets' memory is full
-	Homes      bool // prompts go to the home of their last shared part by preference
-	Spread     bool // scores are shaken, so that instances do not all pick the same target
-	LinkWeight bool // time on a shared link counts more than other time
-	OldWeights bool // targets with old weights count less
-	PeerLoads  bool // what peers have waiting at targets counts
-	Overdue    bool // what is learned of slow targets and links counts
-	LateBehind bool // in large fleets, requests that are predicted late wait behind others
-	HeadsApart bool // parts with which prompts begin are kept in the fastest stores
+	Admission   bool // requests are refused while targets' memory is full
+	Homes       bool // prompts go to the home of their last shared part by preference
+	Spread      bool // scores are shaken, so that instances do not all pick the same target
+	LinkWeight  bool // time on a shared link counts more than other time
+	OldWeights  bool // targets with old weights count less
+	PeerLoads   bool // what peers have waiting at targets counts
+	Overdue     bool // what is learned of slow targets and links counts
+	LateBehind  bool // in large fleets, requests that are predicted late wait behind others
+	KeptStreams bool // streams that may not run twice use kept connections too
+	HeadsApart  bool // parts with which prompts begin are kept in the fastest stores
 }
 
 // switches are the mechanisms by the names under which experiments know them.
 var switches = map[string]func(*Policy) *bool{
-	"admission":   func(p *Policy) *bool { return &p.Admission },
-	"homes":       func(p *Policy) *bool { return &p.Homes },
-	"spread":      func(p *Policy) *bool { return &p.Spread },
-	"link-weight": func(p *Policy) *bool { return &p.LinkWeight },
-	"old-weights": func(p *Policy) *bool { return &p.OldWeights },
-	"peer-loads":  func(p *Policy) *bool { return &p.PeerLoads },
-	"overdue":     func(p *Policy) *bool { return &p.Overdue },
-	"late-behind": func(p *Policy) *bool { return &p.LateBehind },
-	"heads-apart": func(p *Policy) *bool { return &p.HeadsApart },
+	"admission":    func(p *Policy) *bool { return &p.Admission },
+	"homes":        func(p *Policy) *bool { return &p.Homes },
+	"spread":       func(p *Policy) *bool { return &p.Spread },
+	"link-weight":  func(p *Policy) *bool { return &p.LinkWeight },
+	"old-weights":  func(p *Policy) *bool { return &p.OldWeights },
+	"peer-loads":   func(p *Policy) *bool { return &p.PeerLoads },
+	"overdue":      func(p *Policy) *bool { return &p.Overdue },
+	"late-behind":  func(p *Policy) *bool { return &p.LateBehind },
+	"kept-streams": func(p *Policy) *bool { return &p.KeptStreams },
+	"heads-apart":  func(p *Policy) *bool { return &p.HeadsApart },
 }
 
 // Default returns the policy with all mechanisms in use.
--- a/internal/gateway/conns_test.go
+++ b/internal/gateway/conns_test.go
@@ -45,3 +45,27 @@
 		is.True(!used.closed.Load())
 	})
 }
+
+// TestLearnKept: unused connections are closed well before targets close theirs, by the
+// shortest time that any target of the service told; a target that tells none, or less than
+// can be kept to, changes nothing for others.
+func TestLearnKept(t *testing.T) {
+	is := is.New(t)
+	u := newUpstream()
+	idle := func(service string) time.Duration {
+		return u.keptClient(service).Transport.(*http.Transport).IdleConnTimeout
+	}
+	is.Equal(idle("a"), keptIdle)
+	u.learnKept("a", 0)
+	is.Equal(idle("a"), keptIdle)
+	for _, said := range []time.Duration{time.Hour, 10 * time.Second, 5 * time.Second, 30 * time.Second} {
+		u.learnKept("a", said)
+		is.True(idle("a") <= min(said-keptMargin, mostKept))
+	}
+	is.True(idle("a") > 3*time.Second)
+	is.Equal(idle("b"), keptIdle)
+	u.learnKept("a", time.Second)
+	is.Equal(idle("a"), keptIdle)
+	u.learnKept("b", time.Second)
+	is.Equal(u.keptClient("a"), u.keptClient("b")) // one for equal times
+}
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -100,6 +100,7 @@
 	Encoded       bool // something on the way changed the body's encoding
 	WeightVersion uint64
 	RetryAfter    time.Duration
+	KeptFor       time.Duration // how long the target keeps an unused connection; 0: not said
 }
 
 // Engines makes the calls to targets and cache stores that are not callers'
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -99,6 +99,7 @@
 	case err == nil:
 		defer resp.Body.Close()
 		at.resp, at.answer = resp, x.g.codec.ReadAnswer(resp.StatusCode, resp.Header)
+		x.g.upstream.learnKept(t.Service, at.answer.KeptFor)
 		end = x.take(at)
 	}
 	if !end.delivered {
@@ -158,8 +159,16 @@
 	if x.call.Prompt != nil {
 		a.Model = x.modelAttempt(t)
 	}
-	return outgoing{address: t.Address, method: x.r.Method, url: x.r.URL, host: x.r.Host,
-		header: x.g.codec.ForwardHeader(x.r.Header, a), body: x.body, reuse: x.route.Repeatable()}
+	return outgoing{service: t.Service, address: t.Address, method: x.r.Method, url: x.r.URL, host: x.r.Host,
+		header: x.g.codec.ForwardHeader(x.r.Header, a), body: x.body, reuse: x.mayReuse()}
+}
+
+// mayReuse says whether the request may go over a kept connection. One that may run only
+// once is lost if its target closes the connection at that very moment, since it may have
+// run then; it is not sent again. For prompts the risk is small beside what a new
+// connection takes of a target's time each time: 1 ms, and a slot meanwhile.
+func (x *exchange) mayReuse() bool {
+	return x.route.Repeatable() || (x.call.Prompt != nil && x.g.settings().Policy.KeptStreams)
 }
 
 // take reads an answer and passes it on as far as it may be.
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"net/url"
+	"sync"
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/inflight"
@@ -13,9 +14,12 @@
 
 // upstream sends requests to targets.
 type upstream struct {
-	kept  *http.Client // connections are kept: for requests that may run twice
 	fresh *http.Client // a connection for each request
 	work  *inflight.Loads
+
+	mu   sync.Mutex
+	kept map[time.Duration]*http.Client // by how long unused connections are kept
+	idle map[string]time.Duration       // the shortest such time that a service's targets told
 }
 
 // Bounds of connections to targets.
@@ -23,23 +27,70 @@
 	// targetConnect bounds a connect: round trips between zones take 3 ms, a new
 	// connection a millisecond of the target's time.
 	targetConnect = 400 * time.Millisecond
-	keptPerTarget = 16
-	// keptIdle is below the idle timeouts that targets announce, in whole seconds.
+	// keptPerTarget is how many unused connections to one target are kept: an instance
+	// has one to four requests there at a time.
+	keptPerTarget = 4
+	// keptIdle is how long they are kept where targets do not say for how long they keep
+	// theirs: less than the shortest time that can be said.
 	keptIdle = 900 * time.Millisecond
+	// keptMargin is how much earlier than a target an instance closes: the time that is
+	// said is in whole seconds, and a request must not cross the target's close.
+	keptMargin = 1500 * time.Millisecond
+	// mostKept bounds the time for any target, so that few connections are held open.
+	mostKept = 8 * time.Second
 )
 
 func newUpstream() *upstream {
-	client := func(idle int) *http.Client {
-		return &http.Client{Transport: netx.Transport(netx.TransportOptions{Connect: targetConnect, IdlePerHost: idle, IdleFor: keptIdle}),
-			CheckRedirect: netx.NoRedirect}
+	return &upstream{fresh: newClient(0, 0), work: inflight.New(), kept: map[time.Duration]*http.Client{}, idle: map[string]time.Duration{}}
+}
+
+func newClient(perTarget int, idle time.Duration) *http.Client {
+	return &http.Client{Transport: netx.Transport(netx.TransportOptions{Connect: targetConnect, IdlePerHost: perTarget, IdleFor: idle}),
+		CheckRedirect: netx.NoRedirect}
+}
+
+// keptClient is the client whose connections are kept for as long as a service's targets
+// bear.
+func (u *upstream) keptClient(service string) *http.Client {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	idle, said := u.idle[service]
+	if !said {
+		idle = keptIdle
+	}
+	c := u.kept[idle]
+	if c == nil {
+		c = newClient(keptPerTarget, idle)
+		u.kept[idle] = c
 	}
-	return &upstream{kept: client(keptPerTarget), fresh: client(0), work: inflight.New()}
+	return c
 }
 
-func (u *upstream) close() { u.kept.CloseIdleConnections() }
+// learnKept takes a target's word of how long it keeps unused connections. What it says is
+// in whole seconds, so there are few different ones.
+func (u *upstream) learnKept(service string, said time.Duration) {
+	if said <= 0 {
+		return
+	}
+	idle := min(max(said-keptMargin, keptIdle), mostKept).Truncate(keptIdle / 2)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if known, ok := u.idle[service]; !ok || idle < known {
+		u.idle[service] = idle
+	}
+}
+
+func (u *upstream) close() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, c := range u.kept {
+		c.CloseIdleConnections()
+	}
+}
 
 // outgoing is one request on its way to a target.
 type outgoing struct {
+	service string
 	address string
 	method  string
 	url     *url.URL // the caller's: its path and query are sent as they were written
@@ -57,7 +108,7 @@
 	req := (&http.Request{Method: o.method, URL: to, Host: o.host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: o.header, Body: netx.OnceBody(bytes.NewReader(o.body)),
 		ContentLength: int64(len(o.body))}).WithContext(ctx)
 	if o.reuse {
-		return netx.Send(u.kept, req)
+		return netx.Send(u.keptClient(o.service), req)
 	}
 	return netx.Send(u.fresh, req)
 }
