Large fleets: what is under way at targets is summed along the tree

Change: each instance passes on to a neighbour all that it knows but what the neighbour told it; neighbours are those it serves, the one that serves it, and tops among themselves. Everybody hears of everybody once, within three to five rounds, by a few words (TestLoadsReachAll); small fleets tell one another directly as before.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -207,9 +207,9 @@
 	now := x.g.now()
 	options, works := make([]place.Target, len(targets)), make([]cacheWork, len(targets))
 	set := x.g.settings()
-	others, heard := map[string]TargetLoad{}, 1.0
+	var others targetLoads
 	if set.Policy.PeerLoads {
-		others, heard = x.g.others.at(now), x.view.heardShare()
+		others = x.g.others.at(now)
 	}
 	x.g.predictorMu.Lock()
 	defer x.g.predictorMu.Unlock()
@@ -222,7 +222,7 @@
 			o.BehindFor = x.view.Named[p.Model].behindFor(version, now)
 			works[i] = x.workAt(t, version, now)
 			o.Capacity = x.view.Config.MemoryOf(t.Service)
-			o.InMemory = int(load.Memory.Load()) + int(float64(others[t.ID].Memory)/heard)
+			o.InMemory = int(load.Memory.Load()) + others[t.ID].Memory
 		}
 		works[i].AheadTokens = int(load.Tokens.Load()) + others[t.ID].Tokens
 		o.FirstMS = x.g.predictor.Nominal(works[i].Work)
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"math"
-	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -19,9 +16,6 @@
 	// loadAge is how long a peer's word counts; it fades until then, since targets
 	// work on what waits.
 	loadAge = 360 * time.Millisecond
-	// loadTo is how many peers are told each time: all of a small fleet, else some
-	// of the own zone, whose targets are mostly the same.
-	loadTo = 12
 	// leastTold is the smallest number of tokens worth telling.
 	leastTold = 256
 )
@@ -33,7 +27,8 @@
 	Memory int    `cbor:"3,keyasint"` // tokens of the target's memory that runs keep
 }
 
-// Loads is what an instance has under way at all targets.
+// Loads is what an instance has under way at all targets. In a large fleet it includes
+// what the others have from whom the receiver does not hear but by way of this one.
 type Loads struct {
 	From    string       `cbor:"1,keyasint"`
 	Seq     uint64       `cbor:"2,keyasint"` // rises with each word of a process
@@ -78,71 +73,86 @@
 // at is what the peers have under way by target, as told lately. What waits fades with
 // the age of the word, since targets work on it; what runs keep does not, since runs last
 // longer than a word counts.
-func (o *othersLoads) at(now time.Time) map[string]TargetLoad {
+func (o *othersLoads) at(now time.Time) targetLoads {
+	out := targetLoads{}
+	o.each(now, func(_ string, w targetLoads) { out.add(w, 1) })
+	return out
+}
+
+// each calls f with each peer's word that still counts.
+func (o *othersLoads) each(now time.Time, f func(from string, w targetLoads)) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	out := map[string]TargetLoad{}
 	for from, w := range o.m {
 		left := 1 - float64(now.Sub(w.at))/float64(loadAge)
 		if left <= 0 {
 			delete(o.m, from)
 			continue
 		}
+		faded := make(targetLoads, len(w.targets))
 		for _, t := range w.targets {
-			sum := out[t.Target]
-			sum.Tokens += int(float64(t.Tokens) * left)
-			sum.Memory += t.Memory
-			out[t.Target] = sum
+			faded[t.Target] = TargetLoad{Target: t.Target, Tokens: int(float64(t.Tokens) * left), Memory: t.Memory}
 		}
+		f(from, faded)
+	}
+}
+
+// targetLoads sums what is under way, by target.
+type targetLoads map[string]TargetLoad
+
+// add adds n times what w has.
+func (l targetLoads) add(w targetLoads, n int) {
+	for id, t := range w {
+		sum := l[id]
+		l[id] = TargetLoad{Target: id, Tokens: sum.Tokens + n*t.Tokens, Memory: sum.Memory + n*t.Memory}
 	}
-	return out
 }
 
-// heardShare is the part of the peers whose words an instance has at a time: all of a
-// small fleet; of a large one those of its zone that chose it in one of the last rounds.
-// What is told of a target is about the same part of what there is.
-func (v *View) heardShare() float64 {
-	others, near := len(v.Peers)-1, len(v.Tree.near)-1
-	if others <= loadTo || near <= 0 {
-		return 1
+// told lists what is worth telling.
+func (l targetLoads) told() []TargetLoad {
+	var out []TargetLoad
+	for _, t := range l {
+		if max(t.Tokens, t.Memory) >= leastTold {
+			out = append(out, t)
+		}
 	}
-	rounds := float64(loadAge) / float64(loadEvery)
-	missed := math.Pow(max(1-float64(loadTo)/float64(near), 0), rounds)
-	return (1 - missed) * float64(near) / float64(others)
+	return out
+}
+
+// ownLoads is what this instance has under way.
+func (g *Gateway) ownLoads() targetLoads {
+	out := targetLoads{}
+	g.upstream.work.Each(func(target string, load *inflight.Load) {
+		out[target] = TargetLoad{Target: target, Tokens: int(load.Tokens.Load()), Memory: int(load.Memory.Load())}
+	})
+	return out
 }
 
-// tellLoads tells peers what this instance has under way, as long as it is anything.
+// tellLoads tells the neighbours what is under way, as long as it is anything.
 func (g *Gateway) tellLoads(ctx context.Context) {
-	told := false
+	told := map[string]bool{} // neighbours whose last word was not empty
 	for seq := uint64(1); wait.For(ctx, loadEvery); seq++ {
-		l := &Loads{From: g.settings().Name, Seq: seq}
-		g.upstream.work.Each(func(target string, load *inflight.Load) {
-			t := TargetLoad{Target: target, Tokens: int(load.Tokens.Load()), Memory: int(load.Memory.Load())}
-			if max(t.Tokens, t.Memory) >= leastTold {
-				l.Targets = append(l.Targets, t)
+		own, others := g.ownLoads(), map[string]targetLoads{}
+		g.others.each(g.now(), func(from string, w targetLoads) { others[from] = w })
+		for _, n := range g.view.Load().Tree.neighbours() {
+			l := &Loads{From: g.settings().Name, Seq: seq, Targets: n.share(own, others).told()}
+			if len(l.Targets) == 0 && !told[n.Name] {
+				continue
 			}
-		})
-		if len(l.Targets) == 0 && !told {
-			continue
-		}
-		told = len(l.Targets) > 0
-		for _, m := range g.loadPeers() {
-			g.start(func() { g.tellLoad(m, l) })
+			told[n.Name] = len(l.Targets) > 0
+			g.start(func() { g.tellLoad(n.Member, l) })
 		}
 	}
 }
 
-// loadPeers are the peers to tell this time: all, or some of the own zone.
-func (g *Gateway) loadPeers() []member.Member {
-	v := g.view.Load()
-	self := g.settings().Name
-	if len(v.Peers) <= loadTo+1 {
-		return slices.DeleteFunc(slices.Clone(v.Peers), func(m member.Member) bool { return m.Name == self })
-	}
-	var out []member.Member
-	for _, i := range rand.Perm(len(v.Tree.near)) {
-		if m := v.Tree.near[i]; m.Name != self && len(out) < loadTo {
-			out = append(out, m)
+// share is what a neighbour is told: all that this instance knows of but what the neighbour
+// told it, and what the neighbour hears for itself.
+func (n neighbour) share(own targetLoads, others map[string]targetLoads) targetLoads {
+	out := targetLoads{}
+	out.add(own, 1)
+	for from, w := range others {
+		if n.relayed[from] {
+			out.add(w, 1)
 		}
 	}
 	return out
--- a/internal/gateway/tree.go
+++ b/internal/gateway/tree.go
@@ -32,6 +32,7 @@
 	zones map[string][]member.Member // live members, the highest rank first
 	near  []member.Member            // those of the own zone
 	own   int                        // index in near; -1: this instance is no live member
+	hears []neighbour                // see neighbours
 }
 
 // newTree works the tree out from the live members.
@@ -51,6 +52,7 @@
 	t.tops = max(min(followers, storePolls/max(len(t.zones), 1)), 1)
 	t.near = t.zones[self.Zone]
 	t.own = slices.IndexFunc(t.near, func(m member.Member) bool { return m.Name == self.Name })
+	t.hears = t.newNeighbours()
 	return t
 }
 
@@ -97,6 +99,58 @@
 	return out
 }
 
+// neighbour is an instance with which this one exchanges what is under way at targets.
+type neighbour struct {
+	member.Member
+	relayed map[string]bool // names of the neighbours whose words are passed on to it
+}
+
+// neighbours are all others in a small fleet. In a large one they are those that this
+// instance serves and the one that serves it, and for a top all other tops: everybody hears
+// of everybody in one way, with a word to some fifteen others each time at most.
+func (t *tree) neighbours() []neighbour { return t.hears }
+
+// newNeighbours works the neighbours out. Tops, and all instances of a small fleet, hear
+// one another directly, so that their words are not passed on among them.
+func (t *tree) newNeighbours() []neighbour {
+	var direct, served []member.Member
+	switch {
+	case t.small:
+		for _, near := range t.zones {
+			direct = append(direct, slices.DeleteFunc(slices.Clone(near), func(m member.Member) bool { return m.Name == t.self })...)
+		}
+	case t.own < 0:
+		return nil
+	case t.own < t.tops:
+		direct, served = t.topsElsewhere(), t.children()
+	default:
+		served = append(slices.Clone(t.children()), t.near[(t.own-t.tops)/treeFan])
+	}
+	var out []neighbour
+	for _, m := range direct {
+		out = append(out, neighbour{Member: m, relayed: names(served, "")})
+	}
+	for _, m := range served {
+		relayed := names(served, m.Name)
+		for _, d := range direct {
+			relayed[d.Name] = true
+		}
+		out = append(out, neighbour{Member: m, relayed: relayed})
+	}
+	return out
+}
+
+// names is the set of the names of all members but one.
+func names(members []member.Member, but string) map[string]bool {
+	out := map[string]bool{}
+	for _, m := range members {
+		if m.Name != but {
+			out[m.Name] = true
+		}
+	}
+	return out
+}
+
 // followers names the instances that hear for themselves.
 func (t *tree) followers() []string {
 	var out []string
