Prompts have their homes in the zone of the store that keeps them

Homes did not ask where a prompt is kept, and outweighed the longer fetch.

Change: parts are saved in the zone of the target that reads them while a store there has room; a prompt's home is among the targets of the zone of the store that keeps its last shared part.

--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -6,6 +6,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -43,6 +44,8 @@
 
 	// Subject names the prompt's last shared part, which selects its home; "": none.
 	Subject string
+	// KeptIn is the zone of the store that keeps this part; "": none does.
+	KeptIn string
 	// SharedMS is the time to read the prompt's shared parts.
 	SharedMS float64
 	// Tokens is what the request will keep of a target's memory.
@@ -114,7 +117,7 @@
 	d := Decision{Action: None, Index: -1}
 	home := -1
 	if q.Policy.Homes && q.Subject != "" {
-		home = homeOf(targets, q.Subject)
+		home = homeOf(targets, q.Subject, q.KeptIn)
 	}
 	low, rests := math.Inf(1), false
 	for i := range targets {
@@ -157,12 +160,17 @@
 
 // homeOf is the index of a prompt's home among the targets that serve its model: by
 // rendezvous hashing (Thaler and Ravishankar, 1998), so that instances agree without a
-// message. Returns -1 if there is none.
-func homeOf(targets []Target, subject string) int {
+// message. Where a store keeps the prompt's parts, the home is in the zone of that store, if
+// a target there is well: a fetch between zones takes twice as long and keeps the store's
+// link from others meanwhile, which is what is short in a large fleet. Returns -1 if there
+// is none.
+func homeOf(targets []Target, subject, zone string) int {
+	near := func(t Target) bool { return t.Zone == zone && !t.Unfit && !t.Resting }
+	anywhere := zone == "" || !slices.ContainsFunc(targets, near)
 	best, top := -1, uint64(0)
 	seed := xxhash.Sum64String(subject)
 	for i := range targets {
-		if targets[i].Unfit {
+		if targets[i].Unfit || !(anywhere || targets[i].Zone == zone) {
 			continue
 		}
 		if h := mix(seed ^ xxhash.Sum64String(targets[i].ID)); best < 0 || h > top {
--- a/internal/core/place/place_test.go
+++ b/internal/core/place/place_test.go
@@ -127,3 +127,32 @@
 	}
 	is.True(home(busy, 1) != home(all, 1))
 }
+
+// TestHomeZone: a prompt that a store keeps has its home in that store's zone, whatever the
+// zone of the instance, as long as a target there is well.
+func TestHomeZone(t *testing.T) {
+	is := is.New(t)
+	query := place.Query{Zone: "a", KeptIn: "b", Rollout: 10 * time.Second, SharedMS: 100, Rand: func() float64 { return 0 }, Policy: policy.Default()}
+	var all []place.Target
+	for i := range 10 {
+		all = append(all, place.Target{ID: fmt.Sprint("t", i), Zone: []string{"a", "b"}[i%2], FirstMS: 50})
+	}
+	homes := func() map[string]int {
+		out := map[string]int{}
+		for s := range 100 {
+			query.Subject = fmt.Sprint("s", s)
+			out[all[place.Decide(all, query).Index].Zone]++
+		}
+		return out
+	}
+	is.Equal(homes(), map[string]int{"b": 100})
+	for i := range all {
+		all[i].Resting = all[i].Zone == "b"
+	}
+	is.Equal(homes(), map[string]int{"a": 100})
+	query.KeptIn = ""
+	for i := range all {
+		all[i].Resting = false
+	}
+	is.Equal(len(homes()), 2)
+}
--- a/internal/core/policy/policy.go
+++ b/internal/core/policy/policy.go
@@ -18,6 +18,7 @@
 	Overdue     bool // what is learned of slow targets and links counts
 	LateBehind  bool // in large fleets, requests that are predicted late wait behind others
 	KeptStreams bool // streams that may not run twice use kept connections too
+	StoreZones  bool // prompts have their homes in the zone of the store that keeps them
 	HeadsApart  bool // parts with which prompts begin are kept in the fastest stores
 }
 
@@ -32,6 +33,7 @@
 	"overdue":      func(p *Policy) *bool { return &p.Overdue },
 	"late-behind":  func(p *Policy) *bool { return &p.LateBehind },
 	"kept-streams": func(p *Policy) *bool { return &p.KeptStreams },
+	"store-zones":  func(p *Policy) *bool { return &p.StoreZones },
 	"heads-apart":  func(p *Policy) *bool { return &p.HeadsApart },
 }
 
--- a/internal/core/stock/stock.go
+++ b/internal/core/stock/stock.go
@@ -232,6 +232,7 @@
 	Capacity  int // tokens
 	Used      int // tokens
 	FirstByte time.Duration
+	Near      bool // in the zone of the target that saves the part
 }
 
 const (
@@ -249,7 +250,9 @@
 // by capacity (Thaler and Ravishankar, 1998; weights after Schindelhauer and
 // Schomaker, 2005), among those with room. Small parts go to the fastest stores
 // as long as these have room, and so do heads, the parts with which prompts begin:
-// they are few and asked for by all targets at once. -1: none has room.
+// they are few and asked for by all targets at once. Other parts go to near stores as long
+// as these have room: the prompts that ask for them again go to targets of the same zone.
+// -1: none has room.
 func Home(k Key, tokens int, head bool, places []Place) int {
 	fastest := time.Duration(math.MaxInt64)
 	for _, p := range places {
@@ -264,12 +267,18 @@
 			return i
 		}
 	}
-	return pick(k, tokens, kept, places, func(p Place) float64 {
+	share := func(p Place) float64 {
 		if p.FirstByte == fastest && tokens > smallPart {
 			return fastForLarge
 		}
 		return 1
-	})
+	}
+	if !head {
+		if i := pick(k, tokens, kept, places, func(p Place) float64 { return only(p.Near) * share(p) }); i >= 0 {
+			return i
+		}
+	}
+	return pick(k, tokens, kept, places, share)
 }
 
 func only(yes bool) float64 {
--- a/internal/core/stock/stock_test.go
+++ b/internal/core/stock/stock_test.go
@@ -138,3 +138,19 @@
 	s.Forget()
 	is.Equal(len(s.Stuck(10*time.Second)), 0)
 }
+
+// TestNear: parts are kept in the zone of the target that reads them while a store there has
+// room, heads and small parts in the fastest stores all the same.
+func TestNear(t *testing.T) {
+	is := is.New(t)
+	places := []stock.Place{{Address: "fast", Capacity: 100_000}, {Address: "far", Capacity: 900_000, FirstByte: 6 * time.Millisecond},
+		{Address: "near", Capacity: 900_000, FirstByte: 6 * time.Millisecond, Near: true}}
+	for i := range 100 {
+		k := stock.Key{Salt: "s", Part: fmt.Sprint(i)}
+		is.Equal(stock.Home(k, 5000, false, places), 2)
+		is.Equal(stock.Home(k, 5000, true, places), 0)
+		is.Equal(stock.Home(k, 500, false, places), 0)
+	}
+	places[2].Used = places[2].Capacity
+	is.True(stock.Home(stock.Key{Part: "x"}, 5000, false, places) != 2)
+}
--- a/internal/gateway/cache.go
+++ b/internal/gateway/cache.go
@@ -248,8 +248,8 @@
 }
 
 // plan says for each part where it is fetched from, and where it is kept if no
-// store is known to have it.
-func (c *cacheDirectory) plan(stores []catalog.CacheStore, salt string, version uint64, parts []Part, from []partSource, fetch []bool) cachePlan {
+// store is known to have it: by preference in the zone of the target that reads it.
+func (c *cacheDirectory) plan(stores []catalog.CacheStore, salt string, version uint64, parts []Part, from []partSource, fetch []bool, zone string) cachePlan {
 	out := cachePlan{version: version}
 	if len(parts) < 2 || len(stores) == 0 {
 		return out
@@ -267,7 +267,7 @@
 			continue
 		}
 		key := stock.Key{Salt: salt, Part: p.ID}
-		if to := c.home(stores, key, p.Tokens, i == 0 && c.g.settings().Policy.HeadsApart, now); to != "" {
+		if to := c.home(stores, key, p.Tokens, i == 0 && c.g.settings().Policy.HeadsApart, zone, now); to != "" {
 			out.parts[i].SaveTo = to
 			c.saving[key] = now
 			out.saves++
@@ -292,17 +292,18 @@
 }
 
 // home returns the address of the store to keep a part in; "" if none is to.
-func (c *cacheDirectory) home(stores []catalog.CacheStore, key stock.Key, tokens int, head bool, now time.Time) string {
+func (c *cacheDirectory) home(stores []catalog.CacheStore, key stock.Key, tokens int, head bool, zone string, now time.Time) string {
 	if tokens < leastKept {
 		return ""
 	}
 	if at, ok := c.saving[key]; ok && now.Sub(at) < saveMemory {
 		return ""
 	}
+	near := c.g.settings().Policy.StoreZones
 	var places []stock.Place
 	for _, s := range stores {
 		if sh := c.shelves[s.Address]; sh != nil && sh.Known(now, sh.ageLimit()) && sh.Settled(now, epochCalm) {
-			places = append(places, stock.Place{Address: s.Address, Capacity: s.Capacity, Used: sh.Used(), FirstByte: s.FirstByte})
+			places = append(places, stock.Place{Address: s.Address, Capacity: s.Capacity, Used: sh.Used(), FirstByte: s.FirstByte, Near: near && s.Zone == zone})
 		}
 	}
 	if i := stock.Home(key, tokens, head, places); i >= 0 {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -152,6 +152,9 @@
 	}
 	shared := p.Parts[:len(p.Parts)-1]
 	q.Subject = shared[len(shared)-1].ID
+	if src := x.sourcesOf(max(x.view.Named[p.Model].Version, 1))[len(shared)-1]; src.store != nil && set.Policy.StoreZones {
+		q.KeptIn = src.store.Zone
+	}
 	tokens := 0
 	for _, part := range shared {
 		tokens += part.Tokens
