--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -13,6 +13,10 @@
 // Pace of telling one another what is under way at the targets.
 const (
 	loadEvery = 120 * time.Millisecond
+	// loadEveryStep is the same in a large fleet, where a word takes three to five steps. At
+	// 50 ms a step the heaviest day of 82 instances is worth 0.15 more than at 120, as users
+	// value their answers, and no less than at 30; it costs an instance 0.3% of a core.
+	loadEveryStep = 50 * time.Millisecond
 	// loadAge is how long a peer's word counts; it fades until then, since targets
 	// work on what waits.
 	loadAge = 360 * time.Millisecond
@@ -128,10 +132,18 @@
 	return out
 }
 
+// loadPace is the time between two words.
+func (g *Gateway) loadPace() time.Duration {
+	if g.view.Load().Tree.small {
+		return loadEvery
+	}
+	return loadEveryStep
+}
+
 // tellLoads tells the neighbours what is under way, as long as it is anything.
 func (g *Gateway) tellLoads(ctx context.Context) {
 	told := map[string]bool{} // neighbours whose last word was not empty
-	for seq := uint64(1); wait.For(ctx, loadEvery); seq++ {
+	for seq := uint64(1); wait.For(ctx, g.loadPace()); seq++ {
 		own, others := g.ownLoads(), map[string]targetLoads{}
 		g.others.each(g.now(), func(from string, w targetLoads) { others[from] = w })
 		for _, n := range g.view.Load().Tree.neighbours() {
