--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -79,7 +79,7 @@
 // longer than a word counts.
 func (o *othersLoads) at(now time.Time) targetLoads {
 	out := targetLoads{}
-	o.each(now, func(_ string, w targetLoads) { out.add(w, 1) })
+	o.each(now, func(_ string, w targetLoads) { out.add(w) })
 	return out
 }
 
@@ -104,11 +104,11 @@
 // targetLoads sums what is under way, by target.
 type targetLoads map[string]TargetLoad
 
-// add adds n times what w has.
-func (l targetLoads) add(w targetLoads, n int) {
+// add adds what w has.
+func (l targetLoads) add(w targetLoads) {
 	for id, t := range w {
 		sum := l[id]
-		l[id] = TargetLoad{Target: id, Tokens: sum.Tokens + n*t.Tokens, Memory: sum.Memory + n*t.Memory}
+		l[id] = TargetLoad{Target: id, Tokens: sum.Tokens + t.Tokens, Memory: sum.Memory + t.Memory}
 	}
 }
 
@@ -161,10 +161,10 @@
 // told it, and what the neighbour hears for itself.
 func (n neighbour) share(own targetLoads, others map[string]targetLoads) targetLoads {
 	out := targetLoads{}
-	out.add(own, 1)
+	out.add(own)
 	for from, w := range others {
 		if n.relayed[from] {
-			out.add(w, 1)
+			out.add(w)
 		}
 	}
 	return out
--- a/internal/gateway/loads_test.go
+++ b/internal/gateway/loads_test.go
@@ -57,7 +57,7 @@
 			for _, m := range all {
 				sum := targetLoads{m.Name: {Memory: 1000}}
 				for _, w := range heard[m.Name] {
-					sum.add(w, 1)
+					sum.add(w)
 				}
 				is.Equal(len(sum), c.n)
 				for _, load := range sum {
