--- a/internal/standin/measure/measure_test.go
+++ b/internal/standin/measure/measure_test.go
@@ -16,7 +16,7 @@
 				Weight: 0.02, Policies: []string{"shedhoist", "no-stores", "round-robin", "least-load", "affinity", "oracle"}})
 			is.NoErr(err)
 			for _, r := range results {
-				t.Logf("%s: computed %.1f%%, bound %.1f%%", r.Policy, 100*r.Computed, 100*r.Bound)
+				t.Logf("%s: computed %.1f%%, bound %.1f%%, served %d, refused %d, failed %d", r.Policy, 100*r.Computed, 100*r.Bound, r.Served, r.Refused, r.Failed)
 				is.True(r.Computed >= r.Bound-1e-9)
 				is.Equal(r.Served, 60)
 				is.Equal(r.Wrong+r.WrongBlock, 0)
