--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
@@ -121,138 +120,6 @@
 	return backends[len(backends)-1].Service
 }
 
-// leastFit is how many of the candidates must be fit for the request; if fewer are, more
-// are looked for among all targets of the service.
-const leastFit = 8
-
-// pick decides on the next attempt: its target, or nil if there is to be none.
-func (x *exchange) pick() (*catalog.Target, place.Decision) {
-	resting := x.g.sick.Resting()
-	candidates, serving := x.view.Candidates[x.service], x.view.Serving[x.service]
-	if len(candidates) < len(serving) && x.countFit(candidates, resting) < leastFit {
-		candidates = x.widen(serving, resting)
-	}
-	options, works := x.options(candidates, resting)
-	d := place.Decide(options, x.query())
-	if d.Action != place.Send {
-		return nil, d
-	}
-	x.asks, x.predictedMS = works[d.Index], options[d.Index].FirstMS
-	return candidates[d.Index], d
-}
-
-// query is the request as place sees it.
-func (x *exchange) query() place.Query {
-	set := x.g.settings()
-	q := place.Query{Zone: set.Zone, Rollout: set.RolloutWithin, CrowdMS: x.crowdMS(), Bytes: len(x.body), Rand: rand.Float64, Policy: set.Policy,
-		Tokens: x.call.keeps(), Begun: x.begun || x.ran > 0}
-	p := x.call.Prompt
-	if p == nil || len(p.Parts) < 2 {
-		return q
-	}
-	shared := p.Parts[:len(p.Parts)-1]
-	q.Subject = shared[len(shared)-1].ID
-	if src := x.sourcesOf(max(x.view.Named[p.Model].Version, 1))[len(shared)-1]; src.store != nil && set.Policy.StoreZones {
-		q.KeptIn = src.store.Zone
-	}
-	tokens := 0
-	for _, part := range shared {
-		tokens += part.Tokens
-	}
-	x.g.predictorMu.Lock()
-	defer x.g.predictorMu.Unlock()
-	q.SharedMS = x.g.predictor.Read(tokens)
-	return q
-}
-
-// fit says whether a target serves the request's model with the newest weights, was not
-// tried, and does not rest.
-func (x *exchange) fit(t *catalog.Target, resting []string) bool {
-	if slices.Contains(x.targets, t.ID) || slices.Contains(resting, t.ID) {
-		return false
-	}
-	p := x.call.Prompt
-	return p == nil || t.VersionOf(p.Model) >= max(x.view.Named[p.Model].Version, 1)
-}
-
-func (x *exchange) countFit(targets []*catalog.Target, resting []string) int {
-	n := 0
-	for _, t := range targets {
-		if x.fit(t, resting) {
-			n++
-		}
-	}
-	return n
-}
-
-// widen takes as many as are considered at a time from all targets of a service, the fit
-// ones first, from a random one on.
-func (x *exchange) widen(serving []*catalog.Target, resting []string) []*catalog.Target {
-	var good, rest []*catalog.Target
-	start := rand.IntN(len(serving))
-	for i := range serving {
-		t := serving[(start+i)%len(serving)]
-		switch {
-		case x.fit(t, resting):
-			good = append(good, t)
-		case len(rest) < mostCandidates:
-			rest = append(rest, t)
-		}
-		if len(good) == mostCandidates {
-			return good
-		}
-	}
-	return append(good, rest[:min(len(rest), mostCandidates-len(good))]...)
-}
-
-// options are the targets as place sees them, and what the request asks of each.
-func (x *exchange) options(targets []*catalog.Target, resting []string) ([]place.Target, []cacheWork) {
-	now := x.g.now()
-	options, works := make([]place.Target, len(targets)), make([]cacheWork, len(targets))
-	set := x.g.settings()
-	var others targetLoads
-	if set.Policy.PeerLoads {
-		others = x.g.others.at(now)
-	}
-	x.g.predictorMu.Lock()
-	defer x.g.predictorMu.Unlock()
-	for i, t := range targets {
-		load := x.g.upstream.work.Of(t.ID)
-		o := place.Target{ID: t.ID, Zone: t.Zone, Runs: int(load.Runs.Load()), Excluded: slices.Contains(x.targets, t.ID), Resting: slices.Contains(resting, t.ID)}
-		if p := x.call.Prompt; p != nil {
-			version := t.VersionOf(p.Model)
-			o.Unfit = version == 0
-			o.BehindFor = x.view.Named[p.Model].behindFor(version, now)
-			works[i] = x.workAt(t, version, now)
-			o.Capacity = x.view.Config.MemoryOf(t.Service)
-			o.InMemory = int(load.Memory.Load()) + others[t.ID].Memory
-		}
-		works[i].AheadTokens = int(load.Tokens.Load()) + others[t.ID].Tokens
-		o.FirstMS = x.g.predictor.Nominal(works[i].Work)
-		if set.Policy.Overdue {
-			o.FirstMS = x.g.predictor.First(t.ID, works[i].Work, now)
-		}
-		o.LinkMS = works[i].FetchMS
-		options[i] = o
-	}
-	return options, works
-}
-
-// What an own run at a target is assumed to delay another by.
-const (
-	engineCrowdMS = 2.0 // one more in the batch slows each step a little
-	// plainCrowd is the same at a plain service, as a share of the route's
-	// objective: a few places serve all.
-	plainCrowd = 0.05
-)
-
-func (x *exchange) crowdMS() float64 {
-	if x.call.Prompt != nil {
-		return engineCrowdMS
-	}
-	return plainCrowd * float64(x.route.Objective) / float64(time.Millisecond)
-}
-
 // ending is how one attempt ended.
 type ending struct {
 	delivered  bool // the caller has the whole answer
@@ -325,20 +192,6 @@
 	x.refuse(p)
 }
 
-// Advice on when to come back to a target whose memory was full, from half of it to one
-// and a half times as long, so that callers do not return together. A target's memory turns
-// over in one to four seconds; 0.5, 2 and 5 s were worth the same (docs/DECIDING.md).
-const comeBackFull = time.Second
-
-// refuseFull refuses a request, of which nothing has run, since every target that could
-// take it is full.
-func (x *exchange) refuseFull(d place.Decision) {
-	x.machine.NoTarget()
-	x.decision = d
-	metric.FullRefusals.Inc()
-	x.refuse(later(problem.Overloaded, "the targets' memory is full", comeBackFull/2+rand.N(comeBackFull)))
-}
-
 // logAttempt writes one line for an attempt that did not deliver.
 func (x *exchange) logAttempt(end ending, next string) {
 	e := x.g.log.WithField("request", x.call.ID).WithField("target", x.targets[len(x.targets)-1]).WithField("ended", end.event.String()).
