Sight: when a newer configuration is heard of, its size, how long transfers of news take

Cause: the record can't tell an instance that never heard of a version from one that heard and could not get it. No change of logic.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -276,6 +276,8 @@
 func (g *Gateway) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	v := g.view.Load()
 	metric.SetGauge("shedhoist_config_version", float64(g.configVersion()))
+	metric.SetGauge("shedhoist_config_version_heard", float64(v.ConfigHeard))
+	metric.SetGauge("shedhoist_config_bytes", float64(v.ConfigBytes))
 	metric.SetGauge("shedhoist_targets", float64(len(v.Targets)))
 	metric.SetGauge("shedhoist_instances_alive", float64(len(v.Alive)))
 	metric.SetGauge("shedhoist_store_reached", asNumber(v.StoreOK))
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -6,6 +6,7 @@
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
 	"github.com/shedhoist/shedhoist/internal/core/member"
+	"github.com/shedhoist/shedhoist/internal/metric"
 	"github.com/shedhoist/shedhoist/internal/platform"
 	"github.com/shedhoist/shedhoist/internal/wait"
 )
@@ -209,12 +210,16 @@
 	ctx, cancel := context.WithTimeout(g.ctx, peerTimeout)
 	defer cancel()
 	var reply Welcome
-	if err := g.pool.Call(ctx, p.from.Address, peerService+".Hello", hello, &reply); err != nil {
-		g.log.WithError(err).WithField("peer", p.from.Name).Warn("news not had")
+	asked := g.now()
+	err := g.pool.Call(ctx, p.from.Address, peerService+".Hello", hello, &reply)
+	entry := g.log.WithField("peer", p.from.Name).WithField("took_ms", g.now().Sub(asked).Milliseconds())
+	if err != nil {
+		metric.NewsFailed.Inc()
+		entry.WithError(err).WithField("config", hello.Have.Config).WithField("peer_config", p.have.Config).Warn("news not had")
 		return
 	}
 	if n := reply.News; n != nil {
-		g.log.WithField("peer", p.from.Name).WithField("config", len(n.Config) > 0).WithField("targets", len(n.Targets)+len(n.Gone)).WithField("all", n.Listed).
+		entry.WithField("config_bytes", len(n.Config)).WithField("targets", len(n.Targets)+len(n.Gone)).WithField("all", n.Listed).
 			WithField("ask_store", n.AskStore).WithField("versions", len(n.Versions)).WithField("rollout", n.Rollout != nil).Info("news taken from a peer")
 		g.takeNews(n)
 	}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -60,9 +60,12 @@
 // View is the picture that request goroutines read. Nobody changes one after
 // it was published.
 type View struct {
-	Config  *catalog.Config              // nil: none yet
-	Targets map[string]*catalog.Target   // by id
-	Serving map[string][]*catalog.Target // by service: those that take new requests, sorted by id
+	Config *catalog.Config // nil: none yet
+	// ConfigHeard is the newest version that was spoken of, in force here or not.
+	ConfigHeard uint64
+	ConfigBytes int                          // size of Config as stored
+	Targets     map[string]*catalog.Target   // by id
+	Serving     map[string][]*catalog.Target // by service: those that take new requests, sorted by id
 	// Candidates are those of Serving that this instance uses by preference.
 	Candidates map[string][]*catalog.Target
 	Behind     []*catalog.Target // those with older weights than named that do not leave
