--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,6 +35,9 @@
 	Codec   Codec
 	Store   platform.Kinds
 	Engines Engines
+	// Listen opens a listener, nil: on the network of this machine. A test gives links of
+	// its own.
+	Listen func(address string) (net.Listener, error)
 }
 
 // Gateway is one entry instance.
@@ -103,7 +106,10 @@
 	g.rollout = newRollout(g)
 	g.budgets.g = g
 	g.storeOK.Store(true) // until a call says otherwise
-	if err := g.listen(); err != nil {
+	if ports.Listen == nil {
+		ports.Listen = netx.Listen
+	}
+	if err := g.listen(ports.Listen); err != nil {
 		g.closeListeners()
 		g.stop()
 		return nil, err
@@ -132,7 +138,7 @@
 	maxHeader     = 64 << 10          // bytes
 )
 
-func (g *Gateway) listen() error {
+func (g *Gateway) listen(open func(address string) (net.Listener, error)) error {
 	set := g.settings()
 	sec := peer.Security{Secret: []byte(peersKey)}
 	g.pool = peer.NewPool(sec, g.now)
@@ -147,7 +153,7 @@
 		if l.address == "" {
 			continue
 		}
-		if *l.into, err = netx.Listen(l.address); err != nil {
+		if *l.into, err = open(l.address); err != nil {
 			return err
 		}
 	}
