The word of a configuration travels apart from the document, which the object store hands out

Cause: peers handed one another the whole configuration within an exchange of 0.6 s, whatever its size. All asked the few that had it; over 10 Mbit/s no answer came whole in time, each was thrown away and asked for again, and the word of the version waited for the document besides. Ruled out: processors (10% at most), the store telling late, instances that hear of nothing. Change: news name version and size at once; a document over 32 kB is listed from the object store by each instance (its link carries 100 times theirs), and taken from a peer only while the store refuses the instance: in pieces of 16 kB that outlast a peer's failure, by four takers at a time. A version that was heard of and does not come by itself within 0.75 s is read from the store too. A call to the store is bounded by its silence, not by its length.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -70,31 +70,12 @@
 	}
 	c.cfg, c.raw = e.cfg, e.raw
 	entry := c.log.WithField("version", e.cfg.Version).WithField("before", old).WithField("from", string(e.from)).WithField("bytes", len(e.raw))
-	if c.heard.version > old {
+	if c.heard.Version > old {
 		entry = entry.WithField("since_heard_ms", c.now().Sub(c.heard.since).Milliseconds())
 	}
 	entry.Info("configuration in force")
 }
 
-// heardConfig is the newest configuration that a peer spoke of.
-type heardConfig struct {
-	version uint64
-	since   time.Time // since when some version has been heard of that is not in force here
-}
-
-// hearConfig notes a version that a peer has in force, with a line for each newer one.
-func (c *control) hearConfig(version uint64, peer string) {
-	inForce := c.have().Config
-	if version <= max(inForce, c.heard.version) {
-		return
-	}
-	if c.heard.version <= inForce {
-		c.heard.since = c.now()
-	}
-	c.heard.version = version
-	c.log.WithField("version", version).WithField("in_force", inForce).WithField("peer", peer).Info("newer configuration heard of")
-}
-
 // targetsListed brings all targets at a revision.
 type targetsListed struct {
 	revision platform.Version
@@ -257,6 +238,9 @@
 			if v.informed() {
 				g.informedOnce.Do(func() { close(g.informed) })
 			}
+			if c.heard.Version != old.heard {
+				g.wakeConfig()
+			}
 			c.noteNews(v, old)
 			g.spreadNews(c, v)
 		case <-tick.C:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,8 +71,11 @@
 	newer     atomic.Pointer[newerPeer] // a peer that knows more and was not asked yet
 	// storeDue wakes the following of targets, see askTargets.
 	storeDue chan struct{}
-	pool     *peer.Pool
-	peers    *peer.Server
+	// configDue wakes bringConfig.
+	configDue chan struct{}
+	takers    takers // of the configuration
+	pool      *peer.Pool
+	peers     *peer.Server
 
 	upstream *upstream
 	sick     *breaker.Set // targets whose requests fail
@@ -95,7 +98,7 @@
 // failure leaves nothing open.
 func New(set *Settings, ports Ports, logger log.Interface) (*Gateway, error) {
 	g := &Gateway{log: logger.WithField("instance", set.Name).WithField("zone", set.Zone), now: time.Now, codec: ports.Codec, store: ports.Store,
-		engines: ports.Engines, events: make(chan event, eventBacklog), controlDone: make(chan struct{}), storeDue: make(chan struct{}, 1), informed: make(chan struct{}), failing: map[string]bool{}}
+		engines: ports.Engines, events: make(chan event, eventBacklog), controlDone: make(chan struct{}), storeDue: make(chan struct{}, 1), configDue: make(chan struct{}, 1), informed: make(chan struct{}), failing: map[string]bool{}}
 	g.set.Store(set)
 	g.began = g.now()
 	g.ctx, g.stop = context.WithCancel(context.Background())
@@ -212,7 +215,7 @@
 		targets: targetTable{log: g.log, self: set.Name, byID: map[string]*heldTarget{}}}
 	g.start(func() { g.runControl(g.ctx, c) })
 	g.followAll(g.ctx)
-	for _, f := range [...]func(context.Context){g.greetSeeds, g.askWhileCutOff, g.meet, g.tidy, g.tellLoads, g.rollOut, g.cache.run, g.cache.pull, g.cache.keepStores} {
+	for _, f := range [...]func(context.Context){g.greetSeeds, g.askWhileCutOff, g.bringConfig, g.meet, g.tidy, g.tellLoads, g.rollOut, g.cache.run, g.cache.pull, g.cache.keepStores} {
 		g.start(func() { f(g.ctx) })
 	}
 	g.serve("callers", func() error { return g.callerSrv.Serve(g.callerLn) })
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -18,6 +18,7 @@
 	Targets  platform.Version `cbor:"2,keyasint"` // last change of the targets
 	Versions platform.Version `cbor:"3,keyasint"` // last change of the named versions
 	Rollout  RolloutStamp     `cbor:"4,keyasint"`
+	Newest   ConfigWord       `cbor:"5,keyasint"` // the newest configuration heard of, in force at the teller or not
 }
 
 // RolloutStamp orders the news of rollouts: a later holder's token is higher.
@@ -98,25 +99,17 @@
 
 // have says how new the beliefs are.
 func (c *control) have() Have {
-	h := Have{Targets: c.targets.changed, Versions: c.namedIn, Rollout: c.rollout.Stamp}
-	if c.cfg != nil {
-		h.Config = c.cfg.Version
-	}
-	return h
+	return Have{Config: c.configInForce().Version, Targets: c.targets.changed, Versions: c.namedIn, Rollout: c.rollout.Stamp, Newest: c.newestConfig()}
 }
 
 // known says up to where they are complete.
 func (c *control) known() Known {
-	k := Known{Targets: c.targets.revision, Versions: c.namedAt, Rollout: c.rollout.Stamp}
-	if c.cfg != nil {
-		k.Config = c.cfg.Version
-	}
-	return k
+	return Known{Config: c.configInForce().Version, Targets: c.targets.revision, Versions: c.namedAt, Rollout: c.rollout.Stamp}
 }
 
-// lacks says whether a peer has news that are missing here.
+// lacks says whether a peer has news that are missing here. A long configuration is none.
 func (k Known) lacks(h Have) bool {
-	return h.Config > k.Config || h.Targets > k.Targets || h.Versions > k.Versions || h.Rollout.after(k.Rollout)
+	return h.Config > k.Config && !h.Newest.long() || h.Targets > k.Targets || h.Versions > k.Versions || h.Rollout.after(k.Rollout)
 }
 
 // longList is the longest list of targets that a peer hands over whole to one that can ask
@@ -131,7 +124,7 @@
 		return nil
 	}
 	n := &News{}
-	if mine.Config > k.Config {
+	if mine.Config > k.Config && !c.configInForce().long() {
 		n.Config = c.raw
 	}
 	if c.targets.listed && mine.Targets > k.Targets {
@@ -240,11 +233,12 @@
 // newsMark is the state that a change is measured against.
 type newsMark struct {
 	have              Have
+	heard             uint64 // newest version of a configuration that a peer spoke of
 	attached, lookout bool
 }
 
 func (c *control) newsMark() newsMark {
-	return newsMark{have: c.have(), attached: c.storeOK, lookout: c.fleet.lookout}
+	return newsMark{have: c.have(), heard: c.heard.Version, attached: c.storeOK, lookout: c.fleet.lookout}
 }
 
 // noteNews notes what has to be told of a change. A lookout that the store left, or
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -171,7 +171,7 @@
 // view builds the picture that request goroutines read.
 func (c *control) view() *View {
 	f, s := c.fleetNow(), c.servingNow()
-	v := &View{Config: c.cfg, ConfigHeard: max(c.have().Config, c.heard.version), ConfigBytes: len(c.raw), Targets: s.targets, Serving: s.serving, Candidates: s.candidates, Behind: s.behind, Named: map[string]Named{},
+	v := &View{Config: c.cfg, ConfigHeard: max(c.configInForce().Version, c.heard.Version), ConfigBytes: len(c.raw), Targets: s.targets, Serving: s.serving, Candidates: s.candidates, Behind: s.behind, Named: map[string]Named{},
 		Departed: s.departed, Instances: f.instances, Alive: f.alive, Peers: f.peers, Attached: f.attached, Tree: f.tree, Lookout: f.lookout,
 		Revision: c.targets.revision, Rollout: c.rollout, Listed: c.targets.listed, Draining: c.draining, StoreOK: c.storeOK}
 	maps.Copy(v.Named, c.named)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -90,7 +90,7 @@
 		c.members.Receive([]member.Member{req.From}, now)
 	}
 	c.members.Receive(req.Updates, now)
-	c.hearConfig(req.Have.Config, req.From.Name)
+	c.hearConfig(req.Have, req.From)
 	out := Welcome{From: c.members.Self(), Have: c.have()}
 	if req.Join {
 		out.Updates, out.Ages = c.members.Members(), c.ages()
@@ -131,7 +131,7 @@
 	c.members.Receive(e.reply.Updates, now)
 	namedAges{e.reply.Ages}.apply(c)
 	if e.ok {
-		c.hearConfig(e.reply.Have.Config, e.reply.From.Name)
+		c.hearConfig(e.reply.Have, e.reply.From)
 		c.members.Receive([]member.Member{e.reply.From}, now)
 		c.members.Ack(e.probe.To, now)
 		return
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -60,9 +60,8 @@
 // View is the picture that request goroutines read. Nobody changes one after
 // it was published.
 type View struct {
-	Config *catalog.Config // nil: none yet
-	// ConfigHeard is the newest version that was spoken of, in force here or not.
-	ConfigHeard uint64
+	Config      *catalog.Config              // nil: none yet
+	ConfigHeard uint64                       // the newest version that was spoken of, in force here or not
 	ConfigBytes int                          // size of Config as stored
 	Targets     map[string]*catalog.Target   // by id
 	Serving     map[string][]*catalog.Target // by service: those that take new requests, sorted by id
