A call to a peer that takes too long no longer ends the others on its connection

Change: the connection gets no further calls, and is closed once those on it have ended. TestOthersGoOn fails before ('use of closed network connection').

--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -36,8 +36,10 @@
 }
 
 type pooled struct {
-	client *rpc.Client
-	used   time.Time
+	client  *rpc.Client
+	used    time.Time
+	calls   int  // under way
+	dropped bool // it gets no further calls, and is closed after those under way
 }
 
 // keepIdle is how long an unused connection is kept: less than idleClose, so
@@ -50,16 +52,18 @@
 }
 
 // Call calls a method and waits for its reply until ctx ends. A call that
-// fails on the way drops its connection; net/rpc can't take one call back. It
-// decodes into a value of the call's own, so that an answer that comes late never
+// fails on the way drops its connection, which may be dead. Others that are under
+// way on it go on to their own ends: where a link is busy, one that was too slow
+// would else take all of them along. It decodes into a value of the call's own, so that an answer that comes late never
 // writes to a reply which its caller has gone on to read.
 func (p *Pool) Call(ctx context.Context, address, method string, args, reply any) error {
-	c, err := p.client(ctx, address)
+	e, err := p.take(ctx, address)
 	if err != nil {
 		return &CallError{Address: address, Method: method, Cause: err}
 	}
+	defer p.release(e)
 	own := reflect.New(reflect.TypeOf(reply).Elem())
-	call := c.Go(method, args, own.Interface(), make(chan *rpc.Call, 1))
+	call := e.client.Go(method, args, own.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 		err = call.Error
@@ -71,19 +75,19 @@
 		return nil
 	}
 	if _, answered := err.(rpc.ServerError); !answered {
-		p.drop(address, c)
+		p.drop(address, e)
 	}
 	return &CallError{Address: address, Method: method, Cause: err}
 }
 
-func (p *Pool) client(ctx context.Context, address string) (*rpc.Client, error) {
+// take returns a connection to a peer with one more call on it.
+func (p *Pool) take(ctx context.Context, address string) (*pooled, error) {
 	p.mu.Lock()
 	now := p.now()
 	p.closeIdle(now)
 	if e := p.conns[address]; e != nil {
-		e.used = now
-		p.mu.Unlock()
-		return e.client, nil
+		defer p.mu.Unlock()
+		return e.taken(now), nil
 	}
 	p.mu.Unlock()
 	conn, err := p.dial(ctx, address)
@@ -95,16 +99,35 @@
 	defer p.mu.Unlock()
 	if e := p.conns[address]; e != nil { // another goroutine dialled meanwhile
 		c.Close()
-		return e.client, nil
+		return e.taken(now), nil
+	}
+	e := &pooled{client: c}
+	p.conns[address] = e
+	return e.taken(now), nil
+}
+
+// taken counts one more call; the pool's lock is held.
+func (e *pooled) taken(now time.Time) *pooled {
+	e.used = now
+	e.calls++
+	return e
+}
+
+// release ends a call on a connection.
+func (p *Pool) release(e *pooled) {
+	p.mu.Lock()
+	e.calls--
+	last := e.dropped && e.calls == 0
+	p.mu.Unlock()
+	if last {
+		e.client.Close()
 	}
-	p.conns[address] = &pooled{client: c, used: now}
-	return c, nil
 }
 
 // closeIdle drops what was long unused; p.mu is held.
 func (p *Pool) closeIdle(now time.Time) {
 	for a, e := range p.conns {
-		if now.Sub(e.used) > keepIdle {
+		if e.calls == 0 && now.Sub(e.used) > keepIdle {
 			e.client.Close()
 			delete(p.conns, a)
 		}
@@ -133,13 +156,14 @@
 	return t, nil
 }
 
-func (p *Pool) drop(address string, c *rpc.Client) {
+// drop gives a connection no further calls.
+func (p *Pool) drop(address string, e *pooled) {
 	p.mu.Lock()
-	if e := p.conns[address]; e != nil && e.client == c {
+	defer p.mu.Unlock()
+	e.dropped = true
+	if p.conns[address] == e {
 		delete(p.conns, address)
 	}
-	p.mu.Unlock()
-	c.Close()
 }
 
 // Close drops all connections.
--- a/internal/peer/pool_test.go
+++ b/internal/peer/pool_test.go
@@ -50,3 +50,51 @@
 		}
 	}
 }
+
+// slow is a peer that explains only once it is told to.
+type slow struct {
+	answers
+	asked, goOn chan struct{}
+}
+
+func (s slow) Explain(id string) *why.Record {
+	s.asked <- struct{}{}
+	<-s.goOn
+	return &why.Record{ID: id}
+}
+
+// TestOthersGoOn: a call that takes too long ends for itself. The others under way on its
+// connection go on, and further ones get a new connection.
+func TestOthersGoOn(t *testing.T) {
+	is := is.New(t)
+	p := slow{answers{make(chan context.CancelFunc, 1)}, make(chan struct{}), make(chan struct{})}
+	sec := Security{Secret: []byte("s")}
+	pool := NewPool(sec, time.Now)
+	defer pool.Close()
+	srv, err := NewServer(p, sec, pool)
+	is.NoErr(err)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer ln.Close()
+	defer srv.Close()
+	go func() { _ = srv.Serve(ln) }()
+
+	var out Explained
+	ended := make(chan error, 1)
+	go func() {
+		ended <- pool.Call(t.Context(), ln.Addr().String(), "Peer.Explain", &Explain{ID: "r"}, &out)
+	}()
+	<-p.asked
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-p.asked
+		cancel()
+	}()
+	var none Explained
+	is.True(pool.Call(ctx, ln.Addr().String(), "Peer.Explain", &Explain{ID: "given up"}, &none) != nil)
+	var st Status
+	is.NoErr(pool.Call(t.Context(), ln.Addr().String(), "Peer.Status", &StatusRequest{}, &st))
+	close(p.goOn)
+	is.NoErr(<-ended)
+	is.Equal(out.Record.ID, "r")
+}
