Whole cache stores are told in answers of bounded size

After a start of all, each instance tells up to 12 others all stores at once (4,000 parts), within 0.5 s whatever the size; looks that fail are repeated from the start. Change: an answer lists 1,500 parts at most of stores that the asker does not know, says that more is left, and the asker names the stores that it knows, so that one that must be told anew does not cost all others. TestDirectoryByParts (bounded answers; changes meanwhile are not lost) does not build before.

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -21,6 +21,14 @@
 	pullGap = 300 * time.Millisecond
 	// pullTimeout bounds one look.
 	pullTimeout = 500 * time.Millisecond
+	// moreGap is the pause before the next look if something was left out of the last one.
+	moreGap = pullGap / 4
+	// wholeParts is how many parts one answer lists of stores that the asker does not know,
+	// unless a single store holds more: some 20 kB, so that the treeFan instances that ask
+	// at once are all answered within half of pullTimeout over 10 Mbit/s. Without a bound,
+	// after a start of all 91 instances 192 looks failed, and the last instance knew all
+	// stores 4 s after the start.
+	wholeParts = 1500
 	// relayAge is how much older a store's last word may be for having come by way
 	// of others: two steps of the tree.
 	relayAge = 2 * (pullGap + 100*time.Millisecond)
@@ -33,14 +41,17 @@
 type DirectoryAsk struct {
 	Process uint64 `cbor:"1,keyasint"` // whose numbers Seq is of
 	Seq     uint64 `cbor:"2,keyasint"` // the last change that the asker has
+	// Stores are the addresses of those of which the asker has all up to Seq.
+	Stores []string `cbor:"3,keyasint,omitempty"`
 }
 
 // Directory is the answer.
 type Directory struct {
 	Process uint64      `cbor:"1,keyasint"`
 	Seq     uint64      `cbor:"2,keyasint"`
-	ClockMS float64     `cbor:"3,keyasint"` // servers' clock now, 0: not known
-	Stores  []StoreNews `cbor:"4,keyasint"` // those that answer
+	ClockMS float64     `cbor:"3,keyasint"`           // servers' clock now, 0: not known
+	Stores  []StoreNews `cbor:"4,keyasint"`           // those that answer
+	More    bool        `cbor:"5,keyasint,omitempty"` // some were left out, to be asked for at once
 }
 
 // StoreNews is what changed in one store.
@@ -79,16 +90,24 @@
 	if !c.clockAt.IsZero() {
 		out.ClockMS = c.clock + float64(now.Sub(c.clockAt))/float64(time.Millisecond)
 	}
+	listed := 0 // parts of stores that are told whole
 	for address, sh := range c.shelves {
 		epoch, _, known := sh.Position()
 		if !known {
 			continue
 		}
 		events, whole := c.journal.Since(address, ask.Seq)
-		n := StoreNews{Address: address, Epoch: epoch, AgeMS: now.Sub(sh.Heard()).Milliseconds(), Whole: whole || ask.Process != c.process}
+		n := StoreNews{Address: address, Epoch: epoch, AgeMS: now.Sub(sh.Heard()).Milliseconds(),
+			Whole: whole || ask.Process != c.process || !slices.Contains(ask.Stores, address)}
 		if n.Whole {
+			held := sh.All()
+			if listed > 0 && listed+len(held) > wholeParts {
+				out.More = true
+				continue
+			}
+			listed += len(held)
 			events = events[:0]
-			for _, h := range sh.All() {
+			for _, h := range held {
 				events = append(events, stock.Event{Key: h.Key, Added: true, Tokens: h.Tokens})
 			}
 		}
@@ -145,7 +164,9 @@
 	var ask DirectoryAsk // by the numbers of the source asked last
 	failures := 0        // since sources changed; it chooses among them
 	missing := false     // the last look failed
-	for wait.For(ctx, pullGap*3/4+rand.N(pullGap/2)) {
+	gap := pullGap
+	for wait.For(ctx, gap*3/4+rand.N(gap/2)) {
+		gap = pullGap
 		at := c.place()
 		if len(at.sources) == 0 {
 			ask = DirectoryAsk{}
@@ -167,9 +188,9 @@
 			c.g.log.WithField("peer", source).WithField("stores", len(d.Stores)).Info("cache directory had again")
 		}
 		missing = false
-		ask = DirectoryAsk{Process: d.Process, Seq: d.Seq}
-		if !c.take(d, started) {
-			ask = DirectoryAsk{}
+		ask = DirectoryAsk{Process: d.Process, Seq: d.Seq, Stores: c.take(d, started)}
+		if d.More {
+			gap = moreGap
 		}
 	}
 }
@@ -183,12 +204,11 @@
 }
 
 // take brings the shelves up to date with another's word, asked for at started. It
-// returns false if some store must be told anew.
-func (c *cacheDirectory) take(d Directory, started time.Time) bool {
+// returns the stores that are known now; others must be told anew.
+func (c *cacheDirectory) take(d Directory, started time.Time) (known []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.setClock(d.ClockMS)
-	all := true
 	for i := range d.Stores {
 		n := &d.Stores[i]
 		sh := c.shelves[n.Address]
@@ -196,9 +216,11 @@
 			continue // not declared here yet, or followed by this instance itself
 		}
 		heard := started.Add(-time.Duration(n.AgeMS) * time.Millisecond)
-		all = c.takeStore(sh, n, heard) && all
+		if c.takeStore(sh, n, heard) {
+			known = append(known, n.Address)
+		}
 	}
-	return all
+	return known
 }
 
 // takeStore is take for one store; c.mu is held.
--- a/internal/gateway/directory_test.go
+++ b/internal/gateway/directory_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"github.com/matryer/is"
 
 	"github.com/shedhoist/shedhoist/internal/core/member"
@@ -84,3 +86,53 @@
 	n.Parts = append(n.Parts, PartNews{Salt: 2, Part: "c"}, PartNews{Salt: -1, Part: "d"})
 	is.Equal(n.events(), in)
 }
+
+// directoryOf is an instance's directory that others may ask.
+func directoryOf(now *time.Time) *cacheDirectory {
+	return newCacheDirectory(&Gateway{log: &log.Logger{Handler: discard.Default}, now: func() time.Time { return *now }})
+}
+
+// TestDirectoryByParts: an instance that knows nothing is told all stores in answers of
+// bounded size, one after the other; what changes meanwhile reaches it as well.
+func TestDirectoryByParts(t *testing.T) {
+	is := is.New(t)
+	now := at0
+	teller, asker := directoryOf(&now), directoryOf(&now)
+	const stores, parts = 13, 400
+	for s := range stores {
+		address := fmt.Sprintf("10.0.1.%d:1", s)
+		teller.shelves[address], asker.shelves[address] = &shelf{}, &shelf{}
+		held := make([]stock.Held, parts)
+		for i := range held {
+			held[i] = stock.Held{Key: stock.Key{Salt: "s", Part: fmt.Sprint(i)}, Tokens: 100}
+		}
+		teller.listed(teller.shelves[address], address, 1, 1, held, now)
+	}
+	var ask DirectoryAsk
+	for look := 0; ; look++ {
+		is.True(look < 2*stores*parts/wholeParts)
+		d := teller.tell(ask)
+		listed := 0
+		for _, n := range d.Stores {
+			if n.Whole {
+				listed += len(n.Parts)
+			}
+		}
+		is.True(listed <= wholeParts)
+		ask = DirectoryAsk{Process: d.Process, Seq: d.Seq, Stores: asker.take(d, now)}
+		if !d.More {
+			is.True(look > 0)
+			break
+		}
+		for address, sh := range teller.shelves {
+			e := []stock.Event{{Key: stock.Key{Salt: "s", Part: fmt.Sprintf("new-%d", look)}, Added: true, Tokens: 50}}
+			is.True(sh.Apply(1, uint64(look+2), false, e, now))
+			teller.journal.Add(address, e)
+		}
+	}
+	is.True(asker.take(teller.tell(ask), now) != nil)
+	for address, sh := range teller.shelves {
+		is.Equal(len(asker.shelves[address].All()), len(sh.All()))
+	}
+	is.True(!teller.tell(ask).More)
+}
