--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -65,9 +65,6 @@
 	None          // no target may be used
 )
 
-// String names the action for logs.
-func (a Action) String() string { return [...]string{"send", "refuse", "none"}[a] }
-
 // Decision is what becomes of a request, with what decided it.
 type Decision struct {
 	Action Action
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -16,11 +16,11 @@
 	// watchWait is how long one watch waits. Each waiting watch is a call that is
 	// paid for; one that is cut off without a word is noticed when it is over.
 	watchWait = 6 * time.Second
-	// lookoutWait is the same for the few instances that notice it for all others,
+	// watcherWait is the same for the few instances that notice it for all others,
 	// within the 2 s in which a change must be in force everywhere.
-	lookoutWait = 800 * time.Millisecond
-	// lookouts is how many instances are: two may fail at the same time.
-	lookouts = 3
+	watcherWait = 800 * time.Millisecond
+	// watchers is how many instances are: two may fail at the same time.
+	watchers = 3
 	// slowKindWait is a watch of what may take longer to be in force.
 	slowKindWait = 3 * time.Second
 	// watchGap is the least time from one watch to the next: in a storm of changes a
@@ -40,7 +40,7 @@
 // feed turns what the store says of one kind into events.
 type feed struct {
 	kind    string
-	lookout time.Duration // how long a lookout's watch waits
+	watcher time.Duration // how long a watcher's watch waits
 	list    func(platform.Snapshot)
 	changes func(platform.Changes)
 	// due asks for one look at the store by an instance that goes by news; nil: never.
@@ -53,11 +53,11 @@
 func (g *Gateway) followAll(ctx context.Context) {
 	config, targets, versions := g.codec.Kinds()
 	feeds := []feed{
-		{kind: config, lookout: lookoutWait, list: func(s platform.Snapshot) { g.readConfigs(s.Objects) },
+		{kind: config, watcher: watcherWait, list: func(s platform.Snapshot) { g.readConfigs(s.Objects) },
 			changes: func(c platform.Changes) { g.readConfigs(present(c)) }},
-		{kind: targets, lookout: lookoutWait, list: g.listTargets, changes: g.changeTargets, due: g.storeDue,
+		{kind: targets, watcher: watcherWait, list: g.listTargets, changes: g.changeTargets, due: g.storeDue,
 			known: func() platform.Version { return g.view.Load().Revision }},
-		{kind: versions, lookout: slowKindWait, list: func(s platform.Snapshot) { g.readVersions(s.Revision, s.Objects) },
+		{kind: versions, watcher: slowKindWait, list: func(s platform.Snapshot) { g.readVersions(s.Revision, s.Objects) },
 			changes: func(c platform.Changes) { g.readVersions(c.Revision, present(c)) }},
 	}
 	for _, f := range feeds {
@@ -158,11 +158,11 @@
 const newsPoll = 250 * time.Millisecond
 
 // newsComes says whether this instance may go by its peers' news instead of a
-// watch of its own: the fleet is large, others are its lookouts, and a peer was
+// watch of its own: the fleet is large, others are its watchers, and a peer was
 // heard lately. One that the store did not answer last tries until it does.
 func (g *Gateway) newsComes() bool {
 	v := g.view.Load()
-	if len(v.Alive) <= smallFleet || v.Lookout || !g.storeOK.Load() {
+	if len(v.Alive) <= smallFleet || v.Watcher || !g.storeOK.Load() {
 		return false
 	}
 	return g.now().Sub(g.began)-time.Duration(g.heardPeer.Load()) < newsAge
@@ -173,8 +173,8 @@
 	switch {
 	case news:
 		return watchGap
-	case g.view.Load().Lookout:
-		return f.lookout
+	case g.view.Load().Watcher:
+		return f.watcher
 	}
 	return watchWait
 }
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -43,7 +43,7 @@
 		g.storeOK.Store(true)
 		all := fleetOf(fleet, 3)
 		g.view.Store(&View{Alive: make([]string, fleet), Tree: newTree(all, member.Member{}), Revision: 7})
-		f := feed{kind: "k", lookout: lookoutWait, list: func(platform.Snapshot) {}, changes: func(platform.Changes) {}, due: g.storeDue,
+		f := feed{kind: "k", watcher: watcherWait, list: func(platform.Snapshot) {}, changes: func(platform.Changes) {}, due: g.storeDue,
 			known: func() platform.Version { return g.view.Load().Revision }}
 		ctx, cancel := context.WithCancel(t.Context())
 		g.heardPeer.Store(int64(time.Hour)) // a peer is always heard
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -226,7 +226,7 @@
 type pendingNews struct {
 	changed bool
 	first   bool      // this instance is among the first to know
-	roles   bool      // it left the lookouts, or came back to them
+	roles   bool      // it left the watchers, or came back to them
 	at      time.Time // of the last round
 }
 
@@ -234,21 +234,21 @@
 type newsMark struct {
 	have              Have
 	heard             uint64 // newest version of a configuration that a peer spoke of
-	attached, lookout bool
+	attached, watcher bool
 }
 
 func (c *control) newsMark() newsMark {
-	return newsMark{have: c.have(), heard: c.heard.Version, attached: c.storeOK, lookout: c.fleet.lookout}
+	return newsMark{have: c.have(), heard: c.heard.Version, attached: c.storeOK, watcher: c.fleet.watcher}
 }
 
-// noteNews notes what has to be told of a change. A lookout that the store left, or
+// noteNews notes what has to be told of a change. A watcher that the store left, or
 // found again, tells that too: another must take its place.
 func (c *control) noteNews(v *View, old newsMark) {
 	now := c.have()
-	lookout := v.Lookout || old.lookout
+	watcher := v.Watcher || old.watcher
 	n := &c.news
-	n.roles = n.roles || lookout && c.storeOK != old.attached
-	n.first = n.first || lookout || now.Rollout != old.have.Rollout && c.ownNews
+	n.roles = n.roles || watcher && c.storeOK != old.attached
+	n.first = n.first || watcher || now.Rollout != old.have.Rollout && c.ownNews
 	n.changed = n.changed || now != old.have
 }
 
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -21,7 +21,7 @@
 	peers     []member.Member
 	attached  []string
 	tree      *tree
-	lookout   bool
+	watcher   bool
 }
 
 // fleetChanged says whether the instances changed since the part was made.
@@ -56,7 +56,7 @@
 		p.attached = p.alive // nobody reaches the store: the roles stay where they are
 	}
 	p.tree = newTree(p.peers, self)
-	p.lookout = rankOf(p.attached, self.Name, lookoutRole) < lookouts
+	p.watcher = rankOf(p.attached, self.Name, watcherRole) < watchers
 	c.fleet = p
 	return p
 }
@@ -171,9 +171,13 @@
 // view builds the picture that request goroutines read.
 func (c *control) view() *View {
 	f, s := c.fleetNow(), c.servingNow()
-	v := &View{Config: c.cfg, ConfigHeard: max(c.configInForce().Version, c.heard.Version), ConfigBytes: len(c.raw), Targets: s.targets, Serving: s.serving, Candidates: s.candidates, Behind: s.behind, Named: map[string]Named{},
-		Departed: s.departed, Instances: f.instances, Alive: f.alive, Peers: f.peers, Attached: f.attached, Tree: f.tree, Lookout: f.lookout,
-		Revision: c.targets.revision, Rollout: c.rollout, Listed: c.targets.listed, Draining: c.draining, StoreOK: c.storeOK}
+	v := &View{
+		Config: c.cfg, ConfigHeard: max(c.configInForce().Version, c.heard.Version), ConfigBytes: len(c.raw),
+		Targets: s.targets, Serving: s.serving, Candidates: s.candidates, Behind: s.behind, Departed: s.departed,
+		Instances: f.instances, Alive: f.alive, Peers: f.peers, Attached: f.attached, Tree: f.tree, Watcher: f.watcher,
+		Revision: c.targets.revision, Listed: c.targets.listed,
+		Named: map[string]Named{}, Rollout: c.rollout, Draining: c.draining, StoreOK: c.storeOK,
+	}
 	maps.Copy(v.Named, c.named)
 	return v
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -26,14 +26,14 @@
 	// catchUpDelay is what the store usually takes to tell all instances of a change.
 	catchUpDelay = 100 * time.Millisecond
 	// smallFleet is the largest number of instances in which all watch the object
-	// store. In a larger one the lookouts do, and news spread from peer to peer.
+	// store. In a larger one the watchers do, and news spread from peer to peer.
 	smallFleet = 16
 	// newsAge is how old the last exchange with a peer may be for that.
 	newsAge = 1500 * time.Millisecond
 	// spreadTo is how many peers are told of a change at once; it spreads on by probes.
 	spreadTo = 12
-	// lookoutRole ranks the instances that tell the others.
-	lookoutRole = "lookout"
+	// watcherRole ranks the instances that tell the others.
+	watcherRole = "watcher"
 )
 
 // peerService is the name of the exchange in net/rpc.
--- a/internal/gateway/tree.go
+++ b/internal/gateway/tree.go
@@ -67,16 +67,19 @@
 	if t.small || t.own < t.tops {
 		return position{follows: true}
 	}
-	parent := (t.own - t.tops) / treeFan
-	out := position{sources: []string{t.near[parent].Address}}
-	for i, m := range t.near[:t.tops] {
-		if i != parent {
+	parent := t.parent()
+	out := position{sources: []string{parent.Address}}
+	for _, m := range t.near[:t.tops] {
+		if m.Name != parent.Name {
 			out.sources = append(out.sources, m.Address)
 		}
 	}
 	return out
 }
 
+// parent is the instance that serves this one, which is no top.
+func (t *tree) parent() member.Member { return t.near[(t.own-t.tops)/treeFan] }
+
 // children are those that this instance serves; none in a small fleet.
 func (t *tree) children() []member.Member {
 	if t.small || t.own < 0 {
@@ -124,7 +127,7 @@
 	case t.own < t.tops:
 		direct, served = t.topsElsewhere(), t.children()
 	default:
-		served = append(slices.Clone(t.children()), t.near[(t.own-t.tops)/treeFan])
+		served = append(slices.Clone(t.children()), t.parent())
 	}
 	var out []neighbour
 	for _, m := range direct {
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -75,7 +75,7 @@
 	Peers      []member.Member   // the same as members
 	Attached   []string          // those of them that the object store answers; all, if it answers none
 	Tree       *tree             // how they pass things on
-	Lookout    bool              // this instance notices changes for all
+	Watcher    bool              // this instance notices changes for all
 	Listed     bool              // targets were listed at least once
 	Draining   bool              // this instance is stopping
 	Revision   platform.Version  // up to which the list of targets is complete
