A known red test traced: on a busy machine words of engines were too old for the experiment

TestNoPolicyBeatsTheBound failed now and then beside load. Cause: the experiment shortens the periods of control with its time scale, to 10 ms, and a word of an engine counts for 20 heartbeats: a machine that stands still for 0.2 s has no target left, and refuses ('no-target', in all refusals that were printed). Ruled out: the bound on the first token (none is set). Change: the test keeps periods of 250 ms; what it asserts is unchanged.

--- a/internal/standin/measure/bench.go
+++ b/internal/standin/measure/bench.go
@@ -39,8 +39,15 @@
 	Seed      uint64
 	FirstMS   float64 // bound on the first token; 0 is none
 	Weight    float64 // price of a recomputed token, ms
+	// ControlMS is the least period of looks at engines and of heartbeats, in real ms; 0 is
+	// shortestControlMS. A word of an engine counts for 20 heartbeats: a machine that stands
+	// still for longer takes all engines for gone, and requests are refused.
+	ControlMS int
 }
 
+// shortestControlMS is the shortest period that the daemon's settings allow.
+const shortestControlMS = 10
+
 // Modelled engine and links: a prompt of eight pieces takes 0.8 s to compute.
 const (
 	benchPrefillUS = 100
@@ -119,8 +126,8 @@
 	timing := settings.Default().Timing
 	timing.DrainNoticeMS = 0
 	// Control lives in real time; its periods are scaled as the engines are.
-	timing.ProbeMS = max(int(float64(timing.ProbeMS)*o.Scale), 10)
-	timing.HeartbeatMS = max(int(float64(timing.HeartbeatMS)*o.Scale), 10)
+	timing.ProbeMS = max(int(float64(timing.ProbeMS)*o.Scale), o.ControlMS, shortestControlMS)
+	timing.HeartbeatMS = max(int(float64(timing.HeartbeatMS)*o.Scale), o.ControlMS, shortestControlMS)
 	f, err := fleet.Start(ctx, fleet.Options{Instances: o.Instances, Engines: o.Engines, Stores: o.Stores, Customers: customers, Timing: timing, Policy: o.policy(name),
 		Engine: engine.Options{PrefillUS: benchPrefillUS, DecodeMS: benchDecodeMS, CachePieces: benchPieces, Slots: benchSlots, KVBytes: benchKVBytes,
 			LagMS: 100, EventLagMS: 200, TimeScale: o.Scale},
--- a/internal/standin/measure/measure_test.go
+++ b/internal/standin/measure/measure_test.go
@@ -7,13 +7,15 @@
 )
 
 // TestNoPolicyBeatsTheBound runs every policy on both workloads, small: all
-// answers are whole and right, and nobody computes less than what must be.
+// answers are whole and right, and nobody computes less than what must be. Control keeps
+// periods of real machines: with heartbeats of 10 ms a word of an engine counted for 0.2 s, and
+// on a busy machine requests were refused for want of a target.
 func TestNoPolicyBeatsTheBound(t *testing.T) {
 	for _, w := range []Workload{Rota, Lock} {
 		t.Run(string(w), func(t *testing.T) {
 			is := is.New(t)
 			results, err := Bench(t.Context(), BenchOptions{Workload: w, Load: 0.5, Requests: 60, Instances: 2, Engines: 4, Stores: 2, Scale: 0.02, Seed: 1,
-				Weight: 0.02, Policies: []string{"shedhoist", "no-stores", "round-robin", "least-load", "affinity", "oracle"}})
+				Weight: 0.02, ControlMS: 250, Policies: []string{"shedhoist", "no-stores", "round-robin", "least-load", "affinity", "oracle"}})
 			is.NoErr(err)
 			for _, r := range results {
 				t.Logf("%s: computed %.1f%%, bound %.1f%%, served %d, refused %d, failed %d", r.Policy, 100*r.Computed, 100*r.Bound, r.Served, r.Refused, r.Failed)
