--- a/internal/logstory/findings.go
+++ b/internal/logstory/findings.go
@@ -19,13 +19,25 @@
 	refused := slices.Contains([]string{"unauthorized", "not-found"}, end.Fields.Text("outcome"))
 	switch {
 	case newest > used:
-		return []string{fmt.Sprintf("decided by configuration %.0f, while another instance had %.0f in force %s before: the belief was stale", used, newest, end.Time.Sub(since).Round(time.Millisecond))}
+		return []string{fmt.Sprintf("decided by configuration %.0f, while another instance had %.0f in force %s before: the belief was stale; %s", used, newest, end.Time.Sub(since).Round(time.Millisecond),
+			heardOf(lines, end, newest))}
 	case refused:
 		return []string{fmt.Sprintf("refused by configuration %.0f, the newest that any instance had: by what it says, not by a stale belief", used)}
 	}
 	return nil
 }
 
+// heardOf says whether the instance that decided knew that a configuration existed: one
+// that did had yet to get the document.
+func heardOf(lines []Line, end Line, version float64) string {
+	for _, l := range lines {
+		if l.Message == "newer configuration heard of" && l.Instance == end.Instance && !l.Time.After(end.Time) && l.Fields.Number("version") >= version {
+			return fmt.Sprintf("%s had heard of it %s before, of %.0f bytes, and did not have them yet", end.Instance, end.Time.Sub(l.Time).Round(time.Millisecond), l.Fields.Number("bytes"))
+		}
+	}
+	return end.Instance + " had not heard of it"
+}
+
 // orderEffect is how long after an order its target still cuts runs.
 const orderEffect = 2 * time.Second
 
--- a/internal/logstory/logstory_test.go
+++ b/internal/logstory/logstory_test.go
@@ -43,7 +43,11 @@
 	}{
 		{"a right refusal", []string{at(100, "a", "configuration in force", `"version":13`), refused}, []string{"not by a stale belief"}},
 		{"a stale refusal", []string{at(100, "a", "configuration in force", `"version":13`), at(3000, "b", "configuration in force", `"version":15`), refused},
-			[]string{"had 15 in force 2s before"}},
+			[]string{"had 15 in force 2s before: the belief was stale; a had not heard of it"}},
+		{"a stale refusal by one that heard of the newer configuration", []string{at(100, "a", "configuration in force", `"version":13`),
+			at(3000, "b", "configuration in force", `"version":15`), at(3100, "a", "newer configuration heard of", `"version":15,"bytes":583151`),
+			at(3200, "c", "newer configuration heard of", `"version":15,"bytes":583151`), refused},
+			[]string{"a had heard of it 1.9s before, of 583151 bytes"}},
 		{"a newer configuration that came later", []string{at(100, "a", "configuration in force", `"version":13`), at(5500, "b", "configuration in force", `"version":15`), refused},
 			[]string{"not by a stale belief"}},
 		{"a stream cut by a load", []string{at(4800, "b", "load ordered", `"target":"t1","version":2`), cut, cutEnd}, []string{"version 2 200ms before"}},
