--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -54,8 +54,9 @@
 // Call calls a method and waits for its reply until ctx ends. A call that
 // fails on the way drops its connection, which may be dead. Others that are under
 // way on it go on to their own ends: where a link is busy, one that was too slow
-// would else take all of them along. It decodes into a value of the call's own, so that an answer that comes late never
-// writes to a reply which its caller has gone on to read.
+// would else take all of them along. It decodes into a value of the call's own, so
+// that an answer that comes late never writes to a reply which its caller has gone
+// on to read.
 func (p *Pool) Call(ctx context.Context, address, method string, args, reply any) error {
 	e, err := p.take(ctx, address)
 	if err != nil {
