--- a/internal/e2e/cache_test.go
+++ b/internal/e2e/cache_test.go
@@ -70,6 +70,9 @@
 			f.Stores[0].SetFaults(c.fault)
 			got := a.send(t, f.URL(0), f.Keys[0])
 			is.Equal(got.text, a.want(fleet.Version))
+			if got.usage.Details.RestoredTokens != c.restored {
+				t.Logf("why: %+v", f.Daemons[0].Explain(got.header.Get("X-Request-Id")))
+			}
 			is.Equal(got.usage.Details.RestoredTokens, c.restored)
 			is.Equal(f.Engines[0].Counters().WrongBlocks, 0)
 		})
