An export of the stand-in engine is counted once its blocks are let go

The test waits for the count of exported bytes and drops the engine's cache; the count came before the export let its blocks go, and blocks that are held are not dropped: the prompt was still in accelerator memory, neither computed nor restored. Change: counted after.

--- a/internal/standin/engine/kv.go
+++ b/internal/standin/engine/kv.go
@@ -35,6 +35,9 @@
 		return
 	}
 	blocks := s.pinChain(e)
+	var kept int64 // bytes of an export that came to its end
+	// Counted once its blocks are let go: whoever waits for the count may drop the cache.
+	defer func() { s.count(func() { s.counters.ExportedBytes += kept }) }()
 	defer s.unpin(blocks)
 	if len(blocks) == 0 {
 		writeJSON(w, http.StatusOK, target.ExportResult{})
@@ -61,7 +64,7 @@
 		fail(w, http.StatusBadGateway, "store refused the manifest")
 		return
 	}
-	s.count(func() { s.counters.ExportedBytes += sent })
+	kept = sent
 	writeJSON(w, http.StatusOK, target.ExportResult{Kept: len(m.Pieces), Bytes: sent})
 }
 
