One signal wakes both what follows the store and what brings configurations

askTargets and wakeConfig, and the waits for them, were the same code twice: wait.Signal serves both. bringConfig is one loop in place of two, asks the control goroutine only when the published view names a newer version (it asked four times a second, and each question had a view built), and asks once a round instead of twice. A pending configuration is handled as before; a newer word now cuts the pause after a failed try.

--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -102,46 +102,35 @@
 	return out
 }
 
-// wakeConfig has the pending configuration looked after at once.
-func (g *Gateway) wakeConfig() {
-	select {
-	case g.configDue <- struct{}{}:
-	default: // it is to be done already
-	}
-}
-
 // bringConfig gets configurations that were heard of and do not come by themselves.
 func (g *Gateway) bringConfig(ctx context.Context) {
 	var part configPart
-	for g.configMayBeDue(ctx) {
-		for p := g.pendingConfig(); p != nil && ctx.Err() == nil; p = g.pendingConfig() {
-			tried := true
-			switch {
-			case p.long() && !g.storeOK.Load():
-				g.configFromPeer(ctx, p, &part)
-			case p.long() && g.newsComes(), g.now().Sub(p.since) >= configGrace && g.storeOK.Load():
-				g.configFromStore(ctx, p.ConfigWord)
-			default:
-				tried = false // it comes by itself
-			}
-			if !tried || g.pendingConfig() == nil {
-				break
-			}
-			wait.For(ctx, wait.Jitter(configRetry))
+	pause := newsPoll
+	for ctx.Err() == nil {
+		g.configDue.Within(ctx, pause)
+		pause = newsPoll
+		if g.view.Load().ConfigHeard <= g.configVersion() {
+			continue
+		}
+		if p := g.pendingConfig(); p != nil && g.tryConfig(ctx, p, &part) {
+			pause = wait.Jitter(configRetry)
 		}
 	}
 }
 
-// configMayBeDue waits until a pending configuration is to be looked after.
-func (g *Gateway) configMayBeDue(ctx context.Context) bool {
-	timer := time.NewTimer(newsPoll)
-	defer timer.Stop()
-	select {
-	case <-g.configDue:
-	case <-timer.C:
-	case <-ctx.Done():
+// tryConfig takes a pending configuration from where it can be had. It returns false if it
+// is left to come by itself.
+func (g *Gateway) tryConfig(ctx context.Context, p *heardConfig, part *configPart) bool {
+	stored := g.storeOK.Load()
+	switch {
+	case p.long() && !stored:
+		g.configFromPeer(ctx, p, part)
+	case p.long() && g.newsComes(), stored && g.now().Sub(p.since) >= configGrace:
+		g.configFromStore(ctx, p.ConfigWord)
+	default:
+		return false
 	}
-	return ctx.Err() == nil
+	return true
 }
 
 // configFromStore lists the configuration instead of taking its changes: of several
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -239,7 +239,7 @@
 				g.informedOnce.Do(func() { close(g.informed) })
 			}
 			if c.heard.Version != old.heard {
-				g.wakeConfig()
+				g.configDue.Raise()
 			}
 			c.noteNews(v, old)
 			g.spreadNews(c, v)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -44,7 +44,7 @@
 	list    func(platform.Snapshot)
 	changes func(platform.Changes)
 	// due asks for one look at the store by an instance that goes by news; nil: never.
-	due chan struct{}
+	due wait.Signal
 	// known is up to where news made the beliefs complete; nil: they say nothing of it.
 	known func() platform.Version
 }
@@ -84,7 +84,7 @@
 	var last time.Time
 	for ctx.Err() == nil {
 		news := g.newsComes()
-		if listed && (news || f.kind != first && g.fails(first)) && !f.isDue(ctx) {
+		if listed && (news || f.kind != first && g.fails(first)) && !f.due.Within(ctx, newsPoll) {
 			continue
 		}
 		wait.For(ctx, watchGap-g.now().Sub(last))
@@ -115,28 +115,6 @@
 	}
 }
 
-// isDue waits for newsPoll, or until the feed is due before that.
-func (f feed) isDue(ctx context.Context) bool {
-	timer := time.NewTimer(newsPoll)
-	defer timer.Stop()
-	select {
-	case <-f.due:
-		return true
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return false
-}
-
-// askTargets has the targets' changes taken from the object store once, though this
-// instance goes by news.
-func (g *Gateway) askTargets() {
-	select {
-	case g.storeDue <- struct{}{}:
-	default: // it is to be done already
-	}
-}
-
 func (g *Gateway) followOnce(ctx context.Context, f feed, at platform.Version, listed bool, watch time.Duration) (platform.Version, error) {
 	if !listed {
 		s, err := g.store.All(ctx, f.kind)
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/shedhoist/shedhoist/internal/core/member"
 	"github.com/shedhoist/shedhoist/internal/platform"
+	"github.com/shedhoist/shedhoist/internal/wait"
 )
 
 // countingKinds is an object store that counts calls: lists, and changes asked for. A watch
@@ -38,7 +39,7 @@
 func followed(t *testing.T, fleet int, play func(g *Gateway, store *countingKinds)) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &countingKinds{}
-		g := &Gateway{log: &log.Logger{Handler: discard.Default}, now: time.Now, began: time.Now(), store: store, storeDue: make(chan struct{}, 1),
+		g := &Gateway{log: &log.Logger{Handler: discard.Default}, now: time.Now, began: time.Now(), store: store, storeDue: wait.NewSignal(),
 			failing: map[string]bool{}}
 		g.storeOK.Store(true)
 		all := fleetOf(fleet, 3)
@@ -62,7 +63,7 @@
 		time.Sleep(10 * time.Second)
 		is.Equal(store.lists.Load(), int64(1))
 		is.Equal(store.watches.Load(), int64(0))
-		g.askTargets()
+		g.storeDue.Raise()
 		time.Sleep(10 * time.Second)
 		is.Equal(store.watches.Load(), int64(1))
 		is.Equal(store.after.Load(), uint64(7))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -69,10 +69,11 @@
 	failing   map[string]bool
 	catching  atomic.Bool               // news are being taken from a peer
 	newer     atomic.Pointer[newerPeer] // a peer that knows more and was not asked yet
-	// storeDue wakes the following of targets, see askTargets.
-	storeDue chan struct{}
+	// storeDue has the targets' changes taken from the object store once, though this
+	// instance goes by news.
+	storeDue wait.Signal
 	// configDue wakes bringConfig.
-	configDue chan struct{}
+	configDue wait.Signal
 	takers    takers // of the configuration
 	pool      *peer.Pool
 	peers     *peer.Server
@@ -98,7 +99,7 @@
 // failure leaves nothing open.
 func New(set *Settings, ports Ports, logger log.Interface) (*Gateway, error) {
 	g := &Gateway{log: logger.WithField("instance", set.Name).WithField("zone", set.Zone), now: time.Now, codec: ports.Codec, store: ports.Store,
-		engines: ports.Engines, events: make(chan event, eventBacklog), controlDone: make(chan struct{}), storeDue: make(chan struct{}, 1), configDue: make(chan struct{}, 1), informed: make(chan struct{}), failing: map[string]bool{}}
+		engines: ports.Engines, events: make(chan event, eventBacklog), controlDone: make(chan struct{}), storeDue: wait.NewSignal(), configDue: wait.NewSignal(), informed: make(chan struct{}), failing: map[string]bool{}}
 	g.set.Store(set)
 	g.began = g.now()
 	g.ctx, g.stop = context.WithCancel(context.Background())
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -153,7 +153,7 @@
 		g.readConfig(n.Config, fromPeer)
 	}
 	if n.AskStore {
-		g.askTargets()
+		g.storeDue.Raise()
 	}
 	switch {
 	case n.Listed:
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -1,4 +1,4 @@
-// Package wait holds the one wait that edges and stand-ins share.
+// Package wait holds the waits that edges and stand-ins share.
 package wait
 
 import (
@@ -26,3 +26,31 @@
 // Jitter spreads a period over half to one and a half of itself, so that
 // instances started together do not act together.
 func Jitter(d time.Duration) time.Duration { return d/2 + rand.N(d+1) }
+
+// Signal wakes one goroutine that waits for something to do. Raised several times before
+// it is taken, it wakes once. The nil Signal is never raised.
+type Signal chan struct{}
+
+// NewSignal returns a signal that is not raised.
+func NewSignal() Signal { return make(Signal, 1) }
+
+// Raise wakes who waits, or who waits next.
+func (s Signal) Raise() {
+	select {
+	case s <- struct{}{}:
+	default: // it is raised already
+	}
+}
+
+// Within waits for the signal for d at most, and says whether it came.
+func (s Signal) Within(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-s:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
