Words of peers are summed for a request without a map for each of them

Each request sums what peers told; each peer's word was copied into a map of its own and then added. Same sums; the test asserts what it did.

--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -79,12 +80,12 @@
 // longer than a word counts.
 func (o *othersLoads) at(now time.Time) targetLoads {
 	out := targetLoads{}
-	o.each(now, func(_ string, w targetLoads) { out.add(w) })
+	o.each(now, func(_ string, loads []TargetLoad) { out.add(loads) })
 	return out
 }
 
 // each calls f with each peer's word that still counts.
-func (o *othersLoads) each(now time.Time, f func(from string, w targetLoads)) {
+func (o *othersLoads) each(now time.Time, f func(from string, loads []TargetLoad)) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for from, w := range o.m {
@@ -93,9 +94,9 @@
 			delete(o.m, from)
 			continue
 		}
-		faded := make(targetLoads, len(w.targets))
-		for _, t := range w.targets {
-			faded[t.Target] = TargetLoad{Target: t.Target, Tokens: int(float64(t.Tokens) * left), Memory: t.Memory}
+		faded := make([]TargetLoad, len(w.targets))
+		for i, t := range w.targets {
+			faded[i] = TargetLoad{Target: t.Target, Tokens: int(float64(t.Tokens) * left), Memory: t.Memory}
 		}
 		f(from, faded)
 	}
@@ -104,11 +105,11 @@
 // targetLoads sums what is under way, by target.
 type targetLoads map[string]TargetLoad
 
-// add adds what w has.
-func (l targetLoads) add(w targetLoads) {
-	for id, t := range w {
-		sum := l[id]
-		l[id] = TargetLoad{Target: id, Tokens: sum.Tokens + t.Tokens, Memory: sum.Memory + t.Memory}
+// add adds what one instance has under way.
+func (l targetLoads) add(loads []TargetLoad) {
+	for _, t := range loads {
+		sum := l[t.Target]
+		l[t.Target] = TargetLoad{Target: t.Target, Tokens: sum.Tokens + t.Tokens, Memory: sum.Memory + t.Memory}
 	}
 }
 
@@ -144,8 +145,8 @@
 func (g *Gateway) tellLoads(ctx context.Context) {
 	told := map[string]bool{} // neighbours whose last word was not empty
 	for seq := uint64(1); wait.For(ctx, g.loadPace()); seq++ {
-		own, others := g.ownLoads(), map[string]targetLoads{}
-		g.others.each(g.now(), func(from string, w targetLoads) { others[from] = w })
+		own, others := g.ownLoads(), map[string][]TargetLoad{}
+		g.others.each(g.now(), func(from string, loads []TargetLoad) { others[from] = loads })
 		for _, n := range g.view.Load().Tree.neighbours() {
 			l := &Loads{From: g.settings().Name, Seq: seq, Targets: n.share(own, others).told()}
 			if len(l.Targets) == 0 && !told[n.Name] {
@@ -159,12 +160,11 @@
 
 // share is what a neighbour is told: all that this instance knows of but what the neighbour
 // told it, and what the neighbour hears for itself.
-func (n neighbour) share(own targetLoads, others map[string]targetLoads) targetLoads {
-	out := targetLoads{}
-	out.add(own)
-	for from, w := range others {
+func (n neighbour) share(own targetLoads, others map[string][]TargetLoad) targetLoads {
+	out := maps.Clone(own)
+	for from, loads := range others {
 		if n.relayed[from] {
-			out.add(w)
+			out.add(loads)
 		}
 	}
 	return out
--- a/internal/gateway/loads_test.go
+++ b/internal/gateway/loads_test.go
@@ -36,20 +36,20 @@
 		t.Run(fmt.Sprintf("%d in %d", c.n, c.zones), func(t *testing.T) {
 			is := is.New(t)
 			all := fleetOf(c.n, c.zones)
-			trees, heard := map[string]*tree{}, map[string]map[string]targetLoads{}
+			trees, heard := map[string]*tree{}, map[string]map[string][]TargetLoad{}
 			for _, m := range all {
-				trees[m.Name], heard[m.Name] = newTree(all, m), map[string]targetLoads{}
+				trees[m.Name], heard[m.Name] = newTree(all, m), map[string][]TargetLoad{}
 			}
 			for range c.rounds {
-				next := map[string]map[string]targetLoads{}
+				next := map[string]map[string][]TargetLoad{}
 				for _, m := range all {
-					next[m.Name] = map[string]targetLoads{}
+					next[m.Name] = map[string][]TargetLoad{}
 				}
 				for _, m := range all {
-					own := targetLoads{m.Name: {Memory: 1000}} // a target of its own shows who is heard of
+					own := targetLoads{m.Name: {Target: m.Name, Memory: 1000}} // a target of its own shows who is heard of
 					is.True(len(trees[m.Name].neighbours()) <= c.most)
 					for _, n := range trees[m.Name].neighbours() {
-						next[n.Name][m.Name] = n.share(own, heard[m.Name])
+						next[n.Name][m.Name] = n.share(own, heard[m.Name]).told()
 					}
 				}
 				heard = next
