--- a/internal/peer/pool_test.go
+++ b/internal/peer/pool_test.go
@@ -24,27 +24,36 @@
 func (answers) Claim(Claim) (Claimed, error)              { return Claimed{}, nil }
 func (answers) Settle(Settle)                             {}
 
-// TestLateReply: a call that was given up leaves its reply alone, though the
-// answer comes in while the caller reads it. Before each call had a reply of its
-// own, the race detector found the two at once.
-func TestLateReply(t *testing.T) {
+// serve starts a peer and returns a pool to call it with, and its address.
+func serve(t *testing.T, h Handler) (*Pool, string) {
 	is := is.New(t)
-	a := answers{make(chan context.CancelFunc, 1)}
 	sec := Security{Secret: []byte("s")}
 	pool := NewPool(sec, time.Now)
-	defer pool.Close()
-	srv, err := NewServer(a, sec, pool)
+	t.Cleanup(pool.Close)
+	srv, err := NewServer(h, sec, pool)
 	is.NoErr(err)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	defer ln.Close()
-	defer srv.Close()
+	t.Cleanup(func() {
+		srv.Close()
+		ln.Close()
+	})
 	go func() { _ = srv.Serve(ln) }()
+	return pool, ln.Addr().String()
+}
+
+// TestLateReply: a call that was given up leaves its reply alone, though the
+// answer comes in while the caller reads it. Before each call had a reply of its
+// own, the race detector found the two at once.
+func TestLateReply(t *testing.T) {
+	is := is.New(t)
+	a := answers{make(chan context.CancelFunc, 1)}
+	pool, address := serve(t, a)
 	for range 300 {
 		ctx, cancel := context.WithCancel(t.Context())
 		a.giveUp <- cancel
 		var late Pong
-		err := pool.Call(ctx, ln.Addr().String(), "Peer.Ping", &Ping{}, &late)
+		err := pool.Call(ctx, address, "Peer.Ping", &Ping{}, &late)
 		for range 1000 {
 			is.Equal(late.Generation == 0, err != nil)
 		}
@@ -68,21 +77,12 @@
 func TestOthersGoOn(t *testing.T) {
 	is := is.New(t)
 	p := slow{answers{make(chan context.CancelFunc, 1)}, make(chan struct{}), make(chan struct{})}
-	sec := Security{Secret: []byte("s")}
-	pool := NewPool(sec, time.Now)
-	defer pool.Close()
-	srv, err := NewServer(p, sec, pool)
-	is.NoErr(err)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer ln.Close()
-	defer srv.Close()
-	go func() { _ = srv.Serve(ln) }()
+	pool, address := serve(t, p)
 
 	var out Explained
 	ended := make(chan error, 1)
 	go func() {
-		ended <- pool.Call(t.Context(), ln.Addr().String(), "Peer.Explain", &Explain{ID: "r"}, &out)
+		ended <- pool.Call(t.Context(), address, "Peer.Explain", &Explain{ID: "r"}, &out)
 	}()
 	<-p.asked
 	ctx, cancel := context.WithCancel(t.Context())
@@ -91,9 +91,9 @@
 		cancel()
 	}()
 	var none Explained
-	is.True(pool.Call(ctx, ln.Addr().String(), "Peer.Explain", &Explain{ID: "given up"}, &none) != nil)
+	is.True(pool.Call(ctx, address, "Peer.Explain", &Explain{ID: "given up"}, &none) != nil)
 	var st Status
-	is.NoErr(pool.Call(t.Context(), ln.Addr().String(), "Peer.Status", &StatusRequest{}, &st))
+	is.NoErr(pool.Call(t.Context(), address, "Peer.Status", &StatusRequest{}, &st))
 	close(p.goOn)
 	is.NoErr(<-ended)
 	is.Equal(out.Record.ID, "r")
