One save of a part into a cache store is under way at a time

The second save is held up on its way, the store starts again meanwhile, and the save writes the part anew while others fetch it by what they knew of the store's epoch before. No end can be stated for a save: the connection may hold it for 1.5 s, its target's queue and transfers for seconds.

Ways weighed: fetching only parts that have been complete for longer than a second save can be under way (6 s: the stores would be of little use for that long after each rollout); naming the store's epoch in the salt (each restart of one of 58 stores would empty all targets' memory); shorter polls (narrows the window only). Chosen: no second save. What others may fetch is then not being saved a second time.

Left open: an instance that takes the role over does not know the grants of the one before.

--- a/internal/gateway/tree.go
+++ b/internal/gateway/tree.go
@@ -157,14 +157,44 @@
 // followers names the instances that hear for themselves.
 func (t *tree) followers() []string {
 	var out []string
-	for _, near := range t.zones {
-		n := t.tops
-		if t.small {
-			n = len(near)
-		}
-		for _, m := range near[:min(n, len(near))] {
+	for zone := range t.zones {
+		for _, m := range t.hearing(zone) {
 			out = append(out, m.Name)
 		}
 	}
 	return out
 }
+
+// granter is the instance that grants saves into a cache store: one that hears of the store
+// for itself, in the store's zone if there is any. Its zero value: none is known.
+func (t *tree) granter(zone, address string) member.Member {
+	if best, ok := t.highest(t.hearing(zone), address); ok {
+		return best
+	}
+	var all []member.Member
+	for z := range t.zones {
+		all = append(all, t.hearing(z)...)
+	}
+	best, _ := t.highest(all, address)
+	return best
+}
+
+// highest is the member that ranks first for a role.
+func (t *tree) highest(members []member.Member, role string) (best member.Member, ok bool) {
+	top := uint64(0)
+	for _, m := range members {
+		if score := roleScore(m.Name, role); !ok || score > top {
+			best, top, ok = m, score, true
+		}
+	}
+	return best, ok
+}
+
+// hearing are the instances of a zone that hear for themselves.
+func (t *tree) hearing(zone string) []member.Member {
+	near := t.zones[zone]
+	if t.small {
+		return near
+	}
+	return near[:min(t.tops, len(near))]
+}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -17,6 +17,7 @@
 	Resumes         = metrics.NewCounter("shedhoist_resumes_total")
 	BudgetSpent     = metrics.NewCounter("shedhoist_retry_budget_refusals_total")
 	FullRefusals    = metrics.NewCounter("shedhoist_memory_full_refusals_total")
+	SavesNotGranted = metrics.NewCounter("shedhoist_saves_not_granted_total")
 	Mismatches      = metrics.NewCounter("shedhoist_mismatched_answers_total")
 	PromptTokens    = metrics.NewCounter("shedhoist_prompt_tokens_total")
 	CachedTokens    = metrics.NewCounter("shedhoist_prompt_tokens_cached_total")
