Targets are known by name and start; entries of other writers name no target

Cause: a server may start again under the id that it had, and then knows nothing of before. And an entry of another writer was taken for a server's: an unknown state counted as ready, missing fields as zero, any object of the configuration's kind as the configuration, and servers of services that no configuration declares could get orders.

Change: catalog.Target.ID is now name and start, and all that is kept of a target is kept by it, here, in peers' words, in orders and for connections; only the wire has the name. The list of targets is its own package, internal/registry, which also takes entries that name nothing usable, so that it stays complete and peers learn of them. Objects and events that can't be read take no others along, and are counted. Targets travel between peers with numbered fields instead of names.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -204,22 +205,33 @@
 
 // ModelVersion is a model's weight version as a target serves it.
 type ModelVersion struct {
-	Model   string
-	Version uint64
+	Model   string `cbor:"1,keyasint"`
+	Version uint64 `cbor:"2,keyasint"`
 }
 
-// Target is one incarnation of a server: a restart has another ID.
+// Target is one life of a server: it may start again under the same name.
 type Target struct {
-	ID       string
-	Revision uint64 // of its entry in the object store
-	Service  string
-	Address  string // host:port
-	Zone     string
-	Slots    int
-	Leaving  bool // takes no new requests
-	Models   []ModelVersion
-	OrderSeq uint64        // orders that it has accepted, as last told
-	Cold     time.Duration // how much longer it is slow after its start
+	// ID names this life, see Identify. What is known by it ends with the life.
+	ID       string         `cbor:"-"`
+	Name     string         `cbor:"1,keyasint"`           // of its entry, and as it knows itself
+	Start    int64          `cbor:"2,keyasint,omitempty"` // of this life, Unix ms by the server's clock; 0: not told
+	Revision uint64         `cbor:"3,keyasint"`           // of its entry in the object store
+	Service  string         `cbor:"4,keyasint,omitempty"`
+	Address  string         `cbor:"5,keyasint,omitempty"` // host:port
+	Zone     string         `cbor:"6,keyasint,omitempty"`
+	Leaving  bool           `cbor:"7,keyasint,omitempty"` // takes no new requests
+	Models   []ModelVersion `cbor:"8,keyasint,omitempty"`
+	// Unusable says that the entry can't be read as one of a server: nothing is sent there.
+	Unusable bool `cbor:"9,keyasint,omitempty"`
+}
+
+// Identify sets ID from the name and the start, and returns the target.
+func (t Target) Identify() Target {
+	t.ID = t.Name
+	if t.Start != 0 {
+		t.ID += "@" + strconv.FormatInt(t.Start, 10)
+	}
+	return t
 }
 
 // VersionOf returns the weight version that the target serves of a model; 0 is
--- a/internal/gateway/cache.go
+++ b/internal/gateway/cache.go
@@ -193,7 +193,7 @@
 		sh.Broken(l.Partial, asked)
 		sh.listed = asked
 		c.setClock(l.ClockMS)
-		entry.WithField("epoch", l.Epoch).WithField("parts", len(l.Held)).WithField("partial", len(l.Partial)).WithField("tokens", sh.Used()).Info("cache store listed")
+		entry.WithField("epoch", l.Epoch).WithField("parts", len(l.Held)).WithField("partial", len(l.Partial)).WithField("tokens", sh.Used()).WithField("unreadable", l.Unreadable).Info("cache store listed")
 		return nil
 	}
 	p, err := c.g.engines.CacheEvents(ctx, address, next, pollWait)
@@ -211,7 +211,7 @@
 		c.journal.Add(address, p.Events)
 	}
 	if !told {
-		entry.WithField("epoch", p.Epoch).WithField("gap", p.Gap).Info("cache store started again, or events are lost: listing anew")
+		entry.WithField("epoch", p.Epoch).WithField("gap", p.Gap).WithField("unreadable", p.Unreadable).Info("cache store started again, or events are lost: listing anew")
 		sh.listed = time.Time{}
 	}
 	return nil
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -111,7 +111,7 @@
 	defer x.g.predictorMu.Unlock()
 	for i, t := range targets {
 		load := x.g.upstream.work.Of(t.ID)
-		o := place.Target{ID: t.ID, Zone: t.Zone, Runs: int(load.Runs.Load()), Excluded: slices.Contains(x.targets, t.ID), Resting: slices.Contains(resting, t.ID)}
+		o := place.Target{ID: t.Name, Zone: t.Zone, Runs: int(load.Runs.Load()), Excluded: slices.Contains(x.targets, t.ID), Resting: slices.Contains(resting, t.ID)}
 		if p := x.call.Prompt; p != nil {
 			version := t.VersionOf(p.Model)
 			o.Unfit = version == 0
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -9,6 +9,7 @@
 	"github.com/shedhoist/shedhoist/internal/catalog"
 	"github.com/shedhoist/shedhoist/internal/core/member"
 	"github.com/shedhoist/shedhoist/internal/platform"
+	"github.com/shedhoist/shedhoist/internal/registry"
 )
 
 // control is the mutable state of what this instance believes. Only the control
@@ -20,7 +21,7 @@
 	cfg     *catalog.Config
 	raw     []byte // cfg as stored, for peers
 	heard   heardConfig
-	targets targetTable
+	targets *registry.Table
 	named   map[string]Named
 	namedAt platform.Version // revision up to which named is complete
 	namedIn platform.Version // revision of the last change of named
@@ -86,17 +87,17 @@
 
 func (e targetsListed) apply(c *control) {
 	c.log.WithField("revision", uint64(e.revision)).WithField("targets", len(e.targets)).WithField("from", string(e.from)).Info("targets listed")
-	c.targets.list(e.revision, e.targets, e.vanished, c.now())
+	c.targets.List(e.revision, e.targets, e.vanished, c.now())
 }
 
 // targetsChanged brings changes up to a revision.
 type targetsChanged struct {
 	revision platform.Version
 	present  []catalog.Target
-	gone     []string
+	gone     []string // names
 }
 
-func (e targetsChanged) apply(c *control) { c.targets.change(e.revision, e.present, e.gone, c.now()) }
+func (e targetsChanged) apply(c *control) { c.targets.Change(e.revision, e.present, e.gone, c.now()) }
 
 // unknownAge is how long ago a version is taken to have been named that this
 // process finds at its start: it may have missed most of the rollout's time. What
@@ -135,11 +136,11 @@
 // targetServes brings news of the weights that a target serves, from its own
 // answer to us.
 type targetServes struct {
-	id string
+	id string // of the target's life
 	at catalog.ModelVersion
 }
 
-func (e targetServes) apply(c *control) { c.targets.serves(e.id, e.at) }
+func (e targetServes) apply(c *control) { c.targets.Serves(e.id, e.at) }
 
 // versionsNamed brings named weight versions. A version never goes back.
 type versionsNamed struct {
@@ -179,7 +180,7 @@
 	c.storeOK = e.ok
 	c.members.SetDetached(!e.ok)
 	if e.ok {
-		c.targets.contactRegained(c.now())
+		c.targets.ContactRegained(c.now())
 		c.log.Info("object store reached")
 		return
 	}
@@ -202,7 +203,7 @@
 	}
 	c.rollout, c.ownNews, c.heardOf = e.news, e.own, c.now()
 	for _, a := range e.news.Arrived {
-		c.targets.serves(a.Target, a.Serves)
+		c.targets.Serves(a.Target, a.Serves)
 	}
 }
 
@@ -245,7 +246,7 @@
 			g.spreadNews(c, v)
 		case <-tick.C:
 			g.probePeers(c)
-			expired := c.targets.expire(c.now())
+			expired := c.targets.Expire(c.now())
 			if expired || c.fleetChanged() || c.reopened() {
 				g.view.Store(c.view())
 			}
--- a/internal/gateway/directory_test.go
+++ b/internal/gateway/directory_test.go
@@ -62,7 +62,8 @@
 func TestLastOneLeaves(t *testing.T) {
 	is := is.New(t)
 	self := member.Member{Name: "a", Address: "10.0.0.1:1", Zone: "z", Incarnation: 1}
-	c := &control{now: time.Now, members: member.New(member.DefaultParams, self, func(int) int { return 0 })}
+	c := controlOf(self.Name, self.Zone)
+	c.members = member.New(member.DefaultParams, self, func(int) int { return 0 })
 	c.members.Leave()
 	v := c.view()
 	is.Equal(len(v.Alive), 0)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -121,6 +121,7 @@
 		if err != nil {
 			return at, err
 		}
+		g.noteUnreadable(f.kind, s.Unreadable)
 		f.list(s)
 		return s.Revision, nil
 	}
@@ -128,10 +129,20 @@
 	if err != nil {
 		return at, err
 	}
+	g.noteUnreadable(f.kind, c.Unreadable)
 	f.changes(c)
 	return max(c.Revision, at), nil
 }
 
+// noteUnreadable counts objects that can't be read as such, and writes a line on them.
+func (g *Gateway) noteUnreadable(kind string, n int) {
+	if n == 0 {
+		return
+	}
+	metric.ObjectsUnreadable.Add(n)
+	g.log.WithField("kind", kind).WithField("objects", n).Error("objects not readable, left out")
+}
+
 // newsPoll is how often an instance that goes by news looks whether it may still.
 const newsPoll = 250 * time.Millisecond
 
@@ -184,7 +195,9 @@
 // one before in force.
 func (g *Gateway) readConfigs(objects []platform.Named) {
 	for _, o := range objects {
-		g.readConfig(o.Value, fromStore)
+		if o.Name == g.codec.ConfigName() {
+			g.readConfig(o.Value, fromStore)
+		}
 	}
 }
 
@@ -222,17 +235,22 @@
 	g.send(e)
 }
 
-// decodeTargets leaves out entries that can't be read, with a line for each.
+// decodeTargets decodes entries. One that can't be read names no target to use, and
+// stands in the list all the same. Of several one line is written.
 func (g *Gateway) decodeTargets(objects []platform.Named) []catalog.Target {
 	out := make([]catalog.Target, 0, len(objects))
+	var bad []error
 	for _, o := range objects {
 		t, err := g.codec.Target(o.Name, o.Value)
-		t.Revision = uint64(o.Version)
 		if err != nil {
-			g.log.WithError(err).WithField("target", o.Name).Error("target's entry not readable, left out")
-			continue
+			t = catalog.Target{Name: o.Name, Unusable: true}
+			bad = append(bad, err)
 		}
-		out = append(out, t)
+		t.Revision = uint64(o.Version)
+		out = append(out, t.Identify())
+	}
+	if len(bad) > 0 {
+		g.log.WithError(bad[0]).WithField("entries", len(bad)).Error("entries of targets not readable")
 	}
 	return out
 }
@@ -243,6 +261,7 @@
 		e.changed = max(e.changed, o.Version)
 		v, err := g.codec.NamedVersion(o.Name, o.Value)
 		if err != nil {
+			metric.VersionsUnreadable.Inc()
 			g.log.WithError(err).WithField("object", o.Name).Error("weight version not readable, left out")
 			continue
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -213,7 +213,7 @@
 	// this name is refuted as soon as a peer tells of it.
 	self := member.Member{Name: set.Name, Address: g.PeerAddr(), Zone: set.Zone, Incarnation: 1}
 	c := &control{log: g.log, now: g.now, named: map[string]Named{}, members: member.New(params, self, rand.IntN), storeOK: true, rolloutWithin: set.RolloutWithin,
-		targets: targetTable{log: g.log, self: set.Name, byID: map[string]*heldTarget{}}}
+		targets: newTargets(g.log, set.Name)}
 	g.start(func() { g.runControl(g.ctx, c) })
 	g.followAll(g.ctx)
 	for _, f := range [...]func(context.Context){g.greetSeeds, g.askWhileCutOff, g.bringConfig, g.meet, g.tidy, g.tellLoads, g.rollOut, g.cache.run, g.cache.pull, g.cache.keepStores} {
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -7,6 +7,7 @@
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
 	"github.com/shedhoist/shedhoist/internal/core/stock"
+	"github.com/shedhoist/shedhoist/internal/registry"
 	"github.com/shedhoist/shedhoist/internal/wait"
 )
 
@@ -20,8 +21,8 @@
 	// what is being told.
 	settleTime = time.Second
 	// lingerTime is how long a target that left the list counts as serving: others
-	// may hold on to it for returnTime, with a fetch under way.
-	lingerTime = returnTime + longestFetch
+	// may hold on to it for registry.ReturnTime, with a fetch under way.
+	lingerTime = registry.ReturnTime + longestFetch
 	// freeTime is how long an order to free may be under way.
 	freeTime = time.Second
 	// freeBatch is how many parts one call frees.
@@ -74,8 +75,8 @@
 		add(t.Models)
 	}
 	for _, d := range v.Departed {
-		if now.Sub(d.at) < lingerTime {
-			add(d.models)
+		if now.Sub(d.At) < lingerTime {
+			add(d.Models)
 		}
 	}
 	return out
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -91,7 +91,7 @@
 	NamedAt  platform.Version       `cbor:"6,keyasint,omitempty"` // up to which Versions are complete
 	NamedIn  platform.Version       `cbor:"7,keyasint,omitempty"` // of their last change
 	Rollout  *RolloutNews           `cbor:"8,keyasint,omitempty"`
-	Gone     []string               `cbor:"9,keyasint,omitempty"` // ids of targets that are no more; with Listed, of those among Targets that may return
+	Gone     []string               `cbor:"9,keyasint,omitempty"` // names of targets that are no more; with Listed, of those among Targets that may return
 	// AskStore says that the teller does not know all that vanished since the asker's
 	// list, which is long: the asker shall take the changes from the object store.
 	AskStore bool `cbor:"10,keyasint,omitempty"`
@@ -99,12 +99,12 @@
 
 // have says how new the beliefs are.
 func (c *control) have() Have {
-	return Have{Config: c.configInForce().Version, Targets: c.targets.changed, Versions: c.namedIn, Rollout: c.rollout.Stamp, Newest: c.newestConfig()}
+	return Have{Config: c.configInForce().Version, Targets: c.targets.Changed(), Versions: c.namedIn, Rollout: c.rollout.Stamp, Newest: c.newestConfig()}
 }
 
 // known says up to where they are complete.
 func (c *control) known() Known {
-	return Known{Config: c.configInForce().Version, Targets: c.targets.revision, Versions: c.namedAt, Rollout: c.rollout.Stamp}
+	return Known{Config: c.configInForce().Version, Targets: c.targets.Revision(), Versions: c.namedAt, Rollout: c.rollout.Stamp}
 }
 
 // lacks says whether a peer has news that are missing here. A long configuration is none.
@@ -127,9 +127,9 @@
 	if mine.Config > k.Config && !c.configInForce().long() {
 		n.Config = c.raw
 	}
-	if c.targets.listed && mine.Targets > k.Targets {
-		n.Revision = c.targets.revision
-		n.Targets, n.Gone, n.Listed = c.targets.since(k.Targets)
+	if c.targets.Listed() && mine.Targets > k.Targets {
+		n.Revision = c.targets.Revision()
+		n.Targets, n.Gone, n.Listed = c.targets.Since(k.Targets)
 		if n.Listed && !alone && len(n.Targets) > longList {
 			*n = News{Config: n.Config, AskStore: true}
 		}
@@ -155,6 +155,9 @@
 	if n.AskStore {
 		g.storeDue.Raise()
 	}
+	for i := range n.Targets {
+		n.Targets[i] = n.Targets[i].Identify()
+	}
 	switch {
 	case n.Listed:
 		g.send(targetsListed{revision: n.Revision, targets: n.Targets, vanished: n.Gone, from: fromPeer})
--- a/internal/gateway/news_test.go
+++ b/internal/gateway/news_test.go
@@ -91,8 +91,8 @@
 		switch n := r.IntN(100); {
 		case n < 40:
 			s.set(id(), r.IntN(3) > 0)
-		case n < 45 && c.targets.listed:
-			s.changes(uint64(c.targets.revision)).apply(c)
+		case n < 45 && c.targets.Listed():
+			s.changes(uint64(c.targets.Revision())).apply(c)
 		case n < 48:
 			s.list().apply(c)
 		case n == 48:
@@ -109,12 +109,12 @@
 			to := late[j].to
 			takeNews(to, late[j].news, s, took)
 			late = append(late[:j], late[j+1:]...)
-			checkTable(t, to, s.at[uint64(to.targets.revision)])
+			checkTable(t, to, s.at[uint64(to.targets.Revision())])
 		}
 		for _, c := range fleet {
-			c.targets.expire(now)
+			c.targets.Expire(now)
 		}
-		checkTable(t, fleet[i], s.at[uint64(fleet[i].targets.revision)])
+		checkTable(t, fleet[i], s.at[uint64(fleet[i].targets.Revision())])
 	}
 	is.True(took["changes"] > 100 && took["all"] > 10 && took["store"] > 10)
 }
@@ -129,9 +129,9 @@
 func takeNews(c *control, n *News, s *storedTargets, took map[string]int) {
 	switch {
 	case n == nil:
-	case n.AskStore && c.targets.listed:
+	case n.AskStore && c.targets.Listed():
 		took["store"]++
-		s.changes(uint64(c.targets.revision)).apply(c)
+		s.changes(uint64(c.targets.Revision())).apply(c)
 	case n.AskStore:
 		s.list().apply(c)
 	case n.Listed:
@@ -147,21 +147,22 @@
 // that vanished together may be held for a while.
 func checkTable(t *testing.T, c *control, want map[string]uint64) {
 	t.Helper()
-	if !c.targets.listed {
+	if !c.targets.Listed() {
 		return
 	}
 	for id, at := range want {
-		x := c.targets.byID[id]
+		x := c.targets.Entry(id)
 		if x == nil || x.Revision != at {
-			t.Fatalf("at revision %d %s is not known as of %d: %v", c.targets.revision, id, at, x)
+			t.Fatalf("at revision %d %s is not known as of %d: %v", c.targets.Revision(), id, at, x)
 		}
 	}
-	for id, x := range c.targets.byID {
-		if _, there := want[id]; !there && x.until.IsZero() {
-			t.Fatalf("at revision %d %s is known and gone", c.targets.revision, id)
+	for _, x := range c.targets.Entries() {
+		id := x.Name
+		if c.targets.Entry(id) != x {
+			t.Fatalf("%s stands twice in the table, or not at all", id)
+		}
+		if _, there := want[id]; !there && !x.Held() {
+			t.Fatalf("at revision %d %s is known and gone", c.targets.Revision(), id)
 		}
-	}
-	if len(c.targets.sorted) != len(c.targets.byID) {
-		t.Fatalf("%d targets sorted, %d known", len(c.targets.sorted), len(c.targets.byID))
 	}
 }
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -5,8 +5,11 @@
 	"maps"
 	"slices"
 
+	"github.com/apex/log"
+
 	"github.com/shedhoist/shedhoist/internal/catalog"
 	"github.com/shedhoist/shedhoist/internal/core/member"
+	"github.com/shedhoist/shedhoist/internal/registry"
 )
 
 // A view is published at each event, many times a second, and a large fleet has
@@ -64,6 +67,7 @@
 // servingPart is what a view says of the targets.
 type servingPart struct {
 	made       bool
+	cfg        *catalog.Config   // that it was made with
 	edits      uint64            // of the table that it was made from
 	closing    map[string]bool   // targets left out, since they are about to load weights
 	newest     map[string]uint64 // weight versions named, by model
@@ -71,7 +75,7 @@
 	serving    map[string][]*catalog.Target
 	candidates map[string][]*catalog.Target
 	behind     []*catalog.Target
-	departed   []departure
+	departed   []registry.Departure
 }
 
 // servingNow returns the part on the targets, made anew if need be.
@@ -81,14 +85,17 @@
 		newest[model] = n.Version
 	}
 	old := &c.serving
-	if old.made && old.edits == c.targets.edits && maps.Equal(old.closing, closing) && maps.Equal(old.newest, newest) {
+	if old.made && old.cfg == c.cfg && old.edits == c.targets.Edits() && maps.Equal(old.closing, closing) && maps.Equal(old.newest, newest) {
 		return *old
 	}
-	p := servingPart{made: true, edits: c.targets.edits, closing: closing, newest: newest, targets: make(map[string]*catalog.Target, len(c.targets.byID)),
-		serving: map[string][]*catalog.Target{}, departed: slices.Clone(c.targets.departed)}
-	for _, t := range c.targets.sorted {
+	p := servingPart{made: true, cfg: c.cfg, edits: c.targets.Edits(), closing: closing, newest: newest, targets: make(map[string]*catalog.Target, len(c.targets.Entries())),
+		serving: map[string][]*catalog.Target{}, departed: c.targets.Departed()}
+	for _, t := range c.targets.Entries() {
+		if t.Unusable {
+			continue
+		}
 		p.targets[t.ID] = &t.Target
-		if t.Leaving {
+		if t.Leaving || !c.declares(t.Service) {
 			continue
 		}
 		if isBehind(&t.Target, newest) {
@@ -103,6 +110,11 @@
 	return p
 }
 
+// declares says whether the configuration declares a service: an entry may name any.
+func (c *control) declares(service string) bool {
+	return c.cfg != nil && c.cfg.Services[service] != nil
+}
+
 // isBehind says whether a target has older weights than named.
 func isBehind(t *catalog.Target, newest map[string]uint64) bool {
 	for _, m := range t.Models {
@@ -134,7 +146,7 @@
 			if near := compareBool(a.Zone == zone, b.Zone == zone); near != 0 {
 				return near
 			}
-			return cmp.Compare(c.targets.score(b.ID), c.targets.score(a.ID))
+			return cmp.Compare(c.targets.Entry(b.Name).Rank, c.targets.Entry(a.Name).Rank)
 		})
 		out[service] = ranked[:mostCandidates:mostCandidates]
 	}
@@ -175,9 +187,14 @@
 		Config: c.cfg, ConfigHeard: max(c.configInForce().Version, c.heard.Version), ConfigBytes: len(c.raw),
 		Targets: s.targets, Serving: s.serving, Candidates: s.candidates, Behind: s.behind, Departed: s.departed,
 		Instances: f.instances, Alive: f.alive, Peers: f.peers, Attached: f.attached, Tree: f.tree, Watcher: f.watcher,
-		Revision: c.targets.revision, Listed: c.targets.listed,
+		Revision: c.targets.Revision(), Listed: c.targets.Listed(),
 		Named: map[string]Named{}, Rollout: c.rollout, Draining: c.draining, StoreOK: c.storeOK,
 	}
 	maps.Copy(v.Named, c.named)
 	return v
 }
+
+// newTargets returns an empty list of targets.
+func newTargets(l log.Interface, self string) *registry.Table {
+	return registry.New(registry.Options{Log: l, Rank: func(name string) uint64 { return roleScore(self, name) }, Linger: lingerTime})
+}
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -15,9 +15,11 @@
 type Codec interface {
 	// Kinds names the kinds of objects that are followed.
 	Kinds() (config, targets, versions string)
+	// ConfigName names the one object of its kind that holds the configuration.
+	ConfigName() string
 	// Config, Target and NamedVersion decode an object's value.
 	Config(value []byte) (*catalog.Config, error)
-	Target(id string, value []byte) (catalog.Target, error)
+	Target(name string, value []byte) (catalog.Target, error)
 	NamedVersion(name string, value []byte) (catalog.ModelVersion, error)
 
 	// ReadCall decodes a caller's header.
@@ -68,7 +70,7 @@
 
 // Attempt is what a target is told beyond the caller's words.
 type Attempt struct {
-	Target    string // the incarnation that is meant
+	Target    string // name of the one that is meant
 	Customer  string // "": none
 	Remaining time.Duration
 	LastEvent string // go on behind this event
@@ -119,6 +121,7 @@
 
 // Report is a target's own word of its state; it lags some hundred ms.
 type Report struct {
+	Start           int64 // of the life that answers, Unix ms by the target's clock; 0: not told
 	Models          []catalog.ModelVersion
 	Ordered         bool   // an order is being carried out
 	OrderSeq        uint64 // orders accepted since the start
@@ -143,6 +146,8 @@
 	Gap     bool // events before these are no longer known
 	ClockMS float64
 	Events  []stock.Event
+	// Unreadable is how many events can't be read and are left out; Gap is true then.
+	Unreadable int
 }
 
 // CacheList is all that a store holds.
@@ -152,6 +157,8 @@
 	ClockMS float64
 	Held    []stock.Held
 	Partial []stock.Held // not complete, but taking space
+	// Unreadable is how many parts can't be read and are left out.
+	Unreadable int
 }
 
 // CallError says that a call to a target or a store failed.
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -181,7 +181,7 @@
 	fenced := o.fenced
 	o.mu.Unlock()
 	for _, t := range v.Targets {
-		if t.Leaving || fenced.blocks(t.ID, now) {
+		if t.Leaving || v.Config == nil || v.Config.Services[t.Service] == nil || fenced.blocks(t.ID, now) {
 			continue
 		}
 		for _, m := range t.Models {
@@ -246,7 +246,7 @@
 		}
 	}
 	defer o.end()
-	before, err := o.g.engines.Report(ctx, t.Address, t.ID)
+	before, err := o.report(ctx, t)
 	if err != nil {
 		return "no report: " + err.Error()
 	}
@@ -285,7 +285,7 @@
 		return "lease lapsed before the order"
 	}
 	metric.Orders.Inc()
-	err := o.g.engines.Load(ctx, LoadOrder{Target: t.ID, Address: t.Address, Model: model, Version: version, Holder: o.g.settings().Name,
+	err := o.g.engines.Load(ctx, LoadOrder{Target: t.Name, Address: t.Address, Model: model, Version: version, Holder: o.g.settings().Name,
 		Token: token, ExpectedSeq: seq, Cut: true})
 	o.g.log.WithField("target", t.ID).WithField("model", model).WithField("version", version).WithField("token", token).
 		WithField("expected", seq).WithField("error", errText(err)).Info("load ordered")
@@ -301,7 +301,11 @@
 	sent := o.g.now()
 	wait.For(ctx, loadLeast)
 	for wait.For(ctx, loadPoll) {
-		r, err := o.g.engines.Report(ctx, t.Address, t.ID)
+		r, err := o.report(ctx, t)
+		var again *StartedAgainError
+		if errors.As(err, &again) {
+			return again.Error()
+		}
 		if err != nil {
 			continue // a report that is lost is asked for again, until the load's time is over
 		}
@@ -322,6 +326,27 @@
 	return err.Error()
 }
 
+// report asks a target for its report. That of another life than meant is a failure:
+// its orders and weights are not those of the one that is asked.
+func (o *rollout) report(ctx context.Context, t *catalog.Target) (Report, error) {
+	r, err := o.g.engines.Report(ctx, t.Address, t.Name)
+	if err == nil && r.Start != 0 && t.Start != 0 && r.Start != t.Start {
+		return Report{}, &StartedAgainError{Target: t.ID, Start: r.Start}
+	}
+	return r, err
+}
+
+// StartedAgainError says that a target has started again since its entry was read.
+type StartedAgainError struct {
+	Target string // the life that was meant
+	Start  int64  // of the one that answered, Unix ms
+}
+
+// Error implements error.
+func (e *StartedAgainError) Error() string {
+	return e.Target + " has started again at " + strconv.FormatInt(e.Start, 10)
+}
+
 // hasArrived says whether a report shows the version, and takes note of it.
 func (o *rollout) hasArrived(r Report, model string, version uint64, t *catalog.Target) bool {
 	for _, m := range r.Models {
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -149,7 +149,7 @@
 
 // outgoing builds the request to a target.
 func (x *exchange) outgoing(t *catalog.Target) outgoing {
-	a := Attempt{Target: t.ID, Remaining: x.deadline.Sub(x.g.now()), LastEvent: x.call.LastEvent}
+	a := Attempt{Target: t.Name, Remaining: x.deadline.Sub(x.g.now()), LastEvent: x.call.LastEvent}
 	if x.customer != nil {
 		a.Customer = x.customer.Name
 	}
@@ -159,7 +159,7 @@
 	if x.call.Prompt != nil {
 		a.Model = x.modelAttempt(t)
 	}
-	return outgoing{service: t.Service, address: t.Address, method: x.r.Method, url: x.r.URL, host: x.r.Host,
+	return outgoing{service: t.Service, target: t.ID, address: t.Address, method: x.r.Method, url: x.r.URL, host: x.r.Host,
 		header: x.g.codec.ForwardHeader(x.r.Header, a), body: x.body, reuse: x.mayReuse()}
 }
 
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -3,11 +3,15 @@
 import (
 	"bytes"
 	"context"
+	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/shedhoist/shedhoist/internal/inflight"
 	"github.com/shedhoist/shedhoist/internal/netx"
 )
@@ -44,11 +48,24 @@
 	return &upstream{fresh: newClient(0, 0), work: inflight.New(), kept: map[time.Duration]*http.Client{}, idle: map[string]time.Duration{}}
 }
 
+// newClient returns a client that keeps connections by the life of a target: one that was
+// opened to an earlier life, perhaps behind a cut, is never used for a later one.
 func newClient(perTarget int, idle time.Duration) *http.Client {
-	return &http.Client{Transport: netx.Transport(netx.TransportOptions{Connect: targetConnect, IdlePerHost: perTarget, IdleFor: idle}),
-		CheckRedirect: netx.NoRedirect}
+	t := netx.Transport(netx.TransportOptions{Connect: targetConnect, IdlePerHost: perTarget, IdleFor: idle})
+	dial := t.DialContext
+	t.DialContext = func(ctx context.Context, network, _ string) (net.Conn, error) {
+		address, _ := ctx.Value(addressKey{}).(string)
+		return dial(ctx, network, address)
+	}
+	return &http.Client{Transport: t, CheckRedirect: netx.NoRedirect}
 }
 
+// addressKey is the context's key of the address to dial.
+type addressKey struct{}
+
+// lifeHost stands for a target's life in place of a host's name.
+func lifeHost(id string) string { return "t" + strconv.FormatUint(xxhash.Sum64String(id), 16) }
+
 // keptClient is the client whose connections are kept for as long as a service's targets
 // bear.
 func (u *upstream) keptClient(service string) *http.Client {
@@ -91,6 +108,7 @@
 // outgoing is one request on its way to a target.
 type outgoing struct {
 	service string
+	target  string // id of the life that is meant
 	address string
 	method  string
 	url     *url.URL // the caller's: its path and query are sent as they were written
@@ -104,9 +122,12 @@
 // reached the target. The body can't be rewound, so that net/http never sends it
 // a second time.
 func (u *upstream) send(ctx context.Context, o outgoing) (resp *http.Response, sent bool, err error) {
-	to := &url.URL{Scheme: "http", Host: o.address, Path: o.url.Path, RawPath: o.url.RawPath, RawQuery: o.url.RawQuery, ForceQuery: o.url.ForceQuery}
+	to := &url.URL{Scheme: "http", Host: lifeHost(o.target), Path: o.url.Path, RawPath: o.url.RawPath, RawQuery: o.url.RawQuery, ForceQuery: o.url.ForceQuery}
 	req := (&http.Request{Method: o.method, URL: to, Host: o.host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: o.header, Body: netx.OnceBody(bytes.NewReader(o.body)),
-		ContentLength: int64(len(o.body))}).WithContext(ctx)
+		ContentLength: int64(len(o.body))}).WithContext(context.WithValue(ctx, addressKey{}, o.address))
+	if req.Host == "" {
+		req.Host = o.address
+	}
 	if o.reuse {
 		return netx.Send(u.keptClient(o.service), req)
 	}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -8,6 +8,7 @@
 	"github.com/shedhoist/shedhoist/internal/catalog"
 	"github.com/shedhoist/shedhoist/internal/core/member"
 	"github.com/shedhoist/shedhoist/internal/platform"
+	"github.com/shedhoist/shedhoist/internal/registry"
 )
 
 // Named is what weight versions were named of a model.
@@ -63,24 +64,24 @@
 	Config      *catalog.Config              // nil: none yet
 	ConfigHeard uint64                       // the newest version that was spoken of, in force here or not
 	ConfigBytes int                          // size of Config as stored
-	Targets     map[string]*catalog.Target   // by id
+	Targets     map[string]*catalog.Target   // by id, all whose entries are usable
 	Serving     map[string][]*catalog.Target // by service: those that take new requests, sorted by id
 	// Candidates are those of Serving that this instance uses by preference.
 	Candidates map[string][]*catalog.Target
-	Behind     []*catalog.Target // those with older weights than named that do not leave
-	Named      map[string]Named  // by model
-	Departed   []departure       // targets that left the list lately
-	Instances  int               // known of, this one included, the lately lost too
-	Alive      []string          // names of live instances, this one included, sorted
-	Peers      []member.Member   // the same as members
-	Attached   []string          // those of them that the object store answers; all, if it answers none
-	Tree       *tree             // how they pass things on
-	Watcher    bool              // this instance notices changes for all
-	Listed     bool              // targets were listed at least once
-	Draining   bool              // this instance is stopping
-	Revision   platform.Version  // up to which the list of targets is complete
-	Rollout    RolloutNews       // what the instance that gives orders told last
-	StoreOK    bool              // the object store answers
+	Behind     []*catalog.Target    // those with older weights than named that do not leave
+	Named      map[string]Named     // by model
+	Departed   []registry.Departure // targets that left the list lately
+	Instances  int                  // known of, this one included, the lately lost too
+	Alive      []string             // names of live instances, this one included, sorted
+	Peers      []member.Member      // the same as members
+	Attached   []string             // those of them that the object store answers; all, if it answers none
+	Tree       *tree                // how they pass things on
+	Watcher    bool                 // this instance notices changes for all
+	Listed     bool                 // targets were listed at least once
+	Draining   bool                 // this instance is stopping
+	Revision   platform.Version     // up to which the list of targets is complete
+	Rollout    RolloutNews          // what the instance that gives orders told last
+	StoreOK    bool                 // the object store answers
 }
 
 // informed says whether all that requests need is known.
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -17,26 +17,30 @@
 	Resumes         = metrics.NewCounter("shedhoist_resumes_total")
 	BudgetSpent     = metrics.NewCounter("shedhoist_retry_budget_refusals_total")
 	FullRefusals    = metrics.NewCounter("shedhoist_memory_full_refusals_total")
-	SavesNotGranted = metrics.NewCounter("shedhoist_saves_not_granted_total")
-	Mismatches      = metrics.NewCounter("shedhoist_mismatched_answers_total")
-	PromptTokens    = metrics.NewCounter("shedhoist_prompt_tokens_total")
-	CachedTokens    = metrics.NewCounter("shedhoist_prompt_tokens_cached_total")
-	RestoredTok     = metrics.NewCounter("shedhoist_prompt_tokens_restored_total")
-	GeneratedTok    = metrics.NewCounter("shedhoist_generated_tokens_total")
-	LedgerWrites    = metrics.NewCounter("shedhoist_ledger_writes_total")
-	LedgerErrors    = metrics.NewCounter("shedhoist_ledger_errors_total")
-	LedgerConflicts = metrics.NewCounter("shedhoist_ledger_conflicts_total")
-	PeerBytes       = metrics.NewCounter("shedhoist_peer_bytes_total") // written to peers
-	PeerMessages    = metrics.NewCounter("shedhoist_peer_messages_total")
-	ProbeCalls      = metrics.NewCounter("shedhoist_target_probes_total")
-	Orders          = metrics.NewCounter("shedhoist_orders_total")
-	Panics          = metrics.NewCounter("shedhoist_panics_total")
-	ConfigErrors    = metrics.NewCounter("shedhoist_config_errors_total")
-	PlatformDown    = metrics.NewCounter("shedhoist_platform_errors_total")
-	NewsFailed      = metrics.NewCounter("shedhoist_news_failed_total") // a peer's news that were asked for and did not arrive whole
-	FirstToken      = metrics.NewHistogram("shedhoist_first_token_seconds")
-	PredictionError = metrics.NewHistogram("shedhoist_prediction_error_seconds") // of the first answer, either way
-	BetweenTokens   = metrics.NewHistogram("shedhoist_between_tokens_seconds")
+	EntriesUnusable = metrics.NewCounter("shedhoist_target_entries_unusable_total")
+	// VersionsUnreadable counts objects that name a weight version and can't be read.
+	VersionsUnreadable = metrics.NewCounter("shedhoist_weight_versions_unreadable_total")
+	ObjectsUnreadable  = metrics.NewCounter("shedhoist_objects_unreadable_total")
+	SavesNotGranted    = metrics.NewCounter("shedhoist_saves_not_granted_total")
+	Mismatches         = metrics.NewCounter("shedhoist_mismatched_answers_total")
+	PromptTokens       = metrics.NewCounter("shedhoist_prompt_tokens_total")
+	CachedTokens       = metrics.NewCounter("shedhoist_prompt_tokens_cached_total")
+	RestoredTok        = metrics.NewCounter("shedhoist_prompt_tokens_restored_total")
+	GeneratedTok       = metrics.NewCounter("shedhoist_generated_tokens_total")
+	LedgerWrites       = metrics.NewCounter("shedhoist_ledger_writes_total")
+	LedgerErrors       = metrics.NewCounter("shedhoist_ledger_errors_total")
+	LedgerConflicts    = metrics.NewCounter("shedhoist_ledger_conflicts_total")
+	PeerBytes          = metrics.NewCounter("shedhoist_peer_bytes_total") // written to peers
+	PeerMessages       = metrics.NewCounter("shedhoist_peer_messages_total")
+	ProbeCalls         = metrics.NewCounter("shedhoist_target_probes_total")
+	Orders             = metrics.NewCounter("shedhoist_orders_total")
+	Panics             = metrics.NewCounter("shedhoist_panics_total")
+	ConfigErrors       = metrics.NewCounter("shedhoist_config_errors_total")
+	PlatformDown       = metrics.NewCounter("shedhoist_platform_errors_total")
+	NewsFailed         = metrics.NewCounter("shedhoist_news_failed_total") // a peer's news that were asked for and did not arrive whole
+	FirstToken         = metrics.NewHistogram("shedhoist_first_token_seconds")
+	PredictionError    = metrics.NewHistogram("shedhoist_prediction_error_seconds") // of the first answer, either way
+	BetweenTokens      = metrics.NewHistogram("shedhoist_between_tokens_seconds")
 )
 
 // SetGauge sets a gauge by its name.
--- a/internal/platform/kinds.go
+++ b/internal/platform/kinds.go
@@ -16,6 +16,8 @@
 type Snapshot struct {
 	Revision Version
 	Objects  []Named
+	// Unreadable is how many objects can\'t be read and are left out.
+	Unreadable int
 }
 
 // Change is one change of a kind. A deleted object has its last value, if the
@@ -30,6 +32,8 @@
 type Changes struct {
 	Revision Version
 	Changes  []Change
+	// Unreadable is how many changes can\'t be read and are left out.
+	Unreadable int
 }
 
 // Kinds is the object API of a platform that sorts its objects by kind and hands
--- /dev/null
+++ b/internal/registry/table.go
@@ -0,0 +1,427 @@
+// Package registry is an instance's copy of the registry in which targets enter
+// themselves. It is fed with lists and changes of the object store and with peers' news of
+// them, in any order, and says which targets there are. A Table belongs to one goroutine.
+//
+// A target may start again under the name that it had. Its lives are told apart by their
+// starts: what is known of one says nothing of another. Invariant: of each name one life
+// at most is in the table, the latest that was heard of.
+package registry
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/shedhoist/shedhoist/internal/catalog"
+	"github.com/shedhoist/shedhoist/internal/metric"
+	"github.com/shedhoist/shedhoist/internal/platform"
+)
+
+// Times of held entries.
+const (
+	// ReturnTime is how long after the object store's return an entry that lapsed
+	// meanwhile may take to be written again.
+	ReturnTime = 2 * time.Second
+	// massLapse is how many entries that were not leaving must vanish at once to
+	// be taken for lapsed rather than gone: an outage may end before it is noticed.
+	massLapse = 3
+	// massHold is how long those are held if no outage was noticed: they may have
+	// left in order, and must get no requests 2 s after they said so.
+	massHold = 1200 * time.Millisecond
+	// maxGone bounds the memory of vanished entries.
+	maxGone = 4096
+	// linesAtOnce is how many lines one word of changes may cost: a start of a large
+	// fleet changes thousands of entries.
+	linesAtOnce = 64
+)
+
+// Options are what a Table needs of its instance.
+type Options struct {
+	Log log.Interface
+	// Rank orders the targets for this instance, by name.
+	Rank func(name string) uint64
+	// Linger is how long a life that ended is remembered: others may hold on to it.
+	Linger time.Duration
+}
+
+// Entry is a target with its doubt.
+type Entry struct {
+	catalog.Target
+	Rank  uint64    // see Options
+	until time.Time // set: its entry vanished, and it counts as gone from then on
+}
+
+// Held says whether the target's entry vanished, and may return.
+func (x *Entry) Held() bool { return !x.until.IsZero() }
+
+// Departure is a life of a target that ended.
+type Departure struct {
+	Models []catalog.ModelVersion // as it served them last
+	At     time.Time
+}
+
+// vanished is what is remembered of an entry that is no more.
+type vanished struct {
+	revision uint64
+	start    int64 // of the target's latest life
+}
+
+// Table is the list of targets. A target whose entry vanishes is gone at
+// once, but for those that may have lapsed during an outage of the object store.
+type Table struct {
+	opts     Options
+	byName   map[string]*Entry
+	names    map[string]string // by id
+	sorted   []*Entry          // by name
+	held     map[string]bool   // names of those whose entry vanished
+	edits    uint64
+	lines    int // log lines that the present word may still cost
+	leftOut  int // those that it would have cost beyond
+	revision platform.Version
+	changed  platform.Version
+	gone     map[string]vanished
+	goneFrom platform.Version // from which on gone is complete
+	departed []Departure
+	listed   bool
+	regained time.Time // when contact with the object store was regained
+}
+
+// New returns an empty table.
+func New(o Options) *Table {
+	return &Table{opts: o, byName: map[string]*Entry{}, names: map[string]string{}, held: map[string]bool{}, gone: map[string]vanished{}}
+}
+
+// Revision is the object store's revision up to which the table is complete.
+func (t *Table) Revision() platform.Version { return t.revision }
+
+// Changed is the revision of the last change.
+func (t *Table) Changed() platform.Version { return t.changed }
+
+// Listed says whether the targets were listed at all.
+func (t *Table) Listed() bool { return t.listed }
+
+// Edits rises with each change that a reader of entries would notice.
+func (t *Table) Edits() uint64 { return t.edits }
+
+// Entries returns all entries by name, those that name no usable target too. The slice is
+// the table's own.
+func (t *Table) Entries() []*Entry { return t.sorted }
+
+// Entry returns the entry of a name, or nil.
+func (t *Table) Entry(name string) *Entry { return t.byName[name] }
+
+// Departed returns the lives that ended lately.
+func (t *Table) Departed() []Departure { return slices.Clone(t.departed) }
+
+// ContactRegained says that the object store answers again.
+func (t *Table) ContactRegained(now time.Time) { t.regained = now }
+
+// List replaces the list by that of a later revision. Of its targets those that vanished
+// are named apart: whoever told the list holds them for their return.
+func (t *Table) List(revision platform.Version, targets []catalog.Target, vanished []string, now time.Time) {
+	if t.listed && revision < t.revision {
+		return
+	}
+	present := map[string]bool{}
+	for _, x := range targets {
+		present[x.Name] = true
+	}
+	gone := slices.Clone(vanished)
+	for name := range t.byName {
+		if !present[name] {
+			gone = append(gone, name)
+		}
+	}
+	lines := linesAtOnce
+	if !t.listed {
+		lines = 0 // all are new, which the line on the list says
+	}
+	t.goneFrom = revision // what came and went since the list before is not known
+	t.listed = true
+	t.take(revision, targets, gone, now, lines)
+}
+
+// Change takes what changed up to a revision.
+func (t *Table) Change(revision platform.Version, present []catalog.Target, gone []string, now time.Time) {
+	t.take(revision, present, gone, now, linesAtOnce)
+	if t.leftOut > 0 {
+		t.opts.Log.WithField("targets", len(present)+len(gone)).WithField("lines_left_out", t.leftOut).WithField("revision", uint64(t.revision)).Info("targets changed")
+	}
+}
+
+// take takes a list or changes, at the cost of so many log lines at most.
+func (t *Table) take(revision platform.Version, present []catalog.Target, gone []string, now time.Time, lines int) {
+	t.lines, t.leftOut = lines, 0
+	t.revision = max(t.revision, revision)
+	for _, x := range present {
+		t.put(x, now)
+	}
+	if len(gone) > 0 {
+		t.changed = max(t.changed, revision)
+	}
+	until := t.regained.Add(ReturnTime)
+	if t.sudden(gone) >= massLapse && until.Before(now) {
+		until = now.Add(massHold)
+	}
+	for _, name := range gone {
+		t.vanish(name, uint64(revision), until, now)
+	}
+}
+
+// sudden counts those that vanish without having said that they leave.
+func (t *Table) sudden(gone []string) int {
+	n := 0
+	for _, name := range gone {
+		if x := t.byName[name]; x != nil && !x.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+// put takes an entry, unless a newer word of it is known: news by way of a peer
+// may overtake the store's own.
+func (t *Table) put(x catalog.Target, now time.Time) {
+	old, gone := t.byName[x.Name], t.gone[x.Name]
+	if x.Revision <= gone.revision || old != nil && x.Revision < old.Revision {
+		return
+	}
+	t.changed = max(t.changed, platform.Version(x.Revision))
+	latest := gone.start
+	if old != nil {
+		latest = max(latest, old.Start)
+	}
+	switch {
+	case x.Unusable, x.Start == 0 && latest != 0:
+		t.putUnusable(old, x)
+	case x.Start < latest:
+		t.putLate(old, x)
+	default:
+		t.putUsable(old, x, now)
+	}
+}
+
+// putUnusable takes an entry that names no target to use. What is known of the target
+// stays, for when its entry is readable again.
+func (t *Table) putUnusable(old *Entry, x catalog.Target) {
+	next := Entry{Target: x}
+	if old != nil {
+		next.Target = old.Target
+		next.Revision = x.Revision
+	}
+	next.Unusable = true
+	t.set(&next)
+	metric.EntriesUnusable.Inc()
+	if t.mayLog() {
+		t.entryLog(x.Name).WithField("revision", x.Revision).Warn("target's entry names no target to use")
+	}
+}
+
+// putLate takes what an earlier life wrote and what took effect late: it brings nothing
+// back, and the later life stands.
+func (t *Table) putLate(old *Entry, x catalog.Target) {
+	if old == nil || old.Held() {
+		t.putUnusable(old, x)
+		return
+	}
+	next := *old
+	next.Revision = x.Revision
+	t.set(&next)
+	if t.mayLog() {
+		t.entryLog(x.Name).WithField("start", x.Start).WithField("latest_start", old.Start).WithField("revision", x.Revision).Info("entry of an earlier life left out")
+	}
+}
+
+// putUsable takes an entry of the latest life. Within one life weights never go back,
+// though an entry may be older than what the target's own answers told.
+func (t *Table) putUsable(old *Entry, x catalog.Target, now time.Time) {
+	again := old != nil && old.ID != x.ID
+	switch {
+	case again:
+		t.remove(old.Name, now)
+	case old != nil:
+		x.Models = newest(x.Models, old.Models)
+	}
+	t.set(&Entry{Target: x})
+	noted := old == nil || again || old.Unusable || old.Leaving != x.Leaving || !slices.Equal(old.Models, x.Models)
+	if noted && t.mayLog() {
+		t.entryLog(x.Name).WithField("start", x.Start).WithField("again", again).WithField("service", x.Service).WithField("leaving", x.Leaving).
+			WithField("models", x.Models).WithField("revision", uint64(t.revision)).Info("target changed")
+	}
+}
+
+// newest is models, none older than before.
+func newest(models, before []catalog.ModelVersion) []catalog.ModelVersion {
+	out := slices.Clone(models)
+	for i := range out {
+		for _, b := range before {
+			if b.Model == out[i].Model {
+				out[i].Version = max(out[i].Version, b.Version)
+			}
+		}
+	}
+	return out
+}
+
+// vanish drops an entry that was gone at a revision, or holds it for a while if it may
+// have lapsed. Late news may name one that has returned since.
+func (t *Table) vanish(name string, revision uint64, until, now time.Time) {
+	x := t.byName[name]
+	if x != nil && x.Revision > revision {
+		return
+	}
+	t.noteGone(name, revision, x)
+	if x == nil || x.Held() {
+		return // it came and went since the last word, or is held already; others may know it
+	}
+	if !x.Leaving && !x.Unusable && until.After(now) {
+		t.set(&Entry{Target: x.Target, until: until})
+		if t.mayLog() {
+			t.entryLog(name).WithField("for_ms", until.Sub(now).Milliseconds()).Info("target's entry vanished, held")
+		}
+		return
+	}
+	t.remove(name, now)
+	if t.mayLog() {
+		t.entryLog(name).WithField("revision", uint64(t.revision)).Info("target gone")
+	}
+}
+
+// noteGone remembers that an entry vanished, for those who know less.
+func (t *Table) noteGone(name string, revision uint64, x *Entry) {
+	if len(t.gone) > maxGone {
+		t.gone, t.goneFrom = map[string]vanished{}, t.revision
+	}
+	v := t.gone[name]
+	v.revision = max(v.revision, revision)
+	if x != nil {
+		v.start = max(v.start, x.Start)
+	}
+	t.gone[name] = v
+}
+
+// Expire drops the held entries whose time is over; it says whether there were any.
+func (t *Table) Expire(now time.Time) bool {
+	changed := false
+	for name := range t.held {
+		if !now.Before(t.byName[name].until) {
+			t.remove(name, now)
+			changed = true
+			t.entryLog(name).Info("target gone, its entry did not return")
+		}
+	}
+	return changed
+}
+
+// Serves takes a target's own word of its weights. id names the life that gave it; the
+// word of one that ended says nothing.
+func (t *Table) Serves(id string, at catalog.ModelVersion) {
+	name, known := t.names[id]
+	if !known {
+		return
+	}
+	x := t.byName[name]
+	if x.VersionOf(at.Model) >= at.Version {
+		return
+	}
+	next := *x
+	next.Models = newest(x.Models, []catalog.ModelVersion{at})
+	t.set(&next)
+	t.entryLog(name).WithField("model", at.Model).WithField("version", at.Version).Info("target serves newer weights")
+}
+
+// Since returns what changed after a revision: entries, and names that are gone. If
+// that is not known it returns all entries, and all is true; gone then names those among
+// them that vanished and are held here.
+func (t *Table) Since(revision platform.Version) (entries []catalog.Target, gone []string, all bool) {
+	if revision < t.goneFrom {
+		return t.all(), slices.Sorted(maps.Keys(t.held)), true
+	}
+	for _, x := range t.byName {
+		if !x.Held() && x.Revision > uint64(revision) {
+			entries = append(entries, x.Target)
+		}
+	}
+	for name, v := range t.gone {
+		if x := t.byName[name]; v.revision > uint64(revision) && (x == nil || x.Held()) {
+			gone = append(gone, name)
+		}
+	}
+	return entries, gone, false
+}
+
+// all returns the entries that stand, held ones too.
+func (t *Table) all() []catalog.Target {
+	out := make([]catalog.Target, 0, len(t.byName))
+	for _, x := range t.byName {
+		out = append(out, x.Target)
+	}
+	return out
+}
+
+// set keeps an entry in place of the one of its name.
+func (t *Table) set(x *Entry) {
+	old := t.byName[x.Name]
+	if old != nil {
+		x.Rank = old.Rank
+	} else {
+		x.Rank = t.opts.Rank(x.Name)
+	}
+	if old == nil || !sameTarget(&old.Target, &x.Target) {
+		t.edits++
+	}
+	t.byName[x.Name], t.names[x.ID] = x, x.Name
+	if x.Held() {
+		t.held[x.Name] = true
+	} else {
+		delete(t.held, x.Name)
+	}
+	i, ok := t.find(x.Name)
+	if ok {
+		t.sorted[i] = x
+	} else {
+		t.sorted = slices.Insert(t.sorted, i, x)
+	}
+}
+
+// remove drops an entry; its life has ended.
+func (t *Table) remove(name string, now time.Time) {
+	t.departed = slices.DeleteFunc(t.departed, func(d Departure) bool { return now.Sub(d.At) >= t.opts.Linger })
+	x := t.byName[name]
+	if len(x.Models) > 0 {
+		t.departed = append(t.departed, Departure{Models: x.Models, At: now})
+	}
+	delete(t.byName, name)
+	delete(t.names, x.ID)
+	delete(t.held, name)
+	if i, ok := t.find(name); ok {
+		t.sorted = slices.Delete(t.sorted, i, i+1)
+	}
+	t.edits++
+}
+
+// find is the place of a name among the sorted entries.
+func (t *Table) find(name string) (int, bool) {
+	return slices.BinarySearchFunc(t.sorted, name, func(x *Entry, name string) int { return cmp.Compare(x.Name, name) })
+}
+
+// sameTarget says whether two words of a target differ in nothing that readers use.
+func sameTarget(a, b *catalog.Target) bool {
+	return a.ID == b.ID && a.Unusable == b.Unusable && a.Service == b.Service && a.Address == b.Address && a.Zone == b.Zone &&
+		a.Leaving == b.Leaving && slices.Equal(a.Models, b.Models)
+}
+
+// mayLog says whether one more line may be written of the present word.
+func (t *Table) mayLog() bool {
+	if t.lines == 0 {
+		t.leftOut++
+		return false
+	}
+	t.lines--
+	return true
+}
+
+func (t *Table) entryLog(name string) *log.Entry { return t.opts.Log.WithField("target", name) }
