Fewer calls to the object store at a start and between rollouts

Cause, by counting the calls of each instance on a site of 59: at a start each made some ten. It took itself to be alone, since its seeds did not listen yet and were tried again only after a second, so it opened watches of all kinds, watched the lease, and looked for others by way of the store.

Change: an instance that knows of no other tries its seeds again after 0.2 s, and opens no watch and looks for nobody by way of the store in its first second; the lease is read once by its contenders and watched while a rollout is under way.

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -33,8 +33,8 @@
 	// of others: two steps of the tree.
 	relayAge = 2 * (pullGap + 100*time.Millisecond)
 	// joinTime is how long a new process waits to learn how large the fleet is
-	// before it follows stores itself.
-	joinTime = 500 * time.Millisecond
+	// before it follows stores, or watches the object store, itself.
+	joinTime = time.Second
 )
 
 // DirectoryAsk asks for what changed in the cache stores.
@@ -151,7 +151,7 @@
 // place is this instance's place in the tree now.
 func (c *cacheDirectory) place() position {
 	v := c.g.view.Load()
-	if len(v.Alive) <= 1 && c.g.now().Sub(c.g.began) < joinTime {
+	if c.g.joins() {
 		return position{} // not known yet
 	}
 	return v.Tree.position()
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -84,7 +84,7 @@
 	var last time.Time
 	for ctx.Err() == nil {
 		news := g.newsComes()
-		if listed && (news || f.kind != first && g.fails(first)) && !f.due.Within(ctx, newsPoll) {
+		if listed && (news || g.joins() || f.kind != first && g.fails(first)) && !f.due.Within(ctx, newsPoll) {
 			continue
 		}
 		wait.For(ctx, watchGap-g.now().Sub(last))
@@ -157,6 +157,12 @@
 	return g.now().Sub(g.began)-time.Duration(g.heardPeer.Load()) < newsAge
 }
 
+// joins says whether this process has just started and knows of no other instance yet. In
+// a large fleet it will go by news, and a watch that it opens now would be one for nothing.
+func (g *Gateway) joins() bool {
+	return len(g.view.Load().Alive) <= 1 && g.now().Sub(g.began) < joinTime
+}
+
 // watchFor is how long a watch waits; one who goes by news and looks once does not.
 func (g *Gateway) watchFor(f feed, news bool) time.Duration {
 	switch {
--- a/internal/gateway/lease.go
+++ b/internal/gateway/lease.go
@@ -150,7 +150,8 @@
 }
 
 // watchLease tells the lease of others' writes, so that a contender knows how
-// long it has not been renewed.
+// long it has not been renewed. It reads the lease once, and watches it while a rollout is
+// under way.
 func (o *rollout) watchLease(ctx context.Context) {
 	at, failures := platform.Version(0), 0
 	for ctx.Err() == nil {
@@ -167,8 +168,10 @@
 }
 
 func (o *rollout) watchOnce(ctx context.Context, at *platform.Version) error {
-	if rankOf(o.g.view.Load().Attached, o.g.settings().Name, leaseName) >= contenders {
-		wait.For(ctx, leasePulse)
+	v := o.g.view.Load()
+	contends := !o.g.joins() && rankOf(v.Attached, o.g.settings().Name, leaseName) < contenders
+	if !contends || *at != 0 && len(v.Behind) == 0 {
+		wait.For(ctx, rolloutTick) // the lease changes only during rollouts
 		return nil
 	}
 	if *at == 0 {
--- a/internal/gateway/meeting.go
+++ b/internal/gateway/meeting.go
@@ -36,7 +36,8 @@
 
 // meet keeps the meeting point useful, or uses it.
 func (g *Gateway) meet(ctx context.Context) {
-	for {
+	wait.For(ctx, joinTime) // most join by way of a seed
+	for ctx.Err() == nil {
 		alive := g.view.Load().Alive
 		every := meetingEvery
 		switch {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -17,6 +17,9 @@
 	peerTimeout = 600 * time.Millisecond
 	// seedPeriod is how often seeds that are no live members are tried again.
 	seedPeriod = time.Second
+	// lonelySeeds is the same for an instance that knows of no other: where all start at
+	// once the first try meets seeds that do not listen yet.
+	lonelySeeds = 200 * time.Millisecond
 	// seedStep is the pause between two seeds: the first one's answer names the others
 	// and all live members, 20 kB in a fleet of 300, which need not come three times.
 	seedStep = 60 * time.Millisecond
@@ -203,7 +206,11 @@
 				return
 			}
 		}
-		if !wait.For(ctx, wait.Jitter(seedPeriod)) {
+		period := seedPeriod
+		if len(g.view.Load().Alive) <= 1 {
+			period = lonelySeeds
+		}
+		if !wait.For(ctx, wait.Jitter(period)) {
 			return
 		}
 	}
