Work under way at targets: told by number, looked up for the candidates alone

Cause: a word named each busy target by its id, 25 bytes since it has the start, 20 times a second to each neighbour; and each request summed all that 16 neighbours told of all targets, though it looks at 64 candidates.

Change: internal/loads, out of the gateway package. A target is named by a hash of its id that all work out, a load is told as an array of three numbers, and a request looks its candidates up.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -7,6 +7,7 @@
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
 	"github.com/shedhoist/shedhoist/internal/core/place"
+	"github.com/shedhoist/shedhoist/internal/loads"
 	"github.com/shedhoist/shedhoist/internal/metric"
 	"github.com/shedhoist/shedhoist/internal/problem"
 )
@@ -103,10 +104,7 @@
 	now := x.g.now()
 	options, works := make([]place.Target, len(targets)), make([]cacheWork, len(targets))
 	set := x.g.settings()
-	var others targetLoads
-	if set.Policy.PeerLoads {
-		others = x.g.others.at(now)
-	}
+	others := x.othersAt(targets, now)
 	x.g.predictorMu.Lock()
 	defer x.g.predictorMu.Unlock()
 	for i, t := range targets {
@@ -118,9 +116,9 @@
 			o.BehindFor = x.view.Named[p.Model].behindFor(version, now)
 			works[i] = x.workAt(t, version, now)
 			o.Capacity = x.view.Config.MemoryOf(t.Service)
-			o.InMemory = int(load.Memory.Load()) + others[t.ID].Memory
+			o.InMemory = int(load.Memory.Load()) + others[i].Memory
 		}
-		works[i].AheadTokens = int(load.Tokens.Load()) + others[t.ID].Tokens
+		works[i].AheadTokens = int(load.Tokens.Load()) + others[i].Tokens
 		o.FirstMS = x.g.predictor.Nominal(works[i].Work)
 		if set.Policy.Overdue {
 			o.FirstMS = x.g.predictor.First(t.ID, works[i].Work, now)
@@ -131,6 +129,18 @@
 	return options, works
 }
 
+// othersAt is what the other instances have under way at the targets.
+func (x *exchange) othersAt(targets []*catalog.Target, now time.Time) []loads.Amount {
+	if !x.g.settings().Policy.PeerLoads {
+		return make([]loads.Amount, len(targets))
+	}
+	keys := make([]loads.Key, len(targets))
+	for i, t := range targets {
+		keys[i] = loads.KeyOf(t.ID)
+	}
+	return x.g.others.At(keys, now)
+}
+
 // What an own run at a target is assumed to delay another by.
 const (
 	engineCrowdMS = 2.0 // one more in the batch slows each step a little
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/shedhoist/shedhoist/internal/breaker"
 	"github.com/shedhoist/shedhoist/internal/core/member"
 	"github.com/shedhoist/shedhoist/internal/core/place"
+	"github.com/shedhoist/shedhoist/internal/loads"
 	"github.com/shedhoist/shedhoist/internal/logline"
 	"github.com/shedhoist/shedhoist/internal/metric"
 	"github.com/shedhoist/shedhoist/internal/netx"
@@ -84,7 +85,7 @@
 	// predictor is shared by all requests.
 	predictorMu sync.Mutex
 	predictor   *place.Predictor
-	others      othersLoads
+	others      *loads.Heard
 	cache       *cacheDirectory
 	rollout     *rollout
 	inHand      atomic.Int64
@@ -106,6 +107,7 @@
 	g.upstream = newUpstream()
 	g.sick = breaker.New(g.now)
 	g.predictor = place.NewPredictor()
+	g.others = loads.NewHeard(loadAge)
 	g.cache = newCacheDirectory(g)
 	g.rollout = newRollout(g)
 	g.budgets.g = g
