--- a/internal/core/stock/journal_test.go
+++ b/internal/core/stock/journal_test.go
@@ -12,8 +12,8 @@
 	"github.com/shedhoist/shedhoist/internal/core/stock"
 )
 
-// contents is what a shelf holds, by part.
-func contents(s *stock.Shelf) map[string]int {
+// contents is what a inventory holds, by part.
+func contents(s *stock.Inventory) map[string]int {
 	out := map[string]int{}
 	for _, h := range s.All() {
 		out[h.Part] = h.Tokens
@@ -28,7 +28,7 @@
 	is := is.New(t)
 	r := rand.New(rand.NewPCG(7, 1))
 	const store = "a"
-	var source, copied stock.Shelf
+	var source, copied stock.Inventory
 	var j stock.Journal
 	seq, epoch, now := uint64(0), uint64(1), time.Unix(0, 0)
 	key := func() stock.Key { return stock.Key{Salt: "s", Part: fmt.Sprint(r.IntN(40))} }
@@ -81,7 +81,7 @@
 // a silence that is no restart changes nothing.
 func TestSettled(t *testing.T) {
 	is := is.New(t)
-	var s stock.Shelf
+	var s stock.Inventory
 	at := func(seconds int) time.Time { return time.Unix(int64(seconds), 0) }
 	const calm = 3 * time.Second
 	s.List(1, 0, nil, at(0))
--- a/internal/core/stock/stock.go
+++ b/internal/core/stock/stock.go
@@ -58,8 +58,8 @@
 
 func space(tokens int) int { return (tokens + blockTokens - 1) / blockTokens * blockTokens }
 
-// Shelf is what is known of one store. The zero value knows nothing.
-type Shelf struct {
+// Inventory is what is known of one store. The zero value knows nothing.
+type Inventory struct {
 	epoch uint64
 	next  uint64
 	known bool
@@ -82,7 +82,7 @@
 // second time, and no save that was held up on its way writes it anew after a restart of
 // the store while others, who have not heard of the restart, still fetch it. lasts is how
 // long the save may be under way.
-func (s *Shelf) Grant(k Key, now time.Time, lasts time.Duration) bool {
+func (s *Inventory) Grant(k Key, now time.Time, lasts time.Duration) bool {
 	if _, held := s.held[k]; held || !s.known || now.Before(s.saving[k]) {
 		return false
 	}
@@ -94,7 +94,7 @@
 }
 
 // dropLost forgets the grants of saves that are taken for lost.
-func (s *Shelf) dropLost(now time.Time) {
+func (s *Inventory) dropLost(now time.Time) {
 	for k, until := range s.saving {
 		if !now.Before(until) {
 			delete(s.saving, k)
@@ -109,7 +109,7 @@
 }
 
 // Broken takes the incomplete parts of a list, heard at now.
-func (s *Shelf) Broken(partial []Held, now time.Time) {
+func (s *Inventory) Broken(partial []Held, now time.Time) {
 	next := make(map[Key]brokenPart, len(partial))
 	for _, p := range partial {
 		b, seen := s.broken[p.Key]
@@ -123,7 +123,7 @@
 
 // Stuck returns the parts that two lists at least d apart, and no event since,
 // show incomplete and of the same size.
-func (s *Shelf) Stuck(d time.Duration) []Key {
+func (s *Inventory) Stuck(d time.Duration) []Key {
 	var out []Key
 	for k, b := range s.broken {
 		if s.brokenAt.Sub(b.since) >= d {
@@ -135,11 +135,11 @@
 
 // Position returns the epoch and the event to go on from; known is false if the
 // store must be listed first.
-func (s *Shelf) Position() (epoch, next uint64, known bool) { return s.epoch, s.next, s.known }
+func (s *Inventory) Position() (epoch, next uint64, known bool) { return s.epoch, s.next, s.known }
 
 // List takes a whole list, heard at now. It returns what it changes; anew says
 // that this is no mere change: the store was not known, or started again.
-func (s *Shelf) List(epoch, next uint64, held []Held, now time.Time) (changes []Event, anew bool) {
+func (s *Inventory) List(epoch, next uint64, held []Held, now time.Time) (changes []Event, anew bool) {
 	anew = !s.known || s.epoch != epoch
 	if s.epoch != epoch || s.since.IsZero() {
 		s.since = now
@@ -171,7 +171,7 @@
 
 // Apply takes a page of events, heard at now. It returns false if the store must
 // be listed anew: it started again, or events were lost.
-func (s *Shelf) Apply(epoch, next uint64, gap bool, events []Event, now time.Time) bool {
+func (s *Inventory) Apply(epoch, next uint64, gap bool, events []Event, now time.Time) bool {
 	if !s.known || epoch != s.epoch {
 		s.Forget()
 		return false
@@ -194,7 +194,7 @@
 }
 
 // All returns all that the store holds.
-func (s *Shelf) All() []Held {
+func (s *Inventory) All() []Held {
 	out := make([]Held, 0, len(s.held))
 	for k, n := range s.held {
 		out = append(out, Held{Key: k, Tokens: n})
@@ -203,7 +203,7 @@
 }
 
 // Drop takes parts as no longer held, ahead of the store's own word.
-func (s *Shelf) Drop(parts []Key) {
+func (s *Inventory) Drop(parts []Key) {
 	for _, k := range parts {
 		s.used -= space(s.held[k])
 		delete(s.held, k)
@@ -214,22 +214,22 @@
 // Forget drops all knowledge of the contents: the store does not answer, or
 // started again. Its epoch stays in mind, to tell a restart from a silence, and so do
 // the saves under way.
-func (s *Shelf) Forget() { *s = Shelf{epoch: s.epoch, since: s.since, saving: s.saving} }
+func (s *Inventory) Forget() { *s = Inventory{epoch: s.epoch, since: s.since, saving: s.saving} }
 
 // Settled says whether the store's epoch has been known for d. Until then other
 // instances may fetch what they believe it held before, and must not meet a part
 // that is being written anew.
-func (s *Shelf) Settled(now time.Time, d time.Duration) bool {
+func (s *Inventory) Settled(now time.Time, d time.Duration) bool {
 	return s.known && now.Sub(s.since) >= d
 }
 
 // Heard is when the store answered last, to this instance or to the one that told
 // of it.
-func (s *Shelf) Heard() time.Time { return s.heard }
+func (s *Inventory) Heard() time.Time { return s.heard }
 
 // Tokens returns how many tokens of a part the store holds complete, as of an
 // answer not older than maxAge.
-func (s *Shelf) Tokens(k Key, now time.Time, maxAge time.Duration) int {
+func (s *Inventory) Tokens(k Key, now time.Time, maxAge time.Duration) int {
 	if !s.known || now.Sub(s.heard) > maxAge {
 		return 0
 	}
@@ -237,16 +237,16 @@
 }
 
 // Used is the space taken by complete parts, in tokens.
-func (s *Shelf) Used() int { return s.used }
+func (s *Inventory) Used() int { return s.used }
 
 // Known says whether the store was listed and has not been lost since.
-func (s *Shelf) Known(now time.Time, maxAge time.Duration) bool {
+func (s *Inventory) Known(now time.Time, maxAge time.Duration) bool {
 	return s.known && now.Sub(s.heard) <= maxAge
 }
 
 // Older returns the parts whose weights are of an older version than those in
 // oldest, which has each model's oldest version still in use; at most limit.
-func (s *Shelf) Older(oldest map[string]uint64, limit int) []Key {
+func (s *Inventory) Older(oldest map[string]uint64, limit int) []Key {
 	var out []Key
 	for k := range s.held {
 		model, version, ok := ParseSalt(k.Salt)
--- a/internal/core/stock/stock_test.go
+++ b/internal/core/stock/stock_test.go
@@ -28,11 +28,11 @@
 	is.True(!ok)
 }
 
-// TestShelf: only what a store said is complete, in its present epoch and
+// TestInventory: only what a store said is complete, in its present epoch and
 // lately, is held.
-func TestShelf(t *testing.T) {
+func TestInventory(t *testing.T) {
 	is := is.New(t)
-	var s stock.Shelf
+	var s stock.Inventory
 	k := stock.Key{Salt: "s", Part: "p"}
 	is.True(!s.Apply(1, 5, false, []stock.Event{{Key: k, Added: true, Tokens: 80}}, start)) // never listed
 	is.Equal(s.Tokens(k, start, age), 0)
@@ -53,7 +53,7 @@
 // TestOlder: only parts of versions that nobody serves any more are named.
 func TestOlder(t *testing.T) {
 	is := is.New(t)
-	var s stock.Shelf
+	var s stock.Inventory
 	var held []stock.Held
 	for v := uint64(1); v <= 3; v++ {
 		held = append(held, stock.Held{Key: stock.Key{Salt: stock.Salt{Model: "m", Version: v}.String(), Part: "p"}, Tokens: 1})
@@ -118,7 +118,7 @@
 // TestStuck: only a part that stays incomplete without growing is broken off.
 func TestStuck(t *testing.T) {
 	is := is.New(t)
-	var s stock.Shelf
+	var s stock.Inventory
 	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
 	part := func(name string, tokens int) stock.Held {
 		return stock.Held{Key: stock.Key{Salt: "s", Part: name}, Tokens: tokens, Reserved: 100}
@@ -159,7 +159,7 @@
 // it is told complete or its time is over; a part that is held is not saved again.
 func TestGrant(t *testing.T) {
 	is := is.New(t)
-	var s stock.Shelf
+	var s stock.Inventory
 	k, other := stock.Key{Salt: "s", Part: "p"}, stock.Key{Salt: "s", Part: "q"}
 	lasts := 3 * time.Second
 	at := func(n int) time.Time { return start.Add(time.Duration(n) * time.Second) }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -47,10 +47,10 @@
 	// Truth replaces this instance's beliefs, for the oracle of experiments.
 	Truth route.Hints
 
-	load   *inflight.Loads
-	stores *breaker.Set
-	sick   *breaker.Set // targets whose runs fail
-	turn   atomic.Uint64
+	load    *inflight.Loads
+	stores  *breaker.Set
+	ejected *breaker.Set // targets whose runs fail
+	turn    atomic.Uint64
 
 	mu     sync.Mutex
 	budget *limit.Budget
@@ -76,7 +76,7 @@
 func (d *Dispatcher) Init(ctx context.Context) {
 	d.load = inflight.New()
 	d.stores = breaker.New(d.Now)
-	d.sick = breaker.New(d.Now)
+	d.ejected = breaker.New(d.Now)
 	d.budget = limit.NewBudget(0)
 	d.keeps = make(chan struct{}, maxKeeps)
 	d.keepsCtx = ctx
@@ -113,13 +113,13 @@
 }
 
 // judgeTarget counts an attempt for or against its target. A refusal is no sign of
-// sickness, nor is anything that the caller did.
+// ill health, nor is anything that the caller did.
 func (d *Dispatcher) judgeTarget(name string, ev attempt.Event) {
 	switch ev {
 	case attempt.NotSent, attempt.BrokeEarly, attempt.BrokeLate, attempt.Mismatched:
-		d.sick.Result(name, false)
+		d.ejected.Result(name, false)
 	case attempt.Done:
-		d.sick.Result(name, true)
+		d.ejected.Result(name, true)
 	}
 }
 
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -76,7 +76,7 @@
 // to a target twice. Each bound is given up only if no target is left within it;
 // in the end all but the last tried may be tried again.
 func (l *Live) choose(q *route.Query, dec *route.Decision) {
-	well := append(l.d.sick.Resting(), l.tried...)
+	well := append(l.d.ejected.Resting(), l.tried...)
 	last := l.tried[max(len(l.tried)-1, 0):]
 	bounds := [...]struct {
 		zone    string
--- a/internal/gateway/cache.go
+++ b/internal/gateway/cache.go
@@ -21,13 +21,13 @@
 	// pollGap is the pause between polls: events that come meanwhile are told by
 	// the next one together.
 	pollGap = 300 * time.Millisecond
-	// shelfAge is how old a store's last word may be for a fetch: one that does not
+	// inventoryAge is how old a store's last word may be for a fetch: one that does not
 	// answer for longer may have started again, empty.
-	shelfAge = pollWait + pollGap + 300*time.Millisecond
+	inventoryAge = pollWait + pollGap + 300*time.Millisecond
 	// epochCalm is how long a store's epoch must have been known before anything is
 	// saved there: no instance believes in the one before for longer, and what it began
 	// to fetch in that belief has ended.
-	epochCalm = shelfAge + relayAge + longestFetch
+	epochCalm = inventoryAge + relayAge + longestFetch
 	// relistEvery is how often a store is listed anew, for the events that were lost.
 	relistEvery = 12 * time.Second
 	// storesEvery is how often the configuration is looked at for new stores, and
@@ -48,39 +48,39 @@
 
 	process uint64 // tells this process's numbers from those of one before
 
-	mu      sync.Mutex
-	shelves map[string]*shelf // by address
-	journal stock.Journal
-	saving  map[stock.Key]time.Time
-	clock   float64   // servers' clock, ms, at clockAt
-	clockAt time.Time // zero: not known
+	mu          sync.Mutex
+	inventories map[string]*inventory // by address
+	journal     stock.Journal
+	saving      map[stock.Key]time.Time
+	clock       float64   // servers' clock, ms, at clockAt
+	clockAt     time.Time // zero: not known
 }
 
-type shelf struct {
-	stock.Shelf
+type inventory struct {
+	stock.Inventory
 	cancel context.CancelFunc // ends the polls; nil: told by other instances
 	listed time.Time
 }
 
-// ageLimit is how old the store's last word may be, see shelfAge; one that came by
+// ageLimit is how old the store's last word may be, see inventoryAge; one that came by
 // way of other instances is older.
-func (s *shelf) ageLimit() time.Duration {
+func (s *inventory) ageLimit() time.Duration {
 	if s.cancel == nil {
-		return shelfAge + relayAge
+		return inventoryAge + relayAge
 	}
-	return shelfAge
+	return inventoryAge
 }
 
 // settled says whether the store may be saved into.
-func (s *shelf) settled(now time.Time) bool {
+func (s *inventory) settled(now time.Time) bool {
 	return s.Known(now, s.ageLimit()) && s.Settled(now, epochCalm)
 }
 
 func newCacheDirectory(g *Gateway) *cacheDirectory {
-	return &cacheDirectory{g: g, process: rand.Uint64(), shelves: map[string]*shelf{}, saving: map[stock.Key]time.Time{}}
+	return &cacheDirectory{g: g, process: rand.Uint64(), inventories: map[string]*inventory{}, saving: map[stock.Key]time.Time{}}
 }
 
-// run keeps the shelves of the stores that the configuration names, until ctx ends.
+// run keeps the inventories of the stores that the configuration names, until ctx ends.
 func (c *cacheDirectory) run(ctx context.Context) {
 	for {
 		every := storesFirst
@@ -94,17 +94,17 @@
 	}
 }
 
-// follow makes a shelf for each store, and starts and ends the polls of them.
+// follow makes a inventory for each store, and starts and ends the polls of them.
 func (c *cacheDirectory) follow(ctx context.Context, stores []catalog.CacheStore, at position) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	named := map[string]bool{}
 	for _, s := range stores {
 		named[s.Address] = true
-		sh := c.shelves[s.Address]
+		sh := c.inventories[s.Address]
 		if sh == nil {
-			sh = &shelf{}
-			c.shelves[s.Address] = sh
+			sh = &inventory{}
+			c.inventories[s.Address] = sh
 		}
 		if at.follows == (sh.cancel != nil) {
 			continue
@@ -118,14 +118,14 @@
 		sh.cancel, sh.listed = cancel, time.Time{}
 		c.g.start(func() { c.poll(own, s, sh) })
 	}
-	for address, sh := range c.shelves {
+	for address, sh := range c.inventories {
 		if named[address] {
 			continue
 		}
 		if sh.cancel != nil {
 			sh.cancel()
 		}
-		delete(c.shelves, address)
+		delete(c.inventories, address)
 	}
 	now := c.g.now()
 	for k, at := range c.saving {
@@ -136,7 +136,7 @@
 }
 
 // listed takes all that a store holds; c.mu is held.
-func (c *cacheDirectory) listed(sh *shelf, address string, epoch, next uint64, held []stock.Held, heard time.Time) {
+func (c *cacheDirectory) listed(sh *inventory, address string, epoch, next uint64, held []stock.Held, heard time.Time) {
 	changes, anew := sh.List(epoch, next, held, heard)
 	if anew {
 		c.journal.Renew(address)
@@ -144,8 +144,8 @@
 	c.journal.Add(address, changes)
 }
 
-// poll keeps one store's shelf up to date.
-func (c *cacheDirectory) poll(ctx context.Context, s catalog.CacheStore, sh *shelf) {
+// poll keeps one store's inventory up to date.
+func (c *cacheDirectory) poll(ctx context.Context, s catalog.CacheStore, sh *inventory) {
 	entry := c.g.log.WithField("store", s.Name).WithField("address", s.Address)
 	failures := 0
 	for ctx.Err() == nil {
@@ -173,7 +173,7 @@
 }
 
 // pollOnce lists the store, or asks it for events.
-func (c *cacheDirectory) pollOnce(ctx context.Context, address string, sh *shelf, entry log.Interface) error {
+func (c *cacheDirectory) pollOnce(ctx context.Context, address string, sh *inventory, entry log.Interface) error {
 	c.mu.Lock()
 	_, next, known := sh.Position()
 	fresh := known && c.g.now().Sub(sh.listed) < relistEvery
@@ -296,7 +296,7 @@
 func (c *cacheDirectory) find(stores []catalog.CacheStore, key stock.Key, now time.Time) partSource {
 	var out partSource
 	for i := range stores {
-		sh := c.shelves[stores[i].Address]
+		sh := c.inventories[stores[i].Address]
 		if sh == nil {
 			continue
 		}
@@ -320,7 +320,7 @@
 	var usable []*catalog.CacheStore // by place
 	for i := range stores {
 		s := &stores[i]
-		if sh := c.shelves[s.Address]; sh != nil && sh.settled(now) {
+		if sh := c.inventories[s.Address]; sh != nil && sh.settled(now) {
 			usable = append(usable, s)
 			places = append(places, stock.Place{Address: s.Address, Capacity: s.Capacity, Used: sh.Used(), FirstByte: s.FirstByte, Near: near && s.Zone == zone})
 		}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -21,7 +21,7 @@
 
 // pick decides on the next attempt: its target, or nil if there is to be none.
 func (x *exchange) pick() (*catalog.Target, place.Decision) {
-	resting := x.g.sick.Resting()
+	resting := x.g.ejected.Resting()
 	candidates, serving := x.view.Candidates[x.service], x.view.Serving[x.service]
 	if len(candidates) < len(serving) && x.countFit(candidates, resting) < leastFit {
 		candidates = x.widen(serving, resting)
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/collector.go
@@ -13,8 +13,8 @@
 
 // Times and sizes of freeing.
 const (
-	// keeperTick is how often a keeper looks for what can be freed.
-	keeperTick = 400 * time.Millisecond
+	// collectTick is how often an instance looks for what can be freed.
+	collectTick = 400 * time.Millisecond
 	// settleTime is how long all targets must have been seen with newer weights
 	// before older cache is freed. A target with newer weights refuses requests that
 	// expect older ones, so that none can fetch it; this covers lists that differ by
@@ -32,12 +32,12 @@
 	brokenTime = 10 * time.Second
 )
 
-// keepStores frees cache of weights that no target serves any more, and parts that
+// collectGarbage frees cache of weights that no target serves any more, and parts that
 // broke off, in the stores that fall to this instance. Two that both think so do
 // no harm: what they free is nobody's.
-func (c *cacheDirectory) keepStores(ctx context.Context) {
+func (c *cacheDirectory) collectGarbage(ctx context.Context) {
 	var settled settling
-	for wait.For(ctx, wait.Jitter(keeperTick)) {
+	for wait.For(ctx, wait.Jitter(collectTick)) {
 		v := c.g.view.Load()
 		if v.Config == nil || v.Draining || !v.StoreOK {
 			continue // what targets serve is not known for sure
@@ -109,7 +109,7 @@
 // free frees a store's parts of versions older than oldest.
 func (c *cacheDirectory) free(ctx context.Context, address string, oldest map[string]uint64) {
 	c.mu.Lock()
-	sh := c.shelves[address]
+	sh := c.inventories[address]
 	var parts []stock.Key
 	var epoch uint64
 	if sh != nil && sh.Known(c.g.now(), sh.ageLimit()) {
--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -168,15 +168,15 @@
 }
 
 // Config hands out a piece of the configuration in force.
-func (f *peerFace) Config(req *ConfigAsk, out *ConfigPiece) error {
+func (h *peerHandler) Config(req *ConfigAsk, out *ConfigPiece) error {
 	var raw []byte
-	f.g.query(func(c *control) { out.Word, raw = c.configInForce(), c.raw })
+	h.g.query(func(c *control) { out.Word, raw = c.configInForce(), c.raw })
 	from := 0
 	if req.Version == out.Word.Version {
 		from = min(max(req.Offset, 0), len(raw))
 	}
 	to := min(from+configPiece, len(raw))
-	if out.Busy = !f.g.takers.admit(req.From, to == len(raw), f.g.now()); !out.Busy {
+	if out.Busy = !h.g.takers.admit(req.From, to == len(raw), h.g.now()); !out.Busy {
 		out.Piece = raw[from:to]
 	}
 	return nil
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -76,8 +76,8 @@
 const gonePart = -1
 
 // Directory answers another instance's look.
-func (f *peerFace) Directory(req *DirectoryAsk, out *Directory) error {
-	*out = f.g.cache.tell(*req)
+func (h *peerHandler) Directory(req *DirectoryAsk, out *Directory) error {
+	*out = h.g.cache.tell(*req)
 	return nil
 }
 
@@ -91,7 +91,7 @@
 		out.ClockMS = c.clock + float64(now.Sub(c.clockAt))/float64(time.Millisecond)
 	}
 	listed := 0 // parts of stores that are told whole
-	for address, sh := range c.shelves {
+	for address, sh := range c.inventories {
 		epoch, _, known := sh.Position()
 		if !known {
 			continue
@@ -203,7 +203,7 @@
 	return d, err
 }
 
-// take brings the shelves up to date with another's word, asked for at started. It
+// take brings the inventories up to date with another's word, asked for at started. It
 // returns the stores that are known now; others must be told anew.
 func (c *cacheDirectory) take(d Directory, started time.Time) (known []string) {
 	c.mu.Lock()
@@ -211,7 +211,7 @@
 	c.setClock(d.ClockMS)
 	for i := range d.Stores {
 		n := &d.Stores[i]
-		sh := c.shelves[n.Address]
+		sh := c.inventories[n.Address]
 		if sh == nil || sh.cancel != nil {
 			continue // not declared here yet, or followed by this instance itself
 		}
@@ -224,7 +224,7 @@
 }
 
 // takeStore is take for one store; c.mu is held.
-func (c *cacheDirectory) takeStore(sh *shelf, n *StoreNews, heard time.Time) bool {
+func (c *cacheDirectory) takeStore(sh *inventory, n *StoreNews, heard time.Time) bool {
 	events := n.events()
 	if !n.Whole {
 		ok := sh.Apply(n.Epoch, 0, false, events, heard)
--- a/internal/gateway/directory_test.go
+++ b/internal/gateway/directory_test.go
@@ -102,12 +102,12 @@
 	const stores, parts = 13, 400
 	for s := range stores {
 		address := fmt.Sprintf("10.0.1.%d:1", s)
-		teller.shelves[address], asker.shelves[address] = &shelf{}, &shelf{}
+		teller.inventories[address], asker.inventories[address] = &inventory{}, &inventory{}
 		held := make([]stock.Held, parts)
 		for i := range held {
 			held[i] = stock.Held{Key: stock.Key{Salt: "s", Part: fmt.Sprint(i)}, Tokens: 100}
 		}
-		teller.listed(teller.shelves[address], address, 1, 1, held, now)
+		teller.listed(teller.inventories[address], address, 1, 1, held, now)
 	}
 	var ask DirectoryAsk
 	for look := 0; ; look++ {
@@ -125,15 +125,15 @@
 			is.True(look > 0)
 			break
 		}
-		for address, sh := range teller.shelves {
+		for address, sh := range teller.inventories {
 			e := []stock.Event{{Key: stock.Key{Salt: "s", Part: fmt.Sprintf("new-%d", look)}, Added: true, Tokens: 50}}
 			is.True(sh.Apply(1, uint64(look+2), false, e, now))
 			teller.journal.Add(address, e)
 		}
 	}
 	is.True(asker.take(teller.tell(ask), now) != nil)
-	for address, sh := range teller.shelves {
-		is.Equal(len(asker.shelves[address].All()), len(sh.All()))
+	for address, sh := range teller.inventories {
+		is.Equal(len(asker.inventories[address].All()), len(sh.All()))
 	}
 	is.True(!teller.tell(ask).More)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,7 +80,7 @@
 	peers     *peer.Server
 
 	upstream *upstream
-	sick     *breaker.Set // targets whose requests fail
+	ejected  *breaker.Set // targets whose requests fail
 	budgets  budgets
 	// predictor is shared by all requests.
 	predictorMu sync.Mutex
@@ -105,7 +105,7 @@
 	g.began = g.now()
 	g.ctx, g.stop = context.WithCancel(context.Background())
 	g.upstream = newUpstream()
-	g.sick = breaker.New(g.now)
+	g.ejected = breaker.New(g.now)
 	g.predictor = place.NewPredictor()
 	g.others = loads.NewHeard(loadAge)
 	g.cache = newCacheDirectory(g)
@@ -149,7 +149,7 @@
 	sec := peer.Security{Secret: []byte(peersKey)}
 	g.pool = peer.NewPool(sec, g.now)
 	var err error
-	if g.peers, err = peer.NewServerOf(peerService, &peerFace{g}, sec); err != nil {
+	if g.peers, err = peer.NewServerOf(peerService, &peerHandler{g}, sec); err != nil {
 		return err
 	}
 	for _, l := range [...]struct {
@@ -218,7 +218,7 @@
 		targets: newTargets(g.log, set.Name)}
 	g.start(func() { g.runControl(g.ctx, c) })
 	g.followAll(g.ctx)
-	for _, f := range [...]func(context.Context){g.greetSeeds, g.askWhileCutOff, g.bringConfig, g.meet, g.tidy, g.tellLoads, g.rollOut, g.cache.run, g.cache.pull, g.cache.keepStores} {
+	for _, f := range [...]func(context.Context){g.greetSeeds, g.askWhileCutOff, g.bringConfig, g.keepBootstrap, g.tidy, g.tellLoads, g.rollOut, g.cache.run, g.cache.pull, g.cache.collectGarbage} {
 		g.start(func() { f(g.ctx) })
 	}
 	g.serve("callers", func() error { return g.callerSrv.Serve(g.callerLn) })
@@ -263,7 +263,7 @@
 		}
 		keep := func(name string) bool { return known[name] }
 		g.upstream.work.Keep(keep)
-		g.sick.Keep(keep)
+		g.ejected.Keep(keep)
 		g.predictorMu.Lock()
 		g.predictor.Keep(keep)
 		g.predictorMu.Unlock()
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -35,8 +35,8 @@
 type Heard struct{}
 
 // Loads takes a peer's word.
-func (f *peerFace) Loads(req *Loads, _ *Heard) error {
-	f.g.others.Take(req.From, req.Seq, req.Targets, f.g.now())
+func (h *peerHandler) Loads(req *Loads, _ *Heard) error {
+	h.g.others.Take(req.From, req.Seq, req.Targets, h.g.now())
 	return nil
 }
 
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -133,7 +133,7 @@
 	c.targets.List(9, all, nil, at0)
 	versionsNamed{revision: 11, changed: 11, versions: []catalog.ModelVersion{{Model: "m", Version: 2}}}.apply(c)
 	v := c.view()
-	g := &Gateway{now: func() time.Time { return at0 }, sick: breaker.New(func() time.Time { return at0 })}
+	g := &Gateway{now: func() time.Time { return at0 }, ejected: breaker.New(func() time.Time { return at0 })}
 	x := &exchange{g: g, view: v, service: "s", call: Call{Prompt: &Prompt{Model: "m"}}}
 	is.Equal(x.countFit(v.Candidates["s"], nil), 0)
 	wide := x.widen(v.Serving["s"], nil)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -58,30 +58,30 @@
 	OK bool `cbor:"1,keyasint"`
 }
 
-// peerFace is the net/rpc face of a Gateway. net/rpc wants these signatures.
-type peerFace struct{ g *Gateway }
+// peerHandler is the net/rpc handler of a Gateway. net/rpc wants these signatures.
+type peerHandler struct{ g *Gateway }
 
 // Hello answers a probe.
-func (f *peerFace) Hello(req *Hello, out *Welcome) error {
+func (h *peerHandler) Hello(req *Hello, out *Welcome) error {
 	behind := false
-	f.g.query(func(c *control) {
+	h.g.query(func(c *control) {
 		*out = c.welcome(req)
 		behind = c.known().lacks(req.Have)
 	})
 	if behind && req.From.Address != "" {
-		f.g.start(func() { f.g.catchUp(req.From, req.Have) })
+		h.g.start(func() { h.g.catchUp(req.From, req.Have) })
 	}
 	return nil
 }
 
 // Reach probes another instance for the asker.
-func (f *peerFace) Reach(req *Reach, out *Reached) error {
-	ctx, cancel := context.WithTimeout(f.g.ctx, peerTimeout)
+func (h *peerHandler) Reach(req *Reach, out *Reached) error {
+	ctx, cancel := context.WithTimeout(h.g.ctx, peerTimeout)
 	defer cancel()
 	var w Welcome
 	hello := &Hello{}
-	f.g.query(func(c *control) { hello = c.greeting(false) })
-	err := f.g.pool.Call(ctx, req.Address, peerService+".Hello", hello, &w)
+	h.g.query(func(c *control) { hello = c.greeting(false) })
+	err := h.g.pool.Call(ctx, req.Address, peerService+".Hello", hello, &w)
 	out.OK = err == nil && w.From.Name == req.Name
 	return nil
 }
--- a/internal/gateway/saves.go
+++ b/internal/gateway/saves.go
@@ -10,7 +10,7 @@
 	"github.com/shedhoist/shedhoist/internal/metric"
 )
 
-// One instance grants the saves into each cache store, see stock.Shelf.Grant. Requests of
+// One instance grants the saves into each cache store, see stock.Inventory.Grant. Requests of
 // other instances ask it before they have a part saved there.
 
 const (
@@ -46,8 +46,8 @@
 }
 
 // Saves answers a SaveAsk.
-func (f *peerFace) Saves(req *SaveAsk, out *SaveLeave) error {
-	*out = f.g.cache.grant(*req)
+func (h *peerHandler) Saves(req *SaveAsk, out *SaveLeave) error {
+	*out = h.g.cache.grant(*req)
 	return nil
 }
 
@@ -56,7 +56,7 @@
 func (c *cacheDirectory) grant(ask SaveAsk) SaveLeave {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	sh, now := c.shelves[ask.Store], c.g.now()
+	sh, now := c.inventories[ask.Store], c.g.now()
 	if sh == nil || sh.cancel == nil || !sh.settled(now) {
 		return SaveLeave{Unsure: true}
 	}
@@ -140,7 +140,7 @@
 func (c *cacheDirectory) epoch(address string) uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	sh := c.shelves[address]
+	sh := c.inventories[address]
 	if sh == nil {
 		return 0
 	}
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -297,11 +297,11 @@
 	id := at.target.ID
 	switch {
 	case end.delivered:
-		x.g.sick.Result(id, true)
+		x.g.ejected.Result(id, true)
 	case end.event == attempt.Refused:
-		x.g.sick.Rest(id, refusalRest)
+		x.g.ejected.Rest(id, refusalRest)
 	case end.event == attempt.CallerGone:
 	default:
-		x.g.sick.Result(id, false)
+		x.g.ejected.Result(id, false)
 	}
 }
