--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -9,7 +9,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -20,23 +19,9 @@
 	"github.com/shedhoist/shedhoist/internal/platform"
 )
 
-// Times of held entries.
-const (
-	// ReturnTime is how long after the object store's return an entry that lapsed
-	// meanwhile may take to be written again.
-	ReturnTime = 2 * time.Second
-	// massLapse is how many entries that were not leaving must vanish at once to
-	// be taken for lapsed rather than gone: an outage may end before it is noticed.
-	massLapse = 3
-	// massHold is how long those are held if no outage was noticed: they may have
-	// left in order, and must get no requests 2 s after they said so.
-	massHold = 1200 * time.Millisecond
-	// maxGone bounds the memory of vanished entries.
-	maxGone = 4096
-	// linesAtOnce is how many lines one word of changes may cost: a start of a large
-	// fleet changes thousands of entries.
-	linesAtOnce = 64
-)
+// linesAtOnce is how many lines one word of changes may cost: a start of a large
+// fleet changes thousands of entries.
+const linesAtOnce = 64
 
 // Options are what a Table needs of its instance.
 type Options struct {
@@ -63,12 +48,6 @@
 	At     time.Time
 }
 
-// vanished is what is remembered of an entry that is no more.
-type vanished struct {
-	revision uint64
-	start    int64 // of the target's latest life
-}
-
 // Table is the list of targets. A target whose entry vanishes is gone at
 // once, but for those that may have lapsed during an outage of the object store.
 type Table struct {
@@ -171,17 +150,6 @@
 	}
 }
 
-// sudden counts those that vanish without having said that they leave.
-func (t *Table) sudden(gone []string) int {
-	n := 0
-	for _, name := range gone {
-		if x := t.byName[name]; x != nil && !x.Leaving {
-			n++
-		}
-	}
-	return n
-}
-
 // put takes an entry, unless a newer word of it is known: news by way of a peer
 // may overtake the store's own.
 func (t *Table) put(x catalog.Target, now time.Time) {
@@ -266,56 +234,6 @@
 	return out
 }
 
-// vanish drops an entry that was gone at a revision, or holds it for a while if it may
-// have lapsed. Late news may name one that has returned since.
-func (t *Table) vanish(name string, revision uint64, until, now time.Time) {
-	x := t.byName[name]
-	if x != nil && x.Revision > revision {
-		return
-	}
-	t.noteGone(name, revision, x)
-	if x == nil || x.Held() {
-		return // it came and went since the last word, or is held already; others may know it
-	}
-	if !x.Leaving && !x.Unusable && until.After(now) {
-		t.set(&Entry{Target: x.Target, until: until})
-		if t.mayLog() {
-			t.entryLog(name).WithField("for_ms", until.Sub(now).Milliseconds()).Info("target's entry vanished, held")
-		}
-		return
-	}
-	t.remove(name, now)
-	if t.mayLog() {
-		t.entryLog(name).WithField("revision", uint64(t.revision)).Info("target gone")
-	}
-}
-
-// noteGone remembers that an entry vanished, for those who know less.
-func (t *Table) noteGone(name string, revision uint64, x *Entry) {
-	if len(t.gone) > maxGone {
-		t.gone, t.goneFrom = map[string]vanished{}, t.revision
-	}
-	v := t.gone[name]
-	v.revision = max(v.revision, revision)
-	if x != nil {
-		v.start = max(v.start, x.Start)
-	}
-	t.gone[name] = v
-}
-
-// Expire drops the held entries whose time is over; it says whether there were any.
-func (t *Table) Expire(now time.Time) bool {
-	changed := false
-	for name := range t.held {
-		if !now.Before(t.byName[name].until) {
-			t.remove(name, now)
-			changed = true
-			t.entryLog(name).Info("target gone, its entry did not return")
-		}
-	}
-	return changed
-}
-
 // Serves takes a target's own word of its weights. id names the life that gave it; the
 // word of one that ended says nothing.
 func (t *Table) Serves(id string, at catalog.ModelVersion) {
@@ -333,35 +251,6 @@
 	t.entryLog(name).WithField("model", at.Model).WithField("version", at.Version).Info("target serves newer weights")
 }
 
-// Since returns what changed after a revision: entries, and names that are gone. If
-// that is not known it returns all entries, and all is true; gone then names those among
-// them that vanished and are held here.
-func (t *Table) Since(revision platform.Version) (entries []catalog.Target, gone []string, all bool) {
-	if revision < t.goneFrom {
-		return t.all(), slices.Sorted(maps.Keys(t.held)), true
-	}
-	for _, x := range t.byName {
-		if !x.Held() && x.Revision > uint64(revision) {
-			entries = append(entries, x.Target)
-		}
-	}
-	for name, v := range t.gone {
-		if x := t.byName[name]; v.revision > uint64(revision) && (x == nil || x.Held()) {
-			gone = append(gone, name)
-		}
-	}
-	return entries, gone, false
-}
-
-// all returns the entries that stand, held ones too.
-func (t *Table) all() []catalog.Target {
-	out := make([]catalog.Target, 0, len(t.byName))
-	for _, x := range t.byName {
-		out = append(out, x.Target)
-	}
-	return out
-}
-
 // set keeps an entry in place of the one of its name.
 func (t *Table) set(x *Entry) {
 	old := t.byName[x.Name]
