Members: one that knows fewer than its peers asks one of them for all

Cause: where all instances start at once most join by a seed that knows few yet, and the others come to them by 8 members a probe, each told a few times only. 150 instances in one process: 45 know all after 20 s, some lack 14. Trees, watchers, granters and the sums of work under way are worked out by each for itself from the members it knows, so they differ as long: watches that nobody needs, words that reach nobody or twice.

Change: greetings and their answers say how many live members the sender knows. Whoever knows over 3 fewer asks that peer for all, at once; a few fewer after 2 s in which all peers knew more. One such call at a time.

--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -106,6 +106,20 @@
 	return out
 }
 
+// Live is the number of live members, this one included.
+func (m *Machine) Live() int {
+	n := 0
+	if m.self.State == Alive {
+		n = 1
+	}
+	for _, r := range m.members {
+		if r.State == Alive {
+			n++
+		}
+	}
+	return n
+}
+
 // Changed says whether the members changed since it was last asked.
 func (m *Machine) Changed() bool {
 	c := m.changed
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -33,6 +33,7 @@
 	ownNews  bool        // it is this instance's own
 	heardOf  time.Time   // when it was heard
 	members  *member.Machine
+	missing  time.Time // since when all peers heard of know more live members; zero: they don't
 	draining bool
 	storeOK  bool
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,6 +68,7 @@
 	// failing has the kinds about which the store does not answer.
 	failingMu sync.Mutex
 	failing   map[string]bool
+	joining   atomic.Bool               // all members are being asked for
 	catching  atomic.Bool               // news are being taken from a peer
 	newer     atomic.Pointer[newerPeer] // a peer that knows more and was not asked yet
 	// storeDue has the targets' changes taken from the object store once, though this
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -55,6 +55,7 @@
 	Need    bool            `cbor:"5,keyasint,omitempty"` // answer with what is newer than Have
 	Known   Known           `cbor:"6,keyasint"`
 	Alone   bool            `cbor:"7,keyasint,omitempty"` // the object store does not answer the sender
+	Members int             `cbor:"8,keyasint,omitempty"` // live members that the sender knows
 }
 
 // Known is up to where an instance's beliefs are complete.
@@ -72,6 +73,7 @@
 	Have    Have            `cbor:"3,keyasint"`
 	News    *News           `cbor:"4,keyasint,omitempty"`
 	Ages    []NamedAge      `cbor:"5,keyasint,omitempty"` // to one that joins
+	Members int             `cbor:"6,keyasint,omitempty"` // live members that the sender knows
 }
 
 // NamedAge is how long ago a weight version was named, by the teller's own clock.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -35,6 +35,14 @@
 	newsAge = 1500 * time.Millisecond
 	// spreadTo is how many peers are told of a change at once; it spreads on by probes.
 	spreadTo = 12
+	// manyMembers is how many more live members than this instance a peer must know to be
+	// asked at once for all of them. Fewer come with probes, 8 at a time. When 150 instances
+	// start together most join by a seed that knows few yet, and without it only 45 of them
+	// know all after 20 s: trees and roles, which each works out for itself, differ as long.
+	manyMembers = 3
+	// fewMissing is how long all peers must have known more, if only a few, to be asked: news
+	// of a member reach 300 instances by probes in less.
+	fewMissing = 2 * time.Second
 	// watcherRole ranks the instances that tell the others.
 	watcherRole = "watcher"
 )
@@ -63,11 +71,14 @@
 
 // Hello answers a probe.
 func (h *peerHandler) Hello(req *Hello, out *Welcome) error {
-	behind := false
+	behind, lonelier := false, false
 	h.g.query(func(c *control) {
 		*out = c.welcome(req)
-		behind = c.known().lacks(req.Have)
+		behind, lonelier = c.known().lacks(req.Have), c.lacksMembers(req.Members)
 	})
+	if lonelier {
+		h.g.start(func() { h.g.takeMembers(req.From.Address) })
+	}
 	if behind && req.From.Address != "" {
 		h.g.start(func() { h.g.catchUp(req.From, req.Have) })
 	}
@@ -94,7 +105,7 @@
 	}
 	c.members.Receive(req.Updates, now)
 	c.hearConfig(req.Have, req.From)
-	out := Welcome{From: c.members.Self(), Have: c.have()}
+	out := Welcome{From: c.members.Self(), Have: c.have(), Members: c.members.Live()}
 	if req.Join {
 		out.Updates, out.Ages = c.members.Members(), c.ages()
 	} else {
@@ -108,7 +119,40 @@
 
 // greeting is a Hello with all that is known here.
 func (c *control) greeting(need bool) *Hello {
-	return &Hello{From: c.members.Self(), Have: c.have(), Known: c.known(), Need: need, Alone: !c.storeOK}
+	return &Hello{From: c.members.Self(), Have: c.have(), Known: c.known(), Need: need, Alone: !c.storeOK,
+		Members: c.members.Live()}
+}
+
+// lacksMembers says whether a peer that knows so many live members is to be asked for all.
+func (c *control) lacksMembers(known int) bool {
+	missing := known - c.members.Live()
+	if missing <= 0 {
+		c.missing = time.Time{}
+		return false
+	}
+	if c.missing.IsZero() {
+		c.missing = c.now()
+	}
+	if missing <= manyMembers && c.now().Sub(c.missing) < fewMissing {
+		return false
+	}
+	c.missing = time.Time{}
+	return true
+}
+
+// takeMembers asks a peer for all members that it knows. One call at a time is enough.
+func (g *Gateway) takeMembers(address string) {
+	if !g.joining.CompareAndSwap(false, true) {
+		return
+	}
+	defer g.joining.Store(false)
+	var hello *Hello
+	g.query(func(c *control) { hello = c.greeting(false) })
+	if hello == nil {
+		return // this instance is ending
+	}
+	hello.Join = true
+	g.hello(member.Probe{Address: address}, hello)
 }
 
 // probePeers carries out the probes that are due; it runs on the control goroutine.
@@ -166,8 +210,11 @@
 		g.takeNews(reply.News)
 		return
 	}
-	behind := false
-	g.query(func(c *control) { behind = c.known().lacks(reply.Have) })
+	behind, lonelier := false, false
+	g.query(func(c *control) { behind, lonelier = c.known().lacks(reply.Have), c.lacksMembers(reply.Members) })
+	if lonelier {
+		g.start(func() { g.takeMembers(reply.From.Address) })
+	}
 	if behind && err == nil && !req.Need {
 		g.catchUp(reply.From, reply.Have)
 	}
--- /dev/null
+++ b/internal/gateway/peers_test.go
@@ -0,0 +1,98 @@
+package gateway
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shedhoist/shedhoist/internal/core/member"
+)
+
+// startingFleet is a fleet whose instances start at once, without a network: messages
+// arrive when they are sent.
+type startingFleet struct {
+	byAddress map[string]*control
+	names     []string
+	now       time.Time
+	lists     int // whole lists of members that were handed over
+}
+
+func newStartingFleet(n int) *startingFleet {
+	f := &startingFleet{byAddress: map[string]*control{}, now: at0}
+	r := rand.New(rand.NewPCG(1, 2))
+	for i := range n {
+		name := fmt.Sprintf("e-%03d", i)
+		c := controlOf(name, fmt.Sprintf("z%d", i%5))
+		self := member.Member{Name: name, Address: name, Zone: c.members.Self().Zone, Incarnation: 1}
+		params := member.DefaultParams
+		params.Period = peerPeriod
+		c.members, c.now = member.New(params, self, r.IntN), func() time.Time { return f.now }
+		f.byAddress[name], f.names = c, append(f.names, name)
+	}
+	return f
+}
+
+// send lets one instance greet another, as Gateway.hello and peerHandler.Hello do.
+func (f *startingFleet) send(c *control, probe member.Probe, hello *Hello) {
+	to := f.byAddress[probe.Address]
+	reply := to.welcome(hello)
+	if hello.Join {
+		f.lists++
+	}
+	helloEnded{probe: probe, ok: true, reply: reply}.apply(c)
+	if to.lacksMembers(hello.Members) {
+		f.join(to, c.members.Self().Address)
+	}
+	if c.lacksMembers(reply.Members) {
+		f.join(c, probe.Address)
+	}
+}
+
+func (f *startingFleet) join(c *control, address string) {
+	hello := c.greeting(false)
+	hello.Join = true
+	f.send(c, member.Probe{Address: address}, hello)
+}
+
+// knowAll is how many instances know all.
+func (f *startingFleet) knowAll() int {
+	n := 0
+	for _, c := range f.byAddress {
+		if c.members.Live() == len(f.names) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestStartTogether: of a fleet that starts at once, where all join by a seed that knows
+// few yet, all know all within some probes, by few whole lists.
+func TestStartTogether(t *testing.T) {
+	for _, n := range []int{9, 91, 295} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			is := is.New(t)
+			f := newStartingFleet(n)
+			for i, name := range f.names[1:] {
+				f.join(f.byAddress[name], f.names[i%min(3, i+1)])
+			}
+			periods := 0
+			for ; f.knowAll() < n && periods < 60; periods++ {
+				f.now = f.now.Add(peerPeriod)
+				for _, name := range f.names {
+					c := f.byAddress[name]
+					for _, p := range c.members.Tick(f.now) {
+						hello := c.greeting(false)
+						hello.Updates = p.Updates
+						f.send(c, p, hello)
+					}
+				}
+			}
+			t.Logf("%d periods, %.1f lists an instance", periods, float64(f.lists)/float64(n))
+			is.True(periods <= 10)
+			is.True(f.lists <= 6*n)
+		})
+	}
+}
