--- a/internal/core/stock/stock.go
+++ b/internal/core/stock/stock.go
@@ -70,36 +70,6 @@
 
 	broken   map[Key]brokenPart // incomplete parts of the last list
 	brokenAt time.Time          // of that list
-
-	// saving has the saves that were granted and are not told complete, with the time by
-	// which each is taken for lost. It outlives the store's epoch: a save may be held up on
-	// its way and arrive after the store has started again.
-	saving map[Key]time.Time
-}
-
-// Grant gives leave to save a part, for the instance that grants a store's saves: one save
-// of a part is under way at a time. So a part that is told complete is not being saved a
-// second time, and no save that was held up on its way writes it anew after a restart of
-// the store while others, who have not heard of the restart, still fetch it. lasts is how
-// long the save may be under way.
-func (s *Inventory) Grant(k Key, now time.Time, lasts time.Duration) bool {
-	if _, held := s.held[k]; held || !s.known || now.Before(s.saving[k]) {
-		return false
-	}
-	if s.saving == nil {
-		s.saving = map[Key]time.Time{}
-	}
-	s.saving[k] = now.Add(lasts)
-	return true
-}
-
-// dropLost forgets the grants of saves that are taken for lost.
-func (s *Inventory) dropLost(now time.Time) {
-	for k, until := range s.saving {
-		if !now.Before(until) {
-			delete(s.saving, k)
-		}
-	}
 }
 
 // brokenPart is a part that takes space and is not complete.
@@ -150,9 +120,7 @@
 	for _, h := range held {
 		s.held[h.Key] = h.Tokens
 		s.used += space(h.Tokens)
-		delete(s.saving, h.Key)
 	}
-	s.dropLost(now)
 	if anew {
 		return nil, true
 	}
@@ -183,7 +151,6 @@
 		if e.Added {
 			s.held[e.Key] = e.Tokens
 			s.used += space(e.Tokens)
-			delete(s.saving, e.Key)
 		}
 	}
 	s.next = next
@@ -212,9 +179,8 @@
 }
 
 // Forget drops all knowledge of the contents: the store does not answer, or
-// started again. Its epoch stays in mind, to tell a restart from a silence, and so do
-// the saves under way.
-func (s *Inventory) Forget() { *s = Inventory{epoch: s.epoch, since: s.since, saving: s.saving} }
+// started again. Its epoch stays in mind, to tell a restart from a silence.
+func (s *Inventory) Forget() { *s = Inventory{epoch: s.epoch, since: s.since} }
 
 // Settled says whether the store's epoch has been known for d. Until then other
 // instances may fetch what they believe it held before, and must not meet a part
--- a/internal/core/stock/stock_test.go
+++ b/internal/core/stock/stock_test.go
@@ -154,29 +154,3 @@
 	places[2].Used = places[2].Capacity
 	is.True(stock.Home(stock.Key{Part: "x"}, 5000, false, places) != 2)
 }
-
-// TestGrant: one save of a part is under way at a time, across restarts of the store, until
-// it is told complete or its time is over; a part that is held is not saved again.
-func TestGrant(t *testing.T) {
-	is := is.New(t)
-	var s stock.Inventory
-	k, other := stock.Key{Salt: "s", Part: "p"}, stock.Key{Salt: "s", Part: "q"}
-	lasts := 3 * time.Second
-	at := func(n int) time.Time { return start.Add(time.Duration(n) * time.Second) }
-	is.True(!s.Grant(k, at(0), lasts)) // the store is not known
-	s.List(1, 5, nil, at(0))
-	is.True(s.Grant(k, at(0), lasts))
-	is.True(!s.Grant(k, at(1), lasts)) // under way
-	is.True(s.Grant(other, at(1), lasts))
-	s.Forget()
-	s.List(2, 1, nil, at(2))
-	is.True(!s.Grant(k, at(2), lasts)) // it may arrive after the restart
-	is.True(s.Grant(k, at(3), lasts))  // taken for lost
-	is.True(s.Apply(2, 2, false, []stock.Event{{Key: k, Added: true, Tokens: 80}}, at(3)))
-	is.True(!s.Grant(k, at(3), lasts)) // held
-	is.True(s.Apply(2, 3, false, []stock.Event{{Key: k}}, at(3)))
-	is.True(s.Grant(k, at(3), lasts)) // freed: the save before is complete
-	s.List(2, 4, []stock.Held{{Key: k, Tokens: 80}}, at(3))
-	s.Drop([]stock.Key{k})
-	is.True(s.Grant(k, at(3), lasts)) // the list told it complete
-}
--- a/internal/gateway/cache.go
+++ b/internal/gateway/cache.go
@@ -35,7 +35,7 @@
 	// stores hold until it has listed them.
 	storesEvery = 500 * time.Millisecond
 	storesFirst = 10 * time.Millisecond
-	// saveMemory is how long an instance does not ask again for leave to save a part.
+	// saveMemory is how long an own save counts as under way.
 	saveMemory = 3 * time.Second
 	// leastKept is the smallest part that is worth a store's space, in tokens:
 	// reading it again takes about as long as a transfer's fixed delay.
@@ -71,11 +71,6 @@
 	return inventoryAge
 }
 
-// settled says whether the store may be saved into.
-func (s *inventory) settled(now time.Time) bool {
-	return s.Known(now, s.ageLimit()) && s.Settled(now, epochCalm)
-}
-
 func newCacheDirectory(g *Gateway) *cacheDirectory {
 	return &cacheDirectory{g: g, process: rand.Uint64(), inventories: map[string]*inventory{}, saving: map[stock.Key]time.Time{}}
 }
@@ -254,39 +249,28 @@
 
 // plan says for each part where it is fetched from, and where it is kept if no
 // store is known to have it: by preference in the zone of the target that reads it.
-func (c *cacheDirectory) plan(ctx context.Context, stores []catalog.CacheStore, salt string, version uint64, parts []Part, from []partSource, fetch []bool, zone string) cachePlan {
+func (c *cacheDirectory) plan(stores []catalog.CacheStore, salt string, version uint64, parts []Part, from []partSource, fetch []bool, zone string) cachePlan {
 	out := cachePlan{version: version}
 	if len(parts) < 2 || len(stores) == 0 {
 		return out
 	}
-	out.parts = make([]PartPlan, len(parts))
-	for i := range parts[:len(parts)-1] {
-		if from[i].store != nil && fetch[i] {
-			out.parts[i].FetchFrom, out.parts[i].FetchTokens = from[i].store.Address, from[i].tokens
-			out.fetches++
-		}
-	}
-	for _, s := range c.granted(ctx, c.wishes(stores, salt, parts, from, zone)) {
-		out.parts[s.index].SaveTo = s.store.Address
-		out.saves++
-	}
-	return out
-}
-
-// wishes names the parts that no store has, each with the store to keep it in.
-func (c *cacheDirectory) wishes(stores []catalog.CacheStore, salt string, parts []Part, from []partSource, zone string) []save {
-	var out []save
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.g.now()
+	out.parts = make([]PartPlan, len(parts))
 	for i, p := range parts[:len(parts)-1] {
 		if from[i].store != nil {
+			if fetch[i] {
+				out.parts[i].FetchFrom, out.parts[i].FetchTokens = from[i].store.Address, from[i].tokens
+				out.fetches++
+			}
 			continue
 		}
 		key := stock.Key{Salt: salt, Part: p.ID}
-		if to := c.home(stores, key, p.Tokens, i == 0 && c.g.settings().Policy.HeadsApart, zone, now); to != nil {
-			out = append(out, save{index: i, key: key, store: to})
+		if to := c.home(stores, key, p.Tokens, i == 0 && c.g.settings().Policy.HeadsApart, zone, now); to != "" {
+			out.parts[i].SaveTo = to
 			c.saving[key] = now
+			out.saves++
 		}
 	}
 	return out
@@ -307,26 +291,23 @@
 	return out
 }
 
-// home returns the store to keep a part in; nil if none is to.
-func (c *cacheDirectory) home(stores []catalog.CacheStore, key stock.Key, tokens int, head bool, zone string, now time.Time) *catalog.CacheStore {
+// home returns the address of the store to keep a part in; "" if none is to.
+func (c *cacheDirectory) home(stores []catalog.CacheStore, key stock.Key, tokens int, head bool, zone string, now time.Time) string {
 	if tokens < leastKept {
-		return nil
+		return ""
 	}
 	if at, ok := c.saving[key]; ok && now.Sub(at) < saveMemory {
-		return nil
+		return ""
 	}
 	near := c.g.settings().Policy.StoreZones
 	var places []stock.Place
-	var usable []*catalog.CacheStore // by place
-	for i := range stores {
-		s := &stores[i]
-		if sh := c.inventories[s.Address]; sh != nil && sh.settled(now) {
-			usable = append(usable, s)
+	for _, s := range stores {
+		if sh := c.inventories[s.Address]; sh != nil && sh.Known(now, sh.ageLimit()) && sh.Settled(now, epochCalm) {
 			places = append(places, stock.Place{Address: s.Address, Capacity: s.Capacity, Used: sh.Used(), FirstByte: s.FirstByte, Near: near && s.Zone == zone})
 		}
 	}
 	if i := stock.Home(key, tokens, head, places); i >= 0 {
-		return usable[i]
+		return places[i].Address
 	}
-	return nil
+	return ""
 }
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -133,7 +133,7 @@
 func (x *exchange) modelAttempt(t *catalog.Target) *ModelAttempt {
 	version := t.VersionOf(x.call.Prompt.Model)
 	salt := x.salt(version)
-	x.plan = x.g.cache.plan(x.ctx, x.view.Config.Stores, salt, version, x.call.Prompt.Parts, x.sourcesOf(version), x.asks.fetch, t.Zone)
+	x.plan = x.g.cache.plan(x.view.Config.Stores, salt, version, x.call.Prompt.Parts, x.sourcesOf(version), x.asks.fetch, t.Zone)
 	return &ModelAttempt{Priority: x.urgency(), Version: version, Salt: salt, Cache: x.plan.parts,
 		FetchUntilMS: x.g.cache.clockMS(x.fetchUntil())}
 }
--- a/internal/gateway/tree.go
+++ b/internal/gateway/tree.go
@@ -165,31 +165,6 @@
 	return out
 }
 
-// granter is the instance that grants saves into a cache store: one that hears of the store
-// for itself, in the store's zone if there is any. Its zero value: none is known.
-func (t *tree) granter(zone, address string) member.Member {
-	if best, ok := t.highest(t.hearing(zone), address); ok {
-		return best
-	}
-	var all []member.Member
-	for z := range t.zones {
-		all = append(all, t.hearing(z)...)
-	}
-	best, _ := t.highest(all, address)
-	return best
-}
-
-// highest is the member that ranks first for a role.
-func (t *tree) highest(members []member.Member, role string) (best member.Member, ok bool) {
-	top := uint64(0)
-	for _, m := range members {
-		if score := roleScore(m.Name, role); !ok || score > top {
-			best, top, ok = m, score, true
-		}
-	}
-	return best, ok
-}
-
 // hearing are the instances of a zone that hear for themselves.
 func (t *tree) hearing(zone string) []member.Member {
 	near := t.zones[zone]
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -21,7 +21,6 @@
 	// VersionsUnreadable counts objects that name a weight version and can't be read.
 	VersionsUnreadable = metrics.NewCounter("shedhoist_weight_versions_unreadable_total")
 	ObjectsUnreadable  = metrics.NewCounter("shedhoist_objects_unreadable_total")
-	SavesNotGranted    = metrics.NewCounter("shedhoist_saves_not_granted_total")
 	Mismatches         = metrics.NewCounter("shedhoist_mismatched_answers_total")
 	PromptTokens       = metrics.NewCounter("shedhoist_prompt_tokens_total")
 	CachedTokens       = metrics.NewCounter("shedhoist_prompt_tokens_cached_total")
