--- a/internal/core/stock/journal_test.go
+++ b/internal/core/stock/journal_test.go
@@ -12,7 +12,7 @@
 	"github.com/shedhoist/shedhoist/internal/core/stock"
 )
 
-// contents is what a inventory holds, by part.
+// contents is what an inventory holds, by part.
 func contents(s *stock.Inventory) map[string]int {
 	out := map[string]int{}
 	for _, h := range s.All() {
--- a/internal/gateway/cache.go
+++ b/internal/gateway/cache.go
@@ -89,7 +89,7 @@
 	}
 }
 
-// follow makes a inventory for each store, and starts and ends the polls of them.
+// follow makes an inventory for each store, and starts and ends the polls of them.
 func (c *cacheDirectory) follow(ctx context.Context, stores []catalog.CacheStore, at position) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -17,9 +17,9 @@
 	peerTimeout = 600 * time.Millisecond
 	// seedPeriod is how often seeds that are no live members are tried again.
 	seedPeriod = time.Second
-	// lonelySeeds is the same for an instance that knows of no other: where all start at
+	// aloneSeedPeriod is the same for an instance that knows of no other: where all start at
 	// once the first try meets seeds that do not listen yet.
-	lonelySeeds = 200 * time.Millisecond
+	aloneSeedPeriod = 200 * time.Millisecond
 	// seedStep is the pause between two seeds: the first one's answer names the others
 	// and all live members, 20 kB in a fleet of 300, which need not come three times.
 	seedStep = 60 * time.Millisecond
@@ -71,12 +71,12 @@
 
 // Hello answers a probe.
 func (h *peerHandler) Hello(req *Hello, out *Welcome) error {
-	behind, lonelier := false, false
+	behind, lacking := false, false
 	h.g.query(func(c *control) {
 		*out = c.welcome(req)
-		behind, lonelier = c.known().lacks(req.Have), c.lacksMembers(req.Members)
+		behind, lacking = c.known().lacks(req.Have), c.lacksMembers(req.Members)
 	})
-	if lonelier {
+	if lacking {
 		h.g.start(func() { h.g.takeMembers(req.From.Address) })
 	}
 	if behind && req.From.Address != "" {
@@ -210,9 +210,9 @@
 		g.takeNews(reply.News)
 		return
 	}
-	behind, lonelier := false, false
-	g.query(func(c *control) { behind, lonelier = c.known().lacks(reply.Have), c.lacksMembers(reply.Members) })
-	if lonelier {
+	behind, lacking := false, false
+	g.query(func(c *control) { behind, lacking = c.known().lacks(reply.Have), c.lacksMembers(reply.Members) })
+	if lacking {
 		g.start(func() { g.takeMembers(reply.From.Address) })
 	}
 	if behind && err == nil && !req.Need {
@@ -255,7 +255,7 @@
 		}
 		period := seedPeriod
 		if len(g.view.Load().Alive) <= 1 {
-			period = lonelySeeds
+			period = aloneSeedPeriod
 		}
 		if !wait.For(ctx, wait.Jitter(period)) {
 			return
