One check of whether a configuration declares a service

The view's targets and the planning of loads each had their own, one of them beside a check for no configuration at all. catalog.Config.Declares serves both.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -159,6 +159,10 @@
 	return c
 }
 
+// Declares says whether the configuration declares a service: an entry of a target may name
+// any. Without a configuration none is declared.
+func (c *Config) Declares(service string) bool { return c != nil && c.Services[service] != nil }
+
 // MemoryOf is the memory of one target of a service, in tokens; 0 if it is not declared.
 func (c *Config) MemoryOf(service string) int {
 	if s := c.Services[service]; s != nil && s.Engine != nil {
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -95,7 +95,7 @@
 			continue
 		}
 		p.targets[t.ID] = &t.Target
-		if t.Leaving || !c.declares(t.Service) {
+		if t.Leaving || !c.cfg.Declares(t.Service) {
 			continue
 		}
 		if isBehind(&t.Target, newest) {
@@ -110,11 +110,6 @@
 	return p
 }
 
-// declares says whether the configuration declares a service: an entry may name any.
-func (c *control) declares(service string) bool {
-	return c.cfg != nil && c.cfg.Services[service] != nil
-}
-
 // isBehind says whether a target has older weights than named.
 func isBehind(t *catalog.Target, newest map[string]uint64) bool {
 	for _, m := range t.Models {
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -181,7 +181,7 @@
 	fenced := o.fenced
 	o.mu.Unlock()
 	for _, t := range v.Targets {
-		if t.Leaving || v.Config == nil || v.Config.Services[t.Service] == nil || fenced.blocks(t.ID, now) {
+		if t.Leaving || !v.Config.Declares(t.Service) || fenced.blocks(t.ID, now) {
 			continue
 		}
 		for _, m := range t.Models {
