--- /dev/null
+++ b/internal/gateway/fleet_test.go
@@ -0,0 +1,439 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/shedhoist/shedhoist/internal/catalog"
+	"github.com/shedhoist/shedhoist/internal/core/member"
+	"github.com/shedhoist/shedhoist/internal/platform"
+)
+
+// A fleet of whole instances in one process, for tests under a fake clock: instances
+// exchange messages over a network in memory and share an object store in memory, so that
+// times are exact and no machine is too slow.
+
+// memoryNetwork connects listeners by their addresses.
+type memoryNetwork struct {
+	mu        sync.Mutex
+	listeners map[string]*memoryListener
+}
+
+// hop is how long a message takes from one instance to another.
+const hop = 2 * time.Millisecond
+
+func (n *memoryNetwork) listen(address string) (net.Listener, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	ln := &memoryListener{address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
+	n.listeners[address] = ln
+	return ln, nil
+}
+
+func (n *memoryNetwork) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	n.mu.Lock()
+	ln := n.listeners[address]
+	n.mu.Unlock()
+	if ln == nil {
+		return nil, syscall.ECONNREFUSED
+	}
+	here, there := net.Pipe()
+	select {
+	case ln.conns <- newMemoryConn(there):
+		return newMemoryConn(here), nil
+	case <-ln.closed:
+		return nil, syscall.ECONNREFUSED
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+type memoryListener struct {
+	address string
+	conns   chan net.Conn
+	once    sync.Once
+	closed  chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *memoryListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *memoryListener) Addr() net.Addr { return memoryAddr(l.address) }
+
+type memoryAddr string
+
+// Network implements net.Addr.
+func (memoryAddr) Network() string { return "memory" }
+
+// String implements net.Addr.
+func (a memoryAddr) String() string { return string(a) }
+
+// memoryConn buffers what is written, and delivers it a hop later.
+type memoryConn struct {
+	net.Conn
+	out    chan []byte
+	once   sync.Once
+	closed chan struct{}
+}
+
+func newMemoryConn(c net.Conn) *memoryConn {
+	m := &memoryConn{Conn: c, out: make(chan []byte, 1024), closed: make(chan struct{})}
+	go m.pump()
+	return m
+}
+
+func (m *memoryConn) pump() {
+	for {
+		select {
+		case p := <-m.out:
+			time.Sleep(hop)
+			if _, err := m.Conn.Write(p); err != nil {
+				return
+			}
+		case <-m.closed:
+			return
+		}
+	}
+}
+
+// Write implements net.Conn.
+func (m *memoryConn) Write(p []byte) (int, error) {
+	select {
+	case m.out <- append([]byte(nil), p...):
+		return len(p), nil
+	case <-m.closed:
+		return 0, net.ErrClosed
+	}
+}
+
+// Close implements net.Conn.
+func (m *memoryConn) Close() error {
+	m.once.Do(func() { close(m.closed) })
+	return m.Conn.Close()
+}
+
+// memoryStore is an object store.
+type memoryStore struct {
+	mu       sync.Mutex
+	revision platform.Version
+	objects  map[string]map[string]platform.Named
+	history  []memoryChange
+	wake     chan struct{} // closed at the next change
+}
+
+type memoryChange struct {
+	kind string
+	platform.Named
+}
+
+func newMemoryStore() *memoryStore {
+	return &memoryStore{objects: map[string]map[string]platform.Named{}, wake: make(chan struct{})}
+}
+
+// set writes an object, as operators and targets do.
+func (s *memoryStore) set(kind, name string, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write(kind, name, data)
+}
+
+func (s *memoryStore) write(kind, name string, value []byte) platform.Version {
+	s.revision++
+	o := platform.Named{Name: name, Version: s.revision, Value: value}
+	if s.objects[kind] == nil {
+		s.objects[kind] = map[string]platform.Named{}
+	}
+	s.objects[kind][name] = o
+	s.history = append(s.history, memoryChange{kind, o})
+	close(s.wake)
+	s.wake = make(chan struct{})
+	return s.revision
+}
+
+// Times of a call to the store, and of one that is not answered, as the client of the
+// object store bounds them.
+const (
+	memoryAnswer = 4 * time.Millisecond
+	callSilence  = 2 * time.Second
+	watchSilence = 600 * time.Millisecond // beyond what the watch may wait
+)
+
+// storeDoor is one instance's way to the store.
+type storeDoor struct {
+	s      *memoryStore
+	mu     sync.Mutex
+	silent bool // it answers nothing
+	calls  int
+}
+
+func (d *storeDoor) shut(yes bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.silent = yes
+}
+
+func (d *storeDoor) asked() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.calls
+}
+
+// answers lets one call through, or fails it after the time that its client bears.
+func (d *storeDoor) answers(ctx context.Context, op, key string, bears time.Duration) error {
+	d.mu.Lock()
+	silent := d.silent
+	d.calls++
+	d.mu.Unlock()
+	took := memoryAnswer
+	if silent {
+		took = bears
+	}
+	select {
+	case <-time.After(took):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if silent {
+		return &platform.UnavailableError{Op: op, Key: key, Cause: errors.ErrUnsupported}
+	}
+	return nil
+}
+
+// All implements platform.Kinds.
+func (d *storeDoor) All(ctx context.Context, kind string) (platform.Snapshot, error) {
+	if err := d.answers(ctx, "list", kind, callSilence); err != nil {
+		return platform.Snapshot{}, err
+	}
+	d.s.mu.Lock()
+	defer d.s.mu.Unlock()
+	out := platform.Snapshot{Revision: d.s.revision}
+	for _, o := range d.s.objects[kind] {
+		out.Objects = append(out.Objects, o)
+	}
+	return out, nil
+}
+
+// Follow implements platform.Kinds. A door that is shut while a watch waits swallows its
+// answer.
+func (d *storeDoor) Follow(ctx context.Context, kind string, after platform.Version, wait time.Duration) (platform.Changes, error) {
+	began, end := time.Now(), time.After(wait)
+	if err := d.answers(ctx, "watch", kind, wait+watchSilence); err != nil {
+		return platform.Changes{}, err
+	}
+	for over := false; ; {
+		d.s.mu.Lock()
+		out, wake := platform.Changes{Revision: d.s.revision}, d.s.wake
+		for _, c := range d.s.history {
+			if c.kind == kind && c.Version > after {
+				out.Changes = append(out.Changes, platform.Change{Named: c.Named})
+			}
+		}
+		d.s.mu.Unlock()
+		if over || len(out.Changes) > 0 {
+			d.mu.Lock()
+			silent := d.silent
+			d.mu.Unlock()
+			if !silent {
+				return out, nil
+			}
+			select {
+			case <-time.After(wait + watchSilence - time.Since(began)):
+			case <-ctx.Done():
+			}
+			return platform.Changes{}, &platform.UnavailableError{Op: "watch", Key: kind, Cause: errors.ErrUnsupported}
+		}
+		select {
+		case <-wake:
+		case <-end:
+			over = true
+		case <-ctx.Done():
+			return platform.Changes{}, ctx.Err()
+		}
+	}
+}
+
+// Get implements platform.Kinds.
+func (d *storeDoor) Get(ctx context.Context, kind, name string) (platform.Named, error) {
+	if err := d.answers(ctx, "get", kind+"/"+name, callSilence); err != nil {
+		return platform.Named{}, err
+	}
+	d.s.mu.Lock()
+	defer d.s.mu.Unlock()
+	o, ok := d.s.objects[kind][name]
+	if !ok {
+		return o, &platform.NotFoundError{Key: kind + "/" + name}
+	}
+	return o, nil
+}
+
+// Put implements platform.Kinds.
+func (d *storeDoor) Put(ctx context.Context, kind, name string, value []byte, want platform.Version) (platform.Version, error) {
+	if err := d.answers(ctx, "put", kind+"/"+name, callSilence); err != nil {
+		return 0, err
+	}
+	d.s.mu.Lock()
+	defer d.s.mu.Unlock()
+	if have := d.s.objects[kind][name].Version; have != want {
+		return 0, &platform.ConflictError{Key: kind + "/" + name, Want: want, Have: have}
+	}
+	return d.s.write(kind, name, value), nil
+}
+
+// jsonCodec is the dialect of the store in memory.
+type jsonCodec struct{ Codec }
+
+// Kinds of the store in memory.
+const (
+	memoryConfigs  = "configs"
+	memoryTargets  = "targets"
+	memoryVersions = "versions"
+	memoryConfig   = "main"
+)
+
+// declared is a configuration as stored.
+type declared struct {
+	Version uint64
+	Keys    []string
+}
+
+// Kinds implements Codec.
+func (jsonCodec) Kinds() (config, targets, versions string) {
+	return memoryConfigs, memoryTargets, memoryVersions
+}
+
+// ConfigName implements Codec.
+func (jsonCodec) ConfigName() string { return memoryConfig }
+
+// Config implements Codec.
+func (jsonCodec) Config(value []byte) (*catalog.Config, error) {
+	var d declared
+	if err := json.Unmarshal(value, &d); err != nil {
+		return nil, err
+	}
+	return catalog.NewConfig(catalog.Draft{Version: d.Version, Services: []catalog.Service{{Name: "s"}},
+		Customers: []catalog.CustomerKeys{{Customer: catalog.Customer{Name: "one"}, Keys: d.Keys}}}), nil
+}
+
+// Target implements Codec.
+func (jsonCodec) Target(name string, value []byte) (catalog.Target, error) {
+	t := catalog.Target{Service: "s"}
+	err := json.Unmarshal(value, &t)
+	t.Name = name
+	return t, err
+}
+
+// NamedVersion implements Codec.
+func (jsonCodec) NamedVersion(name string, value []byte) (catalog.ModelVersion, error) {
+	v, err := strconv.ParseUint(string(value), 10, 64)
+	return catalog.ModelVersion{Model: name, Version: v}, err
+}
+
+// ReadCall implements Codec.
+func (jsonCodec) ReadCall(http.Header) (Call, error) { return Call{}, nil }
+
+// memoryFleet is some instances and their store.
+type memoryFleet struct {
+	t     *testing.T
+	net   *memoryNetwork
+	store *memoryStore
+	gates []*Gateway
+	doors []*storeDoor
+}
+
+// newMemoryFleet starts a fleet over some zones, in which all know of all.
+func newMemoryFleet(t *testing.T, n, zones int) *memoryFleet {
+	f := &memoryFleet{t: t, net: &memoryNetwork{listeners: map[string]*memoryListener{}}, store: newMemoryStore()}
+	f.store.set(memoryConfigs, memoryConfig, declared{Version: 1, Keys: []string{"key"}})
+	f.store.set(memoryTargets, "i-1", catalog.Target{Address: "10.1.0.1:1"})
+	for i := range n {
+		f.add(fmt.Sprintf("e-%03d", i), fmt.Sprintf("z%d", i%zones))
+	}
+	for f.knowing() < n {
+		time.Sleep(100 * time.Millisecond)
+	}
+	time.Sleep(5 * time.Second) // what was begun at the start has ended
+	return f
+}
+
+// add starts one more instance.
+func (f *memoryFleet) add(name, zone string) {
+	set := (&Settings{Name: name, Zone: zone, CallerListen: name + ":1", ReadyListen: name + ":2", PeerListen: name + ":3",
+		Seeds: []string{"e-000:3", "e-001:3", "e-002:3"}, PlatformAddress: "store:1"}).WithDefaults()
+	d := &storeDoor{s: f.store}
+	g, err := New(set, Ports{Codec: jsonCodec{}, Store: d, Listen: f.net.listen, Dial: f.net.dial}, &log.Logger{Handler: discard.Default})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	g.Start()
+	f.gates, f.doors = append(f.gates, g), append(f.doors, d)
+}
+
+// knowing is how many instances know all and are ready.
+func (f *memoryFleet) knowing() int {
+	n := 0
+	for _, g := range f.gates {
+		if g.Alive() == len(f.gates) && g.Ready() {
+			n++
+		}
+	}
+	return n
+}
+
+// goneTime is longer than anything that is under way at the end of an instance.
+const goneTime = time.Minute
+
+// stop ends all instances, and returns once all that they began has ended.
+func (f *memoryFleet) stop() {
+	for _, g := range f.gates {
+		g.Kill()
+	}
+	for _, g := range f.gates {
+		g.done.Wait()
+	}
+	time.Sleep(goneTime)
+}
+
+// byRank are the indexes of the instances by their rank for a role.
+func (f *memoryFleet) byRank(role string) []int {
+	var names []string
+	for _, m := range f.gates[0].view.Load().Peers {
+		if m.State == member.Alive {
+			names = append(names, m.Name)
+		}
+	}
+	out := make([]int, len(names))
+	for i, g := range f.gates {
+		out[rankOf(names, g.settings().Name, role)] = i
+	}
+	return out
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,9 +36,10 @@
 	Codec   Codec
 	Store   platform.Kinds
 	Engines Engines
-	// Listen opens a listener, nil: on the network of this machine. A test gives links of
-	// its own.
+	// Listen opens a listener and Dial a connection to a peer, nil: on the network of this
+	// machine. A test gives links of its own.
 	Listen func(address string) (net.Listener, error)
+	Dial   peer.Dial
 }
 
 // Gateway is one entry instance.
@@ -116,7 +117,7 @@
 	if ports.Listen == nil {
 		ports.Listen = netx.Listen
 	}
-	if err := g.listen(ports.Listen); err != nil {
+	if err := g.listen(ports.Listen, ports.Dial); err != nil {
 		g.closeListeners()
 		g.stop()
 		return nil, err
@@ -145,10 +146,10 @@
 	maxHeader     = 64 << 10          // bytes
 )
 
-func (g *Gateway) listen(open func(address string) (net.Listener, error)) error {
+func (g *Gateway) listen(open func(address string) (net.Listener, error), dial peer.Dial) error {
 	set := g.settings()
 	sec := peer.Security{Secret: []byte(peersKey)}
-	g.pool = peer.NewPool(sec, g.now)
+	g.pool = peer.NewPoolOver(dial, sec, g.now)
 	var err error
 	if g.peers, err = peer.NewServerOf(peerService, &peerHandler{g}, sec); err != nil {
 		return err
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -28,13 +28,16 @@
 
 // Pool calls peers and keeps a connection to each one lately called.
 type Pool struct {
-	sec    Security
-	dialer *net.Dialer
-	now    func() time.Time
-	mu     sync.Mutex
-	conns  map[string]*pooled
+	sec   Security
+	open  Dial
+	now   func() time.Time
+	mu    sync.Mutex
+	conns map[string]*pooled
 }
 
+// Dial opens a connection, as net.Dialer.DialContext does.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 type pooled struct {
 	client  *rpc.Client
 	used    time.Time
@@ -48,7 +51,15 @@
 
 // NewPool returns a pool without connections.
 func NewPool(sec Security, now func() time.Time) *Pool {
-	return &Pool{sec: sec, dialer: netx.Dialer(handshakeTimeout), now: now, conns: map[string]*pooled{}}
+	return NewPoolOver(nil, sec, now)
+}
+
+// NewPoolOver is NewPool on another network; nil is this machine's.
+func NewPoolOver(open Dial, sec Security, now func() time.Time) *Pool {
+	if open == nil {
+		open = netx.Dialer(handshakeTimeout).DialContext
+	}
+	return &Pool{sec: sec, open: open, now: now, conns: map[string]*pooled{}}
 }
 
 // Call calls a method and waits for its reply until ctx ends. A call that
@@ -136,7 +147,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
-	conn, err := p.dialer.DialContext(ctx, "tcp", address)
+	conn, err := p.open(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
