--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -94,7 +94,8 @@
 // String implements net.Addr.
 func (a memoryAddr) String() string { return string(a) }
 
-// memoryConn buffers what is written, and delivers it a hop later.
+// memoryConn buffers what is written, and delivers it a hop later, also what was written
+// before it was closed.
 type memoryConn struct {
 	net.Conn
 	out    chan []byte
@@ -109,19 +110,27 @@
 }
 
 func (m *memoryConn) pump() {
+	defer m.Conn.Close()
 	for {
 		select {
 		case p := <-m.out:
-			time.Sleep(hop)
-			if _, err := m.Conn.Write(p); err != nil {
+			if !m.deliver(p) {
 				return
 			}
 		case <-m.closed:
+			for len(m.out) > 0 && m.deliver(<-m.out) {
+			}
 			return
 		}
 	}
 }
 
+func (m *memoryConn) deliver(p []byte) bool {
+	time.Sleep(hop)
+	_, err := m.Conn.Write(p)
+	return err == nil
+}
+
 // Write implements net.Conn.
 func (m *memoryConn) Write(p []byte) (int, error) {
 	select {
@@ -134,8 +143,11 @@
 
 // Close implements net.Conn.
 func (m *memoryConn) Close() error {
-	m.once.Do(func() { close(m.closed) })
-	return m.Conn.Close()
+	m.once.Do(func() {
+		close(m.closed)
+		_ = m.Conn.SetReadDeadline(time.Unix(1, 0)) // whoever reads ends; what was written goes out
+	})
+	return nil
 }
 
 // memoryStore is an object store.
@@ -361,6 +373,9 @@
 // ReadCall implements Codec.
 func (jsonCodec) ReadCall(http.Header) (Call, error) { return Call{}, nil }
 
+// RefuseHeader implements Codec.
+func (jsonCodec) RefuseHeader(http.Header, string, time.Duration) {}
+
 // memoryFleet is some instances and their store.
 type memoryFleet struct {
 	t     *testing.T
