Instances know how old their copies are, and ask the object store themselves in doubt

Symptom: 91 instances served callers by version 12 of the configuration until 5.99 s, while versions 16 and 18, acknowledged at 2.66 and 2.75 s, had taken their keys away.

Cause: an instance of a large fleet took its peers' news for complete as long as any peer answered a probe. Nobody told whether anybody still heard the object store: it had fallen silent towards all three watchers, and towards those that took their place, each found out by a wait of 1.4 s. Ruled out, from the logs of all instances: the spread from peer to peer (6.00 to 6.45 s for all 91 once one had the versions), size (15 kB), processor time, the store (it answered 61 of them).

Change: package fresh keeps for each kind of object as of when the copy was complete. Ages go with answers to questions only, reckoned from when the question was sent: words that are pushed would grow younger on their way, and without end where they go round. A copy that is older than one watcher alone would leave it is asked for at the store, first by the tops of the tree, then by rank. What is found goes the watchers' way. An instance that has company and has heard neither the store nor a peer for the time in which a configuration must be in force (configApplyMs) refuses: it is the one that is cut off. Where peers answer, it serves on (docs/DECISIONS.md).

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
+	"github.com/shedhoist/shedhoist/internal/core/fresh"
 	"github.com/shedhoist/shedhoist/internal/core/member"
 	"github.com/shedhoist/shedhoist/internal/platform"
 	"github.com/shedhoist/shedhoist/internal/registry"
@@ -28,6 +29,7 @@
 	// versionsListed is set once the named versions were heard of at all.
 	versionsListed bool
 	rolloutWithin  time.Duration // time that a rollout may take
+	configWithin   time.Duration // time in which a configuration must be in force
 
 	rollout  RolloutNews // the newest heard of, or this instance's own
 	ownNews  bool        // it is this instance's own
@@ -36,6 +38,11 @@
 	missing  time.Time // since when all peers heard of know more live members; zero: they don't
 	draining bool
 	storeOK  bool
+	fresh    *fresh.Book
+	cutOff   cutOff
+	// firstHand is until when what changes here may be news to all: this instance, in doubt,
+	// asked the object store itself.
+	firstHand time.Time
 
 	// Parts of views, kept until what they are made from changes.
 	fleet   fleetPart
@@ -235,6 +242,7 @@
 			for range len(g.events) {
 				(<-g.events).apply(c)
 			}
+			c.noteFresh()
 			v := c.view()
 			g.view.Store(v)
 			if v.informed() {
@@ -248,7 +256,7 @@
 		case <-tick.C:
 			g.probePeers(c)
 			expired := c.targets.Expire(c.now())
-			if expired || c.fleetChanged() || c.reopened() {
+			if c.cutOff.update(c.isCutOff(g.peerAge()), c.log) || expired || c.fleetChanged() || c.reopened() {
 				g.view.Store(c.view())
 			}
 			g.spreadNews(c, g.view.Load())
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/shedhoist/shedhoist/internal/core/fresh"
 	"github.com/shedhoist/shedhoist/internal/core/stock"
 	"github.com/shedhoist/shedhoist/internal/wait"
 )
@@ -52,6 +53,9 @@
 	ClockMS float64     `cbor:"3,keyasint"`           // servers' clock now, 0: not known
 	Stores  []StoreNews `cbor:"4,keyasint"`           // those that answer
 	More    bool        `cbor:"5,keyasint,omitempty"` // some were left out, to be asked for at once
+	// Fresh has the ages of the teller's copies of what the object store holds: those who
+	// ask for the directory are those who go by its news.
+	Fresh []fresh.Word `cbor:"6,keyasint,omitempty"`
 }
 
 // StoreNews is what changed in one store.
@@ -78,6 +82,7 @@
 // Directory answers another instance's look.
 func (h *peerHandler) Directory(req *DirectoryAsk, out *Directory) error {
 	*out = h.g.cache.tell(*req)
+	out.Fresh = h.g.fresh.Words(h.g.now())
 	return nil
 }
 
@@ -199,7 +204,9 @@
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	var d Directory
+	asked := c.g.now()
 	err := c.g.pool.Call(ctx, source, peerService+".Directory", &ask, &d)
+	c.g.fresh.Take(d.Fresh, asked)
 	return d, err
 }
 
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
+	"github.com/shedhoist/shedhoist/internal/core/fresh"
 	"github.com/shedhoist/shedhoist/internal/metric"
 	"github.com/shedhoist/shedhoist/internal/platform"
 	"github.com/shedhoist/shedhoist/internal/wait"
@@ -47,6 +48,16 @@
 	due wait.Signal
 	// known is up to where news made the beliefs complete; nil: they say nothing of it.
 	known func() platform.Version
+	// age is how long ago the copy was known to be complete, see ages.go; nil: not kept.
+	age func() (age time.Duration, known bool)
+	// confirmed takes that it was, as of a moment; nil: nobody wants to know.
+	confirmed func(at time.Time)
+}
+
+func (f feed) confirm(at time.Time) {
+	if f.confirmed != nil {
+		f.confirmed(at)
+	}
 }
 
 // followAll keeps all kinds up to date.
@@ -57,9 +68,13 @@
 			changes: func(c platform.Changes) { g.readConfigs(present(c)) }},
 		{kind: targets, watcher: watcherWait, list: g.listTargets, changes: g.changeTargets, due: g.storeDue,
 			known: func() platform.Version { return g.view.Load().Revision }},
-		{kind: versions, watcher: slowKindWait, list: func(s platform.Snapshot) { g.readVersions(s.Revision, s.Objects) },
+		{kind: versions, watcher: slowKindWait, due: g.versionsDue, list: func(s platform.Snapshot) { g.readVersions(s.Revision, s.Objects) },
 			changes: func(c platform.Changes) { g.readVersions(c.Revision, present(c)) }},
 	}
+	for i, k := range [...]fresh.Kind{fresh.Config, fresh.Targets, fresh.Versions} {
+		feeds[i].age = func() (time.Duration, bool) { return g.fresh.Age(k, g.now()) }
+		feeds[i].confirmed = func(at time.Time) { g.confirm(k, at) }
+	}
 	for _, f := range feeds {
 		g.start(func() { g.follow(ctx, f, feeds[0].kind) })
 	}
@@ -84,7 +99,7 @@
 	var last time.Time
 	for ctx.Err() == nil {
 		news := g.newsComes()
-		if listed && (news || g.joins() || f.kind != first && g.fails(first)) && !f.due.Within(ctx, newsPoll) {
+		if listed && (news || g.joins() || f.kind != first && g.fails(first)) && !f.due.Within(ctx, g.newsPause(f, news)) && !g.doubts(f, news) {
 			continue
 		}
 		wait.For(ctx, watchGap-g.now().Sub(last))
@@ -116,6 +131,7 @@
 }
 
 func (g *Gateway) followOnce(ctx context.Context, f feed, at platform.Version, listed bool, watch time.Duration) (platform.Version, error) {
+	asked := g.now()
 	if !listed {
 		s, err := g.store.All(ctx, f.kind)
 		if err != nil {
@@ -123,6 +139,7 @@
 		}
 		g.noteUnreadable(f.kind, s.Unreadable)
 		f.list(s)
+		f.confirm(asked)
 		return s.Revision, nil
 	}
 	c, err := g.store.Follow(ctx, f.kind, at, watch)
@@ -131,6 +148,7 @@
 	}
 	g.noteUnreadable(f.kind, c.Unreadable)
 	f.changes(c)
+	f.confirm(watchedAt(asked, g.now(), watch, len(c.Changes)))
 	return max(c.Revision, at), nil
 }
 
@@ -165,10 +183,11 @@
 
 // watchFor is how long a watch waits; one who goes by news and looks once does not.
 func (g *Gateway) watchFor(f feed, news bool) time.Duration {
+	v := g.view.Load()
 	switch {
-	case news:
-		return watchGap
-	case g.view.Load().Watcher:
+	case news, len(v.Alive) > smallFleet && g.fails(f.kind):
+		return watchGap // one that the store did not answer goes by news again once it does
+	case v.Watcher:
 		return f.watcher
 	}
 	return watchWait
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/apex/log"
 
 	"github.com/shedhoist/shedhoist/internal/breaker"
+	"github.com/shedhoist/shedhoist/internal/core/fresh"
 	"github.com/shedhoist/shedhoist/internal/core/member"
 	"github.com/shedhoist/shedhoist/internal/core/place"
 	"github.com/shedhoist/shedhoist/internal/loads"
@@ -66,6 +67,7 @@
 	began        time.Time
 	// heardPeer is when a peer answered last, ns after began.
 	heardPeer atomic.Int64
+	fresh     *fresh.Book // ages of the copies of what the object store holds
 	// failing has the kinds about which the store does not answer.
 	failingMu sync.Mutex
 	failing   map[string]bool
@@ -75,6 +77,8 @@
 	// storeDue has the targets' changes taken from the object store once, though this
 	// instance goes by news.
 	storeDue wait.Signal
+	// versionsDue is the same for the named versions.
+	versionsDue wait.Signal
 	// configDue wakes bringConfig.
 	configDue wait.Signal
 	takers    takers // of the configuration
@@ -102,9 +106,10 @@
 // failure leaves nothing open.
 func New(set *Settings, ports Ports, logger log.Interface) (*Gateway, error) {
 	g := &Gateway{log: logger.WithField("instance", set.Name).WithField("zone", set.Zone), now: time.Now, codec: ports.Codec, store: ports.Store,
-		engines: ports.Engines, events: make(chan event, eventBacklog), controlDone: make(chan struct{}), storeDue: wait.NewSignal(), configDue: wait.NewSignal(), informed: make(chan struct{}), failing: map[string]bool{}}
+		engines: ports.Engines, events: make(chan event, eventBacklog), controlDone: make(chan struct{}), storeDue: wait.NewSignal(), versionsDue: wait.NewSignal(), configDue: wait.NewSignal(), informed: make(chan struct{}), failing: map[string]bool{}}
 	g.set.Store(set)
 	g.began = g.now()
+	g.fresh = &fresh.Book{}
 	g.ctx, g.stop = context.WithCancel(context.Background())
 	g.upstream = newUpstream()
 	g.ejected = breaker.New(g.now)
@@ -216,11 +221,11 @@
 	// The first incarnation is 1, not a time of day: one that lived before under
 	// this name is refuted as soon as a peer tells of it.
 	self := member.Member{Name: set.Name, Address: g.PeerAddr(), Zone: set.Zone, Incarnation: 1}
-	c := &control{log: g.log, now: g.now, named: map[string]Named{}, members: member.New(params, self, rand.IntN), storeOK: true, rolloutWithin: set.RolloutWithin,
-		targets: newTargets(g.log, set.Name)}
+	c := &control{log: g.log, now: g.now, named: map[string]Named{}, members: member.New(params, self, rand.IntN), storeOK: true, rolloutWithin: set.RolloutWithin, configWithin: set.ConfigWithin,
+		targets: newTargets(g.log, set.Name), fresh: g.fresh}
 	g.start(func() { g.runControl(g.ctx, c) })
 	g.followAll(g.ctx)
-	for _, f := range [...]func(context.Context){g.greetSeeds, g.askWhileCutOff, g.bringConfig, g.keepBootstrap, g.tidy, g.tellLoads, g.rollOut, g.cache.run, g.cache.pull, g.cache.collectGarbage} {
+	for _, f := range [...]func(context.Context){g.greetSeeds, g.askWhileCutOff, g.askAges, g.bringConfig, g.keepBootstrap, g.tidy, g.tellLoads, g.rollOut, g.cache.run, g.cache.pull, g.cache.collectGarbage} {
 		g.start(func() { f(g.ctx) })
 	}
 	g.serve("callers", func() error { return g.callerSrv.Serve(g.callerLn) })
@@ -241,10 +246,10 @@
 }
 
 // Ready says whether this instance should get new connections: it has a
-// configuration and a list of targets, and does not stop.
+// configuration and a list of targets, is not cut off, and does not stop.
 func (g *Gateway) Ready() bool {
 	v := g.view.Load()
-	return v.informed() && !v.Draining
+	return v.informed() && !v.CutOff && !v.Draining
 }
 
 // tidyEvery is how often what is known of targets that are gone is forgotten.
@@ -292,6 +297,9 @@
 	metric.SetGauge("shedhoist_config_version", float64(g.configVersion()))
 	metric.SetGauge("shedhoist_config_version_heard", float64(v.ConfigHeard))
 	metric.SetGauge("shedhoist_config_bytes", float64(v.ConfigBytes))
+	if age, known := g.fresh.Age(fresh.Config, g.now()); known {
+		metric.SetGauge("shedhoist_config_age_seconds", age.Seconds())
+	}
 	metric.SetGauge("shedhoist_targets", float64(len(v.Targets)))
 	metric.SetGauge("shedhoist_instances_alive", float64(len(v.Alive)))
 	metric.SetGauge("shedhoist_store_reached", asNumber(v.StoreOK))
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
+	"github.com/shedhoist/shedhoist/internal/core/fresh"
 	"github.com/shedhoist/shedhoist/internal/core/member"
 	"github.com/shedhoist/shedhoist/internal/metric"
 	"github.com/shedhoist/shedhoist/internal/platform"
@@ -74,6 +75,7 @@
 	News    *News           `cbor:"4,keyasint,omitempty"`
 	Ages    []NamedAge      `cbor:"5,keyasint,omitempty"` // to one that joins
 	Members int             `cbor:"6,keyasint,omitempty"` // live members that the sender knows
+	Fresh   []fresh.Word    `cbor:"7,keyasint,omitempty"`
 }
 
 // NamedAge is how long ago a weight version was named, by the teller's own clock.
@@ -254,8 +256,9 @@
 	watcher := v.Watcher || old.watcher
 	n := &c.news
 	n.roles = n.roles || watcher && c.storeOK != old.attached
-	n.first = n.first || watcher || now.Rollout != old.have.Rollout && c.ownNews
-	n.changed = n.changed || now != old.have
+	changed := now != old.have
+	n.first = n.first || watcher || changed && c.now().Before(c.firstHand) || now.Rollout != old.have.Rollout && c.ownNews
+	n.changed = n.changed || changed
 }
 
 // spreadNews tells peers what changed. In a small fleet those that hear of changes
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -24,6 +24,8 @@
 	peers     []member.Member
 	attached  []string
 	tree      *tree
+	watchRank int // see watcherRole
+	watchers  []string
 	watcher   bool
 }
 
@@ -59,7 +61,9 @@
 		p.attached = p.alive // nobody reaches the store: the roles stay where they are
 	}
 	p.tree = newTree(p.peers, self)
-	p.watcher = rankOf(p.attached, self.Name, watcherRole) < watchers
+	p.watchRank = rankOf(p.attached, self.Name, watcherRole)
+	p.watcher = p.watchRank < watchers
+	p.watchers = firstOf(p.attached, watcherRole, watchers)
 	c.fleet = p
 	return p
 }
@@ -181,9 +185,9 @@
 	v := &View{
 		Config: c.cfg, ConfigHeard: max(c.configInForce().Version, c.heard.Version), ConfigBytes: len(c.raw),
 		Targets: s.targets, Serving: s.serving, Candidates: s.candidates, Behind: s.behind, Departed: s.departed,
-		Instances: f.instances, Alive: f.alive, Peers: f.peers, Attached: f.attached, Tree: f.tree, Watcher: f.watcher,
+		Instances: f.instances, Alive: f.alive, Peers: f.peers, Attached: f.attached, Tree: f.tree, Watcher: f.watcher, WatchRank: f.watchRank, Watchers: f.watchers,
 		Revision: c.targets.Revision(), Listed: c.targets.Listed(),
-		Named: map[string]Named{}, Rollout: c.rollout, Draining: c.draining, StoreOK: c.storeOK,
+		Named: map[string]Named{}, Rollout: c.rollout, Draining: c.draining, StoreOK: c.storeOK, CutOff: c.cutOff.now,
 	}
 	maps.Copy(v.Named, c.named)
 	return v
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -72,8 +72,11 @@
 // Hello answers a probe.
 func (h *peerHandler) Hello(req *Hello, out *Welcome) error {
 	behind, lacking := false, false
+	out.Fresh = h.g.fresh.Words(h.g.now())
 	h.g.query(func(c *control) {
+		words := out.Fresh
 		*out = c.welcome(req)
+		out.Fresh = words
 		behind, lacking = c.known().lacks(req.Have), c.lacksMembers(req.Members)
 	})
 	if lacking {
@@ -198,7 +201,9 @@
 	ctx, cancel := context.WithTimeout(g.ctx, peerTimeout)
 	defer cancel()
 	var reply Welcome
+	asked := g.now()
 	err := g.pool.Call(ctx, p.Address, peerService+".Hello", req, &reply)
+	g.fresh.Take(reply.Fresh, asked)
 	if err != nil && req.Join {
 		return // a seed that does not answer is no member yet
 	}
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -166,6 +166,13 @@
 	return rank
 }
 
+// firstOf are the n that rank first for a role.
+func firstOf(alive []string, role string, n int) []string {
+	out := slices.Clone(alive)
+	slices.SortFunc(out, func(a, b string) int { return cmp.Compare(roleScore(b, role), roleScore(a, role)) })
+	return out[:min(n, len(out))]
+}
+
 // roleScore is an instance's score for a role: the highest ranks first.
 func roleScore(name, role string) uint64 { return xxhash.Sum64String(name + "/" + role) }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -22,8 +22,8 @@
 	g.inHand.Add(1)
 	defer g.inHand.Add(-1)
 	x := &exchange{g: g, w: w, r: r, arrived: g.now(), view: g.view.Load()}
-	if x.view.Draining || len(r.TransferEncoding) > 0 {
-		// While stopping, callers shall connect anew elsewhere. After a chunked body
+	if x.view.Draining || x.view.CutOff || len(r.TransferEncoding) > 0 {
+		// While stopping, or cut off, callers shall connect anew elsewhere. After a chunked body
 		// the connection is not read further either: a message that also states a
 		// length may hide another request behind its end (RFC 9112, section 6.1).
 		w.Header().Set("Connection", "close")
@@ -57,6 +57,9 @@
 	if !x.view.Listed {
 		return later(problem.Draining, "this instance has no list of targets yet", comeBackNew)
 	}
+	if x.view.CutOff {
+		return later(problem.CutOff, "this instance hears neither the platform nor its peers: it can't know whether its configuration holds", comeBackSoon)
+	}
 	cfg := x.view.Config
 	if l := cfg.Limits.HeaderBytes; l > 0 && headerSize(x.r) > l {
 		return problem.New(problem.HeaderTooLarge, "the header is larger than allowed")
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -20,6 +20,7 @@
 	StopWithin      time.Duration
 	LeaseGap        time.Duration // time in which no two instances may give orders in turn
 	RolloutWithin   time.Duration // time in which new weights must be in place everywhere
+	ConfigWithin    time.Duration // time in which a configuration must be in force everywhere
 	Retry           RetryBudget
 	Policy          policy.Policy // how requests are placed; all mechanisms but in experiments
 }
@@ -37,6 +38,7 @@
 	defaultStopWithin    = 8 * time.Second  // between SIGTERM and SIGKILL, usual for supervisors
 	defaultLeaseGap      = 3 * time.Second  // as the object stores known so far judge it
 	defaultRolloutWithin = 10 * time.Second // docs/ROLLOUT.md
+	defaultConfigWithin  = 10 * time.Second // the aim, see docs/CAPACITY.md
 	defaultRetryShare    = 0.1              // Google SRE book, "Addressing Cascading Failures"
 )
 
@@ -53,6 +55,9 @@
 	if out.RolloutWithin <= 0 {
 		out.RolloutWithin = defaultRolloutWithin
 	}
+	if out.ConfigWithin <= 0 {
+		out.ConfigWithin = defaultConfigWithin
+	}
 	if out.Retry.Share <= 0 && out.Retry.Slack <= 0 {
 		out.Retry.Share = defaultRetryShare
 	}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -77,8 +77,11 @@
 	Attached   []string             // those of them that the object store answers; all, if it answers none
 	Tree       *tree                // how they pass things on
 	Watcher    bool                 // this instance notices changes for all
+	WatchRank  int                  // its rank for that: the first ones are watchers
+	Watchers   []string             // names of all that do
 	Listed     bool                 // targets were listed at least once
 	Draining   bool                 // this instance is stopping
+	CutOff     bool                 // it hears neither the object store nor a peer
 	Revision   platform.Version     // up to which the list of targets is complete
 	Rollout    RolloutNews          // what the instance that gives orders told last
 	StoreOK    bool                 // the object store answers
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -47,6 +47,7 @@
 	OutcomeUnknown Kind = "outcome-unknown"
 	LedgerDown     Kind = "ledger-unavailable"
 	Draining       Kind = "draining"
+	CutOff         Kind = "cut-off" // the instance can't know whether its configuration is in force
 	CallerGone     Kind = "caller-gone"
 	Internal       Kind = "internal"
 )
@@ -75,7 +76,7 @@
 	NoTarget: http.StatusServiceUnavailable, TargetFailed: http.StatusBadGateway,
 	TargetTimeout: http.StatusGatewayTimeout, BadAnswer: http.StatusBadGateway,
 	KeyReused: http.StatusUnprocessableEntity, OutcomeUnknown: http.StatusConflict,
-	LedgerDown: http.StatusServiceUnavailable, Draining: http.StatusServiceUnavailable,
+	LedgerDown: http.StatusServiceUnavailable, Draining: http.StatusServiceUnavailable, CutOff: http.StatusServiceUnavailable,
 	CallerGone: 499, Internal: http.StatusInternalServerError,
 }
 
