No saves on requests to a target that has been silent

Cause: a save was put on a request to a target that had answered nothing for 2.4 s. It was held up on a silent link for 4.3 s, until the store had started again, and wrote a part anew that others fetched by what they knew of the store before. Ruled out: a fetch held up (all were planned within 30 ms of their arrival), a store's epoch known late (0.3 s, as designed).

Change: the work at a target knows since when the target has answered nothing that it was asked; from 500 ms on, requests there carry no saves. Each request with saves has a line that names them, without which the two hypotheses could not be told apart. What remains: a save that was sent within the first 500 ms of a silence.

--- a/internal/gateway/cache.go
+++ b/internal/gateway/cache.go
@@ -248,8 +248,11 @@
 }
 
 // plan says for each part where it is fetched from, and where it is kept if no
-// store is known to have it: by preference in the zone of the target that reads it.
-func (c *cacheDirectory) plan(stores []catalog.CacheStore, salt string, version uint64, parts []Part, from []partSource, fetch []bool, zone string) cachePlan {
+// store is known to have it: by preference in the zone of the target that reads it. keep
+// says whether anything is to be kept. It is not at a target that has been silent: the
+// request may be held up on its way for as long as its caller waits, and the store may have
+// started again by then. It would write anew what others fetch by what they knew before.
+func (c *cacheDirectory) plan(stores []catalog.CacheStore, salt string, version uint64, parts []Part, from []partSource, fetch []bool, zone string, keep bool) cachePlan {
 	out := cachePlan{version: version}
 	if len(parts) < 2 || len(stores) == 0 {
 		return out
@@ -266,6 +269,9 @@
 			}
 			continue
 		}
+		if !keep {
+			continue
+		}
 		key := stock.Key{Salt: salt, Part: p.ID}
 		if to := c.home(stores, key, p.Tokens, i == 0 && c.g.settings().Policy.HeadsApart, zone, now); to != "" {
 			out.parts[i].SaveTo = to
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -235,6 +235,9 @@
 	if x.plan.version > 0 {
 		e = e.WithField("weights", x.plan.version).WithField("fetch_ms", x.asks.FetchMS).WithField("target_zone", x.lastZone).WithField("fetched_parts", x.plan.fetches).WithField("saved_parts", x.plan.saves).WithField("link", x.asks.Link).
 			WithField("read_tokens", x.asks.ReadTokens)
+		if x.plan.silentMS > 0 {
+			e = e.WithField("not_saved_target_silent_ms", x.plan.silentMS)
+		}
 	}
 	if leftOut > 0 {
 		e = e.WithField("lines_left_out", leftOut)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,7 +96,7 @@
 	rollout     *rollout
 	inHand      atomic.Int64
 
-	successes sampler // of log lines
+	successes, saves sampler // of log lines
 
 	callerLn, readyLn, peerLn, metricsLn net.Listener
 	callerSrv, readySrv, metricsSrv      *http.Server
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -26,6 +26,8 @@
 	parts   []PartPlan
 	fetches int
 	saves   int
+	// silentMS is how long the target had been silent if that kept saves back, else 0.
+	silentMS int64
 }
 
 // lowestPriority is the least urgent value that model servers know.
@@ -133,11 +135,39 @@
 func (x *exchange) modelAttempt(t *catalog.Target) *ModelAttempt {
 	version := t.VersionOf(x.call.Prompt.Model)
 	salt := x.salt(version)
-	x.plan = x.g.cache.plan(x.view.Config.Stores, salt, version, x.call.Prompt.Parts, x.sourcesOf(version), x.asks.fetch, t.Zone)
+	silent := x.g.upstream.work.Of(t.ID).Silence.For(x.g.now())
+	x.plan = x.g.cache.plan(x.view.Config.Stores, salt, version, x.call.Prompt.Parts, x.sourcesOf(version), x.asks.fetch, t.Zone, silent < answerDue)
+	if silent >= answerDue {
+		x.plan.silentMS = silent.Milliseconds()
+	}
+	x.logSaves(t, salt)
 	return &ModelAttempt{Priority: x.urgency(), Version: version, Salt: salt, Cache: x.plan.parts,
 		FetchUntilMS: x.g.cache.clockMS(x.fetchUntil())}
 }
 
+// logSaves writes a line on what the target shall keep in which store: a save that comes
+// late can then be traced to its request.
+func (x *exchange) logSaves(t *catalog.Target, salt string) {
+	if x.plan.saves == 0 {
+		return
+	}
+	ok, leftOut := x.g.saves.allow(x.g.now())
+	if !ok {
+		return
+	}
+	var parts, stores []string
+	for i, p := range x.plan.parts {
+		if p.SaveTo != "" {
+			parts, stores = append(parts, x.call.Prompt.Parts[i].ID), append(stores, p.SaveTo)
+		}
+	}
+	e := x.g.log.WithField("request", x.call.ID).WithField("target", t.ID).WithField("salt", salt).WithField("parts", parts).WithField("stores", stores)
+	if leftOut > 0 {
+		e = e.WithField("lines_left_out", leftOut)
+	}
+	e.Info("parts to be saved")
+}
+
 const (
 	// hopelessShare of the time left for the first answer, if it is predicted to take
 	// longer, makes a request wait behind those that can be in time: read first, it
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -46,6 +46,9 @@
 	// sent elsewhere.
 	patienceFactor = 3
 	leastPatience  = time.Second
+	// answerDue is how long a target may answer nothing before it is taken to be silent:
+	// about a latency objective, in which one that is in use answers some request.
+	answerDue = 500 * time.Millisecond
 )
 
 // work is an attempt under way.
@@ -91,7 +94,14 @@
 		at.watch = time.AfterFunc(x.patience(), func() { x.leave(at, cancel) })
 		defer at.watch.Stop()
 	}
-	resp, sent, err := x.g.upstream.send(ctx, x.outgoing(t))
+	out := x.outgoing(t)
+	at.load.Silence.Asked(at.began)
+	resp, sent, err := x.g.upstream.send(ctx, out)
+	if err != nil && ctx.Err() != nil {
+		at.load.Silence.Left(at.began, x.g.now(), answerDue)
+	} else {
+		at.load.Silence.Heard()
+	}
 	end := ending{cause: err, event: attempt.BrokeEarly}
 	switch {
 	case err != nil && !sent:
--- a/internal/inflight/inflight.go
+++ b/internal/inflight/inflight.go
@@ -17,6 +17,8 @@
 	Runs   atomic.Int64
 	Tokens atomic.Int64 // of prompts, not yet computed
 	Memory atomic.Int64 // tokens of the target's memory that the runs keep
+	// Silence is the target's towards all that it was asked.
+	Silence Silence
 }
 
 // New returns counters that are all zero.
--- /dev/null
+++ b/internal/inflight/silence_test.go
@@ -0,0 +1,35 @@
+package inflight
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestSilence: a target is silent from the first request that it does not answer, whether
+// that is waited for or not, until it is heard of.
+func TestSilence(t *testing.T) {
+	is := is.New(t)
+	const due = 500 * time.Millisecond
+	at := func(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
+	var s Silence
+	is.Equal(s.For(at(0)), time.Duration(0))
+	s.Asked(at(0))
+	s.Asked(at(100))
+	is.Equal(s.For(at(200)), 200*time.Millisecond)
+	s.Heard()
+	is.Equal(s.For(at(300)), time.Duration(0))
+
+	s.Asked(at(400))
+	s.Left(at(400), at(420), due) // its caller left at once
+	is.Equal(s.For(at(5000)), time.Duration(0))
+
+	s.Asked(at(5000))
+	s.Asked(at(5100))
+	s.Left(at(5100), at(5110), due)
+	s.Left(at(5000), at(6500), due) // it was waited for in vain
+	is.Equal(s.For(at(7000)), 2*time.Second)
+	s.Heard()
+	is.Equal(s.For(at(7000)), time.Duration(0))
+}
