A stop answers the requests that it reads

Cause: http.Server.Shutdown closes each connection on which a request is read after it was called, without an answer: 83 of 83 connections were last "active", none was idle.

Change: package drain keeps accepting and answering (with Connection: close) until no connection has a request in hand, has begun one within the last second, or was used within the last second; then the listener closes, and only a server that is quiet is shut down. Both modes of the daemon use it.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/shedhoist/shedhoist/internal/core/once"
 	"github.com/shedhoist/shedhoist/internal/core/route"
 	"github.com/shedhoist/shedhoist/internal/dispatch"
+	"github.com/shedhoist/shedhoist/internal/drain"
 	"github.com/shedhoist/shedhoist/internal/keys"
 	"github.com/shedhoist/shedhoist/internal/kvstore"
 	"github.com/shedhoist/shedhoist/internal/ledger"
@@ -70,6 +71,7 @@
 
 	callerLn, operatorLn, peerLn net.Listener
 	callerSrv, operatorSrv       *http.Server
+	callerConns                  drain.Conns
 }
 
 // stallTimeout is the longest silence within a run's stream.
@@ -129,6 +131,7 @@
 	}
 	l := d.set.Limits
 	d.callerSrv = d.server(d.callerHandler(), l)
+	d.callerSrv.ConnState = d.callerConns.Note
 	ops := &operator.Edge{State: d, Keys: d.set.Operators.KeyHashes}
 	d.operatorSrv = d.server(ops.Handler(), l)
 	return nil
@@ -191,7 +194,7 @@
 	}
 	serve := func(what string, f func() error) {
 		go func() {
-			if err := f(); err != nil && !errors.Is(err, http.ErrServerClosed) && d.ctx.Err() == nil {
+			if err := f(); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) && d.ctx.Err() == nil {
 				d.log.WithError(err).WithField("listener", what).Error("listener ended")
 			}
 		}()
@@ -251,7 +254,7 @@
 	wait.For(ctx, settings.Duration(d.set.Timing.DrainNoticeMS))
 	dctx, cancel := context.WithTimeout(ctx, settings.Duration(d.set.Timing.DrainMS))
 	defer cancel()
-	err := d.callerSrv.Shutdown(dctx)
+	err := drain.Stop(dctx, d.callerSrv, d.callerLn, &d.callerConns)
 	cut := d.callers.InHand()
 	if err != nil {
 		d.callerSrv.Close()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/shedhoist/shedhoist/internal/core/fresh"
 	"github.com/shedhoist/shedhoist/internal/core/member"
 	"github.com/shedhoist/shedhoist/internal/core/place"
+	"github.com/shedhoist/shedhoist/internal/drain"
 	"github.com/shedhoist/shedhoist/internal/loads"
 	"github.com/shedhoist/shedhoist/internal/logline"
 	"github.com/shedhoist/shedhoist/internal/metric"
@@ -99,6 +100,7 @@
 	successes, saves sampler // of log lines
 
 	callerLn, readyLn, peerLn, metricsLn net.Listener
+	callerConns                          drain.Conns
 	callerSrv, readySrv, metricsSrv      *http.Server
 }
 
@@ -173,7 +175,10 @@
 	quiet := logline.Logger(g.log)
 	idle := &idleConns{limit: g.idleLimit}
 	g.callerSrv = &http.Server{Handler: http.HandlerFunc(g.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeader, ErrorLog: quiet, ConnState: idle.state}
+		MaxHeaderBytes: maxHeader, ErrorLog: quiet, ConnState: func(conn net.Conn, s http.ConnState) {
+			idle.state(conn, s)
+			g.callerConns.Note(conn, s)
+		}}
 	g.readySrv = &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: quiet}
 	g.metricsSrv = &http.Server{Handler: http.HandlerFunc(g.serveMetrics), ReadHeaderTimeout: headerTimeout, ErrorLog: quiet}
 	return nil
@@ -239,7 +244,7 @@
 
 func (g *Gateway) serve(what string, f func() error) {
 	go func() {
-		if err := f(); err != nil && !errors.Is(err, http.ErrServerClosed) && g.ctx.Err() == nil {
+		if err := f(); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) && g.ctx.Err() == nil {
 			g.log.WithError(err).WithField("listener", what).Error("listener ended")
 		}
 	}()
@@ -348,7 +353,7 @@
 	ctx, cancel := context.WithTimeout(ctx, g.settings().StopWithin-stopMargin)
 	defer cancel()
 	wait.For(ctx, noticeTime)
-	err := g.callerSrv.Shutdown(ctx)
+	err := drain.Stop(ctx, g.callerSrv, g.callerLn, &g.callerConns)
 	cut := g.inHand.Load()
 	if err != nil {
 		g.callerSrv.Close()
