--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
 	"github.com/shedhoist/shedhoist/internal/core/member"
+	"github.com/shedhoist/shedhoist/internal/peer"
 	"github.com/shedhoist/shedhoist/internal/platform"
 )
 
@@ -29,6 +30,39 @@
 type memoryNetwork struct {
 	mu        sync.Mutex
 	listeners map[string]*memoryListener
+	cut       map[string]bool // hosts that nothing gets through to or from
+}
+
+// setCut cuts a host off, or lets it back.
+func (n *memoryNetwork) setCut(host string, yes bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cut == nil {
+		n.cut = map[string]bool{}
+	}
+	n.cut[host] = yes
+}
+
+func (n *memoryNetwork) passes(hosts [2]string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.cut[hosts[0]] && !n.cut[hosts[1]]
+}
+
+// dialFrom opens connections from a host.
+func (n *memoryNetwork) dialFrom(host string) peer.Dial {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		to, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, err
+		}
+		hosts := [2]string{host, to}
+		if !n.passes(hosts) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		return n.dial(ctx, hosts, address)
+	}
 }
 
 // hop is how long a message takes from one instance to another.
@@ -42,7 +76,7 @@
 	return ln, nil
 }
 
-func (n *memoryNetwork) dial(ctx context.Context, _, address string) (net.Conn, error) {
+func (n *memoryNetwork) dial(ctx context.Context, hosts [2]string, address string) (net.Conn, error) {
 	n.mu.Lock()
 	ln := n.listeners[address]
 	n.mu.Unlock()
@@ -51,8 +85,8 @@
 	}
 	here, there := net.Pipe()
 	select {
-	case ln.conns <- newMemoryConn(there):
-		return newMemoryConn(here), nil
+	case ln.conns <- n.newConn(there, hosts):
+		return n.newConn(here, hosts), nil
 	case <-ln.closed:
 		return nil, syscall.ECONNREFUSED
 	case <-ctx.Done():
@@ -98,13 +132,15 @@
 // before it was closed.
 type memoryConn struct {
 	net.Conn
-	out    chan []byte
-	once   sync.Once
-	closed chan struct{}
+	network *memoryNetwork
+	hosts   [2]string
+	out     chan []byte
+	once    sync.Once
+	closed  chan struct{}
 }
 
-func newMemoryConn(c net.Conn) *memoryConn {
-	m := &memoryConn{Conn: c, out: make(chan []byte, 1024), closed: make(chan struct{})}
+func (n *memoryNetwork) newConn(c net.Conn, hosts [2]string) *memoryConn {
+	m := &memoryConn{Conn: c, network: n, hosts: hosts, out: make(chan []byte, 1024), closed: make(chan struct{})}
 	go m.pump()
 	return m
 }
@@ -127,6 +163,9 @@
 
 func (m *memoryConn) deliver(p []byte) bool {
 	time.Sleep(hop)
+	if !m.network.passes(m.hosts) {
+		return true // lost
+	}
 	_, err := m.Conn.Write(p)
 	return err == nil
 }
@@ -405,7 +444,7 @@
 	set := (&Settings{Name: name, Zone: zone, CallerListen: name + ":1", ReadyListen: name + ":2", PeerListen: name + ":3",
 		Seeds: []string{"e-000:3", "e-001:3", "e-002:3"}, PlatformAddress: "store:1"}).WithDefaults()
 	d := &storeDoor{s: f.store}
-	g, err := New(set, Ports{Codec: jsonCodec{}, Store: d, Listen: f.net.listen, Dial: f.net.dial}, &log.Logger{Handler: discard.Default})
+	g, err := New(set, Ports{Codec: jsonCodec{}, Store: d, Listen: f.net.listen, Dial: f.net.dialFrom(name)}, &log.Logger{Handler: discard.Default})
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -438,6 +477,16 @@
 	time.Sleep(goneTime)
 }
 
+// call opens a connection of a caller to an instance.
+func (f *memoryFleet) call(i int) net.Conn {
+	conn, err := f.net.dialFrom("caller")(f.t.Context(), "memory", f.gates[i].CallerAddr())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
 // byRank are the indexes of the instances by their rank for a role.
 func (f *memoryFleet) byRank(role string) []int {
 	var names []string
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -39,12 +39,6 @@
 		is := is.New(t)
 		f := newMemoryFleet(t, 1, 1)
 		defer f.stop()
-		open := func() net.Conn {
-			conn, err := f.net.dial(t.Context(), "memory", f.gates[0].CallerAddr())
-			is.NoErr(err)
-			t.Cleanup(func() { conn.Close() })
-			return conn
-		}
 		send := func(conn net.Conn, text string) {
 			_, err := io.WriteString(conn, text)
 			is.NoErr(err)
@@ -56,7 +50,7 @@
 			is.Equal(resp.StatusCode, http.StatusNotFound)
 			is.True(resp.Close)
 		}
-		silent, begun := open(), open()
+		silent, begun := f.call(0), f.call(0)
 		send(begun, pieceOf[0])
 		stopped := make(chan error, 1)
 		go func() { stopped <- f.gates[0].Shutdown(t.Context()) }()
@@ -76,10 +70,8 @@
 		is := is.New(t)
 		f := newMemoryFleet(t, 1, 1)
 		defer f.stop()
-		conn, err := f.net.dial(t.Context(), "memory", f.gates[0].CallerAddr())
-		is.NoErr(err)
-		defer conn.Close()
-		_, err = io.WriteString(conn, pieceOf[0]+pieceOf[1])
+		conn := f.call(0)
+		_, err := io.WriteString(conn, pieceOf[0]+pieceOf[1])
 		is.NoErr(err)
 		_, err = http.ReadResponse(bufio.NewReader(conn), nil)
 		is.NoErr(err)
