A stop accepts for a second; the age of the configuration on each request's line

A stopping instance to which a balancer goes on sending callers, since it has nobody else, would have accepted until its time was over and cut what was in hand: the listener closes after a second whatever comes (TestStopEndsUnderLoad). The age of the configuration stands on request lines, and a counter says how often news were doubted.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -25,6 +25,10 @@
 	// newLimit is how long one on which no whole request came yet is waited for, from the
 	// stop on: its caller sends at once, and may have begun to.
 	newLimit = time.Second
+	// acceptFor is how long connections are accepted from the stop on. Callers that are held
+	// up come within it; where a balancer has nobody else to send them to they come without
+	// end, and what is in hand must not wait for them.
+	acceptFor = time.Second
 	// pollEvery is how often it is looked at.
 	pollEvery = 20 * time.Millisecond
 )
@@ -82,15 +86,15 @@
 	return ctx.Err()
 }
 
-// Stop ends a server whose callers were told to go elsewhere. It goes on accepting until all
-// is quiet, since callers may be on their way. If ctx ends first it returns ctx's error, and
-// what is in hand goes on: it is the caller's to cut.
+// Stop ends a server whose callers were told to go elsewhere. It goes on accepting for a
+// while, since callers may be on their way, and serves until all is quiet. If ctx ends first
+// it returns ctx's error, and what is in hand goes on: it is the caller's to cut.
 func Stop(ctx context.Context, srv *http.Server, ln net.Listener, conns *Conns) error {
-	if err := conns.await(ctx); err != nil {
-		return err
-	}
+	accept, cancel := context.WithTimeout(ctx, acceptFor)
+	defer cancel()
+	_ = conns.await(accept) // that callers still come is no failure
 	ln.Close()
-	if err := conns.await(ctx); err != nil { // for what was accepted last
+	if err := conns.await(ctx); err != nil {
 		return err
 	}
 	return srv.Shutdown(ctx)
--- a/internal/gateway/ages.go
+++ b/internal/gateway/ages.go
@@ -9,6 +9,7 @@
 
 	"github.com/shedhoist/shedhoist/internal/core/fresh"
 	"github.com/shedhoist/shedhoist/internal/core/member"
+	"github.com/shedhoist/shedhoist/internal/metric"
 	"github.com/shedhoist/shedhoist/internal/wait"
 )
 
@@ -130,6 +131,7 @@
 	}
 	age, _ := f.age()
 	g.log.WithField("kind", f.kind).WithField("age_ms", age.Milliseconds()).WithField("rank", g.view.Load().WatchRank).Info("news in doubt, asking the object store")
+	metric.NewsDoubted.Inc()
 	g.send(firstHand{})
 	if f.watcher < slowKindWait {
 		g.versionsDue.Raise()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -9,6 +9,7 @@
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
 	"github.com/shedhoist/shedhoist/internal/core/attempt"
+	"github.com/shedhoist/shedhoist/internal/core/fresh"
 	"github.com/shedhoist/shedhoist/internal/core/place"
 	"github.com/shedhoist/shedhoist/internal/metric"
 	"github.com/shedhoist/shedhoist/internal/problem"
@@ -229,6 +230,9 @@
 	}
 	e := x.g.log.WithField("request", x.call.ID).WithField("route", route).WithField("service", x.service).WithField("targets", x.targets).
 		WithField("outcome", outcome).WithField("status", status).WithField("ms", x.sinceMS()).WithField("config", x.configVersion())
+	if age, known := x.g.fresh.Age(fresh.Config, x.g.now()); known {
+		e = e.WithField("config_age_ms", age.Milliseconds())
+	}
 	if x.firstMS > 0 {
 		e = e.WithField("first_ms", x.firstMS).WithField("predicted_ms", x.predictedMS)
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -72,13 +72,11 @@
 // Hello answers a probe.
 func (h *peerHandler) Hello(req *Hello, out *Welcome) error {
 	behind, lacking := false, false
-	out.Fresh = h.g.fresh.Words(h.g.now())
 	h.g.query(func(c *control) {
-		words := out.Fresh
 		*out = c.welcome(req)
-		out.Fresh = words
 		behind, lacking = c.known().lacks(req.Have), c.lacksMembers(req.Members)
 	})
+	out.Fresh = h.g.fresh.Words(h.g.now())
 	if lacking {
 		h.g.start(func() { h.g.takeMembers(req.From.Address) })
 	}
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -80,3 +82,39 @@
 		is.True(time.Since(began) < noticeTime+time.Second)
 	})
 }
+
+// TestStopEndsUnderLoad: callers that a balancer goes on sending, since it has nobody else,
+// do not keep an instance from ending in time, and are answered or not taken.
+func TestStopEndsUnderLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newMemoryFleet(t, 1, 1)
+		defer f.stop()
+		ctx, cancel := context.WithCancel(t.Context())
+		var callers sync.WaitGroup
+		served, cut := 0, 0
+		callers.Go(func() {
+			for ctx.Err() == nil {
+				conn, err := f.net.dialFrom("caller")(ctx, "memory", f.gates[0].CallerAddr())
+				if err != nil {
+					return // it takes no more
+				}
+				if _, err := io.WriteString(conn, pieceOf[0]+pieceOf[1]); err != nil {
+					cut++
+				} else if _, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil {
+					cut++
+				} else {
+					served++
+				}
+				conn.Close()
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+		time.Sleep(time.Second)
+		is.NoErr(f.gates[0].Shutdown(t.Context()))
+		cancel()
+		callers.Wait()
+		is.True(served > 100)
+		is.Equal(cut, 0)
+	})
+}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -36,7 +36,8 @@
 	Panics             = metrics.NewCounter("shedhoist_panics_total")
 	ConfigErrors       = metrics.NewCounter("shedhoist_config_errors_total")
 	PlatformDown       = metrics.NewCounter("shedhoist_platform_errors_total")
-	NewsFailed         = metrics.NewCounter("shedhoist_news_failed_total") // a peer's news that were asked for and did not arrive whole
+	NewsFailed         = metrics.NewCounter("shedhoist_news_failed_total")  // a peer's news that were asked for and did not arrive whole
+	NewsDoubted        = metrics.NewCounter("shedhoist_news_doubted_total") // times at which an instance that goes by news asked the object store itself
 	FirstToken         = metrics.NewHistogram("shedhoist_first_token_seconds")
 	PredictionError    = metrics.NewHistogram("shedhoist_prediction_error_seconds") // of the first answer, either way
 	BetweenTokens      = metrics.NewHistogram("shedhoist_between_tokens_seconds")
