A stopping server closes connections that nobody uses at once

The listener closes 0.5 s after the notice, so that nothing is taken later than 2.8 s after the signal.

TestStopClosesUnused.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -18,17 +18,18 @@
 
 // Times after which a connection is taken to bring no request.
 const (
-	// Lull is how long it must have been unused. A caller that chose this server before it
-	// was taken out of rotation has sent by then, even on a machine that is busy for some
-	// hundred ms; one that takes an old connection up at this very moment must try again.
-	Lull = time.Second
+	// lull is how long one that was used before must have been unused. A caller that chose
+	// this server before it was taken out of rotation has sent by then, even on a machine
+	// that is busy for some hundred ms; one that takes an old connection up at this very
+	// moment must try again.
+	lull = time.Second
 	// newLimit is how long one on which no whole request came yet is waited for, from the
 	// stop on: its caller sends at once, and may have begun to.
 	newLimit = time.Second
 	// acceptFor is how long connections are accepted from the stop on. Callers that are held
 	// up come within it; where a balancer has nobody else to send them to they come without
 	// end, and what is in hand must not wait for them.
-	acceptFor = time.Second
+	acceptFor = 500 * time.Millisecond
 	// pollEvery is how often it is looked at.
 	pollEvery = 20 * time.Millisecond
 )
@@ -60,20 +61,25 @@
 }
 
 // quiet says whether no connection has a request in hand or may bring one, in a stop that
-// began at that time.
+// began at that time. It closes those that have brought none for long: while others have
+// requests in hand they would take further ones, for which little time is left.
 func (c *Conns) quiet(began, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, u := range c.m {
+	quiet := true
+	for conn, u := range c.m {
 		unused := now.Sub(u.since)
 		switch {
 		case u.state == http.StateActive,
 			u.state == http.StateNew && min(unused, now.Sub(began)) < newLimit,
-			u.state == http.StateIdle && unused < Lull:
-			return false
+			u.state == http.StateIdle && unused < lull:
+			quiet = false
+		default:
+			conn.Close()
+			delete(c.m, conn)
 		}
 	}
-	return true
+	return quiet
 }
 
 // await returns once all is quiet, or with ctx's error.
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -83,6 +83,37 @@
 	})
 }
 
+// TestStopClosesUnused: while a stopping instance waits for what is in hand, a connection that
+// nobody uses is closed: what came on it late would be cut when the time to stop is over.
+func TestStopClosesUnused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newMemoryFleet(t, 1, 1)
+		defer f.stop()
+		unused, begun := f.call(0), f.call(0)
+		_, err := io.WriteString(unused, pieceOf[0]+pieceOf[1])
+		is.NoErr(err)
+		r := bufio.NewReader(unused)
+		_, err = http.ReadResponse(r, nil)
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, io.LimitReader(r, 1))
+		is.NoErr(err)
+		_, err = io.WriteString(begun, pieceOf[0]) // what holds the stop up
+		is.NoErr(err)
+		stopped := make(chan error, 1)
+		go func() { stopped <- f.gates[0].Shutdown(t.Context()) }()
+		time.Sleep(noticeTime + 100*time.Millisecond)
+		_, err = io.Copy(io.Discard, r)
+		is.NoErr(err) // it has ended
+		select {
+		case <-stopped:
+			t.Fatal("the stop did not wait for the request that had begun")
+		default:
+		}
+		is.NoErr(<-stopped)
+	})
+}
+
 // TestStopEndsUnderLoad: callers that a balancer goes on sending, since it has nobody else,
 // do not keep an instance from ending in time, and are answered or not taken.
 func TestStopEndsUnderLoad(t *testing.T) {
