Each attempt looks anew where the stores hold its prompt's parts

Cause: where the stores hold a prompt's parts was looked up once for a request. A second attempt, seconds later, had parts saved that its instance knew to be held by then; the cache store started again at that moment. A second attempt could also fetch by a belief older than any bound on its age.

Change: what was found is dropped with each attempt.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -42,7 +42,7 @@
 	firstMS   float64
 	targets   []string                // ids of those tried
 	lastZone  string                  // zone of the last one
-	sources   map[uint64][]partSource // where the prompt's parts are, by weight version
+	sources   map[uint64][]partSource // where the prompt's parts are, by weight version, as of this attempt
 	asks      cacheWork               // what the attempt asks of its target
 	plan      cachePlan
 
@@ -97,6 +97,7 @@
 			return
 		}
 		x.view = x.g.view.Load()
+		x.sources = nil // what the stores hold may have changed since
 	}
 }
 
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -38,7 +38,7 @@
 	return stock.Salt{Wall: x.view.Config.Wall(x.customer), Model: x.call.Prompt.Model, Version: version}.String()
 }
 
-// sourcesOf finds the prompt's parts in the stores, once for each version.
+// sourcesOf finds the prompt's parts in the stores, once for each version and attempt.
 func (x *exchange) sourcesOf(version uint64) []partSource {
 	if found, ok := x.sources[version]; ok {
 		return found
