No request begins on a connection that a stop has closed

A connection was closed as unused 94 ms after a request had been sent on it, which was read at that moment and passed on to a server. Whether a connection is unused and its closing are one step now, and a handler asks before it begins.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -131,7 +131,7 @@
 	}
 	l := d.set.Limits
 	d.callerSrv = d.server(d.callerHandler(), l)
-	d.callerSrv.ConnState = d.callerConns.Note
+	d.callerConns.Attach(d.callerSrv)
 	ops := &operator.Edge{State: d, Keys: d.set.Operators.KeyHashes}
 	d.operatorSrv = d.server(ops.Handler(), l)
 	return nil
@@ -242,6 +242,10 @@
 // Error implements error.
 func (e *CutError) Error() string { return "daemon: shutdown cut requests in hand" }
 
+// linger is how long a stopping process keeps connections that nobody uses: callers whose
+// machines are held up by seconds come within it, and a stop may take two minutes.
+const linger = 5 * time.Second
+
 // Shutdown ends the process gracefully: not ready at once; it goes on
 // accepting until the balancer has noticed; then it finishes what is in hand.
 // It returns a *CutError if ctx ends, or the drain's deadline passes, first.
@@ -254,7 +258,7 @@
 	wait.For(ctx, settings.Duration(d.set.Timing.DrainNoticeMS))
 	dctx, cancel := context.WithTimeout(ctx, settings.Duration(d.set.Timing.DrainMS))
 	defer cancel()
-	err := drain.Stop(dctx, d.callerSrv, d.callerLn, &d.callerConns)
+	err := drain.Stop(dctx, d.callerSrv, d.callerLn, &d.callerConns, linger)
 	cut := d.callers.InHand()
 	if err != nil {
 		d.callerSrv.Close()
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -16,25 +16,11 @@
 	"github.com/shedhoist/shedhoist/internal/wait"
 )
 
-// Times after which a connection is taken to bring no request.
-const (
-	// lull is how long one that was used before must have been unused. A caller that chose
-	// this server before it was taken out of rotation has sent by then, even on a machine
-	// that is busy for some hundred ms; one that takes an old connection up at this very
-	// moment must try again.
-	lull = time.Second
-	// newLimit is how long one on which no whole request came yet is waited for, from the
-	// stop on: its caller sends at once, and may have begun to.
-	newLimit = time.Second
-	// acceptFor is how long connections are accepted from the stop on. Callers that are held
-	// up come within it; where a balancer has nobody else to send them to they come without
-	// end, and what is in hand must not wait for them.
-	acceptFor = 500 * time.Millisecond
-	// pollEvery is how often it is looked at.
-	pollEvery = 20 * time.Millisecond
-)
+// pollEvery is how often a stop looks whether the server is quiet.
+const pollEvery = 20 * time.Millisecond
 
-// Conns are the connections of a server. The zero value knows of none.
+// Conns are the connections of a server. The zero value knows of none. Attach must be called
+// before the server serves.
 type Conns struct {
 	mu sync.Mutex
 	m  map[net.Conn]use
@@ -46,24 +32,62 @@
 	since time.Time
 }
 
-// Note is the server's http.Server.ConnState hook.
+// Attach makes the server tell of its connections, and lets no request begin on one that was
+// closed. It calls the server's own ConnState hook as well.
+func (c *Conns) Attach(srv *http.Server) {
+	hook, next := srv.ConnState, srv.Handler
+	srv.ConnState = func(conn net.Conn, s http.ConnState) {
+		if hook != nil {
+			hook(conn, s)
+		}
+		c.Note(conn, s)
+	}
+	srv.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, conn)
+	}
+	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, _ := r.Context().Value(connKey{}).(net.Conn)
+		if !c.begin(conn) {
+			panic(http.ErrAbortHandler) // its caller has seen the connection end
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// connKey is the context's key of a request's connection.
+type connKey struct{}
+
+// Note takes a change of a connection's state.
 func (c *Conns) Note(conn net.Conn, s http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if s == http.StateClosed || s == http.StateHijacked {
-		delete(c.m, conn)
-		return
-	}
 	if c.m == nil {
 		c.m = map[net.Conn]use{}
 	}
-	c.m[conn] = use{state: s, since: time.Now()}
+	_, open := c.m[conn]
+	switch {
+	case s == http.StateClosed, s == http.StateHijacked:
+		delete(c.m, conn)
+	case s == http.StateNew, open: // else it was closed by a stop
+		c.m[conn] = use{state: s, since: time.Now()}
+	}
+}
+
+// begin notes that a request begins on a connection; it returns false if that was closed.
+func (c *Conns) begin(conn net.Conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	u, open := c.m[conn]
+	if open && u.state != http.StateActive {
+		c.m[conn] = use{state: http.StateActive, since: time.Now()}
+	}
+	return open
 }
 
 // quiet says whether no connection has a request in hand or may bring one, in a stop that
-// began at that time. It closes those that have brought none for long: while others have
-// requests in hand they would take further ones, for which little time is left.
-func (c *Conns) quiet(began, now time.Time) bool {
+// began at that time. It closes those that have brought none for as long as linger: while
+// others have requests in hand they would take further ones, for which little time is left.
+func (c *Conns) quiet(began, now time.Time, linger time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	quiet := true
@@ -71,8 +95,8 @@
 		unused := now.Sub(u.since)
 		switch {
 		case u.state == http.StateActive,
-			u.state == http.StateNew && min(unused, now.Sub(began)) < newLimit,
-			u.state == http.StateIdle && unused < lull:
+			u.state == http.StateNew && min(unused, now.Sub(began)) < linger,
+			u.state == http.StateIdle && unused < linger:
 			quiet = false
 		default:
 			conn.Close()
@@ -83,8 +107,8 @@
 }
 
 // await returns once all is quiet, or with ctx's error.
-func (c *Conns) await(ctx context.Context) error {
-	for began := time.Now(); !c.quiet(began, time.Now()); {
+func (c *Conns) await(ctx context.Context, linger time.Duration) error {
+	for began := time.Now(); !c.quiet(began, time.Now(), linger); {
 		if !wait.For(ctx, pollEvery) {
 			return ctx.Err()
 		}
@@ -92,15 +116,19 @@
 	return ctx.Err()
 }
 
-// Stop ends a server whose callers were told to go elsewhere. It goes on accepting for a
-// while, since callers may be on their way, and serves until all is quiet. If ctx ends first
-// it returns ctx's error, and what is in hand goes on: it is the caller's to cut.
-func Stop(ctx context.Context, srv *http.Server, ln net.Listener, conns *Conns) error {
-	accept, cancel := context.WithTimeout(ctx, acceptFor)
+// Stop ends a server whose callers were told to go elsewhere. A connection that is unused for
+// as long as linger is closed, and so is one on which no whole request has come by then: a
+// caller that chose this server before it was taken out of rotation has sent by then, unless
+// its machine is held up for longer. New ones are accepted for half as long: where a balancer
+// has nobody else to send callers to they come without end, and what is in hand must not wait
+// for them. If ctx ends first Stop returns ctx's error, and what is in hand goes on: it is the
+// caller's to cut.
+func Stop(ctx context.Context, srv *http.Server, ln net.Listener, conns *Conns, linger time.Duration) error {
+	accept, cancel := context.WithTimeout(ctx, linger/2)
 	defer cancel()
-	_ = conns.await(accept) // that callers still come is no failure
+	_ = conns.await(accept, linger) // that callers still come is no failure
 	ln.Close()
-	if err := conns.await(ctx); err != nil {
+	if err := conns.await(ctx, linger); err != nil {
 		return err
 	}
 	return srv.Shutdown(ctx)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -175,10 +175,8 @@
 	quiet := logline.Logger(g.log)
 	idle := &idleConns{limit: g.idleLimit}
 	g.callerSrv = &http.Server{Handler: http.HandlerFunc(g.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeader, ErrorLog: quiet, ConnState: func(conn net.Conn, s http.ConnState) {
-			idle.state(conn, s)
-			g.callerConns.Note(conn, s)
-		}}
+		MaxHeaderBytes: maxHeader, ErrorLog: quiet, ConnState: idle.state}
+	g.callerConns.Attach(g.callerSrv)
 	g.readySrv = &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: quiet}
 	g.metricsSrv = &http.Server{Handler: http.HandlerFunc(g.serveMetrics), ReadHeaderTimeout: headerTimeout, ErrorLog: quiet}
 	return nil
@@ -332,6 +330,9 @@
 	// noticeTime is how long the balancer may still send new connections: it asks
 	// once a second and takes an instance out after two refusals.
 	noticeTime = 2300 * time.Millisecond
+	// lingerAfterNotice is how long unused connections are kept after that. Requests that come
+	// in half of it have five seconds left until they are cut.
+	lingerAfterNotice = time.Second
 	// stopMargin is what is left of the time to stop when requests are cut, so
 	// that the process ends by itself.
 	stopMargin = 500 * time.Millisecond
@@ -353,7 +354,7 @@
 	ctx, cancel := context.WithTimeout(ctx, g.settings().StopWithin-stopMargin)
 	defer cancel()
 	wait.For(ctx, noticeTime)
-	err := drain.Stop(ctx, g.callerSrv, g.callerLn, &g.callerConns)
+	err := drain.Stop(ctx, g.callerSrv, g.callerLn, &g.callerConns, lingerAfterNotice)
 	cut := g.inHand.Load()
 	if err != nil {
 		g.callerSrv.Close()
