Logs tell whether a target crashed, and which requests are alike

What was missing to tell the hypotheses of the incident apart: a broken stream did not say whether its target had ended, and two copies of one request could not be seen to be such. A break is followed by one connect to the target's address, for all requests of that life together: a refusal is a crash (shedhoist_target_crashes_total, 'target crashed', and a line for each request under way); an accepted connection is a reset or a cut answer, no answer leaves it open.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/shedhoist/shedhoist/internal/core/attempt"
 	"github.com/shedhoist/shedhoist/internal/core/fresh"
 	"github.com/shedhoist/shedhoist/internal/core/place"
+	"github.com/shedhoist/shedhoist/internal/core/quarantine"
 	"github.com/shedhoist/shedhoist/internal/metric"
 	"github.com/shedhoist/shedhoist/internal/problem"
 )
@@ -46,7 +47,8 @@
 	asks      cacheWork               // what the attempt asks of its target
 	plan      cachePlan
 
-	decision    place.Decision // the one that refused the request
+	key         *quarantine.Key // see alike
+	decision    place.Decision  // the one that refused the request
 	predictedMS float64
 	spare       *spareAnswer // a failure of a target's own, delivered if nothing better comes
 	ended       bool
@@ -130,6 +132,7 @@
 	cause      error
 	retryAfter time.Duration
 	paid       bool // another attempt is paid for already
+	broken     bool // the connection to the target broke
 }
 
 // again decides what follows an attempt that delivered nothing whole. It returns
@@ -197,13 +200,30 @@
 // logAttempt writes one line for an attempt that did not deliver.
 func (x *exchange) logAttempt(end ending, next string) {
 	e := x.g.log.WithField("request", x.call.ID).WithField("target", x.targets[len(x.targets)-1]).WithField("ended", end.event.String()).
-		WithField("next", next).WithField("age_ms", x.sinceMS())
+		WithField("next", next).WithField("age_ms", x.sinceMS()).WithField("key", x.alike().String())
 	if end.cause != nil {
 		e = e.WithError(end.cause)
 	}
 	e.Info("attempt failed")
 }
 
+// alike is the key that the request shares with those that do the same to a target.
+func (x *exchange) alike() quarantine.Key {
+	if x.key == nil {
+		k := quarantine.KeyOf(quarantine.Request{Customer: x.customerName(), Method: x.r.Method, Host: x.r.Host, URI: x.r.URL.RequestURI(), Body: x.body})
+		x.key = &k
+	}
+	return *x.key
+}
+
+// customerName is empty where the route is public.
+func (x *exchange) customerName() string {
+	if x.customer == nil {
+		return ""
+	}
+	return x.customer.Name
+}
+
 func (x *exchange) sinceMS() float64 {
 	return float64(x.g.now().Sub(x.arrived)) / float64(time.Millisecond)
 }
@@ -254,7 +274,7 @@
 		e = e.WithField("full_targets", x.decision.Full).WithField("free_tokens", x.decision.FreeTokens).WithField("needed_tokens", x.call.keeps())
 	}
 	if outcome != outcomeDone {
-		e = e.WithField("targets_revision", uint64(x.view.Revision)).WithField("store_age_ms", x.g.storeAge().Milliseconds())
+		e = e.WithField("key", x.alike().String()).WithField("targets_revision", uint64(x.view.Revision)).WithField("store_age_ms", x.g.storeAge().Milliseconds())
 	}
 	e.Info("request")
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,8 +38,8 @@
 	Codec   Codec
 	Store   platform.Kinds
 	Engines Engines
-	// Listen opens a listener and Dial a connection to a peer, nil: on the network of this
-	// machine. A test gives links of its own.
+	// Listen opens a listener and Dial a connection to a peer or a target, nil: on the network
+	// of this machine. A test gives links of its own.
 	Listen func(address string) (net.Listener, error)
 	Dial   peer.Dial
 }
@@ -87,6 +87,7 @@
 	peers     *peer.Server
 
 	upstream *upstream
+	crashes  *crashes
 	ejected  *breaker.Set // targets whose requests fail
 	budgets  budgets
 	// predictor is shared by all requests.
@@ -113,7 +114,8 @@
 	g.began = g.now()
 	g.fresh = &fresh.Book{}
 	g.ctx, g.stop = context.WithCancel(context.Background())
-	g.upstream = newUpstream()
+	g.upstream = newUpstreamOver(ports.Dial)
+	g.crashes = &crashes{g: g, m: map[string]*crashCheck{}}
 	g.ejected = breaker.New(g.now)
 	g.predictor = place.NewPredictor()
 	g.others = loads.NewHeard(loadAge)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -51,7 +51,7 @@
 			return x.streamEnd(at, first)
 		}
 		if err != nil {
-			return ending{event: attempt.BrokeLate, cause: &BadAnswerError{Target: at.target.ID, Reason: "stream is not whole", Cause: err}}
+			return ending{event: attempt.BrokeLate, broken: true, cause: &BadAnswerError{Target: at.target.ID, Reason: "stream is not whole", Cause: err}}
 		}
 		if first {
 			x.observe(at)
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -102,7 +102,7 @@
 	} else {
 		at.load.Silence.Heard()
 	}
-	end := ending{cause: err, event: attempt.BrokeEarly}
+	end := ending{cause: err, event: attempt.BrokeEarly, broken: sent}
 	switch {
 	case err != nil && !sent:
 		end.event = attempt.NotSent
@@ -117,9 +117,16 @@
 	}
 	end.paid = at.paid.Load()
 	x.judge(at, end)
+	if end.broken && (end.event == attempt.BrokeEarly || end.event == attempt.BrokeLate) {
+		x.g.crashes.broke(t, x.asBroken())
+	}
 	return end
 }
 
+func (x *exchange) asBroken() brokenRequest {
+	return brokenRequest{id: x.call.ID, key: x.alike(), customer: x.customerName(), route: x.route.Name}
+}
+
 // mayLeave says whether the request may go on elsewhere if its target stays silent. A
 // last attempt is left to come for as long as the caller waits: a target that has more
 // to read than it can is silent for seconds, and its answer is worth more than none.
@@ -160,9 +167,7 @@
 // outgoing builds the request to a target.
 func (x *exchange) outgoing(t *catalog.Target) outgoing {
 	a := Attempt{Target: t.Name, Remaining: x.deadline.Sub(x.g.now()), LastEvent: x.call.LastEvent}
-	if x.customer != nil {
-		a.Customer = x.customer.Name
-	}
+	a.Customer = x.customerName()
 	if x.lastEvent != "" {
 		a.LastEvent = x.lastEvent
 	}
@@ -225,7 +230,7 @@
 func (x *exchange) whole(at *work) ending {
 	data, err := io.ReadAll(io.LimitReader(at.resp.Body, largestHeld+1))
 	if err != nil {
-		return ending{event: attempt.BrokeLate, cause: &BadAnswerError{Target: at.target.ID, Reason: "answer is not whole", Cause: err}}
+		return ending{event: attempt.BrokeLate, broken: true, cause: &BadAnswerError{Target: at.target.ID, Reason: "answer is not whole", Cause: err}}
 	}
 	x.observe(at)
 	status := at.resp.StatusCode
@@ -251,7 +256,7 @@
 		return ending{event: attempt.CallerGone, cause: err}
 	}
 	if _, err := io.Copy(x.w, at.resp.Body); err != nil {
-		return ending{event: attempt.BrokeLate, cause: &BadAnswerError{Target: at.target.ID, Reason: "answer is not whole", Cause: err}}
+		return ending{event: attempt.BrokeLate, broken: true, cause: &BadAnswerError{Target: at.target.ID, Reason: "answer is not whole", Cause: err}}
 	}
 	return ending{delivered: true, status: head.status}
 }
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -14,11 +14,13 @@
 
 	"github.com/shedhoist/shedhoist/internal/inflight"
 	"github.com/shedhoist/shedhoist/internal/netx"
+	"github.com/shedhoist/shedhoist/internal/peer"
 )
 
 // upstream sends requests to targets.
 type upstream struct {
 	fresh *http.Client // a connection for each request
+	dial  peer.Dial
 	work  *inflight.Loads
 
 	mu   sync.Mutex
@@ -44,15 +46,20 @@
 	mostKept = 8 * time.Second
 )
 
-func newUpstream() *upstream {
-	return &upstream{fresh: newClient(0, 0), work: inflight.New(), kept: map[time.Duration]*http.Client{}, idle: map[string]time.Duration{}}
+func newUpstream() *upstream { return newUpstreamOver(nil) }
+
+// newUpstreamOver is newUpstream on another network; nil is this machine's.
+func newUpstreamOver(dial peer.Dial) *upstream {
+	if dial == nil {
+		dial = netx.Dialer(targetConnect).DialContext
+	}
+	return &upstream{dial: dial, fresh: newClient(dial, 0, 0), work: inflight.New(), kept: map[time.Duration]*http.Client{}, idle: map[string]time.Duration{}}
 }
 
 // newClient returns a client that keeps connections by the life of a target: one that was
 // opened to an earlier life, perhaps behind a cut, is never used for a later one.
-func newClient(perTarget int, idle time.Duration) *http.Client {
+func newClient(dial peer.Dial, perTarget int, idle time.Duration) *http.Client {
 	t := netx.Transport(netx.TransportOptions{Connect: targetConnect, IdlePerHost: perTarget, IdleFor: idle})
-	dial := t.DialContext
 	t.DialContext = func(ctx context.Context, network, _ string) (net.Conn, error) {
 		address, _ := ctx.Value(addressKey{}).(string)
 		return dial(ctx, network, address)
@@ -77,7 +84,7 @@
 	}
 	c := u.kept[idle]
 	if c == nil {
-		c = newClient(keptPerTarget, idle)
+		c = newClient(u.dial, keptPerTarget, idle)
 		u.kept[idle] = c
 	}
 	return c
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -17,6 +17,7 @@
 	Resumes         = metrics.NewCounter("shedhoist_resumes_total")
 	BudgetSpent     = metrics.NewCounter("shedhoist_retry_budget_refusals_total")
 	FullRefusals    = metrics.NewCounter("shedhoist_memory_full_refusals_total")
+	TargetCrashes   = metrics.NewCounter("shedhoist_target_crashes_total") // found by requests that broke there
 	EntriesUnusable = metrics.NewCounter("shedhoist_target_entries_unusable_total")
 	// VersionsUnreadable counts objects that name a weight version and can't be read.
 	VersionsUnreadable = metrics.NewCounter("shedhoist_weight_versions_unreadable_total")
