--- /dev/null
+++ b/internal/gateway/traffic_test.go
@@ -0,0 +1,290 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/shedhoist/shedhoist/internal/catalog"
+)
+
+// A fleet in memory with callers and targets that run requests, and that may crash.
+
+// trafficCodec is the dialect of callers and targets.
+type trafficCodec struct{ jsonCodec }
+
+// Headers of the dialect.
+const (
+	trafficID       = "Id"
+	trafficKey      = "Key"
+	trafficCustomer = "Customer"
+)
+
+// Routes: requests to /once/ run once at most, those to /safe/ may be repeated.
+const (
+	pathOnce = "/once/"
+	pathSafe = "/safe/"
+	hostAll  = "a.example"
+)
+
+// Config implements Codec.
+func (trafficCodec) Config(value []byte) (*catalog.Config, error) {
+	var d declared
+	if err := json.Unmarshal(value, &d); err != nil {
+		return nil, err
+	}
+	route := catalog.Route{Host: hostAll, Timeout: 4 * time.Second, Objective: 500 * time.Millisecond, Backends: []catalog.Backend{{Service: "s", Weight: 1}}}
+	once, safe := route, route
+	once.Name, once.PathPrefix, once.Kind, once.MaxAttempts = "once", pathOnce, catalog.Once, 1
+	safe.Name, safe.PathPrefix, safe.Kind, safe.MaxAttempts = "safe", pathSafe, catalog.Idempotent, 2
+	return catalog.NewConfig(catalog.Draft{Version: d.Version, Services: []catalog.Service{{Name: "s"}}, Routes: []catalog.Route{once, safe},
+		Customers: []catalog.CustomerKeys{{Customer: catalog.Customer{Name: "one"}, Keys: d.Keys}}}), nil
+}
+
+// ReadCall implements Codec.
+func (trafficCodec) ReadCall(h http.Header) (Call, error) {
+	return Call{ID: h.Get(trafficID), Key: h.Get(trafficKey)}, nil
+}
+
+// ForwardHeader implements Codec.
+func (trafficCodec) ForwardHeader(in http.Header, a Attempt) http.Header {
+	return http.Header{trafficID: in[trafficID], trafficCustomer: {a.Customer}}
+}
+
+// ReadAnswer implements Codec.
+func (trafficCodec) ReadAnswer(_ int, h http.Header) Answer {
+	return Answer{ID: h.Get(trafficID), Signed: true}
+}
+
+// AnswerHeader implements Codec.
+func (trafficCodec) AnswerHeader(in http.Header) http.Header { return in }
+
+// trafficFleet is a fleet before targets of one service.
+type trafficFleet struct {
+	*memoryFleet
+	targets []*memoryTarget
+	zones   int
+	seq     int
+}
+
+// Times of a target's life.
+const (
+	runTime     = 60 * time.Millisecond
+	restartTime = 3 * time.Second
+	// outageOfAll is how long the instances are gone when all are killed.
+	outageOfAll = time.Second
+)
+
+// newTrafficFleet starts n instances and some targets.
+func newTrafficFleet(t *testing.T, n, zones, targets int) *trafficFleet {
+	f := &trafficFleet{memoryFleet: &memoryFleet{t: t, net: &memoryNetwork{listeners: map[string]*memoryListener{}}, store: newMemoryStore()}, zones: zones}
+	f.store.set(memoryConfigs, memoryConfig, declared{Version: 1, Keys: []string{"key"}})
+	for i := range targets {
+		mt := &memoryTarget{f: f, name: fmt.Sprintf("t-%02d", i), zone: fmt.Sprintf("z%d", i%zones)}
+		f.targets = append(f.targets, mt)
+		mt.start()
+	}
+	for range n {
+		f.join()
+	}
+	f.settle(n)
+	return f
+}
+
+// join starts one more instance, under a new name.
+func (f *trafficFleet) join() int {
+	i := len(f.gates)
+	name := fmt.Sprintf("e-%03d", i)
+	set := (&Settings{Name: name, Zone: fmt.Sprintf("z%d", i%f.zones), CallerListen: name + ":1", ReadyListen: name + ":2", PeerListen: name + ":3",
+		Seeds: []string{"e-000:3", "e-001:3", "e-002:3"}, PlatformAddress: "store:1"}).WithDefaults()
+	f.gates, f.doors = append(f.gates, nil), append(f.doors, &storeDoor{s: f.store})
+	f.run(i, set)
+	return i
+}
+
+func (f *trafficFleet) run(i int, set *Settings) {
+	g, err := New(set, Ports{Codec: trafficCodec{}, Store: f.doors[i], Listen: f.net.listen, Dial: f.net.dialFrom(set.Name)}, &log.Logger{Handler: discard.Default})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	g.Start()
+	f.gates[i] = g
+}
+
+// settle waits until all instances know of all.
+func (f *trafficFleet) settle(n int) {
+	for f.knowing() < n {
+		time.Sleep(100 * time.Millisecond)
+	}
+	time.Sleep(2 * time.Second)
+}
+
+// restartAll kills all instances at once and starts them again.
+func (f *trafficFleet) restartAll() {
+	for _, g := range f.gates {
+		f.unlisten(g.settings().CallerListen, g.settings().ReadyListen, g.settings().PeerListen)
+		g.Kill()
+	}
+	time.Sleep(outageOfAll)
+	for i, g := range f.gates {
+		f.run(i, g.settings())
+	}
+}
+
+// unlisten has connections to addresses refused.
+func (f *trafficFleet) unlisten(addresses ...string) {
+	f.net.mu.Lock()
+	defer f.net.mu.Unlock()
+	for _, a := range addresses {
+		delete(f.net.listeners, a)
+	}
+}
+
+// silence has the object store answer nobody, or all again.
+func (f *trafficFleet) silence(yes bool) {
+	for _, d := range f.doors {
+		d.shut(yes)
+	}
+}
+
+// cutOff cuts instances off from everything but callers, or lets them back.
+func (f *trafficFleet) cutOff(instances []int, yes bool) {
+	for _, i := range instances {
+		f.net.setCut(f.gates[i].settings().Name, yes)
+		f.doors[i].shut(yes)
+	}
+}
+
+// crashOn has all targets crash on some bodies.
+func (f *trafficFleet) crashOn(deadly func(body string) bool) {
+	for _, m := range f.targets {
+		m.mu.Lock()
+		m.deadly = deadly
+		m.mu.Unlock()
+	}
+}
+
+// memoryTarget is a target that answers in memory.
+type memoryTarget struct {
+	f          *trafficFleet
+	name, zone string
+
+	mu     sync.Mutex
+	srv    *http.Server
+	over   bool                   // it does not start again
+	deadly func(body string) bool // bodies that crash it
+}
+
+// start begins a life of the target, with an entry of its own.
+func (m *memoryTarget) start() {
+	m.mu.Lock()
+	over := m.over
+	m.mu.Unlock()
+	if over {
+		return
+	}
+	address := m.name + ":1"
+	ln, err := m.f.net.listen(address)
+	if err != nil {
+		m.f.t.Fatal(err)
+	}
+	srv := &http.Server{Handler: m}
+	m.mu.Lock()
+	m.srv = srv
+	m.mu.Unlock()
+	go func() { _ = srv.Serve(ln) }() // it ends with the target
+	m.f.store.set(memoryTargets, m.name, catalog.Target{Service: "s", Address: address, Zone: m.zone, Start: time.Now().UnixMilli()})
+}
+
+// crash ends the target, and has it start again some seconds later.
+func (m *memoryTarget) crash() {
+	m.mu.Lock()
+	srv := m.srv
+	m.srv = nil
+	m.mu.Unlock()
+	if srv == nil {
+		return // it is gone already
+	}
+	m.f.unlisten(m.name + ":1")
+	srv.Close()
+	time.AfterFunc(restartTime, m.start)
+}
+
+// ServeHTTP runs a request for runTime.
+func (m *memoryTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return // its caller is gone
+	}
+	time.Sleep(runTime)
+	m.mu.Lock()
+	deadly := m.deadly
+	m.mu.Unlock()
+	if deadly != nil && deadly(string(body)) {
+		m.crash()
+		return
+	}
+	w.Header().Set(trafficID, r.Header.Get(trafficID))
+	_, _ = w.Write(body) // a caller that is gone needs no answer
+}
+
+// stop ends the fleet.
+func (f *trafficFleet) stop() {
+	for _, m := range f.targets {
+		m.mu.Lock()
+		m.over = true
+		if m.srv != nil {
+			m.srv.Close()
+		}
+		m.mu.Unlock()
+	}
+	f.memoryFleet.stop()
+}
+
+// trafficAnswer is what a caller got.
+type trafficAnswer struct {
+	status int // 0: none
+	header http.Header
+}
+
+// ask sends one request to an instance and returns its answer.
+func (f *trafficFleet) ask(i int, path, body string) trafficAnswer {
+	ctx, cancel := context.WithTimeout(f.t.Context(), 5*time.Second)
+	defer cancel()
+	conn, err := f.net.dialFrom("caller")(ctx, "memory", f.gates[i].CallerAddr())
+	if err != nil {
+		return trafficAnswer{}
+	}
+	defer conn.Close()
+	f.net.mu.Lock()
+	f.seq++
+	id := fmt.Sprintf("r-%d", f.seq)
+	f.net.mu.Unlock()
+	return exchangeOn(conn, fmt.Sprintf("POST %sx HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: key\r\nContent-Length: %d\r\n\r\n%s", path, hostAll, trafficID, id, trafficKey, len(body), body))
+}
+
+func exchangeOn(conn net.Conn, request string) trafficAnswer {
+	if _, err := io.Copy(conn, strings.NewReader(request)); err != nil {
+		return trafficAnswer{}
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return trafficAnswer{}
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return trafficAnswer{}
+	}
+	return trafficAnswer{status: resp.StatusCode, header: resp.Header}
+}
