Crash test: a target that is gone answers nothing

The stand-in's handler returned after the crash, and in some runs its http.Server wrote an empty 200 before the connection was closed: an answer of a process that is gone, which then was no crash to the instance. It aborts now; stricter, and the test still fails on the code as it is.

--- a/internal/gateway/traffic_test.go
+++ b/internal/gateway/traffic_test.go
@@ -233,7 +233,7 @@
 	m.mu.Unlock()
 	if deadly != nil && deadly(string(body)) {
 		m.crash()
-		return
+		panic(http.ErrAbortHandler) // a process that is gone answers nothing
 	}
 	w.Header().Set(trafficID, r.Header.Get(trafficID))
 	_, _ = w.Write(body) // a caller that is gone needs no answer
