A stop keeps no connection that falls unused late

What callers saw: a request that was sent 7.46 s after an instance's SIGTERM was cut 40 ms later. Cause: a connection was kept for a second from when it fell unused, however late in the stop. The answer of a stream that began before the stop has told its caller nothing of it, so the next request comes on that connection. Mend: once the stop has lasted a second beyond its listener's close, a connection is closed in the moment it falls unused. A request that crosses this does not begin (TestClosedBringsNothing), and its caller sends it elsewhere. TestNoneBeginsLate failed before; tests of drain, TestStop* of gateway and TestRolling*, TestStop*, TestDrain* of e2e pass.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -85,8 +85,9 @@
 }
 
 // quiet says whether no connection has a request in hand or may bring one, in a stop that
-// began at that time. It closes those that have brought none for as long as linger: while
-// others have requests in hand they would take further ones, for which little time is left.
+// began at that time. It closes those that have brought none for as long as linger, and once
+// the stop has lasted as long each that is unused: an answer that ends later leaves a
+// connection whose caller was not told to go elsewhere, and little time for what it would send.
 func (c *Conns) quiet(began, now time.Time, linger time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -96,7 +97,7 @@
 		switch {
 		case u.state == http.StateActive,
 			u.state == http.StateNew && min(unused, now.Sub(began)) < linger,
-			u.state == http.StateIdle && unused < linger:
+			u.state == http.StateIdle && max(unused, now.Sub(began)) < linger:
 			quiet = false
 		default:
 			conn.Close()
@@ -119,7 +120,7 @@
 // Stop ends a server whose callers were told to go elsewhere. A connection that is unused for
 // as long as linger is closed, and so is one on which no whole request has come by then: a
 // caller that chose this server before it was taken out of rotation has sent by then, unless
-// its machine is held up for longer. New ones are accepted for half as long: where a balancer
+// its machine is held up for longer. One that falls unused later is closed at once. New ones are accepted for half as long: where a balancer
 // has nobody else to send callers to they come without end, and what is in hand must not wait
 // for them. If ctx ends first Stop returns ctx's error, and what is in hand goes on: it is the
 // caller's to cut.
