A test that fails: a crash counts twice after a store that reads numbers as floats

The object of suspected requests names targets by 64-bit numbers. Found by reading; the stores of our tests keep an object's bytes as they are.

--- /dev/null
+++ b/internal/gateway/quarantine_store_test.go
@@ -0,0 +1,39 @@
+package gateway
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shedhoist/shedhoist/internal/core/quarantine"
+)
+
+// Found by reading: the object named targets by numbers of 64 bits. A store that reads and
+// writes numbers as JSON programs commonly do, as floats of 53 bits, gives back others; an
+// instance that knows of a crash by its peers as well then counts it twice, and rejects what
+// met two crashes.
+
+// TestSuspectsSurviveFloats: what a store gives back that reads numbers as floats is the same.
+func TestSuspectsSurviveFloats(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(2000, 0)
+	b, k := quarantine.NewBook(), quarantine.KeyOf(quarantine.Request{URI: "/x"})
+	for i := range 2 {
+		b.Crashed(k, quarantine.Label{}, quarantine.Life(1<<63+12345+uint64(i)), now)
+	}
+	value, err := encodeSuspects(b.Words(now), now)
+	is.NoErr(err)
+	var loose any
+	is.NoErr(json.Unmarshal(value, &loose))
+	value, err = json.Marshal(loose)
+	is.NoErr(err)
+	words, unreadable, err := decodeSuspects(value, now)
+	is.NoErr(err)
+	is.Equal(unreadable, 0)
+	b.Take(words, now)
+	s, known := b.Check(k, now)
+	is.True(known)
+	is.Equal(s.Crashes, 2)
+}
