Stored crashes name targets by text

Cause: numbers of 64 bits, which a store that holds numbers as floats gives back changed; with the word of a peer the crash then counts twice, and a request that met two crashes would be rejected as one that met three. Hexadecimal text now, as keys are. TestSuspectsSurviveFloats failed before. Beside it: the object is first read beside the loop that shows and writes quarantines, so that a store that is down at the start holds up neither; answered_lately on a crash's line no longer says so of a second request of the same key at one target; Expire returns nothing, nobody asked. Tests of gateway, core/quarantine and TestCrashingBody pass.

--- a/internal/core/quarantine/book.go
+++ b/internal/core/quarantine/book.go
@@ -222,24 +222,19 @@
 	}
 }
 
-// Expire forgets what no longer counts, and returns the keys of the quarantines among it.
-func (b *Book) Expire(now time.Time) []Key {
+// Expire forgets what no longer counts.
+func (b *Book) Expire(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.expire(now)
+	b.expire(now)
 }
 
-func (b *Book) expire(now time.Time) (ended []Key) {
+func (b *Book) expire(now time.Time) {
 	for k, e := range b.entries {
-		if now.Sub(e.last()) < Retention {
-			continue
-		}
-		if len(e.against(e.last())) >= crashesToReject {
-			ended = append(ended, k)
+		if now.Sub(e.last()) >= Retention {
+			delete(b.entries, k)
 		}
-		delete(b.entries, k)
 	}
-	return ended
 }
 
 // last is the time of the last crash.
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -39,7 +39,7 @@
 		s, _ := g.quarantine.Check(r.key, now)
 		keep = keep || s.Tells()
 		g.log.WithField("request", r.id).WithField("key", r.key.String()).WithField("customer", r.customer).WithField("route", r.route).
-			WithField("target", t.ID).WithField("crashes", s.Crashes).WithField("answered_lately", !against).Info("target crashed under a request")
+			WithField("target", t.ID).WithField("crashes", s.Crashes).WithField("answered_lately", s.Crashes == 0).Info("target crashed under a request")
 	}
 	g.spreadSuspects(words, "")
 	g.suspectsDue.Raise()
--- a/internal/gateway/quarantine_store.go
+++ b/internal/gateway/quarantine_store.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
+	"strconv"
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/core/quarantine"
@@ -31,9 +32,11 @@
 	Answered int64            `json:"answered,omitempty"` // whole, the last time; 0: never
 }
 
+// storedCrash is one crash. The target's life is in hexadecimal: a store may hold numbers as
+// floats, and a crash that comes back under another number would count twice.
 type storedCrash struct {
-	Target quarantine.Life `json:"target"`
-	At     int64           `json:"at"`
+	Target string `json:"target"`
+	At     int64  `json:"at"`
 }
 
 // storedSuspects is the object's value.
@@ -48,7 +51,7 @@
 	for _, w := range words {
 		s := storedSuspect{Key: w.Key.String(), Label: w.Label, Trials: w.Trials, Void: w.Void}
 		for _, c := range w.Crashes {
-			s.Crashes = append(s.Crashes, storedCrash{Target: c.Life, At: ago(c.Age)})
+			s.Crashes = append(s.Crashes, storedCrash{Target: strconv.FormatUint(uint64(c.Life), 16), At: ago(c.Age)})
 		}
 		if w.Trials > 0 {
 			s.LastTry = ago(w.Tried)
@@ -61,8 +64,7 @@
 	return json.Marshal(v)
 }
 
-// decodeSuspects reads the object's value. An entry without a proper key is left out, and
-// counted.
+// decodeSuspects reads the object's value. An entry that can't be read is left out, and counted.
 func decodeSuspects(value []byte, now time.Time) (words []quarantine.Word, unreadable int, err error) {
 	var v storedSuspects
 	if err := json.Unmarshal(value, &v); err != nil {
@@ -70,22 +72,38 @@
 	}
 	age := func(at int64) int64 { return max(now.UnixMilli()-at, 0) }
 	for _, s := range v.Requests {
-		w := quarantine.Word{Label: s.Label, Trials: s.Trials, Void: s.Void, Tried: age(s.LastTry), Answered: -1}
-		if n, err := hex.Decode(w.Key[:], []byte(s.Key)); err != nil || n != len(w.Key) || len(s.Key) != 2*n {
+		w, ok := s.word(age)
+		if !ok {
 			unreadable++
 			continue
 		}
-		for _, c := range s.Crashes {
-			w.Crashes = append(w.Crashes, quarantine.Crash{Life: c.Target, Age: age(c.At)})
-		}
-		if s.Answered > 0 {
-			w.Answered = age(s.Answered)
-		}
 		words = append(words, w)
 	}
 	return words, unreadable, nil
 }
 
+// word is the entry as instances tell it; false: it can't be read.
+func (s storedSuspect) word(age func(at int64) int64) (quarantine.Word, bool) {
+	w := quarantine.Word{Label: s.Label, Trials: s.Trials, Void: s.Void, Tried: age(s.LastTry), Answered: -1}
+	if len(s.Key) != hex.EncodedLen(len(w.Key)) {
+		return w, false
+	}
+	if _, err := hex.Decode(w.Key[:], []byte(s.Key)); err != nil {
+		return w, false
+	}
+	for _, c := range s.Crashes {
+		life, err := strconv.ParseUint(c.Target, 16, 64)
+		if err != nil {
+			return w, false
+		}
+		w.Crashes = append(w.Crashes, quarantine.Crash{Life: quarantine.Life(life), Age: age(c.At)})
+	}
+	if s.Answered > 0 {
+		w.Answered = age(s.Answered)
+	}
+	return w, true
+}
+
 // readSuspects takes what the object holds, and returns its version.
 func (g *Gateway) readSuspects(ctx context.Context) (platform.Version, error) {
 	o, err := g.store.Get(ctx, quarantineKind, quarantineName)
@@ -167,7 +185,7 @@
 // keepQuarantine reads the object once, keeps it up to date, and tells operators what begins
 // and ends.
 func (g *Gateway) keepQuarantine(ctx context.Context) {
-	g.firstSuspects(ctx)
+	g.start(func() { g.firstSuspects(ctx) })
 	shown := map[quarantine.Key]quarantine.State{}
 	failures := 0
 	for ctx.Err() == nil {
