--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -187,7 +187,8 @@
 func (m *memoryConn) Close() error {
 	m.once.Do(func() {
 		close(m.closed)
-		_ = m.Conn.SetReadDeadline(time.Unix(1, 0)) // whoever reads ends; what was written goes out
+		_ = m.Conn.SetReadDeadline(time.Unix(1, 0))               // whoever reads ends; what was written goes out,
+		_ = m.Conn.SetWriteDeadline(time.Now().Add(goneTime / 2)) // if the other end reads: it may have closed too
 	})
 	return nil
 }
