What a target says of itself is read and shown: that it leaves, and the rest it asks for

The line of a request says target_leaves, that of a failed attempt rest_ms as well; two counters. No decision uses them yet.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -42,6 +42,7 @@
 	lastEvent string // id of the last event that the caller has
 	firstMS   float64
 	targets   []string                // ids of those tried
+	word      Word                    // of the last one
 	freshTo   string                  // of these, one that may be tried again by a new connection
 	lastZone  string                  // zone of the last one
 	sources   map[uint64][]partSource // where the prompt's parts are, by weight version, as of this attempt
@@ -219,6 +220,12 @@
 	if end.cause != nil {
 		e = e.WithError(end.cause)
 	}
+	if x.word.Rest > 0 {
+		e = e.WithField("rest_ms", x.word.Rest.Milliseconds())
+	}
+	if x.word.Leaving {
+		e = e.WithField("target_leaves", true)
+	}
 	e.Info("attempt failed")
 }
 
@@ -279,6 +286,9 @@
 			e = e.WithField("not_saved_target_silent_ms", x.plan.silentMS)
 		}
 	}
+	if x.word.Leaving {
+		e = e.WithField("target_leaves", true)
+	}
 	if leftOut > 0 {
 		e = e.WithField("lines_left_out", leftOut)
 	}
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -106,6 +106,13 @@
 	WeightVersion uint64
 	RetryAfter    time.Duration
 	KeptFor       time.Duration // how long the target keeps an unused connection; 0: not said
+	Word          Word
+}
+
+// Word is what a target says of itself in the header of any answer.
+type Word struct {
+	Leaving bool          // it takes no new requests
+	Rest    time.Duration // it turned this instance away, and wants no requests from it for so long; 0: not said
 }
 
 // Engines makes the calls to targets and cache stores that are not callers'
@@ -129,6 +136,7 @@
 	Ordered         bool   // an order is being carried out
 	OrderSeq        uint64 // orders accepted since the start
 	Queued, Running int
+	Word            Word
 }
 
 // LoadOrder asks a target for a weight version.
@@ -169,6 +177,7 @@
 	Address string
 	Call    string
 	Status  int // 0: no answer
+	Word    Word
 	Cause   error
 }
 
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -100,7 +100,7 @@
 	defer at.load.Memory.Add(-keeps)
 	at.ticket = x.g.beginTicket(t.ID, at.asked.Work, at.began)
 	defer x.g.dropTicket(at.ticket)
-	x.targets, x.lastZone = append(x.targets, t.ID), t.Zone
+	x.targets, x.lastZone, x.word = append(x.targets, t.ID), t.Zone, Word{}
 	if x.mayLeave() {
 		at.watch = time.AfterFunc(x.patience(), func() { x.leave(at, cancel) })
 		defer at.watch.Stop()
@@ -125,6 +125,8 @@
 		defer resp.Body.Close()
 		at.resp, at.answer = resp, x.g.codec.ReadAnswer(resp.StatusCode, resp.Header)
 		x.g.upstream.learnKept(t.Service, at.answer.KeptFor)
+		x.word = at.answer.Word
+		x.g.hearWord(t, x.word)
 		end = x.take(at)
 	}
 	if !end.delivered {
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -19,6 +19,8 @@
 	FullRefusals      = metrics.NewCounter("shedhoist_memory_full_refusals_total")
 	ColdRequests      = metrics.NewCounter("shedhoist_cold_requests_total") // sent to cold targets
 	ColdRefusals      = metrics.NewCounter("shedhoist_cold_refusals_total")
+	LeavingWords      = metrics.NewCounter("shedhoist_leaving_words_total") // answers in which a target says that it leaves
+	RestWords         = metrics.NewCounter("shedhoist_rest_words_total")    // answers in which one asks for rest
 	DarkZones         = metrics.NewCounter("shedhoist_silent_zones_total")
 	EvacuatedRefusals = metrics.NewCounter("shedhoist_evacuated_refusals_total")
 	TargetCrashes     = metrics.NewCounter("shedhoist_target_crashes_total") // found by requests that broke there
