One rendezvous rank serves roles, cold targets, orders and claims

The rank of an instance for a role stood in gateway.rankOf, core/cold, daemon.leader and the keeper, three times by the same hash. core/rendezvous has it once; cold targets hash name and role in the other order now, which changes which instances are chosen and nothing else: TestTornViews and TestColdTargets hold.

--- a/internal/core/cold/cold.go
+++ b/internal/core/cold/cold.go
@@ -14,7 +14,7 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/shedhoist/shedhoist/internal/core/rendezvous"
 )
 
 const (
@@ -54,17 +54,9 @@
 // the first of all that are known by rendezvous hashing. Instances that know more, or fewer,
 // choose nearly the same ones.
 func (s Share) Chosen(target, self string, known []string) bool {
-	own, before := score(target, self), 0
-	for _, name := range known {
-		if name != self && score(target, name) > own {
-			before++
-		}
-	}
-	return before < s.Senders
+	return rendezvous.Rank(known, self, target) < s.Senders
 }
 
-func score(target, instance string) uint64 { return xxhash.Sum64String(target + "\x00" + instance) }
-
 // Gate counts what one instance sends to cold targets. The zero value is ready. It is safe
 // for use by several goroutines.
 type Gate struct {
--- a/internal/daemon/keeper.go
+++ b/internal/daemon/keeper.go
@@ -5,10 +5,9 @@
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/shedhoist/shedhoist/internal/core/member"
 	"github.com/shedhoist/shedhoist/internal/core/once"
+	"github.com/shedhoist/shedhoist/internal/core/rendezvous"
 	"github.com/shedhoist/shedhoist/internal/ledger"
 	"github.com/shedhoist/shedhoist/internal/peer"
 )
@@ -32,7 +31,7 @@
 		if m.State != member.Alive {
 			continue
 		}
-		if score := xxhash.Sum64String(m.Name + "/" + strconv.Itoa(partition)); best.Name == "" || score > top {
+		if score := rendezvous.Score(m.Name, strconv.Itoa(partition)); best.Name == "" || score > top {
 			best, top = m, score
 		}
 	}
--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -8,10 +8,9 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/shedhoist/shedhoist/internal/core/observe"
 	"github.com/shedhoist/shedhoist/internal/core/order"
+	"github.com/shedhoist/shedhoist/internal/core/rendezvous"
 	"github.com/shedhoist/shedhoist/internal/core/route"
 	"github.com/shedhoist/shedhoist/internal/metric"
 	"github.com/shedhoist/shedhoist/internal/platform"
@@ -89,7 +88,7 @@
 func leader(members []observe.Observer) string {
 	best, top := "", uint64(0)
 	for _, m := range members {
-		if score := xxhash.Sum64String(m.Name + "/orders"); best == "" || score > top {
+		if score := rendezvous.Score(m.Name, "orders"); best == "" || score > top {
 			best, top = m.Name, score
 		}
 	}
--- a/internal/gateway/darkzone.go
+++ b/internal/gateway/darkzone.go
@@ -181,8 +181,8 @@
 	return out
 }
 
-// darkNow are the zones that requests to some targets leave out. Where all that have targets seem dark it is most likely
-// this instance's own link, and none is left out.
+// darkNow are the zones that requests to some targets leave out. Where all that have targets
+// seem dark it is most likely this instance's own link, and none is left out.
 func (g *Gateway) darkNow(targets []*catalog.Target) map[string]bool {
 	out := g.dark.zones.Dark()
 	if len(out) == 0 {
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -9,6 +9,7 @@
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
 	"github.com/shedhoist/shedhoist/internal/core/member"
+	"github.com/shedhoist/shedhoist/internal/core/rendezvous"
 	"github.com/shedhoist/shedhoist/internal/registry"
 )
 
@@ -66,7 +67,7 @@
 	p.tree = newTree(p.peers, self)
 	p.watchRank = rankOf(p.attached, self.Name, watcherRole)
 	p.watcher = p.watchRank < watchers
-	p.watchers = firstOf(p.attached, watcherRole, watchers)
+	p.watchers = rendezvous.First(p.attached, watcherRole, watchers)
 	c.fleet = p
 	return p
 }
@@ -206,5 +207,5 @@
 
 // newTargets returns an empty list of targets.
 func newTargets(l log.Interface, self string) *registry.Table {
-	return registry.New(registry.Options{Log: l, Rank: func(name string) uint64 { return roleScore(self, name) }, Linger: lingerTime})
+	return registry.New(registry.Options{Log: l, Rank: func(name string) uint64 { return rendezvous.Score(self, name) }, Linger: lingerTime})
 }
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -15,6 +15,7 @@
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
 	"github.com/shedhoist/shedhoist/internal/core/order"
+	"github.com/shedhoist/shedhoist/internal/core/rendezvous"
 	"github.com/shedhoist/shedhoist/internal/metric"
 	"github.com/shedhoist/shedhoist/internal/wait"
 )
@@ -155,27 +156,11 @@
 }
 
 // rankOf is an instance's place among the live ones for a role, the same at all
-// of them (rendezvous hashing).
+// of them.
 func rankOf(alive []string, self, role string) int {
-	mine, rank := roleScore(self, role), 0
-	for _, name := range alive {
-		if name != self && roleScore(name, role) > mine {
-			rank++
-		}
-	}
-	return rank
+	return rendezvous.Rank(alive, self, role)
 }
 
-// firstOf are the n that rank first for a role.
-func firstOf(alive []string, role string, n int) []string {
-	out := slices.Clone(alive)
-	slices.SortFunc(out, func(a, b string) int { return cmp.Compare(roleScore(b, role), roleScore(a, role)) })
-	return out[:min(n, len(out))]
-}
-
-// roleScore is an instance's score for a role: the highest ranks first.
-func roleScore(name, role string) uint64 { return xxhash.Sum64String(name + "/" + role) }
-
 // planLoads chooses the loads to order now; none without the lease.
 func (o *rollout) planLoads(v *View) []order.Load {
 	var targets []order.Target
--- a/internal/gateway/tree.go
+++ b/internal/gateway/tree.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/shedhoist/shedhoist/internal/core/member"
+	"github.com/shedhoist/shedhoist/internal/core/rendezvous"
 )
 
 // Shape of the tree.
@@ -45,7 +46,7 @@
 	for _, near := range t.zones {
 		scores := make(map[string]uint64, len(near))
 		for _, m := range near {
-			scores[m.Name] = roleScore(m.Name, treeRole)
+			scores[m.Name] = rendezvous.Score(m.Name, treeRole)
 		}
 		slices.SortFunc(near, func(a, b member.Member) int { return cmp.Compare(scores[b.Name], scores[a.Name]) })
 	}
