A trial that no target could take does not count, whatever kept it from them

Callers of a request that was wrongly quarantined got 503 for two minutes more than need be: one trial is let through a second after the quarantine began, and if it reaches no target the next follows as if it had not been. That held where no target was left, but not where all were full, cold or in evacuated zones: those refusals went past failAfter, which alone gave the trial back. Now refuse does, through which every answer of our own goes.

TestTrialWithoutTarget failed before (503 instead of 200 two seconds after the zones were taken back).

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -190,9 +190,7 @@
 // failAfter ends the request: with a target's own failure if there is one, else
 // with an answer of our own, or with a cut if an answer has begun.
 func (x *exchange) failAfter(v attempt.Verdict, end ending) {
-	if x.trial {
-		x.endTrial()
-	}
+	x.endTrial()
 	if errors.Is(x.r.Context().Err(), context.Canceled) {
 		x.finish(0, string(problem.CallerGone), "")
 		panic(http.ErrAbortHandler)
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -178,8 +178,13 @@
 	return s, false
 }
 
-// endTrial notes what a trial showed, if it reached no target: nothing.
+// endTrial notes what a trial that ends without an answer showed, if the request is one: if
+// it reached no target, nothing.
 func (x *exchange) endTrial() {
+	if !x.trial {
+		return
+	}
+	x.trial = false
 	sent := x.ran+x.refusals > 0
 	x.g.log.WithField("request", x.call.ID).WithField("key", x.alike().String()).WithField("targets", x.targets).WithField("sent", sent).
 		Info("trial of a quarantined request ended without an answer")
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -163,6 +163,7 @@
 
 // refuse gives the final answer of our own, at once.
 func (x *exchange) refuse(p *problem.Problem) {
+	x.endTrial()
 	p.RequestID = x.call.ID
 	// A status that promises "not run" may be given only if that is known.
 	if p.Execution != problem.NotRun && promisesNotRun(p.Status()) {
--- /dev/null
+++ b/internal/gateway/trial_test.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shedhoist/shedhoist/internal/problem"
+)
+
+// TestTrialWithoutTarget: a trial of a quarantined request that no target could take, since all
+// zones were evacuated, shows nothing: the next one follows as if there had been none, and
+// frees an innocent's requests.
+func TestTrialWithoutTarget(t *testing.T) {
+	const body = "what its targets crashed under"
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newEvacuatedFleet(t, 3)
+		defer f.end()
+		var crashed crashCount
+		f.crashOn(crashed.deadly(body))
+		for i := 0; crashed.total() < mostCrashes; i++ {
+			f.ask(i%len(f.gates), pathOnce, body)
+			time.Sleep(200 * time.Millisecond)
+		}
+		f.crashOn(nil)
+		zones := []string{"z0", "z1", "z2"}
+		for _, z := range zones {
+			f.evacuate(z)
+		}
+		time.Sleep(2 * time.Second)
+		a := f.ask(0, pathOnce, body)
+		is.Equal(a.status, http.StatusServiceUnavailable)
+		is.True(!strings.Contains(a.body, string(problem.Quarantined))) // the trial
+		for _, z := range zones {
+			f.takeBack(z)
+		}
+		time.Sleep(2 * time.Second)
+		is.Equal(f.ask(0, pathOnce, body).status, http.StatusOK)
+	})
+}
