--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -120,10 +120,10 @@
 // Stop ends a server whose callers were told to go elsewhere. A connection that is unused for
 // as long as linger is closed, and so is one on which no whole request has come by then: a
 // caller that chose this server before it was taken out of rotation has sent by then, unless
-// its machine is held up for longer. One that falls unused later is closed at once. New ones are accepted for half as long: where a balancer
-// has nobody else to send callers to they come without end, and what is in hand must not wait
-// for them. If ctx ends first Stop returns ctx's error, and what is in hand goes on: it is the
-// caller's to cut.
+// its machine is held up for longer. One that falls unused later is closed at once. New ones
+// are accepted for half as long: where a balancer has nobody else to send callers to they come
+// without end, and what is in hand must not wait for them. If ctx ends first Stop returns
+// ctx's error, and what is in hand goes on: it is the caller's to cut.
 func Stop(ctx context.Context, srv *http.Server, ln net.Listener, conns *Conns, linger time.Duration) error {
 	accept, cancel := context.WithTimeout(ctx, linger/2)
 	defer cancel()
