A stop goes by the deadline that a request has

What callers saw: nothing reported; found by reading and by edge tests of a stop. A request that came later than 2.9 s after the stop began was refused (503, not run) though by its caller's own deadline it ended in time; and one on a route without a timeout was taken, ran for 30 s at most, and was cut.

Cause: the stop and the request worked out separately how long the request may last. The stop went by the route's timeout alone, 0 where there is none; the request by that or its caller's patience, whichever is less, and by 30 s where neither is said.

Change: the deadline is worked out once, on admission (exchange.timeout), and the stop asks whether it lies behind the cut. The wait of a young process for its beliefs, up to 1 s, no longer counts twice.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -72,14 +72,6 @@
 // run sends the request to targets until it has its final answer.
 func (x *exchange) run() {
 	x.service = pickBackend(x.route.Backends, rand.IntN)
-	timeout := x.route.Timeout
-	if x.call.Patience > 0 && (timeout <= 0 || x.call.Patience < timeout) {
-		timeout = x.call.Patience
-	}
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
-	x.deadline = x.arrived.Add(timeout)
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	x.ctx = ctx
@@ -119,6 +111,18 @@
 // defaultTimeout bounds a request where neither route nor caller does.
 const defaultTimeout = 30 * time.Second
 
+// timeout is the longest time from the request's arrival to the end of its answer.
+func (x *exchange) timeout() time.Duration {
+	timeout := x.route.Timeout
+	if x.call.Patience > 0 && (timeout <= 0 || x.call.Patience < timeout) {
+		timeout = x.call.Patience
+	}
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	return timeout
+}
+
 // pickBackend draws a service by weight.
 func pickBackend(backends []catalog.Backend, intN func(int) int) string {
 	sum := 0
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -70,7 +70,8 @@
 	if x.route = cfg.Route(x.r.Host, x.r.URL.EscapedPath()); x.route == nil {
 		return problem.New(problem.NotFound, "no route takes this host and path")
 	}
-	if x.g.wouldCut(x.route.Timeout) {
+	x.deadline = x.arrived.Add(x.timeout())
+	if x.g.wouldCut(x.deadline) {
 		return later(problem.Draining, "this instance stops before the request may end", comeBackSoon)
 	}
 	if cfg.NeedsKey(x.route) {
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -59,12 +59,12 @@
 	return nil
 }
 
-// wouldCut says whether a request that comes now, and may last so long, could be cut by a stop.
-func (g *Gateway) wouldCut(lasts time.Duration) bool {
-	began := time.Duration(g.stopBegan.Load())
-	if began == 0 {
+// wouldCut says whether a request that comes now, and ends by its deadline, could be cut by a stop.
+func (g *Gateway) wouldCut(deadline time.Time) bool {
+	after := time.Duration(g.stopBegan.Load())
+	if after == 0 {
 		return false
 	}
-	since := g.now().Sub(g.began) - began
-	return since > takenUntil && since+lasts > g.settings().StopWithin-stopMargin
+	began := g.began.Add(after)
+	return g.now().Sub(began) > takenUntil && deadline.After(began.Add(g.settings().StopWithin-stopMargin))
 }
