A stop refuses a request whose body ends too late

What callers saw: nothing reported; found by an edge test. A request whose header came within 2.9 s of a stop, or before it, and whose body ended at 3.2 s, was sent to a target then, however long it might last; what lasted until 7.5 s would have been cut in the middle of its answer.

Cause: whether a stop could cut a request was asked when its header had come. The body may take up to 10 s after that, and only then is the request run.

Change: the same is asked again when the body is there, before anything is sent to a target. The refusal ends the connection itself, since the request may have begun to come before the stop, when answers keep connections.

TestStopRefusesLateBodies: 200 instead of 503 in four of six cases before, in all of them the target had got the request; passes now.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -71,8 +71,8 @@
 		return problem.New(problem.NotFound, "no route takes this host and path")
 	}
 	x.deadline = x.arrived.Add(x.timeout())
-	if x.g.wouldCut(x.deadline) {
-		return later(problem.Draining, "this instance stops before the request may end", comeBackSoon)
+	if p := x.stopsFirst(); p != nil {
+		return p
 	}
 	if cfg.NeedsKey(x.route) {
 		if x.customer = cfg.Customer(x.call.Key); x.customer == nil {
@@ -82,7 +82,19 @@
 	if err != nil {
 		return problem.New(problem.BadRequest, err.Error())
 	}
-	return x.readBody(cfg.Limits)
+	if p := x.readBody(cfg.Limits); p != nil {
+		return p
+	}
+	return x.stopsFirst() // time has passed
+}
+
+// stopsFirst refuses a request that a stop could cut.
+func (x *exchange) stopsFirst() *problem.Problem {
+	if !x.g.wouldCut(x.deadline) {
+		return nil
+	}
+	x.w.Header().Set("Connection", "close") // the request may have begun to come before the stop
+	return later(problem.Draining, "this instance stops before the request may end", comeBackSoon)
 }
 
 // Bounds of the wait of a request that meets a new process.
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -59,7 +59,8 @@
 	return nil
 }
 
-// wouldCut says whether a request that comes now, and ends by its deadline, could be cut by a stop.
+// wouldCut says whether a request that has come whole only now, and ends by its deadline, could
+// be cut by a stop.
 func (g *Gateway) wouldCut(deadline time.Time) bool {
 	after := time.Duration(g.stopBegan.Load())
 	if after == 0 {
--- a/internal/gateway/stop_edge_test.go
+++ b/internal/gateway/stop_edge_test.go
@@ -260,3 +260,28 @@
 		f.is.NoErr(<-f.stopped)
 	})
 }
+
+// TestStopRefusesLateBodies guards against a request whose body ends late in a stop and that is
+// then begun, though it may not end before the cut; also where it began to come before the stop.
+func TestStopRefusesLateBodies(t *testing.T) {
+	const end = 3200 * time.Millisecond
+	for _, head := range []time.Duration{-time.Second, takenUntil - 50*time.Millisecond} {
+		for timeout, refused := range map[time.Duration]bool{forever: true, edgeCut - head + 1: true, edgeCut - head - beforeCut/2: false} {
+			t.Run(fmt.Sprintf("%v/%v", head, timeout), func(t *testing.T) {
+				onEdge(t, edgeCodec{kind: catalog.Streaming, timeout: timeout}, func(f *edgeFleet) {
+					c, text := f.dial(), f.request(edgeCut-end-beforeCut, 0)
+					half := len(text) - len(edgeBody)/2
+					f.stop(max(0, -head) + hop)
+					c.send(head, text[:half])
+					c.send(end, text[half:])
+					if refused {
+						c.isRefused(end, 0)
+					} else {
+						c.isWhole()
+					}
+					f.is.NoErr(<-f.stopped)
+				})
+			})
+		}
+	}
+}
