A body is waited for no longer than its request may last

What callers saw: nothing reported; found by an edge test. A request that came 3.2 s after a stop began on a route of 1 s, and whose body did not end, had its connection closed with no answer 4.3 s later, by the stop's cut.

Cause: the body was waited for 10 s, whatever the request's deadline. The stop takes a late request because its deadline lies before the cut, and nothing held it to that while its body came.

Change: the wait ends at the deadline, if that is sooner: 408, not run. Without a stop the same callers had their answer at 10 s, or a 504 once the body had come; what has no time left is not run, so nothing is lost by it.

TestStopAnswersSlowBodies: no answer before, 408 at the deadline now. go test -run TestStop ./internal/gateway

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -144,7 +144,8 @@
 	return p
 }
 
-// bodyTimeout is the longest time that a caller may take to send its body.
+// bodyTimeout is the longest time that a caller may take to send its body, within the request's
+// deadline.
 const bodyTimeout = 10 * time.Second
 
 // readBody reads the whole body within its limits.
@@ -160,7 +161,11 @@
 		return nil
 	}
 	rc := http.NewResponseController(x.w)
-	if err := rc.SetReadDeadline(x.g.now().Add(bodyTimeout)); err != nil {
+	until := x.g.now().Add(bodyTimeout)
+	if x.deadline.Before(until) {
+		until = x.deadline
+	}
+	if err := rc.SetReadDeadline(until); err != nil {
 		x.g.log.WithError(err).WithField("request", x.call.ID).Warn("no bound on the time for the body")
 	}
 	var err error
--- a/internal/gateway/stop_edge_test.go
+++ b/internal/gateway/stop_edge_test.go
@@ -285,3 +285,20 @@
 		}
 	}
 }
+
+// TestStopAnswersSlowBodies guards against a late request that is closed without an answer,
+// because its body comes for longer than the request may last, until the stop cuts.
+func TestStopAnswersSlowBodies(t *testing.T) {
+	const head, timeout = 3200 * time.Millisecond, time.Second
+	onEdge(t, edgeCodec{kind: catalog.Once, timeout: timeout}, func(f *edgeFleet) {
+		c, _ := f.late(onUnused, head)
+		text := f.request(0, 0)
+		c.send(head, text[:len(text)-1])
+		resp, body, whole := c.answer()
+		f.is.Equal(resp.StatusCode, http.StatusRequestTimeout)
+		f.is.True(whole && strings.Contains(body, `"not-run"`))
+		f.is.Equal(time.Since(f.began).Truncate(edgePause), head+timeout)
+		f.is.Equal(f.target.arrivals.Load(), int64(0))
+		f.is.NoErr(<-f.stopped)
+	})
+}
