A stop leaves time to answer what runs out of time

What callers saw: nothing reported; found by an edge test. A late request whose deadline is the moment of the cut gets the header of its 504, and the end of the connection in place of the body.

Cause: a stop took late requests with deadlines up to the cut, and left no time for the answer that says that the deadline has passed.

Change: the last deadline that is taken late is 50 ms before the cut (answerTime). The refusal costs such a request little: it is not run and goes elsewhere with all of its time.

TestStopAnswersWhatRunsOutOfTime, with the deadline at the cut: no whole answer in 40 of 40 runs before, and 40 of 40 with the race detector; refused at once now. That 50 ms are enough on a busy machine is an estimate, not measured: under a fake clock an answer takes no time, and 1 ns was enough before. go test -run TestStopAnswersWhatRunsOutOfTime -count=40 ./internal/gateway

--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -24,6 +24,8 @@
 	// stopMargin is what is left of the time to stop when requests are cut, so
 	// that the process ends by itself.
 	stopMargin = 500 * time.Millisecond
+	// answerTime is what is left to answer a request whose deadline has passed, before a stop cuts.
+	answerTime = 50 * time.Millisecond
 )
 
 // CutError says how many requests a stop cut.
@@ -67,5 +69,5 @@
 		return false
 	}
 	began := g.began.Add(after)
-	return g.now().Sub(began) > takenUntil && deadline.After(began.Add(g.settings().StopWithin-stopMargin))
+	return g.now().Sub(began) > takenUntil && deadline.After(began.Add(g.settings().StopWithin-stopMargin-answerTime))
 }
