Tests: what a stop takes at the edges of its times

240 cases under a fake clock: a request that arrives 1 ms before, at, and 1 ns after 2.9 s of a stop, at 3 s and at 3.7 s; its deadline 1 ms before, at, 1 ns and 1 s behind the last that fits; on a connection that was never used, was kept after an answer of before the stop, or was opened during it; plain or stream; with a customer's key or without. What is refused gets a 503 "not-run" at once, ends its connection and reaches no target; what is taken is answered whole, and the stop cuts nothing. Four cases around the cut: what ends 200 ms before it is whole; what would end 200 ms after it is cut, does not look whole, and is the only one that is counted.

--- a/internal/gateway/stop_edge_test.go
+++ b/internal/gateway/stop_edge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -231,6 +232,36 @@
 	return c, 0
 }
 
+// TestStopTakesAtItsEdges guards against a request that a stop takes late and cuts, and against
+// one that is refused though it ends in time: by the moment of arrival, the route's timeout and
+// kind, the customer's key and the connection's way.
+func TestStopTakesAtItsEdges(t *testing.T) {
+	for _, since := range []time.Duration{takenUntil - time.Millisecond, takenUntil, takenUntil + 1, 3 * time.Second, 3700 * time.Millisecond} {
+		for _, over := range []time.Duration{-time.Millisecond, 0, 1, time.Second} {
+			for _, way := range []string{onUnused, onKept, onNew} {
+				for _, kind := range []catalog.RequestKind{catalog.Once, catalog.Streaming} {
+					for _, public := range []bool{false, true} {
+						name := fmt.Sprintf("%v/%+v/%s/%v/public=%v", since, over, way, kind, public)
+						codec := edgeCodec{kind: kind, timeout: edgeLast - since + over, public: public}
+						t.Run(name, func(t *testing.T) {
+							onEdge(t, codec, func(f *edgeFleet) {
+								c, arrivals := f.late(way, since)
+								c.send(since, f.request(edgeCut-since-beforeCut, 0))
+								if since > takenUntil && over > 0 {
+									c.isRefused(since, arrivals)
+								} else {
+									c.isWhole()
+								}
+								f.is.NoErr(<-f.stopped)
+							})
+						})
+					}
+				}
+			}
+		}
+	}
+}
+
 // TestStopGoesByTheCallersPatience guards against refusing a request that ends in time by its
 // own deadline, though its route would let it last longer.
 func TestStopGoesByTheCallersPatience(t *testing.T) {
@@ -326,3 +357,33 @@
 		f.is.NoErr(<-f.stopped)
 	})
 }
+
+// TestStopCutsAtItsEnd guards against a stop that cuts what ends just before its time is over,
+// or that counts what it refused; what is left then is cut, so that it does not look whole.
+func TestStopCutsAtItsEnd(t *testing.T) {
+	for _, over := range []time.Duration{-beforeCut, beforeCut} {
+		for _, kind := range []catalog.RequestKind{catalog.Once, catalog.Streaming} {
+			t.Run(over.String()+"/"+kind.String(), func(t *testing.T) {
+				onEdge(t, edgeCodec{kind: kind, timeout: forever}, func(f *edgeFleet) {
+					const since = 3 * time.Second // what comes from here on may not be cut
+					before, late := f.dial(), f.dial()
+					before.write(f.request(edgeCut+over, 0))
+					f.stop(2 * hop) // once it has begun
+					late.send(since, f.request(0, 0))
+					late.isRefused(since, 1)
+					if over < 0 {
+						before.isWhole()
+						f.is.NoErr(<-f.stopped)
+						return
+					}
+					_, body, whole := before.answer()
+					f.is.True(!whole)
+					f.is.True(!strings.Contains(body, lastPiece))
+					var cut *CutError
+					f.is.True(errors.As(<-f.stopped, &cut))
+					f.is.Equal(cut.Requests, int64(1))
+				})
+			})
+		}
+	}
+}
