--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -70,8 +70,9 @@
 	if x.route = cfg.Route(x.r.Host, x.r.URL.EscapedPath()); x.route == nil {
 		return problem.New(problem.NotFound, "no route takes this host and path")
 	}
-	if x.g.wouldCut(x.route.Timeout) {
-		return later(problem.Draining, "this instance stops before the request may end", comeBackSoon)
+	x.deadline = x.arrived.Add(x.timeout())
+	if p := x.stopsFirst(); p != nil {
+		return p
 	}
 	if cfg.NeedsKey(x.route) {
 		if x.customer = cfg.Customer(x.call.Key); x.customer == nil {
@@ -81,7 +82,19 @@
 	if err != nil {
 		return problem.New(problem.BadRequest, err.Error())
 	}
-	return x.readBody(cfg.Limits)
+	if p := x.readBody(cfg.Limits); p != nil {
+		return p
+	}
+	return x.stopsFirst() // time has passed
+}
+
+// stopsFirst refuses a request that a stop could cut.
+func (x *exchange) stopsFirst() *problem.Problem {
+	if !x.g.wouldCut(x.deadline) {
+		return nil
+	}
+	x.w.Header().Set("Connection", "close") // the request may have begun to come before the stop
+	return later(problem.Draining, "this instance stops before the request may end", comeBackSoon)
 }
 
 // Bounds of the wait of a request that meets a new process.
@@ -131,7 +144,8 @@
 	return p
 }
 
-// bodyTimeout is the longest time that a caller may take to send its body.
+// bodyTimeout is the longest time that a caller may take to send its body, within the request's
+// deadline.
 const bodyTimeout = 10 * time.Second
 
 // readBody reads the whole body within its limits.
@@ -147,7 +161,11 @@
 		return nil
 	}
 	rc := http.NewResponseController(x.w)
-	if err := rc.SetReadDeadline(x.g.now().Add(bodyTimeout)); err != nil {
+	until := x.g.now().Add(bodyTimeout)
+	if x.deadline.Before(until) {
+		until = x.deadline
+	}
+	if err := rc.SetReadDeadline(until); err != nil {
 		x.g.log.WithError(err).WithField("request", x.call.ID).Warn("no bound on the time for the body")
 	}
 	var err error
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -24,6 +24,8 @@
 	// stopMargin is what is left of the time to stop when requests are cut, so
 	// that the process ends by itself.
 	stopMargin = 500 * time.Millisecond
+	// answerTime is what is left to answer a request whose deadline has passed, before a stop cuts.
+	answerTime = 50 * time.Millisecond
 )
 
 // CutError says how many requests a stop cut.
@@ -59,12 +61,13 @@
 	return nil
 }
 
-// wouldCut says whether a request that comes now, and may last so long, could be cut by a stop.
-func (g *Gateway) wouldCut(lasts time.Duration) bool {
-	began := time.Duration(g.stopBegan.Load())
-	if began == 0 {
+// wouldCut says whether a request that has come whole only now, and ends by its deadline, could
+// be cut by a stop.
+func (g *Gateway) wouldCut(deadline time.Time) bool {
+	after := time.Duration(g.stopBegan.Load())
+	if after == 0 {
 		return false
 	}
-	since := g.now().Sub(g.began) - began
-	return since > takenUntil && since+lasts > g.settings().StopWithin-stopMargin
+	began := g.began.Add(after)
+	return g.now().Sub(began) > takenUntil && deadline.After(began.Add(g.settings().StopWithin-stopMargin-answerTime))
 }
