A target that asks for rest gets no requests from the instance that it asked

What callers saw: an attempt lost at a target that had just said that it wants none, an answer from another one some ms later, at times a failure of that other one.

Cause: an answer with 503 and Retry-After has the target's own word of how long it can bear nothing. The instance gave it to callers and kept nothing of it: any refusal rested the target for 150 ms, in the same book as its failures, which a success ends and which only shifts the choice. Class of fault: a bound that another party sets was treated as a guess at its health.

A 503 that ran, and a report's refusal, rested nothing at all before; both have a case.

The change: breaker.Set holds the ends of the rests that were asked for as a thing of its own, the latest end for each life of a target; neither success, failure, trial nor Keep touches it. place.Decide leaves such targets out whatever else, the end of the attempt's choice looks again, and the word is taken when the header arrives, before the next attempt is decided. A request without another target is refused at once, not run. At its end a rest goes on as that of a failed target whose trial is due: one request first (at most 2 within the first 60 ms in the test, 100 requests a second).

Why it works: no path sends a caller's request but by Decide, and there is no weight by which a target that asks for rest could win there; a property test compares each choice with that among the others alone.

TestRefusalWithoutRest: a refusal without the word stays as it was.

--- a/internal/breaker/breaker.go
+++ b/internal/breaker/breaker.go
@@ -13,6 +13,8 @@
 	m   map[string]*breaker
 
 	failing int // entries with failures
+
+	asked map[string]time.Time // ends of rests asked for, see Ask
 }
 
 type breaker struct {
@@ -46,17 +48,19 @@
 	return true
 }
 
-// Resting returns the names that may not be called now; the common answer is none.
+// Resting returns the names that may not be called now since they failed; the common answer is
+// none. A name that asked for rest is not tried before its end, see Asked.
 func (b *Set) Resting() []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.endAsked()
 	if b.failing == 0 {
 		return nil
 	}
 	var out []string
 	now := b.now()
 	for name, e := range b.m {
-		if e.failures < sickAfter {
+		if _, asks := b.asked[name]; asks || e.failures < sickAfter {
 			continue
 		}
 		if now.Before(e.until) {
@@ -99,6 +103,14 @@
 func (b *Set) Rest(name string, d time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	e := b.sicken(name)
+	if until := b.now().Add(d); until.After(e.until) {
+		e.until = until
+	}
+}
+
+// sicken counts name as one that failed, and returns its entry; b.mu is held.
+func (b *Set) sicken(name string) *breaker {
 	e := b.m[name]
 	if e == nil {
 		e = &breaker{}
@@ -108,12 +120,11 @@
 		b.failing++
 	}
 	e.failures = max(e.failures, sickAfter)
-	if until := b.now().Add(d); until.After(e.until) {
-		e.until = until
-	}
+	return e
 }
 
-// Keep forgets all names but those that keep names.
+// Keep forgets all names but those that keep names. A rest that was asked for holds until its
+// end: a name may be unknown for a while and come back.
 func (b *Set) Keep(keep func(name string) bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -26,6 +26,7 @@
 	Unfit    bool    // does not serve the request's model
 	Dark     bool    // its zone is silent: a last resort, as if it were resting
 	Closed   bool    // cold, and bears nothing from this instance now
+	AsksRest bool    // wants no requests from this instance now, and gets none
 	// Pull is how many times more prompts than usual have their home here: a cold target takes
 	// them from few instances. 0 is once.
 	Pull float64
@@ -76,6 +77,8 @@
 	Index  int // of the target, if it is sent; -1 else
 	Full   int // targets that could take it but for their memory
 	Closed int // targets left out since they are cold
+	// AskRest is how many targets that could take it are left out since they ask for rest.
+	AskRest int
 	// FreeTokens is the most that a full target has left.
 	FreeTokens int
 }
@@ -116,6 +119,9 @@
 // seconds (docs/DECIDING.md). So once all targets that could take a request are full, it is
 // refused at once, which costs one answer and saves the others. A request larger than a
 // whole memory is for the target to refuse.
+//
+// A target that asks for rest gets nothing at all, also if there is no other: each request that
+// it turns away takes of what it needs to recover.
 func Decide(targets []Target, q Query) Decision {
 	d := Decision{Action: None, Index: -1}
 	home := -1
@@ -128,6 +134,12 @@
 		if t.Closed {
 			d.Closed++
 		}
+		if t.AsksRest {
+			if usable(t, q) {
+				d.AskRest++
+			}
+			continue
+		}
 		if t.Excluded || t.Closed || !usable(t, q) {
 			continue
 		}
@@ -156,6 +168,9 @@
 // lastResort says whether the target is used only if there is no other.
 func (t *Target) lastResort() bool { return t.Resting || t.Dark }
 
+// barred says whether the target gets nothing now, whatever the request.
+func (t *Target) barred() bool { return t.Closed || t.AsksRest }
+
 // full says whether the request would need more of the target's memory than is left.
 func (t *Target) full(q Query) bool {
 	return t.Capacity > 0 && t.InMemory > 0 && t.InMemory+q.Tokens > t.Capacity
@@ -174,12 +189,12 @@
 // link from others meanwhile, which is what is short in a large fleet. Returns -1 if there
 // is none.
 func homeOf(targets []Target, subject, zone string) int {
-	near := func(t Target) bool { return t.Zone == zone && !t.Unfit && !t.Closed && !t.lastResort() }
+	near := func(t Target) bool { return t.Zone == zone && !t.Unfit && !t.barred() && !t.lastResort() }
 	anywhere := zone == "" || !slices.ContainsFunc(targets, near)
 	best, top := -1, 0.0
 	seed := xxhash.Sum64String(subject)
 	for i := range targets {
-		if targets[i].Unfit || targets[i].Closed || targets[i].Dark || !(anywhere || targets[i].Zone == zone) {
+		if targets[i].Unfit || targets[i].barred() || targets[i].Dark || !(anywhere || targets[i].Zone == zone) {
 			continue
 		}
 		if h := pulled(mix(seed^xxhash.Sum64String(targets[i].ID)), targets[i].Pull); best < 0 || h > top {
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -23,7 +23,7 @@
 func (x *exchange) pick() (*catalog.Target, place.Decision) {
 	resting := x.g.ejected.Resting()
 	candidates, serving := x.view.Candidates[x.service], x.view.Serving[x.service]
-	x.dark = x.g.darkNow(serving)
+	x.dark, x.asked = x.g.darkNow(serving), x.g.ejected.Asked()
 	if len(candidates) < len(serving) && x.countFit(candidates, resting) < leastFit {
 		candidates = x.widen(serving, resting)
 	}
@@ -35,6 +35,11 @@
 			return nil, d
 		}
 		t := candidates[d.Index]
+		if x.g.ejected.Asks(t.ID) {
+			x.asked = x.g.ejected.Asked()
+			options[d.Index].AsksRest = true // another request was told meanwhile
+			continue
+		}
 		if x.enter(t, x.g.now()) {
 			x.asks, x.predictedMS = works[d.Index], options[d.Index].FirstMS
 			return t, d
@@ -70,7 +75,7 @@
 // fit says whether a target serves the request's model with the newest weights, was not
 // tried, does not rest, and bears a request of this instance.
 func (x *exchange) fit(t *catalog.Target, resting []string) bool {
-	if x.tried(t) || slices.Contains(resting, t.ID) || x.dark[t.Zone] {
+	if x.tried(t) || x.asksRest(t) || slices.Contains(resting, t.ID) || x.dark[t.Zone] {
 		return false
 	}
 	if closed, _ := x.closed(t, x.g.now()); closed {
@@ -80,6 +85,12 @@
 	return p == nil || t.VersionOf(p.Model) >= max(x.view.Named[p.Model].Version, 1)
 }
 
+// asksRest says whether a target wants no requests, as of this attempt.
+func (x *exchange) asksRest(t *catalog.Target) bool {
+	_, asks := x.asked[t.ID]
+	return asks
+}
+
 func (x *exchange) countFit(targets []*catalog.Target, resting []string) int {
 	n := 0
 	for _, t := range targets {
@@ -91,15 +102,17 @@
 }
 
 // widen takes as many as are considered at a time from all targets of a service, the fit
-// ones first, from a random one on.
+// ones first, and those that ask for rest last, from a random one on.
 func (x *exchange) widen(serving []*catalog.Target, resting []string) []*catalog.Target {
-	var good, rest []*catalog.Target
+	var good, rest, asking []*catalog.Target
 	start := rand.IntN(len(serving))
 	for i := range serving {
 		t := serving[(start+i)%len(serving)]
 		switch {
 		case x.fit(t, resting):
 			good = append(good, t)
+		case x.asksRest(t):
+			asking = append(asking, t)
 		case len(rest) < mostCandidates:
 			rest = append(rest, t)
 		}
@@ -107,7 +120,8 @@
 			return good
 		}
 	}
-	return append(good, rest[:min(len(rest), mostCandidates-len(good))]...)
+	all := slices.Concat(good, rest, asking)
+	return all[:min(len(all), mostCandidates)]
 }
 
 // options are the targets as place sees them, and what the request asks of each.
@@ -120,7 +134,7 @@
 	defer x.g.predictorMu.Unlock()
 	for i, t := range targets {
 		load := x.g.upstream.work.Of(t.ID)
-		o := place.Target{ID: t.Name, Zone: t.Zone, Runs: int(load.Runs.Load()), Excluded: x.tried(t), Resting: slices.Contains(resting, t.ID), Dark: x.dark[t.Zone]}
+		o := place.Target{ID: t.Name, Zone: t.Zone, Runs: int(load.Runs.Load()), Excluded: x.tried(t), Resting: slices.Contains(resting, t.ID), Dark: x.dark[t.Zone], AsksRest: x.asksRest(t)}
 		o.Closed, o.Pull = x.closed(t, now)
 		if p := x.call.Prompt; p != nil {
 			version := t.VersionOf(p.Model)
@@ -176,12 +190,15 @@
 // refuseNoTarget ends a request for which no target may be used.
 func (x *exchange) refuseNoTarget(d place.Decision) {
 	v := x.machine.NoTarget()
+	x.decision = d
 	switch {
 	case v.Execution != problem.NotRun:
 		x.failAfter(v, ending{})
 	case x.view.evacuatedAll(x.service):
 		metric.EvacuatedRefusals.Inc()
 		x.refuse(later(problem.NoTarget, "all zones with targets of the service are evacuated", comeBackEvacuated/2+rand.N(comeBackEvacuated)))
+	case d.AskRest > 0:
+		x.refuseResting()
 	case d.Closed > 0:
 		metric.ColdRefusals.Inc()
 		x.refuse(later(problem.Overloaded, "the targets are cold and bear no more now", comeBackCold/2+rand.N(comeBackCold)))
@@ -190,6 +207,34 @@
 	}
 }
 
+// longestComeBack bounds the advice on when to come back to targets that ask for rest: they asked
+// this instance, and the caller may meet another next time, which they did not ask.
+const longestComeBack = time.Second
+
+// refuseResting refuses a request, of which nothing has run, since all targets that could take
+// it ask for rest. Its caller is told to come back when the first rest ends, or up to half as
+// late again, so that callers do not return together, and none returns in vain.
+func (x *exchange) refuseResting() {
+	if x.trial {
+		x.endTrial()
+	}
+	metric.RestRefusals.Inc()
+	wait := min(max(x.restLeft(), comeBackSoon), longestComeBack)
+	x.refuse(later(problem.Overloaded, "the targets have asked for rest", wait+rand.N(wait/2)))
+}
+
+// restLeft is the time until the first of the service's targets that ask for rest ends it.
+func (x *exchange) restLeft() time.Duration {
+	left, now := time.Duration(0), x.g.now()
+	for _, t := range x.view.Serving[x.service] {
+		until, asks := x.asked[t.ID]
+		if d := until.Sub(now); asks && (left == 0 || d < left) {
+			left = d
+		}
+	}
+	return left
+}
+
 // comeBackCold is when to come back once cold targets bear no more, from half of it to one
 // and a half times as long: targets are cold for some seconds.
 const comeBackCold = time.Second
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -49,12 +49,13 @@
 	asks      cacheWork               // what the attempt asks of its target
 	plan      cachePlan
 
-	key         *quarantine.Key   // see alike
-	dark        map[string]bool   // zones that are silent, as of this attempt
-	entered     bool              // it holds a place at a cold target, see cold.go
-	trial       bool              // it is let through to try whether its quarantine is right
-	suspect     *quarantine.State // what it was rejected for
-	decision    place.Decision    // the one that refused the request
+	key         *quarantine.Key      // see alike
+	dark        map[string]bool      // zones that are silent, as of this attempt
+	asked       map[string]time.Time // ends of the rests that targets ask for, as of this attempt
+	entered     bool                 // it holds a place at a cold target, see cold.go
+	trial       bool                 // it is let through to try whether its quarantine is right
+	suspect     *quarantine.State    // what it was rejected for
+	decision    place.Decision       // the one that refused the request
 	predictedMS float64
 	spare       *spareAnswer // a failure of a target's own, delivered if nothing better comes
 	ended       bool
@@ -295,6 +296,9 @@
 	if detail != "" {
 		e = e.WithField("detail", detail)
 	}
+	if n := x.decision.AskRest; n > 0 {
+		e = e.WithField("resting_targets", n).WithField("rest_left_ms", x.restLeft().Milliseconds())
+	}
 	if x.decision.Action == place.Refuse {
 		e = e.WithField("full_targets", x.decision.Full).WithField("free_tokens", x.decision.FreeTokens).WithField("needed_tokens", x.call.keeps())
 	}
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -337,7 +337,7 @@
 // its orders and weights are not those of the one that is asked.
 func (o *rollout) report(ctx context.Context, t *catalog.Target) (Report, error) {
 	r, err := o.g.engines.Report(ctx, t.Address, t.Name)
-	o.g.hearWord(t, wordOf(r, err))
+	o.g.hearWord(t, wordOf(r, err), "")
 	if err == nil && r.Start != 0 && t.Start != 0 && r.Start != t.Start {
 		return Report{}, &StartedAgainError{Target: t.ID, Start: r.Start}
 	}
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -126,7 +126,7 @@
 		at.resp, at.answer = resp, x.g.codec.ReadAnswer(resp.StatusCode, resp.Header)
 		x.g.upstream.learnKept(t.Service, at.answer.KeptFor)
 		x.word = at.answer.Word
-		x.g.hearWord(t, x.word)
+		x.g.hearWord(t, x.word, x.call.ID)
 		end = x.take(at)
 	}
 	if !end.delivered {
--- a/internal/logstory/logstory.go
+++ b/internal/logstory/logstory.go
@@ -126,7 +126,7 @@
 	}
 	byTime(s.Around)
 	s.Around = merge(s.Around, end.Instance)
-	for _, find := range [...]func([]Line, *Story) []string{staleConfig, quarantined, crashed, ownOrders, vanished, together, slowAnswer, storeAway, zonesLeftOut, young} {
+	for _, find := range [...]func([]Line, *Story) []string{staleConfig, quarantined, crashed, ownOrders, vanished, together, slowAnswer, storeAway, zonesLeftOut, restsAsked, young} {
 		s.Findings = append(s.Findings, find(lines, s)...)
 	}
 	return s
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -21,6 +21,7 @@
 	ColdRefusals      = metrics.NewCounter("shedhoist_cold_refusals_total")
 	LeavingWords      = metrics.NewCounter("shedhoist_leaving_words_total") // answers in which a target says that it leaves
 	RestWords         = metrics.NewCounter("shedhoist_rest_words_total")    // answers in which one asks for rest
+	RestRefusals      = metrics.NewCounter("shedhoist_rest_refusals_total") // since all targets ask for rest
 	DarkZones         = metrics.NewCounter("shedhoist_silent_zones_total")
 	EvacuatedRefusals = metrics.NewCounter("shedhoist_evacuated_refusals_total")
 	TargetCrashes     = metrics.NewCounter("shedhoist_target_crashes_total") // found by requests that broke there
