Own dialect: what a target asks for with Retry-After is given

What callers saw: attempts lost at engines and service instances that had refused the request before and said for how long they want none; the answer came from another one, after a backoff.

The change: a refusal with a time is noted in breaker.Set as a rest that was asked for; choose excludes such targets within every bound, and a service's instances are passed over. Without another target a request that ran nowhere ends as overloaded, at once. Names are those of the configuration: a target that starts again within the time rests on until its end. A Retry-After is bounded by an hour; a large number overflowed.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -50,6 +50,7 @@
 	load    *inflight.Loads
 	stores  *breaker.Set
 	ejected *breaker.Set // targets whose runs fail
+	callees *breaker.Set // instances of services, by their names
 	turn    atomic.Uint64
 
 	mu     sync.Mutex
@@ -77,6 +78,7 @@
 	d.load = inflight.New()
 	d.stores = breaker.New(d.Now)
 	d.ejected = breaker.New(d.Now)
+	d.callees = breaker.New(d.Now)
 	d.budget = limit.NewBudget(0)
 	d.keeps = make(chan struct{}, maxKeeps)
 	d.keepsCtx = ctx
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -74,8 +74,11 @@
 // choose picks within ever fewer bounds, strictest first: a retry leaves the
 // zone that failed, since a zone fails as a whole; nothing goes to the sick, or
 // to a target twice. Each bound is given up only if no target is left within it;
-// in the end all but the last tried may be tried again.
+// in the end all but the last tried may be tried again. What asks for rest gets
+// nothing within any bound.
 func (l *Live) choose(q *route.Query, dec *route.Decision) {
+	resting := asking(l.d.ejected)
+	l.asking = len(resting) > 0
 	well := append(l.d.ejected.Resting(), l.tried...)
 	last := l.tried[max(len(l.tried)-1, 0):]
 	bounds := [...]struct {
@@ -83,7 +86,7 @@
 		exclude []string
 	}{{l.failedZone, well}, {"", well}, {"", l.tried}, {"", last}}
 	for i, b := range bounds {
-		q.AvoidZone, q.Exclude = b.zone, b.exclude
+		q.AvoidZone, q.Exclude = b.zone, slices.Concat(resting, b.exclude)
 		route.Pick(l.view.Targets, q, l.params(), l.d.beliefs(), dec)
 		if dec.Target == nil {
 			continue
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -65,6 +65,7 @@
 
 	failedZone string   // zone of the last target that failed
 	pinned     []string // versions that no target took the run with
+	asking     bool     // targets asked for rest when it was placed last
 }
 
 // Start places a run and returns when its first event is there, or the final
@@ -101,7 +102,7 @@
 			continue
 		}
 		if !ok {
-			return l.fail(l.machine.NoTarget(), nil)
+			return l.fail(noTarget(l.machine, l.asking), nil)
 		}
 		if err := l.shed(att); err != nil {
 			return err
@@ -125,6 +126,7 @@
 func (l *Live) after(ev attempt.Event, cause error, att *why.Attempt) error {
 	l.leave()
 	l.d.judgeTarget(att.Target, ev)
+	l.d.giveRest(l.d.ejected, att.Target, l.req.ID, cause)
 	if ev != attempt.Refused {
 		l.failedZone = l.target.Zone
 	}
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -87,17 +87,24 @@
 }
 
 // tryInstances goes through the service's instances, nearest first, until the
-// machine ends the request.
+// machine ends the request. Those that ask for rest are passed over.
 func (d *Dispatcher) tryInstances(ctx context.Context, req *ServiceRequest, m *attempt.Request, rec *why.Record, idempotent bool) (*target.Answer, attempt.Verdict, error) {
 	var cause error
-	for retries, inst := range d.order(req) {
+	retries, asking := 0, false
+	for _, inst := range d.order(req) {
+		if d.callees.Asks(inst.Name) {
+			asking = true
+			continue
+		}
 		backoff(ctx, retries)
+		retries++
 		att := why.Attempt{Target: inst.Name, StartMS: d.sinceMS(req.Arrived)}
 		answer, err := d.Targets.Do(ctx, target.Call{Target: inst.Name, Address: inst.Address, Method: req.Method, Path: req.Path,
 			Header: req.Header, Body: req.Body, ID: req.ID, EchoesID: req.Service.EchoesID, Idempotent: idempotent, MaxAnswer: d.Answer})
 		ev := attempt.Done
 		if err != nil {
 			ev, cause = eventOf(ctx, err), err
+			d.giveRest(d.callees, inst.Name, req.ID, err)
 		}
 		verdict := m.Step(ev, d.spend)
 		att.Ended = ev.String()
@@ -114,7 +121,7 @@
 			return answer, verdict, cause
 		}
 	}
-	return nil, m.NoTarget(), cause
+	return nil, noTarget(m, asking), cause
 }
 
 // order lists the service's instances: own zone first, else at random, what
--- a/internal/target/engine.go
+++ b/internal/target/engine.go
@@ -158,12 +158,15 @@
 	return &BrokenError{Target: r.Target, Reason: "status " + strconv.Itoa(resp.StatusCode), Cause: err}
 }
 
+// longestRetry bounds a Retry-After, whatever a target says.
+const longestRetry = time.Hour
+
 func retryAfter(resp *http.Response) time.Duration {
 	n, err := strconv.Atoi(resp.Header.Get("Retry-After"))
 	if err != nil || n < 0 {
 		return 0
 	}
-	return time.Duration(n) * time.Second
+	return time.Duration(min(n, int(longestRetry/time.Second))) * time.Second
 }
 
 // terminator ends every whole stream (OpenAI API reference, "Streaming").
