Each move of a rest's end is logged, also one that comes bit by bit

The line "target asks for rest" was left out if the end had moved by less than 300 ms since the request before. A target that turns many away moves it by some ms each time, so that the log kept the first end, seconds too early. Found by TestRestLines (40 refusals in 0.4 s: one line, two are due). breaker.Set now holds the end that was news last and says what is news, for both dialects.

--- a/internal/breaker/asked.go
+++ b/internal/breaker/asked.go
@@ -6,22 +6,37 @@
 // it lasts until the moment that was asked for, whatever succeeds or fails meanwhile, and
 // nothing is tried before.
 
+// askedRest is until when a name wants no calls.
+type askedRest struct {
+	until time.Time
+	told  time.Time // the end that was news last
+}
+
+// askNews is by how much the end of a rest has moved when it is news again: a name that turns
+// many calls away says much the same to each.
+const askNews = 300 * time.Millisecond
+
 // Ask notes that name wants no calls for d. It returns the end of its rest, the latest of those
-// asked for, and the end before this call; zero if there was none.
-func (b *Set) Ask(name string, d time.Duration) (until, before time.Time) {
+// asked for, and whether it is news: a new rest, or one whose end has moved since the last news.
+func (b *Set) Ask(name string, d time.Duration) (until time.Time, news bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.endAsked()
-	before = b.asked[name]
+	e, held := b.asked[name]
 	until = b.now().Add(d)
-	if !until.After(before) {
-		return before, before
+	if !until.After(e.until) {
+		return e.until, false
+	}
+	e.until = until
+	news = !held || until.Sub(e.told) >= askNews
+	if news {
+		e.told = until
 	}
 	if b.asked == nil {
-		b.asked = map[string]time.Time{}
+		b.asked = map[string]askedRest{}
 	}
-	b.asked[name] = until
-	return until, before
+	b.asked[name] = e
+	return until, news
 }
 
 // Asked returns the names that want no calls now, with the ends of their rests; the common
@@ -34,8 +49,8 @@
 		return nil
 	}
 	out := make(map[string]time.Time, len(b.asked))
-	for name, until := range b.asked {
-		out[name] = until
+	for name, e := range b.asked {
+		out[name] = e.until
 	}
 	return out
 }
@@ -44,8 +59,8 @@
 func (b *Set) Asks(name string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	until, held := b.asked[name]
-	return held && b.now().Before(until)
+	e, held := b.asked[name]
+	return held && b.now().Before(e.until)
 }
 
 // endAsked lets rests that are over go on as those of names that failed, whose trial is due: one
@@ -55,8 +70,8 @@
 		return
 	}
 	now := b.now()
-	for name, until := range b.asked {
-		if now.Before(until) {
+	for name, e := range b.asked {
+		if now.Before(e.until) {
 			continue
 		}
 		delete(b.asked, name)
--- a/internal/breaker/asked_test.go
+++ b/internal/breaker/asked_test.go
@@ -71,19 +71,29 @@
 	}
 }
 
-// TestAskedNews: what Ask returns tells a new rest from one that was known.
+// TestAskedNews guards against a rest whose end moves unseen, bit by bit, and against news of
+// each bit.
 func TestAskedNews(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(0, 0)
 	s := breaker.New(func() time.Time { return now })
-	until, before := s.Ask("a", time.Second)
+	until, news := s.Ask("a", time.Second)
 	is.Equal(until, now.Add(time.Second))
-	is.True(before.IsZero())
-	until, before = s.Ask("a", time.Millisecond)
-	is.Equal(until, before)
+	is.True(news)
+	until, news = s.Ask("a", time.Millisecond)
+	is.Equal(until, now.Add(time.Second))
+	is.True(!news)
+	told := 0
+	for range 100 {
+		now = now.Add(10 * time.Millisecond)
+		if _, news = s.Ask("a", time.Second); news {
+			told++
+		}
+	}
+	is.Equal(told, 3) // it moved by a second
 	now = now.Add(time.Second)
-	_, before = s.Ask("a", time.Second)
-	is.True(before.IsZero()) // the one before is over
+	_, news = s.Ask("a", time.Millisecond)
+	is.True(news) // the one before is over
 }
 
 // TestAskedIsTheLatest: whatever else happens, a name rests exactly until the latest end that
--- a/internal/breaker/breaker.go
+++ b/internal/breaker/breaker.go
@@ -14,7 +14,7 @@
 
 	failing int // entries with failures
 
-	asked map[string]time.Time // ends of rests asked for, see Ask
+	asked map[string]askedRest // see Ask
 }
 
 type breaker struct {
--- a/internal/dispatch/rest.go
+++ b/internal/dispatch/rest.go
@@ -10,9 +10,6 @@
 	"github.com/shedhoist/shedhoist/internal/target"
 )
 
-// restNews is by how much the end of a rest moves before it is logged again.
-const restNews = 300 * time.Millisecond
-
 // giveRest notes how long a target wants nothing, if it refused a request and says so. Until
 // then nothing is sent there, also if there is no other.
 func (d *Dispatcher) giveRest(book *breaker.Set, name, request string, err error) {
@@ -20,8 +17,8 @@
 	if !errors.As(err, &refused) || refused.RetryAfter <= 0 {
 		return
 	}
-	until, before := book.Ask(name, refused.RetryAfter)
-	if !before.IsZero() && until.Sub(before) < restNews {
+	until, news := book.Ask(name, refused.RetryAfter)
+	if !news {
 		return
 	}
 	d.Log.WithField("target", name).WithField("request", request).WithField("rest_ms", refused.RetryAfter.Milliseconds()).
--- a/internal/gateway/rest_test.go
+++ b/internal/gateway/rest_test.go
@@ -14,8 +14,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	"github.com/matryer/is"
 
+	"github.com/shedhoist/shedhoist/internal/breaker"
 	"github.com/shedhoist/shedhoist/internal/catalog"
 )
 
@@ -556,3 +559,25 @@
 		is.Equal(f.send(0, pathSafe, "x").status, http.StatusOK)
 	})
 }
+
+// TestRestLines guards against a log that is silent about a target's wish, or has a line for
+// each request that a target turned away.
+func TestRestLines(t *testing.T) {
+	is := is.New(t)
+	now, lines := time.Unix(0, 0), memory.New()
+	clock := func() time.Time { return now }
+	g := &Gateway{now: clock, ejected: breaker.New(clock), log: &log.Logger{Handler: lines}}
+	target := &catalog.Target{ID: "t@1"}
+	for range 40 { // 10 ms apart
+		g.hearWord(target, Word{Rest: 3 * time.Second}, "r")
+		now = now.Add(10 * time.Millisecond)
+	}
+	is.Equal(len(lines.Entries), 2) // the first, and one 300 ms later
+	is.Equal(lines.Entries[0].Fields, log.Fields{"target": "t@1", "rest_ms": int64(3000), "until": "1970-01-01T00:00:03Z", "told_by": "request", "request": "r"})
+	g.hearWord(target, Word{Rest: time.Millisecond}, "r")
+	is.Equal(len(lines.Entries), 2) // it changes nothing
+	now = now.Add(time.Minute)
+	g.hearWord(target, Word{Rest: time.Millisecond}, "")
+	is.Equal(len(lines.Entries), 3) // a new one, however short
+	is.Equal(lines.Entries[2].Fields.Get("told_by"), "report")
+}
--- a/internal/gateway/word.go
+++ b/internal/gateway/word.go
@@ -20,15 +20,11 @@
 	}
 }
 
-// restNews is by how much the end of a target's rest moves before it is logged again: a target
-// that turns many away says much the same to each.
-const restNews = 300 * time.Millisecond
-
 // giveRest keeps callers' requests from a target that wants none for some time. Each instance
 // goes by what it was told itself: a target asks those of which it gets too much.
 func (g *Gateway) giveRest(t *catalog.Target, rest time.Duration, request string) {
-	until, before := g.ejected.Ask(t.ID, rest)
-	if !before.IsZero() && until.Sub(before) < restNews {
+	until, news := g.ejected.Ask(t.ID, rest)
+	if !news {
 		return
 	}
 	e := g.log.WithField("target", t.ID).WithField("rest_ms", rest.Milliseconds()).WithField("until", until.UTC().Format(time.RFC3339Nano))
