Tests of a rest's edges: many targets, and homes

TestRestOfMost: 256 targets of which 254 ask for rest, none of the others among the 64 that the instance considers first. TestAsksRestHome: a prompt whose home asks for rest gets the home that it has without it. The look right before the attempt (pick, Asks) has no test: nothing under a fake clock comes in between.

--- a/internal/core/place/rest_test.go
+++ b/internal/core/place/rest_test.go
@@ -1,6 +1,8 @@
 package place_test
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -71,3 +73,25 @@
 		}
 	})
 }
+
+// TestAsksRestHome guards against a prompt without a home since the one that it would have asks
+// for rest, alone or with all in the zone of the store that keeps its parts.
+func TestAsksRestHome(t *testing.T) {
+	for name, asks := range map[string]string{"one": "r", "all in the store's zone": "rs"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for i := range 100 {
+				var all, others []place.Target
+				for j, id := range []string{"p", "q", "r", "s"} {
+					x := place.Target{ID: id, Zone: string("aabb"[j]), FirstMS: 50, AsksRest: strings.Contains(asks, id)}
+					all = append(all, x)
+					if !x.AsksRest {
+						others = append(others, x)
+					}
+				}
+				q := place.Query{Zone: "c", Rollout: 10 * time.Second, Rand: func() float64 { return 0.5 }, Policy: policy.Default(), Subject: fmt.Sprint("s", i), KeptIn: "b", SharedMS: 1000}
+				is.Equal(all[place.Decide(all, q).Index].ID, others[place.Decide(others, q).Index].ID)
+			}
+		})
+	}
+}
--- a/internal/gateway/rest_test.go
+++ b/internal/gateway/rest_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -560,6 +561,39 @@
 	})
 }
 
+// TestRestOfMost guards against a refusal while a few targets of many do not ask for rest, none
+// of them among those that the instance considers first.
+func TestRestOfMost(t *testing.T) {
+	const targets, others = 4 * mostCandidates, 2
+	for status, script := range map[int]restScript{http.StatusOK: served, http.StatusInternalServerError: failing(1)} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newRestFleet(t, 1, slices.Repeat([]restScript{askingUntil(time.Hour, time.Hour)}, targets)...)
+				defer f.end()
+				left := others
+				for _, m := range f.asking {
+					if left > 0 && !f.considered(m.name) {
+						m.script, left = script, left-1
+					}
+				}
+				is.Equal(left, 0)
+				f.press(pathSafe, 20*time.Millisecond, 10*time.Second) // all that are asked first have asked for rest
+				answers := f.press(pathSafe, 50*time.Millisecond, 5*time.Second)
+				got := count(answers, func(a restAnswer) bool { return a.status == status })
+				is.Equal(got, len(answers))
+				f.check()
+			})
+		})
+	}
+}
+
+// considered says whether a target is among those that the first instance considers for a
+// request before it looks at all.
+func (f *restFleet) considered(name string) bool {
+	return slices.ContainsFunc(f.gates[0].view.Load().Candidates["s"], func(t *catalog.Target) bool { return t.Name == name })
+}
+
 // TestRestLines guards against a log that is silent about a target's wish, or has a line for
 // each request that a target turned away.
 func TestRestLines(t *testing.T) {
