--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -182,9 +182,9 @@
 	return plainCrowd * float64(x.route.Objective) / float64(time.Millisecond)
 }
 
-// Advice on when to come back to a target whose memory was full, from half of it to one
-// and a half times as long, so that callers do not return together. A target's memory turns
-// over in one to four seconds; 0.5, 2 and 5 s were worth the same (docs/DECIDING.md).
+// comeBackFull is when to come back to targets whose memory was full, from half of it to one
+// and a half times as long, so that callers do not return together: a target's memory turns
+// over in one to four seconds.
 const comeBackFull = time.Second
 
 // refuseNoTarget ends a request for which no target may be used.
@@ -215,9 +215,6 @@
 // it ask for rest. Its caller is told to come back when the first rest ends, or up to half as
 // late again, so that callers do not return together, and none returns in vain.
 func (x *exchange) refuseResting() {
-	if x.trial {
-		x.endTrial()
-	}
 	metric.RestRefusals.Inc()
 	wait := min(max(x.restLeft(), comeBackSoon), longestComeBack)
 	x.refuse(later(problem.Overloaded, "the targets have asked for rest", wait+rand.N(wait/2)))
