--- /dev/null
+++ b/internal/gateway/leaving_test.go
@@ -0,0 +1,682 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shedhoist/shedhoist/internal/catalog"
+)
+
+// Seen: requests reached a target up to 4.1 s after the instance that sent them had passed on an
+// answer in which that target said that it leaves; 2 s are allowed.
+//
+// How it came about: the object store was silent, so that the target's entry still said ready.
+//
+// Cause: an instance went by the entry alone. What a target says of itself in its answers was not
+// read.
+//
+// Proof: the lines of the instance have no word on the target between its entry and the requests,
+// which were answered whole by it; with the word read and gone by, the fleet below has none.
+
+// leaveBound is the time after which no request may be sent to a target that has said that it
+// leaves, by an instance that passed such an answer on.
+const leaveBound = 2 * time.Second
+
+// Headers and paths of the dialect.
+const (
+	spokenLeaving = "Leaving"
+	spokenNotRun  = "Not-Run"
+	spokenRetry   = "Retry-After"
+	pathStream    = "/stream/"
+)
+
+// leavingCodec is a dialect whose targets say in their answers that they leave.
+type leavingCodec struct{ trafficCodec }
+
+// Config implements Codec.
+func (leavingCodec) Config(value []byte) (*catalog.Config, error) {
+	var d declared
+	if err := json.Unmarshal(value, &d); err != nil {
+		return nil, err
+	}
+	route := catalog.Route{Host: hostAll, Timeout: 8 * time.Second, Objective: 500 * time.Millisecond, Backends: []catalog.Backend{{Service: "s", Weight: 1}}}
+	once, safe, stream := route, route, route
+	once.Name, once.PathPrefix, once.Kind, once.MaxAttempts = "once", pathOnce, catalog.Once, 1
+	safe.Name, safe.PathPrefix, safe.Kind, safe.MaxAttempts = "safe", pathSafe, catalog.Idempotent, 2
+	stream.Name, stream.PathPrefix, stream.Kind, stream.MaxAttempts, stream.Resumable = "stream", pathStream, catalog.Streaming, 2, true
+	return catalog.NewConfig(catalog.Draft{Version: d.Version, Services: []catalog.Service{{Name: "s"}}, Routes: []catalog.Route{once, safe, stream},
+		Customers: []catalog.CustomerKeys{{Customer: catalog.Customer{Name: "one"}, Keys: d.Keys}}}), nil
+}
+
+// ReadAnswer implements Codec.
+func (leavingCodec) ReadAnswer(_ int, h http.Header) Answer {
+	return Answer{ID: h.Get(trafficID), Signed: true, NotRun: h.Get(spokenNotRun) != "", Word: Word{Leaving: h.Get(spokenLeaving) == "1"}}
+}
+
+// RefuseHeader implements Codec.
+func (leavingCodec) RefuseHeader(h http.Header, _ string, retryAfter time.Duration) {
+	if retryAfter > 0 {
+		h.Set(spokenRetry, strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+	}
+}
+
+// speaker is a target that says in its answers that it leaves.
+type speaker struct {
+	f    *leavingFleet
+	name string
+	zone string
+
+	mu      sync.Mutex
+	srv     *http.Server
+	born    int64 // Unix ms of its life's start; 0: its entry does not tell
+	leaves  bool
+	answers func(w http.ResponseWriter, r *http.Request, leaves bool) // nil: with its name
+	told    map[string]time.Time                                      // when it first said so to an instance
+	sent    map[string]time.Time                                      // when the last request that came by an instance was sent
+	reached map[string]int                                            // requests that came by an instance
+}
+
+// begin begins a life, with an entry of its own.
+func (s *speaker) begin() {
+	ln, err := s.f.net.listen(s.name + ":1")
+	if err != nil {
+		s.f.t.Fatal(err)
+	}
+	srv := &http.Server{Handler: s}
+	s.mu.Lock()
+	s.srv, s.leaves = srv, false
+	if !s.f.unborn {
+		s.born = time.Now().UnixMilli()
+	}
+	s.told, s.sent, s.reached = map[string]time.Time{}, map[string]time.Time{}, map[string]int{}
+	s.mu.Unlock()
+	go func() { _ = srv.Serve(ln) }() // it ends with the life
+	s.enter(false)
+}
+
+// end ends the life; its address refuses connections.
+func (s *speaker) end() {
+	s.f.unlisten(s.name + ":1")
+	s.mu.Lock()
+	srv := s.srv
+	s.mu.Unlock()
+	srv.Close()
+}
+
+// enter writes the target's entry.
+func (s *speaker) enter(leaving bool) {
+	s.f.store.set(memoryTargets, s.name, catalog.Target{Service: "s", Address: s.name + ":1", Zone: s.zone, Start: s.born, Leaving: leaving,
+		Models: []catalog.ModelVersion{{Model: "m", Version: 1}}})
+}
+
+// leave has all answers from now on say so.
+func (s *speaker) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaves = true
+}
+
+// answer replaces how requests are answered.
+func (s *speaker) answer(f func(w http.ResponseWriter, r *http.Request, leaves bool)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answers = f
+}
+
+// forget drops what was noted of requests.
+func (s *speaker) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.told)
+	clear(s.sent)
+	clear(s.reached)
+}
+
+// arrived is how many requests came by instances, but one of them.
+func (s *speaker) arrived(but string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for instance, reached := range s.reached {
+		if instance != but {
+			n += reached
+		}
+	}
+	return n
+}
+
+// from is how many came by one instance.
+func (s *speaker) from(instance string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reached[instance]
+}
+
+// ServeHTTP implements http.Handler.
+func (s *speaker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return // its caller is gone
+	}
+	instance, when, _ := strings.Cut(string(body), " ")
+	ns, err := strconv.ParseInt(when, 10, 64)
+	if err != nil {
+		s.f.t.Error(err)
+	}
+	s.mu.Lock()
+	s.reached[instance]++
+	if sent := time.Unix(0, ns); sent.After(s.sent[instance]) {
+		s.sent[instance] = sent
+	}
+	s.mu.Unlock()
+	time.Sleep(runTime)
+	w.Header().Set(trafficID, r.Header.Get(trafficID))
+	s.mu.Lock()
+	leaves, answers := s.leaves, s.answers
+	if _, told := s.told[instance]; leaves && !told {
+		s.told[instance] = time.Now()
+	}
+	s.mu.Unlock()
+	if leaves {
+		w.Header().Set(spokenLeaving, "1")
+	}
+	if answers != nil {
+		answers(w, r, leaves)
+		return
+	}
+	_, _ = io.WriteString(w, s.name) // a caller that is gone needs no answer
+}
+
+// late lists the instances by which the target was sent requests later than bound after it had
+// first told them that it leaves; together: after it had first told any.
+func (s *speaker) late(bound time.Duration, together bool) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var first time.Time
+	for _, at := range s.told {
+		if first.IsZero() || at.Before(first) {
+			first = at
+		}
+	}
+	var out []string
+	for instance, sent := range s.sent {
+		told := s.told[instance]
+		if together {
+			told = first
+		}
+		if !told.IsZero() && sent.Sub(told) > bound {
+			out = append(out, fmt.Sprintf("%s %v", instance, sent.Sub(told)))
+		}
+	}
+	return out
+}
+
+// leavingFleet is a fleet before targets that say in their answers that they leave.
+type leavingFleet struct {
+	*trafficFleet
+	speakers []*speaker
+	unborn   bool // the targets' entries don't tell when their lives started
+	asking   sync.WaitGroup
+
+	mu     sync.Mutex
+	failed int
+}
+
+// newLeavingFleet starts n instances and some targets in two zones.
+func newLeavingFleet(t *testing.T, n, targets int) *leavingFleet {
+	return newUnbornFleet(t, n, targets, false)
+}
+
+// newUnbornFleet is newLeavingFleet with targets whose entries don't tell their starts.
+func newUnbornFleet(t *testing.T, n, targets int, unborn bool) *leavingFleet {
+	f := &leavingFleet{trafficFleet: newFleetWith(t, n, 2, 0, fleetOptions{codec: leavingCodec{}}), unborn: unborn}
+	for i := range targets {
+		s := &speaker{f: f, name: fmt.Sprintf("t-%02d", i), zone: fmt.Sprintf("z%d", i%2)}
+		f.speakers = append(f.speakers, s)
+		s.begin()
+	}
+	time.Sleep(time.Second)
+	return f
+}
+
+func (f *leavingFleet) end() {
+	f.asking.Wait()
+	for _, s := range f.speakers {
+		s.end()
+	}
+	f.stop()
+}
+
+// one sends a request to an instance.
+func (f *leavingFleet) one(i int, path string) trafficAnswer {
+	name := fmt.Sprintf("e-%03d", i)
+	return f.askAt(name+":1", path, name+" "+strconv.FormatInt(time.Now().UnixNano(), 10))
+}
+
+// press sends requests to instances in turn for a while, and returns when all are sent.
+func (f *leavingFleet) press(instances []int, path string, every, long time.Duration) {
+	for i := 0; time.Duration(i)*every < long; i++ {
+		f.asking.Add(1)
+		go func() {
+			defer f.asking.Done()
+			if f.one(instances[i%len(instances)], path).status != http.StatusOK {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				f.failed++
+			}
+		}()
+		time.Sleep(every)
+	}
+}
+
+// failures is how many of these were not served.
+func (f *leavingFleet) failures() int {
+	f.asking.Wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.failed
+}
+
+// all are the instances.
+func (f *leavingFleet) all() []int {
+	out := make([]int, len(f.gates))
+	for i := range out {
+		out[i] = i
+	}
+	return out
+}
+
+// refuses answers that the request did not run, once the target leaves.
+func refuses(w http.ResponseWriter, _ *http.Request, leaves bool) {
+	if leaves {
+		w.Header().Set(spokenNotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// failsAtTimes answers every eighth request with a failure, once the target leaves.
+func failsAtTimes() func(http.ResponseWriter, *http.Request, bool) {
+	var mu sync.Mutex
+	n := 0
+	return func(w http.ResponseWriter, _ *http.Request, leaves bool) {
+		mu.Lock()
+		defer mu.Unlock()
+		if n++; leaves && n%8 == 0 {
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+	}
+}
+
+// Streams of the targets.
+const (
+	streamEvents = 15
+	streamGap    = 200 * time.Millisecond // the whole lasts longer than leaveBound
+)
+
+// streams answers with a stream.
+func streams(w http.ResponseWriter, _ *http.Request, _ bool) { streamSome(w, streamEvents) }
+
+// streamsHalf breaks a stream off in the middle.
+func streamsHalf(w http.ResponseWriter, _ *http.Request, _ bool) {
+	streamSome(w, streamEvents/2)
+	panic(http.ErrAbortHandler)
+}
+
+func streamSome(w http.ResponseWriter, n int) {
+	for i := range n {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i+1) // a caller that is gone needs no answer
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(streamGap)
+	}
+}
+
+// TestLeavesByItsOwnWord guards against requests to a target that has said in an answer that it
+// leaves, while its entry says something else or can't be read.
+func TestLeavesByItsOwnWord(t *testing.T) {
+	const every = 5 * time.Millisecond
+	silent := func(f *leavingFleet) { f.silence(true) }
+	cases := []struct {
+		name     string
+		n        int
+		path     string
+		every    time.Duration
+		answers  func(http.ResponseWriter, *http.Request, bool)
+		before   func(f *leavingFleet)             // right before the target's first word
+		after    func(f *leavingFleet, s *speaker) // while requests come
+		unborn   bool                              // starts are not told
+		failures bool                              // some may fail: targets break them, or the retry budget is used up
+	}{
+		{name: "the store is well, and the entry says ready", n: 3},
+		{name: "the store is silent", n: 3, before: silent},
+		{name: "the store is silent to a large fleet", n: 40, before: silent},
+		{name: "one instance alone", n: 1, before: silent},
+		{name: "requests that run once", n: 3, path: pathOnce, before: silent},
+		{name: "it refuses", n: 3, answers: refuses, before: silent, failures: true},
+		{name: "it fails at times", n: 3, path: pathOnce, answers: failsAtTimes(), before: silent, failures: true},
+		{name: "streams that last longer than the bound", n: 3, path: pathStream, every: 40 * time.Millisecond, answers: streams, before: silent},
+		{name: "streams that break and go on elsewhere", n: 3, path: pathStream, every: 40 * time.Millisecond, answers: streams, failures: true, before: func(f *leavingFleet) {
+			f.silence(true)
+			f.speakers[1].answer(streamsHalf)
+		}},
+		{name: "the entry is written again, as ready", n: 3, after: func(_ *leavingFleet, s *speaker) { s.enter(false) }},
+		{name: "the entry says it, and is written again as ready", n: 3, before: func(f *leavingFleet) { f.speakers[0].enter(true) },
+			after: func(_ *leavingFleet, s *speaker) { s.enter(false) }},
+		{name: "the entry vanishes and returns", n: 3, after: func(f *leavingFleet, s *speaker) {
+			f.store.remove(memoryTargets, s.name)
+			time.Sleep(500 * time.Millisecond)
+			s.enter(false)
+		}},
+		{name: "starts are not told", n: 3, unborn: true, before: silent},
+		{name: "starts are not told, and the entry vanishes and returns", n: 3, unborn: true, after: func(f *leavingFleet, s *speaker) {
+			f.store.remove(memoryTargets, s.name)
+			time.Sleep(2 * time.Second)
+			s.enter(false)
+		}},
+		{name: "the entry can't be read for a while", n: 3, after: func(f *leavingFleet, s *speaker) {
+			f.store.set(memoryTargets, s.name, "no entry")
+			time.Sleep(500 * time.Millisecond)
+			s.enter(false)
+		}},
+		{name: "history is lost", n: 3, after: func(f *leavingFleet, s *speaker) {
+			f.store.forget()
+			s.enter(false)
+		}},
+		{name: "the store returns", n: 3, before: silent, after: func(f *leavingFleet, s *speaker) {
+			f.silence(false)
+			time.Sleep(500 * time.Millisecond)
+			s.enter(false)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				f := newUnbornFleet(t, c.n, 3, c.unborn)
+				defer f.end()
+				path, pause := c.path, c.every
+				if path == "" {
+					path = pathSafe
+				}
+				if pause == 0 {
+					pause = every
+				}
+				for _, s := range f.speakers {
+					s.answer(c.answers)
+				}
+				s := f.speakers[0]
+				f.press(f.all(), path, pause, time.Second)
+				if s.arrived("") == 0 {
+					t.Error("the target was not used")
+				}
+				s.leave()
+				if c.before != nil {
+					c.before(f)
+				}
+				f.press(f.all(), path, pause, time.Second)
+				if c.after != nil {
+					c.after(f, s)
+				}
+				f.press(f.all(), path, pause, 3*leaveBound)
+				if late := s.late(leaveBound, true); len(late) > 0 {
+					t.Errorf("requests were sent to it after it had said that it leaves: %v", late)
+				}
+				if n := f.failures(); n > 0 && !c.failures {
+					t.Errorf("%d requests were not served", n)
+				}
+			})
+		})
+	}
+}
+
+// TestLeavesByPeersWord guards against instances to which a target that leaves has said nothing
+// sending requests to it, though another instance knows.
+func TestLeavesByPeersWord(t *testing.T) {
+	onlyPeers := func(f *leavingFleet) { f.doors[f.join()].shut(true) }
+	cases := []struct {
+		name   string
+		n      int
+		unborn bool                  // starts are not told
+		more   func(f *leavingFleet) // instances that start after the word
+	}{
+		{"a small fleet", 3, false, nil},
+		{"a large fleet", 40, false, nil},
+		{"starts are not told", 40, true, nil},
+		{"an instance starts, and the store answers it", 3, false, func(f *leavingFleet) {
+			f.silence(false)
+			f.join()
+		}},
+		{"an instance starts, and only peers can tell it", 3, false, onlyPeers},
+		{"an instance starts, only peers can tell it, and starts are not told", 3, true, onlyPeers},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newUnbornFleet(t, c.n, 3, c.unborn)
+				defer f.end()
+				f.silence(true)
+				f.speakers[0].leave()
+				f.press([]int{0}, pathSafe, 10*time.Millisecond, time.Second)
+				is.True(f.speakers[0].arrived("") > 0)
+				if c.more != nil {
+					c.more(f)
+					time.Sleep(2 * time.Second) // it knows the targets
+				}
+				f.press(f.all(), pathSafe, 5*time.Millisecond, leaveBound)
+				is.Equal(f.speakers[0].arrived("e-000"), 0)
+				is.Equal(f.failures(), 0)
+			})
+		})
+	}
+}
+
+// TestLeavesAfterRestart guards against instances that have all just started, and know nothing,
+// going on after the first answer that says so.
+func TestLeavesAfterRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newLeavingFleet(t, 3, 3)
+		defer f.end()
+		f.speakers[0].leave()
+		f.restartAll()
+		time.Sleep(time.Second)
+		f.speakers[0].forget()
+		f.press(f.all(), pathSafe, 5*time.Millisecond, 3*leaveBound)
+		is.True(f.speakers[0].arrived("") > 0)
+		is.Equal(f.speakers[0].late(leaveBound, false), nil)
+	})
+}
+
+// TestNewLifeOfALeaver guards against a target's next life being left out for what the one
+// before said.
+func TestNewLifeOfALeaver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newLeavingFleet(t, 3, 3)
+		defer f.end()
+		s := f.speakers[0]
+		s.leave()
+		f.press(f.all(), pathSafe, 5*time.Millisecond, time.Second)
+		s.end()
+		time.Sleep(100 * time.Millisecond)
+		s.begin()
+		time.Sleep(time.Second)
+		f.press(f.all(), pathSafe, 5*time.Millisecond, time.Second)
+		for _, g := range f.gates {
+			is.True(s.from(g.settings().Name) > 0)
+		}
+	})
+}
+
+// TestWordOfAnotherAnswer guards against a target being left out for good by an answer that
+// belongs to another request.
+func TestWordOfAnotherAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newLeavingFleet(t, 1, 2)
+		defer f.end()
+		s := f.speakers[0]
+		var once sync.Once
+		s.answer(func(w http.ResponseWriter, _ *http.Request, _ bool) {
+			once.Do(func() {
+				w.Header().Set(trafficID, "another")
+				w.Header().Set(spokenLeaving, "1")
+			})
+		})
+		f.press(f.all(), pathSafe, 5*time.Millisecond, time.Second)
+		s.forget()
+		f.press(f.all(), pathSafe, 5*time.Millisecond, time.Second)
+		is.True(s.arrived("") > 0)
+	})
+}
+
+// TestLeavesNoTarget guards against requests that wait, or run, where all targets have said that
+// they leave.
+func TestLeavesNoTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newLeavingFleet(t, 3, 3)
+		defer f.end()
+		f.silence(true)
+		for _, s := range f.speakers {
+			s.leave()
+		}
+		f.press(f.all(), pathSafe, 5*time.Millisecond, time.Second)
+		f.asking.Wait()
+		for _, s := range f.speakers {
+			s.forget()
+		}
+		for i := range 6 {
+			began := time.Now()
+			conn := f.call(i % 3)
+			body := fmt.Sprintf("e-%03d %d", i%3, began.UnixNano())
+			_, err := fmt.Fprintf(conn, "POST %sx HTTP/1.1\r\nHost: %s\r\n%s: all-%d\r\n%s: key\r\nContent-Length: %d\r\n\r\n%s", pathOnce, hostAll, trafficID, i, trafficKey, len(body), body)
+			is.NoErr(err)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+			is.True(resp.Header.Get(spokenRetry) != "")
+			data, err := io.ReadAll(resp.Body)
+			is.NoErr(err)
+			is.True(strings.Contains(string(data), `"not-run"`))
+			is.True(time.Since(began) < 50*time.Millisecond)
+		}
+		for _, s := range f.speakers {
+			is.Equal(s.arrived(""), 0)
+		}
+	})
+}
+
+// TestStreamAtALeaver guards against a stream that is under way at a target being cut when that
+// says that it leaves.
+func TestStreamAtALeaver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newLeavingFleet(t, 3, 1)
+		defer f.end()
+		s := f.speakers[0]
+		s.answer(streams)
+		got := make(chan trafficAnswer, 1)
+		go func() { got <- f.one(0, pathStream) }()
+		time.Sleep(time.Second)
+		s.answer(nil)
+		s.leave()
+		f.press([]int{0}, pathSafe, 50*time.Millisecond, time.Second)
+		a := <-got
+		is.Equal(a.status, http.StatusOK)
+		is.Equal(strings.Count(a.body, "id: "), streamEvents)
+	})
+}
+
+// TestLeavesAsAnnounced guards against the end of a target that has said that it leaves being
+// taken for a crash by the requests under way there.
+func TestLeavesAsAnnounced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newLeavingFleet(t, 3, 3)
+		defer f.end()
+		f.silence(true)
+		s := f.speakers[0]
+		s.answer(streams)
+		var all sync.WaitGroup
+		for i := range 9 {
+			all.Add(1)
+			go func() {
+				defer all.Done()
+				f.one(i%3, pathStream)
+			}()
+		}
+		time.Sleep(500 * time.Millisecond)
+		is.True(s.arrived("") > 0)
+		s.answer(nil)
+		s.leave()
+		f.press(f.all(), pathSafe, 5*time.Millisecond, time.Second)
+		s.end()
+		all.Wait()
+		time.Sleep(time.Second)
+		for _, g := range f.gates {
+			is.True(g.quarantine.Empty())
+		}
+	})
+}
+
+// leavingEngines are targets whose reports say that they leave.
+type leavingEngines struct {
+	Engines
+	start int64
+}
+
+// Report implements Engines.
+func (e leavingEngines) Report(context.Context, string, string) (Report, error) {
+	return Report{Start: e.start, Models: []catalog.ModelVersion{{Model: "m", Version: 1}}, Word: Word{Leaving: true}}, nil
+}
+
+// TestLeavesByItsReport guards against requests, and orders to load weights, for a target whose
+// report says that it leaves.
+func TestLeavesByItsReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newLeavingFleet(t, 3, 3)
+		defer f.end()
+		s := f.speakers[0]
+		target := f.gates[0].view.Load().Targets[catalog.Target{Name: s.name, Start: s.born}.Identify().ID]
+		f.gates[0].engines = leavingEngines{start: s.born}
+		_, err := f.gates[0].rollout.report(t.Context(), target)
+		is.NoErr(err)
+		time.Sleep(time.Second)
+		f.press(f.all(), pathSafe, 5*time.Millisecond, time.Second)
+		is.Equal(s.arrived(""), 0)
+		is.Equal(f.failures(), 0)
+	})
+}
+
+// TestReportOfAnotherLife guards against a target being left out for what another of its lives
+// says in a report.
+func TestReportOfAnotherLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newLeavingFleet(t, 1, 2)
+		defer f.end()
+		s := f.speakers[0]
+		target := f.gates[0].view.Load().Targets[catalog.Target{Name: s.name, Start: s.born}.Identify().ID]
+		f.gates[0].engines = leavingEngines{start: s.born - 1000}
+		_, err := f.gates[0].rollout.report(t.Context(), target)
+		is.True(err != nil)
+		time.Sleep(time.Second)
+		f.press(f.all(), pathSafe, 5*time.Millisecond, time.Second)
+		is.True(s.arrived("") > 0)
+	})
+}
