A target that says in an answer that it leaves gets no more requests, whatever its entry says

What callers saw: nothing; both requests of the report were answered whole. A request to a target that leaves risks being cut with it.

Cause: what an instance believed of a target's leaving came from the target's entry alone, and the object store was away from 7 to 20 s. Class: a belief with one source, where what it is about speaks by others as well.

Evidence, of three hypotheses: (1) the word in the answer makes no belief: right. (2) an older entry replaces it: there was nothing to replace; it would have been the next fault. (3) a decision that waited: requests arrive 5 ms after they are sent, and each attempt goes by the view of its moment.

Change: registry.Table keeps which lives have said that they leave, beside their entries: for good, until 10 minutes after the life's entry is gone (10 s where its start is not told, as the next of its name can't be told from it), 4,096 without an entry at most. No entry takes it back. Any answer counts that belongs to its request, at its header, and a report, for the life that gives it. The first word of a life makes one event and one line ("target leaves"); the others cost nothing (0 allocations). It goes to peers at once along the tree and in Hello and Welcome (field 9) while the entry doesn't say it, 16 lives a message, at most 600 bytes; what is known is no news, and a word that can't be read takes nothing along. All that goes by a target's leaving goes by catalog.Target.Leaves: choice of targets, loads of weights, looks at silent zones, crashes, entries held for a return. logs explain names it.

Why this works: an instance that passes the word on has taken it first, and publishes a view without the target some milliseconds later; every attempt loads the view of its moment.

With -race -count=5 the tests of internal/gateway on this pass (167 s), those of registry, logstory and platform too; go test ./internal/... and ./platform -run 'Test[^S]' pass. Nine variants with one part taken out each fail a test, the one by which an entry's word hides the target's own after TestOwnWordBesideTheEntry was added for it.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -228,12 +228,14 @@
 	Service  string         `cbor:"4,keyasint,omitempty"`
 	Address  string         `cbor:"5,keyasint,omitempty"` // host:port
 	Zone     string         `cbor:"6,keyasint,omitempty"`
-	Leaving  bool           `cbor:"7,keyasint,omitempty"` // takes no new requests
+	Leaving  bool           `cbor:"7,keyasint,omitempty"` // its entry says that it takes no new requests
 	Models   []ModelVersion `cbor:"8,keyasint,omitempty"`
 	// ColdMS is for how much longer the target was cold when it wrote its entry.
 	ColdMS int64 `cbor:"10,keyasint,omitempty"`
 	// ColdUntil is until when it is cold, by this instance's clock.
 	ColdUntil time.Time `cbor:"-"`
+	// SaidLeaving says that it has said itself, in an answer, that it takes no new requests.
+	SaidLeaving bool `cbor:"-"`
 	// Unusable says that the entry can't be read as one of a server: nothing is sent there.
 	Unusable bool `cbor:"9,keyasint,omitempty"`
 }
@@ -247,6 +249,9 @@
 	return t
 }
 
+// Leaves says whether the target takes no new requests, by its entry or by its own word.
+func (t *Target) Leaves() bool { return t.Leaving || t.SaidLeaving }
+
 // VersionOf returns the weight version that the target serves of a model; 0 is
 // none that is known.
 func (t *Target) VersionOf(model string) uint64 {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -51,6 +51,8 @@
 	// firstHand is until when what changes here may be news to all: this instance, in doubt,
 	// asked the object store itself.
 	firstHand time.Time
+	// leaving is what targets said of leaving, see leaving.go.
+	leaving leavingWords
 
 	// Parts of views, kept until what they are made from changes.
 	fleet   fleetPart
@@ -66,8 +68,10 @@
 
 // Sources of beliefs.
 const (
-	fromStore source = "store"
-	fromPeer  source = "peer"
+	fromStore  source = "store"
+	fromPeer   source = "peer"
+	fromAnswer source = "answer" // of a target to a request
+	fromReport source = "report" // of a target
 )
 
 // configRead brings a configuration. A version never goes back.
--- /dev/null
+++ b/internal/gateway/leaving.go
@@ -0,0 +1,99 @@
+package gateway
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/shedhoist/shedhoist/internal/catalog"
+	"github.com/shedhoist/shedhoist/internal/core/member"
+	"github.com/shedhoist/shedhoist/internal/registry"
+)
+
+// A target that leaves says so in all its answers, perhaps long before its entry does: that
+// waits for the object store. Each instance goes by the answers that it gets, and instances
+// tell one another, so that those that got none do not send more.
+
+// mostLeavers is how many lives one message names, some 30 bytes each. Where a whole zone leaves
+// while the object store is away, the next messages name the others.
+const mostLeavers = 16
+
+// Leavers are lives of targets that have said that they leave.
+type Leavers []registry.Life
+
+// UnmarshalCBOR implements cbor.Unmarshaler. What can't be read is left out, and takes nothing
+// else of its message along.
+func (l *Leavers) UnmarshalCBOR(data []byte) error {
+	*l = nil
+	var words []cbor.RawMessage
+	if cbor.Unmarshal(data, &words) != nil {
+		return nil
+	}
+	for _, word := range words[:min(len(words), mostLeavers)] {
+		var life registry.Life
+		if cbor.Unmarshal(word, &life) == nil && life.Name != "" && life.Start >= 0 {
+			*l = append(*l, life)
+		}
+	}
+	return nil
+}
+
+// leavingWords counts what targets said of leaving that their entries don't say, and what of it
+// this instance heard itself.
+type leavingWords struct {
+	heard, own uint64
+	turn       int // see tellLeaving
+}
+
+// hearLeaving takes a target's own word that it leaves. All its answers give it; the first one
+// changes the belief.
+func (g *Gateway) hearLeaving(t *catalog.Target, by registry.Teller) {
+	if known := g.view.Load().Targets[t.ID]; known != nil && known.SaidLeaving {
+		return
+	}
+	g.send(targetLeaves{life: registry.LifeOf(t), by: by})
+}
+
+// targetLeaves brings a target's own word that it leaves.
+type targetLeaves struct {
+	life registry.Life
+	by   registry.Teller
+}
+
+func (e targetLeaves) apply(c *control) {
+	if c.targets.Leaves(e.life, e.by, c.now()) {
+		c.leaving.heard++
+		c.leaving.own++
+		c.leaving.turn = 0
+	}
+}
+
+// leaversTold brings the same by a peer.
+type leaversTold struct {
+	lives Leavers
+	from  member.Member
+}
+
+func (e leaversTold) apply(c *control) { c.hearLeaving(e.lives, e.from) }
+
+// hearLeaving takes a peer's word of targets that leave. That of one which is not in the list is
+// kept, since peers may know the list earlier.
+func (c *control) hearLeaving(lives Leavers, from member.Member) {
+	for _, l := range lives {
+		if c.targets.Leaves(l, registry.Teller{From: string(fromPeer), By: from.Name}, c.now()) {
+			c.leaving.heard++
+			c.leaving.turn = 0
+		}
+	}
+}
+
+// tellLeaving names lives that have said that they leave to a peer, as long as their entries
+// don't. Of more than fit into a message those heard of last go first, and each message goes on
+// where the one before ended.
+func (c *control) tellLeaving() Leavers {
+	all := c.targets.SaidOnly()
+	if c.leaving.turn >= len(all) {
+		c.leaving.turn = 0
+	}
+	out := all[c.leaving.turn:min(c.leaving.turn+mostLeavers, len(all))]
+	c.leaving.turn += len(out)
+	return out
+}
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -59,6 +59,7 @@
 	Known   Known           `cbor:"6,keyasint"`
 	Alone   bool            `cbor:"7,keyasint,omitempty"` // the object store does not answer the sender
 	Members int             `cbor:"8,keyasint,omitempty"` // live members that the sender knows
+	Leaving Leavers         `cbor:"9,keyasint,omitempty"`
 }
 
 // Known is up to where an instance's beliefs are complete.
@@ -81,7 +82,8 @@
 	Members int             `cbor:"6,keyasint,omitempty"` // live members that the sender knows
 	Fresh   []fresh.Word    `cbor:"7,keyasint,omitempty"`
 	// Suspects is the sender's quarantine.Book.Digest.
-	Suspects uint64 `cbor:"8,keyasint,omitempty"`
+	Suspects uint64  `cbor:"8,keyasint,omitempty"`
+	Leaving  Leavers `cbor:"9,keyasint,omitempty"`
 }
 
 // NamedAge is how long ago a weight version was named, by the teller's own clock.
@@ -236,6 +238,7 @@
 		entry.WithError(err).WithField("config", hello.Have.Config).WithField("peer_config", p.have.Config).Warn("news not had")
 		return
 	}
+	g.send(leaversTold{lives: reply.Leaving, from: reply.From})
 	if n := reply.News; n != nil {
 		entry.WithField("config_bytes", len(n.Config)).WithField("targets", len(n.Targets)+len(n.Gone)).WithField("all", n.Listed).
 			WithField("ask_store", n.AskStore).WithField("versions", len(n.Versions)).WithField("rollout", n.Rollout != nil).Info("news taken from a peer")
@@ -259,11 +262,12 @@
 type newsMark struct {
 	have              Have
 	heard             uint64 // newest version of a configuration that a peer spoke of
+	leaving           leavingWords
 	attached, watcher bool
 }
 
 func (c *control) newsMark() newsMark {
-	return newsMark{have: c.have(), heard: c.heard.Version, attached: c.storeOK, watcher: c.fleet.watcher}
+	return newsMark{have: c.have(), heard: c.heard.Version, leaving: c.leaving, attached: c.storeOK, watcher: c.fleet.watcher}
 }
 
 // noteNews notes what has to be told of a change. A watcher that the store left, or
@@ -273,8 +277,8 @@
 	watcher := v.Watcher || old.watcher
 	n := &c.news
 	n.roles = n.roles || watcher && c.storeOK != old.attached
-	changed := now != old.have
-	n.first = n.first || watcher || changed && c.now().Before(c.firstHand) || now.Rollout != old.have.Rollout && c.ownNews
+	changed := now != old.have || c.leaving.heard != old.leaving.heard
+	n.first = n.first || watcher || c.leaving.own != old.leaving.own || changed && c.now().Before(c.firstHand) || now.Rollout != old.have.Rollout && c.ownNews
 	n.changed = n.changed || changed
 }
 
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -105,7 +105,7 @@
 			continue
 		}
 		p.targets[t.ID] = &t.Target
-		if t.Leaving || !c.cfg.Declares(t.Service) {
+		if t.Leaves() || !c.cfg.Declares(t.Service) {
 			continue
 		}
 		if isBehind(&t.Target, newest) {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -107,7 +107,8 @@
 	}
 	c.members.Receive(req.Updates, now)
 	c.hearConfig(req.Have, req.From)
-	out := Welcome{From: c.members.Self(), Have: c.have(), Members: c.members.Live()}
+	c.hearLeaving(req.Leaving, req.From)
+	out := Welcome{From: c.members.Self(), Have: c.have(), Members: c.members.Live(), Leaving: c.tellLeaving()}
 	if req.Join {
 		out.Updates, out.Ages = c.members.Members(), c.ages()
 	} else {
@@ -122,7 +123,7 @@
 // greeting is a Hello with all that is known here.
 func (c *control) greeting(need bool) *Hello {
 	return &Hello{From: c.members.Self(), Have: c.have(), Known: c.known(), Need: need, Alone: !c.storeOK,
-		Members: c.members.Live()}
+		Members: c.members.Live(), Leaving: c.tellLeaving()}
 }
 
 // lacksMembers says whether a peer that knows so many live members is to be asked for all.
@@ -181,6 +182,7 @@
 	namedAges{e.reply.Ages}.apply(c)
 	if e.ok {
 		c.hearConfig(e.reply.Have, e.reply.From)
+		c.hearLeaving(e.reply.Leaving, e.reply.From)
 		c.members.Receive([]member.Member{e.reply.From}, now)
 		c.members.Ack(e.probe.To, now)
 		return
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -16,6 +16,7 @@
 	"github.com/shedhoist/shedhoist/internal/catalog"
 	"github.com/shedhoist/shedhoist/internal/core/order"
 	"github.com/shedhoist/shedhoist/internal/metric"
+	"github.com/shedhoist/shedhoist/internal/registry"
 	"github.com/shedhoist/shedhoist/internal/wait"
 )
 
@@ -188,7 +189,7 @@
 	fenced := o.fenced
 	o.mu.Unlock()
 	for _, t := range v.Targets {
-		if t.Leaving || !v.Config.Declares(t.Service) || fenced.blocks(t.ID, now) {
+		if t.Leaves() || !v.Config.Declares(t.Service) || fenced.blocks(t.ID, now) {
 			continue
 		}
 		for _, m := range t.Models {
@@ -337,7 +338,7 @@
 // its orders and weights are not those of the one that is asked.
 func (o *rollout) report(ctx context.Context, t *catalog.Target) (Report, error) {
 	r, err := o.g.engines.Report(ctx, t.Address, t.Name)
-	o.g.hearWord(t, wordOf(r, err))
+	o.g.hearWord(reporter(t, r), wordOf(r, err), registry.Teller{From: string(fromReport)})
 	if err == nil && r.Start != 0 && t.Start != 0 && r.Start != t.Start {
 		return Report{}, &StartedAgainError{Target: t.ID, Start: r.Start}
 	}
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -19,6 +19,7 @@
 	"github.com/shedhoist/shedhoist/internal/inflight"
 	"github.com/shedhoist/shedhoist/internal/metric"
 	"github.com/shedhoist/shedhoist/internal/netx"
+	"github.com/shedhoist/shedhoist/internal/registry"
 )
 
 // BadAnswerError says why an answer can't be passed on.
@@ -125,8 +126,10 @@
 		defer resp.Body.Close()
 		at.resp, at.answer = resp, x.g.codec.ReadAnswer(resp.StatusCode, resp.Header)
 		x.g.upstream.learnKept(t.Service, at.answer.KeptFor)
-		x.word = at.answer.Word
-		x.g.hearWord(t, x.word)
+		if x.answers(at.answer) {
+			x.word = at.answer.Word
+			x.g.hearWord(t, x.word, registry.Teller{From: string(fromAnswer), By: x.call.ID})
+		}
 		end = x.take(at)
 	}
 	if !end.delivered {
@@ -239,7 +242,7 @@
 		return ending{event: ev, cause: &BadAnswerError{Target: at.target.ID, Reason: reason, Cause: cause}}
 	}
 	a, status := at.answer, at.resp.StatusCode
-	if a.ID != x.call.ID && (a.ID != "" || !a.NotRun) {
+	if !x.answers(a) {
 		metric.Mismatches.Inc()
 		return bad(attempt.Mismatched, "answer to request "+strconv.Quote(a.ID), nil)
 	}
@@ -260,6 +263,9 @@
 	return x.whole(at)
 }
 
+// answers says whether an answer belongs to the request; one that refuses it need not say so.
+func (x *exchange) answers(a Answer) bool { return a.ID == x.call.ID || a.ID == "" && a.NotRun }
+
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
 
 // learnWeights notes the weights that the target's answer was made with.
--- a/internal/gateway/word.go
+++ b/internal/gateway/word.go
@@ -5,18 +5,30 @@
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
 	"github.com/shedhoist/shedhoist/internal/metric"
+	"github.com/shedhoist/shedhoist/internal/registry"
 )
 
 // hearWord takes what a target says of itself in an answer.
-func (g *Gateway) hearWord(_ *catalog.Target, w Word) {
+func (g *Gateway) hearWord(t *catalog.Target, w Word, by registry.Teller) {
 	if w.Leaving {
 		metric.LeavingWords.Inc()
+		g.hearLeaving(t, by)
 	}
 	if w.Rest > 0 {
 		metric.RestWords.Inc()
 	}
 }
 
+// reporter is the life of a target that gave a report: not the one that was asked, if that is
+// over.
+func reporter(asked *catalog.Target, r Report) *catalog.Target {
+	if r.Start == 0 || asked.Start == 0 || r.Start == asked.Start {
+		return asked
+	}
+	other := catalog.Target{Name: asked.Name, Start: r.Start}.Identify()
+	return &other
+}
+
 // wordOf is the word that came with a report, or with the refusal of one.
 func wordOf(r Report, err error) Word {
 	var call *CallError
--- a/internal/logstory/logstory.go
+++ b/internal/logstory/logstory.go
@@ -94,7 +94,7 @@
 
 // messages of lines that explain others, by what they are about.
 var (
-	aboutTarget   = []string{"load ordered", "load ended", "target changed", "target gone", "target's entry vanished, held", "target gone, its entry did not return", "target serves newer weights", "target crashed"}
+	aboutTarget   = []string{"load ordered", "load ended", "target changed", "target gone", "target's entry vanished, held", "target gone, its entry did not return", "target serves newer weights", "target crashed", targetLeaves}
 	aboutInstance = []string{"object store lost", "object store reached", "configuration in force", "news taken from a peer", "settings reloaded", "stopping", "started"}
 	aboutStore    = []string{"cache store lost", "cache store reached", "cache store started again, or events are lost: listing anew", "old cache freed"}
 )
@@ -126,7 +126,7 @@
 	}
 	byTime(s.Around)
 	s.Around = merge(s.Around, end.Instance)
-	for _, find := range [...]func([]Line, *Story) []string{staleConfig, quarantined, crashed, ownOrders, vanished, together, slowAnswer, storeAway, zonesLeftOut, young} {
+	for _, find := range [...]func([]Line, *Story) []string{staleConfig, quarantined, crashed, ownOrders, vanished, together, slowAnswer, storeAway, leavers, zonesLeftOut, young} {
 		s.Findings = append(s.Findings, find(lines, s)...)
 	}
 	return s
--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -63,14 +63,17 @@
 	changed  platform.Version
 	gone     map[string]vanished
 	goneFrom platform.Version // from which on gone is complete
-	departed []Departure
-	listed   bool
-	regained time.Time // when contact with the object store was regained
+	said     map[Life]said    // see Leaves
+	// saidNumber is the number of the last of said.
+	saidNumber uint64
+	departed   []Departure
+	listed     bool
+	regained   time.Time // when contact with the object store was regained
 }
 
 // New returns an empty table.
 func New(o Options) *Table {
-	return &Table{opts: o, byName: map[string]*Entry{}, names: map[string]string{}, held: map[string]bool{}, gone: map[string]vanished{}}
+	return &Table{opts: o, byName: map[string]*Entry{}, names: map[string]string{}, held: map[string]bool{}, gone: map[string]vanished{}, said: map[Life]said{}}
 }
 
 // Revision is the object store's revision up to which the table is complete.
@@ -214,10 +217,11 @@
 	case old != nil:
 		x.Models = newest(x.Models, old.Models)
 	}
-	t.set(&Entry{Target: x})
+	next := &Entry{Target: x}
+	t.set(next)
 	noted := old == nil || again || old.Unusable || old.Leaving != x.Leaving || !slices.Equal(old.Models, x.Models)
 	if noted && t.mayLog() {
-		t.entryLog(x.Name).WithField("start", x.Start).WithField("again", again).WithField("service", x.Service).WithField("leaving", x.Leaving).
+		t.entryLog(x.Name).WithField("start", x.Start).WithField("again", again).WithField("service", x.Service).WithField("leaving", next.Leaves()).
 			WithField("models", x.Models).WithField("revision", uint64(t.revision)).Info("target changed")
 	}
 }
@@ -266,6 +270,7 @@
 
 // set keeps an entry in place of the one of its name.
 func (t *Table) set(x *Entry) {
+	_, x.SaidLeaving = t.said[LifeOf(&x.Target)]
 	old := t.byName[x.Name]
 	if old != nil {
 		x.Rank = old.Rank
@@ -313,7 +318,7 @@
 // sameTarget says whether two words of a target differ in nothing that readers use.
 func sameTarget(a, b *catalog.Target) bool {
 	return a.ID == b.ID && a.Unusable == b.Unusable && a.Service == b.Service && a.Address == b.Address && a.Zone == b.Zone &&
-		a.Leaving == b.Leaving && a.ColdUntil.Equal(b.ColdUntil) && slices.Equal(a.Models, b.Models)
+		a.Leaving == b.Leaving && a.SaidLeaving == b.SaidLeaving && a.ColdUntil.Equal(b.ColdUntil) && slices.Equal(a.Models, b.Models)
 }
 
 // mayLog says whether one more line may be written of the present word.
--- a/internal/registry/vanish.go
+++ b/internal/registry/vanish.go
@@ -36,7 +36,7 @@
 func (t *Table) sudden(gone []string) int {
 	n := 0
 	for _, name := range gone {
-		if x := t.byName[name]; x != nil && !x.Leaving {
+		if x := t.byName[name]; x != nil && !x.Leaves() {
 			n++
 		}
 	}
@@ -54,7 +54,7 @@
 	if x == nil || x.Held() {
 		return // it came and went since the last word, or is held already; others may know it
 	}
-	if !x.Leaving && !x.Unusable && until.After(now) {
+	if !x.Leaves() && !x.Unusable && until.After(now) {
 		t.set(&Entry{Target: x.Target, until: until})
 		if t.mayLog() {
 			t.entryLog(name).WithField("for_ms", until.Sub(now).Milliseconds()).Info("target's entry vanished, held")
@@ -82,6 +82,7 @@
 
 // Expire drops the held entries whose time is over; it says whether there were any.
 func (t *Table) Expire(now time.Time) bool {
+	t.expireSaid(now)
 	changed := false
 	for name := range t.held {
 		if !now.Before(t.byName[name].until) {
--- a/internal/tool/logs.go
+++ b/internal/tool/logs.go
@@ -79,7 +79,7 @@
 }
 
 // storyFields are the fields shown of each line, in this order.
-var storyFields = []string{"target", "targets", "outcome", "status", "ended", "next", "detail", "error", "config", "version", "before", "from", "leaving",
+var storyFields = []string{"target", "targets", "outcome", "status", "ended", "next", "detail", "error", "config", "version", "before", "from", "by", "leaving",
 	"weights", "ms", "first_ms", "predicted_ms", "link", "read_tokens", "age_ms", "store_age_ms", "token"}
 
 func linesTable(w io.Writer, lines []logstory.Line) {
