--- a/internal/gateway/rest_test.go
+++ b/internal/gateway/rest_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/shedhoist/shedhoist/internal/breaker"
 	"github.com/shedhoist/shedhoist/internal/catalog"
+	"github.com/shedhoist/shedhoist/internal/registry"
 )
 
 // Seen: a target turned an instance away with 503, asked for 3 s of rest, and got nine requests
@@ -43,9 +44,6 @@
 	restRetry  = "Retry-After-Seconds"
 )
 
-// pathStream is that of streams that may go on at another target.
-const pathStream = "/stream/"
-
 // restCodec is the dialect of targets that ask for rest.
 type restCodec struct{ trafficCodec }
 
@@ -603,15 +601,15 @@
 	g := &Gateway{now: clock, ejected: breaker.New(clock), log: &log.Logger{Handler: lines}}
 	target := &catalog.Target{ID: "t@1"}
 	for range 40 { // 10 ms apart
-		g.hearWord(target, Word{Rest: 3 * time.Second}, "r")
+		g.hearWord(target, Word{Rest: 3 * time.Second}, registry.Teller{From: string(fromAnswer), By: "r"})
 		now = now.Add(10 * time.Millisecond)
 	}
 	is.Equal(len(lines.Entries), 2) // the first, and one 300 ms later
-	is.Equal(lines.Entries[0].Fields, log.Fields{"target": "t@1", "rest_ms": int64(3000), "until": "1970-01-01T00:00:03Z", "told_by": "request", "request": "r"})
-	g.hearWord(target, Word{Rest: time.Millisecond}, "r")
+	is.Equal(lines.Entries[0].Fields, log.Fields{"target": "t@1", "rest_ms": int64(3000), "until": "1970-01-01T00:00:03Z", "from": "answer", "by": "r"})
+	g.hearWord(target, Word{Rest: time.Millisecond}, registry.Teller{From: string(fromAnswer), By: "r"})
 	is.Equal(len(lines.Entries), 2) // it changes nothing
 	now = now.Add(time.Minute)
-	g.hearWord(target, Word{Rest: time.Millisecond}, "")
+	g.hearWord(target, Word{Rest: time.Millisecond}, registry.Teller{From: string(fromReport)})
 	is.Equal(len(lines.Entries), 3) // a new one, however short
-	is.Equal(lines.Entries[2].Fields.Get("told_by"), "report")
+	is.Equal(lines.Entries[2].Fields.Get("from"), "report")
 }
--- a/internal/gateway/word.go
+++ b/internal/gateway/word.go
@@ -6,34 +6,40 @@
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
 	"github.com/shedhoist/shedhoist/internal/metric"
+	"github.com/shedhoist/shedhoist/internal/registry"
 )
 
-// hearWord takes what a target says of itself in an answer to a request, or to one for its
-// report: "".
-func (g *Gateway) hearWord(t *catalog.Target, w Word, request string) {
+// hearWord takes what a target says of itself in an answer.
+func (g *Gateway) hearWord(t *catalog.Target, w Word, by registry.Teller) {
 	if w.Leaving {
 		metric.LeavingWords.Inc()
+		g.hearLeaving(t, by)
 	}
 	if w.Rest > 0 {
 		metric.RestWords.Inc()
-		g.giveRest(t, w.Rest, request)
+		g.giveRest(t, w.Rest, by)
 	}
 }
 
 // giveRest keeps callers' requests from a target that wants none for some time. Each instance
 // goes by what it was told itself: a target asks those of which it gets too much.
-func (g *Gateway) giveRest(t *catalog.Target, rest time.Duration, request string) {
+func (g *Gateway) giveRest(t *catalog.Target, rest time.Duration, by registry.Teller) {
 	until, news := g.ejected.Ask(t.ID, rest)
 	if !news {
 		return
 	}
-	e := g.log.WithField("target", t.ID).WithField("rest_ms", rest.Milliseconds()).WithField("until", until.UTC().Format(time.RFC3339Nano))
-	if request == "" {
-		e = e.WithField("told_by", "report")
-	} else {
-		e = e.WithField("told_by", "request").WithField("request", request)
+	g.log.WithField("target", t.ID).WithField("rest_ms", rest.Milliseconds()).WithField("until", until.UTC().Format(time.RFC3339Nano)).
+		WithField("from", by.From).WithField("by", by.By).Info("target asks for rest")
+}
+
+// reporter is the life of a target that gave a report: not the one that was asked, if that is
+// over.
+func reporter(asked *catalog.Target, r Report) *catalog.Target {
+	if r.Start == 0 || asked.Start == 0 || r.Start == asked.Start {
+		return asked
 	}
-	e.Info("target asks for rest")
+	other := catalog.Target{Name: asked.Name, Start: r.Start}.Identify()
+	return &other
 }
 
 // wordOf is the word that came with a report, or with the refusal of one.
--- a/internal/logstory/rests_test.go
+++ b/internal/logstory/rests_test.go
@@ -12,7 +12,7 @@
 // TestRestsAsked guards against a story that is silent about targets that asked for rest: where
 // a request was refused for that, and where it was moved.
 func TestRestsAsked(t *testing.T) {
-	asks := at(4000, "a", "target asks for rest", `"target":"t1","rest_ms":3000,"told_by":"report"`)
+	asks := at(4000, "a", "target asks for rest", `"target":"t1","rest_ms":3000,"from":"report"`)
 	refused := at(5000, "a", "request", `"request":"r","outcome":"overloaded","status":503,"config":13,"resting_targets":2,"rest_left_ms":2000`)
 	failed := at(5000, "a", "request", `"request":"r","outcome":"target-failure","status":500,"config":13`)
 	cases := []struct {
