An instance puts no saves on a request to a target that is silent to others

The save was on an instance's first request in 4.4 s to a target that had been silent to two others for 2.5 s; it was held up until the cache store had started again. An instance knew of a silence only what it had met itself.

Now the words of load name the targets that have answered their teller nothing for 500 ms, and a request to one of these carries no saves, unless the instance has heard of the target since.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -107,6 +107,7 @@
 	predictorMu sync.Mutex
 	predictor   *place.Predictor
 	others      *loads.Heard
+	silences    *loads.Silences
 	cache       *cacheDirectory
 	rollout     *rollout
 	inHand      atomic.Int64
@@ -134,7 +135,7 @@
 	g.crashes = &crashes{g: g, m: map[string]*crashCheck{}}
 	g.ejected = breaker.New(g.now)
 	g.predictor = place.NewPredictor()
-	g.others = loads.NewHeard(loadAge)
+	g.others, g.silences = loads.NewHeard(loadAge), loads.NewSilences(loadAge)
 	g.cache = newCacheDirectory(g)
 	g.rollout = newRollout(g)
 	g.budgets.g = g
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/core/member"
@@ -35,6 +36,8 @@
 	From    string       `cbor:"1,keyasint"`
 	Seq     uint64       `cbor:"2,keyasint"` // rises with each word of a process
 	Targets []loads.Load `cbor:"3,keyasint,omitempty"`
+	// Silent are targets that answer nothing, by what is told in the same way.
+	Silent []loads.Silent `cbor:"4,keyasint,omitempty"`
 }
 
 // Heard is the answer to Loads.
@@ -43,6 +46,7 @@
 // Loads takes a peer's word.
 func (h *peerHandler) Loads(req *Loads, _ *Heard) error {
 	h.g.others.Take(req.From, req.Seq, req.Targets, h.g.now())
+	h.g.silences.Take(req.From, req.Seq, req.Silent, h.g.now())
 	return nil
 }
 
@@ -55,6 +59,19 @@
 	return out
 }
 
+// ownSilences are the targets that have answered this instance nothing for as long as an
+// answer may take.
+func (g *Gateway) ownSilences() []loads.Silent {
+	var out []loads.Silent
+	now := g.now()
+	g.upstream.work.Each(func(target string, load *inflight.Load) {
+		if silent := load.Silence.For(now); silent >= answerDue && len(out) < loads.MostSilent {
+			out = append(out, loads.Silent{Target: loads.KeyOf(target), MS: silent.Milliseconds()})
+		}
+	})
+	return out
+}
+
 // loadPace is the time between two words.
 func (g *Gateway) loadPace() time.Duration {
 	if g.view.Load().Tree.small {
@@ -63,21 +80,24 @@
 	return loadEveryStep
 }
 
-// tellLoads tells the neighbours what is under way, as long as it is anything.
+// tellLoads tells the neighbours what is under way, and which targets are silent, as long as
+// there is any.
 func (g *Gateway) tellLoads(ctx context.Context) {
 	told := map[string]bool{} // neighbours whose last word was not empty
 	for seq := uint64(1); wait.For(ctx, g.loadPace()); seq++ {
 		own, others := g.ownLoads(), g.others.Words(g.now())
+		silent, silences := g.ownSilences(), g.silences.Words(g.now())
 		tree := g.view.Load().Tree
 		for _, n := range tree.neighbours() {
 			if tree.far(n.Member) && seq%otherZonesStep != 0 {
 				continue
 			}
-			l := &Loads{From: g.settings().Name, Seq: seq, Targets: n.share(own, others).Told()}
-			if len(l.Targets) == 0 && !told[n.Name] {
+			l := &Loads{From: g.settings().Name, Seq: seq, Targets: n.share(own, others).Told(), Silent: n.shareSilences(silent, silences)}
+			any := len(l.Targets)+len(l.Silent) > 0
+			if !any && !told[n.Name] {
 				continue
 			}
-			told[n.Name] = len(l.Targets) > 0
+			told[n.Name] = any
 			g.start(func() { g.tellLoad(n.Member, l) })
 		}
 	}
@@ -95,6 +115,17 @@
 	return out
 }
 
+// shareSilences is share for silent targets.
+func (n neighbour) shareSilences(own []loads.Silent, others map[string][]loads.Silent) []loads.Silent {
+	out := slices.Clone(own)
+	for from, silent := range others {
+		if n.relayed[from] {
+			out = append(out, silent...)
+		}
+	}
+	return out[:min(len(out), loads.MostSilent)]
+}
+
 // tellLoad sends one word. A lost one is replaced by the next; silence is the
 // business of probes.
 func (g *Gateway) tellLoad(m member.Member, l *Loads) {
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -6,6 +6,7 @@
 	"github.com/shedhoist/shedhoist/internal/catalog"
 	"github.com/shedhoist/shedhoist/internal/core/place"
 	"github.com/shedhoist/shedhoist/internal/core/stock"
+	"github.com/shedhoist/shedhoist/internal/loads"
 )
 
 // partSource is where one part of a prompt is held; the zero value is nowhere.
@@ -135,7 +136,8 @@
 func (x *exchange) modelAttempt(t *catalog.Target) *ModelAttempt {
 	version := t.VersionOf(x.call.Prompt.Model)
 	salt := x.salt(version)
-	silent := x.g.upstream.work.Of(t.ID).Silence.For(x.g.now())
+	now := x.g.now()
+	silent := x.g.upstream.work.Of(t.ID).Silence.Among(x.g.silences.Since(loads.KeyOf(t.ID), now), now)
 	x.plan = x.g.cache.plan(x.view.Config.Stores, salt, version, x.call.Prompt.Parts, x.sourcesOf(version), x.asks.fetch, t.Zone, silent < answerDue)
 	if silent >= answerDue {
 		x.plan.silentMS = silent.Milliseconds()
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -112,7 +112,7 @@
 	if err != nil && ctx.Err() != nil {
 		at.load.Silence.Left(at.began, x.g.now(), answerDue)
 	} else {
-		at.load.Silence.Heard()
+		at.load.Silence.Answered(x.g.now())
 	}
 	if errors.Is(err, syscall.ETIMEDOUT) {
 		x.g.dark.silent(t)
