A target that rests, or lies in a silent zone, is the last resort, however slow the others

With nine of twelve targets crashed under requests, the three that lived were predicted to take over 1 s, and a request tried four crashed ones, one after the other, and ended: 200 of 200 refused in TestCrashedTargetsAreLeftOut (several broke).

Cause: a resting target counted a thousand times its predicted time, which is 1 ms for one that nothing waits at. Now resting and silent targets are compared among themselves only when no other may be used, as lastResort says. TestLastResort failed before.

--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -97,8 +97,6 @@
 	// oldWeights is how much worse a target counts that serves an older version
 	// than the newest one named, once the rollout is under way.
 	oldWeights = 1.5
-	// restingWeight makes a resting target the last resort.
-	restingWeight = 1000.0
 	// fullWeight makes a full target the last resort but for resting ones.
 	fullWeight = 100.0
 	// spread shakes scores by up to this share, so that instances which see the
@@ -155,8 +153,9 @@
 		if full {
 			s *= fullWeight
 		}
-		if s < low {
-			d.Action, d.Index, low, rests = Send, i, s, t.lastResort()
+		last := t.lastResort()
+		if d.Index < 0 || rests && !last || rests == last && s < low {
+			d.Action, d.Index, low, rests = Send, i, s, last
 		}
 	}
 	if d.Full > 0 && !q.Begun && (d.Index < 0 || rests) {
@@ -235,9 +234,6 @@
 	if q.Policy.OldWeights && t.BehindFor >= oldGrace {
 		s *= oldWeights
 	}
-	if t.lastResort() {
-		s *= restingWeight
-	}
 	if !q.Policy.Spread {
 		return s
 	}
