A target that crashed rests at once

The other half of the refusals traced in TestCrashingBody: one broken request does not rest a target, since it may be the request's own, so a found crash kept nobody away: of 20 requests after nine of twelve targets had crashed under one request each, 18 were served, 2 ended with no-target after four crashed targets (9 of 9 runs of TestCrashedTargetsAreLeftOut, one request each broke).

Now the look that finds the crash, by the refused connect, rests the target for 3 s: its entry stands until heartbeats are missed. After: 20 of 20, ten runs; TestCrashingBody 40 of 40 with one processor.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -20,6 +20,9 @@
 	// crashKept is how long a crash is remembered for requests whose break is noticed late.
 	// A target that starts again under the same id takes longer.
 	crashKept = time.Second
+	// crashRest keeps requests away from a target that crashed: its entry stands until its
+	// heartbeats are missed, for some seconds.
+	crashRest = 3 * time.Second
 	// crashRequests bounds the requests that are remembered of one crash.
 	crashRequests = 128
 )
@@ -72,6 +75,7 @@
 	broken := check.broken
 	check.crashed, check.broken = refused, nil
 	if refused {
+		c.g.ejected.Rest(t.ID, crashRest)
 		time.AfterFunc(crashKept, func() { c.forget(t.ID) })
 	} else {
 		delete(c.m, t.ID)
