A caller that targets turned away is told to come back within a second, whatever rest they want

A target's Retry-After went to the caller as it was, up to an hour, when no attempt was left: the target meant this instance, and another instance may serve the caller at once. Now it is bounded as the advice of a refusal for rest is. TestComeBackIsSoon: 20 s before, 0.25 to 1 s now.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -207,8 +207,8 @@
 	}
 }
 
-// longestComeBack bounds the advice on when to come back to targets that ask for rest: they asked
-// this instance, and the caller may meet another next time, which they did not ask.
+// longestComeBack bounds the advice on when to come back to targets that turned the request away or
+// ask for rest: they told this instance, and the caller may meet another next time.
 const longestComeBack = time.Second
 
 // refuseResting refuses a request, of which nothing has run, since all targets that could take
--- /dev/null
+++ b/internal/gateway/come_back_test.go
@@ -0,0 +1,26 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestComeBackIsSoon: a caller whose request was turned away by targets that want rest for long
+// is told to come back soon: they told one instance, and the next one may be served.
+func TestComeBackIsSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		long := askingUntil(time.Hour, 20*time.Second)
+		f := newRestFleet(t, 1, long, long, long, long)
+		defer f.end()
+		a := f.send(0, pathOnce, "x") // it ends with a target's refusal
+		is.Equal(a.status, http.StatusServiceUnavailable)
+		is.True(!a.ours())
+		is.True(a.retry >= comeBackSoon)
+		is.True(a.retry <= longestComeBack)
+	})
+}
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -247,7 +247,7 @@
 		return bad(attempt.Mismatched, "answer to request "+strconv.Quote(a.ID), nil)
 	}
 	if a.NotRun {
-		return ending{event: attempt.Refused, retryAfter: a.RetryAfter,
+		return ending{event: attempt.Refused, retryAfter: min(a.RetryAfter, longestComeBack),
 			cause: &BadAnswerError{Target: at.target.ID, Reason: "refused with status " + strconv.Itoa(status)}}
 	}
 	x.learnWeights(at)
