--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -39,7 +38,6 @@
 	spokenLeaving = "Leaving"
 	spokenNotRun  = "Not-Run"
 	spokenRetry   = "Retry-After"
-	pathStream    = "/stream/"
 )
 
 // leavingCodec is a dialect whose targets say in their answers that they leave.
@@ -47,17 +45,7 @@
 
 // Config implements Codec.
 func (leavingCodec) Config(value []byte) (*catalog.Config, error) {
-	var d declared
-	if err := json.Unmarshal(value, &d); err != nil {
-		return nil, err
-	}
-	route := catalog.Route{Host: hostAll, Timeout: 8 * time.Second, Objective: 500 * time.Millisecond, Backends: []catalog.Backend{{Service: "s", Weight: 1}}}
-	once, safe, stream := route, route, route
-	once.Name, once.PathPrefix, once.Kind, once.MaxAttempts = "once", pathOnce, catalog.Once, 1
-	safe.Name, safe.PathPrefix, safe.Kind, safe.MaxAttempts = "safe", pathSafe, catalog.Idempotent, 2
-	stream.Name, stream.PathPrefix, stream.Kind, stream.MaxAttempts, stream.Resumable = "stream", pathStream, catalog.Streaming, 2, true
-	return catalog.NewConfig(catalog.Draft{Version: d.Version, Services: []catalog.Service{{Name: "s"}}, Routes: []catalog.Route{once, safe, stream},
-		Customers: []catalog.CustomerKeys{{Customer: catalog.Customer{Name: "one"}, Keys: d.Keys}}}), nil
+	return configWithStreams(value, 8*time.Second, 2)
 }
 
 // ReadAnswer implements Codec.
--- a/internal/gateway/rest_test.go
+++ b/internal/gateway/rest_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -49,17 +48,7 @@
 
 // Config implements Codec.
 func (restCodec) Config(value []byte) (*catalog.Config, error) {
-	var d declared
-	if err := json.Unmarshal(value, &d); err != nil {
-		return nil, err
-	}
-	route := catalog.Route{Host: hostAll, Timeout: 4 * time.Second, Objective: 500 * time.Millisecond, Backends: []catalog.Backend{{Service: "s", Weight: 1}}}
-	once, safe, stream := route, route, route
-	once.Name, once.PathPrefix, once.Kind, once.MaxAttempts = "once", pathOnce, catalog.Once, 1
-	safe.Name, safe.PathPrefix, safe.Kind, safe.MaxAttempts = "safe", pathSafe, catalog.Idempotent, 3
-	stream.Name, stream.PathPrefix, stream.Kind, stream.MaxAttempts, stream.Resumable = "stream", pathStream, catalog.Streaming, 3, true
-	return catalog.NewConfig(catalog.Draft{Version: d.Version, Services: []catalog.Service{{Name: "s"}}, Routes: []catalog.Route{once, safe, stream},
-		Customers: []catalog.CustomerKeys{{Customer: catalog.Customer{Name: "one"}, Keys: d.Keys}}}), nil
+	return configWithStreams(value, 4*time.Second, 3)
 }
 
 // ReadAnswer implements Codec.
--- /dev/null
+++ b/internal/gateway/streams_config_test.go
@@ -0,0 +1,27 @@
+package gateway
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/shedhoist/shedhoist/internal/catalog"
+)
+
+// pathStream is that of streams that may go on at another target.
+const pathStream = "/stream/"
+
+// configWithStreams declares what trafficCodec does, and a route of streams, with a timeout and
+// a number of attempts for what may be repeated.
+func configWithStreams(value []byte, timeout time.Duration, attempts int) (*catalog.Config, error) {
+	var d declared
+	if err := json.Unmarshal(value, &d); err != nil {
+		return nil, err
+	}
+	route := catalog.Route{Host: hostAll, Timeout: timeout, Objective: 500 * time.Millisecond, Backends: []catalog.Backend{{Service: "s", Weight: 1}}}
+	once, safe, stream := route, route, route
+	once.Name, once.PathPrefix, once.Kind, once.MaxAttempts = "once", pathOnce, catalog.Once, 1
+	safe.Name, safe.PathPrefix, safe.Kind, safe.MaxAttempts = "safe", pathSafe, catalog.Idempotent, attempts
+	stream.Name, stream.PathPrefix, stream.Kind, stream.MaxAttempts, stream.Resumable = "stream", pathStream, catalog.Streaming, attempts, true
+	return catalog.NewConfig(catalog.Draft{Version: d.Version, Services: []catalog.Service{{Name: "s"}}, Routes: []catalog.Route{once, safe, stream},
+		Customers: []catalog.CustomerKeys{{Customer: catalog.Customer{Name: "one"}, Keys: d.Keys}}}), nil
+}
