The trial of a target whose rest is over goes to the request that chose it

Callers lost capacity: a target that had asked for rest, or refused a request, could stay unused for seconds after its rest, up to 22 s and with regular arrivals for good. Found by review.

Cause: a look at the resting targets gave the one trial in 500 ms to whoever looked, also to a request of another service or one that then chose another target. Now the look only tells who rests, and the request that has chosen a target whose rest is over takes its trial (breaker.Sick, Try); one that comes too late chooses anew.

--- a/internal/breaker/breaker.go
+++ b/internal/breaker/breaker.go
@@ -49,27 +49,63 @@
 }
 
 // Resting returns the names that may not be called now since they failed; the common answer is
-// none. A name that asked for rest is not tried before its end, see Asked.
+// none. The caller is to try those whose rest has ended: others rest on meanwhile. A name that
+// asked for rest is not tried before its end, see Asked.
 func (b *Set) Resting() []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	resting, due := b.sick()
+	for _, name := range due {
+		b.m[name].until = b.now().Add(restBase)
+	}
+	return resting
+}
+
+// Sick is Resting for a caller that chooses one of several names, and may try none of those
+// whose rest has ended: it takes the trial of the name that it has chosen with Try.
+func (b *Set) Sick() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	resting, _ := b.sick()
+	return resting
+}
+
+// Try says whether name may be called now by a caller that found it not resting; of one whose
+// rest has ended, one call at a time.
+func (b *Set) Try(name string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.m[name]
+	if e == nil || e.failures < sickAfter {
+		return true
+	}
+	now := b.now()
+	if now.Before(e.until) {
+		return false
+	}
+	e.until = now.Add(restBase)
+	return true
+}
+
+// sick returns the names that rest since they failed, and those whose rest has ended; b.mu is
+// held.
+func (b *Set) sick() (resting, due []string) {
 	b.endAsked()
 	if b.failing == 0 {
-		return nil
+		return nil, nil
 	}
-	var out []string
 	now := b.now()
 	for name, e := range b.m {
-		if _, asks := b.asked[name]; asks || e.failures < sickAfter {
-			continue
-		}
-		if now.Before(e.until) {
-			out = append(out, name)
-			continue
+		_, asks := b.asked[name]
+		switch {
+		case asks || e.failures < sickAfter:
+		case now.Before(e.until):
+			resting = append(resting, name)
+		default:
+			due = append(due, name)
 		}
-		e.until = now.Add(restBase) // one request tries it
 	}
-	return out
+	return resting, due
 }
 
 // sickAfter is how many failures in a row make one sick: one can be the
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -21,9 +21,9 @@
 
 // pick decides on the next attempt: its target, or nil if there is to be none.
 func (x *exchange) pick() (*catalog.Target, place.Decision) {
-	resting := x.g.ejected.Resting()
+	resting := x.g.ejected.Sick()
 	candidates, serving := x.view.Candidates[x.service], x.view.Serving[x.service]
-	x.dark, x.asked = x.g.darkNow(serving), x.g.ejected.Asked()
+	x.dark, x.restEnds = x.g.darkNow(serving), x.g.ejected.Asked()
 	if len(candidates) < len(serving) && x.countFit(candidates, resting) < leastFit {
 		candidates = x.widen(serving, resting)
 	}
@@ -36,10 +36,14 @@
 		}
 		t := candidates[d.Index]
 		if x.g.ejected.Asks(t.ID) {
-			x.asked = x.g.ejected.Asked()
+			x.restEnds = x.g.ejected.Asked()
 			options[d.Index].AsksRest = true // another request was told meanwhile
 			continue
 		}
+		if !options[d.Index].Resting && !x.g.ejected.Try(t.ID) {
+			options[d.Index].Resting = true // another request tries it
+			continue
+		}
 		if x.enter(t, x.g.now()) {
 			x.asks, x.predictedMS = works[d.Index], options[d.Index].FirstMS
 			return t, d
@@ -87,7 +91,7 @@
 
 // asksRest says whether a target wants no requests, as of this attempt.
 func (x *exchange) asksRest(t *catalog.Target) bool {
-	_, asks := x.asked[t.ID]
+	_, asks := x.restEnds[t.ID]
 	return asks
 }
 
@@ -224,7 +228,7 @@
 func (x *exchange) restLeft() time.Duration {
 	left, now := time.Duration(0), x.g.now()
 	for _, t := range x.view.Serving[x.service] {
-		until, asks := x.asked[t.ID]
+		until, asks := x.restEnds[t.ID]
 		if d := until.Sub(now); asks && (left == 0 || d < left) {
 			left = d
 		}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -51,7 +51,7 @@
 
 	key         *quarantine.Key      // see alike
 	dark        map[string]bool      // zones that are silent, as of this attempt
-	asked       map[string]time.Time // ends of the rests that targets ask for, as of this attempt
+	restEnds    map[string]time.Time // ends of the rests that targets ask for, as of this attempt
 	entered     bool                 // it holds a place at a cold target, see cold.go
 	trial       bool                 // it is let through to try whether its quarantine is right
 	suspect     *quarantine.State    // what it was rejected for
