Own dialect: a missing target is not blamed on another model's rest

A request for a model without targets ended with overloaded ("the targets refused the request") in place of no-target while any target of any model rested: whether targets ask for rest was asked of the whole book. Now of those that could take the run. TestRestOfAnotherModel failed before.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -78,7 +78,7 @@
 // nothing within any bound.
 func (l *Live) choose(q *route.Query, dec *route.Decision) {
 	resting := asking(l.d.ejected)
-	l.asking = len(resting) > 0
+	l.asking = false
 	well := append(l.d.ejected.Resting(), l.tried...)
 	last := l.tried[max(len(l.tried)-1, 0):]
 	bounds := [...]struct {
@@ -96,6 +96,18 @@
 		}
 		return
 	}
+	l.asking = l.wouldServe(*q, resting)
+}
+
+// wouldServe says whether one of the targets that ask for rest could take the run.
+func (l *Live) wouldServe(q route.Query, resting []string) bool {
+	if len(resting) == 0 {
+		return false
+	}
+	q.AvoidZone, q.Exclude = "", nil
+	var dec route.Decision
+	route.Pick(l.view.Targets, &q, l.params(), l.d.beliefs(), &dec)
+	return dec.Target != nil && slices.Contains(resting, dec.Target.Name)
 }
 
 // extension is what the engine must know of this attempt.
