Silences told: a late word brings none back, the longest counts, tests of the relay

Found by review of the words on silent targets: an empty word was forgotten, so that an older one which came behind it counted for 360 ms; of two silences of a target in one word the last counted, and several in one word took places of others. TestSilencesInAnyOrder failed before. The relay, what is told, and that an own answer speaks against others' silence have tests (they passed before).

--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/core/member"
@@ -93,11 +92,11 @@
 				continue
 			}
 			l := &Loads{From: g.settings().Name, Seq: seq, Targets: n.share(own, others).Told(), Silent: n.shareSilences(silent, silences)}
-			any := len(l.Targets)+len(l.Silent) > 0
-			if !any && !told[n.Name] {
+			news := len(l.Targets)+len(l.Silent) > 0
+			if !news && !told[n.Name] {
 				continue
 			}
-			told[n.Name] = any
+			told[n.Name] = news
 			g.start(func() { g.tellLoad(n.Member, l) })
 		}
 	}
@@ -117,13 +116,26 @@
 
 // shareSilences is share for silent targets.
 func (n neighbour) shareSilences(own []loads.Silent, others map[string][]loads.Silent) []loads.Silent {
-	out := slices.Clone(own)
+	longest := map[loads.Key]int64{}
+	add := func(silent []loads.Silent) {
+		for _, s := range silent {
+			longest[s.Target] = max(longest[s.Target], s.MS)
+		}
+	}
+	add(own)
 	for from, silent := range others {
 		if n.relayed[from] {
-			out = append(out, silent...)
+			add(silent)
+		}
+	}
+	var out []loads.Silent
+	for target, ms := range longest {
+		if len(out) == loads.MostSilent {
+			break
 		}
+		out = append(out, loads.Silent{Target: target, MS: ms})
 	}
-	return out[:min(len(out), loads.MostSilent)]
+	return out
 }
 
 // tellLoad sends one word. A lost one is replaced by the next; silence is the
--- /dev/null
+++ b/internal/gateway/silences_test.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shedhoist/shedhoist/internal/inflight"
+	"github.com/shedhoist/shedhoist/internal/loads"
+)
+
+// TestSilencesAreRelayed guards against silent targets that only the instances next to their teller
+// hear of in a large fleet, and against words that return to their teller.
+func TestSilencesAreRelayed(t *testing.T) {
+	is := is.New(t)
+	n := neighbour{relayed: map[string]bool{"child": true}}
+	others := map[string][]loads.Silent{
+		"child":  {{Target: 1, MS: 700}, {Target: 2, MS: 600}},
+		"parent": {{Target: 3, MS: 900}},
+	}
+	got := map[loads.Key]int64{}
+	for _, s := range n.shareSilences([]loads.Silent{{Target: 1, MS: 500}, {Target: 4, MS: 800}}, others) {
+		got[s.Target] = s.MS
+	}
+	is.Equal(got, map[loads.Key]int64{1: 700, 2: 600, 4: 800})
+}
+
+// TestHeardSpeaksAgainstSilence guards against saves that are kept back because another instance
+// waits at a target from which this one has an answer since.
+func TestHeardSpeaksAgainstSilence(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	ago := func(d time.Duration) time.Time { return now.Add(-d) }
+	var s inflight.Silence
+	is.Equal(s.Among(ago(time.Second), now), time.Second) // it has heard nothing at all
+	s.Answered(ago(2 * time.Second))
+	is.Equal(s.Among(ago(time.Second), now), time.Second)
+	is.Equal(s.Among(time.Time{}, now), time.Duration(0))
+	s.Answered(ago(500 * time.Millisecond))
+	is.Equal(s.Among(ago(time.Second), now), time.Duration(0))
+	s.Asked(ago(300 * time.Millisecond))
+	is.Equal(s.Among(ago(400*time.Millisecond), now), 400*time.Millisecond)
+	is.Equal(s.Among(ago(200*time.Millisecond), now), 300*time.Millisecond)
+}
+
+// TestOwnSilencesAreTold guards against a silence that is not told, and one that is told though
+// its answer is not due yet.
+func TestOwnSilencesAreTold(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	g := &Gateway{now: func() time.Time { return now }, upstream: newUpstream()}
+	g.upstream.work.Of("silent").Silence.Asked(now.Add(-answerDue))
+	g.upstream.work.Of("busy").Silence.Asked(now.Add(-answerDue + time.Millisecond))
+	is.Equal(g.ownSilences(), []loads.Silent{{Target: loads.KeyOf("silent"), MS: answerDue.Milliseconds()}})
+}
--- a/internal/loads/silences.go
+++ b/internal/loads/silences.go
@@ -41,20 +41,23 @@
 func (s *Silences) Take(from string, seq uint64, told []Silent, now time.Time) {
 	w := silences{seq: seq, at: now, since: make(map[Key]time.Time, min(len(told), MostSilent))}
 	for _, t := range told[:min(len(told), MostSilent)] {
-		w.since[t.Target] = now.Add(-time.Duration(t.MS) * time.Millisecond)
+		w.note(t.Target, now.Add(-time.Duration(t.MS)*time.Millisecond))
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if old, ok := s.words[from]; ok && seq <= old.seq && now.Sub(old.at) < s.maxAge {
 		return
 	}
-	if len(told) == 0 {
-		delete(s.words, from)
-		return
-	}
 	s.words[from] = w
 }
 
+// note takes since when a target is silent; of two moments the earlier counts.
+func (w silences) note(k Key, since time.Time) {
+	if known, ok := w.since[k]; !ok || since.Before(known) {
+		w.since[k] = since
+	}
+}
+
 // Since is since when a target has been silent to the neighbour that met it first; zero:
 // it is to none.
 func (s *Silences) Since(k Key, now time.Time) time.Time {
--- a/internal/loads/silences_test.go
+++ b/internal/loads/silences_test.go
@@ -27,6 +27,19 @@
 	is.True(s.Since(7, now.Add(300*time.Millisecond)).IsZero())
 }
 
+// TestSilencesInAnyOrder: a late older word does not bring back what a newer one has ended, and of
+// two silences of a target in one word the longer counts.
+func TestSilencesInAnyOrder(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	s := NewSilences(300 * time.Millisecond)
+	s.Take("a", 2, nil, now)
+	s.Take("a", 1, []Silent{{Target: 7, MS: 600}}, now)
+	is.True(s.Since(7, now).IsZero())
+	s.Take("b", 1, []Silent{{Target: 7, MS: 900}, {Target: 7, MS: 600}}, now)
+	is.Equal(s.Since(7, now), now.Add(-900*time.Millisecond))
+}
+
 // TestSilencesBounded: a word that names too many targets is cut.
 func TestSilencesBounded(t *testing.T) {
 	is := is.New(t)
