--- a/internal/registry/leaves.go
+++ b/internal/registry/leaves.go
@@ -99,8 +99,15 @@
 	return out
 }
 
+// saidSweep is the pause between two looks at what may be forgotten.
+const saidSweep = time.Second
+
 // expireSaid forgets the lives that have had no entry for saidLinger.
 func (t *Table) expireSaid(now time.Time) {
+	if now.Sub(t.saidSwept) < saidSweep {
+		return
+	}
+	t.saidSwept = now
 	for l, s := range t.said {
 		x := t.byName[l.Name]
 		switch {
--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -66,6 +66,7 @@
 	said     map[Life]said    // see Leaves
 	// saidNumber is the number of the last of said.
 	saidNumber uint64
+	saidSwept  time.Time // see expireSaid
 	departed   []Departure
 	listed     bool
 	regained   time.Time // when contact with the object store was regained
