--- /dev/null
+++ b/internal/gateway/leaving_welcome_test.go
@@ -0,0 +1,19 @@
+package gateway
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/shedhoist/shedhoist/internal/core/member"
+)
+
+// TestLeavingIsToldBothWays guards against a word of leaving that a peer with nothing to tell
+// itself does not hear: the probes of an instance and its answers to probes name it.
+func TestLeavingIsToldBothWays(t *testing.T) {
+	is := is.New(t)
+	c, lives := leaverControl(3)
+	targetLeaves{life: lives[1]}.apply(c)
+	is.Equal(c.greeting(false).Leaving, Leavers{lives[1]})
+	is.Equal(c.welcome(&Hello{From: member.Member{Name: "e-1"}}).Leaving, Leavers{lives[1]})
+}
