--- a/internal/breaker/asked.go
+++ b/internal/breaker/asked.go
@@ -75,6 +75,6 @@
 			continue
 		}
 		delete(b.asked, name)
-		b.sicken(name)
+		b.sicken(name).asked = true
 	}
 }
--- a/internal/breaker/breaker.go
+++ b/internal/breaker/breaker.go
@@ -20,6 +20,7 @@
 type breaker struct {
 	failures int
 	until    time.Time
+	asked    bool // the rest that ended last was asked for
 }
 
 // Bounds of a rest.
@@ -61,22 +62,27 @@
 	return resting
 }
 
-// Sick is Resting for a caller that chooses one of several names, and may try none of those
-// whose rest has ended: it takes the trial of the name that it has chosen with Try.
+// Sick is Resting for a caller that chooses one of several names: the trial of a name that had
+// asked for its rest is not its own before it has taken it with Try.
 func (b *Set) Sick() []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	resting, _ := b.sick()
+	resting, due := b.sick()
+	for _, name := range due {
+		if e := b.m[name]; !e.asked {
+			e.until = b.now().Add(restBase)
+		}
+	}
 	return resting
 }
 
-// Try says whether name may be called now by a caller that found it not resting; of one whose
-// rest has ended, one call at a time.
+// Try says whether name may be called now by a caller that found it not resting; of one that had
+// asked for rest, one call at a time.
 func (b *Set) Try(name string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.m[name]
-	if e == nil || e.failures < sickAfter {
+	if e == nil || e.failures < sickAfter || !e.asked {
 		return true
 	}
 	now := b.now()
@@ -132,6 +138,7 @@
 		b.failing++
 	}
 	e.failures++
+	e.asked = false
 	e.until = b.now().Add(min(restBase<<min(e.failures-1, 8), restMax))
 }
 
@@ -155,7 +162,7 @@
 	if e.failures == 0 {
 		b.failing++
 	}
-	e.failures = max(e.failures, sickAfter)
+	e.failures, e.asked = max(e.failures, sickAfter), false
 	return e
 }
 
