A stop keeps the times of its beginning

What callers saw: settings that are reloaded during a stop, with another time to stop, changed what the stop refuses and not when it cuts. With a longer time, a stream that came 3.2 s into the stop and could outlast it was taken, and its connection closed in the middle of the answer when the stop cut; with a shorter one, a stream that would have been whole was refused. The settings file is looked at every 2 s while a process stops, so this needs no signal.

Cause: the cut's time was read from the settings when the stop began, and that of the refusals again with each request.

TestStopKeepsItsTimes before, with an hour and with 3.2 s in the new settings:

stop_edge_test.go:195: 200 != 503 stop_edge_test.go:186: 503 != 200 --- FAIL: TestStopKeepsItsTimes/1h0m0s (0.01s) --- FAIL: TestStopKeepsItsTimes/3.2s (0.00s)

Change: the time is read once, and the stop's times are published as one value (drain.Times), by which each request is judged. So the two can't differ. The tests of the stop's edges pass as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,7 +111,7 @@
 	cache       *cacheDirectory
 	rollout     *rollout
 	inHand      atomic.Int64
-	stopBegan   atomic.Int64 // ns after began; 0: it does not stop
+	stopTimes   atomic.Pointer[drain.Times] // nil: it does not stop
 
 	successes, saves sampler // of log lines
 
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -25,7 +25,7 @@
 	// that the process ends by itself.
 	stopMargin = 500 * time.Millisecond
 	// answerTime is what is left to answer a request whose deadline has passed, before a stop cuts.
-	answerTime = 50 * time.Millisecond
+	answerTime = drain.AnswerTime
 )
 
 // CutError says how many requests a stop cut.
@@ -38,11 +38,12 @@
 // until the balancer has noticed; then it finishes what is in hand. It returns a
 // *CutError if the time to stop passed, or ctx ended, first.
 func (g *Gateway) Shutdown(ctx context.Context) error {
-	g.stopBegan.Store(int64(g.now().Sub(g.began)))
+	within, began := g.settings().StopWithin-stopMargin, g.now()
+	g.stopTimes.Store(&drain.Times{TakenUntil: began.Add(takenUntil), Cut: began.Add(within)})
 	g.send(stopping{})
 	g.query(func(*control) {})
 	g.log.WithField("in_hand", g.inHand.Load()).Info("stopping")
-	ctx, cancel := context.WithTimeout(ctx, g.settings().StopWithin-stopMargin)
+	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	wait.For(ctx, noticeTime)
 	err := drain.Stop(ctx, g.callerSrv, g.callerLn, &g.callerConns, lingerAfterNotice)
@@ -64,10 +65,5 @@
 // wouldCut says whether a request that has come whole only now, and ends by its deadline, could
 // be cut by a stop.
 func (g *Gateway) wouldCut(deadline time.Time) bool {
-	after := time.Duration(g.stopBegan.Load())
-	if after == 0 {
-		return false
-	}
-	began := g.began.Add(after)
-	return g.now().Sub(began) > takenUntil && deadline.After(began.Add(g.settings().StopWithin-stopMargin-answerTime))
+	return g.stopTimes.Load().WouldCut(g.now(), deadline)
 }
