Stand-in fleets drain for longer than their requests may last

The stand-in fleet gave its instances 30 s to drain, while its models declare no deadline (60 s then) and its services no timeout (30 s). The product's own settings give 120 s. A stop is about to refuse what comes after its notice and may outlast the drain; with 30 s that is every request of the fleet, so a caller that is held up for longer than the notice would see 503 in TestRollingReplacement. The test itself is as it was.

--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -75,7 +75,7 @@
 		o.Store.MemoryBytes, o.Store.DiskBytes = 1<<30, 8<<30
 	}
 	if o.Timing == (settings.Timing{}) {
-		o.Timing = settings.Timing{DrainNoticeMS: 200, DrainMS: 30_000, ProbeMS: 100, HeartbeatMS: 200, ConfigPollMS: 500, ConnectMS: 1000}
+		o.Timing = settings.Timing{DrainNoticeMS: 200, DrainMS: 120_000, ProbeMS: 100, HeartbeatMS: 200, ConfigPollMS: 500, ConnectMS: 1000}
 	}
 	if o.Log == nil {
 		o.Log = &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
