A shutdown refuses what comes after its notice and may outlast it

What callers saw: a request that came after the notice of a shutdown was taken however long it might last, and cut when the drain's time was over: 200, then a stream that ends in the middle. Trial with a drain of 2 s, a deadline of two hours and a run of over 2 s:

status 200 err: unexpected EOF

Both are settings and a configuration that validate: deadline_ms and timeout_ms have no upper bound, and drain_ms no lower one. By default (60 s, 30 s, a drain of 120 s) all requests end in time.

Cause: the process knew when it would cut, and no request was held against that. Ruled out: the listener and the connections' linger; they bound when a request may come, not how long it lasts.

TestShutdownRefusesWhatItWouldCut before, for models from the header and from the body on, and for services:

shutdown_late_test.go:75: 200 != 503

Shutdown publishes its times before it tells anyone that it drains; once a request is whole and its customer known, and before it counts against a limit, one whose deadline lies behind the cut is answered 503 "draining", not run, and its connection ends. It can't be cut then: all that is taken after the notice ends by its own deadline first.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -17,6 +17,7 @@
 	"github.com/google/uuid"
 
 	"github.com/shedhoist/shedhoist/internal/dispatch"
+	"github.com/shedhoist/shedhoist/internal/drain"
 	"github.com/shedhoist/shedhoist/internal/metric"
 	"github.com/shedhoist/shedhoist/internal/problem"
 	"github.com/shedhoist/shedhoist/internal/settings"
@@ -41,6 +42,7 @@
 	Now      func() time.Time
 
 	inHand atomic.Int64
+	stop   atomic.Pointer[drain.Times] // nil: the process does not stop
 }
 
 // InHand is the number of requests being served.
--- a/internal/caller/model.go
+++ b/internal/caller/model.go
@@ -214,6 +214,9 @@
 	if m.MaxPromptTokens > 0 && tokens > m.MaxPromptTokens {
 		return nil, problem.New(problem.TooLarge, "the prompt is longer than the model takes")
 	}
+	if err := e.stopsFirst(ctx, "model", dispatch.Deadline(m, c.arrived)); err != nil {
+		return nil, err
+	}
 	release, err := e.Admit.Admit(c.customer, tokens, c.view.Instances)
 	if err != nil {
 		return nil, err
--- a/internal/caller/other.go
+++ b/internal/caller/other.go
@@ -104,12 +104,16 @@
 	if !c.customer.MayCall(req.name) {
 		return nil, problem.New(problem.UnknownService, "no service "+strconv.Quote(req.name))
 	}
+	s := c.view.Services[req.name]
+	if err := e.stopsFirst(ctx, "service", e.Now().Add(dispatch.Timeout(s))); err != nil {
+		return nil, err
+	}
 	release, err := e.Admit.Admit(c.customer, prefix.Tokens(len(req.body)), c.view.Instances)
 	if err != nil {
 		return nil, err
 	}
 	defer release(0)
-	return e.Dispatch.Call(ctx, &dispatch.ServiceRequest{ID: c.id, Customer: c.customer, View: c.view, Service: c.view.Services[req.name],
+	return e.Dispatch.Call(ctx, &dispatch.ServiceRequest{ID: c.id, Customer: c.customer, View: c.view, Service: s,
 		Method: req.method, Path: req.path, Header: req.header, Body: req.body, Arrived: c.arrived})
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -250,13 +250,16 @@
 // accepting until the balancer has noticed; then it finishes what is in hand.
 // It returns a *CutError if ctx ends, or the drain's deadline passes, first.
 func (d *Daemon) Shutdown(ctx context.Context) error {
+	notice, hold := settings.Duration(d.set.Timing.DrainNoticeMS), settings.Duration(d.set.Timing.DrainMS)
+	noticed := d.now().Add(notice)
+	d.callers.Stops(&drain.Times{TakenUntil: noticed, Cut: noticed.Add(hold)})
 	d.query(func(c *control) {
 		c.draining = true
 		d.view.Store(c.view(d.set.Name))
 	})
 	d.log.WithField("in_hand", d.callers.InHand()).Info("draining")
-	wait.For(ctx, settings.Duration(d.set.Timing.DrainNoticeMS))
-	dctx, cancel := context.WithTimeout(ctx, settings.Duration(d.set.Timing.DrainMS))
+	wait.For(ctx, notice)
+	dctx, cancel := context.WithTimeout(ctx, hold)
 	defer cancel()
 	err := drain.Stop(dctx, d.callerSrv, d.callerLn, &d.callerConns, linger)
 	cut := d.callers.InHand()
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -68,11 +68,15 @@
 	asking     bool     // targets asked for rest when it was placed last
 }
 
+// Deadline is when a run of a model ends at the latest that arrived at that time.
+func Deadline(m *config.Model, arrived time.Time) time.Time {
+	return arrived.Add(time.Duration(m.DeadlineMS) * time.Millisecond)
+}
+
 // Start places a run and returns when its first event is there, or the final
 // problem. The caller must Close the run.
 func (d *Dispatcher) Start(ctx context.Context, req *Request) (*Live, error) {
-	deadline := req.Arrived.Add(time.Duration(req.Model.DeadlineMS) * time.Millisecond)
-	ctx, cancel := context.WithDeadline(ctx, deadline)
+	ctx, cancel := context.WithDeadline(ctx, Deadline(req.Model, req.Arrived))
 	l := &Live{d: d, ctx: ctx, cancel: cancel, req: req, view: req.View, tokens: prefix.Tokens(len(req.Canonical)),
 		machine: attempt.New(true, true, req.View.Policy.MaxAttempts)}
 	l.rec = &why.Record{ID: req.ID, Instance: d.Instance, Customer: req.Customer.Name, Kind: "model", Name: req.Model.Name,
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -54,14 +54,18 @@
 	return len(methods) == 0
 }
 
+// Timeout is how long a call of a service may last.
+func Timeout(s *config.Service) time.Duration {
+	if s.TimeoutMS > 0 {
+		return time.Duration(s.TimeoutMS) * time.Millisecond
+	}
+	return DefaultServiceTimeout
+}
+
 // Call sends a request to a service and returns its whole answer, or the
 // final *problem.Problem.
 func (d *Dispatcher) Call(ctx context.Context, req *ServiceRequest) (*target.Answer, error) {
-	timeout := DefaultServiceTimeout
-	if req.Service.TimeoutMS > 0 {
-		timeout = time.Duration(req.Service.TimeoutMS) * time.Millisecond
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, Timeout(req.Service))
 	defer cancel()
 	idempotent := Idempotent(req.Service, req.Method, req.Path)
 	rec := &why.Record{ID: req.ID, Instance: d.Instance, Customer: req.Customer.Name, Kind: "service", Name: req.Service.Name,
