A target that refused a request is tried within 3 s

Cause: the one trial in 500 ms after its rest goes to the request that looks first, also to one of another service or one that then chooses another target. Such trials were lost, all of them where another service has many requests.

Now this goes on for 2 s after a rest only. From then on the trial is that of a request that has chosen the target (Try), as it was for rests that are asked for, so that requests which go elsewhere can't take it. Resting and Sick are one look now, with whose trials it takes as its condition.

--- a/internal/breaker/breaker.go
+++ b/internal/breaker/breaker.go
@@ -20,15 +20,27 @@
 type breaker struct {
 	failures int
 	until    time.Time
-	asked    bool // the rest that ended last was asked for
+	ends     time.Time // the rest's end; until is later while a call tries the name
+	asked    bool      // the rest that ended last was asked for
 }
 
 // Bounds of a rest.
 const (
 	restBase = 500 * time.Millisecond
 	restMax  = 30 * time.Second
+	// untriedMost is how long after a rest its trials go to callers that may want another name: one
+	// that fails under load needs more than its rest, and where names are many few want this one.
+	untriedMost = 2 * time.Second
 )
 
+// byChoice says whether only a caller that has chosen the name tries it.
+func (e *breaker) byChoice(now time.Time) bool {
+	return e.asked || !now.Before(e.ends.Add(untriedMost))
+}
+
+// rest keeps calls away until then.
+func (e *breaker) rest(until time.Time) { e.until, e.ends = until, until }
+
 // New returns breakers that are all closed.
 func New(now func() time.Time) *Set { return &Set{now: now, m: map[string]*breaker{}} }
 
@@ -53,39 +65,49 @@
 // none. The caller is to try those whose rest has ended: others rest on meanwhile. A name that
 // asked for rest is not tried before its end, see Asked.
 func (b *Set) Resting() []string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	resting, due := b.sick()
-	for _, name := range due {
-		b.m[name].until = b.now().Add(restBase)
-	}
-	return resting
+	return b.look(func(*breaker, time.Time) bool { return true })
 }
 
 // Sick is Resting for a caller that chooses one of several names: the trial of a name that had
-// asked for its rest is not its own before it has taken it with Try.
+// asked for its rest, or went untried for long since, is not its own before it has taken it
+// with Try.
 func (b *Set) Sick() []string {
+	return b.look(func(e *breaker, now time.Time) bool { return !e.byChoice(now) })
+}
+
+// look returns the names that rest since they failed. The caller gets the trials that it takes.
+func (b *Set) look(takes func(e *breaker, now time.Time) bool) []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	resting, due := b.sick()
-	for _, name := range due {
-		if e := b.m[name]; !e.asked {
-			e.until = b.now().Add(restBase)
+	b.endAsked()
+	if b.failing == 0 {
+		return nil
+	}
+	var resting []string
+	now := b.now()
+	for name, e := range b.m {
+		_, asks := b.asked[name]
+		switch {
+		case asks || e.failures < sickAfter:
+		case now.Before(e.until):
+			resting = append(resting, name)
+		case takes(e, now):
+			e.until = now.Add(restBase)
 		}
 	}
 	return resting
 }
 
-// Try says whether name may be called now by a caller that found it not resting; of one that had
-// asked for rest, one call at a time.
+// Try says whether name may be called now by a caller that Sick did not tell it rests: one call
+// at a time where the trial is not that of the look.
 func (b *Set) Try(name string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	now := b.now()
 	e := b.m[name]
-	if e == nil || e.failures < sickAfter || !e.asked {
+	if e == nil || e.failures < sickAfter || !e.byChoice(now) {
 		return true
 	}
-	now := b.now()
 	if now.Before(e.until) {
 		return false
 	}
@@ -93,27 +115,6 @@
 	return true
 }
 
-// sick returns the names that rest since they failed, and those whose rest has ended; b.mu is
-// held.
-func (b *Set) sick() (resting, due []string) {
-	b.endAsked()
-	if b.failing == 0 {
-		return nil, nil
-	}
-	now := b.now()
-	for name, e := range b.m {
-		_, asks := b.asked[name]
-		switch {
-		case asks || e.failures < sickAfter:
-		case now.Before(e.until):
-			resting = append(resting, name)
-		default:
-			due = append(due, name)
-		}
-	}
-	return resting, due
-}
-
 // sickAfter is how many failures in a row make one sick: one can be the
 // request's own.
 const sickAfter = 2
@@ -139,7 +140,7 @@
 	}
 	e.failures++
 	e.asked = false
-	e.until = b.now().Add(min(restBase<<min(e.failures-1, 8), restMax))
+	e.rest(b.now().Add(min(restBase<<min(e.failures-1, 8), restMax)))
 }
 
 // Rest keeps calls away from name for at least d, whether or not it failed.
@@ -147,9 +148,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.sicken(name)
-	if until := b.now().Add(d); until.After(e.until) {
-		e.until = until
+	until := b.now().Add(d)
+	if until.Before(e.until) {
+		until = e.until
 	}
+	e.rest(until)
 }
 
 // sicken counts name as one that failed, and returns its entry; b.mu is held.
