Own dialect: the trial of a target whose rest is over goes to the run that chose it

Callers lost capacity: a target that had asked for rest could stay unused after it, while runs of another model, or runs that then chose another target, took its trials.

Cause: a run looked by Resting, whose look takes every trial that is due. Now it looks by Sick and takes the trial of its target with Try, after a store was asked, since that may change the choice. A run that comes too late chooses anew; each round leaves out one target more, so that it ends.

Not covered by a test: a run that comes too late, for which two runs must meet between look and choice. Resting has no caller left but tests, which hold that its look takes the trials.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -51,15 +51,7 @@
 func (l *Live) place() (*why.Attempt, target.Extension, bool) {
 	q := route.Query{Model: l.req.Model.Name, Version: l.version, Adapter: l.req.Adapter, Keys: l.keys, Tokens: l.tokens,
 		Rand: rand.Uint64(), Turn: l.d.turn.Add(1)}
-	var dec route.Decision
-	l.choose(&q, &dec)
-	var k kept
-	if dec.Target != nil && l.worthLookup(&dec) {
-		if k = l.d.lookup(l.ctx, l.view.Config, l.keys, l.names, dec.FirstMS); k.found.Covered > 0 {
-			q.Stored, q.StoreMS = k.found.Covered, k.ms
-			route.Pick(l.view.Targets, &q, l.params(), l.d.beliefs(), &dec)
-		}
-	}
+	dec, k := l.decide(q)
 	att := why.Attempt{StartMS: l.sinceMS(), Filtered: dec.Filtered, Action: dec.Action.String(), PredictedMS: dec.FirstMS,
 		Candidates: append([]route.Candidate(nil), dec.Candidates[:dec.N]...)}
 	if dec.Target != nil {
@@ -71,15 +63,40 @@
 	return &l.rec.Attempts[len(l.rec.Attempts)-1], ext, dec.Target != nil
 }
 
+// decide finds the target, and what a store keeps for the run there.
+func (l *Live) decide(q route.Query) (dec route.Decision, k kept) {
+	sick := l.d.ejected.Sick()
+	for {
+		dec, k = l.pick(q, sick)
+		if dec.Target == nil || slices.Contains(sick, dec.Target.Name) || l.d.ejected.Try(dec.Target.Name) {
+			return dec, k
+		}
+		sick = append(sick, dec.Target.Name) // another run tries it
+	}
+}
+
+// pick decides once. It passes over the sick if it can.
+func (l *Live) pick(q route.Query, sick []string) (dec route.Decision, k kept) {
+	l.choose(&q, &dec, sick)
+	if dec.Target == nil || !l.worthLookup(&dec) {
+		return dec, k
+	}
+	if k = l.d.lookup(l.ctx, l.view.Config, l.keys, l.names, dec.FirstMS); k.found.Covered > 0 {
+		q.Stored, q.StoreMS = k.found.Covered, k.ms
+		route.Pick(l.view.Targets, &q, l.params(), l.d.beliefs(), &dec)
+	}
+	return dec, k
+}
+
 // choose picks within ever fewer bounds, strictest first: a retry leaves the
 // zone that failed, since a zone fails as a whole; nothing goes to the sick, or
 // to a target twice. Each bound is given up only if no target is left within it;
 // in the end all but the last tried may be tried again. What asks for rest gets
 // nothing within any bound.
-func (l *Live) choose(q *route.Query, dec *route.Decision) {
+func (l *Live) choose(q *route.Query, dec *route.Decision, sick []string) {
 	resting := asking(l.d.ejected)
 	l.asking = false
-	well := append(l.d.ejected.Resting(), l.tried...)
+	well := slices.Concat(sick, l.tried)
 	last := l.tried[max(len(l.tried)-1, 0):]
 	bounds := [...]struct {
 		zone    string
