A life that speaks before its entry comes keeps its word

What callers saw: requests sent to a target that had told the same instance, over 2 s before, that it leaves; and requests refused by a target in the rest that it had asked for.

How it came about: a target starts again under its name while the object store is silent. The new life answers at the address of the one before, whose entry stands, and says that it leaves or wants rest. When the store is back and the new life's entry comes, nothing is known of it.

Cause: a word was noted of the life that the request was meant for, not of the one that answered. No header of an answer tells which it was.

The change: the time at which the last request was sent that was answered so is kept with the word. A life whose entry comes inherits it if it had started before that, since an earlier life can't have answered what was sent later. The same rule places a word that comes just after the entry. Reports tell their life, and are believed of it alone. What a peer tells does not count as heard. Clocks may differ by 100 ms; a time of day that jumped since is read both ways, and the reading that keeps a healthy life in use counts.

Ruled out: going by the moment of the answer. An instance that froze reads an answer of the life before long after the next has started, and would leave that out for its life.

--- a/internal/breaker/asked.go
+++ b/internal/breaker/asked.go
@@ -10,6 +10,7 @@
 type askedRest struct {
 	until time.Time
 	told  time.Time // the end that was news last
+	sent  time.Time // when the last call was sent that was answered so, see AskInAnswer
 }
 
 // askNews is by how much the end of a rest has moved when it is news again: a name that turns
@@ -19,24 +20,52 @@
 // Ask notes that name wants no calls for d. It returns the end of its rest, the latest of those
 // asked for, and whether it is news: a new rest, or one whose end has moved since the last news.
 func (b *Set) Ask(name string, d time.Duration) (until time.Time, news bool) {
+	return b.AskInAnswer(name, d, time.Time{})
+}
+
+// AskInAnswer is Ask by the answer to a call that was sent at a time; zero: not known.
+func (b *Set) AskInAnswer(name string, d time.Duration, sent time.Time) (until time.Time, news bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.endAsked()
 	e, held := b.asked[name]
 	until = b.now().Add(d)
-	if !until.After(e.until) {
+	later := until.After(e.until)
+	if !later && !sent.After(e.sent) {
 		return e.until, false
 	}
-	e.until = until
-	news = !held || until.Sub(e.told) >= askNews
+	if sent.After(e.sent) {
+		e.sent = sent
+	}
+	if later {
+		e.until = until
+		news = !held || until.Sub(e.told) >= askNews
+	}
 	if news {
 		e.told = until
 	}
+	b.keepAsked(name, e)
+	return e.until, news
+}
+
+// keepAsked holds a rest; b.mu is held.
+func (b *Set) keepAsked(name string, e askedRest) {
 	if b.asked == nil {
 		b.asked = map[string]askedRest{}
 	}
 	b.asked[name] = e
-	return until, news
+}
+
+// Pass gives the rest that one name has asked for to another, if the time of the last call that
+// was answered so shows that the other gave the answer.
+func (b *Set) Pass(from, to string, gave func(sent time.Time) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.endAsked()
+	e, held := b.asked[from]
+	if held && e.until.After(b.asked[to].until) && gave(e.sent) {
+		b.keepAsked(to, e)
+	}
 }
 
 // Asked returns the names that want no calls now, with the ends of their rests; the common
--- /dev/null
+++ b/internal/breaker/pass_test.go
@@ -0,0 +1,47 @@
+package breaker_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shedhoist/shedhoist/internal/breaker"
+)
+
+// TestPass guards against a rest being lost, or cut short, that is passed from one name to another,
+// and against one that the other did not ask for.
+func TestPass(t *testing.T) {
+	at := func(s int64) time.Time { return time.Unix(s, 0) }
+	cases := []struct {
+		name string
+		act  func(s *breaker.Set)
+		want map[string]time.Time
+	}{
+		{"the one before gave it", func(s *breaker.Set) { s.AskInAnswer("a", 10*time.Second, at(40)) }, map[string]time.Time{"a": at(110)}},
+		{"when is not known", func(s *breaker.Set) { s.Ask("a", 10*time.Second) }, map[string]time.Time{"a": at(110)}},
+		{"the other gave it", func(s *breaker.Set) { s.AskInAnswer("a", 10*time.Second, at(60)) }, map[string]time.Time{"a": at(110), "b": at(110)}},
+		{"both gave it, the other a shorter one", func(s *breaker.Set) {
+			s.AskInAnswer("a", 10*time.Second, at(40))
+			s.AskInAnswer("a", 5*time.Second, at(60))
+		}, map[string]time.Time{"a": at(110), "b": at(110)}},
+		{"an answer to an earlier call comes last", func(s *breaker.Set) {
+			s.AskInAnswer("a", 5*time.Second, at(60))
+			s.AskInAnswer("a", 10*time.Second, at(40))
+		}, map[string]time.Time{"a": at(110), "b": at(110)}},
+		{"the other rests for longer", func(s *breaker.Set) {
+			s.AskInAnswer("a", 5*time.Second, at(60))
+			s.Ask("b", 20*time.Second)
+		}, map[string]time.Time{"a": at(105), "b": at(120)}},
+		{"nobody asked", func(*breaker.Set) {}, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := breaker.New(func() time.Time { return at(100) })
+			c.act(s)
+			s.Pass("a", "b", func(sent time.Time) bool { return sent.After(at(50)) })
+			is.Equal(s.Asked(), c.want)
+		})
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,7 @@
 	"github.com/shedhoist/shedhoist/internal/netx"
 	"github.com/shedhoist/shedhoist/internal/peer"
 	"github.com/shedhoist/shedhoist/internal/platform"
+	"github.com/shedhoist/shedhoist/internal/registry"
 	"github.com/shedhoist/shedhoist/internal/wait"
 )
 
@@ -246,6 +247,7 @@
 	c := &control{log: g.log, now: g.now, named: map[string]Named{}, members: member.New(params, self, rand.IntN), storeOK: true, rolloutWithin: set.RolloutWithin, configWithin: set.ConfigWithin,
 		followsEvacuations: set.EvacuateWithin > 0,
 		targets:            newTargets(g.log, set.Name), fresh: g.fresh, settledAt: g.now().Add(coldSettle)}
+	c.targets.OnNextLife(func(n registry.NextLife) { g.nextLife(c, n) })
 	g.start(func() { g.runControl(g.ctx, c) })
 	g.followAll(g.ctx)
 	for _, f := range [...]func(context.Context){g.greetSeeds, g.askWhileCutOff, g.askAges, g.bringConfig, g.keepBootstrap, g.tidy, g.keepQuarantine, g.tellCrashes, g.tellLoads, g.rollOut, g.cache.run, g.cache.pull, g.cache.collectGarbage} {
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
@@ -43,10 +45,14 @@
 	turn       int // see tellLeaving
 }
 
+// followEvery is how often the answers are followed of a target that is known to leave: a next
+// life may give them.
+const followEvery = 200 * time.Millisecond
+
 // hearLeaving takes a target's own word that it leaves. All its answers give it; the first one
 // changes the belief.
 func (g *Gateway) hearLeaving(t *catalog.Target, by registry.Teller) {
-	if known := g.view.Load().Targets[t.ID]; known != nil && known.SaidLeaving {
+	if known := g.view.Load().Targets[t.ID]; known != nil && known.SaidLeaving && by.Sent.Sub(known.SaidTo) < followEvery {
 		return
 	}
 	g.send(targetLeaves{life: registry.LifeOf(t), by: by})
@@ -66,6 +72,17 @@
 	}
 }
 
+// nextLife takes that a target has started again, with what its new life has said already.
+func (g *Gateway) nextLife(c *control, n registry.NextLife) {
+	if n.Leaves {
+		c.leaving.heard++
+		c.leaving.own++
+		c.leaving.turn = 0
+	}
+	now := c.now()
+	g.ejected.Pass(n.Before, n.ID, func(sent time.Time) bool { return registry.Answered(n.Start, sent, now) })
+}
+
 // leaversTold brings the same by a peer.
 type leaversTold struct {
 	lives Leavers
--- /dev/null
+++ b/internal/gateway/leaving_lives_test.go
@@ -0,0 +1,133 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+
+	"github.com/shedhoist/shedhoist/internal/breaker"
+	"github.com/shedhoist/shedhoist/internal/catalog"
+	"github.com/shedhoist/shedhoist/internal/registry"
+)
+
+// TestWordBeforeItsEntry guards against the word of a life whose entry had not come yet being lost
+// when that comes, and against a life that has said nothing being left out for the one before.
+func TestWordBeforeItsEntry(t *testing.T) {
+	cases := []struct {
+		name        string
+		before, new bool          // what the life before says, and the new one
+		wait        time.Duration // between the ends of requests and the life before, and from there to the new one
+		lapses      bool          // the entry lapses before the new one is written
+	}{
+		{name: "the new life says it", new: true, wait: 100 * time.Millisecond},
+		{name: "the new life says it, and the entry lapsed", new: true, wait: 100 * time.Millisecond, lapses: true},
+		{name: "the life before said it", before: true, wait: 100 * time.Millisecond},
+		{name: "the life before said it, and the entry lapsed", before: true, wait: time.Second, lapses: true},
+		{name: "nobody says it", wait: 100 * time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newLeavingFleet(t, 3, 3)
+				defer f.end()
+				f.silence(true)
+				s := f.speakers[0]
+				if c.before {
+					s.leave()
+				}
+				f.press(f.all(), pathSafe, 5*time.Millisecond, time.Second)
+				is.True(s.arrived("") > 0)
+				time.Sleep(c.wait)
+				s.end()
+				time.Sleep(c.wait)
+				if c.lapses {
+					f.store.remove(memoryTargets, s.name)
+				}
+				s.begin()
+				if c.new {
+					s.leave()
+				}
+				f.press(f.all(), pathSafe, 5*time.Millisecond, 2*time.Second)
+				s.mu.Lock()
+				is.Equal(len(s.told) > 0, c.new)
+				s.mu.Unlock()
+				f.silence(false)
+				f.press(f.all(), pathSafe, 5*time.Millisecond, 3*leaveBound)
+				if late := s.late(leaveBound, true); len(late) > 0 {
+					t.Errorf("requests were sent to it after it had said that it leaves: %v", late)
+				}
+				if !c.new {
+					s.forget()
+					f.press(f.all(), pathSafe, 5*time.Millisecond, time.Second)
+					for _, g := range f.gates {
+						is.True(s.from(g.settings().Name) > 0)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestRestBeforeItsEntry guards against the rest that a life asked for before its entry came being
+// cut short when that comes, and against one that the life before asked for.
+func TestRestBeforeItsEntry(t *testing.T) {
+	const (
+		every = 20 * time.Millisecond
+		rest  = 20 * time.Second
+	)
+	asks := func(time.Duration, int, string) restReply {
+		return restReply{status: http.StatusServiceUnavailable, notRun: true, rest: rest}
+	}
+	for name, scripts := range map[string][2]restScript{ // of the life before, and of the new one
+		"the new life asks for it":     {served, asks},
+		"the life before asked for it": {asks, served},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newRestFleet(t, 1, scripts[0], served)
+				defer f.end()
+				f.silence(true)
+				m := f.asking[0]
+				f.press(pathSafe, every, time.Second)
+				is.True(len(m.reachedAll()) > 0)
+				time.Sleep(100 * time.Millisecond)
+				m.end()
+				time.Sleep(100 * time.Millisecond)
+				m.script = scripts[1]
+				m.start()
+				f.press(pathSafe, every, 2*time.Second)
+				f.silence(false)
+				f.press(pathSafe, every, rest/2)
+				f.check()
+				if len(m.wishes()) == 0 {
+					is.True(len(m.reachedAll()) > 50) // it is used as before
+				}
+			})
+		})
+	}
+}
+
+// TestRestOfTheLifeThatAnswers guards against a rest being noted of a life that is over where its
+// next one, which has just been listed, gave the answer.
+func TestRestOfTheLifeThatAnswers(t *testing.T) {
+	const before, next = 10_000, 20_000 // starts, Unix ms
+	for sent, want := range map[int64]string{15_000: "i-1@10000", 25_000: "i-1@20000"} {
+		is := is.New(t)
+		clock := func() time.Time { return time.UnixMilli(30_000) }
+		g := &Gateway{now: clock, ejected: breaker.New(clock), log: &log.Logger{Handler: discard.Default}}
+		meant := catalog.Target{Name: "i-1", Start: before}.Identify()
+		listed := catalog.Target{Name: "i-1", Start: next}.Identify()
+		g.view.Store(&View{Targets: map[string]*catalog.Target{listed.ID: &listed}})
+		g.hearWord(&meant, Word{Rest: time.Second}, registry.Teller{From: string(fromAnswer), Sent: time.UnixMilli(sent)})
+		is.Equal(g.ejected.Asked(), map[string]time.Time{want: time.UnixMilli(31_000)})
+	}
+}
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -322,8 +322,12 @@
 // report asks a target for its report. That of another life than meant is a failure:
 // its orders and weights are not those of the one that is asked.
 func (o *rollout) report(ctx context.Context, t *catalog.Target) (Report, error) {
+	by := registry.Teller{From: string(fromReport), Sent: o.g.now()}
 	r, err := o.g.engines.Report(ctx, t.Address, t.Name)
-	o.g.hearWord(reporter(t, r), wordOf(r, err), registry.Teller{From: string(fromReport)})
+	if r.Start != 0 {
+		by.Sent = time.Time{} // it tells its life
+	}
+	o.g.hearWord(reporter(t, r), wordOf(r, err), by)
 	if err == nil && r.Start != 0 && t.Start != 0 && r.Start != t.Start {
 		return Report{}, &StartedAgainError{Target: t.ID, Start: r.Start}
 	}
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -128,7 +128,7 @@
 		x.g.upstream.learnKept(t.Service, at.answer.KeptFor)
 		if x.answers(at.answer) {
 			x.word = at.answer.Word
-			x.g.hearWord(t, x.word, registry.Teller{From: string(fromAnswer), By: x.call.ID})
+			x.g.hearWord(t, x.word, registry.Teller{From: string(fromAnswer), By: x.call.ID, Sent: at.began})
 		}
 		end = x.take(at)
 	}
--- a/internal/gateway/word.go
+++ b/internal/gateway/word.go
@@ -24,7 +24,8 @@
 // giveRest keeps callers' requests from a target that wants none for some time. Each instance
 // goes by what it was told itself: a target asks those of which it gets too much.
 func (g *Gateway) giveRest(t *catalog.Target, rest time.Duration, by registry.Teller) {
-	until, news := g.ejected.Ask(t.ID, rest)
+	t = g.answering(t, by)
+	until, news := g.ejected.AskInAnswer(t.ID, rest, by.Sent)
 	if !news {
 		return
 	}
@@ -32,6 +33,24 @@
 		WithField("from", by.From).WithField("by", by.By).Info("target asks for rest")
 }
 
+// answering is the life of a target that gave an answer: not the one that was meant, if another
+// has been listed meanwhile that had started before the request was sent.
+func (g *Gateway) answering(meant *catalog.Target, by registry.Teller) *catalog.Target {
+	if by.Sent.IsZero() {
+		return meant
+	}
+	v := g.view.Load()
+	if v.Targets[meant.ID] != nil {
+		return meant
+	}
+	for _, t := range v.Targets {
+		if t.Name == meant.Name && t.Start > meant.Start && registry.Answered(t.Start, by.Sent, g.now()) {
+			return t
+		}
+	}
+	return meant
+}
+
 // reporter is the life of a target that gave a report: not the one that was asked, if that is
 // over.
 func reporter(asked *catalog.Target, r Report) *catalog.Target {
--- a/internal/registry/leaves.go
+++ b/internal/registry/leaves.go
@@ -10,7 +10,8 @@
 
 // What targets say of themselves in their answers: a life that has said that it leaves leaves
 // for good, whatever its entry says, or does not say yet. A next life of its name has not said
-// so.
+// so, unless the answer was its own: it may answer at the address of the one before while its
+// entry has not come. The time at which the request was sent tells which life answered.
 
 // Bounds of what is remembered.
 const (
@@ -24,6 +25,10 @@
 	maxSaid = 4096
 	// maxName bounds the names of lives that peers speak of, in bytes.
 	maxName = 256
+	// clockDoubt is by how much a target's clock may differ from this instance's for no healthy
+	// life to be left out, and no word of its own to be lost: a server takes longer than that to
+	// end and start again.
+	clockDoubt = 100 * time.Millisecond
 )
 
 // Life names one life of a target.
@@ -47,29 +52,66 @@
 type Teller struct {
 	From string // the way: an answer, a report, a peer
 	By   string // the request or the peer; "" if the way says it all
+	// Sent is when the request was sent whose answer says it, if that does not tell which life
+	// answers; zero: it does.
+	Sent time.Time
+}
+
+// Answered says whether a life that started at a time of its target's clock, Unix ms, has answered
+// a request that was sent at a time: an earlier life has not answered what was sent after that.
+func Answered(start int64, sent, now time.Time) bool {
+	if start == 0 || sent.IsZero() {
+		return false
+	}
+	return start <= earlierReading(sent.UnixMilli(), now.UnixMilli(), now.Sub(sent))+clockDoubt.Milliseconds()
+}
+
+// earlierReading is when something was, Unix ms, by the time of day as read then or as read now
+// and the age by the steady clock: the time of day may have jumped meanwhile. The earlier one
+// counts, so that a jump costs no healthy life.
+func earlierReading(then, now int64, age time.Duration) int64 {
+	return min(then, now-age.Milliseconds())
+}
+
+// NextLife says that a target has started again under its name.
+type NextLife struct {
+	Before, ID string // of the lives
+	Start      int64  // of the new one
+	Leaves     bool   // answers that were noted of the life before have said so
 }
 
 // said is what is remembered of a life that has said that it leaves.
 type said struct {
 	number uint64    // rises with each life that was heard of
 	until  time.Time // when it is forgotten, unless it has an entry then
+	sent   time.Time // see catalog.Target.SaidTo
 }
 
 // Leaves takes that a life has said that it leaves. It says whether that is news to others: the
 // life has an entry, and this does not say so.
 func (t *Table) Leaves(l Life, by Teller, now time.Time) bool {
 	x := t.byName[l.Name]
+	if x != nil && x.Start > l.Start && Answered(x.Start, by.Sent, now) {
+		l = LifeOf(&x.Target)
+	}
 	listed := x != nil && LifeOf(&x.Target) == l
-	if _, known := t.said[l]; known || !listed && !t.mayCome(l) {
+	if s, known := t.said[l]; known {
+		if by.Sent.After(s.sent) {
+			s.sent = by.Sent
+			t.said[l] = s
+			t.renew(x, listed)
+		}
+		return false
+	}
+	if !listed && !t.mayCome(l) {
 		return false
 	}
 	t.saidNumber++
-	t.said[l] = said{number: t.saidNumber, until: now.Add(l.linger())}
+	t.said[l] = said{number: t.saidNumber, until: now.Add(l.linger()), sent: by.Sent}
+	t.renew(x, listed)
 	if !listed {
 		return false
 	}
-	next := *x
-	t.set(&next)
 	if x.Leaving {
 		return false
 	}
@@ -77,6 +119,41 @@
 	return true
 }
 
+// renew has a listed entry show what was said.
+func (t *Table) renew(x *Entry, listed bool) {
+	if listed {
+		next := *x
+		t.set(&next)
+	}
+}
+
+// OnNextLife has f called with each life that follows another of its name, before it is listed.
+func (t *Table) OnNextLife(f func(NextLife)) { t.onNextLife = f }
+
+// follow takes that a life follows one that started before: what the new one has said already was
+// noted of the other.
+func (t *Table) follow(x *catalog.Target, before int64, now time.Time) {
+	if x.Start <= before {
+		return
+	}
+	old := Life{Name: x.Name, Start: before}
+	id := catalog.Target{Name: old.Name, Start: old.Start}.Identify().ID
+	s, spoke := t.said[old]
+	_, known := t.said[LifeOf(x)]
+	leaves := spoke && !known && Answered(x.Start, s.sent, now)
+	if leaves {
+		t.saidNumber++
+		t.said[LifeOf(x)] = said{number: t.saidNumber, until: now.Add(saidLinger), sent: s.sent}
+		t.opts.Log.WithField("target", x.ID).WithField("from", fromLifeBefore).WithField("by", id).Info("target leaves")
+	}
+	if t.onNextLife != nil {
+		t.onNextLife(NextLife{Before: id, ID: x.ID, Start: x.Start, Leaves: leaves && !x.Leaving})
+	}
+}
+
+// fromLifeBefore is the way, for logs, of what was noted of the life before.
+const fromLifeBefore = "life-before"
+
 // mayCome says whether the entry of a life that has none may come, and its word be kept.
 func (t *Table) mayCome(l Life) bool {
 	latest := t.gone[l.Name].start
--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -67,6 +67,7 @@
 	// saidNumber is the number of the last of said.
 	saidNumber uint64
 	saidSwept  time.Time // see expireSaid
+	onNextLife func(NextLife)
 	departed   []Departure
 	listed     bool
 	regained   time.Time // when contact with the object store was regained
@@ -172,6 +173,9 @@
 	case x.Start < latest:
 		t.putLate(old, x)
 	default:
+		if old != nil || latest != 0 {
+			t.follow(&x, latest, now)
+		}
 		t.putUsable(old, x, now)
 	}
 }
@@ -271,7 +275,8 @@
 
 // set keeps an entry in place of the one of its name.
 func (t *Table) set(x *Entry) {
-	_, x.SaidLeaving = t.said[LifeOf(&x.Target)]
+	s, said := t.said[LifeOf(&x.Target)]
+	x.SaidLeaving, x.SaidTo = said, s.sent
 	old := t.byName[x.Name]
 	if old != nil {
 		x.Rank = old.Rank
@@ -319,7 +324,7 @@
 // sameTarget says whether two words of a target differ in nothing that readers use.
 func sameTarget(a, b *catalog.Target) bool {
 	return a.ID == b.ID && a.Unusable == b.Unusable && a.Service == b.Service && a.Address == b.Address && a.Zone == b.Zone &&
-		a.Leaving == b.Leaving && a.SaidLeaving == b.SaidLeaving && a.ColdUntil.Equal(b.ColdUntil) && slices.Equal(a.Models, b.Models)
+		a.Leaving == b.Leaving && a.SaidLeaving == b.SaidLeaving && a.SaidTo.Equal(b.SaidTo) && a.ColdUntil.Equal(b.ColdUntil) && slices.Equal(a.Models, b.Models)
 }
 
 // mayLog says whether one more line may be written of the present word.
