Answers to orders are read for what a target says of itself

What callers saw: requests sent to a target that had told the instance, in the answer to an order to load weights, that it leaves or wants rest. The report that follows an accepted order cured the first after 0.6 s; after a refused order nothing followed, and a rest was never heard.

Cause: the call that gives an order returned its failure only, and the word in it was left unread.

The change: the call returns the word, and it goes the way of those in answers and reports, with the time at which the order was sent: a life whose entry has not come may have answered. A 421 tells nothing, as before.

Before, with the call's word returned and not read, go test ./internal/gateway -run 'AnswerToAnOrder|OrderAnswered':

TestLeavesByItsAnswerToAnOrder: 66 != 0, 67 != 0, 64 != 0 (accepted, conflict, refused) TestRestByItsAnswerToAnOrder: not true: f.send(0, pathSafe, "x").ours() TestOrderAnsweredByTheNextLife/the_next_life_answers: true != false

After: all pass.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -72,6 +72,7 @@
 	fromPeer   source = "peer"
 	fromAnswer source = "answer" // of a target to a request
 	fromReport source = "report" // of a target
+	fromOrder  source = "order"  // to a target
 )
 
 // configRead brings a configuration. A version never goes back.
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -119,8 +119,9 @@
 // requests. Failures are *CallError.
 type Engines interface {
 	Report(ctx context.Context, address, id string) (Report, error)
-	// Load orders weights; nil means that the order was accepted or holds already.
-	Load(ctx context.Context, o LoadOrder) error
+	// Load orders weights; nil means that the order was accepted or holds already. The word is
+	// what the target says of itself; that of a refusal is in the CallError.
+	Load(ctx context.Context, o LoadOrder) (Word, error)
 	// CacheEvents returns the events from since on, waiting for some.
 	CacheEvents(ctx context.Context, address string, since uint64, wait time.Duration) (CacheEvents, error)
 	CacheList(ctx context.Context, address string) (CacheList, error)
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -278,8 +278,10 @@
 		return "lease lapsed before the order"
 	}
 	metric.Orders.Inc()
-	err := o.g.engines.Load(ctx, LoadOrder{Target: t.Name, Address: t.Address, Model: model, Version: version, Holder: o.g.settings().Name,
+	by := registry.Teller{From: string(fromOrder), Sent: o.g.now()}
+	word, err := o.g.engines.Load(ctx, LoadOrder{Target: t.Name, Address: t.Address, Model: model, Version: version, Holder: o.g.settings().Name,
 		Token: token, ExpectedSeq: seq, Cut: true})
+	o.g.hearWord(t, wordOf(word, err), by)
 	o.g.log.WithField("target", t.ID).WithField("model", model).WithField("version", version).WithField("token", token).
 		WithField("expected", seq).WithField("error", errText(err)).Info("load ordered")
 	var call *CallError
@@ -327,7 +329,7 @@
 	if r.Start != 0 {
 		by.Sent = time.Time{} // it tells its life
 	}
-	o.g.hearWord(reporter(t, r), wordOf(r, err), by)
+	o.g.hearWord(reporter(t, r), wordOf(r.Word, err), by)
 	if err == nil && r.Start != 0 && t.Start != 0 && r.Start != t.Start {
 		return Report{}, &StartedAgainError{Target: t.ID, Start: r.Start}
 	}
--- a/internal/gateway/word.go
+++ b/internal/gateway/word.go
@@ -61,11 +61,11 @@
 	return &other
 }
 
-// wordOf is the word that came with a report, or with the refusal of one.
-func wordOf(r Report, err error) Word {
+// wordOf is the word that came with the answer to a call, or with its refusal.
+func wordOf(w Word, err error) Word {
 	var call *CallError
 	if errors.As(err, &call) {
 		return call.Word
 	}
-	return r.Word
+	return w
 }
