loads: one book keeps the words of neighbours

The rule by which a neighbour's word is kept (by sequence, while it counts) and forgotten stood twice, in Heard and in Silences, each with its own lock and map. A small generic book holds both now.

Behaviour is unchanged, and so are the tests.

--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -3,7 +3,6 @@
 package loads
 
 import (
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -63,24 +62,12 @@
 	return out
 }
 
-// Heard is what the neighbours told lately. It is safe for use by several goroutines.
-type Heard struct {
-	maxAge time.Duration
-
-	mu    sync.Mutex
-	words map[string]word // by instance
-}
-
-type word struct {
-	seq  uint64
-	at   time.Time
-	sums Sums
-}
+// Heard is what the neighbours told lately. It is safe for use by several goroutines. Use
+// NewHeard.
+type Heard struct{ book *book[Sums] }
 
 // NewHeard returns one that knows of no work. A word counts for maxAge.
-func NewHeard(maxAge time.Duration) *Heard {
-	return &Heard{maxAge: maxAge, words: map[string]word{}}
-}
+func NewHeard(maxAge time.Duration) *Heard { return &Heard{book: newBook[Sums](maxAge)} }
 
 // Take keeps a neighbour's word, unless a newer one is known or it is a former
 // process's.
@@ -89,58 +76,39 @@
 	for _, l := range told {
 		sums.Add(l.Target, Amount{Tokens: l.Tokens, Memory: l.Memory})
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if old, ok := h.words[from]; ok && seq <= old.seq && now.Sub(old.at) < h.maxAge {
-		return
-	}
-	h.words[from] = word{seq: seq, at: now, sums: sums}
+	h.book.take(from, seq, sums, now)
 }
 
 // faded is an amount that was told some time ago. What waits fades with the age of the
 // word, since targets work on it; what runs keep does not, since runs last longer than
 // a word counts.
 func (h *Heard) faded(a Amount, age time.Duration) Amount {
-	left := 1 - float64(age)/float64(h.maxAge)
+	left := 1 - float64(age)/float64(h.book.maxAge)
 	return Amount{Tokens: int(float64(a.Tokens) * left), Memory: a.Memory}
 }
 
 // At is what the neighbours have under way at some targets, in the order of keys.
 func (h *Heard) At(keys []Key, now time.Time) []Amount {
 	out := make([]Amount, len(keys))
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for from, w := range h.words {
-		age := now.Sub(w.at)
-		if age >= h.maxAge {
-			delete(h.words, from)
-			continue
-		}
+	h.book.each(now, func(_ string, sums Sums, age time.Duration) {
 		for i, k := range keys {
-			if a, ok := w.sums[k]; ok {
+			if a, ok := sums[k]; ok {
 				out[i] = out[i].plus(h.faded(a, age))
 			}
 		}
-	}
+	})
 	return out
 }
 
 // Words returns each neighbour's word that still counts, faded.
 func (h *Heard) Words(now time.Time) map[string]Sums {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	out := make(map[string]Sums, len(h.words))
-	for from, w := range h.words {
-		age := now.Sub(w.at)
-		if age >= h.maxAge {
-			delete(h.words, from)
-			continue
-		}
-		sums := make(Sums, len(w.sums))
-		for k, a := range w.sums {
+	out := map[string]Sums{}
+	h.book.each(now, func(from string, told Sums, age time.Duration) {
+		sums := make(Sums, len(told))
+		for k, a := range told {
 			sums[k] = h.faded(a, age)
 		}
 		out[from] = sums
-	}
+	})
 	return out
 }
