wait: what a Retry-After asks for is bounded in one place

The bound of an hour, and that nothing or less asks for no wait, stood twice: in internal/target and in platform.

What stays with each edge is the number's form, since the two differ: the platform's servers may write fractions, targets of the own dialect whole seconds (RFC 9110). One reader for both would change what the latter accept.

--- a/internal/target/engine.go
+++ b/internal/target/engine.go
@@ -15,6 +15,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/shedhoist/shedhoist/internal/netx"
+	"github.com/shedhoist/shedhoist/internal/wait"
 )
 
 // Bounds of one exchange with an engine.
@@ -158,15 +159,13 @@
 	return &BrokenError{Target: r.Target, Reason: "status " + strconv.Itoa(resp.StatusCode), Cause: err}
 }
 
-// longestRetry bounds a Retry-After, whatever a target says.
-const longestRetry = time.Hour
-
+// retryAfter reads a Retry-After in whole seconds (RFC 9110, section 10.2.3); 0 is none.
 func retryAfter(resp *http.Response) time.Duration {
 	n, err := strconv.Atoi(resp.Header.Get("Retry-After"))
-	if err != nil || n < 0 {
+	if err != nil {
 		return 0
 	}
-	return time.Duration(min(n, int(longestRetry/time.Second))) * time.Second
+	return wait.Asked(float64(n))
 }
 
 // terminator ends every whole stream (OpenAI API reference, "Streaming").
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -27,6 +27,17 @@
 // instances started together do not act together.
 func Jitter(d time.Duration) time.Duration { return d/2 + rand.N(d+1) }
 
+// LongestAsked bounds the wait that another party asks for, whatever it says.
+const LongestAsked = time.Hour
+
+// Asked is the wait that a Retry-After of so many seconds asks for; 0 is none.
+func Asked(seconds float64) time.Duration {
+	if !(seconds > 0) { // NaN asks for none
+		return 0
+	}
+	return time.Duration(min(seconds, LongestAsked.Seconds()) * float64(time.Second))
+}
+
 // Signal wakes one goroutine that waits for something to do. Raised several times before
 // it is taken, it wakes once. The nil Signal is never raised.
 type Signal chan struct{}
