inflight: one way to note that a target was heard of

Silence.Heard stood beside Answered, did the same less the moment, and was called by TestSilence alone. TestSilence calls Answered in its two places, with the moment that its script has reached; its assertions are as they were.

Behaviour is unchanged.

--- a/internal/inflight/silence.go
+++ b/internal/inflight/silence.go
@@ -22,14 +22,7 @@
 	}
 }
 
-// Heard notes any sign of the target: an answer, or that it closed a connection.
-func (s *Silence) Heard() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.since = time.Time{}
-}
-
-// Answered is Heard at a time that is kept, see Among.
+// Answered notes any sign of the target: an answer, or that it closed a connection.
 func (s *Silence) Answered(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/inflight/silence_test.go
+++ b/internal/inflight/silence_test.go
@@ -18,7 +18,7 @@
 	s.Asked(at(0))
 	s.Asked(at(100))
 	is.Equal(s.For(at(200)), 200*time.Millisecond)
-	s.Heard()
+	s.Answered(at(200))
 	is.Equal(s.For(at(300)), time.Duration(0))
 
 	s.Asked(at(400))
@@ -30,6 +30,6 @@
 	s.Left(at(5100), at(5110), due)
 	s.Left(at(5000), at(6500), due) // it was waited for in vain
 	is.Equal(s.For(at(7000)), 2*time.Second)
-	s.Heard()
+	s.Answered(at(7000))
 	is.Equal(s.For(at(7000)), time.Duration(0))
 }
