gateway: tests say in a line what they guard against; stories stand on pages

A reader of nine test files met a post-mortem of up to twenty lines before the first declaration, most of it standing a second time in docs/incidents or docs/design. The heads are gone, and each test of these files has one line above it that says what it guards against; so have those of other files of the package that had three or four lines, but for TestNewsAreComplete, whose lines give the reason for its size.

Comments and pages only: no line of code changed.

--- a/internal/gateway/ages_test.go
+++ b/internal/gateway/ages_test.go
@@ -29,9 +29,7 @@
 	return resp.StatusCode
 }
 
-// TestCutOff: an instance that hears neither the object store nor a peer refuses once its
-// configuration may have been changed without it, and serves again when it hears one of them.
-// One that hears peers serves on, whether they hear the store or not.
+// TestCutOff guards against an instance cut off that serves on, and one in touch that refuses.
 func TestCutOff(t *testing.T) {
 	const n, alone = 9, 4
 	within := (&Settings{}).WithDefaults().ConfigWithin
--- a/internal/gateway/cold_test.go
+++ b/internal/gateway/cold_test.go
@@ -14,12 +14,6 @@
 	"github.com/shedhoist/shedhoist/internal/catalog"
 )
 
-// Seen: a cold server got 23 requests in a second where it bears 11 and 21.5 are allowed, on
-// a day on which a zone came back cold under a burst with a hot key.
-//
-// How it came about: servers tell in their entries for how much longer they are cold; that
-// was read and used nowhere, so that a cold target got what its place among others gave it.
-
 // What a cold target bears.
 const (
 	memoryColdFor  = 3 * time.Second
@@ -82,9 +76,7 @@
 	m.f.store.set(memoryTargets, m.name, catalog.Target{Service: "s", Address: m.name + ":1", Zone: m.zone, Start: born, ColdMS: (memoryColdFor - since).Milliseconds()})
 }
 
-// TestColdTargets: targets of a zone are cold under a load that is a multiple of what they
-// bear then. No second brings any of them more than is allowed, from all instances together,
-// and they are used all the same.
+// TestColdTargets guards against more requests in a second than a cold target bears, and against none.
 func TestColdTargets(t *testing.T) {
 	const zone = "z1"
 	turnCold := func(f *evacuatedFleet, s *secondsOf) {
@@ -197,8 +189,7 @@
 	return f
 }
 
-// TestAllTargetsCold: where all targets are cold at once, what they bear is served and the
-// rest refused at once, not run.
+// TestAllTargetsCold guards against requests that wait, or run, beyond what targets bear that are all cold.
 func TestAllTargetsCold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/gateway/conns_test.go
+++ b/internal/gateway/conns_test.go
@@ -22,9 +22,7 @@
 	return nil
 }
 
-// TestIdleConns: a connection is closed when it stayed unused beyond the limit in
-// force when it became so, and never while a request is under way. Time is that
-// of the test's bubble.
+// TestIdleConns guards against a connection closed under a request, or kept unused beyond the limit of its time.
 func TestIdleConns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -46,9 +44,7 @@
 	})
 }
 
-// TestLearnKept: unused connections are closed well before targets close theirs, by the
-// shortest time that any target of the service told; a target that tells none, or less than
-// can be kept to, changes nothing for others.
+// TestLearnKept guards against connections kept for longer than targets keep theirs, or closed without need.
 func TestLearnKept(t *testing.T) {
 	is := is.New(t)
 	u := newUpstream()
--- a/internal/gateway/darkzone_test.go
+++ b/internal/gateway/darkzone_test.go
@@ -9,19 +9,6 @@
 	"time"
 )
 
-// Seen: when a zone lost power, 190 requests failed in the first four seconds, and the next
-// four brought 586 answers late: the 99th percentile was 3.8 s.
-//
-// How it came about: a target that went dark answers nothing, neither a connect nor a
-// request. Each of 71 instances learned so of each of 20 targets for itself, by two requests
-// apiece that waited 0.4 s for a connect, or longer for an answer.
-//
-// Cause: what a silent connect says of the other targets of the zone, and to the other
-// instances, was not drawn from it.
-//
-// Proof: the answers that came late had gone to a target of the zone first; with one look at
-// three targets of the zone and one word to all, no request a second later waits for it.
-
 // Aims once a zone is lost.
 const (
 	darkAim     = time.Second            // after that nothing fails that had not begun
@@ -77,9 +64,7 @@
 	}
 }
 
-// TestDarkZone: a zone is lost under steady load. Within a second all others know, by what
-// some of them met; nothing that comes later fails or waits for the zone. It is used again
-// once it is back.
+// TestDarkZone guards against requests that wait or fail for a lost zone once some have met the loss.
 func TestDarkZone(t *testing.T) {
 	const zone = "z1"
 	for _, n := range []int{9, 60} {
@@ -120,7 +105,7 @@
 	}
 }
 
-// TestOneDarkTarget: where one target alone is silent its zone goes on.
+// TestOneDarkTarget guards against a zone being left out since one of its targets is silent.
 func TestOneDarkTarget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newEvacuatedFleet(t, 9)
@@ -135,8 +120,7 @@
 	})
 }
 
-// TestOwnLinkDark: an instance to which all zones seem dark goes on trying them: it is most
-// likely its own link.
+// TestOwnLinkDark guards against an instance whose own link is cut giving up all zones.
 func TestOwnLinkDark(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newEvacuatedFleet(t, 9)
--- a/internal/gateway/directory_test.go
+++ b/internal/gateway/directory_test.go
@@ -22,9 +22,7 @@
 	return out
 }
 
-// TestTree: at any size of the fleet few instances follow the stores,
-// nobody is asked by many, all are in the zone of whom they ask, and each reaches
-// one that follows in few steps.
+// TestTree guards against many followers of stores, many askers of one, ways across zones and long ways.
 func TestTree(t *testing.T) {
 	for _, c := range []struct{ n, zones, depth int }{{1, 1, 0}, {9, 3, 0}, {16, 3, 0}, {17, 3, 1}, {59, 3, 1}, {91, 4, 1}, {300, 3, 2}, {330, 7, 2}, {1000, 3, 3}} {
 		t.Run(fmt.Sprintf("%d in %d", c.n, c.zones), func(t *testing.T) {
--- a/internal/gateway/evacuate_test.go
+++ b/internal/gateway/evacuate_test.go
@@ -14,18 +14,6 @@
 	"github.com/matryer/is"
 )
 
-// Seen: 690 requests reached servers of zones that the operators had evacuated, for as long as
-// these were evacuated.
-//
-// How it came about: the operators put an object under evacuations/ZONE into the object store;
-// nothing read it.
-//
-// Cause: of the kinds that operators write, the instances followed three by name. A request
-// whose body came slowly went by the view of its arrival besides.
-//
-// Proof: the bench's line "EVAC: 690"; no line of any log named a zone; with the kind followed
-// like the configuration the same day has none.
-
 // Bounds of an evacuation.
 const (
 	evacuateBound = 5 * time.Second // from the store's answer, for instances in touch
@@ -132,8 +120,7 @@
 func (f *evacuatedFleet) evacuate(zone string) { f.store.set(memoryEvacuations, zone, struct{}{}) }
 func (f *evacuatedFleet) takeBack(zone string) { f.store.remove(memoryEvacuations, zone) }
 
-// TestEvacuatedZone: a request never reaches a target of an evacuated zone later than the
-// bound after the store took the evacuation, and the zone is used again once it is taken back.
+// TestEvacuatedZone guards against requests to an evacuated zone, and one left unused once taken back.
 func TestEvacuatedZone(t *testing.T) {
 	const zone = "z1"
 	cases := []struct {
@@ -214,7 +201,7 @@
 	}
 }
 
-// TestEvacuatedUnknownZone: an evacuation of a zone without targets changes nothing.
+// TestEvacuatedUnknownZone guards against an evacuation of a zone without targets that changes anything.
 func TestEvacuatedUnknownZone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -231,7 +218,7 @@
 	})
 }
 
-// TestAllZonesEvacuated: what can't be served is refused at once, and has not run.
+// TestAllZonesEvacuated guards against requests that wait, or run, where all zones are evacuated.
 func TestAllZonesEvacuated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -255,8 +242,7 @@
 	})
 }
 
-// TestEvacuatedWhileBodyComes: a request whose body takes seconds to come goes by what is
-// known once it is there.
+// TestEvacuatedWhileBodyComes guards against a request with a slow body that goes by what was known at its arrival.
 func TestEvacuatedWhileBodyComes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -18,17 +18,6 @@
 	"github.com/shedhoist/shedhoist/internal/catalog"
 )
 
-// Seen: requests reached a target up to 4.1 s after the instance that sent them had passed on an
-// answer in which that target said that it leaves; 2 s are allowed.
-//
-// How it came about: the object store was silent, so that the target's entry still said ready.
-//
-// Cause: an instance went by the entry alone. What a target says of itself in its answers was not
-// read.
-//
-// Proof: the lines of the instance have no word on the target between its entry and the requests,
-// which were answered whole by it; with the word read and gone by, the fleet below has none.
-
 // leaveBound is the time after which no request may be sent to a target that has said that it
 // leaves, by an instance that passed such an answer on.
 const leaveBound = 2 * time.Second
@@ -330,8 +319,7 @@
 	}
 }
 
-// TestLeavesByItsOwnWord guards against requests to a target that has said in an answer that it
-// leaves, while its entry says something else or can't be read.
+// TestLeavesByItsOwnWord guards against requests to a target that has said that it leaves, whatever its entry says.
 func TestLeavesByItsOwnWord(t *testing.T) {
 	const every = 5 * time.Millisecond
 	silent := func(f *leavingFleet) { f.silence(true) }
@@ -428,8 +416,7 @@
 	}
 }
 
-// TestLeavesByPeersWord guards against instances to which a target that leaves has said nothing
-// sending requests to it, though another instance knows.
+// TestLeavesByPeersWord guards against requests to a target that has said that it leaves to another instance only.
 func TestLeavesByPeersWord(t *testing.T) {
 	onlyPeers := func(f *leavingFleet) { f.doors[f.join()].shut(true) }
 	cases := []struct {
@@ -471,8 +458,7 @@
 	}
 }
 
-// TestLeavesAfterRestart guards against instances that have all just started, and know nothing,
-// going on after the first answer that says so.
+// TestLeavesAfterRestart guards against instances that have just started going on after the first such answer.
 func TestLeavesAfterRestart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -488,8 +474,7 @@
 	})
 }
 
-// TestNewLifeOfALeaver guards against a target's next life being left out for what the one
-// before said.
+// TestNewLifeOfALeaver guards against a target's next life being left out for what the one before said.
 func TestNewLifeOfALeaver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -509,8 +494,7 @@
 	})
 }
 
-// TestWordOfAnotherAnswer guards against a target being left out for good by an answer that
-// belongs to another request.
+// TestWordOfAnotherAnswer guards against a target being left out for good by another request's answer.
 func TestWordOfAnotherAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -531,8 +515,7 @@
 	})
 }
 
-// TestLeavesNoTarget guards against requests that wait, or run, where all targets have said that
-// they leave.
+// TestLeavesNoTarget guards against requests that wait, or run, where all targets have said that they leave.
 func TestLeavesNoTarget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -568,8 +551,7 @@
 	})
 }
 
-// TestStreamAtALeaver guards against a stream that is under way at a target being cut when that
-// says that it leaves.
+// TestStreamAtALeaver guards against a stream being cut as its target says that it leaves.
 func TestStreamAtALeaver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -589,8 +571,7 @@
 	})
 }
 
-// TestLeavesAsAnnounced guards against the end of a target that has said that it leaves being
-// taken for a crash by the requests under way there.
+// TestLeavesAsAnnounced guards against the end of a target that said that it leaves being taken for a crash.
 func TestLeavesAsAnnounced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -632,8 +613,7 @@
 	return Report{Start: e.start, Models: []catalog.ModelVersion{{Model: "m", Version: 1}}, Word: Word{Leaving: true}}, nil
 }
 
-// TestLeavesByItsReport guards against requests, and orders to load weights, for a target whose
-// report says that it leaves.
+// TestLeavesByItsReport guards against requests, and loads, for a target whose report says that it leaves.
 func TestLeavesByItsReport(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -651,8 +631,7 @@
 	})
 }
 
-// TestReportOfAnotherLife guards against a target being left out for what another of its lives
-// says in a report.
+// TestReportOfAnotherLife guards against a target being left out for what another of its lives reports.
 func TestReportOfAnotherLife(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/gateway/model_test.go
+++ b/internal/gateway/model_test.go
@@ -17,9 +17,7 @@
 	is.New(t).Equal(x.transferMS(src, &catalog.Target{Service: "gone"}), 0.0)
 }
 
-// TestUrgency: a request that can hardly be answered in time waits behind those that
-// can, behind none of a rank that targets do not know, and its customer's rank counts
-// before its route's.
+// TestUrgency guards against hurried or higher requests behind others, and ranks unknown to targets.
 func TestUrgency(t *testing.T) {
 	start := time.Unix(0, 0)
 	cases := []struct {
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -73,9 +73,7 @@
 	is.Equal(len(c.view().Alive), 2)
 }
 
-// TestCandidates: of a large service an instance uses a bounded number of targets, of its
-// own zone as far as there are enough; the fleet as a whole uses all about alike; and one
-// that leaves is replaced by one other.
+// TestCandidates guards against many, far or unevenly used candidates, and a new choice with each that leaves.
 func TestCandidates(t *testing.T) {
 	is := is.New(t)
 	const zones, targets, instances = 3, 900, 120
--- a/internal/gateway/quarantine_store_test.go
+++ b/internal/gateway/quarantine_store_test.go
@@ -10,12 +10,7 @@
 	"github.com/shedhoist/shedhoist/internal/core/quarantine"
 )
 
-// Found by reading: the object named targets by numbers of 64 bits. A store that reads and
-// writes numbers as JSON programs commonly do, as floats of 53 bits, gives back others; an
-// instance that knows of a crash by its peers as well then counts it twice, and rejects what
-// met two crashes.
-
-// TestSuspectsSurviveFloats: what a store gives back that reads numbers as floats is the same.
+// TestSuspectsSurviveFloats guards against a crash that counts twice since a store keeps numbers as floats.
 func TestSuspectsSurviveFloats(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(2000, 0)
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -15,26 +15,6 @@
 	"github.com/shedhoist/shedhoist/internal/problem"
 )
 
-// Seen: servers ended in series, up to six within 1.3 s; one request that came again, with the
-// same path, caller and body, was sent on 19 times after three servers had ended under it.
-//
-// How it came about: the request crashed each server within 100 ms of its run. Its caller got
-// 502 and sent it again, through any instance, which took it for a new one: it went to the
-// next server, and later to the successors of those that had ended.
-//
-// Cause: what a failure taught was kept for the target alone, by one instance, and gone with
-// the target's life. Nothing was known of the request, by which all the crashes hang together.
-//
-// Proof: with lines on crashes, the one key that stood at each of them (here all 70 to 75) was
-// the request's; its sends had one attempt each, so that own retries did not carry it on; and
-// with that knowledge kept and told, the crashes end after the third and one trial:
-//
-//	02.666 target crashed under a request key=c47ed34e crashes=1 instance=e-000 target=t-00
-//	02.934 target crashed under a request key=c47ed34e crashes=2 instance=e-001 target=t-04
-//	03.202 target crashed under a request key=c47ed34e crashes=3 instance=e-002 target=t-05
-//	03.454 requests quarantined           key=c47ed34e crashes=3 (all nine instances)
-//	06.414 quarantined request let through as a trial   06.478 target crashed, crashes=4
-
 // What may come of a request that crashes its targets: it may be tried a few times more by
 // instances that could hear of the third crash.
 const (
@@ -92,9 +72,7 @@
 	return served
 }
 
-// TestCrashingRequest: a request that crashes each target that runs it comes again and again,
-// at any instance. After its third crash it is tried three times more at most, whatever
-// becomes of the instances, and all others are served meanwhile.
+// TestCrashingRequest guards against a request that ends one target after the other, by any instance.
 func TestCrashingRequest(t *testing.T) {
 	const body = "this crashes its target"
 	away := []int{3, 4} // instances that some cases cut off
@@ -184,9 +162,7 @@
 	return served, rejected
 }
 
-// TestAlikeInnocents: a request that many send alike is under way at targets that end of
-// themselves, many at once and again and again. It is served by those that live: whole
-// answers speak for it, or, if there was none yet, a trial does.
+// TestAlikeInnocents guards against a lasting quarantine of what many send alike while targets end of themselves.
 func TestAlikeInnocents(t *testing.T) {
 	const body = "what everybody asks"
 	cases := []struct {
@@ -227,8 +203,7 @@
 	}
 }
 
-// TestAnnouncedEnd: what is still under way at a target that leaves as announced is not
-// blamed for its end; for one that crashes it would be.
+// TestAnnouncedEnd guards against blame for the end of a target that leaves as announced, on what runs there.
 func TestAnnouncedEnd(t *testing.T) {
 	for _, announced := range []bool{true, false} {
 		synctest.Test(t, func(t *testing.T) {
@@ -259,8 +234,7 @@
 	}
 }
 
-// TestBrokenConnections: that a connection broke is a crash only if the target's address
-// refuses a new one.
+// TestBrokenConnections guards against a broken connection being taken for a crash of its target.
 func TestBrokenConnections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -281,8 +255,7 @@
 	})
 }
 
-// TestStoredSuspects: what is written to the object store is read as it was; a spoiled entry
-// takes no other along.
+// TestStoredSuspects guards against a stored suspect read as another, or lost by a spoiled one beside it.
 func TestStoredSuspects(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(2000, 0)
--- a/internal/gateway/rest_test.go
+++ b/internal/gateway/rest_test.go
@@ -23,19 +23,6 @@
 	"github.com/shedhoist/shedhoist/internal/registry"
 )
 
-// Seen: a target turned an instance away with 503, asked for 3 s of rest, and got nine requests
-// from that instance in this time.
-//
-// How it came about: the target was sick and turned everything away for seven seconds, while the
-// two others of its service failed at times.
-//
-// Cause: what the target asked for was given to callers and not kept. A refusal kept requests
-// away for 150 ms, any success that was under way ended that, and a request without another
-// target went there all the same.
-//
-// Proof: of the incident's requests that reached the target in its rest, all had either failed
-// at another target before or came over 150 ms after the last refusal.
-
 // Headers of the dialect of targets that ask for rest.
 const (
 	restWanted = "Rest-Wanted"
@@ -330,8 +317,7 @@
 	return n
 }
 
-// TestRestIsGiven guards against requests that reach a target from an instance that it has
-// turned away and asked for rest, before this rest is over.
+// TestRestIsGiven guards against requests to a target in the rest that it asked the instance for.
 func TestRestIsGiven(t *testing.T) {
 	const (
 		every = 20 * time.Millisecond
@@ -482,8 +468,7 @@
 	return m.reached
 }
 
-// TestRefusalWithoutRest guards against a rest that no target asked for: one that turns
-// requests away and says nothing more is tried again soon.
+// TestRefusalWithoutRest guards against a rest that no target asked for when it turned requests away.
 func TestRefusalWithoutRest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -498,8 +483,7 @@
 	})
 }
 
-// TestRestIsAskedOfOneInstance guards against a rest that is given by instances that were not
-// asked for it, and not given by the one that was.
+// TestRestIsAskedOfOneInstance guards against a rest given by those not asked for it, and not by the one that was.
 func TestRestIsAskedOfOneInstance(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -528,8 +512,7 @@
 	return Report{}, &CallError{Call: "report", Status: http.StatusServiceUnavailable, Word: Word{Rest: e.rest}}
 }
 
-// TestReportAsksForRest guards against requests to a target that refused a report and asked
-// for rest then.
+// TestReportAsksForRest guards against requests to a target that refused a report and asked for rest then.
 func TestReportAsksForRest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -548,8 +531,7 @@
 	})
 }
 
-// TestRestOfMost guards against a refusal while a few targets of many do not ask for rest, none
-// of them among those that the instance considers first.
+// TestRestOfMost guards against a refusal while a few targets of many, not the first considered, ask for no rest.
 func TestRestOfMost(t *testing.T) {
 	const targets, others = 4 * mostCandidates, 2
 	for status, script := range map[int]restScript{http.StatusOK: served, http.StatusInternalServerError: failing(1)} {
@@ -581,8 +563,7 @@
 	return slices.ContainsFunc(f.gates[0].view.Load().Candidates["s"], func(t *catalog.Target) bool { return t.Name == name })
 }
 
-// TestRestLines guards against a log that is silent about a target's wish, or has a line for
-// each request that a target turned away.
+// TestRestLines guards against a log that says nothing of a wish for rest, or a line for each refusal.
 func TestRestLines(t *testing.T) {
 	is := is.New(t)
 	now, lines := time.Unix(0, 0), memory.New()
--- a/internal/gateway/stop_edge_test.go
+++ b/internal/gateway/stop_edge_test.go
@@ -232,9 +232,7 @@
 	return c, 0
 }
 
-// TestStopTakesAtItsEdges guards against a request that a stop takes late and cuts, and against
-// one that is refused though it ends in time: by the moment of arrival, the route's timeout and
-// kind, the customer's key and the connection's way.
+// TestStopTakesAtItsEdges guards against a late request that is taken and cut, or refused though it ends in time.
 func TestStopTakesAtItsEdges(t *testing.T) {
 	for _, since := range []time.Duration{takenUntil - time.Millisecond, takenUntil, takenUntil + 1, 3 * time.Second, 3700 * time.Millisecond} {
 		for _, over := range []time.Duration{-time.Millisecond, 0, 1, time.Second} {
--- a/internal/gateway/stop_late_test.go
+++ b/internal/gateway/stop_late_test.go
@@ -15,19 +15,6 @@
 	"github.com/shedhoist/shedhoist/internal/catalog"
 )
 
-// Seen: two streams were cut in the middle while all instances were stopped in turn; each had
-// been sent 3.4 s after the SIGTERM of its instance.
-//
-// How it came about: a caller that had connected before the balancer took the instance out of
-// rotation sent late. Its stream lasted over 4 s, and the stop cuts what is left 7.5 s after it
-// began.
-//
-// Cause: a stopping instance took whatever came, however long it might last.
-//
-// Proof: of the day's stops these two alone had a stream that came over 3 s after its SIGTERM
-// and lasted over 4 s: sent at 9.431 and 12.487, stops at 6.000 and 9.000, cut at 13.505 and
-// 16.507.
-
 // longPath is that of requests that take longRun.
 const (
 	longPath = "/once/long"
@@ -46,8 +33,7 @@
 	return cfg, err
 }
 
-// TestStopRefusesWhatItWouldCut: a request that comes late in a stop, and may last longer than
-// that, is refused at once, not run; one that can't is served.
+// TestStopRefusesWhatItWouldCut guards against a late request that a stop takes and cuts, or refuses needlessly.
 func TestStopRefusesWhatItWouldCut(t *testing.T) {
 	for path, want := range map[string]int{longPath: http.StatusServiceUnavailable, pathSafe + "x": http.StatusOK} {
 		t.Run(path, func(t *testing.T) {
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -14,28 +14,10 @@
 	"github.com/matryer/is"
 )
 
-// Seen: in a replacement of instances, one caller's POST of 397 ended with EOF. With one
-// processor a process, the race detector and twelve processes on five processors it comes in
-// 31 of 57 runs, 83 requests.
-//
-// How it came about: the caller had chosen the instance before it said that it was not ready,
-// and was held up by its machine. Its request reached the instance's http.Server after the
-// notice that balancers are given, in the moment in which the instance stopped.
-//
-// Cause: http.Server.Shutdown closes each connection on which a request is read from then on,
-// after it has read that request and without an answer. It takes these requests for none: its
-// callers can't tell that they did not run. Of the connections that the instances closed under
-// a request, traced with their states, all were "active" last, none was "idle":
-//
-//	SHUTDOWN 127.0.0.1:33129 at 15.230
-//	CLOSED 127.0.0.1:41114 after new@12.089 ... idle@14.791 active@15.210 at 15.240
-//	CLOSED 127.0.0.1:38738 after new@21.668 active@21.976 at 22.306 (stopped at 21.699)
-
 // pieceOf is a request in two pieces.
 var pieceOf = [2]string{"GET /x HTTP/1.1\r\nHost: a.example\r\n", "\r\n"}
 
-// TestStopAnswersWhatItReads: a request whose header began to come before an instance's
-// listener closed, and ended after it, is answered.
+// TestStopAnswersWhatItReads guards against a stop that ends a request without an answer while it reads its header.
 func TestStopAnswersWhatItReads(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -65,8 +47,7 @@
 	})
 }
 
-// TestStopDoesNotWait: an instance without callers stops as soon as the balancer has had its
-// notice, and one with a connection that nobody uses does too.
+// TestStopDoesNotWait guards against a stop that waits for callers where none has a request in hand.
 func TestStopDoesNotWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -83,8 +64,7 @@
 	})
 }
 
-// TestStopClosesUnused: while a stopping instance waits for what is in hand, a connection that
-// nobody uses is closed: what came on it late would be cut when the time to stop is over.
+// TestStopClosesUnused guards against unused connections kept in a stop, so that more comes late and is cut.
 func TestStopClosesUnused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -114,8 +94,7 @@
 	})
 }
 
-// TestStopEndsUnderLoad: callers that a balancer goes on sending, since it has nobody else,
-// do not keep an instance from ending in time, and are answered or not taken.
+// TestStopEndsUnderLoad guards against a stop that does not end, or cuts requests, while callers go on sending.
 func TestStopEndsUnderLoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/gateway/trial_test.go
+++ b/internal/gateway/trial_test.go
@@ -12,9 +12,7 @@
 	"github.com/shedhoist/shedhoist/internal/problem"
 )
 
-// TestTrialWithoutTarget: a trial of a quarantined request that no target could take, since all
-// zones were evacuated, shows nothing: the next one follows as if there had been none, and
-// frees an innocent's requests.
+// TestTrialWithoutTarget guards against a trial that no target could take counting as made.
 func TestTrialWithoutTarget(t *testing.T) {
 	const body = "what its targets crashed under"
 	synctest.Test(t, func(t *testing.T) {
