--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -9,18 +9,7 @@
 	"github.com/matryer/is"
 )
 
-// Seen: a stopping instance closed a caller's connection, on which a request had come 94 ms
-// before and had not been read yet, and then passed the request on to a server:
-//
-//	 9.502 front-riga-c-1 gets SIGTERM
-//	11.712 request 5099f56e7354e384 sent to front-riga-c-1
-//	11.806 the connection is closed with no answer
-//	11.809 reaches server i-5335eb6c5b from front-riga-c-1
-//
-// Cause: that a connection is unused was looked at, and the connection closed, while the
-// request was being read; nothing kept the handler from it.
-
-// TestClosedBringsNothing: a request either keeps its connection open or is not begun.
+// TestClosedBringsNothing guards against a request that is begun though its connection was closed.
 func TestClosedBringsNothing(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
