A word that clocks alone ascribe to a life ends by itself and is told to no peer

An instance whose clock is ahead of a target's by more than the target takes to end and start again took the new life for one that had said it leaves: for the life's whole time, and peers, told so, did as well. Every caller would have done without a healthy target. TestInheritedWordEnds fails without this: the life still leaves after the bound, and peers are told.

An inherited word is now kept apart from one that a life has said itself: it ends after 30 s, and only the instance whose clock says so goes by it. TestNextLife and TestNextLifeAnswersLate, new with the word that is inherited, assert that peers are not told where they asserted that they are.

--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -72,13 +72,9 @@
 	}
 }
 
-// nextLife takes that a target has started again, with what its new life has said already.
+// nextLife takes that a target has started again, with the rest that its new life has asked for
+// already.
 func (g *Gateway) nextLife(c *control, n registry.NextLife) {
-	if n.Leaves {
-		c.leaving.heard++
-		c.leaving.own++
-		c.leaving.turn = 0
-	}
 	now := c.now()
 	g.ejected.Pass(n.Before, n.ID, func(sent time.Time) bool { return registry.Answered(n.Start, sent, now) })
 }
--- a/internal/registry/leaves.go
+++ b/internal/registry/leaves.go
@@ -21,6 +21,10 @@
 	// unbornLinger is the same for a life whose start is not told. The next of its name can't be
 	// told from it, and would be left out for as long as it has an entry.
 	unbornLinger = 5 * ReturnTime
+	// inheritedLinger is how long a life is left out by a word that it has inherited. Clocks may be
+	// wrong by more than clockDoubt; a life that leaves will mostly have ended by then, or says so
+	// again.
+	inheritedLinger = 30 * time.Second
 	// maxSaid bounds the lives without an entry that are remembered.
 	maxSaid = 4096
 	// maxName bounds the names of lives that peers speak of, in bytes.
@@ -77,7 +81,6 @@
 type NextLife struct {
 	Before, ID string // of the lives
 	Start      int64  // of the new one
-	Leaves     bool   // answers that were noted of the life before have said so
 }
 
 // said is what is remembered of a life that has said that it leaves.
@@ -85,6 +88,9 @@
 	number uint64    // rises with each life that was heard of
 	until  time.Time // when it is forgotten, unless it has an entry then
 	sent   time.Time // see catalog.Target.SaidTo
+	// inherited: clocks alone tell that the word is this life's. It is forgotten also while the
+	// life has an entry, and is not told to peers.
+	inherited bool
 }
 
 // Leaves takes that a life has said that it leaves. It says whether that is news to others: the
@@ -92,10 +98,12 @@
 func (t *Table) Leaves(l Life, by Teller, now time.Time) bool {
 	x := t.byName[l.Name]
 	if x != nil && x.Start > l.Start && Answered(x.Start, by.Sent, now) {
-		l = LifeOf(&x.Target)
+		t.inherit(&x.Target, by.Sent, now, Teller{From: by.From, By: by.By})
+		return false
 	}
 	listed := x != nil && LifeOf(&x.Target) == l
-	if s, known := t.said[l]; known {
+	s, known := t.said[l]
+	if known && !s.inherited {
 		if by.Sent.After(s.sent) {
 			s.sent = by.Sent
 			t.said[l] = s
@@ -107,16 +115,42 @@
 		return false
 	}
 	t.saidNumber++
-	t.said[l] = said{number: t.saidNumber, until: now.Add(l.linger()), sent: by.Sent}
+	t.said[l] = said{number: t.saidNumber, until: now.Add(l.linger()), sent: latest(s.sent, by.Sent)}
 	t.renew(x, listed)
-	if !listed {
+	if !listed || x.Leaving {
 		return false
 	}
-	if x.Leaving {
-		return false
+	t.logLeaves(&x.Target, by)
+	return true
+}
+
+// inherit takes that a life has said that it leaves, as far as clocks tell.
+func (t *Table) inherit(x *catalog.Target, sent, now time.Time, by Teller) {
+	l := LifeOf(x)
+	s, known := t.said[l]
+	if known && !sent.After(s.sent) {
+		return
+	}
+	s.sent = sent
+	if !known {
+		t.saidNumber++
+		s.number, s.inherited, s.until = t.saidNumber, true, now.Add(inheritedLinger)
+		t.logLeaves(x, by)
 	}
+	t.said[l] = s
+	e := t.byName[l.Name]
+	t.renew(e, e != nil && LifeOf(&e.Target) == l)
+}
+
+func (t *Table) logLeaves(x *catalog.Target, by Teller) {
 	t.opts.Log.WithField("target", x.ID).WithField("from", by.From).WithField("by", by.By).Info("target leaves")
-	return true
+}
+
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
 }
 
 // renew has a listed entry show what was said.
@@ -138,16 +172,11 @@
 	}
 	old := Life{Name: x.Name, Start: before}
 	id := catalog.Target{Name: old.Name, Start: old.Start}.Identify().ID
-	s, spoke := t.said[old]
-	_, known := t.said[LifeOf(x)]
-	leaves := spoke && !known && Answered(x.Start, s.sent, now)
-	if leaves {
-		t.saidNumber++
-		t.said[LifeOf(x)] = said{number: t.saidNumber, until: now.Add(saidLinger), sent: s.sent}
-		t.opts.Log.WithField("target", x.ID).WithField("from", fromLifeBefore).WithField("by", id).Info("target leaves")
+	if s, spoke := t.said[old]; spoke && Answered(x.Start, s.sent, now) {
+		t.inherit(x, s.sent, now, Teller{From: fromLifeBefore, By: id})
 	}
 	if t.onNextLife != nil {
-		t.onNextLife(NextLife{Before: id, ID: x.ID, Start: x.Start, Leaves: leaves && !x.Leaving})
+		t.onNextLife(NextLife{Before: id, ID: x.ID, Start: x.Start})
 	}
 }
 
@@ -167,8 +196,8 @@
 // one heard of last first.
 func (t *Table) SaidOnly() []Life {
 	var out []Life
-	for l := range t.said {
-		if x := t.byName[l.Name]; x != nil && LifeOf(&x.Target) == l && !x.Leaving {
+	for l, s := range t.said {
+		if x := t.byName[l.Name]; x != nil && LifeOf(&x.Target) == l && !x.Leaving && !s.inherited {
 			out = append(out, l)
 		}
 	}
@@ -179,20 +208,25 @@
 // saidSweep is the pause between two looks at what may be forgotten.
 const saidSweep = time.Second
 
-// expireSaid forgets the lives that have had no entry for saidLinger.
-func (t *Table) expireSaid(now time.Time) {
+// expireSaid forgets the lives that have had no entry for as long as they linger, and words that
+// were inherited long ago. It says whether targets may be used again.
+func (t *Table) expireSaid(now time.Time) (again bool) {
 	if now.Sub(t.saidSwept) < saidSweep {
-		return
+		return false
 	}
 	t.saidSwept = now
 	for l, s := range t.said {
 		x := t.byName[l.Name]
+		listed := x != nil && LifeOf(&x.Target) == l
 		switch {
-		case x != nil && LifeOf(&x.Target) == l:
+		case listed && !s.inherited:
 			s.until = now.Add(l.linger())
 			t.said[l] = s
 		case now.After(s.until):
 			delete(t.said, l)
+			t.renew(x, listed)
+			again = again || listed
 		}
 	}
+	return again
 }
--- a/internal/registry/vanish.go
+++ b/internal/registry/vanish.go
@@ -80,10 +80,10 @@
 	t.gone[name] = v
 }
 
-// Expire drops the held entries whose time is over; it says whether there were any.
+// Expire drops the held entries whose time is over, and words of targets that are; it says
+// whether readers see a difference.
 func (t *Table) Expire(now time.Time) bool {
-	t.expireSaid(now)
-	changed := false
+	changed := t.expireSaid(now)
 	for name := range t.held {
 		if !now.Before(t.byName[name].until) {
 			t.remove(name, now)
