--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -137,13 +137,16 @@
 	net.Conn
 	network *memoryNetwork
 	hosts   [2]string
-	out     chan []byte
 	once    sync.Once
 	closed  chan struct{}
+	written chan struct{} // something waits to be delivered
+
+	mu      sync.Mutex
+	waiting [][]byte
 }
 
 func (n *memoryNetwork) newConn(c net.Conn, hosts [2]string) *memoryConn {
-	m := &memoryConn{Conn: c, network: n, hosts: hosts, out: make(chan []byte, 1024), closed: make(chan struct{})}
+	m := &memoryConn{Conn: c, network: n, hosts: hosts, closed: make(chan struct{}), written: make(chan struct{}, 1)}
 	go m.pump()
 	return m
 }
@@ -152,18 +155,41 @@
 	defer m.Conn.Close()
 	for {
 		select {
-		case p := <-m.out:
-			if !m.deliver(p) {
+		case <-m.written:
+			if !m.deliverAll() {
 				return
 			}
 		case <-m.closed:
-			for len(m.out) > 0 && m.deliver(<-m.out) {
-			}
+			m.deliverAll()
 			return
 		}
 	}
 }
 
+// deliverAll delivers what waits, one write a hop; false: the other end is gone.
+func (m *memoryConn) deliverAll() bool {
+	for {
+		p, some := m.next()
+		if !some {
+			return true
+		}
+		if !m.deliver(p) {
+			return false
+		}
+	}
+}
+
+// next takes the write that waits longest.
+func (m *memoryConn) next() (p []byte, some bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.waiting) == 0 {
+		return nil, false
+	}
+	p, m.waiting = m.waiting[0], m.waiting[1:]
+	return p, true
+}
+
 func (m *memoryConn) deliver(p []byte) bool {
 	time.Sleep(hop)
 	if !m.network.passes(m.hosts) {
@@ -176,11 +202,18 @@
 // Write implements net.Conn.
 func (m *memoryConn) Write(p []byte) (int, error) {
 	select {
-	case m.out <- append([]byte(nil), p...):
-		return len(p), nil
 	case <-m.closed:
 		return 0, net.ErrClosed
+	default:
+	}
+	m.mu.Lock()
+	m.waiting = append(m.waiting, append([]byte(nil), p...))
+	m.mu.Unlock()
+	select {
+	case m.written <- struct{}{}:
+	default: // the pump knows already
 	}
+	return len(p), nil
 }
 
 // Close implements net.Conn.
