Reports and orders wait for the end of a rest that their target asked for

What callers saw: a target that had turned a report away and asked for rest was asked every 100 ms on. It asked for rest anew each time, and got calls in a time for which it had asked for none of this instance.

Cause: what a target asks for bound the requests of callers only. That was a choice (docs/DECISIONS.md), which took reports to be bounded in number; they are only by the load's time, 15 s.

Before each report and before an order the instance now waits until the rest is over, for as long as the load may take; then the load ends and its outcome says why. Right before the order, behind the wait for the lease, it looks once more without a wait. No load is planned at a target that rests, since it would close the target at all instances and take a turn for nothing; one that is under way stays counted.

The tests on the code before: TestReportsWaitForRest: 24 != 1 // none in the rest TestLoadWaitsForRest: not true: time.Since(began) > 5*time.Second TestLoadEndsInRest: not true: strings.Contains(outcome, "asks for rest, nothing is sent until") TestNoLoadIsPlannedInRest: 1 != 0

--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -198,6 +198,7 @@
 	}
 	o.most = order.LoadsAtOnce(len(targets))
 	o.planner.Limit(o.most, o.most/planAhead)
+	targets = slices.DeleteFunc(targets, func(t order.Target) bool { return !t.Loading && o.g.ejected.Asks(t.Name) })
 	loads := o.planner.Plan(targets, wishes, o.g.now())
 	for _, l := range loads {
 		o.loading[l.Target] = true
@@ -246,6 +247,9 @@
 	if o.hasArrived(before, model, version, t) {
 		return "already there"
 	}
+	if err := o.mayAsk(ctx, t); err != nil {
+		return err.Error()
+	}
 	if refusal := o.order(ctx, model, version, t, before.OrderSeq); refusal != "" {
 		return refusal
 	}
@@ -277,6 +281,9 @@
 	if !held {
 		return "lease lapsed before the order"
 	}
+	if err := o.refrain(t); err != nil {
+		return err.Error()
+	}
 	metric.Orders.Inc()
 	err := o.g.engines.Load(ctx, LoadOrder{Target: t.Name, Address: t.Address, Model: model, Version: version, Holder: o.g.settings().Name,
 		Token: token, ExpectedSeq: seq, Cut: true})
@@ -295,12 +302,11 @@
 	wait.For(ctx, loadLeast)
 	for wait.For(ctx, loadPoll) {
 		r, err := o.report(ctx, t)
-		var again *StartedAgainError
-		if errors.As(err, &again) {
-			return again.Error()
+		if endsLoad(err) {
+			return err.Error()
 		}
 		if err != nil {
-			continue // a report that is lost is asked for again, until the load's time is over
+			continue
 		}
 		if o.hasArrived(r, model, version, t) {
 			return "done"
@@ -319,9 +325,12 @@
 	return err.Error()
 }
 
-// report asks a target for its report. That of another life than meant is a failure:
+// report asks a target for its report, as soon as it may. That of another life than meant is a failure:
 // its orders and weights are not those of the one that is asked.
 func (o *rollout) report(ctx context.Context, t *catalog.Target) (Report, error) {
+	if err := o.mayAsk(ctx, t); err != nil {
+		return Report{}, err
+	}
 	r, err := o.g.engines.Report(ctx, t.Address, t.Name)
 	o.g.hearWord(reporter(t, r), wordOf(r, err), registry.Teller{From: string(fromReport)})
 	if err == nil && r.Start != 0 && t.Start != 0 && r.Start != t.Start {
--- /dev/null
+++ b/internal/gateway/rollout_rest_test.go
@@ -0,0 +1,135 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shedhoist/shedhoist/internal/catalog"
+	"github.com/shedhoist/shedhoist/internal/core/order"
+	"github.com/shedhoist/shedhoist/internal/registry"
+)
+
+// countingEngines are targets that count the reports and orders that reach them.
+type countingEngines struct {
+	Engines
+	rest            time.Duration // asked for as a report is refused; 0: reports are given
+	asked           func()        // called with each report; nil: nothing
+	reports, orders int
+}
+
+// Report implements Engines.
+func (e *countingEngines) Report(context.Context, string, string) (Report, error) {
+	e.reports++
+	if e.asked != nil {
+		e.asked()
+	}
+	if e.rest > 0 {
+		return Report{}, &CallError{Call: "report", Status: http.StatusServiceUnavailable, Word: Word{Rest: e.rest}}
+	}
+	return Report{Models: []catalog.ModelVersion{{Model: "m", Version: 1}}}, nil
+}
+
+// Load implements Engines.
+func (e *countingEngines) Load(context.Context, LoadOrder) error {
+	e.orders++
+	return nil
+}
+
+// loadFleet is an instance that holds the lease and may load at one target.
+type loadFleet struct {
+	*restFleet
+	o      *rollout
+	target *catalog.Target
+}
+
+// playLoad plays such an instance.
+func playLoad(t *testing.T, e *countingEngines, play func(is *is.I, f *loadFleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRestFleet(t, 1, served)
+		defer f.end()
+		g := f.gates[0]
+		g.engines = e
+		l := &loadFleet{restFleet: f, o: g.rollout}
+		for _, x := range g.view.Load().Targets {
+			l.target = x
+		}
+		l.o.mu.Lock()
+		l.o.most = 1
+		l.o.lease = order.NewLease(order.Params{Term: time.Hour, Margin: time.Minute, Renew: time.Hour}, "e-0")
+		l.o.lease.Wrote(1, time.Now())
+		l.o.mu.Unlock()
+		play(is.New(t), l)
+	})
+}
+
+// hear brings a word of the target that came with an answer to a caller.
+func (f *loadFleet) hear(w Word) {
+	f.o.g.hearWord(f.target, w, registry.Teller{From: string(fromAnswer)})
+}
+
+// TestReportsWaitForRest guards against reports asked for in a rest that the target has asked for.
+func TestReportsWaitForRest(t *testing.T) {
+	const rest = 3 * time.Second
+	e := &countingEngines{rest: rest}
+	playLoad(t, e, func(is *is.I, f *loadFleet) {
+		ctx, cancel := context.WithTimeout(f.t.Context(), rest-time.Millisecond)
+		defer cancel()
+		_, err := f.o.report(ctx, f.target)
+		is.True(err != nil)
+		outcome := f.o.await(ctx, "m", 2, f.target, 0)
+		is.Equal(e.reports, 1) // none in the rest
+		is.True(strings.Contains(outcome, "asks for rest, nothing is sent until"))
+	})
+}
+
+// TestLoadWaitsForRest guards against a load that is lost, or that begins, in a short rest of its target.
+func TestLoadWaitsForRest(t *testing.T) {
+	e := &countingEngines{}
+	playLoad(t, e, func(is *is.I, f *loadFleet) {
+		f.hear(Word{Rest: 5 * time.Second})
+		began := time.Now()
+		is.Equal(f.o.follow(f.t.Context(), "m", 2, f.target), "not taken")
+		is.True(time.Since(began) > 5*time.Second)
+		is.Equal(e.orders, 1)
+	})
+}
+
+// TestLoadEndsInRest guards against reports and orders at a target that rests for as long as the load may take.
+func TestLoadEndsInRest(t *testing.T) {
+	for name, asks := range map[string]func(e *countingEngines, f *loadFleet){
+		"before the report": func(_ *countingEngines, f *loadFleet) { f.hear(Word{Rest: time.Minute}) },
+		"before the order":  func(e *countingEngines, f *loadFleet) { e.asked = func() { f.hear(Word{Rest: time.Minute}) } },
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := &countingEngines{}
+			playLoad(t, e, func(is *is.I, f *loadFleet) {
+				asks(e, f)
+				outcome := f.o.follow(f.t.Context(), "m", 2, f.target)
+				is.True(strings.Contains(outcome, "asks for rest, nothing is sent until"))
+				is.Equal(e.orders, 0)
+				is.Equal(e.reports == 0, e.asked == nil)
+			})
+		})
+	}
+}
+
+// TestNoLoadIsPlannedInRest guards against targets that are closed, and turns that are taken, for loads that can't begin.
+func TestNoLoadIsPlannedInRest(t *testing.T) {
+	playLoad(t, &countingEngines{}, func(is *is.I, f *loadFleet) {
+		behind := *f.target
+		behind.Models = []catalog.ModelVersion{{Model: "m", Version: 1}}
+		v := *f.o.g.view.Load()
+		v.Targets = map[string]*catalog.Target{behind.ID: &behind}
+		v.Named = map[string]Named{"m": {Version: 2}}
+		f.hear(Word{Rest: time.Second})
+		is.Equal(len(f.o.planLoads(&v)), 0)
+		time.Sleep(time.Second)
+		is.Equal(len(f.o.planLoads(&v)), 1)
+	})
+}
