Reports that are refused leave the target to callers for a while

What callers saw: for as long as a load was followed at a target that turned reports away and asked for 1 s of rest each time, all of them were refused by the instance.

Cause: the report that came right at the end of a rest was refused like the one before, and its refusal asked for rest anew, which binds callers' requests too. The load that was planned after that one went on in the same way.

A refusal of a report or an order that asks for rest is now followed by no other for three times that rest, in this load or the next.

--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -85,6 +85,8 @@
 	seq     uint64          // of the news told
 	told    time.Time       // when
 	fenced  fence           // after another's hold
+
+	spared map[string]time.Time // ids of targets, see spare
 }
 
 // rollOut brings targets to the weight versions named, while the lease is here.
@@ -99,7 +101,7 @@
 
 func newRollout(g *Gateway) *rollout {
 	set := g.settings()
-	return &rollout{g: g, lease: order.NewLease(leaseParams, set.Name), planner: order.NewPlanner(loadTime), loading: map[string]bool{}, most: order.MaxLoads}
+	return &rollout{g: g, lease: order.NewLease(leaseParams, set.Name), planner: order.NewPlanner(loadTime), loading: map[string]bool{}, most: order.MaxLoads, spared: map[string]time.Time{}}
 }
 
 // round does what is due now.
@@ -198,7 +200,9 @@
 	}
 	o.most = order.LoadsAtOnce(len(targets))
 	o.planner.Limit(o.most, o.most/planAhead)
-	targets = slices.DeleteFunc(targets, func(t order.Target) bool { return !t.Loading && o.g.ejected.Asks(t.Name) })
+	targets = slices.DeleteFunc(targets, func(t order.Target) bool {
+		return !t.Loading && (o.g.ejected.Asks(t.Name) || now.Before(o.spared[t.Name]))
+	})
 	loads := o.planner.Plan(targets, wishes, o.g.now())
 	for _, l := range loads {
 		o.loading[l.Target] = true
@@ -289,6 +293,7 @@
 		Token: token, ExpectedSeq: seq, Cut: true})
 	o.g.log.WithField("target", t.ID).WithField("model", model).WithField("version", version).WithField("token", token).
 		WithField("expected", seq).WithField("error", errText(err)).Info("load ordered")
+	o.spare(t, wordOf(Report{}, err).Rest)
 	var call *CallError
 	if errors.As(err, &call) && call.Status != 0 && call.Status != http.StatusConflict {
 		return "refused with status " + strconv.Itoa(call.Status)
@@ -332,6 +337,7 @@
 		return Report{}, err
 	}
 	r, err := o.g.engines.Report(ctx, t.Address, t.Name)
+	o.spare(t, wordOf(r, err).Rest)
 	o.g.hearWord(reporter(t, r), wordOf(r, err), registry.Teller{From: string(fromReport)})
 	if err == nil && r.Start != 0 && t.Start != 0 && r.Start != t.Start {
 		return Report{}, &StartedAgainError{Target: t.ID, Start: r.Start}
--- a/internal/gateway/rollout_rest.go
+++ b/internal/gateway/rollout_rest.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
@@ -37,12 +38,34 @@
 
 // refrain says why a target must not be asked for a report, or given an order, now.
 func (o *rollout) refrain(t *catalog.Target) error {
-	if until, asks := o.g.ejected.Asked()[t.ID]; asks {
+	until := o.g.ejected.Asked()[t.ID]
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if spared := o.spared[t.ID]; spared.After(until) {
+		until = spared
+	}
+	if o.g.now().Before(until) {
 		return &RestsError{Target: t.ID, Until: until}
 	}
 	return nil
 }
 
+// spareFactor times the rest that a refused report or order brought is how long no other
+// follows: callers, which that rest binds too, have the target for the greater part of it.
+const spareFactor = 3
+
+// spare takes the rest that a target asked for as it refused a report or an order; 0: none.
+func (o *rollout) spare(t *catalog.Target, rest time.Duration) {
+	if rest <= 0 {
+		return
+	}
+	now := o.g.now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	maps.DeleteFunc(o.spared, func(_ string, until time.Time) bool { return !now.Before(until) })
+	o.spared[t.ID] = now.Add(spareFactor * rest)
+}
+
 // endsLoad says whether a load that is followed ends with a report's failure. One that is lost
 // is asked for again, until the load's time is over.
 func endsLoad(err error) bool {
--- a/internal/gateway/rollout_rest_test.go
+++ b/internal/gateway/rollout_rest_test.go
@@ -133,3 +133,33 @@
 		is.Equal(len(f.o.planLoads(&v)), 1)
 	})
 }
+
+// TestReportsLeaveTimeToCallers guards against reports that renew a rest again and again, so that callers are refused.
+func TestReportsLeaveTimeToCallers(t *testing.T) {
+	const during = 13 * time.Second
+	for name, ask := range map[string]func(ctx context.Context, f *loadFleet){
+		"a load that is followed": func(ctx context.Context, f *loadFleet) { f.o.await(ctx, "m", 2, f.target, 0) },
+		"load after load": func(ctx context.Context, f *loadFleet) {
+			for ctx.Err() == nil {
+				f.o.follow(ctx, "m", 2, f.target)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			playLoad(t, &countingEngines{rest: time.Second}, func(is *is.I, f *loadFleet) {
+				ctx, cancel := context.WithTimeout(f.t.Context(), during)
+				defer cancel()
+				done := make(chan struct{})
+				go func() {
+					ask(ctx, f)
+					close(done)
+				}()
+				time.Sleep(time.Second)
+				answers := f.press(pathSafe, 100*time.Millisecond, during-time.Second)
+				<-done
+				is.True(count(answers, restAnswer.ours) <= len(answers)/2)
+				is.Equal(count(answers, restAnswer.ours)+count(answers, func(a restAnswer) bool { return a.status == http.StatusOK }), len(answers))
+			})
+		})
+	}
+}
