A load ends at a target that has said meanwhile that it leaves

What was seen: a load that had been planned, and waited for its turn, asked its target for a report and ordered weights there though the target had said in the meantime that it leaves, or its entry was gone.

Cause: whether a target leaves was looked up as the load was planned, and in that view only. What the first report itself said of leaving was passed over as well: it is noted by the control goroutine, and the order did not wait for it.

Before each report, and right before the order, the load now looks at the current view, and ends with an outcome that says so. The first report's own word is read at once.

The tests on the code before: TestLoadEndsAtLeaver: 5 != 0 (reports; 5 != 1 where the word comes before the order) TestLoadEndsAsReportSaysLeaving: not true: strings.Contains(f.o.follow(f.t.Context(), "m", 2, f.target), "leaves or is gone") TestFollowedLoadEndsAtLeaver: not true: strings.Contains(outcome, "leaves or is gone")

--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -251,6 +251,9 @@
 	if o.hasArrived(before, model, version, t) {
 		return "already there"
 	}
+	if before.Word.Leaving {
+		return (&LeavesError{Target: t.ID}).Error()
+	}
 	if err := o.mayAsk(ctx, t); err != nil {
 		return err.Error()
 	}
--- a/internal/gateway/rollout_rest.go
+++ b/internal/gateway/rollout_rest.go
@@ -24,8 +24,14 @@
 	return e.Target + " asks for rest, nothing is sent until " + e.Until.UTC().Format(time.RFC3339Nano)
 }
 
-// mayAsk waits until a target may be asked for a report, or given an order. It fails if the
-// load's time is over before that.
+// LeavesError says that a target is asked nothing since it leaves.
+type LeavesError struct{ Target string }
+
+// Error implements error.
+func (e *LeavesError) Error() string { return e.Target + " leaves or is gone" }
+
+// mayAsk waits until a target may be asked for a report, or given an order. It fails if that
+// leaves, or if the load's time is over before its rest.
 func (o *rollout) mayAsk(ctx context.Context, t *catalog.Target) error {
 	for {
 		err := o.refrain(t)
@@ -38,6 +44,9 @@
 
 // refrain says why a target must not be asked for a report, or given an order, now.
 func (o *rollout) refrain(t *catalog.Target) error {
+	if latest := o.g.view.Load().Targets[t.ID]; latest == nil || latest.Leaves() {
+		return &LeavesError{Target: t.ID}
+	}
 	until := o.g.ejected.Asked()[t.ID]
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -70,6 +79,7 @@
 // is asked for again, until the load's time is over.
 func endsLoad(err error) bool {
 	var again *StartedAgainError
+	var leaves *LeavesError
 	var rests *RestsError
-	return errors.As(err, &again) || errors.As(err, &rests)
+	return errors.As(err, &again) || errors.As(err, &leaves) || errors.As(err, &rests)
 }
--- a/internal/gateway/rollout_rest_test.go
+++ b/internal/gateway/rollout_rest_test.go
@@ -20,6 +20,7 @@
 	Engines
 	rest            time.Duration // asked for as a report is refused; 0: reports are given
 	asked           func()        // called with each report; nil: nothing
+	word            Word          // of the reports that are given
 	reports, orders int
 }
 
@@ -32,7 +33,7 @@
 	if e.rest > 0 {
 		return Report{}, &CallError{Call: "report", Status: http.StatusServiceUnavailable, Word: Word{Rest: e.rest}}
 	}
-	return Report{Models: []catalog.ModelVersion{{Model: "m", Version: 1}}}, nil
+	return Report{Models: []catalog.ModelVersion{{Model: "m", Version: 1}}, Word: e.word}, nil
 }
 
 // Load implements Engines.
@@ -163,3 +164,59 @@
 		})
 	}
 }
+
+// TestLoadEndsAtLeaver guards against reports and orders at a target that has said, since its load was planned, that it leaves.
+func TestLoadEndsAtLeaver(t *testing.T) {
+	leave := func(f *loadFleet) {
+		f.hear(Word{Leaving: true})
+		synctest.Wait()
+	}
+	gone := func(f *loadFleet) {
+		f.store.remove(memoryTargets, f.target.Name)
+		time.Sleep(time.Minute)
+	}
+	for name, c := range map[string]struct {
+		before, asked func(f *loadFleet) // called before the load, and in its first report
+		reports       int
+	}{
+		"says so before the report":            {before: leave},
+		"is gone before the report":            {before: gone},
+		"says so to a caller before the order": {asked: leave, reports: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := &countingEngines{}
+			playLoad(t, e, func(is *is.I, f *loadFleet) {
+				if c.before != nil {
+					c.before(f)
+				}
+				if c.asked != nil {
+					e.asked = func() { c.asked(f) }
+				}
+				outcome := f.o.follow(f.t.Context(), "m", 2, f.target)
+				is.Equal(e.reports, c.reports)
+				is.Equal(e.orders, 0)
+				is.True(strings.Contains(outcome, "leaves or is gone"))
+			})
+		})
+	}
+}
+
+// TestLoadEndsAsReportSaysLeaving guards against an order that follows a report by which its target leaves.
+func TestLoadEndsAsReportSaysLeaving(t *testing.T) {
+	e := &countingEngines{word: Word{Leaving: true}}
+	playLoad(t, e, func(is *is.I, f *loadFleet) {
+		is.True(strings.Contains(f.o.follow(f.t.Context(), "m", 2, f.target), "leaves or is gone"))
+		is.Equal(e.reports, 1)
+		is.Equal(e.orders, 0)
+	})
+}
+
+// TestFollowedLoadEndsAtLeaver guards against reports asked of a target that has said that it leaves after it took an order.
+func TestFollowedLoadEndsAtLeaver(t *testing.T) {
+	e := &countingEngines{word: Word{Leaving: true}}
+	playLoad(t, e, func(is *is.I, f *loadFleet) {
+		outcome := f.o.await(f.t.Context(), "m", 2, f.target, 0)
+		is.True(strings.Contains(outcome, "leaves or is gone"))
+		is.Equal(e.reports, 1)
+	})
+}
