Each peer is told of all targets that leave, whoever else is told between

What was seen: where more targets leave than fit into a message, two peers that are told in strict turn hear of half of them each, always the same half; the others get requests there until the entries tell.

Cause: one count for all peers of how far the words have been told, so that each message goes on where that to another peer ended.

The count is now held by peer, for answers to a peer and for messages to one whose name is known; messages to several share one. News starts all of them anew, so that each peer hears of the latest first. The counts are dropped as soon as all fit into a message.

The test on the code before (probes by greeting, as greetingTo is new), in both cases: TestEachPeerHearsOfAllLeavers: 16 != 40

--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -40,7 +40,7 @@
 // this instance heard itself.
 type leavingWords struct {
 	heard, own uint64
-	turn       int // see tellLeaving
+	turns      map[string]int // by peer, see tellLeavingTo
 }
 
 // hearLeaving takes a target's own word that it leaves. All its answers give it; the first one
@@ -62,7 +62,7 @@
 	if c.targets.Leaves(e.life, e.by, c.now()) {
 		c.leaving.heard++
 		c.leaving.own++
-		c.leaving.turn = 0
+		c.leaving.turns = nil
 	}
 }
 
@@ -80,20 +80,31 @@
 	for _, l := range lives {
 		if c.targets.Leaves(l, registry.Teller{From: string(fromPeer), By: from.Name}, c.now()) {
 			c.leaving.heard++
-			c.leaving.turn = 0
+			c.leaving.turns = nil
 		}
 	}
 }
 
-// tellLeaving names lives that have said that they leave to a peer, as long as their entries
-// don't. Of more than fit into a message those heard of last go first, and each message goes on
-// where the one before ended.
-func (c *control) tellLeaving() Leavers {
+// tellLeaving is tellLeavingTo for a message to several peers, or to one whose name is not known.
+func (c *control) tellLeaving() Leavers { return c.tellLeavingTo("") }
+
+// tellLeavingTo names lives that have said that they leave to a peer, as long as their entries
+// don't. Of more than fit into a message those heard of last go first, and each message to the
+// peer goes on where the one before ended.
+func (c *control) tellLeavingTo(peer string) Leavers {
 	all := c.targets.SaidOnly()
-	if c.leaving.turn >= len(all) {
-		c.leaving.turn = 0
+	if len(all) <= mostLeavers {
+		c.leaving.turns = nil
+		return all
+	}
+	if c.leaving.turns == nil {
+		c.leaving.turns = map[string]int{}
+	}
+	from := c.leaving.turns[peer]
+	if from >= len(all) {
+		from = 0
 	}
-	out := all[c.leaving.turn:min(c.leaving.turn+mostLeavers, len(all))]
-	c.leaving.turn += len(out)
-	return out
+	end := min(from+mostLeavers, len(all))
+	c.leaving.turns[peer] = end
+	return all[from:end]
 }
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -221,7 +221,7 @@
 	var hello *Hello
 	g.query(func(c *control) {
 		if c.known().lacks(p.have) {
-			hello = c.greeting(true)
+			hello = c.greetingTo(p.from.Name, true)
 		}
 	})
 	if hello == nil {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -93,7 +93,7 @@
 	defer cancel()
 	var w Welcome
 	hello := &Hello{}
-	h.g.query(func(c *control) { hello = c.greeting(false) })
+	h.g.query(func(c *control) { hello = c.greetingTo(req.Name, false) })
 	err := h.g.pool.Call(ctx, req.Address, peerService+".Hello", hello, &w)
 	out.OK = err == nil && w.From.Name == req.Name
 	return nil
@@ -108,7 +108,7 @@
 	c.members.Receive(req.Updates, now)
 	c.hearConfig(req.Have, req.From)
 	c.hearLeaving(req.Leaving, req.From)
-	out := Welcome{From: c.members.Self(), Have: c.have(), Members: c.members.Live(), Leaving: c.tellLeaving()}
+	out := Welcome{From: c.members.Self(), Have: c.have(), Members: c.members.Live(), Leaving: c.tellLeavingTo(req.From.Name)}
 	if req.Join {
 		out.Updates, out.Ages = c.members.Members(), c.ages()
 	} else {
@@ -120,10 +120,17 @@
 	return out
 }
 
-// greeting is a Hello with all that is known here.
-func (c *control) greeting(need bool) *Hello {
+// greeting is a Hello with all that is known here, to whichever peer.
+func (c *control) greeting(need bool) *Hello { return c.greetingWith(c.tellLeaving(), need) }
+
+// greetingTo is a greeting to a peer that is known.
+func (c *control) greetingTo(peer string, need bool) *Hello {
+	return c.greetingWith(c.tellLeavingTo(peer), need)
+}
+
+func (c *control) greetingWith(leaving Leavers, need bool) *Hello {
 	return &Hello{From: c.members.Self(), Have: c.have(), Known: c.known(), Need: need, Alone: !c.storeOK,
-		Members: c.members.Live(), Leaving: c.tellLeaving()}
+		Members: c.members.Live(), Leaving: leaving}
 }
 
 // lacksMembers says whether a peer that knows so many live members is to be asked for all.
@@ -162,7 +169,7 @@
 func (g *Gateway) probePeers(c *control) {
 	need := !c.storeOK
 	for _, p := range c.members.Tick(c.now()) {
-		hello := c.greeting(need)
+		hello := c.greetingTo(p.To, need)
 		hello.Updates = p.Updates
 		g.start(func() { g.hello(p, hello) })
 	}
@@ -296,10 +303,10 @@
 		var probe member.Probe
 		var hello *Hello
 		g.query(func(c *control) {
-			hello = c.greeting(true)
 			for _, m := range c.members.Sample(1) {
 				probe = member.Probe{To: m.Name, Address: m.Address}
 			}
+			hello = c.greetingTo(probe.To, true)
 		})
 		if probe.Address != "" {
 			g.start(func() { g.hello(probe, hello) })
