A call looks for a rest again when its wait before the next attempt is over

What was seen: a call to a service was sent to an instance that had asked another call for rest in the last moments.

Cause: whether the instance asks for rest was looked up before the wait that precedes a third or later attempt, which may last up to half a second, and not behind it.

The look that counts is now the last thing before the send. The one before the wait only spares the wait where the instance is passed over anyway.

The test on the code before: TestCallSeesRestAskedInBackoff: 2 != 1

--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -92,13 +92,15 @@
 	var cause error
 	retries, asking := 0, false
 	for _, inst := range d.order(req) {
-		if d.callees.Asks(inst.Name) {
+		if !d.callees.Asks(inst.Name) {
+			backoff(ctx, retries)
+		}
+		att := why.Attempt{Target: inst.Name, StartMS: d.sinceMS(req.Arrived)}
+		if d.callees.Asks(inst.Name) { // perhaps since the wait only
 			asking = true
 			continue
 		}
-		backoff(ctx, retries)
 		retries++
-		att := why.Attempt{Target: inst.Name, StartMS: d.sinceMS(req.Arrived)}
 		answer, err := d.Targets.Do(ctx, target.Call{Target: inst.Name, Address: inst.Address, Method: req.Method, Path: req.Path,
 			Header: req.Header, Body: req.Body, ID: req.ID, EchoesID: req.Service.EchoesID, Idempotent: idempotent, MaxAnswer: d.Answer})
 		ev := attempt.Done
