A run looks for a rest again when the stores have told what they keep

What was seen: a run was sent to a target that had asked another run for rest while the stores were asked about the first one's prompt, up to 0.25 s.

Cause: the names that ask for rest were taken before that lookup. What was found led to another pick within the same bounds, and where nothing was found to none.

Behind the lookup the pick is made again, without what has asked for rest since, if something was found or the target that was chosen asks; if no target is left within the bounds, the choice begins anew. The look at sick targets is not repeated otherwise, since it takes their trials.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -57,7 +57,9 @@
 	if dec.Target != nil && l.worthLookup(&dec) {
 		if k = l.d.lookup(l.ctx, l.view.Config, l.keys, l.names, dec.FirstMS); k.found.Covered > 0 {
 			q.Stored, q.StoreMS = k.found.Covered, k.ms
-			route.Pick(l.view.Targets, &q, l.params(), l.d.beliefs(), &dec)
+		}
+		if k.found.Covered > 0 || l.d.ejected.Asks(dec.Target.Name) {
+			l.chooseAgain(&q, &dec)
 		}
 	}
 	att := why.Attempt{StartMS: l.sinceMS(), Filtered: dec.Filtered, Action: dec.Action.String(), PredictedMS: dec.FirstMS,
@@ -99,6 +101,16 @@
 	l.asking = l.wouldServe(*q, resting)
 }
 
+// chooseAgain picks within the bounds of the choice before, without what has asked for rest
+// since, or else chooses anew.
+func (l *Live) chooseAgain(q *route.Query, dec *route.Decision) {
+	q.Exclude = append(asking(l.d.ejected), q.Exclude...)
+	route.Pick(l.view.Targets, q, l.params(), l.d.beliefs(), dec)
+	if dec.Target == nil {
+		l.choose(q, dec)
+	}
+}
+
 // wouldServe says whether one of the targets that ask for rest could take the run.
 func (l *Live) wouldServe(q route.Query, resting []string) bool {
 	if len(resting) == 0 {
