A test for what follows a refused order

Orders whose refusal asks for rest are spared in the same way as reports, which no test covered. Without the line that takes note of an order's refusal the test fails: TestRefusedOrderIsNotRepeatedAtOnce: not true: e.orders <= int(during/(spareFactor*rest))

--- a/internal/gateway/rollout_rest_test.go
+++ b/internal/gateway/rollout_rest_test.go
@@ -20,6 +20,7 @@
 	Engines
 	rest            time.Duration // asked for as a report is refused; 0: reports are given
 	asked           func()        // called with each report; nil: nothing
+	orderRest       time.Duration // asked for as an order is refused; 0: orders are taken
 	word            Word          // of the reports that are given
 	reports, orders int
 }
@@ -39,6 +40,9 @@
 // Load implements Engines.
 func (e *countingEngines) Load(context.Context, LoadOrder) error {
 	e.orders++
+	if e.orderRest > 0 {
+		return &CallError{Call: "order", Status: http.StatusServiceUnavailable, Word: Word{Rest: e.orderRest}}
+	}
 	return nil
 }
 
@@ -220,3 +224,18 @@
 		is.Equal(e.reports, 1)
 	})
 }
+
+// TestRefusedOrderIsNotRepeatedAtOnce guards against loads, planned one after the other, whose refused orders renew a rest again and again.
+func TestRefusedOrderIsNotRepeatedAtOnce(t *testing.T) {
+	const rest, during = time.Second, 12 * time.Second
+	e := &countingEngines{orderRest: rest}
+	playLoad(t, e, func(is *is.I, f *loadFleet) {
+		ctx, cancel := context.WithTimeout(f.t.Context(), during)
+		defer cancel()
+		for ctx.Err() == nil {
+			f.o.follow(ctx, "m", 2, f.target)
+		}
+		is.True(e.orders > 1)
+		is.True(e.orders <= int(during/(spareFactor*rest)))
+	})
+}
