--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -85,6 +85,8 @@
 	seq     uint64          // of the news told
 	told    time.Time       // when
 	fenced  fence           // after another's hold
+
+	spared map[string]time.Time // ids of targets, see spare
 }
 
 // rollOut brings targets to the weight versions named, while the lease is here.
@@ -99,7 +101,7 @@
 
 func newRollout(g *Gateway) *rollout {
 	set := g.settings()
-	return &rollout{g: g, lease: order.NewLease(leaseParams, set.Name), planner: order.NewPlanner(loadTime), loading: map[string]bool{}, most: order.MaxLoads}
+	return &rollout{g: g, lease: order.NewLease(leaseParams, set.Name), planner: order.NewPlanner(loadTime), loading: map[string]bool{}, most: order.MaxLoads, spared: map[string]time.Time{}}
 }
 
 // round does what is due now.
@@ -198,6 +200,9 @@
 	}
 	o.most = order.LoadsAtOnce(len(targets))
 	o.planner.Limit(o.most, o.most/planAhead)
+	targets = slices.DeleteFunc(targets, func(t order.Target) bool {
+		return !t.Loading && (o.g.ejected.Asks(t.Name) || now.Before(o.spared[t.Name]))
+	})
 	loads := o.planner.Plan(targets, wishes, o.g.now())
 	for _, l := range loads {
 		o.loading[l.Target] = true
@@ -246,6 +251,12 @@
 	if o.hasArrived(before, model, version, t) {
 		return "already there"
 	}
+	if before.Word.Leaving {
+		return (&LeavesError{Target: t.ID}).Error()
+	}
+	if err := o.mayAsk(ctx, t); err != nil {
+		return err.Error()
+	}
 	if refusal := o.order(ctx, model, version, t, before.OrderSeq); refusal != "" {
 		return refusal
 	}
@@ -277,13 +288,18 @@
 	if !held {
 		return "lease lapsed before the order"
 	}
+	if err := o.refrain(t); err != nil {
+		return err.Error()
+	}
 	metric.Orders.Inc()
 	by := registry.Teller{From: string(fromOrder), Sent: o.g.now()}
 	word, err := o.g.engines.Load(ctx, LoadOrder{Target: t.Name, Address: t.Address, Model: model, Version: version, Holder: o.g.settings().Name,
 		Token: token, ExpectedSeq: seq, Cut: true})
-	o.g.hearWord(t, wordOf(word, err), by)
+	word = wordOf(word, err)
+	o.g.hearWord(t, word, by)
 	o.g.log.WithField("target", t.ID).WithField("model", model).WithField("version", version).WithField("token", token).
 		WithField("expected", seq).WithField("error", errText(err)).Info("load ordered")
+	o.spare(t, word.Rest)
 	var call *CallError
 	if errors.As(err, &call) && call.Status != 0 && call.Status != http.StatusConflict {
 		return "refused with status " + strconv.Itoa(call.Status)
@@ -297,12 +313,11 @@
 	wait.For(ctx, loadLeast)
 	for wait.For(ctx, loadPoll) {
 		r, err := o.report(ctx, t)
-		var again *StartedAgainError
-		if errors.As(err, &again) {
-			return again.Error()
+		if endsLoad(err) {
+			return err.Error()
 		}
 		if err != nil {
-			continue // a report that is lost is asked for again, until the load's time is over
+			continue
 		}
 		if o.hasArrived(r, model, version, t) {
 			return "done"
@@ -321,15 +336,20 @@
 	return err.Error()
 }
 
-// report asks a target for its report. That of another life than meant is a failure:
+// report asks a target for its report, as soon as it may. That of another life than meant is a failure:
 // its orders and weights are not those of the one that is asked.
 func (o *rollout) report(ctx context.Context, t *catalog.Target) (Report, error) {
+	if err := o.mayAsk(ctx, t); err != nil {
+		return Report{}, err
+	}
 	by := registry.Teller{From: string(fromReport), Sent: o.g.now()}
 	r, err := o.g.engines.Report(ctx, t.Address, t.Name)
 	if r.Start != 0 {
 		by.Sent = time.Time{} // it tells its life
 	}
-	o.g.hearWord(reporter(t, r), wordOf(r.Word, err), by)
+	word := wordOf(r.Word, err)
+	o.spare(t, word.Rest)
+	o.g.hearWord(reporter(t, r), word, by)
 	if err == nil && r.Start != 0 && t.Start != 0 && r.Start != t.Start {
 		return Report{}, &StartedAgainError{Target: t.ID, Start: r.Start}
 	}
--- /dev/null
+++ b/internal/gateway/rollout_rest_test.go
@@ -0,0 +1,241 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shedhoist/shedhoist/internal/catalog"
+	"github.com/shedhoist/shedhoist/internal/core/order"
+	"github.com/shedhoist/shedhoist/internal/registry"
+)
+
+// countingEngines are targets that count the reports and orders that reach them.
+type countingEngines struct {
+	Engines
+	rest            time.Duration // asked for as a report is refused; 0: reports are given
+	asked           func()        // called with each report; nil: nothing
+	orderRest       time.Duration // asked for as an order is refused; 0: orders are taken
+	word            Word          // of the reports that are given
+	reports, orders int
+}
+
+// Report implements Engines.
+func (e *countingEngines) Report(context.Context, string, string) (Report, error) {
+	e.reports++
+	if e.asked != nil {
+		e.asked()
+	}
+	if e.rest > 0 {
+		return Report{}, &CallError{Call: "report", Status: http.StatusServiceUnavailable, Word: Word{Rest: e.rest}}
+	}
+	return Report{Models: []catalog.ModelVersion{{Model: "m", Version: 1}}, Word: e.word}, nil
+}
+
+// Load implements Engines.
+func (e *countingEngines) Load(context.Context, LoadOrder) (Word, error) {
+	e.orders++
+	if e.orderRest > 0 {
+		return Word{}, &CallError{Call: "order", Status: http.StatusServiceUnavailable, Word: Word{Rest: e.orderRest}}
+	}
+	return Word{}, nil
+}
+
+// loadFleet is an instance that holds the lease and may load at one target.
+type loadFleet struct {
+	*restFleet
+	o      *rollout
+	target *catalog.Target
+}
+
+// playLoad plays such an instance.
+func playLoad(t *testing.T, e *countingEngines, play func(is *is.I, f *loadFleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRestFleet(t, 1, served)
+		defer f.end()
+		g := f.gates[0]
+		g.engines = e
+		l := &loadFleet{restFleet: f, o: g.rollout}
+		for _, x := range g.view.Load().Targets {
+			l.target = x
+		}
+		l.o.mu.Lock()
+		l.o.most = 1
+		l.o.lease = order.NewLease(order.Params{Term: time.Hour, Margin: time.Minute, Renew: time.Hour}, "e-0")
+		l.o.lease.Wrote(1, time.Now())
+		l.o.mu.Unlock()
+		play(is.New(t), l)
+	})
+}
+
+// hear brings a word of the target that came with an answer to a caller.
+func (f *loadFleet) hear(w Word) {
+	f.o.g.hearWord(f.target, w, registry.Teller{From: string(fromAnswer)})
+}
+
+// TestReportsWaitForRest guards against reports asked for in a rest that the target has asked for.
+func TestReportsWaitForRest(t *testing.T) {
+	const rest = 3 * time.Second
+	e := &countingEngines{rest: rest}
+	playLoad(t, e, func(is *is.I, f *loadFleet) {
+		ctx, cancel := context.WithTimeout(f.t.Context(), rest-time.Millisecond)
+		defer cancel()
+		_, err := f.o.report(ctx, f.target)
+		is.True(err != nil)
+		outcome := f.o.await(ctx, "m", 2, f.target, 0)
+		is.Equal(e.reports, 1) // none in the rest
+		is.True(strings.Contains(outcome, "asks for rest, nothing is sent until"))
+	})
+}
+
+// TestLoadWaitsForRest guards against a load that is lost, or that begins, in a short rest of its target.
+func TestLoadWaitsForRest(t *testing.T) {
+	e := &countingEngines{}
+	playLoad(t, e, func(is *is.I, f *loadFleet) {
+		f.hear(Word{Rest: 5 * time.Second})
+		began := time.Now()
+		is.Equal(f.o.follow(f.t.Context(), "m", 2, f.target), "not taken")
+		is.True(time.Since(began) > 5*time.Second)
+		is.Equal(e.orders, 1)
+	})
+}
+
+// TestLoadEndsInRest guards against reports and orders at a target that rests for as long as the load may take.
+func TestLoadEndsInRest(t *testing.T) {
+	for name, asks := range map[string]func(e *countingEngines, f *loadFleet){
+		"before the report": func(_ *countingEngines, f *loadFleet) { f.hear(Word{Rest: time.Minute}) },
+		"before the order":  func(e *countingEngines, f *loadFleet) { e.asked = func() { f.hear(Word{Rest: time.Minute}) } },
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := &countingEngines{}
+			playLoad(t, e, func(is *is.I, f *loadFleet) {
+				asks(e, f)
+				outcome := f.o.follow(f.t.Context(), "m", 2, f.target)
+				is.True(strings.Contains(outcome, "asks for rest, nothing is sent until"))
+				is.Equal(e.orders, 0)
+				is.Equal(e.reports == 0, e.asked == nil)
+			})
+		})
+	}
+}
+
+// TestNoLoadIsPlannedInRest guards against targets that are closed, and turns that are taken, for loads that can't begin.
+func TestNoLoadIsPlannedInRest(t *testing.T) {
+	playLoad(t, &countingEngines{}, func(is *is.I, f *loadFleet) {
+		behind := *f.target
+		behind.Models = []catalog.ModelVersion{{Model: "m", Version: 1}}
+		v := *f.o.g.view.Load()
+		v.Targets = map[string]*catalog.Target{behind.ID: &behind}
+		v.Named = map[string]Named{"m": {Version: 2}}
+		f.hear(Word{Rest: time.Second})
+		is.Equal(len(f.o.planLoads(&v)), 0)
+		time.Sleep(time.Second)
+		is.Equal(len(f.o.planLoads(&v)), 1)
+	})
+}
+
+// TestReportsLeaveTimeToCallers guards against reports that renew a rest again and again, so that callers are refused.
+func TestReportsLeaveTimeToCallers(t *testing.T) {
+	const during = 13 * time.Second
+	for name, ask := range map[string]func(ctx context.Context, f *loadFleet){
+		"a load that is followed": func(ctx context.Context, f *loadFleet) { f.o.await(ctx, "m", 2, f.target, 0) },
+		"load after load": func(ctx context.Context, f *loadFleet) {
+			for ctx.Err() == nil {
+				f.o.follow(ctx, "m", 2, f.target)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			playLoad(t, &countingEngines{rest: time.Second}, func(is *is.I, f *loadFleet) {
+				ctx, cancel := context.WithTimeout(f.t.Context(), during)
+				defer cancel()
+				done := make(chan struct{})
+				go func() {
+					ask(ctx, f)
+					close(done)
+				}()
+				time.Sleep(time.Second)
+				answers := f.press(pathSafe, 100*time.Millisecond, during-time.Second)
+				<-done
+				is.True(count(answers, restAnswer.ours) <= len(answers)/2)
+				is.Equal(count(answers, restAnswer.ours)+count(answers, func(a restAnswer) bool { return a.status == http.StatusOK }), len(answers))
+			})
+		})
+	}
+}
+
+// TestLoadEndsAtLeaver guards against reports and orders at a target that has said, since its load was planned, that it leaves.
+func TestLoadEndsAtLeaver(t *testing.T) {
+	leave := func(f *loadFleet) {
+		f.hear(Word{Leaving: true})
+		synctest.Wait()
+	}
+	gone := func(f *loadFleet) {
+		f.store.remove(memoryTargets, f.target.Name)
+		time.Sleep(time.Minute)
+	}
+	for name, c := range map[string]struct {
+		before, asked func(f *loadFleet) // called before the load, and in its first report
+		reports       int
+	}{
+		"says so before the report":            {before: leave},
+		"is gone before the report":            {before: gone},
+		"says so to a caller before the order": {asked: leave, reports: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := &countingEngines{}
+			playLoad(t, e, func(is *is.I, f *loadFleet) {
+				if c.before != nil {
+					c.before(f)
+				}
+				if c.asked != nil {
+					e.asked = func() { c.asked(f) }
+				}
+				outcome := f.o.follow(f.t.Context(), "m", 2, f.target)
+				is.Equal(e.reports, c.reports)
+				is.Equal(e.orders, 0)
+				is.True(strings.Contains(outcome, "leaves or is gone"))
+			})
+		})
+	}
+}
+
+// TestLoadEndsAsReportSaysLeaving guards against an order that follows a report by which its target leaves.
+func TestLoadEndsAsReportSaysLeaving(t *testing.T) {
+	e := &countingEngines{word: Word{Leaving: true}}
+	playLoad(t, e, func(is *is.I, f *loadFleet) {
+		is.True(strings.Contains(f.o.follow(f.t.Context(), "m", 2, f.target), "leaves or is gone"))
+		is.Equal(e.reports, 1)
+		is.Equal(e.orders, 0)
+	})
+}
+
+// TestFollowedLoadEndsAtLeaver guards against reports asked of a target that has said that it leaves after it took an order.
+func TestFollowedLoadEndsAtLeaver(t *testing.T) {
+	e := &countingEngines{word: Word{Leaving: true}}
+	playLoad(t, e, func(is *is.I, f *loadFleet) {
+		outcome := f.o.await(f.t.Context(), "m", 2, f.target, 0)
+		is.True(strings.Contains(outcome, "leaves or is gone"))
+		is.Equal(e.reports, 1)
+	})
+}
+
+// TestRefusedOrderIsNotRepeatedAtOnce guards against loads, planned one after the other, whose refused orders renew a rest again and again.
+func TestRefusedOrderIsNotRepeatedAtOnce(t *testing.T) {
+	const rest, during = time.Second, 12 * time.Second
+	e := &countingEngines{orderRest: rest}
+	playLoad(t, e, func(is *is.I, f *loadFleet) {
+		ctx, cancel := context.WithTimeout(f.t.Context(), during)
+		defer cancel()
+		for ctx.Err() == nil {
+			f.o.follow(ctx, "m", 2, f.target)
+		}
+		is.True(e.orders > 1)
+		is.True(e.orders <= int(during/(spareFactor*rest)))
+	})
+}
