A rest keeps no load back, and thins its reports

With reports and orders bound by any rest, new weights came late or never: a load whose target had asked a caller for 10 s ended after 10.7 s (2 s before), kept the target closed to callers at all instances and held its turn all the while, and where callers renewed the rest no load was planned at all. Found by review.

A load sends its report and its order whatever rest callers were told of, which is two requests; after these its next report waits for the rest's end, 3 s at most. A refused report or order keeps the next load there back for three times the rest that it brought, 3 s at most.

--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -86,7 +86,7 @@
 	told    time.Time       // when
 	fenced  fence           // after another's hold
 
-	spared map[string]time.Time // ids of targets, see spare
+	heldOff map[string]time.Time // ids of targets, see holdOff
 }
 
 // rollOut brings targets to the weight versions named, while the lease is here.
@@ -101,7 +101,7 @@
 
 func newRollout(g *Gateway) *rollout {
 	set := g.settings()
-	return &rollout{g: g, lease: order.NewLease(leaseParams, set.Name), planner: order.NewPlanner(loadTime), loading: map[string]bool{}, most: order.MaxLoads, spared: map[string]time.Time{}}
+	return &rollout{g: g, lease: order.NewLease(leaseParams, set.Name), planner: order.NewPlanner(loadTime), loading: map[string]bool{}, most: order.MaxLoads, heldOff: map[string]time.Time{}}
 }
 
 // round does what is due now.
@@ -201,7 +201,7 @@
 	o.most = order.LoadsAtOnce(len(targets))
 	o.planner.Limit(o.most, o.most/planAhead)
 	targets = slices.DeleteFunc(targets, func(t order.Target) bool {
-		return !t.Loading && (o.g.ejected.Asks(t.Name) || now.Before(o.spared[t.Name]))
+		return !t.Loading && now.Before(o.heldOff[t.Name])
 	})
 	loads := o.planner.Plan(targets, wishes, o.g.now())
 	for _, l := range loads {
@@ -244,6 +244,9 @@
 		}
 	}
 	defer o.end()
+	if err := o.mayBegin(t); err != nil {
+		return err.Error()
+	}
 	before, err := o.report(ctx, t)
 	if err != nil {
 		return "no report: " + err.Error()
@@ -254,9 +257,6 @@
 	if before.Word.Leaving {
 		return (&LeavesError{Target: t.ID}).Error()
 	}
-	if err := o.mayAsk(ctx, t); err != nil {
-		return err.Error()
-	}
 	if refusal := o.order(ctx, model, version, t, before.OrderSeq); refusal != "" {
 		return refusal
 	}
@@ -288,7 +288,7 @@
 	if !held {
 		return "lease lapsed before the order"
 	}
-	if err := o.refrain(t); err != nil {
+	if err := o.stays(t); err != nil {
 		return err.Error()
 	}
 	metric.Orders.Inc()
@@ -299,7 +299,7 @@
 	o.g.hearWord(t, word, by)
 	o.g.log.WithField("target", t.ID).WithField("model", model).WithField("version", version).WithField("token", token).
 		WithField("expected", seq).WithField("error", errText(err)).Info("load ordered")
-	o.spare(t, word.Rest)
+	o.holdOff(t, word.Rest)
 	var call *CallError
 	if errors.As(err, &call) && call.Status != 0 && call.Status != http.StatusConflict {
 		return "refused with status " + strconv.Itoa(call.Status)
@@ -311,13 +311,15 @@
 func (o *rollout) await(ctx context.Context, model string, version uint64, t *catalog.Target, seq uint64) string {
 	sent := o.g.now()
 	wait.For(ctx, loadLeast)
-	for wait.For(ctx, loadPoll) {
+	for wait.For(ctx, o.pollPause(t)) {
 		r, err := o.report(ctx, t)
-		if endsLoad(err) {
+		var again *StartedAgainError
+		var leaves *LeavesError
+		if errors.As(err, &again) || errors.As(err, &leaves) {
 			return err.Error()
 		}
 		if err != nil {
-			continue
+			continue // a report that is lost is asked for again, until the load's time is over
 		}
 		if o.hasArrived(r, model, version, t) {
 			return "done"
@@ -336,10 +338,10 @@
 	return err.Error()
 }
 
-// report asks a target for its report, as soon as it may. That of another life than meant is a failure:
+// report asks a target for its report. That of another life than meant is a failure:
 // its orders and weights are not those of the one that is asked.
 func (o *rollout) report(ctx context.Context, t *catalog.Target) (Report, error) {
-	if err := o.mayAsk(ctx, t); err != nil {
+	if err := o.stays(t); err != nil {
 		return Report{}, err
 	}
 	by := registry.Teller{From: string(fromReport), Sent: o.g.now()}
@@ -348,7 +350,7 @@
 		by.Sent = time.Time{} // it tells its life
 	}
 	word := wordOf(r.Word, err)
-	o.spare(t, word.Rest)
+	o.holdOff(t, word.Rest)
 	o.g.hearWord(reporter(t, r), word, by)
 	if err == nil && r.Start != 0 && t.Start != 0 && r.Start != t.Start {
 		return Report{}, &StartedAgainError{Target: t.ID, Start: r.Start}
