A life's own word stands beside the one it has inherited, and an inherited rest ends by itself

A target that had inherited the word that it leaves, and then said so itself in a report or within 200 ms, was used again after 30 s, since that word was taken for one that is known: requests to a target that leaves. And a healthy target whose life before had asked for an hour of rest got no requests for that hour from an instance whose clock is ahead. Both found by review.

The view tells which word is inherited, and every own one is passed on then; an inherited rest lasts 30 s at most, as an inherited word does. Failed before: TestOwnWordAfterInherited (not true: SaidLeaving, two cases), TestInheritedRestEnds (an hour in place of 30 s).

--- a/internal/breaker/asked.go
+++ b/internal/breaker/asked.go
@@ -56,13 +56,16 @@
 	b.asked[name] = e
 }
 
-// Pass gives the rest that one name has asked for to another, if the time of the last call that
-// was answered so shows that the other gave the answer.
-func (b *Set) Pass(from, to string, gave func(sent time.Time) bool) {
+// Pass gives the rest that one name has asked for, or most of it from now on, to another, if the
+// time of the last call that was answered so shows that the other gave the answer.
+func (b *Set) Pass(from, to string, most time.Duration, gave func(sent time.Time) bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.endAsked()
 	e, held := b.asked[from]
+	if last := b.now().Add(most); e.until.After(last) {
+		e.until = last
+	}
 	if held && e.until.After(b.asked[to].until) && gave(e.sent) {
 		b.keepAsked(to, e)
 	}
--- a/internal/breaker/pass_test.go
+++ b/internal/breaker/pass_test.go
@@ -33,6 +33,7 @@
 			s.AskInAnswer("a", 5*time.Second, at(60))
 			s.Ask("b", 20*time.Second)
 		}, map[string]time.Time{"a": at(105), "b": at(120)}},
+		{"for longer than is passed", func(s *breaker.Set) { s.AskInAnswer("a", time.Hour, at(60)) }, map[string]time.Time{"a": at(3700), "b": at(115)}},
 		{"nobody asked", func(*breaker.Set) {}, nil},
 	}
 	for _, c := range cases {
@@ -40,7 +41,7 @@
 			is := is.New(t)
 			s := breaker.New(func() time.Time { return at(100) })
 			c.act(s)
-			s.Pass("a", "b", func(sent time.Time) bool { return sent.After(at(50)) })
+			s.Pass("a", "b", 15*time.Second, func(sent time.Time) bool { return sent.After(at(50)) })
 			is.Equal(s.Asked(), c.want)
 		})
 	}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -236,6 +236,8 @@
 	ColdUntil time.Time `cbor:"-"`
 	// SaidLeaving says that it has said itself, in an answer, that it takes no new requests.
 	SaidLeaving bool `cbor:"-"`
+	// SaidInherited says that clocks alone ascribe that word to this life.
+	SaidInherited bool `cbor:"-"`
 	// SaidTo is when the last request was sent whose answer told this instance so; zero: none.
 	SaidTo time.Time `cbor:"-"`
 	// Unusable says that the entry can't be read as one of a server: nothing is sent there.
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -52,7 +52,8 @@
 // hearLeaving takes a target's own word that it leaves. All its answers give it; the first one
 // changes the belief.
 func (g *Gateway) hearLeaving(t *catalog.Target, by registry.Teller) {
-	if known := g.view.Load().Targets[t.ID]; known != nil && known.SaidLeaving && by.Sent.Sub(known.SaidTo) < followEvery {
+	known := g.view.Load().Targets[t.ID]
+	if known != nil && known.SaidLeaving && !known.SaidInherited && by.Sent.Sub(known.SaidTo) < followEvery {
 		return
 	}
 	g.send(targetLeaves{life: registry.LifeOf(t), by: by})
@@ -76,7 +77,7 @@
 // already.
 func (g *Gateway) nextLife(c *control, n registry.NextLife) {
 	now := c.now()
-	g.ejected.Pass(n.Before, n.ID, func(sent time.Time) bool { return registry.Answered(n.Start, sent, now) })
+	g.ejected.Pass(n.Before, n.ID, registry.InheritedMost, func(sent time.Time) bool { return registry.Answered(n.Start, sent, now) })
 }
 
 // leaversTold brings the same by a peer.
--- a/internal/gateway/leaving_lives_test.go
+++ b/internal/gateway/leaving_lives_test.go
@@ -131,3 +131,46 @@
 		is.Equal(g.ejected.Asked(), map[string]time.Time{want: time.UnixMilli(31_000)})
 	}
 }
+
+// TestOwnWordAfterInherited guards against a life's own word that it leaves being taken for the one it
+// has inherited, which ends by itself.
+func TestOwnWordAfterInherited(t *testing.T) {
+	for name, own := range map[string]func(sent time.Time) registry.Teller{
+		"in a report": func(time.Time) registry.Teller { return registry.Teller{From: string(fromReport)} },
+		"in an answer": func(sent time.Time) registry.Teller {
+			return registry.Teller{From: string(fromAnswer), Sent: sent.Add(followEvery / 4)}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newLeavingFleet(t, 1, 1)
+				defer f.end()
+				g, s := f.gates[0], f.speakers[0]
+				next := catalog.Target{Name: s.name, Start: s.born}.Identify()
+				before := catalog.Target{Name: s.name, Start: s.born - 1000}.Identify()
+				sent := time.Now()
+				g.hearWord(&before, Word{Leaving: true}, registry.Teller{From: string(fromAnswer), Sent: sent})
+				synctest.Wait()
+				is.True(g.view.Load().Targets[next.ID].SaidInherited)
+				g.hearWord(&next, Word{Leaving: true}, own(sent))
+				time.Sleep(registry.InheritedMost + 5*time.Second)
+				is.True(g.view.Load().Targets[next.ID].SaidLeaving)
+			})
+		})
+	}
+}
+
+// TestInheritedRestEnds guards against a healthy life that rests for long since clocks have it inherit
+// the rest of the life before.
+func TestInheritedRestEnds(t *testing.T) {
+	const before, next = 10_000, 20_000 // starts, Unix ms
+	is := is.New(t)
+	clock := func() time.Time { return time.UnixMilli(30_000) }
+	g := &Gateway{now: clock, ejected: breaker.New(clock), log: &log.Logger{Handler: discard.Default}}
+	meant := catalog.Target{Name: "i-1", Start: before}.Identify()
+	listed := catalog.Target{Name: "i-1", Start: next}.Identify()
+	g.view.Store(&View{Targets: map[string]*catalog.Target{listed.ID: &listed}})
+	g.hearWord(&meant, Word{Rest: time.Hour}, registry.Teller{From: string(fromAnswer), Sent: time.UnixMilli(25_000)})
+	is.Equal(g.ejected.Asked(), map[string]time.Time{listed.ID: clock().Add(registry.InheritedMost)})
+}
--- a/internal/gateway/word.go
+++ b/internal/gateway/word.go
@@ -24,7 +24,9 @@
 // giveRest keeps callers' requests from a target that wants none for some time. Each instance
 // goes by what it was told itself: a target asks those of which it gets too much.
 func (g *Gateway) giveRest(t *catalog.Target, rest time.Duration, by registry.Teller) {
-	t = g.answering(t, by)
+	if next := g.answering(t, by); next != t {
+		t, rest = next, min(rest, registry.InheritedMost)
+	}
 	until, news := g.ejected.AskInAnswer(t.ID, rest, by.Sent)
 	if !news {
 		return
--- a/internal/registry/leaves.go
+++ b/internal/registry/leaves.go
@@ -21,10 +21,6 @@
 	// unbornLinger is the same for a life whose start is not told. The next of its name can't be
 	// told from it, and would be left out for as long as it has an entry.
 	unbornLinger = 5 * ReturnTime
-	// inheritedLinger is how long a life is left out by a word that it has inherited. Clocks may be
-	// wrong by more than clockDoubt; a life that leaves will mostly have ended by then, or says so
-	// again.
-	inheritedLinger = 30 * time.Second
 	// maxSaid bounds the lives without an entry that are remembered.
 	maxSaid = 4096
 	// maxName bounds the names of lives that peers speak of, in bytes.
@@ -35,6 +31,10 @@
 	clockDoubt = 100 * time.Millisecond
 )
 
+// InheritedMost is how long a life is left out by a word that it has inherited. Clocks may be wrong
+// by more than clockDoubt; a life that leaves will mostly have ended by then, or says so again.
+const InheritedMost = 30 * time.Second
+
 // Life names one life of a target.
 type Life struct {
 	Name  string `cbor:"1,keyasint"`
@@ -134,7 +134,7 @@
 	s.sent = sent
 	if !known {
 		t.saidNumber++
-		s.number, s.inherited, s.until = t.saidNumber, true, now.Add(inheritedLinger)
+		s.number, s.inherited, s.until = t.saidNumber, true, now.Add(InheritedMost)
 		t.logLeaves(x, by)
 	}
 	t.said[l] = s
--- a/internal/registry/next_life_test.go
+++ b/internal/registry/next_life_test.go
@@ -130,9 +130,9 @@
 				is.True(tt.Leaves(Life{"a", 950_000}, Teller{From: "report"}, at0))
 			}
 			is.Equal(len(tt.SaidOnly()) > 0, own) // peers are told
-			tt.Expire(at0.Add(inheritedLinger))
+			tt.Expire(at0.Add(InheritedMost))
 			is.True(tt.Entry("a").Leaves())
-			is.Equal(tt.Expire(at0.Add(inheritedLinger+2*saidSweep)), !own) // readers see it
+			is.Equal(tt.Expire(at0.Add(InheritedMost+2*saidSweep)), !own) // readers see it
 			is.Equal(tt.Entry("a").Leaves(), own)
 		})
 	}
--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -276,7 +276,7 @@
 // set keeps an entry in place of the one of its name.
 func (t *Table) set(x *Entry) {
 	s, said := t.said[LifeOf(&x.Target)]
-	x.SaidLeaving, x.SaidTo = said, s.sent
+	x.SaidLeaving, x.SaidInherited, x.SaidTo = said, s.inherited, s.sent
 	old := t.byName[x.Name]
 	if old != nil {
 		x.Rank = old.Rank
@@ -324,7 +324,7 @@
 // sameTarget says whether two words of a target differ in nothing that readers use.
 func sameTarget(a, b *catalog.Target) bool {
 	return a.ID == b.ID && a.Unusable == b.Unusable && a.Service == b.Service && a.Address == b.Address && a.Zone == b.Zone &&
-		a.Leaving == b.Leaving && a.SaidLeaving == b.SaidLeaving && a.SaidTo.Equal(b.SaidTo) && a.ColdUntil.Equal(b.ColdUntil) && slices.Equal(a.Models, b.Models)
+		a.Leaving == b.Leaving && a.SaidLeaving == b.SaidLeaving && a.SaidInherited == b.SaidInherited && a.SaidTo.Equal(b.SaidTo) && a.ColdUntil.Equal(b.ColdUntil) && slices.Equal(a.Models, b.Models)
 }
 
 // mayLog says whether one more line may be written of the present word.
