--- a/internal/e2e/recovery_test.go
+++ b/internal/e2e/recovery_test.go
@@ -29,6 +29,9 @@
 // connection is a visible end; a wrong or torn text never is.
 func crowd(t *testing.T, f *fleet.Fleet, callers int) *load {
 	t.Helper()
+	if err := f.WaitReady(t.Context()); err != nil { // callers are sent to instances that are ready, if any is
+		t.Fatal(err)
+	}
 	l := &load{}
 	ctx, cancel := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
