--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -155,7 +155,7 @@
 type CacheEvents struct {
 	Epoch   uint64
 	Next    uint64
-	Gap     bool // events before these are no longer known
+	Gap     bool // some of the events up to Next are left out
 	ClockMS float64
 	Events  []stock.Event
 	// Unreadable is how many events can't be read and are left out; Gap is true then.
