Cache: a save that is not over is told to all, and its part is not fetched until it is

Callers could lose an answer made on half a part by a save that is held up: on a link, in a target's queue, or since its caller left. It has no end, so it may take place when the store has started again, while others fetch the part that another save had brought there. What stood against them were guards at the sender, each for what an instance happens to know of its target; a save sent in the first 500 ms of a silence met none.

Now Bounds.SaveTime holds by itself: an instance tells which of its saves are not over with the words of load (120 ms in a small fleet, 50 ms a step in a large one, relayed like silences), and nobody fetches those parts meanwhile. A save is over 0.2 s after its request was answered; one whose request was left, when its target was heard of again, when nobody has found the target silent for 1.5 s, or after 10 s. An instance with more than 64 such parts asks for no more saves.

Open: a save whose instance ends or is cut off from all others while the request is held up is told by nobody.

--- a/internal/core/stock/bounds_test.go
+++ b/internal/core/stock/bounds_test.go
@@ -24,10 +24,12 @@
 	writing map[stock.Key]time.Time // by when the write is over
 	log     []stock.Event
 	lost    map[int]bool // events that are never told, by place in the log
+
+	lateUntil map[stock.Key]time.Time // by when a late write is over
 }
 
 func newModelStore(epoch uint64) *modelStore {
-	return &modelStore{epoch: epoch, held: map[stock.Key]bool{}, writing: map[stock.Key]time.Time{}, lost: map[int]bool{}}
+	return &modelStore{epoch: epoch, held: map[stock.Key]bool{}, writing: map[stock.Key]time.Time{}, lost: map[int]bool{}, lateUntil: map[stock.Key]time.Time{}}
 }
 
 func (s *modelStore) tells(e stock.Event, lost bool) {
@@ -59,6 +61,7 @@
 // modelSave is a save that was asked for and has not taken place.
 type modelSave struct {
 	key   stock.Key
+	told  time.Time // from then on all know that it is late
 	until time.Time // by when it is over
 }
 
@@ -128,7 +131,13 @@
 		return
 	}
 	m.counts["write"]++
-	m.store.writing[s.key] = s.until
+	until := s.until
+	if !m.now.Before(s.told) { // it is told until it is over
+		until = m.now.Add(2 * tick)
+		m.store.lateUntil[s.key] = until
+		m.counts["late"]++
+	}
+	m.store.writing[s.key] = until
 	m.check()
 }
 
@@ -210,13 +219,17 @@
 		return
 	}
 	m.counts["save"]++
-	m.saves = append(m.saves, modelSave{key: k, until: m.now.Add(modelBounds.SaveTime)})
+	s := modelSave{key: k, told: m.now.Add(modelBounds.SaveTime), until: m.now.Add(modelBounds.SaveTime)}
+	if m.chance("held up", 4) {
+		s.until = s.until.Add(time.Duration(m.draw("held up for", 60)) * tick)
+	}
+	m.saves = append(m.saves, s)
 }
 
 // fetch lets an instance decide to fetch a part, if it may.
 func (m *cacheModel) fetch(i int) {
 	k := m.key()
-	if m.instances[i].Fetchable(k, m.clock(i), modelBounds.FetchAge, modelBounds) == 0 {
+	if m.isLate(k) || m.instances[i].Fetchable(k, m.clock(i), modelBounds.FetchAge, modelBounds) == 0 {
 		return
 	}
 	m.counts["fetch"]++
@@ -229,6 +242,16 @@
 // chance is true once in n times.
 func (m *cacheModel) chance(name string, n int) bool { return m.draw(name, n) == 0 }
 
+// isLate says whether a save of a part is known to be late.
+func (m *cacheModel) isLate(k stock.Key) bool {
+	for _, s := range m.saves {
+		if s.key == k && !m.now.Before(s.told) {
+			return true
+		}
+	}
+	return m.now.Before(m.store.lateUntil[k])
+}
+
 // step lets some instances ask, some answers arrive, and one more thing happen.
 func (m *cacheModel) step() {
 	for i := range m.instances {
@@ -306,7 +329,7 @@
 		}
 	})
 	t.Log("in all", total)
-	for _, k := range []string{"save", "write", "fetch", "restart", "free"} {
+	for _, k := range []string{"save", "write", "fetch", "restart", "free", "late"} {
 		if total[k] == 0 {
 			t.Error("the model never came to a", k)
 		}
--- /dev/null
+++ b/internal/core/stock/saves.go
@@ -0,0 +1,85 @@
+package stock
+
+import (
+	"slices"
+	"time"
+)
+
+// Saves are an instance's own saves that may not be over. A save has no end of its own: it is
+// over when its request is answered, and one whose request was left unanswered may take
+// place for as long as its target is silent. The zero value has none.
+type Saves struct{ pending []*Save }
+
+// Save is what one request asks a target to save.
+type Save struct {
+	Target string
+	parts  []Key
+	began  time.Time
+	left   time.Time // when its request was given up without an answer; zero: it was not
+	over   time.Time // zero: not known yet
+}
+
+// Times of saves.
+const (
+	// writeTime is how long a target may go on writing once it has answered.
+	writeTime = 200 * time.Millisecond
+	// lostTime is the longest for which a request that was given up may be under way.
+	lostTime = 10 * time.Second
+	// doubtTime is how long nothing is known of the target of a request that was given up:
+	// others ask it meanwhile, and tell if it answers none of them.
+	doubtTime = 1500 * time.Millisecond
+)
+
+// Signs are what is known of a target.
+type Signs struct {
+	Heard  time.Time     // when it last answered this instance anything; zero: never
+	Silent time.Duration // for how long it has answered nothing that it was asked, by anybody
+}
+
+// Begin notes a request that asks a target to save parts.
+func (s *Saves) Begin(target string, parts []Key, now time.Time) *Save {
+	x := &Save{Target: target, parts: parts, began: now}
+	s.pending = append(s.pending, x)
+	return x
+}
+
+// Answered notes that a save's request was answered.
+func (x *Save) Answered(now time.Time) { x.over = now.Add(writeTime) }
+
+// NotSent notes that a save's request never left.
+func (x *Save) NotSent(now time.Time) { x.over = now }
+
+// Left notes that a save's request was given up without an answer.
+func (x *Save) Left(now time.Time) { x.left, x.over = now, now.Add(lostTime) }
+
+// Late returns the parts of the saves that have been under way for some time or longer, by
+// the signs of their targets.
+func (s *Saves) Late(now time.Time, after time.Duration, signs func(target string) Signs) []Key {
+	s.pending = slices.DeleteFunc(s.pending, func(x *Save) bool {
+		if !x.left.IsZero() {
+			x.settle(now, signs(x.Target))
+		}
+		return !x.over.IsZero() && !now.Before(x.over)
+	})
+	var out []Key
+	for _, x := range s.pending {
+		if now.Sub(x.began) >= after {
+			out = append(out, x.parts...)
+		}
+	}
+	return out
+}
+
+// settle says when a save that was left is over, by what is known of its target now.
+func (x *Save) settle(now time.Time, is Signs) {
+	over := x.over
+	switch {
+	case is.Heard.After(x.left):
+		over = is.Heard.Add(writeTime)
+	case now.Sub(x.left) >= doubtTime && is.Silent < doubtTime:
+		over = now
+	}
+	if over.Before(x.over) {
+		x.over = over
+	}
+}
--- a/internal/gateway/cache.go
+++ b/internal/gateway/cache.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
 	"github.com/shedhoist/shedhoist/internal/core/stock"
+	"github.com/shedhoist/shedhoist/internal/loads"
 	"github.com/shedhoist/shedhoist/internal/metric"
 	"github.com/shedhoist/shedhoist/internal/wait"
 )
@@ -61,6 +63,7 @@
 	inventories map[string]*inventory // by address
 	journal     stock.Journal
 	saving      map[stock.Key]time.Time
+	saves       stock.Saves
 	clock       float64   // servers' clock, ms, at clockAt
 	clockAt     time.Time // zero: not known
 }
@@ -276,15 +279,22 @@
 		return out // no end could be stated for a fetch
 	}
 	now := c.g.now()
+	late := c.late(now)
 	for i, p := range parts[:max(len(parts)-1, 0)] {
 		key := stock.Key{Salt: salt, Part: p.ID}
-		if src := c.find(stores, key, now); src.tokens >= p.Tokens {
+		if src := c.find(stores, key, now); src.tokens >= p.Tokens && !c.isLate(key, late, now) {
 			out[i] = src
 		}
 	}
 	return out
 }
 
+// isLate says whether a save of a part is late: this instance's own, or another's.
+func (c *cacheDirectory) isLate(k stock.Key, own []loads.Key, now time.Time) bool {
+	key := partKey(k)
+	return slices.Contains(own, key) || c.g.lateSaves.Has(key, now)
+}
+
 // plan says for each part where it is fetched from, and where it is kept if no
 // store is known to have it: by preference in the zone of the target that reads it. keep
 // says whether anything is to be kept. It is not at a target that has been silent: the
@@ -298,6 +308,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.g.now()
+	keep = keep && len(c.late(now)) < loads.MostLateSaves
 	out.parts = make([]PartPlan, len(parts))
 	for i, p := range parts[:len(parts)-1] {
 		key := stock.Key{Salt: salt, Part: p.ID}
@@ -315,7 +326,7 @@
 		if to := c.home(stores, key, p.Tokens, i == 0 && c.g.settings().Policy.HeadsApart, zone, now); to != "" {
 			out.parts[i].SaveTo = to
 			c.saving[key] = now
-			out.saves++
+			out.saved = append(out.saved, key)
 		}
 	}
 	return out
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -283,7 +283,7 @@
 		e = e.WithField("first_ms", x.firstMS).WithField("predicted_ms", x.predictedMS)
 	}
 	if x.plan.version > 0 {
-		e = e.WithField("weights", x.plan.version).WithField("fetch_ms", x.asks.FetchMS).WithField("target_zone", x.lastZone).WithField("fetched_parts", x.plan.fetches).WithField("saved_parts", x.plan.saves).WithField("link", x.asks.Link).
+		e = e.WithField("weights", x.plan.version).WithField("fetch_ms", x.asks.FetchMS).WithField("target_zone", x.lastZone).WithField("fetched_parts", x.plan.fetches).WithField("saved_parts", len(x.plan.saved)).WithField("link", x.asks.Link).
 			WithField("read_tokens", x.asks.ReadTokens)
 		if x.plan.silentMS > 0 {
 			e = e.WithField("not_saved_target_silent_ms", x.plan.silentMS)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -109,6 +109,7 @@
 	predictor   *place.Predictor
 	others      *loads.Heard
 	silences    *loads.Silences
+	lateSaves   *loads.LateSaves
 	cache       *cacheDirectory
 	rollout     *rollout
 	inHand      atomic.Int64
@@ -136,7 +137,7 @@
 	g.crashes = &crashes{g: g, m: map[string]*crashCheck{}}
 	g.ejected = breaker.New(g.now)
 	g.predictor = place.NewPredictor()
-	g.others, g.silences = loads.NewHeard(loadAge), loads.NewSilences(loadAge)
+	g.others, g.silences, g.lateSaves = loads.NewHeard(loadAge), loads.NewSilences(loadAge), loads.NewLateSaves(loadAge)
 	g.cache = newCacheDirectory(g)
 	g.rollout = newRollout(g)
 	g.budgets.g = g
--- /dev/null
+++ b/internal/gateway/late_saves.go
@@ -0,0 +1,98 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/shedhoist/shedhoist/internal/core/stock"
+	"github.com/shedhoist/shedhoist/internal/loads"
+)
+
+// lateAfter is how long a save may be under way before the others are told of it: they know by
+// the end of stock.Bounds' SaveTime, and fetch the part only when it is no longer told.
+const lateAfter = 50 * time.Millisecond
+
+// partKey names a part in words of late saves. If two parts share one, a save of either makes
+// both late.
+func partKey(k stock.Key) loads.Key { return loads.KeyOf(k.Salt + "/" + k.Part) }
+
+// ownLate are the parts of this instance's own late saves.
+func (c *cacheDirectory) ownLate() []loads.Key {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.late(c.g.now())
+}
+
+// late is ownLate at a time; c.mu is held.
+func (c *cacheDirectory) late(now time.Time) []loads.Key {
+	var out []loads.Key
+	for _, k := range c.saves.Late(now, lateAfter, c.signs) {
+		out = append(out, partKey(k))
+	}
+	return out
+}
+
+// signs are what is known of a target.
+func (c *cacheDirectory) signs(target string) stock.Signs {
+	own := &c.g.upstream.work.Of(target).Silence
+	now := c.g.now()
+	return stock.Signs{Heard: own.Heard(), Silent: own.Among(c.g.silences.Since(loads.KeyOf(target), now), now)}
+}
+
+// beginSave notes what a request asks a target to save; nil: nothing.
+func (c *cacheDirectory) beginSave(target string, parts []stock.Key) *stock.Save {
+	if len(parts) == 0 {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.saves.Begin(target, parts, c.g.now())
+}
+
+// How the request of a save ended.
+type saveEnd int
+
+const (
+	saveAnswered saveEnd = iota
+	saveNotSent
+	saveLeft // without any word of the target
+)
+
+// endSave notes how the request of a save ended.
+func (c *cacheDirectory) endSave(s *stock.Save, how saveEnd) {
+	if s == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.g.now()
+	switch how {
+	case saveAnswered:
+		s.Answered(now)
+	case saveNotSent:
+		s.NotSent(now)
+	case saveLeft:
+		s.Left(now)
+	}
+}
+
+// shareLate is what a neighbour is told of late saves: all that this instance knows of but what
+// the neighbour hears for itself.
+func (n neighbour) shareLate(own []loads.Key, others map[string][]loads.Key) []loads.Key {
+	told := map[loads.Key]bool{}
+	for _, k := range own {
+		told[k] = true
+	}
+	for from, late := range others {
+		if !n.relayed[from] {
+			continue
+		}
+		for _, k := range late {
+			told[k] = true
+		}
+	}
+	out := make([]loads.Key, 0, len(told))
+	for k := range told {
+		out = append(out, k)
+	}
+	return out
+}
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -37,6 +37,8 @@
 	Targets []loads.Load `cbor:"3,keyasint,omitempty"`
 	// Silent are targets that answer nothing, by what is told in the same way.
 	Silent []loads.Silent `cbor:"4,keyasint,omitempty"`
+	// Late are parts whose saves are late, by what is told in the same way.
+	Late []loads.Key `cbor:"5,keyasint,omitempty"`
 }
 
 // Heard is the answer to Loads.
@@ -46,6 +48,7 @@
 func (h *peerHandler) Loads(req *Loads, _ *Heard) error {
 	h.g.others.Take(req.From, req.Seq, req.Targets, h.g.now())
 	h.g.silences.Take(req.From, req.Seq, req.Silent, h.g.now())
+	h.g.lateSaves.Take(req.From, req.Seq, req.Late, h.g.now())
 	return nil
 }
 
@@ -79,20 +82,21 @@
 	return loadEveryStep
 }
 
-// tellLoads tells the neighbours what is under way, and which targets are silent, as long as
-// there is any.
+// tellLoads tells the neighbours what is under way, which targets are silent and which saves
+// are late, as long as there is any.
 func (g *Gateway) tellLoads(ctx context.Context) {
 	told := map[string]bool{} // neighbours whose last word was not empty
 	for seq := uint64(1); wait.For(ctx, g.loadPace()); seq++ {
 		own, others := g.ownLoads(), g.others.Words(g.now())
 		silent, silences := g.ownSilences(), g.silences.Words(g.now())
+		late, lates := g.cache.ownLate(), g.lateSaves.Words(g.now())
 		tree := g.view.Load().Tree
 		for _, n := range tree.neighbours() {
 			if tree.far(n.Member) && seq%otherZonesStep != 0 {
 				continue
 			}
-			l := &Loads{From: g.settings().Name, Seq: seq, Targets: n.share(own, others).Told(), Silent: n.shareSilences(silent, silences)}
-			news := len(l.Targets)+len(l.Silent) > 0
+			l := &Loads{From: g.settings().Name, Seq: seq, Targets: n.share(own, others).Told(), Silent: n.shareSilences(silent, silences), Late: n.shareLate(late, lates)}
+			news := len(l.Targets)+len(l.Silent)+len(l.Late) > 0
 			if !news && !told[n.Name] {
 				continue
 			}
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -26,7 +26,8 @@
 	version uint64 // weight version that the plan is for
 	parts   []PartPlan
 	fetches int
-	saves   int
+	saved   []stock.Key
+	save    *stock.Save // notes when what is saved is over; nil: nothing is saved
 	// silentMS is how long the target had been silent if that kept saves back, else 0.
 	silentMS int64
 }
@@ -142,6 +143,7 @@
 	if silent >= answerDue {
 		x.plan.silentMS = silent.Milliseconds()
 	}
+	x.plan.save = x.g.cache.beginSave(t.ID, x.plan.saved)
 	x.logSaves(t, salt)
 	return &ModelAttempt{Priority: x.urgency(), Version: version, Salt: salt, Cache: x.plan.parts,
 		FetchUntilMS: x.g.cache.clockMS(x.fetchUntil())}
@@ -150,7 +152,7 @@
 // logSaves writes a line on what the target shall keep in which store: a save that comes
 // late can then be traced to its request.
 func (x *exchange) logSaves(t *catalog.Target, salt string) {
-	if x.plan.saves == 0 {
+	if len(x.plan.saved) == 0 {
 		return
 	}
 	ok, leftOut := x.g.saves.allow(x.g.now())
--- a/internal/gateway/silences_test.go
+++ b/internal/gateway/silences_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -54,3 +55,13 @@
 	g.upstream.work.Of("busy").Silence.Asked(now.Add(-answerDue + time.Millisecond))
 	is.Equal(g.ownSilences(), []loads.Silent{{Target: loads.KeyOf("silent"), MS: answerDue.Milliseconds()}})
 }
+
+// TestLateSavesAreRelayed guards against late saves that only the instances next to their teller
+// hear of in a large fleet, and against words that return to their teller.
+func TestLateSavesAreRelayed(t *testing.T) {
+	is := is.New(t)
+	n := neighbour{relayed: map[string]bool{"child": true}}
+	got := n.shareLate([]loads.Key{1, 4}, map[string][]loads.Key{"child": {1, 2}, "parent": {3}})
+	slices.Sort(got)
+	is.Equal(got, []loads.Key{1, 2, 4})
+}
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -106,9 +106,11 @@
 		at.watch = time.AfterFunc(x.patience(), func() { x.leave(at, cancel) })
 		defer at.watch.Stop()
 	}
+	x.plan = cachePlan{}
 	out := x.outgoing(t)
 	at.load.Silence.Asked(at.began)
 	resp, way, err := x.g.upstream.send(ctx, out)
+	x.g.cache.endSave(x.plan.save, endOfSave(way, err, ctx.Err() != nil))
 	leavePlace()
 	if err != nil && ctx.Err() != nil {
 		at.load.Silence.Left(at.began, x.g.now(), answerDue)
@@ -144,6 +146,17 @@
 	return end
 }
 
+// endOfSave says how a request that asks for saves ended.
+func endOfSave(way netx.Way, err error, left bool) saveEnd {
+	switch {
+	case err != nil && !way.Sent:
+		return saveNotSent
+	case left || errors.Is(err, syscall.ETIMEDOUT):
+		return saveLeft
+	}
+	return saveAnswered // or the target closed the connection, and works on it no more
+}
+
 // mayTryAgain lets a request go to the same target by a new connection, if it failed on a kept
 // one that had ended, or on which the answer to another request lay: that says nothing of
 // the target.
--- a/internal/inflight/silence.go
+++ b/internal/inflight/silence.go
@@ -54,6 +54,13 @@
 	}
 }
 
+// Heard is the time of the target's last sign; zero: there was none.
+func (s *Silence) Heard() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.heard
+}
+
 // For is how long the silence has lasted.
 func (s *Silence) For(now time.Time) time.Duration {
 	s.mu.Lock()
