A target that answers others is not silent to those who wait in its queue

Cause: words of silent targets. A target counts as silent for an instance that has heard nothing of it since another began to wait there.

Change: whoever has heard of a target since another tells it to be silent says so with the same words, along the same ways, and that ends what is believed of it. What is silent to all who ask stays told.

TestQueuesAreNoSilence is new (it needs the new word, so it can't be run before); TestNoSavesAtAServerSilentToOthers and TestNoSavesAtASilentServer pass unchanged.

--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -37,6 +37,8 @@
 	Targets []loads.Load `cbor:"3,keyasint,omitempty"`
 	// Silent are targets that answer nothing, by what is told in the same way.
 	Silent []loads.Silent `cbor:"4,keyasint,omitempty"`
+	// Heard are targets that others told to be silent and that have answered, MS ago.
+	Heard []loads.Silent `cbor:"6,keyasint,omitempty"`
 	// Late are parts whose saves are late, by what is told in the same way.
 	Late []loads.Key `cbor:"5,keyasint,omitempty"`
 }
@@ -48,6 +50,7 @@
 func (h *peerHandler) Loads(req *Loads, _ *Heard) error {
 	h.g.others.Take(req.From, req.Seq, req.Targets, h.g.now())
 	h.g.silences.Take(req.From, req.Seq, req.Silent, h.g.now())
+	h.g.silences.TakeHeard(req.From, req.Seq, req.Heard, h.g.now())
 	h.g.lateSaves.Take(req.From, req.Seq, req.Late, h.g.now())
 	return nil
 }
@@ -74,6 +77,31 @@
 	return out
 }
 
+// ownHeard are the targets that others tell to be silent and that have answered this instance
+// since.
+func (g *Gateway) ownHeard(silences map[string][]loads.Silent) []loads.Silent {
+	var out []loads.Silent
+	now := g.now()
+	since := map[loads.Key]int64{} // for how many ms
+	for _, told := range silences {
+		for _, s := range told {
+			since[s.Target] = max(since[s.Target], s.MS)
+		}
+	}
+	if len(since) == 0 {
+		return nil
+	}
+	g.upstream.work.Each(func(target string, load *inflight.Load) {
+		k := loads.KeyOf(target)
+		ms, told := since[k]
+		ago := now.Sub(load.Silence.Heard()).Milliseconds()
+		if told && ago < ms && len(out) < loads.MostSilent {
+			out = append(out, loads.Silent{Target: k, MS: ago})
+		}
+	})
+	return out
+}
+
 // loadPace is the time between two words.
 func (g *Gateway) loadPace() time.Duration {
 	if g.view.Load().Tree.small {
@@ -89,14 +117,15 @@
 	for seq := uint64(1); wait.For(ctx, g.loadPace()); seq++ {
 		own, others := g.ownLoads(), g.others.Words(g.now())
 		silent, silences := g.ownSilences(), g.silences.Words(g.now())
+		heard, hearers := g.ownHeard(silences), g.silences.HeardWords(g.now())
 		late, lates := g.cache.ownLate(), g.lateSaves.Words(g.now())
 		tree := g.view.Load().Tree
 		for _, n := range tree.neighbours() {
 			if tree.far(n.Member) && seq%otherZonesStep != 0 {
 				continue
 			}
-			l := &Loads{From: g.settings().Name, Seq: seq, Targets: n.share(own, others).Told(), Silent: n.shareSilences(silent, silences), Late: n.shareLate(late, lates)}
-			news := len(l.Targets)+len(l.Silent)+len(l.Late) > 0
+			l := &Loads{From: g.settings().Name, Seq: seq, Targets: n.share(own, others).Told(), Silent: n.shareSilences(silent, silences), Heard: n.shareHeard(heard, hearers), Late: n.shareLate(late, lates)}
+			news := len(l.Targets)+len(l.Silent)+len(l.Heard)+len(l.Late) > 0
 			if !news && !told[n.Name] {
 				continue
 			}
@@ -142,6 +171,32 @@
 	return out
 }
 
+// shareHeard is share for targets that answer: the latest answer counts.
+func (n neighbour) shareHeard(own []loads.Silent, others map[string][]loads.Silent) []loads.Silent {
+	latest := map[loads.Key]int64{}
+	add := func(heard []loads.Silent) {
+		for _, h := range heard {
+			if ms, ok := latest[h.Target]; !ok || h.MS < ms {
+				latest[h.Target] = h.MS
+			}
+		}
+	}
+	add(own)
+	for from, heard := range others {
+		if n.relayed[from] {
+			add(heard)
+		}
+	}
+	var out []loads.Silent
+	for target, ms := range latest {
+		if len(out) == loads.MostSilent {
+			break
+		}
+		out = append(out, loads.Silent{Target: target, MS: ms})
+	}
+	return out
+}
+
 // tellLoad sends one word. A lost one is replaced by the next; silence is the
 // business of probes.
 func (g *Gateway) tellLoad(m member.Member, l *Loads) {
--- a/internal/gateway/silences_test.go
+++ b/internal/gateway/silences_test.go
@@ -65,3 +65,28 @@
 	slices.Sort(got)
 	is.Equal(got, []loads.Key{1, 2, 4})
 }
+
+// TestQueuesAreNoSilence guards against saves that all instances keep back at a busy target: some
+// have waited in its queue for long, while it answers others.
+func TestQueuesAreNoSilence(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	key := loads.KeyOf("t")
+	waits := []loads.Silent{{Target: key, MS: 2000}}
+	hears := &Gateway{now: func() time.Time { return now }, upstream: newUpstream()}
+	hears.upstream.work.Of("t").Silence.Answered(now.Add(-time.Second))
+	heard := hears.ownHeard(map[string][]loads.Silent{"waits": waits})
+	is.Equal(heard, []loads.Silent{{Target: key, MS: 1000}})
+	is.Equal(len(hears.ownHeard(map[string][]loads.Silent{"waits": {{Target: key, MS: 900}}})), 0) // silent since
+
+	s := loads.NewSilences(loadAge)
+	s.Take("waits", 1, waits, now)
+	is.Equal(s.Since(key, now), now.Add(-2*time.Second))
+	s.TakeHeard("hears", 1, heard, now)
+	is.True(s.Since(key, now).IsZero())
+	s.TakeHeard("hears", 2, nil, now)
+	is.True(!s.Since(key, now).IsZero())
+
+	n := neighbour{relayed: map[string]bool{"hears": true}}
+	is.Equal(n.shareHeard([]loads.Silent{{Target: key, MS: 1500}}, map[string][]loads.Silent{"hears": heard, "elsewhere": {{Target: key}}}), heard)
+}
