--- a/internal/gateway/cache.go
+++ b/internal/gateway/cache.go
@@ -47,7 +47,7 @@
 // bounds keep saves and fetches apart, see stock.Bounds. They are the same for all
 // instances, whichever way they hear of the stores.
 var bounds = stock.Bounds{
-	SaveAge:   700 * time.Millisecond, // two polls and two steps of the tree, where nothing is slow
+	SaveAge:   500 * time.Millisecond, // two polls and a step of the tree, where nothing is slow
 	SaveTime:  300 * time.Millisecond,
 	FetchAge:  inventoryAge + relayAge,
 	FetchTime: longestFetch,
@@ -282,8 +282,13 @@
 	late := c.late(now)
 	for i, p := range parts[:max(len(parts)-1, 0)] {
 		key := stock.Key{Salt: salt, Part: p.ID}
-		if src := c.find(stores, key, now); src.tokens >= p.Tokens && !c.isLate(key, late, now) {
+		switch src := c.find(stores, key, now); {
+		case src.tokens >= p.Tokens && !c.isLate(key, late, now):
 			out[i] = src
+		case src.tokens >= p.Tokens:
+			metric.LateParts.Inc()
+		case c.held(stores, key, now):
+			metric.YoungParts.Inc()
 		}
 	}
 	return out
--- a/internal/gateway/late_saves.go
+++ b/internal/gateway/late_saves.go
@@ -9,7 +9,7 @@
 
 // lateAfter is how long a save may be under way before the others are told of it: they know by
 // the end of stock.Bounds' SaveTime, and fetch the part only when it is no longer told.
-const lateAfter = 50 * time.Millisecond
+const lateAfter = 100 * time.Millisecond
 
 // partKey names a part in words of late saves. If two parts share one, a save of either makes
 // both late.
