--- a/internal/core/stock/bounds.go
+++ b/internal/core/stock/bounds.go
@@ -8,38 +8,38 @@
 // its store has started again, empty, by an instance that knew neither of the part nor of the
 // start. The others must not fetch it meanwhile.
 //
-// Let an instance decide at d to save a part, by a word that was whole at w, and let the store
-// start again at r before the save takes place. Let another instance decide at f to fetch the
-// part, by a word of the epoch that ended at r, in which the part was complete by c.
+// Let an instance decide at d to save a part, by an answer that is whole as of w, and let the
+// store start again at r before the save takes place. Let another instance decide at f to fetch
+// the part, by an answer of the epoch that ended at r, in which the part was complete by c.
 //
 //   - The part was not complete at w, or the first instance had known of it: c > w >= d - SaveAge.
-//   - The second instance fetches only a part that has been complete for Ripe: f >= c + Ripe
+//   - The second instance fetches only a part that has been complete for FetchDelay: f >= c + FetchDelay
 //     > d + SaveTime, and by then the save is over, or known to be late and the part not fetched.
-//   - An instance that knows of the new epoch saves only Calm after it heard of it, and a part
-//     that was freed only Calm after that was heard: by then f + FetchTime has passed for
+//   - An instance that knows of the new epoch saves only SaveDelay after it heard of it, and a part
+//     that was freed only SaveDelay after that was heard: by then f + FetchTime has passed for
 //     each f <= r + FetchAge.
 //
 // So at no moment may a part be fetched by one instance and be written anew by another's save.
 type Bounds struct {
-	SaveAge   time.Duration // the oldest word by which a save is decided
+	SaveAge   time.Duration // the oldest answer by which a save is decided
 	SaveTime  time.Duration // from the decision until a save is over, or known by all to be late
-	FetchAge  time.Duration // the oldest word by which a fetch is decided
+	FetchAge  time.Duration // the oldest answer by which a fetch is decided
 	FetchTime time.Duration // from the decision until a fetch is over
 }
 
-// Ripe is how long a part must have been complete to be fetched: whoever may still have decided
+// FetchDelay is how long a part must have been complete to be fetched: whoever may still have decided
 // to save it since has heard of it, and what he decided before is over.
-func (b Bounds) Ripe() time.Duration { return b.SaveAge + b.SaveTime }
+func (b Bounds) FetchDelay() time.Duration { return b.SaveAge + b.SaveTime }
 
-// Calm is how long a store's epoch, or that a part is no longer held, must have been known
+// SaveDelay is how long a store's epoch, or that a part is no longer held, must have been known
 // before the part is saved there: whoever may still have decided to fetch it by what he knew
 // before is done.
-func (b Bounds) Calm() time.Duration { return b.FetchAge + b.FetchTime }
+func (b Bounds) SaveDelay() time.Duration { return b.FetchAge + b.FetchTime }
 
-// Fetchable returns how many tokens of a part may be fetched, by a word not older than maxAge,
+// Fetchable returns how many tokens of a part may be fetched, by an answer not older than maxAge,
 // which is FetchAge at most.
 func (s *Inventory) Fetchable(k Key, now time.Time, maxAge time.Duration, b Bounds) int {
-	if now.Sub(s.held[k].at) < b.Ripe() {
+	if now.Sub(s.held[k].at) < b.FetchDelay() {
 		return 0
 	}
 	return s.Tokens(k, now, min(maxAge, b.FetchAge))
@@ -47,12 +47,12 @@
 
 // TakesSaves says whether anything may be saved in the store.
 func (s *Inventory) TakesSaves(now time.Time, b Bounds) bool {
-	return s.known && now.Sub(s.whole) <= b.SaveAge && now.Sub(s.since) >= b.Calm()
+	return s.known && now.Sub(s.whole) <= b.SaveAge && now.Sub(s.since) >= b.SaveDelay()
 }
 
 // Savable says whether a part may be saved in a store that takes saves.
 func (s *Inventory) Savable(k Key, now time.Time, b Bounds) bool {
 	_, held := s.held[k]
 	at, gone := s.gone[k]
-	return !held && !(gone && now.Sub(at) < b.Calm()) && s.TakesSaves(now, b)
+	return !held && !(gone && now.Sub(at) < b.SaveDelay()) && s.TakesSaves(now, b)
 }
--- a/internal/core/stock/bounds_test.go
+++ b/internal/core/stock/bounds_test.go
@@ -42,7 +42,7 @@
 	to     int
 	from   int // an instance; -1: the store
 	asked  time.Time
-	word   stock.Word // Heard is set on arrival
+	word   stock.Answer // Heard is set on arrival
 	list   bool
 	gap    bool
 	held   []stock.Held
@@ -158,7 +158,7 @@
 	}
 	x.asks = true
 	_, next, known := x.Position()
-	a := modelAnswer{to: i, from: -1, asked: m.clock(i), word: stock.Word{Epoch: m.store.epoch, Next: uint64(len(m.store.log))}, list: !known || x.Torn() || x.told}
+	a := modelAnswer{to: i, from: -1, asked: m.clock(i), word: stock.Answer{Epoch: m.store.epoch, Next: uint64(len(m.store.log))}, list: !known || x.HasGap() || x.told}
 	if a.list {
 		for k := range m.store.held {
 			a.held = append(a.held, stock.Held{Key: k, Tokens: 1})
@@ -183,7 +183,7 @@
 		return
 	}
 	y.asks = true
-	a := modelAnswer{to: to, from: from, asked: m.clock(to), word: stock.Word{Epoch: epoch, Next: next}, list: true, held: x.All()}
+	a := modelAnswer{to: to, from: from, asked: m.clock(to), word: stock.Answer{Epoch: epoch, Next: next}, list: true, held: x.All()}
 	a.word.AsOf = m.clock(to).Add(-m.clock(from).Sub(x.AsOf()))
 	a.word.Whole = m.clock(to).Add(-m.clock(from).Sub(x.Whole()))
 	for _, h := range a.held {
--- a/internal/core/stock/stock.go
+++ b/internal/core/stock/stock.go
@@ -64,14 +64,14 @@
 
 func space(tokens int) int { return (tokens + blockTokens - 1) / blockTokens * blockTokens }
 
-// Word says of what a store told in which epoch, and as of when it holds. A store's answer
-// holds as of some moment between the question and its arrival; what is to be young counts
-// from the question, what is to be over from the arrival.
-type Word struct {
+// Answer is the epoch of what a store told, and the times between which it was true. A store's
+// answer holds as of some moment between the question and its arrival: an age counts from the
+// question, a delay from the arrival.
+type Answer struct {
 	Epoch uint64    // of the store: changes when it starts again, empty
 	Next  uint64    // the event to go on from
 	AsOf  time.Time // when the store was asked
-	Whole time.Time // the last such moment as of which no complete part is left out
+	Whole time.Time // the last such moment for which no event is missing
 	Heard time.Time // when this instance heard it
 }
 
@@ -83,10 +83,11 @@
 	held  map[Key]heldPart
 	gone  map[Key]time.Time // parts held before in this epoch: when it was heard that they no longer are
 	used  int               // space of held
-	asOf  time.Time         // see Word
-	whole time.Time         // see Word
-	torn  bool              // events were lost since the last list
+	asOf  time.Time         // see Answer
+	whole time.Time         // see Answer
 	since time.Time         // when this epoch was first heard of
+	// gap says that events were lost since the last list.
+	gap bool
 
 	broken   map[Key]brokenPart // incomplete parts of the last list
 	brokenAt time.Time          // of that list
@@ -135,26 +136,26 @@
 
 // List takes a whole list. It returns what it changes; anew says that this is no mere
 // change: the store was not known, or started again.
-func (s *Inventory) List(w Word, held []Held) (changes []Event, anew bool) {
-	anew = !s.known || s.epoch != w.Epoch
-	if s.epoch != w.Epoch || s.since.IsZero() {
-		s.since, s.gone = w.Heard, nil
+func (s *Inventory) List(a Answer, held []Held) (changes []Event, anew bool) {
+	anew = !s.known || s.epoch != a.Epoch
+	if s.epoch != a.Epoch || s.since.IsZero() {
+		s.since, s.gone = a.Heard, nil
 	}
 	before := s.held
-	s.epoch, s.next, s.known = w.Epoch, w.Next, true
-	s.asOf, s.whole, s.torn = w.AsOf, w.Whole, false
+	s.epoch, s.next, s.known = a.Epoch, a.Next, true
+	s.asOf, s.whole, s.gap = a.AsOf, a.Whole, false
 	s.held, s.used = make(map[Key]heldPart, len(held)), 0
 	for _, h := range held {
 		at := h.At
 		if old, had := before[h.Key]; had && old.at.Before(at) {
 			at = old.at // it is taken for the same
 		}
-		s.add(Event{Key: h.Key, Tokens: h.Tokens, At: at}, w.Heard)
+		s.add(Event{Key: h.Key, Tokens: h.Tokens, At: at}, a.Heard)
 	}
-	s.forgetGone(w.Heard)
+	s.forgetGone(a.Heard)
 	for k := range before {
 		if _, still := s.held[k]; !still {
-			s.goes(k, w.Heard)
+			s.goes(k, a.Heard)
 			changes = append(changes, Event{Key: k})
 		}
 	}
@@ -171,8 +172,8 @@
 
 // Apply takes a page of events. It returns false if the store must be listed anew: it
 // started again, or events were lost.
-func (s *Inventory) Apply(w Word, gap bool, events []Event) bool {
-	if !s.known || w.Epoch != s.epoch {
+func (s *Inventory) Apply(a Answer, gap bool, events []Event) bool {
+	if !s.known || a.Epoch != s.epoch {
 		s.Forget()
 		return false
 	}
@@ -181,17 +182,17 @@
 		delete(s.broken, e.Key)
 		switch {
 		case e.Added:
-			s.add(e, w.Heard)
+			s.add(e, a.Heard)
 		case had:
 			s.drop(e.Key)
-			s.goes(e.Key, w.Heard)
+			s.goes(e.Key, a.Heard)
 		}
 	}
-	s.next = w.Next
-	s.asOf = later(s.asOf, w.AsOf) // another instance's word may be older than the last one's
-	s.torn = s.torn || gap
-	if !s.torn {
-		s.whole = later(s.whole, w.Whole)
+	s.next = a.Next
+	s.asOf = later(s.asOf, a.AsOf) // another instance's answer may be older than the last one's
+	s.gap = s.gap || gap
+	if !s.gap {
+		s.whole = later(s.whole, a.Whole)
 	}
 	return !gap
 }
@@ -222,7 +223,7 @@
 }
 
 // goneMemory is how long parts that are no longer held are remembered: more than
-// Bounds.Calm of any use.
+// Bounds.SaveDelay of any use.
 const goneMemory = 30 * time.Second
 
 func (s *Inventory) forgetGone(now time.Time) {
@@ -273,8 +274,8 @@
 // Whole is as of when held lacks no part that was complete.
 func (s *Inventory) Whole() time.Time { return s.whole }
 
-// Torn says that events were lost since the last list.
-func (s *Inventory) Torn() bool { return s.torn }
+// HasGap says that events were lost since the last list.
+func (s *Inventory) HasGap() bool { return s.gap }
 
 // Tokens returns how many tokens of a part the store holds complete, as of an
 // answer not older than maxAge.
--- a/internal/core/stock/stock_test.go
+++ b/internal/core/stock/stock_test.go
@@ -16,8 +16,8 @@
 )
 
 // word is a store's answer that came as soon as it was asked.
-func word(epoch, next uint64, at time.Time) stock.Word {
-	return stock.Word{Epoch: epoch, Next: next, AsOf: at, Whole: at, Heard: at}
+func word(epoch, next uint64, at time.Time) stock.Answer {
+	return stock.Answer{Epoch: epoch, Next: next, AsOf: at, Whole: at, Heard: at}
 }
 
 // TestSalt: a salt tells its model and version, and differs by wall.
--- a/internal/gateway/cache.go
+++ b/internal/gateway/cache.go
@@ -26,10 +26,10 @@
 	// inventoryAge is how old a store's last word may be for a fetch: one that does not
 	// answer for longer may have started again, empty.
 	inventoryAge = 1600 * time.Millisecond
-	// relistEvery is how often a store is listed anew, and relistTorn the same where events
+	// relistEvery is how often a store is listed anew, and relistSoon the same where events
 	// were lost: until then nothing is saved there.
 	relistEvery = 12 * time.Second
-	relistTorn  = time.Second
+	relistSoon  = time.Second
 	// listLead is how much earlier a list may tell of a part than events do.
 	listLead = time.Second
 	// storesEvery is how often the configuration is looked at for new stores, and
@@ -143,7 +143,7 @@
 }
 
 // listed takes all that a store holds; c.mu is held.
-func (c *cacheDirectory) listed(sh *inventory, address string, w stock.Word, held []stock.Held) {
+func (c *cacheDirectory) listed(sh *inventory, address string, w stock.Answer, held []stock.Held) {
 	changes, anew := sh.List(w, held)
 	if anew {
 		c.journal.Renew(address)
@@ -184,8 +184,8 @@
 	c.mu.Lock()
 	_, next, known := sh.Position()
 	every := relistEvery
-	if sh.Torn() {
-		every = relistTorn
+	if sh.HasGap() {
+		every = relistSoon
 	}
 	fresh := known && c.g.now().Sub(sh.listed) < every
 	c.mu.Unlock()
@@ -204,7 +204,7 @@
 	}
 	c.setClock(p.ClockMS)
 	now := c.g.now()
-	told := sh.Apply(wordOfStore(p.Epoch, p.Next, polledAt(asked, now, len(p.Events)), now), p.Gap, p.Events)
+	told := sh.Apply(answerOfStore(p.Epoch, p.Next, polledAt(asked, now, len(p.Events)), now), p.Gap, p.Events)
 	if _, _, known = sh.Position(); known {
 		c.journal.Add(address, p.Events)
 	}
@@ -223,9 +223,9 @@
 	return asked
 }
 
-// wordOfStore is an answer of a store itself.
-func wordOfStore(epoch, next uint64, asOf, heard time.Time) stock.Word {
-	return stock.Word{Epoch: epoch, Next: next, AsOf: asOf, Whole: asOf, Heard: heard}
+// answerOfStore is an answer of a store itself.
+func answerOfStore(epoch, next uint64, asOf, heard time.Time) stock.Answer {
+	return stock.Answer{Epoch: epoch, Next: next, AsOf: asOf, Whole: asOf, Heard: heard}
 }
 
 // list asks a store for all that it holds.
@@ -244,7 +244,7 @@
 	for i := range l.Held {
 		l.Held[i].At = now.Add(listLead)
 	}
-	c.listed(sh, address, wordOfStore(l.Epoch, l.Next, asked, now), l.Held)
+	c.listed(sh, address, answerOfStore(l.Epoch, l.Next, asked, now), l.Held)
 	sh.Broken(l.Partial, asked)
 	sh.listed = asked
 	c.setClock(l.ClockMS)
@@ -286,9 +286,9 @@
 		case src.tokens >= p.Tokens && !c.isLate(key, late, now):
 			out[i] = src
 		case src.tokens >= p.Tokens:
-			metric.LateParts.Inc()
+			metric.BlockedFetches.Inc()
 		case c.held(stores, key, now):
-			metric.YoungParts.Inc()
+			metric.DelayedFetches.Inc()
 		}
 	}
 	return out
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -69,8 +69,8 @@
 	Parts   []PartNews `cbor:"6,keyasint,omitempty"` // in order
 	// Ages has how long each of Parts has been complete, see ageOf.
 	Ages []byte `cbor:"7,keyasint,omitempty"`
-	// TornMS is how much longer ago than AgeMS the teller's knowledge was whole.
-	TornMS int64 `cbor:"8,keyasint,omitempty"`
+	// BehindMS is how much longer ago than AgeMS the teller's knowledge was whole.
+	BehindMS int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // ageStep is the granule of ages, which are rounded down: one byte tells up to 4 s.
@@ -110,7 +110,7 @@
 			continue
 		}
 		events, whole := c.journal.Since(address, ask.Seq)
-		n := StoreNews{Address: address, Epoch: epoch, AgeMS: now.Sub(sh.AsOf()).Milliseconds() + 1, TornMS: sh.AsOf().Sub(sh.Whole()).Milliseconds(),
+		n := StoreNews{Address: address, Epoch: epoch, AgeMS: now.Sub(sh.AsOf()).Milliseconds() + 1, BehindMS: sh.AsOf().Sub(sh.Whole()).Milliseconds(),
 			Whole: whole || ask.Process != c.process || !slices.Contains(ask.Stores, address)}
 		if n.Whole {
 			held := sh.All()
@@ -262,7 +262,7 @@
 	now := c.g.now()
 	events := n.events(now)
 	asOf := started.Add(-time.Duration(n.AgeMS) * time.Millisecond)
-	w := stock.Word{Epoch: n.Epoch, AsOf: asOf, Whole: asOf.Add(-time.Duration(n.TornMS) * time.Millisecond), Heard: now}
+	w := stock.Answer{Epoch: n.Epoch, AsOf: asOf, Whole: asOf.Add(-time.Duration(n.BehindMS) * time.Millisecond), Heard: now}
 	if !n.Whole {
 		ok := sh.Apply(w, false, events)
 		if ok {
--- a/internal/gateway/directory_test.go
+++ b/internal/gateway/directory_test.go
@@ -108,7 +108,7 @@
 		for i := range held {
 			held[i] = stock.Held{Key: stock.Key{Salt: "s", Part: fmt.Sprint(i)}, Tokens: 100}
 		}
-		teller.listed(teller.inventories[address], address, wordOfStore(1, 1, now, now), held)
+		teller.listed(teller.inventories[address], address, answerOfStore(1, 1, now, now), held)
 	}
 	var ask DirectoryAsk
 	for look := 0; ; look++ {
@@ -128,7 +128,7 @@
 		}
 		for address, sh := range teller.inventories {
 			e := []stock.Event{{Key: stock.Key{Salt: "s", Part: fmt.Sprintf("new-%d", look)}, Added: true, Tokens: 50}}
-			is.True(sh.Apply(wordOfStore(1, uint64(look+2), now, now), false, e))
+			is.True(sh.Apply(answerOfStore(1, uint64(look+2), now, now), false, e))
 			teller.journal.Add(address, e)
 		}
 	}
@@ -150,7 +150,7 @@
 		n.pack([]stock.Event{{Key: stock.Key{Salt: "s", Part: "a"}, Added: true, Tokens: 100, At: at}}, at0)
 		told := n.events(at0.Add(way))[0].At
 		is.True(!told.Before(at))
-		is.True(told.Sub(at) < way+ageStep || at0.Sub(told) > bounds.Ripe())
+		is.True(told.Sub(at) < way+ageStep || at0.Sub(told) > bounds.FetchDelay())
 	}
 }
 
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -147,48 +147,36 @@
 	return out
 }
 
-// shareSilences is share for silent targets.
+// shareSilences is share for silent targets: the longest silence counts.
 func (n neighbour) shareSilences(own []loads.Silent, others map[string][]loads.Silent) []loads.Silent {
-	longest := map[loads.Key]int64{}
-	add := func(silent []loads.Silent) {
-		for _, s := range silent {
-			longest[s.Target] = max(longest[s.Target], s.MS)
-		}
-	}
-	add(own)
-	for from, silent := range others {
-		if n.relayed[from] {
-			add(silent)
-		}
-	}
-	var out []loads.Silent
-	for target, ms := range longest {
-		if len(out) == loads.MostSilent {
-			break
-		}
-		out = append(out, loads.Silent{Target: target, MS: ms})
-	}
-	return out
+	return n.shareTimes(own, others, func(a, b int64) int64 { return max(a, b) })
 }
 
 // shareHeard is share for targets that answer: the latest answer counts.
 func (n neighbour) shareHeard(own []loads.Silent, others map[string][]loads.Silent) []loads.Silent {
-	latest := map[loads.Key]int64{}
-	add := func(heard []loads.Silent) {
-		for _, h := range heard {
-			if ms, ok := latest[h.Target]; !ok || h.MS < ms {
-				latest[h.Target] = h.MS
+	return n.shareTimes(own, others, func(a, b int64) int64 { return min(a, b) })
+}
+
+// shareTimes is share for what is told with a time; which says which of two counts.
+func (n neighbour) shareTimes(own []loads.Silent, others map[string][]loads.Silent, which func(a, b int64) int64) []loads.Silent {
+	times := map[loads.Key]int64{}
+	add := func(told []loads.Silent) {
+		for _, t := range told {
+			if ms, known := times[t.Target]; known {
+				times[t.Target] = which(ms, t.MS)
+				continue
 			}
+			times[t.Target] = t.MS
 		}
 	}
 	add(own)
-	for from, heard := range others {
+	for from, told := range others {
 		if n.relayed[from] {
-			add(heard)
+			add(told)
 		}
 	}
 	var out []loads.Silent
-	for target, ms := range latest {
+	for target, ms := range times {
 		if len(out) == loads.MostSilent {
 			break
 		}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -19,11 +19,11 @@
 	FullRefusals      = metrics.NewCounter("shedhoist_memory_full_refusals_total")
 	ColdRequests      = metrics.NewCounter("shedhoist_cold_requests_total") // sent to cold targets
 	ColdRefusals      = metrics.NewCounter("shedhoist_cold_refusals_total")
-	LeavingWords      = metrics.NewCounter("shedhoist_leaving_words_total") // answers in which a target says that it leaves
-	RestWords         = metrics.NewCounter("shedhoist_rest_words_total")    // answers in which one asks for rest
-	RestRefusals      = metrics.NewCounter("shedhoist_rest_refusals_total") // since all targets ask for rest
-	YoungParts        = metrics.NewCounter("shedhoist_young_parts_total")   // held, and not fetched: not complete for long enough
-	LateParts         = metrics.NewCounter("shedhoist_late_parts_total")    // held, and not fetched: a save of them is not over
+	LeavingWords      = metrics.NewCounter("shedhoist_leaving_words_total")   // answers in which a target says that it leaves
+	RestWords         = metrics.NewCounter("shedhoist_rest_words_total")      // answers in which one asks for rest
+	RestRefusals      = metrics.NewCounter("shedhoist_rest_refusals_total")   // since all targets ask for rest
+	DelayedFetches    = metrics.NewCounter("shedhoist_fetches_delayed_total") // held, and not fetched: not complete for long enough
+	BlockedFetches    = metrics.NewCounter("shedhoist_fetches_blocked_total") // held, and not fetched: a save of them is not over
 	DarkZones         = metrics.NewCounter("shedhoist_silent_zones_total")
 	EvacuatedRefusals = metrics.NewCounter("shedhoist_evacuated_refusals_total")
 	TargetCrashes     = metrics.NewCounter("shedhoist_target_crashes_total") // found by requests that broke there
