Cache: in a small fleet a part is fetched as soon as all instances have said that they know of it

Change: instances of a fleet of up to 16, who all follow the stores themselves, tell with the words of load up to which event they know each store, and their saves that are not over from the first moment. What all others know cannot be saved by any of them, so it need not wait. Who has not been heard of for 0.36 s, or is lost (for two minutes), makes parts wait as before. A stopping instance asks for no saves: it tells nothing more. What was held when a store was lost from sight and is missing afterwards counts as gone.

--- a/internal/core/stock/bounds.go
+++ b/internal/core/stock/bounds.go
@@ -19,6 +19,9 @@
 //     that was freed only SaveDelay after that was heard: by then f + FetchTime has passed for
 //     each f <= r + FetchAge.
 //
+// A part need not wait for FetchDelay if all instances have said that they know the event that told
+// of it, each with the saves that it had asked for before and that were not over.
+//
 // So at no moment may a part be fetched by one instance and be written anew by another's save.
 type Bounds struct {
 	SaveAge   time.Duration // the oldest answer by which a save is decided
@@ -37,9 +40,10 @@
 func (b Bounds) SaveDelay() time.Duration { return b.FetchAge + b.FetchTime }
 
 // Fetchable returns how many tokens of a part may be fetched, by an answer not older than maxAge,
-// which is FetchAge at most.
-func (s *Inventory) Fetchable(k Key, now time.Time, maxAge time.Duration, b Bounds) int {
-	if now.Sub(s.held[k].at) < b.FetchDelay() {
+// which is FetchAge at most. known says whether all instances know an event of the store.
+func (s *Inventory) Fetchable(k Key, now time.Time, maxAge time.Duration, b Bounds, known func(epoch, event uint64) bool) int {
+	part := s.held[k]
+	if now.Sub(part.at) < b.FetchDelay() && (part.event == 0 || !known(s.epoch, part.event)) {
 		return 0
 	}
 	return s.Tokens(k, now, min(maxAge, b.FetchAge))
--- a/internal/core/stock/stock.go
+++ b/internal/core/stock/stock.go
@@ -81,11 +81,13 @@
 	next  uint64
 	known bool
 	held  map[Key]heldPart
-	gone  map[Key]time.Time // parts held before in this epoch: when it was heard that they no longer are
-	used  int               // space of held
-	asOf  time.Time         // see Answer
-	whole time.Time         // see Answer
-	since time.Time         // when this epoch was first heard of
+	// former is what was held when all was forgotten, in this epoch.
+	former map[Key]heldPart
+	gone   map[Key]time.Time // parts held before in this epoch: when it was heard that they no longer are
+	used   int               // space of held
+	asOf   time.Time         // see Answer
+	whole  time.Time         // see Answer
+	since  time.Time         // when this epoch was first heard of
 	// gap says that events were lost since the last list.
 	gap bool
 
@@ -97,6 +99,7 @@
 type heldPart struct {
 	tokens int
 	at     time.Time // by when it was complete
+	event  uint64    // the store's own event that told of it, or a later one; 0: none did
 }
 
 // brokenPart is a part that takes space and is not complete.
@@ -139,20 +142,26 @@
 func (s *Inventory) List(a Answer, held []Held) (changes []Event, anew bool) {
 	anew = !s.known || s.epoch != a.Epoch
 	if s.epoch != a.Epoch || s.since.IsZero() {
-		s.since, s.gone = a.Heard, nil
+		s.since, s.gone, s.former = a.Heard, nil, nil
 	}
 	before := s.held
 	s.epoch, s.next, s.known = a.Epoch, a.Next, true
 	s.asOf, s.whole, s.gap = a.AsOf, a.Whole, false
 	s.held, s.used = make(map[Key]heldPart, len(held)), 0
 	for _, h := range held {
-		at := h.At
+		at, event := h.At, uint64(0)
 		if old, had := before[h.Key]; had && old.at.Before(at) {
-			at = old.at // it is taken for the same
+			at, event = old.at, old.event // it is taken for the same
 		}
-		s.add(Event{Key: h.Key, Tokens: h.Tokens, At: at}, a.Heard)
+		s.add(Event{Key: h.Key, Tokens: h.Tokens, At: at}, event, a.Heard)
 	}
 	s.forgetGone(a.Heard)
+	for k := range s.former {
+		if _, still := s.held[k]; !still {
+			s.goes(k, a.Heard)
+		}
+	}
+	s.former = nil
 	for k := range before {
 		if _, still := s.held[k]; !still {
 			s.goes(k, a.Heard)
@@ -182,7 +191,11 @@
 		delete(s.broken, e.Key)
 		switch {
 		case e.Added:
-			s.add(e, a.Heard)
+			event := a.Next
+			if !e.At.IsZero() {
+				event = 0 // another instance's word, whose numbers are its own
+			}
+			s.add(e, event, a.Heard)
 		case had:
 			s.drop(e.Key)
 			s.goes(e.Key, a.Heard)
@@ -198,13 +211,13 @@
 }
 
 // add takes a part as complete, heard at a time.
-func (s *Inventory) add(e Event, heard time.Time) {
+func (s *Inventory) add(e Event, event uint64, heard time.Time) {
 	at := e.At
 	if at.IsZero() {
 		at = heard
 	}
 	s.drop(e.Key)
-	s.held[e.Key] = heldPart{tokens: e.Tokens, at: at}
+	s.held[e.Key] = heldPart{tokens: e.Tokens, at: at, event: event}
 	s.used += space(e.Tokens)
 }
 
@@ -265,7 +278,11 @@
 // Forget drops all knowledge of the contents: the store does not answer, or
 // started again. Its epoch stays in mind, to tell a restart from a silence.
 func (s *Inventory) Forget() {
-	*s = Inventory{epoch: s.epoch, since: s.since, gone: s.gone}
+	former := s.former
+	if s.known {
+		former = s.held
+	}
+	*s = Inventory{epoch: s.epoch, since: s.since, gone: s.gone, former: former}
 }
 
 // AsOf is as of when the store's newest word holds.
--- a/internal/gateway/cache.go
+++ b/internal/gateway/cache.go
@@ -345,7 +345,7 @@
 		if sh == nil {
 			continue
 		}
-		if n := sh.Fetchable(key, now, sh.ageLimit(), bounds); n > out.tokens {
+		if n := sh.Fetchable(key, now, sh.ageLimit(), bounds, c.knownToAll(stores[i].Address, now)); n > out.tokens {
 			out = partSource{store: &stores[i], tokens: n}
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -110,6 +110,7 @@
 	others      *loads.Heard
 	silences    *loads.Silences
 	lateSaves   *loads.LateSaves
+	seen        seenBook
 	cache       *cacheDirectory
 	rollout     *rollout
 	inHand      atomic.Int64
--- a/internal/gateway/late_saves.go
+++ b/internal/gateway/late_saves.go
@@ -8,7 +8,8 @@
 )
 
 // lateAfter is how long a save may be under way before the others are told of it: they know by
-// the end of stock.Bounds' SaveTime, and fetch the part only when it is no longer told.
+// the end of stock.Bounds' SaveTime, and fetch the part only when it is no longer told. In a
+// small fleet, where they need not wait for SaveTime, they are told at once.
 const lateAfter = 100 * time.Millisecond
 
 // partKey names a part in words of late saves. If two parts share one, a save of either makes
@@ -25,7 +26,11 @@
 // late is ownLate at a time; c.mu is held.
 func (c *cacheDirectory) late(now time.Time) []loads.Key {
 	var out []loads.Key
-	for _, k := range c.saves.Late(now, lateAfter, c.signs) {
+	after := lateAfter
+	if c.g.view.Load().Tree.small {
+		after = 0
+	}
+	for _, k := range c.saves.Late(now, after, c.signs) {
 		out = append(out, partKey(k))
 	}
 	return out
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -39,6 +39,9 @@
 	Silent []loads.Silent `cbor:"4,keyasint,omitempty"`
 	// Heard are targets that others told to be silent and that have answered, MS ago.
 	Heard []loads.Silent `cbor:"6,keyasint,omitempty"`
+	// Seen is up to where the teller of a small fleet knows the cache stores: what it asked for
+	// before it knew as much, and is not over, is in Late.
+	Seen []StoreSeen `cbor:"7,keyasint,omitempty"`
 	// Late are parts whose saves are late, by what is told in the same way.
 	Late []loads.Key `cbor:"5,keyasint,omitempty"`
 }
@@ -52,6 +55,7 @@
 	h.g.silences.Take(req.From, req.Seq, req.Silent, h.g.now())
 	h.g.silences.TakeHeard(req.From, req.Seq, req.Heard, h.g.now())
 	h.g.lateSaves.Take(req.From, req.Seq, req.Late, h.g.now())
+	h.g.seen.take(req.From, req.Seq, req.Seen, h.g.now()) // after Late
 	return nil
 }
 
@@ -118,14 +122,15 @@
 		own, others := g.ownLoads(), g.others.Words(g.now())
 		silent, silences := g.ownSilences(), g.silences.Words(g.now())
 		heard, hearers := g.ownHeard(silences), g.silences.HeardWords(g.now())
+		seen := g.cache.ownSeen() // before the saves
 		late, lates := g.cache.ownLate(), g.lateSaves.Words(g.now())
 		tree := g.view.Load().Tree
 		for _, n := range tree.neighbours() {
 			if tree.far(n.Member) && seq%otherZonesStep != 0 {
 				continue
 			}
-			l := &Loads{From: g.settings().Name, Seq: seq, Targets: n.share(own, others).Told(), Silent: n.shareSilences(silent, silences), Heard: n.shareHeard(heard, hearers), Late: n.shareLate(late, lates)}
-			news := len(l.Targets)+len(l.Silent)+len(l.Heard)+len(l.Late) > 0
+			l := &Loads{From: g.settings().Name, Seq: seq, Targets: n.share(own, others).Told(), Silent: n.shareSilences(silent, silences), Heard: n.shareHeard(heard, hearers), Late: n.shareLate(late, lates), Seen: seen}
+			news := len(l.Targets)+len(l.Silent)+len(l.Heard)+len(l.Late)+len(l.Seen) > 0
 			if !news && !told[n.Name] {
 				continue
 			}
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -21,6 +21,7 @@
 type fleetPart struct {
 	made      bool
 	instances int
+	others    []string // see View.Others
 	alive     []string
 	peers     []member.Member
 	attached  []string
@@ -51,6 +52,9 @@
 		if m.State != member.Left {
 			p.instances++
 			p.cold.known = append(p.cold.known, m.Name)
+			if m.Name != self.Name {
+				p.others = append(p.others, m.Name)
+			}
 		}
 		if m.State != member.Alive {
 			continue
@@ -195,7 +199,7 @@
 	v := &View{
 		Config: c.cfg, ConfigHeard: max(c.configInForce().Version, c.heard.Version), ConfigBytes: len(c.raw),
 		Targets: s.targets, Serving: s.serving, Candidates: s.candidates, Behind: s.behind, Departed: s.departed,
-		Instances: f.instances, Alive: f.alive, Peers: f.peers, Attached: f.attached, Tree: f.tree, Watcher: f.watcher, WatchRank: f.watchRank, Watchers: f.watchers,
+		Others: f.others, Instances: f.instances, Alive: f.alive, Peers: f.peers, Attached: f.attached, Tree: f.tree, Watcher: f.watcher, WatchRank: f.watchRank, Watchers: f.watchers,
 		Revision: c.targets.Revision(), Listed: c.targets.Listed(),
 		Named: map[string]Named{}, Rollout: c.rollout, Draining: c.draining, StoreOK: c.storeOK, CutOff: c.cutOff.now,
 		Released: c.released, coldChoice: f.cold, SettledAt: c.settledAt,
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -71,6 +71,7 @@
 	Behind     []*catalog.Target    // those with older weights than named that do not leave
 	Named      map[string]Named     // by model
 	Departed   []registry.Departure // targets that left the list lately
+	Others     []string             // names of all other instances that have not left, lost ones too
 	Instances  int                  // known of, this one included, the lately lost too
 	Alive      []string             // names of live instances, this one included, sorted
 	Peers      []member.Member      // the same as members
