--- a/internal/core/stock/bounds_test.go
+++ b/internal/core/stock/bounds_test.go
@@ -148,7 +148,7 @@
 		return
 	}
 	m.counts["write"]++
-	until := s.told // over in time
+	until := s.told            // over in time
 	if !m.now.Before(s.told) { // it is told until it is over
 		until = m.now.Add(2 * tick)
 		m.store.lateUntil[s.key] = until
