A stop accepts every established connection before it closes its listener

What callers saw: a connection that was established before a stop ended without an answer, with "unexpected EOF" or "connection reset by peer", some ms after the stop began. Nothing ran, but callers can't tell. TestShutdownRefusesWhatItWouldCut shows it on a busy machine.

Cause: Stop took "no connection is known" for "drained". Connections are known from net/http's first hook on, which runs after Accept has returned. Between accept4 and that hook, and in the kernel's queue, a connection is unknown. Stop closed the listener, looked again, saw nothing and called http.Server.Shutdown, after which net/http closes a connection whose request it has read. The kernel resets what is still queued when the listener is closed. A stop without connections did so at once; one with connections at linger/2. The listener was closed twice, so that Stop returned "use of closed network connection" although nothing was cut, and both modes then closed their servers.

Change: one rule for each server (drain.Server), whether connections are known or not. It goes on accepting for linger/2; then new attempts to connect are ignored (a socket filter that drops SYN, for which listeners are plain TCP: the kernel refuses the filter for Multipath TCP), the accepting goroutine takes what is established until the queue is empty, closes the listener, and Stop waits for Serve to return. net/http reports each connection before Serve accepts the next one or returns, so all are known by then. Emptying is bounded by the number of connections that the kernel queues. An idle stop takes linger/2 longer (2.5 s; 0.5 s on the platform).

The tests of internal/drain force each moment.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -31,6 +31,7 @@
 	"github.com/shedhoist/shedhoist/internal/kvstore"
 	"github.com/shedhoist/shedhoist/internal/ledger"
 	"github.com/shedhoist/shedhoist/internal/logline"
+	"github.com/shedhoist/shedhoist/internal/netx"
 	"github.com/shedhoist/shedhoist/internal/operator"
 	"github.com/shedhoist/shedhoist/internal/peer"
 	"github.com/shedhoist/shedhoist/internal/platform"
@@ -71,8 +72,7 @@
 	observedCount  atomic.Int64 // number of targets that this instance probes
 
 	callerLn, operatorLn, peerLn net.Listener
-	callerSrv, operatorSrv       *http.Server
-	callerConns                  drain.Conns
+	callerSrv, operatorSrv       *drain.Server
 }
 
 // streamIdleTimeout is the longest pause between two pieces of a response stream.
@@ -125,36 +125,43 @@
 	if d.peerLn, err = net.Listen("tcp", d.set.Listen.Peers); err != nil {
 		return err
 	}
-	if d.callerLn, err = d.listenTLS(d.set.Listen.Callers, t.CallerCert, t.CallerKey); err != nil {
+	callerTLS, err := d.serverTLS(t.CallerCert, t.CallerKey)
+	if err != nil {
 		return err
 	}
-	if d.operatorLn, err = d.listenTLS(d.set.Listen.Operators, t.OperatorCert, t.OperatorKey); err != nil {
+	operatorTLS, err := d.serverTLS(t.OperatorCert, t.OperatorKey)
+	if err != nil {
 		return err
 	}
-	l := d.set.Limits
-	d.callerSrv = d.server(d.callerHandler(), l)
-	d.callerConns.Attach(d.callerSrv)
+	if d.callerLn, err = netx.ListenDefault(d.set.Listen.Callers); err != nil {
+		return err
+	}
+	if d.operatorLn, err = netx.ListenDefault(d.set.Listen.Operators); err != nil {
+		return err
+	}
+	d.callerSrv = d.newServer(d.callerHandler(), d.callerLn, callerTLS)
 	ops := &operator.Edge{State: d, Keys: d.set.Operators.KeyHashes}
-	d.operatorSrv = d.server(ops.Handler(), l)
+	d.operatorSrv = d.newServer(ops.Handler(), d.operatorLn, operatorTLS)
 	return nil
 }
 
-func (d *Daemon) server(h http.Handler, l settings.Limits) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: time.Duration(l.HeaderSeconds) * time.Second,
+func (d *Daemon) newServer(h http.Handler, ln net.Listener, tlsConfig *tls.Config) *drain.Server {
+	l := d.set.Limits
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Duration(l.HeaderSeconds) * time.Second,
 		IdleTimeout: time.Duration(l.IdleSeconds) * time.Second, MaxHeaderBytes: l.HeaderBytes, ErrorLog: logline.Logger(d.log)}
+	return drain.NewServer(srv, ln, tlsConfig, d.log)
 }
 
-func (d *Daemon) listenTLS(address, cert, key string) (net.Listener, error) {
-	ln, err := net.Listen("tcp", address)
-	if err != nil || cert == "" {
-		return ln, err
+// serverTLS returns the configuration of a TLS server, or nil if no certificate is set.
+func (d *Daemon) serverTLS(cert, key string) (*tls.Config, error) {
+	if cert == "" {
+		return nil, nil
 	}
 	src, err := certs.Load(certs.Files{Cert: cert, Key: key}, d.now)
 	if err != nil {
-		ln.Close()
 		return nil, err
 	}
-	return tls.NewListener(ln, src.Server()), nil
+	return src.Server(), nil
 }
 
 func (d *Daemon) closeListeners() {
@@ -201,8 +208,8 @@
 			}
 		}()
 	}
-	serve("callers", func() error { return d.callerSrv.Serve(d.callerLn) })
-	serve("operators", func() error { return d.operatorSrv.Serve(d.operatorLn) })
+	serve("callers", d.callerSrv.Serve)
+	serve("operators", d.operatorSrv.Serve)
 	serve("peers", func() error { return d.peers.Serve(d.peerLn) })
 	d.log.WithField("callers", d.CallerAddr()).WithField("operators", d.OperatorAddr()).WithField("peers", advertise).Info("started")
 }
@@ -266,7 +273,7 @@
 	wait.For(ctx, notice)
 	drainCtx, cancel := context.WithTimeout(ctx, drainTimeout)
 	defer cancel()
-	err := drain.Stop(drainCtx, d.callerSrv, d.callerLn, &d.callerConns, idleLinger)
+	err := d.callerSrv.Stop(drainCtx, idleLinger)
 	aborted := d.callers.InFlight()
 	if err != nil {
 		d.callerSrv.Close()
--- a/internal/drain/drain.go
+++ b/internal/drain/conns.go
@@ -1,9 +1,3 @@
-// Package drain shuts an HTTP server down without losing a request that callers have sent.
-//
-// http.Server.Shutdown closes connections on which a request arrives after the call, without a
-// response, and callers can't tell that the request did not run. This package therefore calls
-// Shutdown only when no connection is in use any more. Requests that arrive before that are
-// served, and their responses close the connections if the handler asks for it.
 package drain
 
 import (
@@ -16,9 +10,6 @@
 	"github.com/shedhoist/shedhoist/internal/wait"
 )
 
-// pollInterval is the interval at which Stop checks whether the connections are drained.
-const pollInterval = 20 * time.Millisecond
-
 // Conns tracks the open connections of a server. The zero value is ready for use. Attach must be
 // called before the server serves.
 type Conns struct {
@@ -108,6 +99,16 @@
 	return drained
 }
 
+// closeUnusedDuring closes unused connections for d, or until ctx ends.
+func (c *Conns) closeUnusedDuring(ctx context.Context, d, linger time.Duration) {
+	for began := time.Now(); time.Since(began) < d; {
+		c.closeUnused(began, time.Now(), linger)
+		if !wait.For(ctx, pollInterval) {
+			return
+		}
+	}
+}
+
 // awaitDrained returns nil once all connections are closed, or ctx's error if ctx has ended.
 func (c *Conns) awaitDrained(ctx context.Context, linger time.Duration) error {
 	for began := time.Now(); !c.closeUnused(began, time.Now(), linger); {
@@ -117,25 +118,3 @@
 	}
 	return ctx.Err()
 }
-
-// Stop shuts down a server that was already taken out of rotation.
-//
-// A connection that carries no request for linger is closed, and so is a new one on which no
-// complete request has arrived by then: a caller that chose this server before it was taken out
-// of rotation has sent its request within linger, unless its machine is stalled for longer.
-// Connections that become idle after linger are closed at once. New connections are accepted for
-// linger/2: a load balancer without another server to choose keeps opening them, and the running
-// requests must not wait for them.
-//
-// If ctx ends first Stop returns ctx's error and the running requests continue; aborting them is
-// up to the caller.
-func Stop(ctx context.Context, srv *http.Server, ln net.Listener, conns *Conns, linger time.Duration) error {
-	acceptCtx, cancel := context.WithTimeout(ctx, linger/2)
-	defer cancel()
-	_ = conns.awaitDrained(acceptCtx, linger) // callers may still connect; that is no failure
-	ln.Close()
-	if err := conns.awaitDrained(ctx, linger); err != nil {
-		return err
-	}
-	return srv.Shutdown(ctx)
-}
--- /dev/null
+++ b/internal/drain/server.go
@@ -0,0 +1,87 @@
+// Package drain stops HTTP servers without losing a request that callers have sent.
+//
+// Closing a listener resets the connections that the kernel has established and the process has
+// not accepted yet, and http.Server.Shutdown closes connections on which a request arrives after
+// the call, without a response. In both cases callers can't tell that the request did not run.
+// A Server therefore accepts all established connections before it closes its listener, and calls
+// Shutdown only when no connection is left.
+package drain
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+)
+
+// pollInterval is the interval at which Stop checks whether the connections are drained.
+const pollInterval = 20 * time.Millisecond
+
+// Server is an HTTP server with one listener.
+type Server struct {
+	http   *http.Server
+	ln     *listener
+	tls    *tls.Config // nil: plain HTTP
+	log    log.Interface
+	conns  Conns
+	served chan struct{} // closed when Serve returns
+}
+
+// NewServer returns a server that will accept connections from ln, with TLS if tlsConfig is not
+// nil. It adds hooks to srv; srv's own ConnState hook is still called.
+func NewServer(srv *http.Server, ln net.Listener, tlsConfig *tls.Config, logger log.Interface) *Server {
+	s := &Server{http: srv, ln: newListener(ln, logger), tls: tlsConfig, log: logger, served: make(chan struct{})}
+	s.conns.Attach(srv)
+	return s
+}
+
+// Serve accepts and serves connections until the listener is closed. It must be called once.
+func (s *Server) Serve() error {
+	defer close(s.served)
+	if s.tls != nil {
+		return s.http.Serve(tls.NewListener(s.ln, s.tls))
+	}
+	return s.http.Serve(s.ln)
+}
+
+// Close closes the listener and all connections without waiting for requests.
+func (s *Server) Close() error { return s.http.Close() }
+
+// Stop shuts down a server that was already taken out of rotation. It always takes these steps:
+//
+//  1. For linger/2 it goes on accepting connections: a load balancer that has no other server, or
+//     is late, still opens them. The running requests must not wait for them for longer.
+//  2. It ignores new attempts to connect, accepts the connections that are established, closes
+//     the listener and waits until each of the accepted ones is tracked.
+//  3. It waits until no connection is left. Those that carry no request for linger are closed,
+//     and new ones on which no complete request has arrived by then: a caller that chose this
+//     server before it was taken out of rotation has sent its request by then, unless its machine
+//     is stalled for longer. Connections that become idle later than linger are closed at once.
+//
+// If ctx ends first Stop returns ctx's error and the running requests continue; aborting them is
+// up to the caller.
+func (s *Server) Stop(ctx context.Context, linger time.Duration) error {
+	s.conns.closeUnusedDuring(ctx, linger/2, linger)
+	s.ln.endIntake()
+	if err := s.awaitServed(ctx); err != nil {
+		return err
+	}
+	if err := s.conns.awaitDrained(ctx, linger); err != nil {
+		return err
+	}
+	return s.http.Shutdown(ctx)
+}
+
+// awaitServed waits until Serve has returned. By then net/http has reported each accepted
+// connection as http.StateNew, so all of them are tracked.
+func (s *Server) awaitServed(ctx context.Context) error {
+	select {
+	case <-s.served:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,8 +119,7 @@
 	successSampler, saveSampler sampler // limit the rate of log lines
 
 	callerLn, readyLn, peerLn, metricsLn net.Listener
-	callerConns                          drain.Conns
-	callerSrv, readySrv, metricsSrv      *http.Server
+	callerSrv, readySrv, metricsSrv      *drain.Server // metricsSrv is nil without a listener
 }
 
 // New opens listeners on all addresses of the settings and starts nothing else. If it fails,
@@ -196,11 +195,15 @@
 	}
 	errorLog := logline.Logger(g.log)
 	idle := &idleConns{limit: g.idleLimit}
-	g.callerSrv = &http.Server{Handler: http.HandlerFunc(g.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+	callers := &http.Server{Handler: http.HandlerFunc(g.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: errorLog, ConnState: idle.onStateChange}
-	g.callerConns.Attach(g.callerSrv)
-	g.readySrv = &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: errorLog}
-	g.metricsSrv = &http.Server{Handler: http.HandlerFunc(g.serveMetrics), ReadHeaderTimeout: headerTimeout, ErrorLog: errorLog}
+	g.callerSrv = drain.NewServer(callers, g.callerLn, nil, g.log)
+	ready := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: errorLog}
+	g.readySrv = drain.NewServer(ready, g.readyLn, nil, g.log)
+	if g.metricsLn != nil {
+		scrapes := &http.Server{Handler: http.HandlerFunc(g.serveMetrics), ReadHeaderTimeout: headerTimeout, ErrorLog: errorLog}
+		g.metricsSrv = drain.NewServer(scrapes, g.metricsLn, nil, g.log)
+	}
 	return nil
 }
 
@@ -255,10 +258,10 @@
 	for _, f := range [...]func(context.Context){g.joinSeeds, g.pollPeersWithoutStore, g.pollStaleness, g.fetchConfigs, g.maintainBootstrap, g.forgetGone, g.maintainQuarantine, g.reportSuspects, g.reportLoads, g.runRollouts, g.cache.run, g.cache.pullDirectory, g.cache.collectGarbage} {
 		g.spawn(func() { f(g.ctx) })
 	}
-	g.serveListener("callers", func() error { return g.callerSrv.Serve(g.callerLn) })
-	g.serveListener("readiness", func() error { return g.readySrv.Serve(g.readyLn) })
-	if g.metricsLn != nil {
-		g.serveListener("metrics", func() error { return g.metricsSrv.Serve(g.metricsLn) })
+	g.serveListener("callers", g.callerSrv.Serve)
+	g.serveListener("readiness", g.readySrv.Serve)
+	if g.metricsSrv != nil {
+		g.serveListener("metrics", g.metricsSrv.Serve)
 	}
 	g.serveListener("peers", func() error { return g.peers.Serve(g.peerLn) })
 	g.log.WithField("callers", g.CallerAddr()).WithField("peers", g.PeerAddr()).WithField("store", set.PlatformAddress).Info("started")
@@ -356,7 +359,9 @@
 	g.cancel()
 	g.callerSrv.Close()
 	g.readySrv.Close()
-	g.metricsSrv.Close()
+	if g.metricsSrv != nil {
+		g.metricsSrv.Close()
+	}
 	g.peerLn.Close()
 	g.peers.Close()
 	g.pool.Close()
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -47,7 +47,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	wait.For(ctx, balancerNoticeTime)
-	err := drain.Stop(ctx, g.callerSrv, g.callerLn, &g.callerConns, lingerAfterNotice)
+	err := g.callerSrv.Stop(ctx, lingerAfterNotice)
 	aborted := g.inFlight.Load()
 	if err != nil {
 		g.callerSrv.Close()
--- a/internal/netx/netx.go
+++ b/internal/netx/netx.go
@@ -47,7 +47,17 @@
 
 // Listen opens a TCP listener whose connections detect unresponsive peers.
 func Listen(address string) (net.Listener, error) {
-	lc := net.ListenConfig{KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	return listenTCP(net.ListenConfig{KeepAliveConfig: keepAlive, Control: setUserTimeout}, address)
+}
+
+// ListenDefault opens a TCP listener with the system's defaults.
+func ListenDefault(address string) (net.Listener, error) {
+	return listenTCP(net.ListenConfig{}, address)
+}
+
+// listenTCP opens a listener without Multipath TCP, for which StopHandshakes fails.
+func listenTCP(lc net.ListenConfig, address string) (net.Listener, error) {
+	lc.SetMultipathTCP(false)
 	return lc.Listen(context.Background(), "tcp", address)
 }
 
