A stop closes no connection on which a request has begun to arrive

What callers saw: EOF or a reset, where a stop closed their connection while they were sending, or had sent, a request: a header whose end came later than linger; a request that lay in the receive buffer of a stalled machine; the next request on a kept connection, half or wholly read but not yet reported by net/http as active.

Cause: a connection's state is all that internal/drain knew, and net/http reports a new or idle connection as active only when it has read a whole header. What was closed in that gap was closed for lack of use. A request that had been read by then was aborted without a response.

Change: the listener's connections count what was read from them. A connection is closed for lack of use only if nothing was read since its last state and the kernel holds nothing unread. It is closed by ending the server's wait for a request, and the stop waits until the server has closed it; a request that was read in that very moment is refused with a response (503, not run, Retry-After) and logged. What still can't be answered is a request that crosses the close itself.

A header that never ends is borne until the server's own limit for headers, or the stop's end.

--- a/internal/drain/conns.go
+++ b/internal/drain/conns.go
@@ -13,19 +13,37 @@
 // Conns tracks the open connections of a server. The zero value is ready for use. Attach must be
 // called before the server serves.
 type Conns struct {
-	mu     sync.Mutex
-	states map[net.Conn]connState
+	mu      sync.Mutex
+	states  map[net.Conn]connState
+	closing map[net.Conn]struct{} // closed by a stop; the server's goroutine has not ended yet
 }
 
-// connState is the state of a connection and the time when it began.
+// connState is the state of a connection, the time when it began, and the number of bytes that had
+// been read from the connection by then.
 type connState struct {
-	state http.ConnState
-	since time.Time
+	state     http.ConnState
+	since     time.Time
+	bytesRead int64
 }
 
-// Attach installs hooks in the server that track its connections and abort requests that begin on
-// a connection that was closed. The server's own ConnState hook is still called.
-func (c *Conns) Attach(srv *http.Server) {
+func newConnState(conn net.Conn, state http.ConnState) connState {
+	s := connState{state: state, since: time.Now()}
+	if tracked := trackedConnOf(conn); tracked != nil {
+		s.bytesRead = tracked.bytesRead.Load()
+	}
+	return s
+}
+
+// requestBegun reports whether a part of a request has arrived since the state began.
+func (s connState) requestBegun(conn net.Conn) bool {
+	tracked := trackedConnOf(conn)
+	return tracked != nil && (tracked.bytesRead.Load() > s.bytesRead || tracked.hasUnread())
+}
+
+// Attach installs hooks in the server that track its connections. Requests that begin on a
+// connection that is being closed go to refuse, which must not run them. The server's own ConnState
+// hook is still called.
+func (c *Conns) Attach(srv *http.Server, refuse http.Handler) {
 	hook, next := srv.ConnState, srv.Handler
 	srv.ConnState = func(conn net.Conn, state http.ConnState) {
 		if hook != nil {
@@ -39,7 +57,8 @@
 	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn, _ := r.Context().Value(connContextKey{}).(net.Conn)
 		if !c.beginRequest(conn) {
-			panic(http.ErrAbortHandler) // the caller has seen the connection close
+			refuse.ServeHTTP(w, r)
+			return
 		}
 		next.ServeHTTP(w, r)
 	})
@@ -53,14 +72,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.states == nil {
-		c.states = map[net.Conn]connState{}
+		c.states, c.closing = map[net.Conn]connState{}, map[net.Conn]struct{}{}
 	}
 	_, open := c.states[conn]
 	switch {
 	case state == http.StateClosed, state == http.StateHijacked:
 		delete(c.states, conn)
+		delete(c.closing, conn)
 	case state == http.StateNew, open: // else closeUnused has closed it
-		c.states[conn] = connState{state: state, since: time.Now()}
+		c.states[conn] = newConnState(conn, state)
 	}
 }
 
@@ -70,7 +90,7 @@
 	defer c.mu.Unlock()
 	current, open := c.states[conn]
 	if open && current.state != http.StateActive {
-		c.states[conn] = connState{state: http.StateActive, since: time.Now()}
+		c.states[conn] = newConnState(conn, http.StateActive)
 	}
 	return open
 }
@@ -78,8 +98,8 @@
 // closeUnused closes unused connections in a stop that began at began, and returns whether none
 // is left that has a request running or may still carry one. It closes connections that have
 // been idle for linger and, once the stop has lasted for linger, all idle ones and those on
-// which no first request has arrived for linger. The caller of a response that ends so late was
-// not told to use another server, and little time would be left for its next request.
+// which no first request has begun to arrive for linger. The caller of a response that ends so late
+// was not told to use another server, and little time would be left for its next request.
 func (c *Conns) closeUnused(began, now time.Time, linger time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -91,14 +111,34 @@
 			current.state == http.StateNew && min(unused, now.Sub(began)) < linger,
 			current.state == http.StateIdle && max(unused, now.Sub(began)) < linger:
 			drained = false
+		case current.requestBegun(conn):
+			drained = false // it is served or refused when it is complete
 		default:
-			conn.Close()
 			delete(c.states, conn)
+			c.closing[conn] = struct{}{}
 		}
 	}
+	c.endReads()
 	return drained
 }
 
+// endReads makes the server stop waiting for requests on connections that are being closed, which
+// closes them. A request that the server has already read is refused with a response.
+func (c *Conns) endReads() {
+	for conn := range c.closing {
+		// Again on each call, since the server may have set another deadline meanwhile. An error
+		// means that the connection is closed.
+		_ = conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// allClosed reports whether the server has closed all connections that closeUnused closed.
+func (c *Conns) allClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.closing) == 0
+}
+
 // closeUnusedDuring closes unused connections for d, or until ctx ends.
 func (c *Conns) closeUnusedDuring(ctx context.Context, d, linger time.Duration) {
 	for began := time.Now(); time.Since(began) < d; {
@@ -111,7 +151,7 @@
 
 // awaitDrained returns nil once all connections are closed, or ctx's error if ctx has ended.
 func (c *Conns) awaitDrained(ctx context.Context, linger time.Duration) error {
-	for began := time.Now(); !c.closeUnused(began, time.Now(), linger); {
+	for began := time.Now(); !c.closeUnused(began, time.Now(), linger) || !c.allClosed(); {
 		if !wait.For(ctx, pollInterval) {
 			return ctx.Err()
 		}
--- a/internal/drain/listener.go
+++ b/internal/drain/listener.go
@@ -93,6 +93,14 @@
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
+	conn, err := l.accept()
+	if err != nil {
+		return nil, err
+	}
+	return &trackedConn{Conn: conn}, nil
+}
+
+func (l *listener) accept() (net.Conn, error) {
 	for !l.handshakesEnded {
 		conn, err := l.Listener.Accept()
 		if !l.ending.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/drain/memnet_test.go
+++ b/internal/drain/memnet_test.go
@@ -71,6 +71,13 @@
 // stall makes reads wait, or lets them go on.
 func (c *memConn) stall(stalled bool) { c.in.update(func() { c.in.stalled = stalled }) }
 
+// hasUnread implements receiveBuffer.
+func (c *memConn) hasUnread() (bool, error) {
+	c.in.mu.Lock()
+	defer c.in.mu.Unlock()
+	return len(c.in.buf) > 0, nil
+}
+
 // Read implements net.Conn.
 func (c *memConn) Read(p []byte) (int, error) { return c.in.read(p) }
 
--- a/internal/drain/server.go
+++ b/internal/drain/server.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/apex/log"
+
+	"github.com/shedhoist/shedhoist/internal/problem"
 )
 
 // pollInterval is the interval at which Stop checks whether the connections are drained.
@@ -34,7 +36,7 @@
 // nil. It adds hooks to srv; srv's own ConnState hook is still called.
 func NewServer(srv *http.Server, ln net.Listener, tlsConfig *tls.Config, logger log.Interface) *Server {
 	s := &Server{http: srv, ln: newListener(ln, logger), tls: tlsConfig, log: logger, served: make(chan struct{})}
-	s.conns.Attach(srv)
+	s.conns.Attach(srv, http.HandlerFunc(s.refuse))
 	return s
 }
 
@@ -56,10 +58,11 @@
 //     is late, still opens them. The running requests must not wait for them for longer.
 //  2. It ignores new attempts to connect, accepts the connections that are established, closes
 //     the listener and waits until each of the accepted ones is tracked.
-//  3. It waits until no connection is left. Those that carry no request for linger are closed,
-//     and new ones on which no complete request has arrived by then: a caller that chose this
-//     server before it was taken out of rotation has sent its request by then, unless its machine
-//     is stalled for longer. Connections that become idle later than linger are closed at once.
+//  3. It waits until no connection is left. Those that carry no request for linger are closed:
+//     a caller that chose this server before it was taken out of rotation has begun to send by
+//     then, unless its machine is stalled for longer. Connections that become idle later than
+//     linger are closed at once. One on which a part of a request has arrived stays open until
+//     the request is complete, or the server's own limits end it.
 //
 // If ctx ends first Stop returns ctx's error and the running requests continue; aborting them is
 // up to the caller.
@@ -85,3 +88,15 @@
 		return ctx.Err()
 	}
 }
+
+// retryAfter is the Retry-After of a refused request: another instance can take it at once.
+const retryAfter = time.Second
+
+// refuse responds to a request that arrived while its connection was being closed.
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request) {
+	s.log.WithField("caller", r.RemoteAddr).WithField("path", r.URL.Path).Info("refused: the stop closes this connection")
+	w.Header().Set("Connection", "close")
+	p := problem.New(problem.Draining, "this instance is stopping")
+	p.RetryAfter = retryAfter
+	p.Write(w)
+}
--- /dev/null
+++ b/internal/drain/tracked_conn.go
@@ -0,0 +1,76 @@
+package drain
+
+import (
+	"io"
+	"net"
+	"sync/atomic"
+	"syscall"
+
+	"github.com/shedhoist/shedhoist/internal/netx"
+)
+
+// trackedConn is a connection that counts the bytes read from it.
+type trackedConn struct {
+	net.Conn
+	bytesRead atomic.Int64
+}
+
+// trackedConnOf returns the trackedConn that conn is, or carries TLS over; nil: none.
+func trackedConnOf(conn net.Conn) *trackedConn {
+	if secured, ok := conn.(interface{ NetConn() net.Conn }); ok { // a tls.Conn
+		conn = secured.NetConn()
+	}
+	tracked, _ := conn.(*trackedConn)
+	return tracked
+}
+
+// Read implements net.Conn.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytesRead.Add(int64(n))
+	return n, err
+}
+
+// ReadFrom implements io.ReaderFrom, which net/http uses to send without a copy.
+func (c *trackedConn) ReadFrom(r io.Reader) (int64, error) { return io.Copy(c.Conn, r) }
+
+// CloseWrite closes the sending direction, where the connection can. net/http does so before it
+// closes a connection whose caller is still sending.
+func (c *trackedConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// receiveBuffer is what the kernel holds of a connection.
+type receiveBuffer interface {
+	// hasUnread reports whether there are bytes that were not read yet.
+	hasUnread() (bool, error)
+}
+
+// tcpReceiveBuffer implements receiveBuffer.
+type tcpReceiveBuffer struct{ syscall.Conn }
+
+func (b tcpReceiveBuffer) hasUnread() (bool, error) { return netx.Readable(b.Conn) }
+
+// receiveBufferOf returns the receive buffer of a connection; nil: the kernel holds nothing for it.
+func receiveBufferOf(conn net.Conn) receiveBuffer {
+	switch conn := conn.(type) {
+	case receiveBuffer:
+		return conn
+	case syscall.Conn:
+		return tcpReceiveBuffer{conn}
+	}
+	return nil
+}
+
+// hasUnread reports whether the caller has sent bytes that were not read yet.
+func (c *trackedConn) hasUnread() bool {
+	buffer := receiveBufferOf(c.Conn)
+	if buffer == nil {
+		return false
+	}
+	unread, err := buffer.hasUnread()
+	return err == nil && unread // an error means that the connection is closed
+}
