Operators', readiness and metrics servers stop by the same rule

What was seen: an operator's request that was under way when an instance ended got EOF, also while it was only half sent: these servers were closed outright. The outcome of a change of configuration sent that way is unknown to the operator.

Cause: only the callers' server was stopped; the others were closed, with whatever ran on them, in the kernel's queue or between Accept and the first hook.

Change: StopAdmin stops them together by Stop's steps after the callers' server has ended, with a linger of 100 ms and one second at most; each server's responses announce the close of their connection from its stop on. Peers' calls are still ended with their listener: each of them has a way without that peer (a claim is written by the asker with the same nonce).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -279,7 +279,7 @@
 		d.callerSrv.Close()
 	}
 	d.announceLeaving()
-	d.operatorSrv.Close()
+	drain.StopAdmin(ctx, d.operatorSrv)
 	d.peerLn.Close()
 	d.peers.Close()
 	d.stop()
--- a/internal/daemon/stop_order_test.go
+++ b/internal/daemon/stop_order_test.go
@@ -14,6 +14,7 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/matryer/is"
 
+	"github.com/shedhoist/shedhoist/internal/operator"
 	"github.com/shedhoist/shedhoist/internal/settings"
 	standin "github.com/shedhoist/shedhoist/internal/standin/platform"
 )
@@ -94,3 +95,12 @@
 	d.callerSrv = d.newServer(d.callerHandler(), ln, nil)
 	checkAnswered(t, d, ln, [2]string{"GET /livez HTTP/1.1\r\n", "Host: a.example\r\n\r\n"})
 }
+
+// TestShutdownAnswersOperator guards against a shutdown that cuts operators' requests.
+func TestShutdownAnswersOperator(t *testing.T) {
+	d := newLoneDaemon(t)
+	ln := watch(d.operatorLn, false)
+	ops := &operator.Edge{State: d, Keys: d.set.Operators.KeyHashes}
+	d.operatorSrv = d.newServer(ops.Handler(), ln, nil)
+	checkAnswered(t, d, ln, [2]string{"GET /v1/status HTTP/1.1\r\n", "Host: a.example\r\n\r\n"})
+}
--- a/internal/drain/server.go
+++ b/internal/drain/server.go
@@ -12,6 +12,8 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -30,16 +32,30 @@
 	log    log.Interface
 	conns  Conns
 	served chan struct{} // closed when Serve returns
+
+	stopping atomic.Bool
 }
 
 // NewServer returns a server that will accept connections from ln, with TLS if tlsConfig is not
 // nil. It adds hooks to srv; srv's own ConnState hook is still called.
 func NewServer(srv *http.Server, ln net.Listener, tlsConfig *tls.Config, logger log.Interface) *Server {
 	s := &Server{http: srv, ln: newListener(ln, logger), tls: tlsConfig, log: logger, served: make(chan struct{})}
+	srv.Handler = s.closeAfterResponse(srv.Handler)
 	s.conns.Attach(srv, http.HandlerFunc(s.refuse))
 	return s
 }
 
+// closeAfterResponse tells the callers of requests that begin during a stop to use another
+// connection for the next one.
+func (s *Server) closeAfterResponse(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Serve accepts and serves connections until the listener is closed. It must be called once.
 func (s *Server) Serve() error {
 	defer close(s.served)
@@ -54,8 +70,9 @@
 
 // Stop shuts down a server that was already taken out of rotation. It always takes these steps:
 //
-//  1. For linger/2 it goes on accepting connections: a load balancer that has no other server, or
-//     is late, still opens them. The running requests must not wait for them for longer.
+//  1. From now on responses close their connections. For linger/2 it goes on accepting
+//     connections: a load balancer that has no other server, or is late, still opens them. The
+//     running requests must not wait for them for longer.
 //  2. It ignores new attempts to connect, accepts the connections that are established, closes
 //     the listener and waits until each of the accepted ones is tracked.
 //  3. It waits until no connection is left. Those that carry no request for linger are closed:
@@ -67,6 +84,7 @@
 // If ctx ends first Stop returns ctx's error and the running requests continue; aborting them is
 // up to the caller.
 func (s *Server) Stop(ctx context.Context, linger time.Duration) error {
+	s.stopping.Store(true)
 	s.conns.closeUnusedDuring(ctx, linger/2, linger)
 	s.ln.endIntake()
 	if err := s.awaitServed(ctx); err != nil {
@@ -78,6 +96,35 @@
 	return s.http.Shutdown(ctx)
 }
 
+// Times of StopAdmin.
+const (
+	adminLinger  = 100 * time.Millisecond
+	adminTimeout = time.Second
+)
+
+// StopAdmin stops the servers whose requests are short and come from operators, monitoring or a
+// load balancer's health check, all at the same time. It closes those that have not stopped within
+// adminTimeout or when ctx ends. A nil server is ignored.
+func StopAdmin(ctx context.Context, servers ...*Server) {
+	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
+	defer cancel()
+	var stops sync.WaitGroup
+	for _, s := range servers {
+		if s != nil {
+			stops.Go(func() { s.stopOrClose(ctx, adminLinger) })
+		}
+	}
+	stops.Wait()
+}
+
+// stopOrClose stops the server and closes it if ctx ends first.
+func (s *Server) stopOrClose(ctx context.Context, linger time.Duration) {
+	if err := s.Stop(ctx, linger); err != nil {
+		s.log.WithError(err).WithField("address", s.ln.Addr().String()).Warn("server closed before its requests ended")
+		s.Close()
+	}
+}
+
 // awaitServed waits until Serve has returned. By then net/http has reported each accepted
 // connection as http.StateNew, so all of them are tracked.
 func (s *Server) awaitServed(ctx context.Context) error {
--- a/internal/drain/stop_order_test.go
+++ b/internal/drain/stop_order_test.go
@@ -233,7 +233,7 @@
 // TestStopEndsWhileCallersConnect guards against a stop that callers hold open: those who connect
 // and ask, who connect and say nothing, and who ask without end on one connection.
 func TestStopEndsWhileCallersConnect(t *testing.T) {
-	for name, kind := range map[string]struct{ silent, keepOpen bool }{"asking": {}, "silent": {silent: true}} {
+	for name, kind := range map[string]struct{ silent, keepOpen bool }{"asking": {}, "silent": {silent: true}, "kept": {keepOpen: true}} {
 		t.Run(name, func(t *testing.T) {
 			inBubble(t, func(t *testing.T, o *stopOrder) {
 				o.busy = orderLinger/10 + time.Microsecond // ends at no time at which Stop looks
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -53,6 +53,7 @@
 		g.callerSrv.Close()
 	}
 	g.announceLeave()
+	drain.StopAdmin(ctx, g.readySrv, g.metricsSrv)
 	g.Kill()
 	g.goroutines.Wait()
 	if err != nil && aborted > 0 {
