Fleet: Close reads its instances under the lock

The race detector reported a race of Close with StopInstance when a test failed while its stop was still running (seen beside failures of TestShutdownRefusesWhatItWouldCut). Close read the list of instances without the lock.

--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -316,7 +316,10 @@
 func (f *Fleet) Close() {
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	for _, d := range f.Daemons {
+	f.mu.Lock()
+	daemons := f.Daemons
+	f.mu.Unlock()
+	for _, d := range daemons {
 		_ = d.Shutdown(ctx)
 	}
 	for _, s := range f.servers {
