A stop counts what was read from a connection as one step with ending its reads

What callers see: EOF on a kept connection whose next header is half read, if the stop looks between the kernel's part of a Read and its count.

Cause: the bytes had left the receive buffer and were not counted yet, so the connection looked unused; the count and the buffer were also read in the wrong order.

Change: reads are counted under a lock, and bytes that cross the end of reads lift it for a second, in which the rest of the header may come; the request is then refused with a response. TestStopAnswersHeaderTakenButNotCounted failed before.

--- a/internal/drain/conns.go
+++ b/internal/drain/conns.go
@@ -15,7 +15,7 @@
 type Conns struct {
 	mu      sync.Mutex
 	states  map[net.Conn]connState
-	closing map[net.Conn]struct{} // closed by a stop; the server's goroutine has not ended yet
+	closing map[net.Conn]struct{} // their reads are ended; net/http has not closed them yet
 }
 
 // connState is the state of a connection, the time when it began, and the number of bytes that had
@@ -29,17 +29,11 @@
 func newConnState(conn net.Conn, state http.ConnState) connState {
 	s := connState{state: state, since: time.Now()}
 	if tracked := trackedConnOf(conn); tracked != nil {
-		s.bytesRead = tracked.bytesRead.Load()
+		s.bytesRead = tracked.count()
 	}
 	return s
 }
 
-// requestBegun reports whether a part of a request has arrived since the state began.
-func (s connState) requestBegun(conn net.Conn) bool {
-	tracked := trackedConnOf(conn)
-	return tracked != nil && (tracked.bytesRead.Load() > s.bytesRead || tracked.hasUnread())
-}
-
 // Attach installs hooks in the server that track its connections. Requests that begin on a
 // connection that is being closed go to refuse, which must not run them. The server's own ConnState
 // hook is still called.
@@ -96,7 +90,8 @@
 }
 
 // closeUnused closes unused connections in a stop that began at began, and returns whether none
-// is left that has a request running or may still carry one. It closes connections that have
+// is left that has a request running or may still carry one; allClosed tells when those that it
+// closed are gone. It closes connections that have
 // been idle for linger and, once the stop has lasted for linger, all idle ones and those on
 // which no first request has begun to arrive for linger. The caller of a response that ends so late
 // was not told to use another server, and little time would be left for its next request.
@@ -111,24 +106,45 @@
 			current.state == http.StateNew && min(unused, now.Sub(began)) < linger,
 			current.state == http.StateIdle && max(unused, now.Sub(began)) < linger:
 			drained = false
-		case current.requestBegun(conn):
+		case c.requestBegun(conn):
 			drained = false // it is served or refused when it is complete
 		default:
-			delete(c.states, conn)
-			c.closing[conn] = struct{}{}
+			c.close(conn)
 		}
 	}
-	c.endReads()
+	c.keepReadsEnded()
 	return drained
 }
 
-// endReads makes the server stop waiting for requests on connections that are being closed, which
-// closes them. A request that the server has already read is refused with a response.
-func (c *Conns) endReads() {
+// requestBegun reports whether a part of a request has arrived on a new or idle connection since
+// its state began.
+func (c *Conns) requestBegun(conn net.Conn) bool {
+	tracked := trackedConnOf(conn)
+	if tracked == nil {
+		return false
+	}
+	// In this order: bytes move from the kernel to the count.
+	return tracked.hasUnread() || tracked.count() > c.states[conn].bytesRead
+}
+
+// close makes the server stop waiting for a request on a connection, which closes it. A request
+// that the server has already read is refused with a response.
+func (c *Conns) close(conn net.Conn) {
+	delete(c.states, conn)
+	c.closing[conn] = struct{}{}
+	if tracked := trackedConnOf(conn); tracked != nil {
+		tracked.endReads()
+		return
+	}
+	interruptRead(conn)
+}
+
+// keepReadsEnded repeats what close did, since the server may have set another deadline meanwhile.
+func (c *Conns) keepReadsEnded() {
 	for conn := range c.closing {
-		// Again on each call, since the server may have set another deadline meanwhile. An error
-		// means that the connection is closed.
-		_ = conn.SetReadDeadline(time.Unix(1, 0))
+		if tracked := trackedConnOf(conn); tracked != nil {
+			tracked.keepReadsEnded()
+		}
 	}
 }
 
--- a/internal/drain/server.go
+++ b/internal/drain/server.go
@@ -139,11 +139,11 @@
 // retryAfter is the Retry-After of a refused request: another instance can take it at once.
 const retryAfter = time.Second
 
-// refuse responds to a request that arrived while its connection was being closed.
+// refuse responds to a request that arrived while its connection was being closed for lack of use.
 func (s *Server) refuse(w http.ResponseWriter, r *http.Request) {
-	s.log.WithField("caller", r.RemoteAddr).WithField("path", r.URL.Path).Info("refused: the stop closes this connection")
+	s.log.WithField("caller", r.RemoteAddr).WithField("path", r.URL.Path).Info("refused: its connection was being closed")
 	w.Header().Set("Connection", "close")
-	p := problem.New(problem.Draining, "this instance is stopping")
+	p := problem.New(problem.Draining, "this connection is being closed")
 	p.RetryAfter = retryAfter
 	p.Write(w)
 }
--- a/internal/drain/stop_order_test.go
+++ b/internal/drain/stop_order_test.go
@@ -27,6 +27,9 @@
 	orderLinger = time.Second
 	orderLate   = 2 * orderLinger // when Stop has closed what it closes for lack of use
 
+	orderHeaderTimeout = 5 * orderLinger
+	orderIdleTimeout   = 120 * orderLinger
+
 	orderRequestLine = "GET /a HTTP/1.1\r\n"
 	orderHeaderRest  = "Host: a.example\r\n\r\n"
 	orderRequest     = orderRequestLine + orderHeaderRest
@@ -57,7 +60,7 @@
 func newStopOrder(t *testing.T, tlsConfig *tls.Config) *stopOrder {
 	o := &stopOrder{t: t, ln: newMemListener(), stopped: make(chan error, 1), holdState: -1, holdKnown: -1, release: make(chan struct{})}
 	o.ctx, o.cancel = context.WithCancel(t.Context())
-	o.srv = &http.Server{Handler: http.HandlerFunc(o.serveHTTP), ConnState: func(_ net.Conn, s http.ConnState) {
+	o.srv = &http.Server{Handler: http.HandlerFunc(o.serveHTTP), IdleTimeout: orderIdleTimeout, ReadHeaderTimeout: orderHeaderTimeout, ConnState: func(_ net.Conn, s http.ConnState) {
 		if s == o.holdState {
 			<-o.release
 		}
--- a/internal/drain/tracked_conn.go
+++ b/internal/drain/tracked_conn.go
@@ -3,8 +3,9 @@
 import (
 	"io"
 	"net"
-	"sync/atomic"
+	"sync"
 	"syscall"
+	"time"
 
 	"github.com/shedhoist/shedhoist/internal/netx"
 )
@@ -12,9 +13,43 @@
 // trackedConn is a connection that counts the bytes read from it.
 type trackedConn struct {
 	net.Conn
-	bytesRead atomic.Int64
+
+	mu         sync.Mutex
+	bytesRead  int64
+	readsEnded bool // by endReads, and no bytes have arrived since
+}
+
+// lateHeaderTime is how long the rest of a header may take whose first part crossed endReads.
+const lateHeaderTime = time.Second
+
+// count returns the number of bytes read.
+func (c *trackedConn) count() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.bytesRead
+}
+
+// endReads makes reads fail. Bytes that a Read has already received from the kernel are a part of
+// a request, which shall be refused with a response: they lift the end again.
+func (c *trackedConn) endReads() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readsEnded = true
+	interruptRead(c.Conn)
 }
 
+// keepReadsEnded repeats the effect of endReads, unless it was lifted.
+func (c *trackedConn) keepReadsEnded() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.readsEnded {
+		interruptRead(c.Conn)
+	}
+}
+
+// interruptRead makes the current and later reads fail. An error means that the connection is closed.
+func interruptRead(conn net.Conn) { _ = conn.SetReadDeadline(time.Unix(1, 0)) }
+
 // trackedConnOf returns the trackedConn that conn is, or carries TLS over; nil: none.
 func trackedConnOf(conn net.Conn) *trackedConn {
 	if secured, ok := conn.(interface{ NetConn() net.Conn }); ok { // a tls.Conn
@@ -27,7 +62,13 @@
 // Read implements net.Conn.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.bytesRead.Add(int64(n))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.bytesRead += int64(n)
+	if n > 0 && c.readsEnded {
+		c.readsEnded = false
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lateHeaderTime)) // an error means that it is closed
+	}
 	return n, err
 }
 
