--- a/internal/drain/conns.go
+++ b/internal/drain/conns.go
@@ -16,6 +16,8 @@
 	mu      sync.Mutex
 	states  map[net.Conn]connState
 	closing map[net.Conn]struct{} // their reads are ended; net/http has not closed them yet
+
+	headerTimeout time.Duration // of the server; 0: none
 }
 
 // connState is the state of a connection, the time when it began, and the number of bytes that had
@@ -39,6 +41,7 @@
 // hook is still called.
 func (c *Conns) Attach(srv *http.Server, refuse http.Handler) {
 	hook, next := srv.ConnState, srv.Handler
+	c.headerTimeout = srv.ReadHeaderTimeout
 	srv.ConnState = func(conn net.Conn, state http.ConnState) {
 		if hook != nil {
 			hook(conn, state)
@@ -106,7 +109,7 @@
 			current.state == http.StateNew && min(unused, now.Sub(began)) < linger,
 			current.state == http.StateIdle && max(unused, now.Sub(began)) < linger:
 			drained = false
-		case c.requestBegun(conn):
+		case c.requestBegun(conn, now.Sub(began)-linger):
 			drained = false // it is served or refused when it is complete
 		default:
 			c.close(conn)
@@ -117,14 +120,19 @@
 }
 
 // requestBegun reports whether a part of a request has arrived on a new or idle connection since
-// its state began.
-func (c *Conns) requestBegun(conn net.Conn) bool {
+// its state began, and is not overdue. What was read is overdue when waited has exceeded the
+// header timeout: net/http applies that only from the fifth byte after a response on, so that a
+// stray line end would hold a stop for the idle timeout.
+func (c *Conns) requestBegun(conn net.Conn, waited time.Duration) bool {
 	tracked := trackedConnOf(conn)
 	if tracked == nil {
 		return false
 	}
-	// In this order: bytes move from the kernel to the count.
-	return tracked.hasUnread() || tracked.count() > c.states[conn].bytesRead
+	if tracked.hasUnread() { // before the count: bytes move from here to there
+		return true
+	}
+	overdue := c.headerTimeout > 0 && waited > c.headerTimeout
+	return !overdue && tracked.count() > c.states[conn].bytesRead
 }
 
 // close makes the server stop waiting for a request on a connection, which closes it. A request
@@ -166,8 +174,8 @@
 }
 
 // awaitDrained returns nil once all connections are closed, or ctx's error if ctx has ended.
-func (c *Conns) awaitDrained(ctx context.Context, linger time.Duration) error {
-	for began := time.Now(); !c.closeUnused(began, time.Now(), linger) || !c.allClosed(); {
+func (c *Conns) awaitDrained(ctx context.Context, began time.Time, linger time.Duration) error {
+	for !c.closeUnused(began, time.Now(), linger) || !c.allClosed() {
 		if !wait.For(ctx, pollInterval) {
 			return ctx.Err()
 		}
--- a/internal/drain/server.go
+++ b/internal/drain/server.go
@@ -66,7 +66,10 @@
 }
 
 // Close closes the listener and all connections without waiting for requests.
-func (s *Server) Close() error { return s.http.Close() }
+func (s *Server) Close() error {
+	_ = s.ln.Close() // Serve may not have begun; an error means that it is closed
+	return s.http.Close()
+}
 
 // Stop shuts down a server that was already taken out of rotation. It always takes these steps:
 //
@@ -79,7 +82,8 @@
 //     a caller that chose this server before it was taken out of rotation has begun to send by
 //     then, unless its machine is stalled for longer. Connections that become idle later than
 //     linger are closed at once. One on which a part of a request has arrived stays open until
-//     the request is complete, or the server's own limits end it.
+//     the request is complete, or the server's ReadHeaderTimeout ends it. Here linger counts from
+//     the end of step 1.
 //
 // If ctx ends first Stop returns ctx's error and the running requests continue; aborting them is
 // up to the caller.
@@ -87,10 +91,11 @@
 	s.stopping.Store(true)
 	s.conns.closeUnusedDuring(ctx, linger/2, linger)
 	s.ln.endIntake()
-	if err := s.awaitServed(ctx); err != nil {
+	began := time.Now()
+	if err := s.awaitServed(ctx, began, linger); err != nil {
 		return err
 	}
-	if err := s.conns.awaitDrained(ctx, linger); err != nil {
+	if err := s.conns.awaitDrained(ctx, began, linger); err != nil {
 		return err
 	}
 	return s.http.Shutdown(ctx)
@@ -126,13 +131,20 @@
 }
 
 // awaitServed waits until Serve has returned. By then net/http has reported each accepted
-// connection as http.StateNew, so all of them are tracked.
-func (s *Server) awaitServed(ctx context.Context) error {
-	select {
-	case <-s.served:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+// connection as http.StateNew, so all of them are tracked. Meanwhile it closes unused
+// connections: Accept may need their file descriptors.
+func (s *Server) awaitServed(ctx context.Context, began time.Time, linger time.Duration) error {
+	poll := time.NewTicker(pollInterval)
+	defer poll.Stop()
+	for {
+		select {
+		case <-s.served:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-poll.C:
+			s.conns.closeUnused(began, now, linger)
+		}
 	}
 }
 
