An idle limit closes no connection on which a request has begun to arrive

The same cause as in stops, outside of them: the gateway's idle limit, which follows the configuration, closed a kept connection whose next header was half read, since net/http reports it as idle until the header is complete. Callers saw EOF. It asks drain.Server now, which knows what was read. TestIdleConns passes the close function that it gave before; its checks are unchanged.

--- a/internal/drain/conns.go
+++ b/internal/drain/conns.go
@@ -135,6 +135,15 @@
 	return !overdue && tracked.count() > c.states[conn].bytesRead
 }
 
+// CloseIdle closes an idle connection unless a part of a request has arrived on it.
+func (c *Conns) CloseIdle(conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if current, open := c.states[conn]; open && current.state == http.StateIdle && !c.requestBegun(conn, 0) {
+		c.close(conn)
+	}
+}
+
 // close makes the server stop waiting for a request on a connection, which closes it. A request
 // that the server has already read is refused with a response.
 func (c *Conns) close(conn net.Conn) {
--- a/internal/drain/server.go
+++ b/internal/drain/server.go
@@ -71,6 +71,9 @@
 	return s.http.Close()
 }
 
+// CloseIdle closes an idle connection unless a part of a request has arrived on it.
+func (s *Server) CloseIdle(conn net.Conn) { s.conns.CloseIdle(conn) }
+
 // Stop shuts down a server that was already taken out of rotation. It always takes these steps:
 //
 //  1. From now on responses close their connections. For linger/2 it goes on accepting
--- a/internal/drain/stop_conns_test.go
+++ b/internal/drain/stop_conns_test.go
@@ -135,6 +135,24 @@
 	})
 }
 
+// TestCloseIdleKeepsBegunRequest guards against an idle limit that cuts a request of which a part has
+// arrived, and against one that closes nothing.
+func TestCloseIdleKeepsBegunRequest(t *testing.T) {
+	inBubble(t, func(t *testing.T, o *stopOrder) {
+		is := is.New(t)
+		client, _ := o.kept(0)
+		unused, _ := o.kept(0)
+		o.send(client, orderRequestLine)
+		for _, conn := range o.idle() {
+			o.server.CloseIdle(conn)
+		}
+		o.send(client, orderHeaderRest)
+		o.checkServed(client)
+		_, err := exchange(unused)
+		is.True(err != nil) // closed
+	})
+}
+
 // TestStopDoesNotRunWhatItCloses guards against a request that runs though its caller has seen the
 // connection close: no server can answer a request that crosses its close.
 func TestStopDoesNotRunWhatItCloses(t *testing.T) {
--- a/internal/drain/stop_order_test.go
+++ b/internal/drain/stop_order_test.go
@@ -142,6 +142,18 @@
 	return client, server
 }
 
+// idle returns the server's ends of the connections that net/http has reported as idle.
+func (o *stopOrder) idle() (conns []net.Conn) {
+	o.server.conns.mu.Lock()
+	defer o.server.conns.mu.Unlock()
+	for conn, current := range o.server.conns.states {
+		if current.state == http.StateIdle {
+			conns = append(conns, conn)
+		}
+	}
+	return conns
+}
+
 // inBubble runs a test whose server serves.
 func inBubble(t *testing.T, f func(t *testing.T, o *stopOrder)) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -194,7 +194,7 @@
 		}
 	}
 	errorLog := logline.Logger(g.log)
-	idle := &idleConns{limit: g.idleLimit}
+	idle := &idleConns{limit: g.idleLimit, close: func(conn net.Conn) { g.callerSrv.CloseIdle(conn) }}
 	callers := &http.Server{Handler: http.HandlerFunc(g.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: errorLog, ConnState: idle.onStateChange}
 	g.callerSrv = drain.NewServer(callers, g.callerLn, nil, g.log)
--- a/internal/gateway/idle_conns.go
+++ b/internal/gateway/idle_conns.go
@@ -15,6 +15,7 @@
 // configuration. It exists because http.Server's own idle timeout is fixed when the server starts.
 type idleConns struct {
 	limit func() time.Duration // 0: none
+	close func(net.Conn)       // unless a request has begun to arrive
 
 	mu     sync.Mutex
 	timers map[net.Conn]*time.Timer // of the idle connections
@@ -46,6 +47,6 @@
 	defer c.mu.Unlock()
 	if c.timers[conn] == *t {
 		delete(c.timers, conn)
-		conn.Close()
+		c.close(conn)
 	}
 }
--- a/internal/gateway/idle_conns_test.go
+++ b/internal/gateway/idle_conns_test.go
@@ -28,7 +28,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		limit := 4 * time.Second
-		c := &idleConns{limit: func() time.Duration { return limit }}
+		c := &idleConns{limit: func() time.Duration { return limit }, close: func(conn net.Conn) { conn.Close() }}
 		unused, used := &fakeConn{}, &fakeConn{}
 		c.onStateChange(unused, http.StateIdle)
 		c.onStateChange(used, http.StateIdle)
