Peers: a server goes on accepting after a lack of descriptors

Serve ended at the first error of Accept, also a temporary one, and the listener stayed open: peers connected and got no answer until the process was restarted. It pauses and goes on now, as net/http does.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/rpc"
 	"sync"
@@ -197,10 +198,18 @@
 	return s, s.rpc.RegisterName(name, receiver)
 }
 
+// acceptPause is the pause after a temporary error of Accept, for example too many open files.
+const acceptPause = 50 * time.Millisecond
+
 // Serve accepts connections on ln until it is closed.
 func (s *Server) Serve(ln net.Listener) error {
 	for {
 		conn, err := ln.Accept()
+		var failed interface{ Temporary() bool }
+		if errors.As(err, &failed) && failed.Temporary() {
+			time.Sleep(acceptPause)
+			continue
+		}
 		if err != nil {
 			return err
 		}
