Pending saves: a peer's last report counts until the next, not for 360 ms

What callers saw: no wrong answer is known. A part could be fetched while another instance's save of it, delayed at a silent server, was still to be written.

Cause: a peer's report of pending saves expired with its report of loads, after 360 ms, and a save that nobody reports was taken as ended. An instance that had been held up for longer, or whose peer's reports were, then fetched the part.

Why it works: the table keeps a peer's last report until a newer one replaces it, for 10 s at most, the time for which an abandoned request counts as in flight. Only the order of numbers still goes by 360 ms, so that a restarted peer is heard as soon as before. The price: if the report of a save's end is lost in a large fleet, or an instance dies with pending saves, these parts are computed instead of fetched for up to 10 s.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -137,7 +137,7 @@
 	g.crashDetector = &crashDetector{g: g, checks: map[string]*crashCheck{}}
 	g.breaker = breaker.New(g.now)
 	g.predictor = placement.NewPredictor()
-	g.peerLoads, g.peerSilences, g.peerPendingSaves = loadreport.NewPeerWork(loadReportTTL), loadreport.NewUnresponsiveTargets(loadReportTTL), loadreport.NewPendingSaves(loadReportTTL)
+	g.peerLoads, g.peerSilences, g.peerPendingSaves = loadreport.NewPeerWork(loadReportTTL), loadreport.NewUnresponsiveTargets(loadReportTTL), loadreport.NewPendingSaves(pendingSaveTTL, loadReportTTL)
 	g.cache = newCacheDirectory(g)
 	g.rollout = newRolloutController(g)
 	g.retryBudgets.g = g
--- a/internal/gateway/pending_saves.go
+++ b/internal/gateway/pending_saves.go
@@ -13,6 +13,12 @@
 // so there saves are reported at once.
 const pendingSaveDelay = 100 * time.Millisecond
 
+// pendingSaveTTL is how long a peer's last report of pending saves counts if none follows. It is the
+// time for which the request of an abandoned save may remain in flight, see cachestore.PendingSaves:
+// the save of an instance that has ended lasts no longer. A part is not fetched meanwhile, which
+// costs a target its computation.
+const pendingSaveTTL = 10 * time.Second
+
 // partKey identifies a part in reports of pending saves. If two parts share a key, a pending
 // save of either blocks fetches of both.
 func partKey(k cachestore.Key) loadreport.Key { return loadreport.KeyOf(k.Salt + "/" + k.Part) }
--- a/internal/loadreport/latest_reports.go
+++ b/internal/loadreport/latest_reports.go
@@ -8,7 +8,8 @@
 // latestReports keeps the latest report of each peer until it expires after maxAge. It is safe for
 // use by several goroutines. Use newLatestReports.
 type latestReports[T any] struct {
-	maxAge time.Duration
+	maxAge      time.Duration
+	maxDisorder time.Duration // a report with a lower number is ignored for this long
 
 	mu     sync.Mutex
 	byPeer map[string]report[T] // by instance name
@@ -22,16 +23,16 @@
 }
 
 func newLatestReports[T any](maxAge time.Duration) *latestReports[T] {
-	return &latestReports[T]{maxAge: maxAge, byPeer: map[string]report[T]{}}
+	return &latestReports[T]{maxAge: maxAge, maxDisorder: maxAge, byPeer: map[string]report[T]{}}
 }
 
-// apply stores a peer's report, unless one with the same or a higher number is stored and has not
-// expired. An expired one doesn't count: a restarted peer numbers its reports from 1 again. The
+// apply stores a peer's report, unless one with the same or a higher number was stored less than
+// maxDisorder ago. An older one doesn't count: a restarted peer numbers its reports from 1 again. The
 // content must not be modified after this call.
 func (l *latestReports[T]) apply(from string, seq uint64, content T, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if old, ok := l.byPeer[from]; ok && seq <= old.seq && now.Sub(old.received) < l.maxAge {
+	if old, ok := l.byPeer[from]; ok && seq <= old.seq && now.Sub(old.received) < l.maxDisorder {
 		return
 	}
 	l.byPeer[from] = report[T]{seq: seq, received: now, content: content}
--- a/internal/loadreport/pending_saves.go
+++ b/internal/loadreport/pending_saves.go
@@ -13,9 +13,13 @@
 // NewPendingSaves.
 type PendingSaves struct{ reports *latestReports[map[Key]bool] }
 
-// NewPendingSaves returns an empty table. A report expires after maxAge.
-func NewPendingSaves(maxAge time.Duration) *PendingSaves {
-	return &PendingSaves{reports: newLatestReports[map[Key]bool](maxAge)}
+// NewPendingSaves returns an empty table. A report expires after maxAge, and replaces one with a
+// higher number that is older than maxDisorder. maxAge is long: a save that was pending remains so
+// until its instance reports its end, and a report that does not arrive says nothing about it.
+func NewPendingSaves(maxAge, maxDisorder time.Duration) *PendingSaves {
+	l := &PendingSaves{reports: newLatestReports[map[Key]bool](maxAge)}
+	l.reports.maxDisorder = maxDisorder
+	return l
 }
 
 // Apply keeps a peer's report, unless a newer one is known.
