--- a/internal/drain/stop_conns_test.go
+++ b/internal/drain/stop_conns_test.go
@@ -1,6 +1,7 @@
 package drain
 
 import (
+	"bufio"
 	"crypto/tls"
 	"net/http"
 	"testing"
@@ -197,3 +198,34 @@
 		o.checkServed(client)
 	})
 }
+
+// TestStopAnswersPipelinedHalfHeader guards against a stop that cuts a header whose first part came
+// together with the request before.
+func TestStopAnswersPipelinedHalfHeader(t *testing.T) {
+	inBubble(t, func(t *testing.T, o *stopOrder) {
+		client, _ := o.ln.dial()
+		o.send(client, orderRequest+orderRequestLine)
+		o.checkServed(client)
+		time.Sleep(orderLate)
+		o.stop()
+		o.send(client, orderHeaderRest)
+		_, err := exchange(client)
+		is.New(t).NoErr(err) // the caller has an answer
+	})
+}
+
+// TestLateResponseAnnouncesClose guards against a response that begins during a stop and does not
+// say that its connection is closed, because its request began before the stop.
+func TestLateResponseAnnouncesClose(t *testing.T) {
+	inBubble(t, func(t *testing.T, o *stopOrder) {
+		o.busy = 2 * orderLate
+		o.keepOpen.Store(true) // it is up to the server
+		client, _ := o.ln.dial()
+		o.send(client, orderRequest)
+		o.stop()
+		resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+		is := is.New(t)
+		is.NoErr(err)
+		is.True(resp.Close) // the caller uses another connection next time
+	})
+}
