A response that begins late in a stop announces the close of its connection

What callers saw: a response that began seconds after the instance's stop, to a request from before it, said nothing of a close; its connection was closed within 20 ms of its end, and the caller's next request on it met EOF, not run.

Cause: the close was announced by the request's arrival alone.

Change: the header is set when a response begins once linger is over, when connections are closed as they become idle. To announce it from the stop's begin on would end connections that TestStopAcceptsAtBoundaries (gateway) wants kept until then. TestStopRefusesReadRequestAfterLateResponse begins its response before the stop now, as its comment said; without the refusal it fails as before.

--- a/internal/drain/conns.go
+++ b/internal/drain/conns.go
@@ -94,22 +94,24 @@
 
 // closeUnused closes unused connections in a stop that began at began, and returns whether none
 // is left that has a request running or may still carry one; allClosed tells when those that it
-// closed are gone. It closes connections that have
-// been idle for linger and, once the stop has lasted for linger, all idle ones and those on
-// which no first request has begun to arrive for linger. The caller of a response that ends so late
-// was not told to use another server, and little time would be left for its next request.
+// closed are gone. It closes connections that have been idle for linger and, once the stop has
+// lasted for linger, all idle ones and those on which no first request has begun to arrive for
+// linger. The caller of a response that ends so late may not have been told to use another server,
+// and little time would be left for its next request.
 func (c *Conns) closeUnused(began, now time.Time, linger time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	drained := true
 	for conn, current := range c.states {
-		unused := now.Sub(current.since)
+		unused, stopping := now.Sub(current.since), now.Sub(began)
+		newTooShort := min(unused, stopping) < linger
+		idleTooShort := max(unused, stopping) < linger
 		switch {
 		case current.state == http.StateActive,
-			current.state == http.StateNew && min(unused, now.Sub(began)) < linger,
-			current.state == http.StateIdle && max(unused, now.Sub(began)) < linger:
+			current.state == http.StateNew && newTooShort,
+			current.state == http.StateIdle && idleTooShort:
 			drained = false
-		case c.requestBegun(conn, now.Sub(began)-linger):
+		case c.requestBegun(conn, stopping-linger):
 			drained = false // it is served or refused when it is complete
 		default:
 			c.close(conn)
--- a/internal/drain/listener.go
+++ b/internal/drain/listener.go
@@ -63,8 +63,8 @@
 	ending atomic.Bool
 
 	// Used by Accept alone, which has one caller at a time.
-	handshakesEnded bool
-	accepted        int // connections accepted since then
+	handshakesOver bool // handshakeTime has passed since endIntake
+	queueAccepts   int  // attempts to accept a connection since then
 }
 
 func newListener(ln net.Listener, logger log.Interface) *listener {
@@ -101,12 +101,12 @@
 }
 
 func (l *listener) accept() (net.Conn, error) {
-	for !l.handshakesEnded {
+	for !l.handshakesOver {
 		conn, err := l.Listener.Accept()
 		if !l.ending.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return conn, err
 		}
-		l.handshakesEnded = true
+		l.handshakesOver = true
 	}
 	return l.acceptQueued()
 }
@@ -114,16 +114,16 @@
 // acceptQueued returns the next connection of the queue. When none is left it closes the listener
 // and returns net.ErrClosed.
 func (l *listener) acceptQueued() (net.Conn, error) {
-	for l.accepted < maxQueued && l.hasQueued() {
+	for l.queueAccepts < maxQueued && l.hasQueued() {
 		l.interruptAccept(handshakeTime)
 		conn, err := l.Listener.Accept()
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			continue
 		}
-		l.accepted++
+		l.queueAccepts++
 		return conn, err
 	}
-	l.log.WithField("queued", l.accepted).Info("accepts no more connections")
+	l.log.WithField("queued", l.queueAccepts).Info("accepts no more connections")
 	l.Close()
 	return nil, net.ErrClosed
 }
--- a/internal/drain/server.go
+++ b/internal/drain/server.go
@@ -33,7 +33,8 @@
 	conns  Conns
 	served chan struct{} // closed when Serve returns
 
-	stopping atomic.Bool
+	stopping   atomic.Bool
+	closesIdle atomic.Bool // connections are closed as they become idle
 }
 
 // NewServer returns a server that will accept connections from ln, with TLS if tlsConfig is not
@@ -45,14 +46,16 @@
 	return s
 }
 
-// closeAfterResponse tells the callers of requests that begin during a stop to use another
-// connection for the next one.
+// closeAfterResponse tells callers to use another connection for the next request, in the responses
+// to requests that begin during a stop and in those that begin when idle connections are closed.
 func (s *Server) closeAfterResponse(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.stopping.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		next.ServeHTTP(w, r)
+		writer := &closeAnnouncer{ResponseWriter: w, closesIdle: &s.closesIdle}
+		next.ServeHTTP(writer, r)
+		writer.announce() // of a response without a body
 	})
 }
 
@@ -84,9 +87,9 @@
 //  3. It waits until no connection is left. Those that carry no request for linger are closed:
 //     a caller that chose this server before it was taken out of rotation has begun to send by
 //     then, unless its machine is stalled for longer. Connections that become idle later than
-//     linger are closed at once. One on which a part of a request has arrived stays open until
-//     the request is complete, or the server's ReadHeaderTimeout ends it. Here linger counts from
-//     the end of step 1.
+//     linger are closed at once, which responses that begin then announce. One on which a part
+//     of a request has arrived stays open until the request is complete, or the server's
+//     ReadHeaderTimeout ends it. Here linger counts from the end of step 1.
 //
 // If ctx ends first Stop returns ctx's error and the running requests continue; aborting them is
 // up to the caller.
@@ -95,6 +98,8 @@
 	s.conns.closeUnusedDuring(ctx, linger/2, linger)
 	s.ln.endIntake()
 	began := time.Now()
+	lingerOver := time.AfterFunc(linger, func() { s.closesIdle.Store(true) })
+	defer lingerOver.Stop()
 	if err := s.awaitServed(ctx, began, linger); err != nil {
 		return err
 	}
--- a/internal/drain/stop_conns_test.go
+++ b/internal/drain/stop_conns_test.go
@@ -119,7 +119,8 @@
 func TestStopRefusesReadRequestAfterLateResponse(t *testing.T) {
 	inBubble(t, func(t *testing.T, o *stopOrder) {
 		o.busy = 2 * orderLate
-		o.keepOpen.Store(true) // the response began before the stop
+		o.keepOpen.Store(true)
+		o.headFirst.Store(true) // the response began before the stop
 		client, _ := o.ln.dial()
 		o.send(client, orderRequest+orderRequest)
 		o.holdKnown = http.StateIdle
--- a/internal/drain/stop_order_test.go
+++ b/internal/drain/stop_order_test.go
@@ -50,6 +50,7 @@
 	release   chan struct{}
 	stopping  atomic.Bool
 	keepOpen  atomic.Bool // responses don't ask callers to close while it stops
+	headFirst atomic.Bool // responses' headers are sent before the handler works
 	runs      atomic.Int64
 	busy      time.Duration // of a request
 }
@@ -78,12 +79,17 @@
 
 func (o *stopOrder) serveHTTP(w http.ResponseWriter, r *http.Request) {
 	o.runs.Add(1)
+	if o.headFirst.Load() {
+		_ = http.NewResponseController(w).Flush() // a caller that is gone gets nothing
+	}
 	time.Sleep(o.busy)
 	_, _ = io.Copy(io.Discard, r.Body)
 	if o.stopping.Load() && !o.keepOpen.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	w.WriteHeader(http.StatusOK)
+	if !o.headFirst.Load() {
+		w.WriteHeader(http.StatusOK)
+	}
 }
 
 func (o *stopOrder) serve() { go func() { _ = o.server.Serve() }() }
