Logs and metrics tell lost links to the targets from targets that are gone

An instance that lost its links to all targets logged 'zone is silent' for each zone, as it would if the targets were gone, and connects were not counted at all. Now connects to targets are counted by result.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -239,7 +239,12 @@
 	if x.call.Prompt != nil {
 		a.Model = x.modelAttempt(t)
 	}
-	return upstreamRequest{service: t.Service, targetID: t.ID, address: t.Address, onSlow: func() { x.g.zoneMonitor.connectSlow(t) }, method: x.r.Method, url: x.r.URL, host: x.r.Host,
+	onSlow := func() {
+		x.g.zoneMonitor.connectSlow(t)
+		x.g.targetLinks.connectFailed(t) // until it succeeds after all
+	}
+	onEnd := func(err error) { x.g.targetLinks.connectEnded(t, err) }
+	return upstreamRequest{service: t.Service, targetID: t.ID, address: t.Address, onSlow: onSlow, onEnd: onEnd, method: x.r.Method, url: x.r.URL, host: x.r.Host,
 		header: x.g.codec.ForwardHeader(x.r.Header, a), body: x.body, reuseConn: t.ID != x.newConnTarget && x.mayReuseConn()}
 }
 
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -31,6 +31,45 @@
 	mu        sync.Mutex
 	listeners map[string]*memoryListener
 	isolated  map[string]bool // hosts that can't be reached and reach nobody
+	cuts      map[[2]string]linkCut
+	conns     map[*memoryConn]bool // open connections
+}
+
+// linkCut is what happens to connections from one host to another.
+type linkCut int
+
+// Values of linkCut.
+const (
+	linkIntact     linkCut = iota
+	linkHangs              // open connections deliver nothing, new ones are never established
+	linkResets             // open connections are reset, new ones are never established
+	linkRefuses            // open connections are reset, new ones are refused
+	linkRefusesNew         // open connections live on, new ones are refused
+)
+
+// setCut cuts the link between two hosts for connections that the first one opens, or mends it.
+func (n *memoryNetwork) setCut(from, to string, cut linkCut) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cuts == nil {
+		n.cuts = map[[2]string]linkCut{}
+	}
+	hosts := [2]string{from, to}
+	n.cuts[hosts] = cut
+	if cut != linkResets && cut != linkRefuses {
+		return
+	}
+	for c := range n.conns {
+		if c.hosts == hosts {
+			go c.reset()
+		}
+	}
+}
+
+func (n *memoryNetwork) cutOf(hosts [2]string) linkCut {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cuts[hosts]
 }
 
 // setIsolated isolates a host from the network, or reconnects it.
@@ -47,7 +86,7 @@
 func (n *memoryNetwork) isConnected(hosts [2]string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return !n.isolated[hosts[0]] && !n.isolated[hosts[1]]
+	return !n.isolated[hosts[0]] && !n.isolated[hosts[1]] && n.cuts[hosts] != linkHangs
 }
 
 // dialFrom returns a dialer for connections from a host.
@@ -58,7 +97,10 @@
 			return nil, err
 		}
 		hosts := [2]string{host, to}
-		if !n.isConnected(hosts) {
+		switch cut := n.cutOf(hosts); {
+		case cut == linkRefuses || cut == linkRefusesNew:
+			return nil, syscall.ECONNREFUSED
+		case cut == linkResets || !n.isConnected(hosts):
 			<-ctx.Done()
 			return nil, ctx.Err()
 		}
@@ -147,12 +189,32 @@
 
 func (n *memoryNetwork) newConn(c net.Conn, hosts [2]string) *memoryConn {
 	m := &memoryConn{Conn: c, network: n, hosts: hosts, closed: make(chan struct{}), written: make(chan struct{}, 1)}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.conns == nil {
+		n.conns = map[*memoryConn]bool{}
+	}
+	n.conns[m] = true
 	go m.deliverWrites()
 	return m
 }
 
+// reset ends a connection at once; writes that are not delivered yet are lost.
+func (m *memoryConn) reset() {
+	m.mu.Lock()
+	m.pending = nil
+	m.mu.Unlock()
+	m.Conn.Close()
+	m.Close()
+}
+
 func (m *memoryConn) deliverWrites() {
-	defer m.Conn.Close()
+	defer func() {
+		m.Conn.Close()
+		m.network.mu.Lock()
+		defer m.network.mu.Unlock()
+		delete(m.network.conns, m)
+	}()
 	for {
 		select {
 		case <-m.written:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -102,6 +102,7 @@
 	lastCompared    atomic.Int64   // when suspects were last compared with a peer's, ns after startedAt
 	warmup          warmup.Limiter // limits requests to targets that are warming up
 	zoneMonitor     zoneMonitor    // zones that are unreachable as a whole
+	targetLinks     targetLinks    // whether this instance reaches any target
 	breaker         *breaker.Set   // targets whose requests fail
 	retryBudgets    retryBudgets
 	// predictor is shared by all requests.
@@ -133,6 +134,7 @@
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.upstream = newUpstreamWithDial(ports.Dial)
 	g.quarantine, g.suspectsDue, g.outboxDue = quarantine.NewTracker(), wait.NewSignal(), wait.NewSignal()
+	g.targetLinks.g = g
 	g.zoneMonitor.g, g.zoneMonitor.waiting = g, map[string]map[*attemptState]func(){}
 	g.crashDetector = &crashDetector{g: g, checks: map[string]*crashCheck{}}
 	g.breaker = breaker.New(g.now)
@@ -335,6 +337,7 @@
 	metric.SetGauge("shedhoist_zones_evacuated", float64(len(v.EvacuatedZones)))
 	metric.SetGauge("shedhoist_instances_alive", float64(len(v.Alive)))
 	metric.SetGauge("shedhoist_store_reached", boolGauge(v.StoreReachable))
+	metric.SetGauge("shedhoist_targets_reached", boolGauge(!g.targetLinks.tracker.Partitioned()))
 	metric.SetGauge("shedhoist_ready", boolGauge(g.Ready()))
 	metric.SetGauge("shedhoist_requests_in_hand", float64(g.inFlight.Load()))
 	metric.Write(w)
--- a/internal/gateway/traffic_test.go
+++ b/internal/gateway/traffic_test.go
@@ -85,6 +85,9 @@
 	codec        Codec                                  // trafficCodec if nil
 	editSettings func(*Settings)                        // changes each instance's settings
 	onArrival    func(m *memoryTarget, r *http.Request) // called when a request reaches a target
+	log          log.Handler                            // of all instances; discard.Default if nil
+	// serve answers a request in place of the target's own answer; it returns false to leave it to that.
+	serve func(m *memoryTarget, w http.ResponseWriter, r *http.Request) bool
 }
 
 // slowBody is the body of a request that takes slowTime to run.
@@ -138,7 +141,11 @@
 	if f.options.codec != nil {
 		codec = f.options.codec
 	}
-	g, err := New(set, Ports{Codec: codec, Store: f.storeClients[i], Listen: f.net.listen, Dial: f.net.dialFrom(set.Name)}, &log.Logger{Handler: discard.Default})
+	var handler log.Handler = discard.Default
+	if f.options.log != nil {
+		handler = f.options.log
+	}
+	g, err := New(set, Ports{Codec: codec, Store: f.storeClients[i], Listen: f.net.listen, Dial: f.net.dialFrom(set.Name)}, &log.Logger{Handler: handler})
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -274,6 +281,9 @@
 	if arrived := m.f.options.onArrival; arrived != nil {
 		arrived(m, r)
 	}
+	if serve := m.f.options.serve; serve != nil && serve(m, w, r) {
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return // the client is gone
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -69,7 +69,11 @@
 		if to.onSlow != nil {
 			defer time.AfterFunc(slowConnectThreshold, to.onSlow).Stop()
 		}
-		return dial(ctx, network, to.address)
+		conn, err := dial(ctx, network, to.address)
+		if to.onEnd != nil {
+			to.onEnd(err)
+		}
+		return conn, err
 	}
 	return &http.Client{Transport: t, CheckRedirect: netx.NoRedirect}
 }
@@ -80,7 +84,8 @@
 // dialTarget holds the parameters of a dial, passed in its context.
 type dialTarget struct {
 	address string
-	onSlow  func() // called once the connect has taken slowConnectThreshold; may be nil
+	onSlow  func()          // called once the connect has taken slowConnectThreshold; may be nil
+	onEnd   func(err error) // called with the result of the connect; may be nil
 }
 
 // incarnationHost returns a host name that is unique to a target's incarnation. The
@@ -131,7 +136,8 @@
 	service   string
 	targetID  string // id of the target's incarnation
 	address   string
-	onSlow    func() // see dialTarget
+	onSlow    func()          // see dialTarget
+	onEnd     func(err error) // see dialTarget
 	method    string
 	url       *url.URL // the caller's; path and query are sent unchanged
 	host      string
@@ -145,7 +151,7 @@
 func (u *upstream) send(ctx context.Context, o upstreamRequest) (resp *http.Response, way netx.SendInfo, err error) {
 	to := &url.URL{Scheme: "http", Host: incarnationHost(o.targetID), Path: o.url.Path, RawPath: o.url.RawPath, RawQuery: o.url.RawQuery, ForceQuery: o.url.ForceQuery}
 	req := (&http.Request{Method: o.method, URL: to, Host: o.host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: o.header, Body: netx.SingleUseBody(bytes.NewReader(o.body)),
-		ContentLength: int64(len(o.body))}).WithContext(context.WithValue(ctx, dialKey{}, dialTarget{address: o.address, onSlow: o.onSlow}))
+		ContentLength: int64(len(o.body))}).WithContext(context.WithValue(ctx, dialKey{}, dialTarget{address: o.address, onSlow: o.onSlow, onEnd: o.onEnd}))
 	if req.Host == "" {
 		req.Host = o.address
 	}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -72,6 +72,7 @@
 	Departed       []registry.Departure     // targets that recently left the list
 	OtherInstances []string                 // names of all other instances that have not left, including dead ones
 	InstanceCount  int                      // number of known instances, including this one and recently lost ones
+	Self           string                   // name of this instance
 	Alive          []string                 // sorted names of the live instances, including this one
 	Peers          []member.Member          // the instances in Alive, as members
 	Attached       []string                 // names of live instances that reach the object store; all live ones if none does
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -26,7 +26,8 @@
 	BlockedFetches        = metrics.NewCounter("shedhoist_fetches_blocked_total") // parts held but not fetched: a save of them is pending
 	UnreachableZones      = metrics.NewCounter("shedhoist_silent_zones_total")
 	EvacuatedRefusals     = metrics.NewCounter("shedhoist_evacuated_refusals_total")
-	TargetCrashes         = metrics.NewCounter("shedhoist_target_crashes_total") // detected by requests that failed there
+	TargetPartitions      = metrics.NewCounter("shedhoist_target_partitions_total") // times that no target could be reached
+	TargetCrashes         = metrics.NewCounter("shedhoist_target_crashes_total")    // detected by requests that failed there
 	QuarantineRejections  = metrics.NewCounter("shedhoist_quarantine_rejections_total")
 	QuarantineTrials      = metrics.NewCounter("shedhoist_quarantine_trials_total")
 	UnusableTargetEntries = metrics.NewCounter("shedhoist_target_entries_unusable_total")
@@ -85,3 +86,15 @@
 func Attempts(target, result string) *metrics.Counter {
 	return metrics.GetOrCreateCounter(fmt.Sprintf(`shedhoist_attempts_total{target=%q,end=%q}`, target, result))
 }
+
+// Results of connects to targets, a label value of TargetConnects.
+const (
+	ConnectSucceeded  = "connected"
+	ConnectRefused    = "refused"
+	ConnectUnanswered = "unanswered"
+)
+
+// TargetConnects counts the connects to targets for requests, by result.
+func TargetConnects(result string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`shedhoist_target_connects_total{result=%q}`, result))
+}
