Peers carry the bytes of a connection to a target: tunnels

An instance that has lost its links to the targets has no other way to them than through a peer. A tunnel is a connection to a peer, authenticated for this use by a role of its own in the handshake. It carries messages of the codec that calls use: a request with the target's address, a reply that says whether the peer reached it and why not, then the bytes both ways.

The end of the target's bytes is a message. A peer that is killed closes its connections as a target does that has said all, so a bare copy of bytes would make a truncated answer without a length look whole.

A user that closes its end closes the connection to the target. The handshake of a dialer now ends with its context.

Nothing opens tunnels yet.

--- a/internal/peer/accept_error_test.go
+++ b/internal/peer/accept_error_test.go
@@ -36,7 +36,7 @@
 	is.NoErr(err)
 	served := make(chan error, 1)
 	go func() { served <- s.Serve(&shortListener{Listener: ln}) }()
-	conn, err := NewPool(sec, time.Now).dial(t.Context(), ln.Addr().String())
+	conn, err := NewPool(sec, time.Now).dial(t.Context(), ln.Addr().String(), roleCaller)
 	is.NoErr(err) // authenticated
 	conn.Close()
 	ln.Close()
--- a/internal/peer/auth.go
+++ b/internal/peer/auth.go
@@ -41,66 +41,92 @@
 // nonceSize is the length of a nonce in bytes.
 const nonceSize = 32
 
+// role is a side of a connection, and what the connection is for.
+type role string
+
+// Values of role. A dialer chooses what its connection is for.
+const (
+	roleCaller     role = "dialer" // of a connection for calls
+	roleTunnelUser role = "tunnel dialer"
+	roleAcceptor   role = "acceptor"
+)
+
 // computeMAC returns the MAC that one side sends. It covers both nonces and the side's
-// role, "dialer" or "acceptor", so that neither side's MAC can be replayed as the other's.
-func computeMAC(secret []byte, role string, dialerNonce, acceptorNonce []byte) []byte {
+// role, so that no MAC can be replayed in another role.
+func computeMAC(secret []byte, r role, dialerNonce, acceptorNonce []byte) []byte {
 	mac := hmac.New(sha256.New, secret)
-	mac.Write([]byte("shedhoist/peer/1/" + role))
+	mac.Write([]byte("shedhoist/peer/1/" + string(r)))
 	mac.Write(dialerNonce)
 	mac.Write(acceptorNonce)
 	return mac.Sum(nil)
 }
 
-// authenticate runs the shared-secret handshake on a new connection. Each side sends a
-// nonce; then the dialer sends its MAC first, so that an unauthenticated dialer receives
-// nothing that depends on the secret.
-func authenticate(conn net.Conn, secret []byte, dialer bool) error {
-	fail := func(err error) error { return &AuthenticationError{Address: conn.RemoteAddr().String(), Cause: err} }
-	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
-		return fail(err)
+// authenticateDialer runs the dialer's side of the shared-secret handshake on a new connection.
+// Each side sends a nonce; then the dialer sends its MAC first, so that an unauthenticated dialer
+// receives nothing that depends on the secret.
+func authenticateDialer(conn net.Conn, secret []byte, r role) error {
+	local, remote, err := exchangeNonces(conn)
+	if err != nil {
+		return authenticationFailed(conn, err)
 	}
-	localNonce, remoteNonce := make([]byte, nonceSize), make([]byte, nonceSize)
-	if _, err := rand.Read(localNonce); err != nil {
-		return fail(err)
+	if _, err := conn.Write(computeMAC(secret, r, local, remote)); err != nil {
+		return authenticationFailed(conn, err)
 	}
-	if _, err := conn.Write(localNonce); err != nil {
-		return fail(err)
+	_, err = verifyMAC(conn, secret, local, remote, roleAcceptor)
+	return err
+}
+
+// authenticateAcceptor runs the acceptor's side of the handshake, and returns the dialer's role.
+func authenticateAcceptor(conn net.Conn, secret []byte) (role, error) {
+	local, remote, err := exchangeNonces(conn)
+	if err != nil {
+		return "", authenticationFailed(conn, err)
 	}
-	if _, err := io.ReadFull(conn, remoteNonce); err != nil {
-		return fail(err)
+	dialer, err := verifyMAC(conn, secret, remote, local, roleCaller, roleTunnelUser)
+	if err != nil {
+		return "", err
 	}
-	dialerNonce, acceptorNonce := localNonce, remoteNonce
-	if !dialer {
-		dialerNonce, acceptorNonce = remoteNonce, localNonce
+	if _, err := conn.Write(computeMAC(secret, roleAcceptor, remote, local)); err != nil {
+		return "", authenticationFailed(conn, err)
 	}
-	dialerMAC, acceptorMAC := computeMAC(secret, "dialer", dialerNonce, acceptorNonce), computeMAC(secret, "acceptor", dialerNonce, acceptorNonce)
-	if dialer {
-		if _, err := conn.Write(dialerMAC); err != nil {
-			return fail(err)
-		}
-		return verifyMAC(conn, acceptorMAC, fail)
+	return dialer, nil
+}
+
+func authenticationFailed(conn net.Conn, cause error) error {
+	return &AuthenticationError{Address: conn.RemoteAddr().String(), Cause: cause}
+}
+
+// exchangeNonces sets the handshake deadline and exchanges nonces with the remote side.
+func exchangeNonces(conn net.Conn) (local, remote []byte, err error) {
+	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return nil, nil, err
 	}
-	if err := verifyMAC(conn, dialerMAC, fail); err != nil {
-		return err
+	local, remote = make([]byte, nonceSize), make([]byte, nonceSize)
+	if _, err := rand.Read(local); err != nil {
+		return nil, nil, err
 	}
-	if _, err := conn.Write(acceptorMAC); err != nil {
-		return fail(err)
+	if _, err := conn.Write(local); err != nil {
+		return nil, nil, err
 	}
-	return nil
+	_, err = io.ReadFull(conn, remote)
+	return local, remote, err
 }
 
-// verifyMAC reads the MAC of the remote side, compares it in constant time and clears
-// the handshake deadline.
-func verifyMAC(conn net.Conn, want []byte, fail func(error) error) error {
-	got := make([]byte, len(want))
+// verifyMAC reads the MAC of the remote side, compares it in constant time with those of the
+// roles that the side may have, and clears the handshake deadline. It returns the side's role.
+func verifyMAC(conn net.Conn, secret, dialerNonce, acceptorNonce []byte, allowed ...role) (role, error) {
+	got := make([]byte, sha256.Size)
 	if _, err := io.ReadFull(conn, got); err != nil {
-		return fail(err)
+		return "", authenticationFailed(conn, err)
 	}
-	if !hmac.Equal(got, want) {
-		return fail(nil)
-	}
-	if err := conn.SetDeadline(time.Time{}); err != nil {
-		return fail(err)
+	for _, r := range allowed {
+		if !hmac.Equal(got, computeMAC(secret, r, dialerNonce, acceptorNonce)) {
+			continue
+		}
+		if err := conn.SetDeadline(time.Time{}); err != nil {
+			return "", authenticationFailed(conn, err)
+		}
+		return r, nil
 	}
-	return nil
+	return "", authenticationFailed(conn, nil)
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -185,6 +185,8 @@
 	mu       sync.Mutex
 	conns    map[net.Conn]bool
 	closed   bool
+
+	openTunnel OpenTunnelFunc // nil: peers get no tunnels
 }
 
 // NewServer returns a server that passes calls to h. It sends indirect probes through pool.
@@ -229,10 +231,14 @@
 		return
 	}
 	defer s.track(conn, false)
-	secured, err := s.secure(conn)
+	secured, dialer, err := s.secure(conn)
 	if err != nil {
 		return
 	}
+	if dialer == roleTunnelUser {
+		s.serveTunnel(secured)
+		return
+	}
 	s.rpc.ServeCodec(serverCodec{newFrameConn(idleConn{secured})})
 }
 
@@ -262,14 +268,15 @@
 	}
 }
 
-func (s *Server) secure(conn net.Conn) (net.Conn, error) {
+func (s *Server) secure(conn net.Conn) (net.Conn, role, error) {
 	if s.security.TLS == nil {
-		return conn, authenticate(conn, s.security.Secret, false)
+		dialer, err := authenticateAcceptor(conn, s.security.Secret)
+		return conn, dialer, err
 	}
 	t := tls.Server(conn, s.security.TLS.Server())
 	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
 	defer cancel()
-	return t, t.HandshakeContext(ctx)
+	return t, roleCaller, t.HandshakeContext(ctx)
 }
 
 // idleConn is a connection whose reads time out after idleTimeout.
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -103,7 +103,7 @@
 		return pc.addCall(now), nil
 	}
 	p.mu.Unlock()
-	conn, err := p.dial(ctx, address)
+	conn, err := p.dial(ctx, address, roleCaller)
 	if err != nil {
 		return nil, err
 	}
@@ -147,14 +147,19 @@
 	}
 }
 
-// dial opens and authenticates a connection.
-func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
+// dial opens and authenticates a connection. TLS knows connections for calls only.
+func (p *Pool) dial(ctx context.Context, address string, r role) (net.Conn, error) {
 	conn, err := p.dialFunc(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	if p.security.TLS == nil {
-		if err := authenticate(conn, p.security.Secret, true); err != nil {
+		stop := context.AfterFunc(ctx, func() { conn.Close() })
+		err := authenticateDialer(conn, p.security.Secret, r)
+		if !stop() && err == nil {
+			err = ctx.Err()
+		}
+		if err != nil {
 			conn.Close()
 			return nil, err
 		}
--- /dev/null
+++ b/internal/peer/tunnel.go
@@ -0,0 +1,257 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// A tunnel carries the bytes of one connection to a target through a peer that reaches it. It uses
+// a connection of its own, with messages of the codec: TunnelRequest, TunnelReply, and then
+// tunnelData in both directions. The end of the target's bytes is a message, so that the end of
+// the tunnel itself, as when the peer is killed, is never taken for it.
+
+// TunnelStatus says whether a tunnel was opened, and why not.
+type TunnelStatus uint8
+
+// Values of TunnelStatus.
+const (
+	TunnelOpen       TunnelStatus = iota + 1
+	TunnelRefused                 // the target's host refused the connection
+	TunnelUnanswered              // the target did not answer in time
+	TunnelDenied                  // the peer knows no target at the address that gets requests
+	TunnelUnable                  // the peer reaches no target itself, or is stopping
+	TunnelBusy                    // the peer carries as many tunnels as it may
+)
+
+// String returns the status as it appears in logs.
+func (s TunnelStatus) String() string {
+	switch s {
+	case TunnelOpen:
+		return "open"
+	case TunnelRefused:
+		return "the target refused"
+	case TunnelUnanswered:
+		return "the target did not answer"
+	case TunnelDenied:
+		return "the peer sends nothing to the target"
+	case TunnelUnable:
+		return "the peer reaches no target, or stops"
+	case TunnelBusy:
+		return "the peer has too many tunnels"
+	}
+	return "unknown"
+}
+
+// TunnelError says why a tunnel was not opened. The zero Status: the peer did not say.
+type TunnelError struct {
+	Peer, Address string
+	Status        TunnelStatus
+	Cause         error
+}
+
+// Error implements error.
+func (e *TunnelError) Error() string {
+	msg := "tunnel through " + e.Peer + " to " + e.Address + ": " + e.Status.String()
+	if e.Cause != nil {
+		msg += ": " + e.Cause.Error()
+	}
+	return msg
+}
+
+// Unwrap returns the cause.
+func (e *TunnelError) Unwrap() error { return e.Cause }
+
+// TunnelRequest asks for a connection to a target.
+type TunnelRequest struct {
+	Address string `cbor:"1,keyasint"`
+}
+
+// TunnelReply answers a TunnelRequest.
+type TunnelReply struct {
+	Status TunnelStatus `cbor:"1,keyasint"`
+}
+
+// tunnelData carries bytes in order. End says that the target closed its side after them.
+type tunnelData struct {
+	Bytes []byte `cbor:"1,keyasint,omitempty"`
+	End   bool   `cbor:"2,keyasint,omitempty"`
+}
+
+// Names under which the bytes of tunnels are counted, see frameConn.write.
+const (
+	tunnelOpening = "Tunnel.Open"
+	tunnelBytes   = "Tunnel.Data"
+)
+
+const (
+	// maxTunnelMessage is the number of bytes of a connection in one message.
+	maxTunnelMessage = 16 << 10
+	// tunnelLinger bounds the wait for the other side to close a tunnel after its end was sent:
+	// closing first, with unread bytes, would reset the connection and lose the end.
+	tunnelLinger = 2 * time.Second
+)
+
+// OpenTunnelFunc opens the connection that a peer asked for. Unless the status is TunnelOpen there
+// is none. done is called when the tunnel has ended.
+type OpenTunnelFunc func(ctx context.Context, address string) (conn net.Conn, status TunnelStatus, done func())
+
+// SetTunnels lets peers open tunnels. It must be called before Serve.
+func (s *Server) SetTunnels(open OpenTunnelFunc) { s.openTunnel = open }
+
+// DialTunnel connects to address through the peer at via. Errors are *TunnelError; nothing was sent
+// to the target then.
+func (p *Pool) DialTunnel(ctx context.Context, via, address string) (net.Conn, error) {
+	fail := func(status TunnelStatus, cause error) (net.Conn, error) {
+		return nil, &TunnelError{Peer: via, Address: address, Status: status, Cause: cause}
+	}
+	conn, err := p.dial(ctx, via, roleTunnelUser)
+	if err != nil {
+		return fail(0, err)
+	}
+	frames := newFrameConn(conn)
+	// A context that ends closes the connection, which ends the exchange.
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	var reply TunnelReply
+	err = errors.Join(frames.send(tunnelOpening, TunnelRequest{Address: address}), frames.read(&reply))
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	if err != nil || reply.Status != TunnelOpen {
+		conn.Close()
+		return fail(reply.Status, err)
+	}
+	return &tunnelConn{Conn: conn, frames: frames}, nil
+}
+
+// send writes one message and flushes it.
+func (f *frameConn) send(method string, v any) error {
+	if err := f.write(method, v); err != nil {
+		return err
+	}
+	return f.w.Flush()
+}
+
+// sendBytes writes data as messages of bounded size.
+func (f *frameConn) sendBytes(data []byte) (n int, err error) {
+	for n < len(data) {
+		chunk := data[n:min(n+maxTunnelMessage, len(data))]
+		if err := f.write(tunnelBytes, tunnelData{Bytes: chunk}); err != nil {
+			return n, err
+		}
+		n += len(chunk)
+	}
+	return n, f.w.Flush()
+}
+
+// tunnelConn is the user's end of a tunnel. Its deadlines are those of the connection to the peer.
+type tunnelConn struct {
+	net.Conn
+	frames *frameConn
+
+	writing sync.Mutex
+	rest    []byte // received and not read yet
+	ended   bool
+}
+
+// Read implements net.Conn. It returns io.EOF only where the target has closed its side.
+func (c *tunnelConn) Read(p []byte) (int, error) {
+	for len(c.rest) == 0 {
+		if c.ended {
+			return 0, io.EOF
+		}
+		var m tunnelData
+		err := c.frames.read(&m)
+		if errors.Is(err, io.EOF) {
+			return 0, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return 0, err
+		}
+		c.rest, c.ended = m.Bytes, m.End
+	}
+	n := copy(p, c.rest)
+	c.rest = c.rest[n:]
+	return n, nil
+}
+
+// Write implements net.Conn.
+func (c *tunnelConn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return c.frames.sendBytes(p)
+}
+
+// serveTunnel opens the connection that a peer asks for and carries its bytes until both sides have
+// ended. A user that closes its end ends the connection to the target, which drops its request then.
+func (s *Server) serveTunnel(user net.Conn) {
+	frames := newFrameConn(user)
+	var req TunnelRequest
+	if err := user.SetReadDeadline(time.Now().Add(handshakeTimeout)); err != nil || frames.read(&req) != nil {
+		return
+	}
+	_ = user.SetReadDeadline(time.Time{}) // fails only if the connection is closed
+	reply := TunnelReply{Status: TunnelUnable}
+	var target net.Conn
+	if s.openTunnel != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
+		var done func()
+		target, reply.Status, done = s.openTunnel(ctx, req.Address)
+		cancel()
+		defer done()
+	}
+	if target != nil {
+		defer target.Close()
+	}
+	if err := frames.send(tunnelOpening, reply); err != nil || target == nil {
+		return
+	}
+	userEnded := make(chan struct{})
+	go func() {
+		defer close(userEnded)
+		defer target.Close()
+		carryToTarget(target, frames)
+	}()
+	if carryFromTarget(frames, target) {
+		_ = user.SetReadDeadline(time.Now().Add(tunnelLinger)) // fails only if the connection is closed
+	} else {
+		user.Close() // without the end: the user must not take the bytes for all
+	}
+	<-userEnded
+}
+
+// carryToTarget passes the user's bytes on until the user closes its end. Bytes that the target does
+// not take are dropped: its answer may still be on its way.
+func carryToTarget(target io.Writer, frames *frameConn) {
+	for taken := true; ; {
+		var m tunnelData
+		if frames.read(&m) != nil {
+			return
+		}
+		if taken {
+			_, err := target.Write(m.Bytes)
+			taken = err == nil
+		}
+	}
+}
+
+// carryFromTarget passes the target's bytes on, and their end. It reports whether they ended cleanly
+// and all was passed on.
+func carryFromTarget(frames *frameConn, target io.Reader) bool {
+	buf := make([]byte, maxTunnelMessage)
+	for {
+		n, err := target.Read(buf)
+		if _, sendErr := frames.sendBytes(buf[:n]); sendErr != nil {
+			return false
+		}
+		if errors.Is(err, io.EOF) {
+			return frames.send(tunnelBytes, tunnelData{End: true}) == nil
+		}
+		if err != nil {
+			return false
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/tunnel_test.go
@@ -0,0 +1,163 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// tunnelFixture is a peer that opens tunnels to one target, and a pool that uses them.
+type tunnelFixture struct {
+	pool    *Pool
+	server  *Server
+	via     string
+	target  net.Listener
+	carried chan struct{} // gets a value for each tunnel that has ended
+}
+
+func newTunnelFixture(t *testing.T, status TunnelStatus) *tunnelFixture {
+	is := is.New(t)
+	sec := Security{Secret: []byte("s")}
+	f := &tunnelFixture{pool: NewPool(sec, time.Now), carried: make(chan struct{}, 8)}
+	var err error
+	f.target, err = net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	f.server, err = NewServerFor("Peer", &rpcService{pool: f.pool}, sec)
+	is.NoErr(err)
+	f.server.SetTunnels(func(ctx context.Context, address string) (net.Conn, TunnelStatus, func()) {
+		done := func() { f.carried <- struct{}{} }
+		if status != TunnelOpen {
+			return nil, status, done
+		}
+		conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+		if err != nil {
+			return nil, TunnelRefused, done
+		}
+		return conn, TunnelOpen, done
+	})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	f.via = ln.Addr().String()
+	go func() { _ = f.server.Serve(ln) }()
+	t.Cleanup(func() {
+		f.server.Close()
+		ln.Close()
+		f.target.Close()
+	})
+	return f
+}
+
+// open opens a tunnel and returns both ends.
+func (f *tunnelFixture) open(t *testing.T) (user, target net.Conn) {
+	is := is.New(t)
+	user, err := f.pool.DialTunnel(t.Context(), f.via, f.target.Addr().String())
+	is.NoErr(err)
+	target, err = f.target.Accept()
+	is.NoErr(err)
+	t.Cleanup(func() { user.Close(); target.Close() })
+	return user, target
+}
+
+// TestTunnelCarriesBothWays checks that bytes pass in both directions, more than one message of
+// them, and that the target's end is an end for the user.
+func TestTunnelCarriesBothWays(t *testing.T) {
+	is := is.New(t)
+	f := newTunnelFixture(t, TunnelOpen)
+	user, target := f.open(t)
+	question, answer := strings.Repeat("q", 3*maxTunnelMessage+1), strings.Repeat("a", 3*maxTunnelMessage+1)
+	go func() { _, _ = io.WriteString(user, question) }()
+	got := make([]byte, len(question))
+	_, err := io.ReadFull(target, got)
+	is.NoErr(err)
+	is.Equal(string(got), question)
+	go func() {
+		_, _ = io.WriteString(target, answer)
+		target.Close()
+	}()
+	whole, err := io.ReadAll(user)
+	is.NoErr(err)
+	is.Equal(string(whole), answer)
+	user.Close()
+	<-f.carried
+}
+
+// TestTunnelEndIsNotTargetsEnd guards against an answer without a length that looks whole though its
+// target reset the connection, or the peer ended midway.
+func TestTunnelEndIsNotTargetsEnd(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  func(f *tunnelFixture, target net.Conn)
+	}{
+		{"target resets", func(_ *tunnelFixture, target net.Conn) {
+			_ = target.(*net.TCPConn).SetLinger(0)
+			target.Close()
+		}},
+		{"peer ends", func(f *tunnelFixture, _ net.Conn) { f.server.Close() }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newTunnelFixture(t, TunnelOpen)
+			user, target := f.open(t)
+			_, err := io.WriteString(target, "part")
+			is.NoErr(err)
+			_, err = io.ReadFull(user, make([]byte, len("part")))
+			is.NoErr(err)
+			c.end(f, target)
+			_, err = user.Read(make([]byte, 1))
+			is.True(err != nil)
+			is.True(!errors.Is(err, io.EOF))
+		})
+	}
+}
+
+// TestTunnelUserLeaves checks that a user that closes its end closes the connection to the target.
+func TestTunnelUserLeaves(t *testing.T) {
+	is := is.New(t)
+	f := newTunnelFixture(t, TunnelOpen)
+	user, target := f.open(t)
+	user.Close()
+	_, err := target.Read(make([]byte, 1))
+	is.True(errors.Is(err, io.EOF))
+	<-f.carried
+}
+
+// TestTunnelNotOpened checks that a user learns why it gets no tunnel.
+func TestTunnelNotOpened(t *testing.T) {
+	for _, status := range []TunnelStatus{TunnelRefused, TunnelUnanswered, TunnelDenied, TunnelUnable, TunnelBusy} {
+		t.Run(status.String(), func(t *testing.T) {
+			is := is.New(t)
+			f := newTunnelFixture(t, status)
+			_, err := f.pool.DialTunnel(t.Context(), f.via, "127.0.0.1:0")
+			var refused *TunnelError
+			is.True(errors.As(err, &refused))
+			is.Equal(refused.Status, status)
+		})
+	}
+}
+
+// TestTunnelPeerSilent checks that a context ends the wait for a peer that accepts and says nothing.
+func TestTunnelPeerSilent(t *testing.T) {
+	is := is.New(t)
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer silent.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		if conn, err := silent.Accept(); err == nil {
+			defer conn.Close()
+			_, _ = io.ReadFull(conn, make([]byte, nonceSize)) // the user waits for its answer
+			cancel()
+			_, _ = io.Copy(io.Discard, conn)
+		}
+	}()
+	_, err = NewPool(Security{Secret: []byte("s")}, time.Now).DialTunnel(ctx, silent.Addr().String(), "127.0.0.1:0")
+	var failed *TunnelError
+	is.True(errors.As(err, &failed))
+	is.Equal(failed.Status, TunnelStatus(0))
+}
