Instances partitioned from all targets reach them through peers

Callers of an instance that had lost its links to all targets got 503 after 1.6 s, or nothing, at the first try. The instance tried four targets for 400 ms each and refused. It stayed in rotation: readiness knows nothing of targets, and with most of a zone cut off the balancer uses all instances whatever they say.

Cause: an instance's own links were its only way to the targets. When it found all zones silent it took its own link for the cause and changed nothing. Ruled out: targets that were gone (others were answered by them in the same second), beliefs that stand in the way (each refusal followed four connects).

Now an instance that is partitioned sends each attempt through a tunnel of a peer that reaches the target. It goes on to make all decisions, so that retries, budget, deadline, order and at-most-once are as before: a tunnel that is not opened has sent nothing. The peer opens none for others while it is partitioned itself, so there are no loops; it refuses targets that it knows to leave or to be evacuated; it carries 64 at most, and a stop waits for them. Peers in the own zone or the target's come first. A caller that leaves closes the tunnel and with it the connection to the target. One connect that succeeds ends the partition; it is tried every 250 ms.

A partition is also looked for when several targets owe responses and none has responded for 500 ms: on connections that were open, no connect shows it. A request whose connect failed waits for the probe under way (150 ms at most) and may then use the same target through a peer.

The other tests cover the first requests of a partition, open connections, all instances partitioned, peers that stop or are killed midway, callers who leave, the bound on load, drains, zones.

--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -39,7 +39,8 @@
 	Zone        string `cbor:"3,keyasint" json:"zone"`
 	Incarnation uint64 `cbor:"4,keyasint" json:"incarnation"` // incremented only by the member itself
 	State       State  `cbor:"5,keyasint" json:"state"`
-	Detached    bool   `cbor:"6,keyasint,omitempty" json:"detached,omitempty"` // its object store is unreachable
+	Detached    bool   `cbor:"6,keyasint,omitempty" json:"detached,omitempty"`    // its object store is unreachable
+	Partitioned bool   `cbor:"7,keyasint,omitempty" json:"partitioned,omitempty"` // it reaches no target
 }
 
 // Probe is a message to send. Via is empty for a direct probe; for an indirect
@@ -303,6 +304,18 @@
 	m.enqueue(m.self)
 }
 
+// SetPartitioned sets whether this instance reaches no target, and announces a change to the
+// others.
+func (m *Machine) SetPartitioned(partitioned bool) {
+	if m.self.Partitioned == partitioned {
+		return
+	}
+	m.self.Partitioned = partitioned
+	m.self.Incarnation++
+	m.changed = true
+	m.enqueue(m.self)
+}
+
 // Leave marks this instance as left. It returns the last probes to send, at most
 // IndirectProbes, which carry the update.
 func (m *Machine) Leave() []Probe {
--- a/internal/core/reach/reach.go
+++ b/internal/core/reach/reach.go
@@ -3,7 +3,7 @@
 // either, the instance counts as partitioned from the targets until one can be reached again. The
 // package does no I/O and reads no clock.
 //
-// Invariant: an instance counts as partitioned only after connects to minFailedTargets different
+// Invariant: an instance counts as partitioned only after connects to MinFailedTargets different
 // targets, or to all of them, have failed with no success in between, and a probe has failed since.
 package reach
 
@@ -13,9 +13,9 @@
 )
 
 const (
-	// minFailedTargets is the number of different targets to which connects fail in a row before
+	// MinFailedTargets is the number of different targets to which connects fail in a row before
 	// a probe: single targets crash every day.
-	minFailedTargets = 2
+	MinFailedTargets = 2
 	// minProbeInterval is the minimum time between the starts of two probes.
 	minProbeInterval = 500 * time.Millisecond
 )
@@ -42,7 +42,7 @@
 		t.failed = map[string]bool{}
 	}
 	t.failed[target] = true
-	if t.probing || len(t.failed) < min(minFailedTargets, known) || now.Sub(t.lastProbe) < minProbeInterval {
+	if t.probing || len(t.failed) < min(MinFailedTargets, known) || now.Sub(t.lastProbe) < minProbeInterval {
 		return false
 	}
 	t.probing, t.lastProbe = true, now
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -91,7 +91,10 @@
 		GotConn:      func(httptrace.GotConnInfo) { at.connObtained.Store(true) },
 		WroteRequest: func(httptrace.WroteRequestInfo) { releaseSlot() },
 	})
-	defer x.g.zoneMonitor.trackAttempt(t.Zone, at, x.abandonUnreachable(at, cancel))()
+	if !x.relayed {
+		defer x.g.zoneMonitor.trackAttempt(t.Zone, at, x.abandonUnreachable(at, cancel))()
+		defer x.g.targetLinks.trackConnect(at, cancel)()
+	}
 	at.load.Requests.Add(1)
 	defer at.load.Requests.Add(-1)
 	at.load.PrefillTokens.Add(int64(x.promptWork.PrefillTokens))
@@ -117,7 +120,7 @@
 	} else {
 		at.load.Responses.RecordActivity(x.g.now())
 	}
-	if errors.Is(err, syscall.ETIMEDOUT) {
+	if errors.Is(err, syscall.ETIMEDOUT) && !x.relayed {
 		x.g.zoneMonitor.connectSlow(t)
 	}
 	result := attemptResult{cause: err, event: attempt.FailedBeforeResponse, connBroken: way.MaybeSent}
@@ -170,7 +173,7 @@
 
 // isExcluded reports whether the request may not be sent to a target again.
 func (x *exchange) isExcluded(t *catalog.Target) bool {
-	return slices.Contains(x.triedTargets, t.ID) && t.ID != x.newConnTarget
+	return slices.Contains(x.triedTargets[x.triedBefore:], t.ID) && t.ID != x.newConnTarget
 }
 
 // asInterrupted returns the request in the form that the crash detector records.
@@ -239,13 +242,20 @@
 	if x.call.Prompt != nil {
 		a.Model = x.modelAttempt(t)
 	}
-	onSlow := func() {
-		x.g.zoneMonitor.connectSlow(t)
-		x.g.targetLinks.connectFailed(t) // until it succeeds after all
+	return upstreamRequest{service: t.Service, targetID: t.ID, dial: x.dialTarget(t), method: x.r.Method, url: x.r.URL, host: x.r.Host,
+		header: x.g.codec.ForwardHeader(x.r.Header, a), body: x.body, reuseConn: t.ID != x.newConnTarget && x.mayReuseConn(), relayed: x.relayed}
+}
+
+// dialTarget returns the parameters of a connect to a target.
+func (x *exchange) dialTarget(t *catalog.Target) dialTarget {
+	return dialTarget{address: t.Address, zone: t.Zone,
+		onSlow: func() {
+			x.g.zoneMonitor.connectSlow(t)
+			x.g.targetLinks.connectFailed(t) // until it succeeds after all
+		},
+		onEnd:   func(err error) { x.g.targetLinks.connectEnded(t, err) },
+		onRelay: func(peer string) { x.relay.Store(&peer) },
 	}
-	onEnd := func(err error) { x.g.targetLinks.connectEnded(t, err) }
-	return upstreamRequest{service: t.Service, targetID: t.ID, address: t.Address, onSlow: onSlow, onEnd: onEnd, method: x.r.Method, url: x.r.URL, host: x.r.Host,
-		header: x.g.codec.ForwardHeader(x.r.Header, a), body: x.body, reuseConn: t.ID != x.newConnTarget && x.mayReuseConn()}
 }
 
 // mayReuseConn reports whether the request may use a keep-alive connection. If the target
@@ -397,7 +407,17 @@
 	case result.event == attempt.Refused:
 		x.g.breaker.Eject(id, refusalEjectTime)
 	case result.event == attempt.CallerGone:
+	case result.event == attempt.NotSent && x.linksFailed(result.cause):
 	default:
 		x.g.breaker.RecordResult(id, false)
 	}
 }
+
+// linksFailed reports whether a connect failed for the links of this instance or its peers, as far as it
+// can tell: such a failure says nothing about the target.
+func (x *exchange) linksFailed(err error) bool {
+	if !x.relayed {
+		return x.g.targetLinks.tracker.Partitioned()
+	}
+	return !failedAtTarget(err)
+}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -55,7 +55,11 @@
 // placementQuery returns what placement needs to know of the request.
 func (x *exchange) placementQuery() placement.Query {
 	set := x.g.settings()
-	q := placement.Query{Zone: set.Zone, RolloutTimeout: set.RolloutWithin, ConcurrencyPenaltyMS: x.concurrencyPenaltyMS(), RequestBytes: len(x.body), Rand: rand.Float64, Policy: set.Policy,
+	zone := set.Zone
+	if x.relayed {
+		zone = x.g.relays.homeZone()
+	}
+	q := placement.Query{Zone: zone, RolloutTimeout: set.RolloutWithin, ConcurrencyPenaltyMS: x.concurrencyPenaltyMS(), RequestBytes: len(x.body), Rand: rand.Float64, Policy: set.Policy,
 		NeededTokens: x.call.memoryTokens(), Started: x.headerSent || x.possibleRuns > 0}
 	p := x.call.Prompt
 	if p == nil || len(p.Parts) < 2 {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
@@ -42,6 +43,9 @@
 	lastEventID   string // id of the last event sent to the caller
 	firstByteMS   float64
 	triedTargets  []string                // ids, in the order of the attempts
+	triedBefore   int                     // how many of them were tried before the last change of relayed
+	relayed       bool                    // attempts go through peers
+	relay         atomic.Pointer[string]  // name of the peer that carried the last relayed attempt
 	notice        Notice                  // from the last attempt's response
 	newConnTarget string                  // id of a tried target that may be retried over a new connection
 	lastZone      string                  // zone of the last tried target
@@ -76,7 +80,7 @@
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	x.ctx = ctx
-	x.machine = attempt.New(x.route.Repeatable(), x.route.Resumable, maxFailedDials+maxRefusals+x.route.MaxAttempts+1)
+	x.machine = attempt.New(x.route.Repeatable(), x.route.Resumable, 2*maxFailedDials+maxRefusals+x.route.MaxAttempts+2)
 	x.g.retryBudgets.creditRequest(x.service)
 	for {
 		if s, rejected := x.checkQuarantine(); rejected {
@@ -84,6 +88,7 @@
 			return
 		}
 		x.view = x.g.view.Load() // may have changed since arrival or the last attempt
+		x.updatePath()
 		t, d := x.chooseTarget()
 		switch d.Action {
 		case placement.Refuse:
@@ -105,10 +110,23 @@
 		if !x.retryOrFail(result) {
 			return
 		}
+		if result.event == attempt.NotSent && !x.relayed {
+			x.g.targetLinks.awaitProbe(x.ctx)
+		}
 		x.partSources = nil // the stores' contents may have changed
 	}
 }
 
+// updatePath decides whether attempts go through peers from now on. What failed on the other path
+// says nothing about the targets on this one.
+func (x *exchange) updatePath() {
+	relayed := x.g.targetLinks.tracker.Partitioned()
+	if relayed == x.relayed {
+		return
+	}
+	x.relayed, x.triedBefore, x.failedDials = relayed, len(x.triedTargets), 0
+}
+
 // defaultTimeout applies where neither the route nor the caller sets a timeout.
 const defaultTimeout = 30 * time.Second
 
@@ -230,6 +248,9 @@
 	if x.notice.Leaving {
 		e = e.WithField("target_leaves", true)
 	}
+	if x.relayed {
+		e = e.WithField("relayed_by", x.relayName())
+	}
 	e.Info("attempt failed")
 }
 
@@ -243,6 +264,14 @@
 	return *x.keyCache
 }
 
+// relayName returns the name of the peer that carried the last relayed attempt, or "" if none did.
+func (x *exchange) relayName() string {
+	if name := x.relay.Load(); name != nil {
+		return *name
+	}
+	return ""
+}
+
 // customerName returns the customer's name, or "" if the route is public.
 func (x *exchange) customerName() string {
 	if x.customer == nil {
@@ -294,6 +323,9 @@
 	if x.notice.Leaving {
 		e = e.WithField("target_leaves", true)
 	}
+	if x.relayed {
+		e = e.WithField("relayed_by", x.relayName())
+	}
 	if leftOut > 0 {
 		e = e.WithField("lines_left_out", leftOut)
 	}
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -66,6 +66,17 @@
 	}
 }
 
+// resetAll resets all connections of a host.
+func (n *memoryNetwork) resetAll(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		if c.hosts[0] == host || c.hosts[1] == host {
+			go c.reset()
+		}
+	}
+}
+
 func (n *memoryNetwork) cutOf(hosts [2]string) linkCut {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,6 +103,7 @@
 	warmup          warmup.Limiter // limits requests to targets that are warming up
 	zoneMonitor     zoneMonitor    // zones that are unreachable as a whole
 	targetLinks     targetLinks    // whether this instance reaches any target
+	relays          relays         // peers that reach targets for this instance
 	breaker         *breaker.Set   // targets whose requests fail
 	retryBudgets    retryBudgets
 	// predictor is shared by all requests.
@@ -133,8 +134,9 @@
 	g.staleness = &staleness.Tracker{}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.upstream = newUpstreamWithDial(ports.Dial)
+	g.upstream.dialRelayed = g.relays.dialRelayed
 	g.quarantine, g.suspectsDue, g.outboxDue = quarantine.NewTracker(), wait.NewSignal(), wait.NewSignal()
-	g.targetLinks.g = g
+	g.targetLinks.g, g.relays.g = g, g
 	g.zoneMonitor.g, g.zoneMonitor.waiting = g, map[string]map[*attemptState]func(){}
 	g.crashDetector = &crashDetector{g: g, checks: map[string]*crashCheck{}}
 	g.breaker = breaker.New(g.now)
@@ -184,6 +186,7 @@
 	if g.peers, err = peer.NewServerFor(peerService, &peerHandler{g}, sec); err != nil {
 		return err
 	}
+	g.peers.SetTunnels(g.relays.open)
 	for _, l := range [...]struct {
 		into    *net.Listener
 		address string
@@ -368,5 +371,5 @@
 	g.peerLn.Close()
 	g.peers.Close()
 	g.pool.Close()
-	g.upstream.close()
+	g.upstream.closeIdle()
 }
--- a/internal/gateway/load_reports.go
+++ b/internal/gateway/load_reports.go
@@ -127,6 +127,7 @@
 	for seq := uint64(1); wait.For(ctx, g.loadReportPace()); seq++ {
 		ownLoads, peerLoads := g.ownLoads(), g.peerLoads.Reports(g.now())
 		ownSilent, peerSilences := g.ownSilentTargets(), g.peerSilences.Reports(g.now())
+		g.targetLinks.noteSilences(ownSilent)
 		ownAnswered, peerAnswered := g.ownAnswered(peerSilences), g.peerSilences.ResponseReports(g.now())
 		positions := g.cache.ownPositions() // before the pending saves, see LoadReport.StorePositions
 		ownPending, peerPending := g.cache.ownPendingSaves(), g.peerPendingSaves.Reports(g.now())
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -53,6 +53,7 @@
 		g.callerSrv.Close()
 	}
 	g.announceLeave()
+	g.relays.awaitIdle(ctx)
 	drain.StopAdmin(ctx, g.readySrv, g.metricsSrv)
 	g.Kill()
 	g.goroutines.Wait()
--- a/internal/gateway/target_links.go
+++ b/internal/gateway/target_links.go
@@ -11,6 +11,8 @@
 	"github.com/shedhoist/shedhoist/internal/catalog"
 	"github.com/shedhoist/shedhoist/internal/core/member"
 	"github.com/shedhoist/shedhoist/internal/core/reach"
+	"github.com/shedhoist/shedhoist/internal/inflight"
+	"github.com/shedhoist/shedhoist/internal/loadreport"
 	"github.com/shedhoist/shedhoist/internal/metric"
 	"github.com/shedhoist/shedhoist/internal/wait"
 )
@@ -22,8 +24,10 @@
 const (
 	// linkProbeTimeout bounds each connect of a probe.
 	linkProbeTimeout = 150 * time.Millisecond
-	// linkProbeTargets is the number of targets that a probe connects to.
-	linkProbeTargets = 3
+	// linkProbeTargets is the least number of targets that a probe connects to, and
+	// maxLinkProbeTargets the greatest: one in each zone, since a whole zone may be lost.
+	linkProbeTargets    = 3
+	maxLinkProbeTargets = 8
 	// linkProbeInterval is the mean pause between the connects that look for the end of a
 	// partition.
 	linkProbeInterval = 250 * time.Millisecond
@@ -37,6 +41,54 @@
 type targetLinks struct {
 	g       *Gateway
 	tracker reach.Tracker
+
+	mu         sync.Mutex
+	connecting map[*attemptState]context.CancelFunc // attempts on direct connections, with the function that ends each
+	probeDone  chan struct{}                        // closed when the probe in progress ends; nil: none is
+}
+
+// trackConnect records an attempt, so that it ends when a partition is found before it has a
+// connection. The function returned removes the record.
+func (l *targetLinks) trackConnect(at *attemptState, cancel context.CancelFunc) (forget func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.connecting == nil {
+		l.connecting = map[*attemptState]context.CancelFunc{}
+	}
+	l.connecting[at] = cancel
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		delete(l.connecting, at)
+	}
+}
+
+// endConnects ends the attempts that have no connection yet: nothing was sent, and a peer may reach
+// their targets.
+func (l *targetLinks) endConnects() (ended int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for at, cancel := range l.connecting {
+		if !at.connObtained.Load() {
+			cancel()
+			ended++
+		}
+	}
+	return ended
+}
+
+// awaitProbe waits until no probe is in progress, or ctx ends.
+func (l *targetLinks) awaitProbe(ctx context.Context) {
+	l.mu.Lock()
+	done := l.probeDone
+	l.mu.Unlock()
+	if done == nil {
+		return
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
 }
 
 // connectEnded records the result of a connect to a target for a request. A connect that its
@@ -58,46 +110,116 @@
 // connectFailed records that a target was not reached, and starts a probe of others if that is due.
 func (l *targetLinks) connectFailed(t *catalog.Target) {
 	targets := l.g.view.Load().presentTargets()
-	if l.tracker.ConnectFailed(t.ID, len(targets), l.g.now()) {
-		l.g.spawn(func() { l.probe(targets) })
+	if !l.tracker.ConnectFailed(t.ID, len(targets), l.g.now()) {
+		return
+	}
+	l.mu.Lock()
+	l.probeDone = make(chan struct{})
+	l.mu.Unlock()
+	l.g.spawn(func() { l.probe(targets) })
+}
+
+// noteSilences starts a probe if several targets owe responses and none at all has responded of late:
+// on connections that were open before a partition, no connect shows it.
+func (l *targetLinks) noteSilences(silent []loadreport.TargetAge) {
+	if len(silent) < reach.MinFailedTargets || l.tracker.Partitioned() {
+		return
+	}
+	responded, now := false, l.g.now()
+	l.g.upstream.inflight.Each(func(_ string, load *inflight.Load) {
+		responded = responded || now.Sub(load.Responses.LastActivity()) < silenceThreshold
+	})
+	if responded {
+		return
+	}
+	keys := map[loadreport.Key]bool{}
+	for _, s := range silent {
+		keys[s.Target] = true
+	}
+	for _, t := range l.g.view.Load().presentTargets() {
+		if keys[loadreport.KeyOf(t.ID)] {
+			l.connectFailed(t)
+		}
 	}
 }
 
+// endProbe records a probe's result, and lets those go on that wait for it.
+func (l *targetLinks) endProbe(reached bool) (begins bool) {
+	begins = l.tracker.EndProbe(reached)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	close(l.probeDone)
+	l.probeDone = nil
+	return begins
+}
+
 // connected records that a target was reached.
 func (l *targetLinks) connected(t *catalog.Target) {
 	if l.tracker.Connected() {
+		l.g.sendEvent(partitionChanged{l})
 		l.g.log.WithField("target", t.ID).Info("targets reached again")
 	}
 }
 
+// partitionChanged is the event that a partition from the targets began or ended. It takes the state of
+// its moment, as a begin and an end may be sent in either order.
+type partitionChanged struct{ links *targetLinks }
+
+func (e partitionChanged) apply(c *controlState) {
+	c.members.SetPartitioned(e.links.tracker.Partitioned())
+}
+
 // probe connects to some targets. If none is reached, a partition begins, and the probe goes on until
 // one is.
 func (l *targetLinks) probe(targets []*catalog.Target) {
-	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
-	targets = targets[:min(linkProbeTargets, len(targets))]
-	var connects sync.WaitGroup
-	errs := make([]error, len(targets))
-	for i, t := range targets {
-		connects.Add(1)
-		l.g.spawn(func() {
-			defer connects.Done()
-			errs[i] = l.g.connectDirectly(t.Address, linkProbeTimeout)
-		})
-	}
-	connects.Wait()
-	reached := false
-	for _, err := range errs {
-		reached = reached || err == nil
-	}
-	if !l.tracker.EndProbe(reached) {
+	targets = sampleZones(targets)
+	results := make(chan error, len(targets))
+	for _, t := range targets {
+		l.g.spawn(func() { results <- l.g.connectDirectly(t.Address, linkProbeTimeout) })
+	}
+	var errs []error
+	for range targets {
+		err := <-results
+		if err == nil {
+			l.endProbe(true)
+			return
+		}
+		errs = append(errs, err)
+	}
+	if !l.endProbe(false) {
 		return
 	}
-	metric.TargetPartitions.Inc()
-	l.g.log.WithField("probed_targets", len(targets)).WithError(errors.Join(errs...)).Warn("no target can be reached")
+	l.beginPartition(len(targets), errors.Join(errs...))
 	l.g.spawn(func() { l.logCheck(targets) })
 	l.awaitReached()
 }
 
+// sampleZones returns random targets for a probe: one in each zone, and more if there are few zones.
+func sampleZones(targets []*catalog.Target) []*catalog.Target {
+	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	seen := map[string]bool{}
+	var first, others []*catalog.Target
+	for _, t := range targets {
+		if seen[t.Zone] {
+			others = append(others, t)
+			continue
+		}
+		seen[t.Zone] = true
+		first = append(first, t)
+	}
+	n := min(max(len(first), linkProbeTargets), maxLinkProbeTargets, len(targets))
+	return append(first, others...)[:n]
+}
+
+// beginPartition makes requests go through peers from now on.
+func (l *targetLinks) beginPartition(probed int, cause error) {
+	metric.TargetPartitions.Inc()
+	ended := l.endConnects()
+	l.g.log.WithField("probed_targets", probed).WithField("attempts_left", ended).WithError(cause).Warn("no target can be reached")
+	l.g.sendEvent(partitionChanged{l})
+	l.g.upstream.closeIdle() // the other ends may be gone when the links come back
+}
+
 // awaitReached connects to a random target from time to time until one is reached.
 func (l *targetLinks) awaitReached() {
 	startedAt := l.g.now()
--- a/internal/gateway/target_links_test.go
+++ b/internal/gateway/target_links_test.go
@@ -55,6 +55,14 @@
 	return http.Header{trafficID: in[trafficID], trafficCustomer: {a.Customer}, trafficLastEvent: {a.LastEventID}}
 }
 
+// linkKeepAlive is how long the targets keep an idle connection open, as they announce.
+const linkKeepAlive = 10 * time.Second
+
+// ParseResponse implements Codec.
+func (linkCodec) ParseResponse(_ int, h http.Header) TargetResponse {
+	return TargetResponse{ID: h.Get(trafficID), Signed: true, KeepAliveTimeout: linkKeepAlive}
+}
+
 // Streams of the targets of a linkFleet.
 const (
 	linkEvents        = 6
@@ -73,18 +81,25 @@
 // linkFleet is a fleet of instances in three zones, with targets that count the runs of each request.
 type linkFleet struct {
 	*trafficFleet
-	log  *memory.Handler // lines of all instances
-	mu   sync.Mutex
-	runs map[string]int // arrivals of requests to pathOnce and pathAudit at targets, by id
+	log      *memory.Handler // lines of all instances
+	rounds   int             // calls of sendToAny
+	mu       sync.Mutex
+	serve    func(m *memoryTarget, w http.ResponseWriter, r *http.Request) bool // see setServe
+	arrivals map[string]int                                                     // by target
+	runs     map[string]int                                                     // arrivals of requests to pathOnce and pathAudit at targets, by id
 }
 
 func newLinkFleet(t *testing.T, instances, targets int) *linkFleet {
-	f := &linkFleet{runs: map[string]int{}, log: memory.New()}
-	f.trafficFleet = newFleetWith(t, instances, 3, targets, fleetOptions{codec: linkCodec{}, onArrival: f.recordRun, serve: serveLinkEvents, log: f.log})
+	f := &linkFleet{runs: map[string]int{}, arrivals: map[string]int{}, log: memory.New(), serve: serveLinkEvents}
+	f.trafficFleet = newFleetWith(t, instances, 3, targets, fleetOptions{codec: linkCodec{}, onArrival: f.recordRun, serve: f.serveRequest, log: f.log,
+		editSettings: func(s *Settings) { s.Retry.Share, s.Retry.Slack = 0.2, 200 }})
 	return f
 }
 
-func (f *linkFleet) recordRun(_ *memoryTarget, r *http.Request) {
+func (f *linkFleet) recordRun(m *memoryTarget, r *http.Request) {
+	f.mu.Lock()
+	f.arrivals[m.name]++
+	f.mu.Unlock()
 	if strings.HasPrefix(r.URL.Path, pathSafe) || strings.HasPrefix(r.URL.Path, pathResumable) {
 		return
 	}
@@ -93,6 +108,37 @@
 	f.runs[r.Header.Get(trafficID)]++
 }
 
+func (f *linkFleet) serveRequest(m *memoryTarget, w http.ResponseWriter, r *http.Request) bool {
+	f.mu.Lock()
+	serve := f.serve
+	f.mu.Unlock()
+	return serve(m, w, r)
+}
+
+// setServe changes how the targets answer.
+func (f *linkFleet) setServe(serve func(m *memoryTarget, w http.ResponseWriter, r *http.Request) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.serve = serve
+}
+
+// kill ends an instance at once, with all its connections.
+func (f *linkFleet) kill(i int) {
+	g := f.gateways[i]
+	f.closeListeners(g.settings().CallerListen, g.settings().ReadyListen, g.settings().PeerListen)
+	g.Kill()
+	f.net.resetAll(g.settings().Name)
+}
+
+// relayed returns how many connections peers have carried for others.
+func (f *linkFleet) relayed() uint64 {
+	n := uint64(0)
+	for _, g := range f.gateways {
+		n += g.relays.opened.Load()
+	}
+	return n
+}
+
 // serveLinkEvents answers requests for streams.
 func serveLinkEvents(_ *memoryTarget, w http.ResponseWriter, r *http.Request) bool {
 	if !strings.HasPrefix(r.URL.Path, pathAudit) && !strings.HasPrefix(r.URL.Path, pathResumable) {
@@ -194,12 +240,33 @@
 // sendAll has two callers of each kind of route at each instance send requests for a duration: one
 // keeps its connection, the other opens one for each request. It returns all requests.
 func (f *linkFleet) sendAll(name string, during time.Duration) []linkRequest {
+	return f.send(name, linkPaths, during)
+}
+
+// send is sendAll with routes of some kinds.
+func (f *linkFleet) send(name string, paths []string, during time.Duration) []linkRequest {
+	all := make([]int, len(f.gateways))
+	for i := range all {
+		all[i] = i
+	}
+	return f.sendToAny(all, name, paths, during)
+}
+
+// sendTo is send to one instance.
+func (f *linkFleet) sendTo(instance int, name string, paths []string, during time.Duration) []linkRequest {
+	return f.sendToAny([]int{instance}, name, paths, during)
+}
+
+// sendToAny is send to some instances.
+func (f *linkFleet) sendToAny(instances []int, name string, paths []string, during time.Duration) []linkRequest {
+	f.rounds++
+	name = fmt.Sprint(name, f.rounds, "-")
 	var mu sync.Mutex
 	var out []linkRequest
 	var callers sync.WaitGroup
 	until := time.Now().Add(during)
-	for i := range f.gateways {
-		for _, path := range linkPaths {
+	for _, i := range instances {
+		for _, path := range paths {
 			for _, keepConn := range []bool{true, false} {
 				c := &linkCaller{f: f, name: fmt.Sprint(name, i, path, keepConn), instance: i, keepConn: keepConn}
 				callers.Go(func() {
@@ -221,6 +288,24 @@
 	return out
 }
 
+// sendOpenLoop sends requests to an instance at an interval, each on a connection of its own, whether or not
+// earlier ones have been answered.
+func (f *linkFleet) sendOpenLoop(instance int, name, path string, every, during time.Duration) []linkRequest {
+	f.rounds++
+	name = fmt.Sprint(name, f.rounds, "-")
+	out := make([]linkRequest, during/every)
+	var requests sync.WaitGroup
+	for i := range out {
+		requests.Go(func() {
+			c := &linkCaller{f: f, name: name, instance: instance}
+			out[i] = c.send(path, i)
+		})
+		time.Sleep(every)
+	}
+	requests.Wait()
+	return out
+}
+
 // checkRuns checks that no request ran more often than it may.
 func (f *linkFleet) checkRuns() {
 	f.mu.Lock()
--- a/internal/gateway/target_partition_test.go
+++ b/internal/gateway/target_partition_test.go
@@ -1,9 +1,17 @@
 package gateway
 
 import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shedhoist/shedhoist/internal/peer"
 )
 
 // TestServesWhilePartitionedFromTargets guards against first tries that fail at instances which reach no
@@ -70,3 +78,279 @@
 	}
 	f.checkRuns()
 }
+
+// TestNoticesPartitionOnOpenConnections guards against instances that send all requests on connections
+// that were open before the partition, so that no connect fails.
+func TestNoticesPartitionOnOpenConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newLinkFleet(t, 6, 6)
+		defer f.stop()
+		f.sendOpenLoop(1, "before", pathSafe, time.Millisecond, time.Second) // opens many connections
+		f.cutLinks([]int{1}, linkHangs)
+		cutAt := time.Now()
+		for _, r := range f.sendOpenLoop(1, "cut", pathSafe, 20*requestInterval, 4*time.Second) {
+			if r.startedAt.Sub(cutAt) >= maxDetectionTime && (!r.served || r.duration > maxUnreachableDelay) {
+				t.Errorf("%v after the cut: status %d after %v", r.startedAt.Sub(cutAt), r.status, r.duration)
+			}
+		}
+	})
+}
+
+// TestFirstRequestsOfPartition guards against requests on new connections that fail or wait though nothing
+// was sent yet when the partition was found.
+func TestFirstRequestsOfPartition(t *testing.T) {
+	for _, cut := range []linkCut{linkHangs, linkResets, linkRefuses, linkRefusesNew} {
+		for _, targets := range []int{1, 3} {
+			t.Run(fmt.Sprint("cut ", cut, ", targets ", targets), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					f := newLinkFleet(t, 6, targets)
+					defer f.stop()
+					f.cutLinks([]int{1}, cut)
+					for _, r := range f.sendOpenLoop(1, "cut", pathOnce, requestInterval, time.Second) {
+						if !r.served || r.duration > maxUnreachableDelay {
+							t.Errorf("status %d after %v", r.status, r.duration)
+						}
+					}
+					f.checkRuns()
+				})
+			})
+		}
+	}
+}
+
+// TestPartitionedUsesAllZones guards against zones that stay unused by a partitioned instance since it has
+// found them unreachable itself.
+func TestPartitionedUsesAllZones(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newLinkFleet(t, 6, 4) // two targets in z0, one in each other zone: too few to find these unreachable
+		defer f.stop()
+		f.cutLinks([]int{0}, linkHangs)
+		f.sendTo(0, "detected", linkPaths, 2*time.Second)
+		is.True(f.gateways[0].zoneMonitor.zones.Unreachable()["z0"])
+		f.sendOpenLoop(0, "cut", pathOnce, requestInterval, time.Second)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for _, m := range f.targets {
+			is.True(f.arrivals[m.name] > 0)
+		}
+	})
+}
+
+// TestRelaysCrossFewestZones guards against bytes that cross zones more often than they must: peers in the
+// own zone or in the target's come first, and where the own zone has none, targets in the zone of a peer.
+func TestRelaysCrossFewestZones(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newLinkFleet(t, 9, 9)
+		defer f.stop()
+		r := &f.gateways[1].relays // in z1
+		is.Equal(r.homeZone(), "z1")
+		for range 20 {
+			near := r.candidates("z2")
+			is.Equal(len(near), 8)
+			for _, m := range near[:5] {
+				is.True(m.Zone == "z1" || m.Zone == "z2")
+			}
+		}
+		f.cutLinks([]int{1, 4, 7}, linkHangs) // all of z1
+		f.sendAll("detected", 3*time.Second)
+		is.True(r.homeZone() != "z1")
+		is.Equal(len(r.candidates("z2")), 6)
+		is.Equal(r.candidates("z2")[0].Zone, "z2")
+	})
+}
+
+// TestStopAwaitsRelayedRequests guards against a stop that ends while the instance carries requests of peers.
+func TestStopAwaitsRelayedRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newLinkFleet(t, 2, 2)
+		defer f.stop()
+		f.cutLinks([]int{1}, linkHangs)
+		f.sendTo(1, "detected", linkPaths, 2*time.Second)
+		f.setServe(func(_ *memoryTarget, w http.ResponseWriter, r *http.Request) bool {
+			w.Header().Set(trafficID, r.Header.Get(trafficID))
+			for i := range linkEvents {
+				time.Sleep((balancerNoticeTime + lingerAfterNotice + 400*time.Millisecond) / linkEvents)
+				fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", i+1, i+1)
+				w.(http.Flusher).Flush()
+			}
+			return true
+		})
+		stopped := make(chan error, 1)
+		time.AfterFunc(20*time.Millisecond, func() { stopped <- f.gateways[0].Shutdown(t.Context()) })
+		c := &linkCaller{f: f, name: "long", instance: 1}
+		is.True(c.send(pathAudit, 0).served)
+		is.NoErr(<-stopped)
+	})
+}
+
+// TestUsesOwnLinksAfterPartition guards against instances that go on through peers once their own links
+// are back.
+func TestUsesOwnLinksAfterPartition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newLinkFleet(t, 6, 6)
+		defer f.stop()
+		f.cutLinks([]int{1}, linkHangs)
+		f.sendAll("cut", 3*time.Second)
+		is.True(f.relayed() > 0)
+		f.cutLinks([]int{1}, linkIntact)
+		time.Sleep(maxDetectionTime)
+		before := f.relayed()
+		f.sendAll("mended", 2*time.Second)
+		is.Equal(f.relayed(), before)
+	})
+}
+
+// TestAllPartitionedRefuseAtOnce guards against requests that wait, or go round in a loop, while no
+// instance reaches a target.
+func TestAllPartitionedRefuseAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newLinkFleet(t, 6, 6)
+		defer f.stop()
+		all := []int{0, 1, 2, 3, 4, 5}
+		f.cutLinks(all, linkHangs)
+		cutAt := time.Now()
+		for _, r := range f.sendAll("cut", 5*time.Second) {
+			late := r.startedAt.Sub(cutAt) >= 2*maxDetectionTime // until peers know of one another's partitions
+			if late && (r.status != http.StatusServiceUnavailable || r.duration > 100*time.Millisecond) {
+				t.Errorf("%s at instance %d: status %d after %v", r.path, r.instance, r.status, r.duration)
+			}
+		}
+		f.cutLinks(all, linkIntact)
+		time.Sleep(maxDetectionTime)
+		for _, r := range f.sendAll("mended", time.Second) {
+			if !r.served {
+				t.Errorf("%s at instance %d: status %d after the links came back", r.path, r.instance, r.status)
+			}
+		}
+		f.checkRuns()
+	})
+}
+
+// TestRelayEndsMidway guards against streams that lose, repeat or reorder events, and requests that run
+// twice, when the peer that relays them stops or is killed.
+func TestRelayEndsMidway(t *testing.T) {
+	for _, killed := range []bool{false, true} {
+		t.Run(fmt.Sprint("killed: ", killed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				f := newLinkFleet(t, 6, 6)
+				defer f.stop()
+				const cut, ends = 1, 4 // both in zone z1
+				f.cutLinks([]int{cut}, linkHangs)
+				f.sendTo(cut, "detected", linkPaths, 2*time.Second)
+				time.AfterFunc(time.Second+linkEventInterval, func() {
+					if killed {
+						f.kill(ends)
+						return
+					}
+					_ = f.gateways[ends].Shutdown(t.Context()) // an error says what it aborted, which the callers see
+				})
+				for _, r := range f.sendTo(cut, "ends", linkPaths, 3*time.Second) {
+					mayFail := killed && (r.path == pathOnce || r.path == pathAudit) // it may have run
+					if !r.served && !mayFail {
+						t.Errorf("%s: status %d after %v", r.path, r.status, r.duration)
+					}
+				}
+				f.checkRuns()
+			})
+		})
+	}
+}
+
+// TestCallerLeavesRelayedRequest guards against targets that work on for callers who have left.
+func TestCallerLeavesRelayedRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newLinkFleet(t, 3, 3)
+		defer f.stop()
+		f.cutLinks([]int{1}, linkHangs)
+		f.sendTo(1, "detected", linkPaths, 2*time.Second)
+		left := make(chan time.Time, 1)
+		f.setServe(func(_ *memoryTarget, _ http.ResponseWriter, r *http.Request) bool {
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+			left <- time.Now()
+			return true
+		})
+		conn := f.dialCaller(1)
+		fmt.Fprintf(conn, "POST %sx HTTP/1.1\r\nHost: %s\r\n%s: leaving\r\n%s: key\r\nContent-Length: 1\r\n\r\nx", pathAudit, anyHost, trafficID, trafficKey)
+		time.Sleep(200 * time.Millisecond)
+		closedAt := time.Now()
+		conn.Close()
+		is.True((<-left).Sub(closedAt) < 100*time.Millisecond)
+	})
+}
+
+// TestRelayLoadIsBounded guards against a peer that carries any number of requests for others.
+func TestRelayLoadIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newLinkFleet(t, 3, 3)
+		defer f.stop()
+		f.cutLinks([]int{1, 2}, linkHangs)
+		f.send("detected", linkPaths, 2*time.Second)
+		var requests sync.WaitGroup
+		var mu sync.Mutex
+		statuses := map[int]int{}
+		for i := range 4 * maxTunnels {
+			requests.Go(func() {
+				c := &linkCaller{f: f, name: fmt.Sprint("burst ", i), instance: 1 + i%2}
+				r := c.send(pathAudit, 0)
+				mu.Lock()
+				defer mu.Unlock()
+				statuses[r.status]++
+			})
+		}
+		time.Sleep(100 * time.Millisecond)
+		f.gateways[0].relays.mu.Lock()
+		carried := f.gateways[0].relays.carried
+		f.gateways[0].relays.mu.Unlock()
+		is.True(carried > 0)
+		is.True(carried <= maxTunnels)
+		requests.Wait()
+		is.True(statuses[http.StatusOK] >= maxTunnels)
+		is.Equal(statuses[http.StatusOK]+statuses[http.StatusServiceUnavailable], 4*maxTunnels) // the others are told that they have not run
+		f.checkRuns()
+	})
+}
+
+// TestRelayRefusesWhatItWouldNotSend guards against requests that reach a target through a peer which knows
+// that it gets none, and against tunnels to other addresses.
+func TestRelayRefusesWhatItWouldNotSend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newLinkFleet(t, 3, 3)
+		defer f.stop()
+		statusOf := func(address string) peer.TunnelStatus {
+			conn, status, done := f.gateways[0].relays.open(t.Context(), address)
+			if conn != nil {
+				conn.Close()
+			}
+			done()
+			return status
+		}
+		is.Equal(statusOf("t-00:1"), peer.TunnelOpen)
+		is.Equal(statusOf("e-001:3"), peer.TunnelDenied) // no target
+		f.targets[0].leave()
+		time.Sleep(time.Second)
+		is.Equal(statusOf("t-00:1"), peer.TunnelDenied)
+		f.net.setCut("e-000", "t-01", linkRefuses)
+		is.Equal(statusOf("t-01:1"), peer.TunnelRefused)
+		f.net.setCut("e-000", "t-01", linkHangs)
+		is.Equal(statusOf("t-01:1"), peer.TunnelUnanswered)
+		f.cutLinks([]int{0}, linkHangs)
+		f.sendTo(0, "detected", linkPaths, 2*time.Second)
+		is.Equal(statusOf("t-02:1"), peer.TunnelUnable)
+		f.cutLinks([]int{0}, linkIntact)
+		time.Sleep(maxDetectionTime)
+		is.Equal(statusOf("t-02:1"), peer.TunnelOpen)
+		go func() { _ = f.gateways[0].Shutdown(t.Context()) }()
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(statusOf("t-02:1"), peer.TunnelUnable)
+	})
+}
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -20,7 +20,9 @@
 // upstream sends requests to targets.
 type upstream struct {
 	singleUseClient *http.Client // opens a new connection for each request
+	relayedClient   *http.Client // opens a new connection through a peer for each request
 	dial            peer.DialFunc
+	dialRelayed     func(ctx context.Context, to dialTarget) (net.Conn, error)
 	inflight        *inflight.Loads
 
 	mu                 sync.Mutex
@@ -55,7 +57,20 @@
 	if dial == nil {
 		dial = netx.Dialer(targetConnectTimeout).DialContext
 	}
-	return &upstream{dial: dial, singleUseClient: newClient(dial, 0, 0), inflight: inflight.New(), keepAliveClients: map[time.Duration]*http.Client{}, serviceIdleTimeout: map[string]time.Duration{}}
+	u := &upstream{dial: dial, singleUseClient: newClient(dial, 0, 0), inflight: inflight.New(), keepAliveClients: map[time.Duration]*http.Client{}, serviceIdleTimeout: map[string]time.Duration{}}
+	u.relayedClient = u.newRelayedClient()
+	return u
+}
+
+// newRelayedClient returns a client that connects through peers. It keeps no connections: an open
+// one stands for a request to the peer that carries it, and the next request may need no relay.
+func (u *upstream) newRelayedClient() *http.Client {
+	t := netx.Transport(netx.TransportOptions{})
+	t.DialContext = func(ctx context.Context, _, _ string) (net.Conn, error) {
+		to, _ := ctx.Value(dialKey{}).(dialTarget)
+		return u.dialRelayed(ctx, to)
+	}
+	return &http.Client{Transport: t, CheckRedirect: netx.NoRedirect}
 }
 
 // newClient returns a client that pools connections by target incarnation: a connection to
@@ -84,8 +99,11 @@
 // dialTarget holds the parameters of a dial, passed in its context.
 type dialTarget struct {
 	address string
+	zone    string
 	onSlow  func()          // called once the connect has taken slowConnectThreshold; may be nil
 	onEnd   func(err error) // called with the result of the connect; may be nil
+	// onRelay is called with the name of the peer through which the target was reached; may be nil.
+	onRelay func(peer string)
 }
 
 // incarnationHost returns a host name that is unique to a target's incarnation. The
@@ -123,7 +141,8 @@
 	}
 }
 
-func (u *upstream) close() {
+// closeIdle closes the connections that no request uses.
+func (u *upstream) closeIdle() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for _, c := range u.keepAliveClients {
@@ -135,15 +154,14 @@
 type upstreamRequest struct {
 	service   string
 	targetID  string // id of the target's incarnation
-	address   string
-	onSlow    func()          // see dialTarget
-	onEnd     func(err error) // see dialTarget
+	dial      dialTarget
 	method    string
 	url       *url.URL // the caller's; path and query are sent unchanged
 	host      string
 	header    http.Header
 	body      []byte
 	reuseConn bool // a keep-alive connection may be used
+	relayed   bool // it is sent through a peer
 }
 
 // send issues the request once. Its body can't be rewound, so that net/http never retries
@@ -151,11 +169,14 @@
 func (u *upstream) send(ctx context.Context, o upstreamRequest) (resp *http.Response, way netx.SendInfo, err error) {
 	to := &url.URL{Scheme: "http", Host: incarnationHost(o.targetID), Path: o.url.Path, RawPath: o.url.RawPath, RawQuery: o.url.RawQuery, ForceQuery: o.url.ForceQuery}
 	req := (&http.Request{Method: o.method, URL: to, Host: o.host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: o.header, Body: netx.SingleUseBody(bytes.NewReader(o.body)),
-		ContentLength: int64(len(o.body))}).WithContext(context.WithValue(ctx, dialKey{}, dialTarget{address: o.address, onSlow: o.onSlow, onEnd: o.onEnd}))
+		ContentLength: int64(len(o.body))}).WithContext(context.WithValue(ctx, dialKey{}, o.dial))
 	if req.Host == "" {
-		req.Host = o.address
+		req.Host = o.dial.address
 	}
-	if o.reuseConn {
+	switch {
+	case o.relayed:
+		return netx.Send(u.relayedClient, req)
+	case o.reuseConn:
 		return netx.Send(u.keepAliveClient(o.service), req)
 	}
 	return netx.Send(u.singleUseClient, req)
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -27,6 +27,9 @@
 	UnreachableZones      = metrics.NewCounter("shedhoist_silent_zones_total")
 	EvacuatedRefusals     = metrics.NewCounter("shedhoist_evacuated_refusals_total")
 	TargetPartitions      = metrics.NewCounter("shedhoist_target_partitions_total") // times that no target could be reached
+	Relays                = metrics.NewCounter("shedhoist_relays_total")            // connections to targets through peers
+	RelayFailures         = metrics.NewCounter("shedhoist_relays_failed_total")     // that no peer could open
+	RelaysCarried         = metrics.NewCounter("shedhoist_relays_carried_total")    // opened on behalf of peers
 	TargetCrashes         = metrics.NewCounter("shedhoist_target_crashes_total")    // detected by requests that failed there
 	QuarantineRejections  = metrics.NewCounter("shedhoist_quarantine_rejections_total")
 	QuarantineTrials      = metrics.NewCounter("shedhoist_quarantine_trials_total")
