A target that refuses one instance and not its peers has not crashed

An instance whose links to the targets broke, and refused new connections, held every target under its broken requests to have crashed. Three such 'crashes' quarantine a request that did no harm, at all instances.

One observer's refusal can't tell a lost link from a process that is gone. A refused look now asks a peer for its own; an instance that is partitioned asks peers alone. If none can tell, the refusal counts as before.

TestLostLinksAreNoCrashes fails without the peer's look.

--- a/internal/gateway/crash_detector.go
+++ b/internal/gateway/crash_detector.go
@@ -70,11 +70,11 @@
 	}
 }
 
-// probe connects to the target. If the host refuses the connection, the target's process is gone.
+// probe connects to the target. If the host refuses the connection, the target's process is gone,
+// unless a peer is not refused.
 func (c *crashDetector) probe(t *catalog.Target, check *crashCheck) {
 	startedAt := c.g.now()
-	err := c.dial(t.Address)
-	refused := errors.Is(err, syscall.ECONNREFUSED)
+	refused, err := c.isRefused(t)
 	c.mu.Lock()
 	interrupted := check.interrupted
 	check.crashed, check.interrupted = refused, nil
@@ -106,13 +106,26 @@
 	delete(c.checks, id)
 }
 
-// dial opens and closes a connection to an address.
-func (c *crashDetector) dial(address string) error {
-	ctx, cancel := context.WithTimeout(c.g.ctx, targetConnectTimeout)
-	defer cancel()
-	conn, err := c.g.upstream.dial(ctx, "tcp", address)
-	if err != nil {
-		return err
+// isRefused reports whether the host of a target refuses connections. If it refuses this instance, or
+// this instance is partitioned from the targets, a peer is asked: its own links may have refused. The
+// error is that of the connect.
+func (c *crashDetector) isRefused(t *catalog.Target) (refused bool, err error) {
+	if !c.g.targetLinks.tracker.Partitioned() {
+		err = c.g.connectDirectly(t.Address, targetConnectTimeout)
+		c.g.targetLinks.connectEnded(t, err)
+		if !errors.Is(err, syscall.ECONNREFUSED) {
+			return false, err
+		}
 	}
-	return conn.Close()
+	reply, _, ok := c.g.checkByPeers(t.Address)
+	if !ok {
+		return err != nil, err
+	}
+	switch reply.Outcome {
+	case connectRefused:
+		return true, err
+	case connectMade:
+		return false, nil
+	}
+	return false, context.DeadlineExceeded
 }
--- a/internal/gateway/target_partition_test.go
+++ b/internal/gateway/target_partition_test.go
@@ -354,3 +354,21 @@
 		is.Equal(statusOf("t-02:1"), peer.TunnelUnable)
 	})
 }
+
+// TestLostLinksAreNoCrashes guards against requests that are held to crash targets because the links of
+// their instance broke and refuse new connections.
+func TestLostLinksAreNoCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newLinkFleet(t, 6, 6)
+		defer f.stop()
+		for range 3 {
+			f.send("before", linkPaths, time.Second)
+			time.AfterFunc(500*time.Millisecond, func() { f.cutLinks([]int{1}, linkRefuses) })
+			f.send("cut", linkPaths, 2*time.Second)
+			f.cutLinks([]int{1}, linkIntact)
+			time.Sleep(maxDetectionTime)
+		}
+		is.Equal(len(f.logged("target crashed")), 0)
+	})
+}
