An instance partitioned from the targets gives no orders

The lease for orders goes by rank among the instances that reach the object store. One that had lost its links to the targets kept it and renewed it while each of its orders failed, for as long as the links were gone; the bound on a rollout went by meanwhile.

Instances now tell with their membership that they are partitioned. Such one neither takes nor renews the lease, and does not count in the rank. Orders are never relayed: they would come from two instances under one name.

TestPartitionedGivesNoOrders fails without the change.

--- a/internal/gateway/lease.go
+++ b/internal/gateway/lease.go
@@ -170,7 +170,7 @@
 
 func (o *rolloutController) watchLeaseOnce(ctx context.Context, revision *platform.Version) error {
 	v := o.g.view.Load()
-	contends := !o.g.isJoining() && rankOf(v.Attached, o.g.settings().Name, leaseName) < maxContenders
+	contends := !o.g.isJoining() && rankOf(v.Orderers, o.g.settings().Name, leaseName) < maxContenders
 	if !contends || *revision != 0 && len(v.Outdated) == 0 {
 		wait.For(ctx, rolloutTick) // the lease changes only during rollouts
 		return nil
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -110,7 +110,7 @@
 func (o *rolloutController) runRound(ctx context.Context) {
 	v := o.g.view.Load()
 	outdated := v.Outdated
-	if len(outdated) == 0 || v.Draining {
+	if len(outdated) == 0 || v.Draining || o.g.targetLinks.tracker.Partitioned() {
 		o.workSince = time.Time{}
 		return
 	}
@@ -118,7 +118,7 @@
 	if o.workSince.IsZero() {
 		o.workSince = now
 	}
-	rank := rankOf(v.Attached, o.g.settings().Name, leaseName)
+	rank := rankOf(v.Orderers, o.g.settings().Name, leaseName)
 	if rank >= maxContenders || now.Sub(o.workSince) < time.Duration(rank)*contenderDelay {
 		return
 	}
--- a/internal/gateway/target_partition_test.go
+++ b/internal/gateway/target_partition_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -372,3 +373,25 @@
 		is.Equal(len(f.logged("target crashed")), 0)
 	})
 }
+
+// TestPartitionedGivesNoOrders guards against a rollout that waits for an instance which reaches no target.
+func TestPartitionedGivesNoOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newLinkFleet(t, 6, 6)
+		defer f.stop()
+		orderers := func(i int) []string { return f.gateways[i].view.Load().Orderers }
+		is.Equal(len(orderers(0)), 6)
+		f.cutLinks([]int{1}, linkHangs)
+		f.sendTo(1, "detected", linkPaths, 3*time.Second)
+		for i := range f.gateways {
+			is.Equal(len(orderers(i)), 5)
+			is.True(!slices.Contains(orderers(i), "e-001"))
+		}
+		f.cutLinks([]int{1}, linkIntact)
+		time.Sleep(3 * time.Second)
+		for i := range f.gateways {
+			is.Equal(len(orderers(i)), 6)
+		}
+	})
+}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -76,11 +76,14 @@
 	Alive          []string                 // sorted names of the live instances, including this one
 	Peers          []member.Member          // the instances in Alive, as members
 	Attached       []string                 // names of live instances that reach the object store; all live ones if none does
-	Tree           *relayTree               // how instances relay state to one another
-	IsWatcher      bool                     // this instance watches the object store on behalf of all
-	WatchRank      int                      // its rank for that role: the lowest ranks are watchers
-	Watchers       []string                 // names of all watchers
-	TargetsListed  bool                     // the list of targets was received at least once
+	// Orderers are the names of the live instances that may give orders to targets: those in Attached
+	// that reach targets; all of Attached if none does.
+	Orderers      []string
+	Tree          *relayTree // how instances relay state to one another
+	IsWatcher     bool       // this instance watches the object store on behalf of all
+	WatchRank     int        // its rank for that role: the lowest ranks are watchers
+	Watchers      []string   // names of all watchers
+	TargetsListed bool       // the list of targets was received at least once
 	// EvacuatedZones get no requests. EvacuatedTargets counts the targets that this excludes, by
 	// service. EvacuationsRevision is the revision up to which the list of zones is
 	// complete.
--- a/internal/gateway/view_build.go
+++ b/internal/gateway/view_build.go
@@ -25,6 +25,7 @@
 	alive     []string
 	peers     []member.Member
 	attached  []string
+	orderers  []string // see View.Orderers
 	tree      *relayTree
 	watchRank int // see watcherRole
 	watchers  []string
@@ -64,10 +65,16 @@
 		if !m.Detached {
 			p.attached = append(p.attached, m.Name)
 		}
+		if !m.Detached && !m.Partitioned {
+			p.orderers = append(p.orderers, m.Name)
+		}
 	}
 	if len(p.attached) == 0 {
 		p.attached = p.alive // no instance reaches the store: roles stay as they are
 	}
+	if len(p.orderers) == 0 {
+		p.orderers = p.attached
+	}
 	p.tree = newRelayTree(p.peers, self)
 	p.watchRank = rankOf(p.attached, self.Name, watcherRole)
 	p.watcher = p.watchRank < watcherCount
@@ -202,7 +209,7 @@
 	v := &View{
 		Config: c.cfg, NewestReportedConfig: max(c.configInForce().Version, c.reportedConfig.Version), ConfigBytes: len(c.rawConfig),
 		Targets: s.targets, Serving: s.serving, Candidates: s.candidates, Outdated: s.outdated, Departed: s.departed,
-		OtherInstances: f.others, InstanceCount: f.instances, Alive: f.alive, Self: c.members.Self().Name, Peers: f.peers, Attached: f.attached, Tree: f.tree, IsWatcher: f.watcher, WatchRank: f.watchRank, Watchers: f.watchers,
+		OtherInstances: f.others, InstanceCount: f.instances, Alive: f.alive, Self: c.members.Self().Name, Peers: f.peers, Attached: f.attached, Orderers: f.orderers, Tree: f.tree, IsWatcher: f.watcher, WatchRank: f.watchRank, Watchers: f.watchers,
 		TargetsRevision: c.targets.Revision(), TargetsListed: c.targets.Listed(),
 		NamedVersions: map[string]NamedVersions{}, Rollout: c.rollout, Draining: c.draining, StoreReachable: c.storeReachable, Isolated: c.isolation.active,
 		ReleasedAt: c.releasedAt, warmupShares: f.warmup, WarmupAllowedAt: c.warmupAllowedAt,
