Links to the targets are judged by service, and a partition ends when most are reached

Requests went back to direct connects that hung.

Links are now judged by service. Once those to one service are found to be lost, those to the others are probed at once. A partition ends when at least half of three probed targets are reached.

--- a/internal/core/reach/reach.go
+++ b/internal/core/reach/reach.go
@@ -1,10 +1,11 @@
-// Package reach tracks whether this instance can open connections to targets at all. When several
-// targets in a row can't be reached, the caller probes more of them; if none can be reached
-// either, the instance counts as partitioned from the targets until one can be reached again. The
-// package does no I/O and reads no clock.
+// Package reach tracks whether this instance can open connections to the targets of a service. When
+// several targets in a row can't be reached, the caller probes more of them; if none can be reached
+// either, the instance counts as partitioned from the service until most that are probed can be
+// reached again. The package does no I/O and reads no clock.
 //
-// Invariant: an instance counts as partitioned only after connects to MinFailedTargets different
-// targets, or to all of them, have failed with no success in between, and a probe has failed since.
+// Invariant: an instance counts as partitioned only after a probe has failed with no success since its
+// start. A probe starts when connects to MinFailedTargets different targets, or to all of them, have
+// failed with no success in between, or when the links to another service are found to be lost.
 package reach
 
 import (
@@ -20,13 +21,14 @@
 	minProbeInterval = 500 * time.Millisecond
 )
 
-// Tracker holds what is known of the connects to all targets. Its zero value has seen none, and
+// Tracker holds what is known of the connects to the targets of a service. Its zero value has seen none, and
 // counts as not partitioned. It is safe for concurrent use.
 type Tracker struct {
 	mu          sync.Mutex
 	failed      map[string]bool // ids of the targets whose connects have failed since the last success
 	probing     bool
 	lastProbe   time.Time // start of the last probe
+	connected   bool      // a target was reached since then
 	partitioned bool
 }
 
@@ -42,20 +44,43 @@
 		t.failed = map[string]bool{}
 	}
 	t.failed[target] = true
-	if t.probing || len(t.failed) < min(MinFailedTargets, known) || now.Sub(t.lastProbe) < minProbeInterval {
+	return len(t.failed) >= min(MinFailedTargets, known) && t.beginProbe(now)
+}
+
+// BeginProbe reports whether the caller shall probe the targets now, because links to others have
+// failed; if so, EndProbe must follow.
+func (t *Tracker) BeginProbe(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.partitioned && t.beginProbe(now)
+}
+
+// beginProbe begins a probe unless one is in progress or has just been. The lock must be held.
+func (t *Tracker) beginProbe(now time.Time) bool {
+	if t.probing || now.Sub(t.lastProbe) < minProbeInterval {
 		return false
 	}
-	t.probing, t.lastProbe = true, now
+	t.probing, t.lastProbe, t.connected = true, now, false
 	return true
 }
 
-// Connected records that a target was reached. It reports whether that ends a partition.
-func (t *Tracker) Connected() (ended bool) {
+// Connected records that a target was reached. A single one does not end a partition.
+func (t *Tracker) Connected() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	ended = t.partitioned
-	t.failed, t.partitioned = nil, false
-	return ended
+	t.failed, t.connected = nil, true
+}
+
+// Reached records how many of the targets probed during a partition were reached. It reports whether
+// the partition ends: at least half were.
+func (t *Tracker) Reached(reached, probed int) (ends bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ends = t.partitioned && 2*reached >= probed
+	if ends {
+		t.failed, t.partitioned = nil, false
+	}
+	return ends
 }
 
 // EndProbe records the result of a probe: whether it reached a target. It reports whether a
@@ -63,7 +88,7 @@
 func (t *Tracker) EndProbe(reached bool) (begins bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	begins = t.probing && !reached && len(t.failed) > 0 // Connected may have been called meanwhile
+	begins = t.probing && !reached && !t.connected
 	t.probing, t.partitioned = false, t.partitioned || begins
 	if reached {
 		t.failed = nil
@@ -71,7 +96,7 @@
 	return begins
 }
 
-// Partitioned reports whether this instance counts as partitioned from the targets.
+// Partitioned reports whether this instance counts as partitioned from the service's targets.
 func (t *Tracker) Partitioned() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -417,7 +417,7 @@
 // can tell: such a failure says nothing about the target.
 func (x *exchange) linksFailed(err error) bool {
 	if !x.relayed {
-		return x.g.targetLinks.tracker.Partitioned()
+		return x.g.targetLinks.partitionedFrom(x.service)
 	}
 	return !failedAtTarget(err)
 }
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -23,7 +23,7 @@
 func (x *exchange) chooseTarget() (*catalog.Target, placement.Decision) {
 	ejected := x.g.breaker.EjectedForSelection()
 	candidates, serving := x.view.Candidates[x.service], x.view.Serving[x.service]
-	x.unreachableZones, x.backoffUntil = x.g.unreachableZones(serving), x.g.breaker.Backoffs()
+	x.unreachableZones, x.backoffUntil = x.g.unreachableZones(x.service, serving), x.g.breaker.Backoffs()
 	if len(candidates) < len(serving) && x.countFit(candidates, ejected) < minFitCandidates {
 		candidates = x.widenCandidates(serving, ejected)
 	}
--- a/internal/gateway/crash_detector.go
+++ b/internal/gateway/crash_detector.go
@@ -110,7 +110,7 @@
 // this instance is partitioned from the targets, a peer is asked: its own links may have refused. The
 // error is that of the connect.
 func (c *crashDetector) isRefused(t *catalog.Target) (refused bool, err error) {
-	if !c.g.targetLinks.tracker.Partitioned() {
+	if !c.g.targetLinks.partitionedFrom(t.Service) {
 		err = c.g.connectDirectly(t.Address, targetConnectTimeout)
 		c.g.targetLinks.connectEnded(t, err)
 		if !errors.Is(err, syscall.ECONNREFUSED) {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -111,7 +111,7 @@
 			return
 		}
 		if result.event == attempt.NotSent && !x.relayed {
-			x.g.targetLinks.awaitProbe(x.ctx)
+			x.g.targetLinks.to(x.service).awaitProbe(x.ctx)
 		}
 		x.partSources = nil // the stores' contents may have changed
 	}
@@ -120,7 +120,7 @@
 // updatePath decides whether attempts go through peers from now on. What failed on the other path
 // says nothing about the targets on this one.
 func (x *exchange) updatePath() {
-	relayed := x.g.targetLinks.tracker.Partitioned()
+	relayed := x.g.targetLinks.partitionedFrom(x.service)
 	if relayed == x.relayed {
 		return
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -102,7 +102,7 @@
 	lastCompared    atomic.Int64   // when suspects were last compared with a peer's, ns after startedAt
 	warmup          warmup.Limiter // limits requests to targets that are warming up
 	zoneMonitor     zoneMonitor    // zones that are unreachable as a whole
-	targetLinks     targetLinks    // whether this instance reaches any target
+	targetLinks     targetLinks    // the services whose targets this instance reaches
 	relays          relays         // peers that reach targets for this instance
 	breaker         *breaker.Set   // targets whose requests fail
 	retryBudgets    retryBudgets
@@ -340,7 +340,7 @@
 	metric.SetGauge("shedhoist_zones_evacuated", float64(len(v.EvacuatedZones)))
 	metric.SetGauge("shedhoist_instances_alive", float64(len(v.Alive)))
 	metric.SetGauge("shedhoist_store_reached", boolGauge(v.StoreReachable))
-	metric.SetGauge("shedhoist_targets_reached", boolGauge(!g.targetLinks.tracker.Partitioned()))
+	metric.SetGauge("shedhoist_targets_reached", boolGauge(!g.targetLinks.partitioned()))
 	metric.SetGauge("shedhoist_ready", boolGauge(g.Ready()))
 	metric.SetGauge("shedhoist_requests_in_hand", float64(g.inFlight.Load()))
 	metric.Write(w)
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -103,25 +104,28 @@
 	return errors.As(err, &failed) && (failed.Status == peer.TunnelRefused || failed.Status == peer.TunnelUnanswered)
 }
 
-// candidates returns the peers that may relay to a zone, the best first: those in this instance's
-// zone or in the target's, through which bytes cross zones no more often than without a relay.
+// candidates returns the peers that may relay to a zone, the best first: those that reach all services, and
+// among them those in this instance's zone or in the target's, through which bytes cross zones no more
+// often than without a relay.
 func (r *relays) candidates(zone string) []member.Member {
 	usable := r.usable()
 	rand.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
 	own := r.g.settings().Zone
 	isNear := func(m member.Member) bool { return m.Zone == own || m.Zone == zone }
-	slices.SortStableFunc(usable, func(a, b member.Member) int { return compareBool(isNear(a), isNear(b)) })
+	slices.SortStableFunc(usable, func(a, b member.Member) int {
+		return cmp.Or(compareBool(!a.Partitioned, !b.Partitioned), compareBool(isNear(a), isNear(b)))
+	})
 	return usable
 }
 
-// usable returns the live peers that are not known to be partitioned and not in backoff.
+// usable returns the live peers that are not in backoff.
 func (r *relays) usable() []member.Member {
 	peers := r.g.view.Load().otherPeers()
 	now := r.g.now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return slices.DeleteFunc(peers, func(m member.Member) bool {
-		return m.Partitioned || now.Before(r.backoffUntil[m.Name])
+		return now.Before(r.backoffUntil[m.Name])
 	})
 }
 
@@ -129,7 +133,7 @@
 // if a peer there can relay, else that of some peer that can.
 func (r *relays) homeZone() string {
 	own := r.g.settings().Zone
-	usable := r.usable()
+	usable := slices.DeleteFunc(r.usable(), func(m member.Member) bool { return m.Partitioned })
 	if len(usable) == 0 || slices.ContainsFunc(usable, func(m member.Member) bool { return m.Zone == own }) {
 		return own
 	}
@@ -143,10 +147,12 @@
 	v := r.g.view.Load()
 	t := v.relayTarget(address)
 	switch {
-	case v.Draining || v.Isolated || r.g.targetLinks.tracker.Partitioned():
+	case v.Draining || v.Isolated:
 		return nil, peer.TunnelUnable, func() {}
 	case t == nil:
 		return nil, peer.TunnelDenied, func() {}
+	case r.g.targetLinks.partitionedFrom(t.Service):
+		return nil, peer.TunnelUnable, func() {}
 	case !r.acquire():
 		return nil, peer.TunnelBusy, func() {}
 	}
--- a/internal/gateway/target_links.go
+++ b/internal/gateway/target_links.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -17,34 +18,77 @@
 	"github.com/shedhoist/shedhoist/internal/wait"
 )
 
-// An instance may lose its links to all targets while callers, peers and the object store reach it.
+// An instance may lose its links to the targets while callers, peers and the object store reach it.
 // Only its own connects show that, and only a peer can tell whether its links or the targets are
-// gone.
+// gone. Links are judged by service: those to one service may be lost and others not.
 
 const (
 	// linkProbeTimeout bounds each connect of a probe.
 	linkProbeTimeout = 150 * time.Millisecond
-	// linkProbeTargets is the least number of targets that a probe connects to, and
-	// maxLinkProbeTargets the greatest: one in each zone, since a whole zone may be lost.
-	linkProbeTargets    = 3
-	maxLinkProbeTargets = 8
+	// linkProbeTargets is the number of targets that a probe connects to: many, since most of a service's
+	// targets may crash at once.
+	linkProbeTargets = 16
+	// fewProbeTargets is the number of targets of a probe that looks for the end of a partition, and of
+	// those that peers are asked about.
+	fewProbeTargets = 3
 	// linkProbeInterval is the mean pause between the connects that look for the end of a
 	// partition.
 	linkProbeInterval = 250 * time.Millisecond
-	// targetCheckTimeout bounds a peer's check of a target: its connect, and the call.
-	targetCheckTimeout = 300 * time.Millisecond
-	// targetCheckPeers is the number of peers that are asked about a target.
-	targetCheckPeers = 2
 )
 
-// targetLinks tracks whether this instance reaches any target.
+// targetLinks tracks from which services' targets this instance is partitioned.
 type targetLinks struct {
-	g       *Gateway
-	tracker reach.Tracker
+	g *Gateway
 
 	mu         sync.Mutex
+	services   map[string]*serviceLinks
 	connecting map[*attemptState]context.CancelFunc // attempts on direct connections, with the function that ends each
-	probeDone  chan struct{}                        // closed when the probe in progress ends; nil: none is
+}
+
+// serviceLinks are the links to the targets of one service.
+type serviceLinks struct {
+	links   *targetLinks
+	service string
+	tracker reach.Tracker
+
+	mu        sync.Mutex
+	probeDone chan struct{} // closed when the probe in progress ends; nil: none is
+}
+
+// to returns the links to a service's targets.
+func (l *targetLinks) to(service string) *serviceLinks {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.services == nil {
+		l.services = map[string]*serviceLinks{}
+	}
+	s := l.services[service]
+	if s == nil {
+		s = &serviceLinks{links: l, service: service}
+		l.services[service] = s
+	}
+	return s
+}
+
+// all returns the links to all services to which this instance has connected.
+func (l *targetLinks) all() []*serviceLinks {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]*serviceLinks, 0, len(l.services))
+	for _, s := range l.services {
+		out = append(out, s)
+	}
+	return out
+}
+
+// partitionedFrom reports whether this instance reaches no target of a service.
+func (l *targetLinks) partitionedFrom(service string) bool {
+	return l.to(service).tracker.Partitioned()
+}
+
+// partitioned reports whether this instance reaches no target of some service.
+func (l *targetLinks) partitioned() bool {
+	return slices.ContainsFunc(l.all(), func(s *serviceLinks) bool { return s.tracker.Partitioned() })
 }
 
 // trackConnect records an attempt, so that it ends when a partition is found before it has a
@@ -63,13 +107,13 @@
 	}
 }
 
-// endConnects ends the attempts that have no connection yet: nothing was sent, and a peer may reach
-// their targets.
-func (l *targetLinks) endConnects() (ended int) {
+// endConnects ends the attempts at a service that have no connection yet: nothing was sent, and a peer
+// may reach their targets.
+func (l *targetLinks) endConnects(service string) (ended int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for at, cancel := range l.connecting {
-		if !at.connObtained.Load() {
+		if at.target.Service == service && !at.connObtained.Load() {
 			cancel()
 			ended++
 		}
@@ -77,27 +121,13 @@
 	return ended
 }
 
-// awaitProbe waits until no probe is in progress, or ctx ends.
-func (l *targetLinks) awaitProbe(ctx context.Context) {
-	l.mu.Lock()
-	done := l.probeDone
-	l.mu.Unlock()
-	if done == nil {
-		return
-	}
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-}
-
 // connectEnded records the result of a connect to a target for a request. A connect that its
 // request gave up says nothing.
 func (l *targetLinks) connectEnded(t *catalog.Target, err error) {
 	switch {
 	case err == nil:
 		metric.TargetConnects(metric.ConnectSucceeded).Inc()
-		l.connected(t)
+		l.to(t.Service).tracker.Connected()
 	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
 		metric.TargetConnects(metric.ConnectRefused).Inc()
 		l.connectFailed(t)
@@ -107,22 +137,19 @@
 	}
 }
 
-// connectFailed records that a target was not reached, and starts a probe of others if that is due.
+// connectFailed records that a target was not reached, and starts a probe of others of its service if
+// that is due.
 func (l *targetLinks) connectFailed(t *catalog.Target) {
-	targets := l.g.view.Load().presentTargets()
-	if !l.tracker.ConnectFailed(t.ID, len(targets), l.g.now()) {
-		return
+	s := l.to(t.Service)
+	if s.tracker.ConnectFailed(t.ID, len(s.targets()), l.g.now()) {
+		s.startProbe()
 	}
-	l.mu.Lock()
-	l.probeDone = make(chan struct{})
-	l.mu.Unlock()
-	l.g.spawn(func() { l.probe(targets) })
 }
 
-// noteSilences starts a probe if several targets owe responses and none at all has responded of late:
+// noteSilences starts probes if several targets owe responses and none at all has responded of late:
 // on connections that were open before a partition, no connect shows it.
 func (l *targetLinks) noteSilences(silent []loadreport.TargetAge) {
-	if len(silent) < reach.MinFailedTargets || l.tracker.Partitioned() {
+	if len(silent) < reach.MinFailedTargets {
 		return
 	}
 	responded, now := false, l.g.now()
@@ -136,66 +163,87 @@
 	for _, s := range silent {
 		keys[s.Target] = true
 	}
-	for _, t := range l.g.view.Load().presentTargets() {
+	for _, t := range l.g.view.Load().Targets {
 		if keys[loadreport.KeyOf(t.ID)] {
 			l.connectFailed(t)
 		}
 	}
 }
 
+// targets returns the service's targets that are not leaving.
+func (s *serviceLinks) targets() []*catalog.Target {
+	return s.links.g.view.Load().presentTargets(s.service)
+}
+
+// startProbe starts a probe that the tracker has asked for.
+func (s *serviceLinks) startProbe() {
+	s.mu.Lock()
+	s.probeDone = make(chan struct{})
+	s.mu.Unlock()
+	s.links.g.spawn(s.probe)
+}
+
 // endProbe records a probe's result, and lets those go on that wait for it.
-func (l *targetLinks) endProbe(reached bool) (begins bool) {
-	begins = l.tracker.EndProbe(reached)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	close(l.probeDone)
-	l.probeDone = nil
+func (s *serviceLinks) endProbe(reached bool) (begins bool) {
+	begins = s.tracker.EndProbe(reached)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.probeDone)
+	s.probeDone = nil
 	return begins
 }
 
-// connected records that a target was reached.
-func (l *targetLinks) connected(t *catalog.Target) {
-	if l.tracker.Connected() {
-		l.g.sendEvent(partitionChanged{l})
-		l.g.log.WithField("target", t.ID).Info("targets reached again")
+// awaitProbe waits until no probe is in progress, or ctx ends.
+func (s *serviceLinks) awaitProbe(ctx context.Context) {
+	s.mu.Lock()
+	done := s.probeDone
+	s.mu.Unlock()
+	if done == nil {
+		return
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
 	}
 }
 
-// partitionChanged is the event that a partition from the targets began or ended. It takes the state of
+// partitionChanged is the event that a partition from targets began or ended. It takes the state of
 // its moment, as a begin and an end may be sent in either order.
 type partitionChanged struct{ links *targetLinks }
 
-func (e partitionChanged) apply(c *controlState) {
-	c.members.SetPartitioned(e.links.tracker.Partitioned())
-}
+func (e partitionChanged) apply(c *controlState) { c.members.SetPartitioned(e.links.partitioned()) }
 
-// probe connects to some targets. If none is reached, a partition begins, and the probe goes on until
-// one is.
-func (l *targetLinks) probe(targets []*catalog.Target) {
-	targets = sampleZones(targets)
-	results := make(chan error, len(targets))
-	for _, t := range targets {
-		l.g.spawn(func() { results <- l.g.connectDirectly(t.Address, linkProbeTimeout) })
-	}
-	var errs []error
+// probe connects to some targets. If none is reached, a partition begins.
+func (s *serviceLinks) probe() {
+	targets := sampleZones(s.targets(), linkProbeTargets)
+	results := s.connectAll(targets)
+	var err error
 	for range targets {
-		err := <-results
-		if err == nil {
-			l.endProbe(true)
+		if err = <-results; err == nil {
+			s.endProbe(true)
 			return
 		}
-		errs = append(errs, err)
 	}
-	if !l.endProbe(false) {
+	if !s.endProbe(len(targets) == 0) {
 		return
 	}
-	l.beginPartition(len(targets), errors.Join(errs...))
-	l.g.spawn(func() { l.logCheck(targets) })
-	l.awaitReached()
+	s.beginPartition(len(targets), err)
+	s.links.g.spawn(func() { s.logCheck(targets) })
+	s.awaitEnd()
+}
+
+// connectAll connects to targets at the same time and returns a channel with the result of each.
+func (s *serviceLinks) connectAll(targets []*catalog.Target) <-chan error {
+	results := make(chan error, len(targets))
+	for _, t := range targets {
+		s.links.g.spawn(func() { results <- s.links.g.connectDirectly(t.Address, linkProbeTimeout) })
+	}
+	return results
 }
 
-// sampleZones returns random targets for a probe: one in each zone, and more if there are few zones.
-func sampleZones(targets []*catalog.Target) []*catalog.Target {
+// sampleZones returns n random targets, or all if there are fewer; first one in each zone, since a whole
+// zone may be lost.
+func sampleZones(targets []*catalog.Target, n int) []*catalog.Target {
 	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
 	seen := map[string]bool{}
 	var first, others []*catalog.Target
@@ -207,158 +255,76 @@
 		seen[t.Zone] = true
 		first = append(first, t)
 	}
-	n := min(max(len(first), linkProbeTargets), maxLinkProbeTargets, len(targets))
-	return append(first, others...)[:n]
+	return append(first, others...)[:min(n, len(targets))]
 }
 
-// beginPartition makes requests go through peers from now on.
-func (l *targetLinks) beginPartition(probed int, cause error) {
+// beginPartition makes requests to the service go through peers from now on, and has the links to the
+// other services probed.
+func (s *serviceLinks) beginPartition(probed int, cause error) {
+	g := s.links.g
 	metric.TargetPartitions.Inc()
-	ended := l.endConnects()
-	l.g.log.WithField("probed_targets", probed).WithField("attempts_left", ended).WithError(cause).Warn("no target can be reached")
-	l.g.sendEvent(partitionChanged{l})
-	l.g.upstream.closeIdle() // the other ends may be gone when the links come back
+	ended := s.links.endConnects(s.service)
+	g.log.WithField("service", s.service).WithField("probed_targets", probed).WithField("attempts_left", ended).WithError(cause).Warn("no target can be reached")
+	g.sendEvent(partitionChanged{s.links})
+	g.upstream.closeIdle() // the other ends may be gone when the links come back
+	for service := range g.view.Load().Serving {
+		if other := s.links.to(service); other.tracker.BeginProbe(g.now()) {
+			other.startProbe()
+		}
+	}
 }
 
-// awaitReached connects to a random target from time to time until one is reached.
-func (l *targetLinks) awaitReached() {
-	startedAt := l.g.now()
-	for l.tracker.Partitioned() && wait.For(l.g.ctx, wait.Jitter(linkProbeInterval)) {
-		targets := l.g.view.Load().presentTargets()
-		if len(targets) == 0 {
-			continue
+// awaitEnd connects to some targets from time to time until enough of them are reached.
+func (s *serviceLinks) awaitEnd() {
+	g := s.links.g
+	startedAt := g.now()
+	for wait.For(g.ctx, wait.Jitter(linkProbeInterval)) {
+		targets := sampleZones(s.targets(), fewProbeTargets)
+		results, reached := s.connectAll(targets), 0
+		for range targets {
+			if <-results == nil {
+				reached++
+			}
 		}
-		if t := targets[rand.IntN(len(targets))]; l.g.connectDirectly(t.Address, linkProbeTimeout) == nil {
-			l.connected(t)
+		if s.tracker.Reached(reached, len(targets)) {
+			g.sendEvent(partitionChanged{s.links})
+			g.log.WithField("service", s.service).WithField("reached", reached).WithField("probed_targets", len(targets)).
+				WithField("after_ms", g.now().Sub(startedAt).Milliseconds()).Info("partition from the targets ended")
+			return
 		}
 	}
-	l.g.log.WithField("after_ms", l.g.now().Sub(startedAt).Milliseconds()).Info("partition from the targets ended")
 }
 
 // logCheck asks peers whether they reach the targets that this instance does not, and logs which of
 // the two is gone.
-func (l *targetLinks) logCheck(targets []*catalog.Target) {
-	for _, t := range targets {
-		reply, by, ok := l.g.checkByPeers(t.Address)
+func (s *serviceLinks) logCheck(targets []*catalog.Target) {
+	g := s.links.g
+	for _, t := range targets[:min(fewProbeTargets, len(targets))] {
+		reply, by, ok := g.checkByPeers(t.Address)
 		if !ok {
 			continue
 		}
-		entry := l.g.log.WithField("target", t.ID).WithField("address", t.Address).WithField("peer", by)
+		entry := g.log.WithField("service", s.service).WithField("target", t.ID).WithField("address", t.Address).WithField("peer", by)
 		if reply.Outcome == connectMade {
 			entry.Warn("peers reach the targets: the links of this instance are gone")
 			return
 		}
 		entry.WithField("peer_saw", reply.Outcome.String()).Info("a peer does not reach the target either")
 	}
-	l.g.log.WithField("asked_about", len(targets)).Warn("no peer is known to reach the targets")
-}
-
-// connectDirectly opens and closes a connection to a target's address.
-func (g *Gateway) connectDirectly(address string, timeout time.Duration) error {
-	ctx, cancel := context.WithTimeout(g.ctx, timeout)
-	defer cancel()
-	conn, err := g.upstream.dial(ctx, "tcp", address)
-	if err != nil {
-		return err
-	}
-	_ = conn.Close() // nothing has been sent
-	return nil
-}
-
-// connectOutcome is how a connect to a target ended.
-type connectOutcome uint8
-
-// Values of connectOutcome.
-const (
-	connectMade       connectOutcome = iota + 1
-	connectRefused                   // the host answered that nobody listens
-	connectUnanswered                // no answer in time
-)
-
-// String returns the outcome's name in logs.
-func (o connectOutcome) String() string {
-	switch o {
-	case connectMade:
-		return "connected"
-	case connectRefused:
-		return "refused"
-	case connectUnanswered:
-		return "no answer"
-	}
-	return "unknown"
-}
-
-// outcomeOf returns the outcome of a connect that ended with err.
-func outcomeOf(err error) connectOutcome {
-	switch {
-	case err == nil:
-		return connectMade
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return connectRefused
-	}
-	return connectUnanswered
-}
-
-// TargetCheck asks a peer to connect to a target.
-type TargetCheck struct {
-	Address string `cbor:"1,keyasint"`
+	g.log.WithField("service", s.service).Warn("no peer is known to reach the targets")
 }
 
-// TargetCheckReply says how the connect of a TargetCheck ended.
-type TargetCheckReply struct {
-	Outcome connectOutcome `cbor:"1,keyasint"`
-	// Partitioned is set if the peer itself reaches no target: its outcome then says nothing.
-	Partitioned bool `cbor:"2,keyasint,omitempty"`
-}
-
-// CheckTarget connects to a target on behalf of a peer. Other addresses are not connected to.
-func (h *peerHandler) CheckTarget(req *TargetCheck, out *TargetCheckReply) error {
-	out.Partitioned = h.g.targetLinks.tracker.Partitioned()
-	if out.Partitioned || !h.g.view.Load().hasTargetAt(req.Address) {
-		return nil
-	}
-	out.Outcome = outcomeOf(h.g.connectDirectly(req.Address, linkProbeTimeout))
-	return nil
-}
-
-// checkByPeers asks peers, one after another, to connect to a target. It returns the first
-// statement and the name of the peer that made it; ok is false if none could tell.
-func (g *Gateway) checkByPeers(address string) (reply TargetCheckReply, by string, ok bool) {
-	peers := g.view.Load().otherPeers()
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	for _, m := range peers[:min(targetCheckPeers, len(peers))] {
-		ctx, cancel := context.WithTimeout(g.ctx, targetCheckTimeout)
-		reply = TargetCheckReply{}
-		err := g.pool.Call(ctx, m.Address, peerService+".CheckTarget", &TargetCheck{Address: address}, &reply)
-		cancel()
-		if err == nil && !reply.Partitioned && reply.Outcome != 0 {
-			return reply, m.Name, true
-		}
-	}
-	return TargetCheckReply{}, "", false
-}
-
-// presentTargets returns the targets that are not leaving.
-func (v *View) presentTargets() []*catalog.Target {
-	out := make([]*catalog.Target, 0, len(v.Targets))
+// presentTargets returns the targets of a service that are not leaving.
+func (v *View) presentTargets(service string) []*catalog.Target {
+	var out []*catalog.Target
 	for _, t := range v.Targets {
-		if !t.IsLeaving() {
+		if t.Service == service && !t.IsLeaving() {
 			out = append(out, t)
 		}
 	}
 	return out
 }
 
-// hasTargetAt reports whether a target is known at an address.
-func (v *View) hasTargetAt(address string) bool {
-	for _, t := range v.Targets {
-		if t.Address == address {
-			return true
-		}
-	}
-	return false
-}
-
 // otherPeers returns the other live instances.
 func (v *View) otherPeers() []member.Member {
 	out := make([]member.Member, 0, len(v.Peers))
--- a/internal/gateway/unreachable_zones.go
+++ b/internal/gateway/unreachable_zones.go
@@ -190,8 +190,8 @@
 // unreachableZones returns the zones to exclude when choosing among targets. If all of the targets
 // are in unreachable zones, this instance's own link is the likely cause, and no zone is excluded.
 // What peers reach for a partitioned instance does not depend on its links.
-func (g *Gateway) unreachableZones(targets []*catalog.Target) map[string]bool {
-	if g.targetLinks.tracker.Partitioned() {
+func (g *Gateway) unreachableZones(service string, targets []*catalog.Target) map[string]bool {
+	if g.targetLinks.partitionedFrom(service) {
 		return nil
 	}
 	unreachable := g.zoneMonitor.zones.Unreachable()
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -77,7 +77,7 @@
 	Peers          []member.Member          // the instances in Alive, as members
 	Attached       []string                 // names of live instances that reach the object store; all live ones if none does
 	// Orderers are the names of the live instances that may give orders to targets: those in Attached
-	// that reach targets; all of Attached if none does.
+	// that reach targets of all services; all of Attached if none does.
 	Orderers      []string
 	Tree          *relayTree // how instances relay state to one another
 	IsWatcher     bool       // this instance watches the object store on behalf of all
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -26,7 +26,7 @@
 	BlockedFetches        = metrics.NewCounter("shedhoist_fetches_blocked_total") // parts held but not fetched: a save of them is pending
 	UnreachableZones      = metrics.NewCounter("shedhoist_silent_zones_total")
 	EvacuatedRefusals     = metrics.NewCounter("shedhoist_evacuated_refusals_total")
-	TargetPartitions      = metrics.NewCounter("shedhoist_target_partitions_total") // times that no target could be reached
+	TargetPartitions      = metrics.NewCounter("shedhoist_target_partitions_total") // times that no target of a service could be reached
 	Relays                = metrics.NewCounter("shedhoist_relays_total")            // connections to targets through peers
 	RelayFailures         = metrics.NewCounter("shedhoist_relays_failed_total")     // that no peer could open
 	RelaysCarried         = metrics.NewCounter("shedhoist_relays_carried_total")    // opened on behalf of peers
