Brittle targets: all instances hear of each request that one turns away

Targets may say in all their answers how many requests a second they can turn away (Server-Brittle). One that has to turn away more, of all instances together, falls over. Each instance went on after 150 ms by itself.

Each refusal of such a target is now told to all instances, along the tree in a large fleet, within some ms. All count those of the last 1.2 s and send the target nothing while they are half of its limit or more; the other half is for requests on their way.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -277,6 +277,9 @@
 		return failed(attempt.Mismatched, "response belongs to request "+strconv.Quote(resp.ID), nil)
 	}
 	if resp.NotExecuted {
+		if limit := resp.Notice.Brittle; limit > 0 {
+			x.g.brittle.turnedAway(at.target, limit)
+		}
 		return attemptResult{event: attempt.Refused, retryAfter: min(resp.RetryAfter, maxRetryAfter),
 			cause: &BadResponseError{Target: at.target.ID, Reason: "refused with status " + strconv.Itoa(status)}}
 	}
--- /dev/null
+++ b/internal/gateway/brittle.go
@@ -0,0 +1,178 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/shedhoist/shedhoist/internal/catalog"
+	"github.com/shedhoist/shedhoist/internal/loadreport"
+	"github.com/shedhoist/shedhoist/internal/metric"
+	"github.com/shedhoist/shedhoist/internal/wait"
+)
+
+// A brittle target falls over if it has to turn away more than a few requests a second for want of room,
+// whoever sends them. So instances tell one another at once of each request that such a target turns away.
+// All count them, and send it nothing while half of what it can bear has come in a second; the other half is
+// for requests that are on their way meanwhile.
+
+const (
+	// brittleWindow is the time over which a brittle target's refusals count, with a margin for the time
+	// that requests and words take.
+	brittleWindow = 1200 * time.Millisecond
+	// brittleSpread, for each instance of the fleet, bounds the random time by which each waits longer, so
+	// that they do not return together; minBrittleSpread and maxBrittleSpread bound the sum.
+	brittleSpread    = 20 * time.Millisecond
+	minBrittleSpread = 300 * time.Millisecond
+	maxBrittleSpread = 3 * time.Second
+	// brittleReportDelay is how long words of refusals wait to be sent together.
+	brittleReportDelay = 5 * time.Millisecond
+	// brittleReportTimeout bounds the sending of a word to a peer.
+	brittleReportTimeout = 300 * time.Millisecond
+	// maxBrittleTargets bounds the targets in one message; the next message has the others.
+	maxBrittleTargets = 64
+)
+
+// BrittleRefusals tells a peer of requests that brittle targets have turned away.
+type BrittleRefusals struct {
+	From    string           `cbor:"1,keyasint"` // instance that sent this copy
+	Targets []BrittleRefusal `cbor:"2,keyasint"`
+}
+
+// BrittleRefusal is the number of requests that one target has turned away since the last word.
+type BrittleRefusal struct {
+	Target loadreport.Key `cbor:"1,keyasint"`
+	Count  int            `cbor:"2,keyasint"`
+	Limit  int            `cbor:"3,keyasint"` // how many it can turn away in a second
+}
+
+// brittleReports counts the refusals of brittle targets, and tells peers of them.
+type brittleReports struct {
+	g   *Gateway
+	due wait.Signal
+
+	mu      sync.Mutex
+	recent  map[string][]time.Time      // refusals within brittleWindow, by id of the target
+	pending map[string][]BrittleRefusal // to be told, by the peer that told of them; "": this instance was turned away
+}
+
+// turnedAway is called when a brittle target has turned away a request of this instance.
+func (b *brittleReports) turnedAway(t *catalog.Target, limit int) {
+	metric.BrittleRefusals.Inc()
+	refusal := BrittleRefusal{Target: loadreport.KeyOf(t.ID), Count: 1, Limit: limit}
+	b.count(t, refusal)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.add("", refusal)
+}
+
+// count counts refusals of a target, and keeps requests away from it while there are too many.
+func (b *brittleReports) count(t *catalog.Target, r BrittleRefusal) {
+	now := b.g.now()
+	b.mu.Lock()
+	if b.recent == nil {
+		b.recent = map[string][]time.Time{}
+	}
+	recent := slices.DeleteFunc(b.recent[t.ID], func(at time.Time) bool { return now.Sub(at) >= brittleWindow })
+	for range min(r.Count, r.Limit+1) {
+		recent = append(recent, now)
+	}
+	b.recent[t.ID] = recent
+	b.mu.Unlock()
+	bearable := max(r.Limit/2, 1)
+	if len(recent) < bearable {
+		return
+	}
+	pause := recent[len(recent)-bearable].Add(brittleWindow).Sub(now) + rand.N(b.spread())
+	until, changed := b.g.breaker.RequestBackoff(t.ID, pause)
+	if changed {
+		b.g.log.WithField("target", t.ID).WithField("limit", r.Limit).WithField("refusals", len(recent)).WithField("until", until.UTC().Format(time.RFC3339Nano)).Info("brittle target gets no requests")
+	}
+}
+
+// spread returns the bound of the random part of a pause.
+func (b *brittleReports) spread() time.Duration {
+	return min(max(brittleSpread*time.Duration(b.g.view.Load().InstanceCount), minBrittleSpread), maxBrittleSpread)
+}
+
+// add queues a word; b.mu is held.
+func (b *brittleReports) add(from string, r BrittleRefusal) {
+	if b.pending == nil {
+		b.pending = map[string][]BrittleRefusal{}
+	}
+	b.due.Raise()
+	for i := range b.pending[from] {
+		if p := &b.pending[from][i]; p.Target == r.Target {
+			p.Count, p.Limit = p.Count+r.Count, r.Limit
+			return
+		}
+	}
+	b.pending[from] = append(b.pending[from], r)
+}
+
+// BrittleRefusals handles a peer's word, and passes it on to those that hear of it only through this
+// instance.
+func (h *peerHandler) BrittleRefusals(req *BrittleRefusals, _ *Ack) error {
+	b := &h.g.brittle
+	told := map[loadreport.Key]BrittleRefusal{}
+	b.mu.Lock()
+	for _, r := range req.Targets {
+		told[r.Target] = r
+		b.add(req.From, r)
+	}
+	b.mu.Unlock()
+	for _, t := range h.g.view.Load().Targets {
+		if r, ok := told[loadreport.KeyOf(t.ID)]; ok && r.Limit > 0 {
+			b.count(t, r)
+		}
+	}
+	return nil
+}
+
+// retain forgets the targets for which keep returns false.
+func (b *brittleReports) retain(keep func(id string) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	maps.DeleteFunc(b.recent, func(id string, _ []time.Time) bool { return !keep(id) })
+}
+
+// run sends the pending words to the neighbours until ctx ends.
+func (b *brittleReports) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !b.due.Wait(ctx, time.Minute) || !wait.For(ctx, brittleReportDelay) {
+			continue
+		}
+		b.mu.Lock()
+		pending := b.pending
+		b.pending = nil
+		b.mu.Unlock()
+		for _, n := range b.g.view.Load().Tree.neighbours() {
+			for targets := range slices.Chunk(n.brittleToReport(pending), maxBrittleTargets) {
+				b.g.spawn(func() { b.send(ctx, n, targets) })
+			}
+		}
+	}
+}
+
+// brittleToReport returns the refusals to tell a neighbour of: those that it does not hear of otherwise.
+func (n neighbour) brittleToReport(pending map[string][]BrittleRefusal) []BrittleRefusal {
+	var out []BrittleRefusal
+	for from, refusals := range pending {
+		if from == "" || n.relayedFrom[from] {
+			out = append(out, refusals...)
+		}
+	}
+	return out
+}
+
+func (b *brittleReports) send(ctx context.Context, n neighbour, targets []BrittleRefusal) {
+	ctx, cancel := context.WithTimeout(ctx, brittleReportTimeout)
+	defer cancel()
+	err := b.g.pool.Call(ctx, n.Address, peerService+".BrittleRefusals", &BrittleRefusals{From: b.g.settings().Name, Targets: targets}, &Ack{})
+	if err != nil {
+		b.g.log.WithError(err).WithField("peer", n.Name).WithField("targets", len(targets)).Info("refusals of brittle targets not told")
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,6 +103,7 @@
 	warmup          warmup.Limiter // limits requests to targets that are warming up
 	zoneMonitor     zoneMonitor    // zones that are unreachable as a whole
 	targetLinks     targetLinks    // the services whose targets this instance reaches
+	brittle         brittleReports // brittle targets that turned requests away
 	relays          relays         // peers that reach targets for this instance
 	breaker         *breaker.Set   // targets whose requests fail
 	retryBudgets    retryBudgets
@@ -137,6 +138,7 @@
 	g.upstream.dialRelayed = g.relays.dialRelayed
 	g.quarantine, g.suspectsDue, g.outboxDue = quarantine.NewTracker(), wait.NewSignal(), wait.NewSignal()
 	g.targetLinks.g, g.relays.g = g, g
+	g.brittle.g, g.brittle.due = g, wait.NewSignal()
 	g.zoneMonitor.g, g.zoneMonitor.waiting = g, map[string]map[*attemptState]func(){}
 	g.crashDetector = &crashDetector{g: g, checks: map[string]*crashCheck{}}
 	g.breaker = breaker.New(g.now)
@@ -260,7 +262,7 @@
 	c.targets.OnRestart(func(n registry.Restart) { g.transferBackoff(c, n) })
 	g.spawn(func() { g.runControl(g.ctx, c) })
 	g.watchAll(g.ctx)
-	for _, f := range [...]func(context.Context){g.joinSeeds, g.pollPeersWithoutStore, g.pollStaleness, g.fetchConfigs, g.maintainBootstrap, g.forgetGone, g.maintainQuarantine, g.reportSuspects, g.reportLoads, g.runRollouts, g.cache.run, g.cache.pullDirectory, g.cache.collectGarbage} {
+	for _, f := range [...]func(context.Context){g.joinSeeds, g.pollPeersWithoutStore, g.pollStaleness, g.fetchConfigs, g.maintainBootstrap, g.forgetGone, g.maintainQuarantine, g.reportSuspects, g.brittle.run, g.reportLoads, g.runRollouts, g.cache.run, g.cache.pullDirectory, g.cache.collectGarbage} {
 		g.spawn(func() { f(g.ctx) })
 	}
 	g.serveListener("callers", g.callerSrv.Serve)
@@ -307,6 +309,7 @@
 		g.upstream.inflight.Retain(keep)
 		g.breaker.Retain(keep)
 		g.warmup.Retain(keep)
+		g.brittle.retain(keep)
 		g.predictorMu.Lock()
 		g.predictor.Retain(keep)
 		g.predictorMu.Unlock()
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -113,6 +113,9 @@
 type Notice struct {
 	Leaving bool          // it accepts no new requests
 	Backoff time.Duration // it refused this instance and requests no requests from it for so long; 0: none requested
+	// Brittle is how many requests a second it can turn away, those of all instances together, before it
+	// falls over; 0: it is not brittle.
+	Brittle int
 }
 
 // Engines makes the calls to targets and cache stores that are not callers'
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -19,11 +19,12 @@
 	MemoryFullRefusals    = metrics.NewCounter("shedhoist_memory_full_refusals_total")
 	WarmupRequests        = metrics.NewCounter("shedhoist_cold_requests_total") // sent to targets that are warming up
 	WarmupRefusals        = metrics.NewCounter("shedhoist_cold_refusals_total")
-	LeavingNotices        = metrics.NewCounter("shedhoist_leaving_words_total")   // responses in which a target announces that it is leaving
-	BackoffRequests       = metrics.NewCounter("shedhoist_rest_words_total")      // responses in which a target requests backoff
-	BackoffRefusals       = metrics.NewCounter("shedhoist_rest_refusals_total")   // because all targets are in backoff
-	DelayedFetches        = metrics.NewCounter("shedhoist_fetches_delayed_total") // parts held but not fetched: not yet complete for long enough
-	BlockedFetches        = metrics.NewCounter("shedhoist_fetches_blocked_total") // parts held but not fetched: a save of them is pending
+	LeavingNotices        = metrics.NewCounter("shedhoist_leaving_words_total")    // responses in which a target announces that it is leaving
+	BrittleRefusals       = metrics.NewCounter("shedhoist_brittle_refusals_total") // requests that brittle targets turned away
+	BackoffRequests       = metrics.NewCounter("shedhoist_rest_words_total")       // responses in which a target requests backoff
+	BackoffRefusals       = metrics.NewCounter("shedhoist_rest_refusals_total")    // because all targets are in backoff
+	DelayedFetches        = metrics.NewCounter("shedhoist_fetches_delayed_total")  // parts held but not fetched: not yet complete for long enough
+	BlockedFetches        = metrics.NewCounter("shedhoist_fetches_blocked_total")  // parts held but not fetched: a save of them is pending
 	UnreachableZones      = metrics.NewCounter("shedhoist_silent_zones_total")
 	EvacuatedRefusals     = metrics.NewCounter("shedhoist_evacuated_refusals_total")
 	TargetPartitions      = metrics.NewCounter("shedhoist_target_partitions_total") // times that no target of a service could be reached
