A stop answers a request whose first part came together with the one before

Callers who pipeline may have the next request's first bytes in the segment that ends the request before. net/http has read them when it reports the connection as idle, so none is counted since, and a stop closed the connection without an answer.

net/http sets one read deadline on an idle connection, that of the idle timeout, and the next as soon as it has four bytes. More than one deadline since the connection became idle says that it reads a request, wherever the bytes came from. Up to three such bytes are still not seen.

--- a/internal/drain/conns.go
+++ b/internal/drain/conns.go
@@ -20,18 +20,19 @@
 	headerTimeout time.Duration // of the server; 0: none
 }
 
-// connState is the state of a connection, the time when it began, and the number of bytes that had
-// been read from the connection by then.
+// connState is the state of a connection, the time when it began, and what trackedConn had counted by
+// then.
 type connState struct {
 	state     http.ConnState
 	since     time.Time
 	bytesRead int64
+	deadlines int64
 }
 
 func newConnState(conn net.Conn, state http.ConnState) connState {
 	s := connState{state: state, since: time.Now()}
 	if tracked := trackedConnOf(conn); tracked != nil {
-		s.bytesRead = tracked.count()
+		s.bytesRead, s.deadlines = tracked.count(), tracked.deadlineCount()
 	}
 	return s
 }
@@ -134,7 +135,18 @@
 		return true
 	}
 	overdue := c.headerTimeout > 0 && waited > c.headerTimeout
-	return !overdue && tracked.count() > c.states[conn].bytesRead
+	current := c.states[conn]
+	return !overdue && (tracked.count() > current.bytesRead || current.holdsNextRequest(tracked))
+}
+
+// idleDeadlines is how many read deadlines net/http sets on an idle connection before it has four bytes
+// of the next request: that of the idle timeout.
+const idleDeadlines = 1
+
+// holdsNextRequest reports whether net/http has begun to read the next request on an idle connection. Its
+// bytes may have come together with the request before, so that none has been read since.
+func (s connState) holdsNextRequest(tracked *trackedConn) bool {
+	return s.state == http.StateIdle && tracked.deadlineCount()-s.deadlines > idleDeadlines
 }
 
 // CloseIdle closes an idle connection unless a part of a request has arrived on it.
--- a/internal/drain/stop_conns_test.go
+++ b/internal/drain/stop_conns_test.go
@@ -215,6 +215,20 @@
 	})
 }
 
+// TestStopAnswersHalfHeaderBehindBody is TestStopAnswersPipelinedHalfHeader behind a request with a body.
+func TestStopAnswersHalfHeaderBehindBody(t *testing.T) {
+	inBubble(t, func(t *testing.T, o *stopOrder) {
+		client, _ := o.ln.dial()
+		o.send(client, "POST /a HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\n\r\nbody"+orderRequestLine)
+		o.checkServed(client)
+		time.Sleep(orderLate)
+		o.stop()
+		o.send(client, orderHeaderRest)
+		_, err := exchange(client)
+		is.New(t).NoErr(err) // the caller has an answer
+	})
+}
+
 // TestLateResponseAnnouncesClose guards against a response that begins during a stop and does not
 // say that its connection is closed, because its request began before the stop.
 func TestLateResponseAnnouncesClose(t *testing.T) {
--- a/internal/drain/tracked_conn.go
+++ b/internal/drain/tracked_conn.go
@@ -10,12 +10,13 @@
 	"github.com/shedhoist/shedhoist/internal/netx"
 )
 
-// trackedConn is a connection that counts the bytes read from it.
+// trackedConn is a connection that counts the bytes read from it, and the read deadlines set on it.
 type trackedConn struct {
 	net.Conn
 
 	mu         sync.Mutex
 	bytesRead  int64
+	deadlines  int64 // calls of SetReadDeadline
 	readsEnded bool // by endReads, and no bytes have arrived since
 }
 
@@ -29,6 +30,21 @@
 	return c.bytesRead
 }
 
+// deadlineCount returns how often a read deadline was set.
+func (c *trackedConn) deadlineCount() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.deadlines
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *trackedConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	c.deadlines++
+	c.mu.Unlock()
+	return c.Conn.SetReadDeadline(t)
+}
+
 // endReads makes reads fail. Bytes that a Read has already received from the kernel are a part of
 // a request, which shall be refused with a response: they lift the end again.
 func (c *trackedConn) endReads() {
