--- a/internal/drain/tracked_conn.go
+++ b/internal/drain/tracked_conn.go
@@ -17,7 +17,7 @@
 	mu         sync.Mutex
 	bytesRead  int64
 	deadlines  int64 // calls of SetReadDeadline
-	readsEnded bool // by endReads, and no bytes have arrived since
+	readsEnded bool  // by endReads, and no bytes have arrived since
 }
 
 // lateHeaderTime is how long the rest of a header may take whose first part crossed endReads.
