Words of brittle targets wait 1 ms, not 5

Not sending a refused request to a second brittle target was tried and left: 1 to 7 falls all the same.

--- a/internal/gateway/brittle.go
+++ b/internal/gateway/brittle.go
@@ -29,7 +29,7 @@
 	minBrittleSpread = 300 * time.Millisecond
 	maxBrittleSpread = 3 * time.Second
 	// brittleReportDelay is how long words of refusals wait to be sent together.
-	brittleReportDelay = 5 * time.Millisecond
+	brittleReportDelay = time.Millisecond
 	// brittleReportTimeout bounds the sending of a word to a peer.
 	brittleReportTimeout = 300 * time.Millisecond
 	// maxBrittleTargets bounds the targets in one message; the next message has the others.
