--- a/internal/gateway/target_links_test.go
+++ b/internal/gateway/target_links_test.go
@@ -14,7 +14,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/apex/log/handlers/memory"
+	"github.com/apex/log"
 	"github.com/matryer/is"
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
@@ -89,8 +89,8 @@
 // linkFleet is a fleet of instances in three zones, with targets that count the runs of each request.
 type linkFleet struct {
 	*trafficFleet
-	log      *memory.Handler // lines of all instances
-	rounds   int             // calls of sendToAny
+	log      *memoryLog
+	rounds   int // calls of sendToAny
 	mu       sync.Mutex
 	serve    func(m *memoryTarget, w http.ResponseWriter, r *http.Request) bool // see setServe
 	arrivals map[string]int                                                     // by target
@@ -98,7 +98,7 @@
 }
 
 func newLinkFleet(t *testing.T, instances, targets int) *linkFleet {
-	f := &linkFleet{runs: map[string]int{}, arrivals: map[string]int{}, log: memory.New(), serve: serveLinkEvents}
+	f := &linkFleet{runs: map[string]int{}, arrivals: map[string]int{}, log: &memoryLog{}, serve: serveLinkEvents}
 	f.trafficFleet = newFleetWith(t, instances, 3, targets, fleetOptions{codec: linkCodec{}, onArrival: f.recordRun, serve: f.serveRequest, log: f.log,
 		editSettings: func(s *Settings) { s.Retry.Share, s.Retry.Slack = 0.2, 200 }})
 	return f
@@ -325,10 +325,26 @@
 	}
 }
 
+// memoryLog keeps the lines of all instances.
+type memoryLog struct {
+	mu      sync.Mutex
+	entries []*log.Entry
+}
+
+// HandleLog implements log.Handler.
+func (l *memoryLog) HandleLog(e *log.Entry) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entries = append(l.entries, e)
+	return nil
+}
+
 // logged returns the names of the instances that logged a message.
 func (f *linkFleet) logged(message string) map[string]bool {
+	f.log.mu.Lock()
+	defer f.log.mu.Unlock()
 	out := map[string]bool{}
-	for _, e := range f.log.Entries {
+	for _, e := range f.log.entries {
 		if name, ok := e.Fields["instance"].(string); ok && e.Message == message {
 			out[name] = true
 		}
