Probes of links: silences count by service, and a late probe ends its own wait

Targets of one service that are all silent were not noticed while another service answered. And on a machine that is slow enough for a probe to take longer than the pause between two, the first one would have closed the second one's channel, and the second one none: a panic. Found by reading; the second one has no test, since no fake clock delays a single goroutine.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -80,7 +80,7 @@
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	x.ctx = ctx
-	x.machine = attempt.New(x.route.Repeatable(), x.route.Resumable, 2*maxFailedDials+maxRefusals+x.route.MaxAttempts+2)
+	x.machine = attempt.New(x.route.Repeatable(), x.route.Resumable, 2*(maxFailedDials+1)+maxRefusals+x.route.MaxAttempts) // dials on both paths
 	x.g.retryBudgets.creditRequest(x.service)
 	for {
 		if s, rejected := x.checkQuarantine(); rejected {
--- a/internal/gateway/target_links.go
+++ b/internal/gateway/target_links.go
@@ -146,25 +146,29 @@
 	}
 }
 
-// noteSilences starts probes if several targets owe responses and none at all has responded of late:
-// on connections that were open before a partition, no connect shows it.
+// noteSilences starts a probe of a service if several of its targets owe responses and none at all has
+// responded of late: on connections that were open before a partition, no connect shows it.
 func (l *targetLinks) noteSilences(silent []loadreport.TargetAge) {
 	if len(silent) < reach.MinFailedTargets {
 		return
 	}
-	responded, now := false, l.g.now()
-	l.g.upstream.inflight.Each(func(_ string, load *inflight.Load) {
-		responded = responded || now.Sub(load.Responses.LastActivity()) < silenceThreshold
+	targets, now := l.g.view.Load().Targets, l.g.now()
+	silentTargets, responding := map[string][]*catalog.Target{}, map[string]bool{} // by service
+	l.g.upstream.inflight.Each(func(id string, load *inflight.Load) {
+		t := targets[id]
+		switch {
+		case t == nil:
+		case load.Responses.UnresponsiveFor(now) >= silenceThreshold:
+			silentTargets[t.Service] = append(silentTargets[t.Service], t)
+		case now.Sub(load.Responses.LastActivity()) < silenceThreshold:
+			responding[t.Service] = true
+		}
 	})
-	if responded {
-		return
-	}
-	keys := map[loadreport.Key]bool{}
-	for _, s := range silent {
-		keys[s.Target] = true
-	}
-	for _, t := range l.g.view.Load().Targets {
-		if keys[loadreport.KeyOf(t.ID)] {
+	for service, silent := range silentTargets {
+		if responding[service] {
+			continue
+		}
+		for _, t := range silent {
 			l.connectFailed(t)
 		}
 	}
@@ -177,19 +181,23 @@
 
 // startProbe starts a probe that the tracker has asked for.
 func (s *serviceLinks) startProbe() {
+	done := make(chan struct{})
 	s.mu.Lock()
-	s.probeDone = make(chan struct{})
+	s.probeDone = done
 	s.mu.Unlock()
-	s.links.g.spawn(s.probe)
+	s.links.g.spawn(func() { s.probe(done) })
 }
 
-// endProbe records a probe's result, and lets those go on that wait for it.
-func (s *serviceLinks) endProbe(reached bool) (begins bool) {
+// endProbe records a probe's result, and lets those go on that wait for it. The next probe may have
+// started by then.
+func (s *serviceLinks) endProbe(done chan struct{}, reached bool) (begins bool) {
 	begins = s.tracker.EndProbe(reached)
+	close(done)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	close(s.probeDone)
-	s.probeDone = nil
+	if s.probeDone == done {
+		s.probeDone = nil
+	}
 	return begins
 }
 
@@ -214,17 +222,17 @@
 func (e partitionChanged) apply(c *controlState) { c.members.SetPartitioned(e.links.partitioned()) }
 
 // probe connects to some targets. If none is reached, a partition begins.
-func (s *serviceLinks) probe() {
+func (s *serviceLinks) probe(done chan struct{}) {
 	targets := sampleZones(s.targets(), linkProbeTargets)
 	results := s.connectAll(targets)
 	var err error
 	for range targets {
 		if err = <-results; err == nil {
-			s.endProbe(true)
+			s.endProbe(done, true)
 			return
 		}
 	}
-	if !s.endProbe(len(targets) == 0) {
+	if !s.endProbe(done, len(targets) == 0) {
 		return
 	}
 	s.beginPartition(len(targets), err)
