Lost targets are not lost links: the first target back is used, orders go on

Where all targets of a service are lost for all instances, each took its links for lost. Requests were refused until half of the probed targets were back (of three targets, two), no instance would have given orders, and a crash that the others could not see either was not counted.

A partition now ends when the probed targets that peers reach are reached by half; those that no peer reaches don't count. Members announce a partition, and leave orders to others, only once a peer has confirmed that it reaches the targets. The crash detector connects by itself first and goes by its own refusal where no peer can tell.

Found by reading. TestFirstTargetBackIsUsed fails without the change (503 at all instances, a second after the first target is back).

--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -40,7 +40,7 @@
 	Incarnation uint64 `cbor:"4,keyasint" json:"incarnation"` // incremented only by the member itself
 	State       State  `cbor:"5,keyasint" json:"state"`
 	Detached    bool   `cbor:"6,keyasint,omitempty" json:"detached,omitempty"`    // its object store is unreachable
-	Partitioned bool   `cbor:"7,keyasint,omitempty" json:"partitioned,omitempty"` // it reaches no target of some service
+	Partitioned bool   `cbor:"7,keyasint,omitempty" json:"partitioned,omitempty"` // it has lost its links to the targets of some service, which others reach
 }
 
 // Probe is a message to send. Via is empty for a direct probe; for an indirect
@@ -304,7 +304,7 @@
 	m.enqueue(m.self)
 }
 
-// SetPartitioned sets whether this instance reaches no target of some service, and announces a change to the
+// SetPartitioned sets whether this instance has lost its links to the targets of some service, and announces a change to the
 // others.
 func (m *Machine) SetPartitioned(partitioned bool) {
 	if m.self.Partitioned == partitioned {
--- a/internal/gateway/crash_detector.go
+++ b/internal/gateway/crash_detector.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"sync"
 	"syscall"
@@ -110,16 +109,15 @@
 // this instance is partitioned from the targets, a peer is asked: its own links may have refused. The
 // error is that of the connect.
 func (c *crashDetector) isRefused(t *catalog.Target) (refused bool, err error) {
-	if !c.g.targetLinks.partitionedFrom(t.Service) {
-		err = c.g.connectDirectly(t.Address, targetConnectTimeout)
-		c.g.targetLinks.connectEnded(t, err)
-		if !errors.Is(err, syscall.ECONNREFUSED) {
-			return false, err
-		}
+	err = c.g.connectDirectly(t.Address, targetConnectTimeout)
+	c.g.targetLinks.connectEnded(t, err)
+	refused = errors.Is(err, syscall.ECONNREFUSED)
+	if err == nil || !refused && !c.g.targetLinks.partitionedFrom(t.Service) {
+		return false, err
 	}
 	reply, _, ok := c.g.checkByPeers(t.Address)
 	if !ok {
-		return err != nil, err
+		return refused, err
 	}
 	switch reply.Outcome {
 	case connectRefused:
@@ -127,5 +125,5 @@
 	case connectMade:
 		return false, nil
 	}
-	return false, context.DeadlineExceeded
+	return false, err
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -343,7 +343,7 @@
 	metric.SetGauge("shedhoist_zones_evacuated", float64(len(v.EvacuatedZones)))
 	metric.SetGauge("shedhoist_instances_alive", float64(len(v.Alive)))
 	metric.SetGauge("shedhoist_store_reached", boolGauge(v.StoreReachable))
-	metric.SetGauge("shedhoist_targets_reached", boolGauge(!g.targetLinks.partitioned()))
+	metric.SetGauge("shedhoist_targets_reached", boolGauge(!g.targetLinks.lost()))
 	metric.SetGauge("shedhoist_ready", boolGauge(g.Ready()))
 	metric.SetGauge("shedhoist_requests_in_hand", float64(g.inFlight.Load()))
 	metric.Write(w)
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -110,7 +110,7 @@
 func (o *rolloutController) runRound(ctx context.Context) {
 	v := o.g.view.Load()
 	outdated := v.Outdated
-	if len(outdated) == 0 || v.Draining || o.g.targetLinks.partitioned() {
+	if len(outdated) == 0 || v.Draining || o.g.targetLinks.lost() {
 		o.workSince = time.Time{}
 		return
 	}
--- a/internal/gateway/target_links.go
+++ b/internal/gateway/target_links.go
@@ -53,6 +53,7 @@
 
 	mu        sync.Mutex
 	probeDone chan struct{} // closed when the probe in progress ends; nil: none is
+	confirmed bool          // a peer reaches targets during the partition: the links are lost, not the targets
 }
 
 // to returns the links to a service's targets.
@@ -86,10 +87,9 @@
 	return l.to(service).tracker.Partitioned()
 }
 
-// partitioned reports whether this instance reaches no target of some service.
-func (l *targetLinks) partitioned() bool {
-	return slices.ContainsFunc(l.all(), func(s *serviceLinks) bool { return s.tracker.Partitioned() })
-}
+// lost reports whether this instance has lost its links to the targets of some service, as a peer has
+// confirmed.
+func (l *targetLinks) lost() bool { return slices.ContainsFunc(l.all(), (*serviceLinks).isConfirmed) }
 
 // trackConnect records an attempt, so that it ends when a partition is found before it has a
 // connection. The function returned removes the record.
@@ -215,11 +215,26 @@
 	}
 }
 
-// partitionChanged is the event that a partition from targets began or ended. It takes the state of
-// its moment, as a begin and an end may be sent in either order.
+// isConfirmed reports whether a peer has confirmed the partition.
+func (s *serviceLinks) isConfirmed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.confirmed
+}
+
+// setConfirmed records that a peer has confirmed the partition, or that it has ended, and tells the others.
+func (s *serviceLinks) setConfirmed(confirmed bool) {
+	s.mu.Lock()
+	s.confirmed = confirmed && s.tracker.Partitioned() // it may have ended meanwhile
+	s.mu.Unlock()
+	s.links.g.sendEvent(partitionChanged{s.links})
+}
+
+// partitionChanged is the event that a partition from targets was confirmed or ended. It takes the state
+// of its moment, as the two may be sent in either order.
 type partitionChanged struct{ links *targetLinks }
 
-func (e partitionChanged) apply(c *controlState) { c.members.SetPartitioned(e.links.partitioned()) }
+func (e partitionChanged) apply(c *controlState) { c.members.SetPartitioned(e.links.lost()) }
 
 // probe connects to some targets. If none is reached, a partition begins.
 func (s *serviceLinks) probe(done chan struct{}) {
@@ -227,7 +242,7 @@
 	results := s.connectAll(targets)
 	var err error
 	for range targets {
-		if err = <-results; err == nil {
+		if err = (<-results).err; err == nil {
 			s.endProbe(done, true)
 			return
 		}
@@ -236,15 +251,21 @@
 		return
 	}
 	s.beginPartition(len(targets), err)
-	s.links.g.spawn(func() { s.logCheck(targets) })
+	s.links.g.spawn(func() { s.confirm(targets) })
 	s.awaitEnd()
 }
 
+// connectResult is the result of a connect to a target.
+type connectResult struct {
+	target *catalog.Target
+	err    error
+}
+
 // connectAll connects to targets at the same time and returns a channel with the result of each.
-func (s *serviceLinks) connectAll(targets []*catalog.Target) <-chan error {
-	results := make(chan error, len(targets))
+func (s *serviceLinks) connectAll(targets []*catalog.Target) <-chan connectResult {
+	results := make(chan connectResult, len(targets))
 	for _, t := range targets {
-		s.links.g.spawn(func() { results <- s.links.g.connectDirectly(t.Address, linkProbeTimeout) })
+		s.links.g.spawn(func() { results <- connectResult{t, s.links.g.connectDirectly(t.Address, linkProbeTimeout)} })
 	}
 	return results
 }
@@ -273,7 +294,6 @@
 	metric.TargetPartitions.Inc()
 	ended := s.links.endConnects(s.service)
 	g.log.WithField("service", s.service).WithField("probed_targets", probed).WithField("attempts_left", ended).WithError(cause).Warn("no target can be reached")
-	g.sendEvent(partitionChanged{s.links})
 	g.upstream.closeIdle() // the other ends may be gone when the links come back
 	for service := range g.view.Load().Serving {
 		if other := s.links.to(service); other.tracker.BeginProbe(g.now()) {
@@ -288,14 +308,19 @@
 	startedAt := g.now()
 	for wait.For(g.ctx, wait.Jitter(linkProbeInterval)) {
 		targets := sampleZones(s.targets(), fewProbeTargets)
-		results, reached := s.connectAll(targets), 0
+		results := s.connectAll(targets)
+		var missed []*catalog.Target
 		for range targets {
-			if <-results == nil {
-				reached++
+			if r := <-results; r.err != nil {
+				missed = append(missed, r.target)
 			}
 		}
-		if s.tracker.Reached(reached, len(targets)) {
-			g.sendEvent(partitionChanged{s.links})
+		reached, probed := len(targets)-len(missed), len(targets)
+		if reached > 0 && !s.peersReachAny(missed) {
+			probed = reached // the others are gone for all
+		}
+		if s.tracker.Reached(reached, probed) {
+			s.setConfirmed(false)
 			g.log.WithField("service", s.service).WithField("reached", reached).WithField("probed_targets", len(targets)).
 				WithField("after_ms", g.now().Sub(startedAt).Milliseconds()).Info("partition from the targets ended")
 			return
@@ -303,9 +328,17 @@
 	}
 }
 
-// logCheck asks peers whether they reach the targets that this instance does not, and logs which of
-// the two is gone.
-func (s *serviceLinks) logCheck(targets []*catalog.Target) {
+// peersReachAny reports whether a peer reaches one of the targets.
+func (s *serviceLinks) peersReachAny(targets []*catalog.Target) bool {
+	return slices.ContainsFunc(targets, func(t *catalog.Target) bool {
+		reply, _, ok := s.links.g.checkByPeers(t.Address)
+		return ok && reply.Outcome == connectMade
+	})
+}
+
+// confirm asks peers whether they reach the targets that this instance does not, and logs which of the
+// two is gone.
+func (s *serviceLinks) confirm(targets []*catalog.Target) {
 	g := s.links.g
 	for _, t := range targets[:min(fewProbeTargets, len(targets))] {
 		reply, by, ok := g.checkByPeers(t.Address)
@@ -315,6 +348,7 @@
 		entry := g.log.WithField("service", s.service).WithField("target", t.ID).WithField("address", t.Address).WithField("peer", by)
 		if reply.Outcome == connectMade {
 			entry.Warn("peers reach the targets: the links of this instance are gone")
+			s.setConfirmed(true)
 			return
 		}
 		entry.WithField("peer_saw", reply.Outcome.String()).Info("a peer does not reach the target either")
--- a/internal/gateway/target_partition_test.go
+++ b/internal/gateway/target_partition_test.go
@@ -425,3 +425,33 @@
 		f.checkRuns()
 	})
 }
+
+// TestFirstTargetBackIsUsed guards against instances that take the loss of all targets for a loss of their links,
+// and then refuse requests though one target is back.
+func TestFirstTargetBackIsUsed(t *testing.T) {
+	for _, n := range []int{1, 6} {
+		t.Run(fmt.Sprint(n, " instances"), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newLinkFleet(t, n, 3)
+				defer f.stop()
+				for _, m := range f.targets {
+					f.net.setIsolated(m.name, true)
+				}
+				f.sendAll("lost", 3*time.Second)
+				for i := range f.gateways {
+					is.Equal(len(f.gateways[i].view.Load().Orderers), n) // nobody's links are lost
+					is.True(!f.gateways[i].targetLinks.lost())
+				}
+				f.net.setIsolated(f.targets[0].name, false)
+				time.Sleep(maxDetectionTime)
+				for _, r := range f.sendAll("back", 2*time.Second) {
+					if !r.served {
+						t.Errorf("%s at instance %d: status %d after %v", r.path, r.instance, r.status, r.duration)
+					}
+				}
+			})
+		})
+	}
+}
