Brittle targets: the pause is worked out under the lock

The slice of a target's refusals was read after the lock was given back, while another request's count shifted it in place. Found by reading. The refusals that one message adds are bounded.

--- a/internal/gateway/brittle.go
+++ b/internal/gateway/brittle.go
@@ -34,6 +34,8 @@
 	brittleReportTimeout = 300 * time.Millisecond
 	// maxBrittleTargets bounds the targets in one message; the next message has the others.
 	maxBrittleTargets = 64
+	// maxBrittleCount bounds the refusals that one message adds to a target.
+	maxBrittleCount = 256
 )
 
 // BrittleRefusals tells a peer of requests that brittle targets have turned away.
@@ -71,26 +73,33 @@
 
 // count counts refusals of a target, and keeps requests away from it while there are too many.
 func (b *brittleReports) count(t *catalog.Target, r BrittleRefusal) {
-	now := b.g.now()
+	pause := b.record(t.ID, r, b.g.now())
+	if pause <= 0 {
+		return
+	}
+	until, changed := b.g.breaker.RequestBackoff(t.ID, pause+rand.N(b.spread()))
+	if changed {
+		b.g.log.WithField("target", t.ID).WithField("limit", r.Limit).WithField("until", until.UTC().Format(time.RFC3339Nano)).Info("brittle target gets no requests")
+	}
+}
+
+// record records refusals of a target and returns for how long it shall get no requests; 0: it may get some.
+func (b *brittleReports) record(id string, r BrittleRefusal, now time.Time) time.Duration {
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	if b.recent == nil {
 		b.recent = map[string][]time.Time{}
 	}
-	recent := slices.DeleteFunc(b.recent[t.ID], func(at time.Time) bool { return now.Sub(at) >= brittleWindow })
-	for range min(r.Count, r.Limit+1) {
+	recent := slices.DeleteFunc(b.recent[id], func(at time.Time) bool { return now.Sub(at) >= brittleWindow })
+	for range min(r.Count, maxBrittleCount) {
 		recent = append(recent, now)
 	}
-	b.recent[t.ID] = recent
-	b.mu.Unlock()
-	bearable := max(r.Limit/2, 1)
+	b.recent[id] = recent
+	bearable := min(max(r.Limit/2, 1), maxBrittleCount)
 	if len(recent) < bearable {
-		return
-	}
-	pause := recent[len(recent)-bearable].Add(brittleWindow).Sub(now) + rand.N(b.spread())
-	until, changed := b.g.breaker.RequestBackoff(t.ID, pause)
-	if changed {
-		b.g.log.WithField("target", t.ID).WithField("limit", r.Limit).WithField("refusals", len(recent)).WithField("until", until.UTC().Format(time.RFC3339Nano)).Info("brittle target gets no requests")
+		return 0
 	}
+	return recent[len(recent)-bearable].Add(brittleWindow).Sub(now)
 }
 
 // spread returns the bound of the random part of a pause.
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -17,7 +17,7 @@
 	"github.com/shedhoist/shedhoist/internal/peer"
 )
 
-// While an instance is partitioned from all targets, it reaches them through peers: each attempt gets
+// While an instance is partitioned from the targets of a service, it reaches them through peers: each attempt gets
 // a tunnel through one of them. The instance goes on to make all decisions on its requests; the peer
 // connects and passes bytes on, and opens no tunnel of its own for it, so that there are no loops.
 
