--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -299,18 +299,21 @@
 		return
 	}
 	m.self.Detached = detached
-	m.self.Incarnation++
-	m.changed = true
-	m.enqueue(m.self)
+	m.announceSelf()
 }
 
-// SetPartitioned sets whether this instance has lost its links to the targets of some service, and announces a change to the
-// others.
+// SetPartitioned sets whether this instance has lost its links to the targets of some service, and
+// announces a change to the others.
 func (m *Machine) SetPartitioned(partitioned bool) {
 	if m.self.Partitioned == partitioned {
 		return
 	}
 	m.self.Partitioned = partitioned
+	m.announceSelf()
+}
+
+// announceSelf announces a change of this instance's own state, which overrides the former one.
+func (m *Machine) announceSelf() {
 	m.self.Incarnation++
 	m.changed = true
 	m.enqueue(m.self)
--- a/internal/gateway/unreachable_zones.go
+++ b/internal/gateway/unreachable_zones.go
@@ -130,14 +130,8 @@
 // probeTarget reports whether a target's machine responds to a connection attempt. A refusal or a
 // reset is a response.
 func (m *zoneMonitor) probeTarget(t *catalog.Target) bool {
-	ctx, cancel := context.WithTimeout(m.g.ctx, zoneProbeTimeout)
-	defer cancel()
-	conn, err := m.g.upstream.dial(ctx, "tcp", t.Address)
-	if err == nil {
-		_ = conn.Close() // nothing has been sent
-		return true
-	}
-	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+	err := m.g.connectDirectly(t.Address, zoneProbeTimeout)
+	return err == nil || errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 }
 
 // UnreachableZone reports that an instance gets no response from a zone's targets.
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -75,9 +75,9 @@
 	Self           string                   // name of this instance
 	Alive          []string                 // sorted names of the live instances, including this one
 	Peers          []member.Member          // the instances in Alive, as members
-	Attached       []string                 // names of live instances that reach the object store; all live ones if none does
-	// Orderers are the names of the live instances that may give orders to targets: those in Attached
-	// that reach targets of all services; all of Attached if none does.
+	// Orderers are the names of the live instances that may give orders to targets: those that reach the
+	// object store and have not lost their links to the targets of a service. If there is none, they are
+	// those that reach the object store, or else all.
 	Orderers      []string
 	Tree          *relayTree // how instances relay state to one another
 	IsWatcher     bool       // this instance watches the object store on behalf of all
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -79,6 +79,14 @@
 	return err
 }
 
+// send writes one message and flushes it.
+func (f *frameConn) send(method string, v any) error {
+	if err := f.write(method, v); err != nil {
+		return err
+	}
+	return f.w.Flush()
+}
+
 // read decodes the next message into v; if v is nil, it discards the message. The buffer
 // grows only as data arrives, so an announced size alone allocates no memory.
 func (f *frameConn) read(v any) error {
@@ -124,10 +132,7 @@
 	if err := c.write(r.ServiceMethod, header{Method: r.ServiceMethod, Seq: r.Seq}); err != nil {
 		return err
 	}
-	if err := c.write(r.ServiceMethod, body); err != nil {
-		return err
-	}
-	return c.w.Flush()
+	return c.send(r.ServiceMethod, body)
 }
 
 // ReadResponseHeader implements rpc.ClientCodec.
@@ -167,10 +172,7 @@
 	if err := c.write(r.ServiceMethod, header{Method: r.ServiceMethod, Seq: r.Seq, Error: r.Error}); err != nil {
 		return err
 	}
-	if err := c.write(r.ServiceMethod, body); err != nil {
-		return err
-	}
-	return c.w.Flush()
+	return c.send(r.ServiceMethod, body)
 }
 
 // Close implements rpc.ServerCodec.
--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -127,14 +127,6 @@
 	return &tunnelConn{Conn: conn, frames: frames}, nil
 }
 
-// send writes one message and flushes it.
-func (f *frameConn) send(method string, v any) error {
-	if err := f.write(method, v); err != nil {
-		return err
-	}
-	return f.w.Flush()
-}
-
 // sendBytes writes data as messages of bounded size.
 func (f *frameConn) sendBytes(data []byte) (n int, err error) {
 	for n < len(data) {
