--- a/internal/gateway/target_links.go
+++ b/internal/gateway/target_links.go
@@ -92,7 +92,7 @@
 func (l *targetLinks) lost() bool { return slices.ContainsFunc(l.all(), (*serviceLinks).isConfirmed) }
 
 // trackConnect records an attempt, so that it ends when a partition is found before it has a
-// connection. The function returned removes the record.
+// connection, or was found after the attempt's path was decided. The function returned removes the record.
 func (l *targetLinks) trackConnect(at *attemptState, cancel context.CancelFunc) (forget func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -100,6 +100,9 @@
 		l.connecting = map[*attemptState]context.CancelFunc{}
 	}
 	l.connecting[at] = cancel
+	if s := l.services[at.target.Service]; s != nil && s.tracker.Partitioned() {
+		cancel()
+	}
 	return func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
--- a/internal/gateway/target_partition_test.go
+++ b/internal/gateway/target_partition_test.go
@@ -121,6 +121,22 @@
 	}
 }
 
+// TestAttemptDuringChangeOfPathEnds guards against an attempt that decides to connect directly at the moment at
+// which a partition is found, and then waits for the end of its connect.
+func TestAttemptDuringChangeOfPathEnds(t *testing.T) {
+	for _, partitioned := range []bool{false, true} {
+		is := is.New(t)
+		var links targetLinks
+		tracker := &links.to("s").tracker
+		is.True(tracker.BeginProbe(time.Unix(1000, 0)))
+		is.Equal(tracker.EndProbe(!partitioned), partitioned)
+		is.Equal(links.endConnects("s"), 0) // the attempt is not recorded yet
+		ended := false
+		links.trackConnect(&attemptState{target: &catalog.Target{Service: "s"}}, func() { ended = true })
+		is.Equal(ended, partitioned)
+	}
+}
+
 // TestPartitionedUsesAllZones guards against zones that stay unused by a partitioned instance since it has
 // found them unreachable itself.
 func TestPartitionedUsesAllZones(t *testing.T) {
