An attempt chosen as its zone is found unreachable is sent elsewhere at once

TestDarkZone, on the list of known red: 1 request of some thousands took more than 400 ms (9 instances, /safe/). Traced by the logs of three failures, each with the same picture: the request begins in the millisecond in which its instance logs that the zone is silent (4.320 s and 4.322 s), and its attempt is not among the 4 to 6 that this ends; it then waits 400 ms for its connect.

TestZoneLostDuringChoice covers the four cases. The entry in KNOWN-RED.txt keeps the crash under -race, which is not traced.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -94,6 +94,9 @@
 	if !x.relayed {
 		defer x.g.zoneMonitor.trackAttempt(t.Zone, at, x.abandonUnreachable(at, cancel))()
 		defer x.g.targetLinks.trackConnect(at, cancel)()
+		if x.zoneLostSinceChoice(t) {
+			cancel()
+		}
 	}
 	at.load.Requests.Add(1)
 	defer at.load.Requests.Add(-1)
@@ -212,6 +215,12 @@
 	}
 }
 
+// zoneLostSinceChoice reports whether a target's zone was found unreachable after the target was chosen, so that
+// the attempt may have been recorded too late to be abandoned with the others.
+func (x *exchange) zoneLostSinceChoice(t *catalog.Target) bool {
+	return !x.unreachableZones[t.Zone] && x.g.unreachableZones(x.service, x.view.Serving[x.service])[t.Zone]
+}
+
 // attemptTimeout returns the longest wait for the first byte of a repeatable request.
 func (x *exchange) attemptTimeout() time.Duration {
 	return max(attemptTimeoutFactor*x.route.LatencyObjective, minAttemptTimeout)
--- a/internal/gateway/unreachable_zones_test.go
+++ b/internal/gateway/unreachable_zones_test.go
@@ -7,6 +7,10 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shedhoist/shedhoist/internal/catalog"
 )
 
 // Objectives after the loss of a zone.
@@ -106,6 +110,25 @@
 	}
 }
 
+// TestZoneLostDuringChoice guards against attempts that wait for a zone which was found unreachable at the moment
+// of the choice, and against attempts that end at once where no zone can be reached.
+func TestZoneLostDuringChoice(t *testing.T) {
+	is := is.New(t)
+	targets := []*catalog.Target{{ID: "a", Zone: "z0"}, {ID: "b", Zone: "z1"}}
+	x := &exchange{g: &Gateway{}, service: "s", view: &View{Serving: map[string][]*catalog.Target{"s": targets}}}
+	chooseNow := func() { x.unreachableZones = x.g.unreachableZones("s", targets) }
+	zones := &x.g.zoneMonitor.zones
+	chooseNow()
+	is.True(!x.zoneLostSinceChoice(targets[0]))
+	zones.EndProbe("z0", false)
+	is.True(x.zoneLostSinceChoice(targets[0]))
+	is.True(!x.zoneLostSinceChoice(targets[1]))
+	chooseNow()
+	is.True(!x.zoneLostSinceChoice(targets[0])) // chosen as a last resort
+	zones.EndProbe("z1", false)
+	is.True(!x.zoneLostSinceChoice(targets[1])) // none is excluded
+}
+
 // TestOneUnreachableTarget guards against a zone being excluded because a single target there does
 // not respond.
 func TestOneUnreachableTarget(t *testing.T) {
