A process without a configuration refuses at once when its start has taken too long

The wait is for a process that has just started, as its comment says, but nothing bounded its age: what can't be served was held for a second, each time. From 3 s on (startupTime; hundreds of processes start in about one) it is refused at once.

TestAwaitStartup has two more cases, which fail without the change.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -103,6 +103,9 @@
 	// startupWait covers a start in which the object store responds: 20 ms for one
 	// process, about a second for hundreds that start at a time.
 	startupWait = time.Second
+	// startupTime is the age from which on a process without a configuration doesn't let requests wait: the
+	// object store and the peers have none for it.
+	startupTime = 3 * time.Second
 	// startupWaitShare is the share of the caller's timeout that the wait may take. The
 	// rest is enough for a response, or for another attempt elsewhere.
 	startupWaitShare = 1.0 / 3
@@ -114,7 +117,7 @@
 	if x.view.initialized() {
 		return
 	}
-	limit := startupWait
+	limit := min(startupWait, startupTime-x.g.now().Sub(x.g.startedAt))
 	if x.call.Timeout > 0 {
 		limit = min(limit, time.Duration(startupWaitShare*float64(x.call.Timeout)))
 	}
--- a/internal/gateway/serve_test.go
+++ b/internal/gateway/serve_test.go
@@ -21,23 +21,26 @@
 	never := time.Hour
 	cases := []struct {
 		name            string
+		startedAgo      time.Duration
 		initializedIn   time.Duration
 		callerTimeout   time.Duration
 		disconnectIn    time.Duration
 		wantWait        time.Duration
 		wantInitialized bool
 	}{
-		{"initialized before the request", 0, 0, never, 0, true},
-		{"initialized in time", 20 * time.Millisecond, 4 * time.Second, never, 20 * time.Millisecond, true},
-		{"not initialized in time", 2 * time.Second, 12 * time.Second, never, startupWait, false},
-		{"short caller timeout", 2 * time.Second, 600 * time.Millisecond, never, 200 * time.Millisecond, false},
-		{"caller disconnects", 2 * time.Second, 0, 50 * time.Millisecond, 50 * time.Millisecond, false},
+		{"initialized before the request", 0, 0, 0, never, 0, true},
+		{"initialized in time", 0, 20 * time.Millisecond, 4 * time.Second, never, 20 * time.Millisecond, true},
+		{"not initialized in time", 0, 2 * time.Second, 12 * time.Second, never, startupWait, false},
+		{"short caller timeout", 0, 2 * time.Second, 600 * time.Millisecond, never, 200 * time.Millisecond, false},
+		{"startup ends soon", startupTime - 100*time.Millisecond, 2 * time.Second, 0, never, 100 * time.Millisecond, false},
+		{"startup has taken too long", 2 * startupTime, 2 * time.Second, 0, never, 0, false},
+		{"caller disconnects", 0, 2 * time.Second, 0, 50 * time.Millisecond, 50 * time.Millisecond, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				g := &Gateway{initialized: make(chan struct{})}
+				g := &Gateway{initialized: make(chan struct{}), now: time.Now, startedAt: time.Now().Add(-c.startedAgo)}
 				initialize := func() { g.view.Store(initialized); close(g.initialized) }
 				if c.initializedIn == 0 {
 					initialize()
