--- a/internal/requestlog/requestlog_test.go
+++ b/internal/requestlog/requestlog_test.go
@@ -13,13 +13,15 @@
 
 // logLine returns one log line, stamped the given number of milliseconds after the epoch.
 func logLine(ms int, instance, message, fields string) string {
-	when := time.UnixMilli(int64(ms)).UTC().Format(time.RFC3339Nano)
 	if fields != "" {
 		fields = "," + fields
 	}
-	return fmt.Sprintf(`{"fields":{"instance":%q%s},"level":"info","timestamp":%q,"message":%q}`, instance, fields, when, message)
+	return fmt.Sprintf(`{"fields":{"instance":%q%s},"level":"info","timestamp":%q,"message":%q}`, instance, fields, logTime(ms), message)
 }
 
+// logTime returns a point in time, ms after an arbitrary one, as logs write it.
+func logTime(ms int) string { return time.UnixMilli(int64(ms)).UTC().Format(time.RFC3339Nano) }
+
 func readLines(t *testing.T, lines ...string) []requestlog.Line {
 	out, err := requestlog.Read(strings.NewReader(strings.Join(lines, "\n")))
 	is.New(t).NoErr(err)
