Tests: deadline and retry budget hold for requests that peers carry

Both were claimed of the relays and had no test of their own. A stalled run ends at the route's timeout, at the instance and at the target; of 2,000 requests whose targets close each connection, no more than the budget's share and slack come a second time, each through a peer.

--- a/internal/gateway/target_links_test.go
+++ b/internal/gateway/target_links_test.go
@@ -37,6 +37,15 @@
 	linkOtherService = "other"
 )
 
+// linkRouteTimeout is the timeout of all routes of a linkCodec.
+const linkRouteTimeout = 4 * time.Second
+
+// Retry budget of a linkFleet: share of the requests, and a constant.
+const (
+	linkRetryShare = 0.2
+	linkRetrySlack = 200
+)
+
 // linkCodec is trafficCodec with streams, and a second service.
 type linkCodec struct{ trafficCodec }
 
@@ -48,7 +57,7 @@
 	}
 	route := func(prefix string, kind catalog.RequestKind, attempts int, resumable bool) catalog.Route {
 		return catalog.Route{Name: prefix, Host: anyHost, PathPrefix: prefix, Kind: kind, MaxAttempts: attempts, Resumable: resumable,
-			Timeout: 4 * time.Second, LatencyObjective: 500 * time.Millisecond, MaxEventGap: 300 * time.Millisecond, Backends: []catalog.Backend{{Service: "s", Weight: 1}}}
+			Timeout: linkRouteTimeout, LatencyObjective: 500 * time.Millisecond, MaxEventGap: 300 * time.Millisecond, Backends: []catalog.Backend{{Service: "s", Weight: 1}}}
 	}
 	other := route(pathOther, catalog.AtMostOnce, 1, false)
 	other.Backends = []catalog.Backend{{Service: linkOtherService, Weight: 1}}
@@ -100,7 +109,7 @@
 func newLinkFleet(t *testing.T, instances, targets int) *linkFleet {
 	f := &linkFleet{runs: map[string]int{}, arrivals: map[string]int{}, log: &memoryLog{}, serve: serveLinkEvents}
 	f.trafficFleet = newFleetWith(t, instances, 3, targets, fleetOptions{codec: linkCodec{}, onArrival: f.recordRun, serve: f.serveRequest, log: f.log,
-		editSettings: func(s *Settings) { s.Retry.Share, s.Retry.Slack = 0.2, 200 }})
+		editSettings: func(s *Settings) { s.Retry.Share, s.Retry.Slack = linkRetryShare, linkRetrySlack }})
 	return f
 }
 
--- a/internal/gateway/target_partition_test.go
+++ b/internal/gateway/target_partition_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -306,6 +307,53 @@
 	})
 }
 
+// TestRelayKeepsDeadline guards against requests that go on through a peer after their deadline, at the instance or at
+// the target.
+func TestRelayKeepsDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newLinkFleet(t, 3, 3)
+		defer f.stop()
+		f.cutLinks([]int{1}, linkHangs)
+		f.sendTo(1, "detected", linkPaths, 2*time.Second)
+		left := make(chan time.Time, 8)
+		f.setServe(func(_ *memoryTarget, _ http.ResponseWriter, r *http.Request) bool {
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+			left <- time.Now()
+			return true
+		})
+		before := f.relayed()
+		r := (&linkCaller{f: f, name: "stalled", instance: 1}).send(pathOnce, 0)
+		is.Equal(r.status, http.StatusGatewayTimeout)
+		is.True(r.duration >= linkRouteTimeout && r.duration < linkRouteTimeout+100*time.Millisecond)
+		is.True((<-left).Sub(r.startedAt) < linkRouteTimeout+100*time.Millisecond)
+		is.Equal(f.relayed(), before+1)
+	})
+}
+
+// TestRelayKeepsRetryBudget guards against retries that the budget does not bound because peers carry them.
+func TestRelayKeepsRetryBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newLinkFleet(t, 6, 6)
+		defer f.stop()
+		f.cutLinks([]int{1}, linkHangs)
+		f.sendTo(1, "detected", linkPaths, 2*time.Second)
+		arrived := atomic.Int64{}
+		f.setServe(func(*memoryTarget, http.ResponseWriter, *http.Request) bool {
+			arrived.Add(1)
+			panic(http.ErrAbortHandler)
+		})
+		const requests = 2000
+		before := f.relayed()
+		f.sendOpenLoop(1, "failing", pathSafe, time.Millisecond, requests*time.Millisecond)
+		is.True(arrived.Load() > requests*linkRetryShare) // some are retried
+		is.True(arrived.Load() <= requests+requests*linkRetryShare+linkRetrySlack)
+		is.Equal(f.relayed()-before, uint64(arrived.Load())) // all of them through peers
+	})
+}
+
 // TestRelayLoadIsBounded guards against a peer that carries any number of requests for others.
 func TestRelayLoadIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
