--- a/internal/gateway/target_partition_test.go
+++ b/internal/gateway/target_partition_test.go
@@ -176,6 +176,10 @@
 		f.cutLinks([]int{1, 4, 7}, linkHangs) // all of z1
 		f.sendAll("detected", 3*time.Second)
 		is.True(r.homeZone() != "z1")
+		x := &exchange{g: f.gateways[1], view: f.gateways[1].view.Load()}
+		is.Equal(x.placementQuery().Zone, "z1")
+		x.relayed = true
+		is.True(x.placementQuery().Zone != "z1") // back to it costs twice
 		for i, m := range r.candidates("z2") {
 			is.Equal(m.Zone == "z1", i >= 6) // those that reach no target come last
 			is.Equal(m.Zone == "z2", i < 3)
