--- a/internal/peer/tunnel_test.go
+++ b/internal/peer/tunnel_test.go
@@ -21,7 +21,7 @@
 	carried chan struct{} // gets a value for each tunnel that has ended
 }
 
-func newTunnelFixture(t *testing.T, status TunnelStatus) *tunnelFixture {
+func newTunnelFixture(t testing.TB, status TunnelStatus) *tunnelFixture {
 	is := is.New(t)
 	sec := Security{Secret: []byte("s")}
 	f := &tunnelFixture{pool: NewPool(sec, time.Now), carried: make(chan struct{}, 8)}
