A probe of links connects to three targets first, to the others only if none responds soon

Cause, by reading: an instance whose few requests in progress are all slow, as on a service of long prompts, takes that for silence and probes; the probe connects to 16 targets at once, twice a second at most, though the first would do. It now connects to three, one a zone, and to the rest after 30 ms without any of them; a partition is found as before, 30 ms later at most.

TestProbeOfSlowTargetsIsCheap.

--- a/internal/gateway/target_links.go
+++ b/internal/gateway/target_links.go
@@ -28,8 +28,11 @@
 	// linkProbeTargets is the number of targets that a probe connects to: many, since most of a service's
 	// targets may crash at once.
 	linkProbeTargets = 16
-	// fewProbeTargets is the number of targets of a probe that looks for the end of a partition, and of
-	// those that peers are asked about.
+	// linkProbeHeadStart is how long a probe waits for the first fewProbeTargets before it connects to the others:
+	// a round trip between zones takes a few milliseconds. Most probes only find slow targets.
+	linkProbeHeadStart = 30 * time.Millisecond
+	// fewProbeTargets is the number of targets that a probe connects to first, of those of a probe that looks for the
+	// end of a partition, and of those that peers are asked about.
 	fewProbeTargets = 3
 	// linkProbeInterval is the mean pause between the connects that look for the end of a
 	// partition.
@@ -242,15 +245,8 @@
 // probe connects to some targets. If none is reached, a partition begins.
 func (s *serviceLinks) probe(done chan struct{}) {
 	targets := sampleZones(s.targets(), linkProbeTargets)
-	results := s.connectAll(targets)
-	var err error
-	for range targets {
-		if err = (<-results).err; err == nil {
-			s.endProbe(done, true)
-			return
-		}
-	}
-	if !s.endProbe(done, len(targets) == 0) {
+	reached, err := s.probeInSteps(targets)
+	if !s.endProbe(done, reached || len(targets) == 0) {
 		return
 	}
 	s.beginPartition(len(targets), err)
@@ -258,6 +254,34 @@
 	s.awaitEnd()
 }
 
+// probeInSteps connects to the first targets, and to the others unless one of these is reached soon. It returns
+// when one is reached, or all have failed with the last one's error.
+func (s *serviceLinks) probeInSteps(targets []*catalog.Target) (reached bool, err error) {
+	few := min(fewProbeTargets, len(targets))
+	first := s.connectAll(targets[:few])
+	var others <-chan connectResult // nil until the others are connected to
+	headStart := time.NewTimer(linkProbeHeadStart)
+	defer headStart.Stop()
+	for failed := 0; failed < len(targets); {
+		var r connectResult
+		select {
+		case <-headStart.C:
+			others = s.connectAll(targets[few:])
+			continue
+		case r = <-first:
+		case r = <-others:
+		}
+		if r.err == nil {
+			return true, nil
+		}
+		failed, err = failed+1, r.err
+		if failed == few && others == nil {
+			headStart.Reset(0) // no need to wait for more
+		}
+	}
+	return false, err
+}
+
 // connectResult is the result of a connect to a target.
 type connectResult struct {
 	target *catalog.Target
--- a/internal/gateway/target_partition_test.go
+++ b/internal/gateway/target_partition_test.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -138,6 +140,50 @@
 	}
 }
 
+// TestProbeOfSlowTargetsIsCheap guards against probes that open many connections though the first target responds: a
+// service whose targets are slow is probed again and again.
+func TestProbeOfSlowTargetsIsCheap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newLinkFleet(t, 1, 2*linkProbeTargets)
+		defer f.stop()
+		g := f.gateways[0]
+		dial, connects := g.upstream.dial, atomic.Int64{}
+		g.upstream.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			connects.Add(1)
+			return dial(ctx, network, address)
+		}
+		s := g.targetLinks.to("s")
+		probe := func() (reached bool, took time.Duration) {
+			startedAt := time.Now()
+			reached, _ = s.probeInSteps(sampleZones(s.targets(), linkProbeTargets))
+			took = time.Since(startedAt)
+			time.Sleep(time.Second)
+			return reached, took
+		}
+		reached, _ := probe()
+		is.True(reached)
+		is.Equal(connects.Swap(0), int64(fewProbeTargets))
+		for _, cut := range []linkCut{linkHangs, linkRefuses} {
+			f.cutLinks([]int{0}, cut)
+			reached, took := probe()
+			is.True(!reached)
+			is.Equal(connects.Swap(0), int64(linkProbeTargets))
+			is.True(took <= linkProbeHeadStart+linkProbeTimeout)
+		}
+		f.cutLinks([]int{0}, linkIntact)
+		for _, m := range f.targets[3:] {
+			f.net.setCut(g.settings().Name, m.name, linkRefuses)
+		}
+		for range 20 { // whichever of the targets it connects to first
+			if reached, _ = probe(); reached {
+				break
+			}
+		}
+		is.True(reached)
+	})
+}
+
 // TestPartitionedUsesAllZones guards against zones that stay unused by a partitioned instance since it has
 // found them unreachable itself.
 func TestPartitionedUsesAllZones(t *testing.T) {
