Refusals of a brittle target that one message names twice add up

In a large fleet an instance passes on what peers told it together with its own refusals. The three places that gather refusals by target (what is to be told, a message, what was told) now are one type that adds; a message names each target once. TestRefusalsOfOneTargetAddUp fails without the change; TestBrittleTargetsStayUp passes.

--- a/internal/gateway/brittle.go
+++ b/internal/gateway/brittle.go
@@ -51,14 +51,23 @@
 	Limit  int            `cbor:"3,keyasint"` // how many it can turn away in a second
 }
 
+// brittleRefusals are refusals by target.
+type brittleRefusals map[loadreport.Key]BrittleRefusal
+
+// add adds the refusals of one target; the newest limit counts.
+func (b brittleRefusals) add(r BrittleRefusal) {
+	r.Count += b[r.Target].Count
+	b[r.Target] = r
+}
+
 // brittleReports counts the refusals of brittle targets, and tells peers of them.
 type brittleReports struct {
 	g   *Gateway
 	due wait.Signal
 
 	mu      sync.Mutex
-	recent  map[string][]time.Time      // refusals within brittleWindow, by id of the target
-	pending map[string][]BrittleRefusal // to be told, by the peer that told of them; "": this instance was turned away
+	recent  map[string][]time.Time     // refusals within brittleWindow, by id of the target
+	pending map[string]brittleRefusals // to be told, by the peer that told of them; "": this instance was turned away
 }
 
 // turnedAway is called when a brittle target has turned away a request of this instance.
@@ -110,26 +119,23 @@
 // add queues a word; b.mu is held.
 func (b *brittleReports) add(from string, r BrittleRefusal) {
 	if b.pending == nil {
-		b.pending = map[string][]BrittleRefusal{}
+		b.pending = map[string]brittleRefusals{}
 	}
-	b.due.Raise()
-	for i := range b.pending[from] {
-		if p := &b.pending[from][i]; p.Target == r.Target {
-			p.Count, p.Limit = p.Count+r.Count, r.Limit
-			return
-		}
+	if b.pending[from] == nil {
+		b.pending[from] = brittleRefusals{}
 	}
-	b.pending[from] = append(b.pending[from], r)
+	b.pending[from].add(r)
+	b.due.Raise()
 }
 
 // BrittleRefusals handles a peer's word, and passes it on to those that hear of it only through this
 // instance.
 func (h *peerHandler) BrittleRefusals(req *BrittleRefusals, _ *Ack) error {
 	b := &h.g.brittle
-	told := map[loadreport.Key]BrittleRefusal{}
+	told := brittleRefusals{}
 	b.mu.Lock()
 	for _, r := range req.Targets {
-		told[r.Target] = r
+		told.add(r)
 		b.add(req.From, r)
 	}
 	b.mu.Unlock()
@@ -167,14 +173,17 @@
 }
 
 // brittleToReport returns the refusals to tell a neighbour of: those that it does not hear of otherwise.
-func (n neighbour) brittleToReport(pending map[string][]BrittleRefusal) []BrittleRefusal {
-	var out []BrittleRefusal
+func (n neighbour) brittleToReport(pending map[string]brittleRefusals) []BrittleRefusal {
+	out := brittleRefusals{}
 	for from, refusals := range pending {
-		if from == "" || n.relayedFrom[from] {
-			out = append(out, refusals...)
+		if from != "" && !n.relayedFrom[from] {
+			continue
+		}
+		for _, r := range refusals {
+			out.add(r)
 		}
 	}
-	return out
+	return slices.Collect(maps.Values(out))
 }
 
 func (b *brittleReports) send(ctx context.Context, n neighbour, targets []BrittleRefusal) {
--- a/internal/gateway/brittle_test.go
+++ b/internal/gateway/brittle_test.go
@@ -9,6 +9,10 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shedhoist/shedhoist/internal/loadreport"
 )
 
 // Targets that fall over if they have to turn away too many requests.
@@ -146,3 +150,20 @@
 	}
 	t.Logf("%d falls, %d of %d served", falls, b.served, capacity)
 }
+
+// TestRefusalsOfOneTargetAddUp guards against refusals that get lost where one message tells of a target twice: of
+// the requests that its sender was turned away with, and of those that a peer told it of.
+func TestRefusalsOfOneTargetAddUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newLinkFleet(t, 1, 1)
+		defer f.stop()
+		g := f.gateways[0]
+		const limit = 8
+		for id := range g.view.Load().Targets {
+			told := BrittleRefusal{Target: loadreport.KeyOf(id), Count: limit / 4, Limit: limit}
+			is.NoErr((&peerHandler{g}).BrittleRefusals(&BrittleRefusals{From: "peer", Targets: []BrittleRefusal{told, told}}, &Ack{}))
+			is.True(g.breaker.InBackoff(id)) // half of the limit
+		}
+	})
+}
