Peers: an exchange that its context ends stands once

Pool.dial and DialTunnel each closed their connection at the end of the context and chose between the two errors in the same lines. No change of behaviour; tests of peer pass under race.

--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -147,6 +147,16 @@
 	}
 }
 
+// withContext runs an exchange on a connection, which ends as ctx does: the connection is closed then.
+func withContext(ctx context.Context, conn net.Conn, exchange func() error) error {
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	err := exchange()
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	return err
+}
+
 // dial opens and authenticates a connection. TLS knows connections for calls only.
 func (p *Pool) dial(ctx context.Context, address string, r role) (net.Conn, error) {
 	conn, err := p.dialFunc(ctx, "tcp", address)
@@ -154,11 +164,7 @@
 		return nil, err
 	}
 	if p.security.TLS == nil {
-		stop := context.AfterFunc(ctx, func() { conn.Close() })
-		err := authenticateDialer(conn, p.security.Secret, r)
-		if !stop() && err == nil {
-			err = ctx.Err()
-		}
+		err := withContext(ctx, conn, func() error { return authenticateDialer(conn, p.security.Secret, r) })
 		if err != nil {
 			conn.Close()
 			return nil, err
--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -113,13 +113,10 @@
 		return fail(0, err)
 	}
 	frames := newFrameConn(conn)
-	// A context that ends closes the connection, which ends the exchange.
-	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	var reply TunnelReply
-	err = errors.Join(frames.send(tunnelOpening, TunnelRequest{Address: address}), frames.read(&reply))
-	if !stop() && err == nil {
-		err = ctx.Err()
-	}
+	err = withContext(ctx, conn, func() error {
+		return errors.Join(frames.send(tunnelOpening, TunnelRequest{Address: address}), frames.read(&reply))
+	})
 	if err != nil || reply.Status != TunnelOpen {
 		conn.Close()
 		return fail(reply.Status, err)
