--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -65,19 +65,17 @@
 // newRelayedClient returns a client that connects through peers. It keeps no connections: an open
 // one stands for a request to the peer that carries it, and the next request may need no relay.
 func (u *upstream) newRelayedClient() *http.Client {
-	t := netx.Transport(netx.TransportOptions{})
-	t.DialContext = func(ctx context.Context, _, _ string) (net.Conn, error) {
+	dial := func(ctx context.Context, _, _ string) (net.Conn, error) {
 		to, _ := ctx.Value(dialKey{}).(dialTarget)
 		return u.dialRelayed(ctx, to)
 	}
-	return &http.Client{Transport: t, CheckRedirect: netx.NoRedirect}
+	return &http.Client{Transport: netx.Transport(netx.TransportOptions{Dial: dial}), CheckRedirect: netx.NoRedirect}
 }
 
 // newClient returns a client that pools connections by target incarnation: a connection to
 // an earlier incarnation, perhaps broken by a network partition, is never used for a later one.
 func newClient(dial peer.DialFunc, perTarget int, idle time.Duration) *http.Client {
-	t := netx.Transport(netx.TransportOptions{ConnectTimeout: targetConnectTimeout, MaxIdlePerHost: perTarget, IdleTimeout: idle})
-	t.DialContext = func(ctx context.Context, network, _ string) (net.Conn, error) {
+	dialFromContext := func(ctx context.Context, network, _ string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, targetConnectTimeout)
 		defer cancel()
 		to, _ := ctx.Value(dialKey{}).(dialTarget)
@@ -90,7 +88,7 @@
 		}
 		return conn, err
 	}
-	return &http.Client{Transport: t, CheckRedirect: netx.NoRedirect}
+	return &http.Client{Transport: netx.Transport(netx.TransportOptions{Dial: dialFromContext, MaxIdlePerHost: perTarget, IdleTimeout: idle}), CheckRedirect: netx.NoRedirect}
 }
 
 // dialKey is the context key of a dialTarget.
--- a/internal/netx/netx.go
+++ b/internal/netx/netx.go
@@ -64,9 +64,11 @@
 
 // TransportOptions configures a transport.
 type TransportOptions struct {
-	ConnectTimeout time.Duration // limit on connection setup
+	ConnectTimeout time.Duration // limit on connection setup, unless Dial is set
 	MaxIdlePerHost int           // idle connections kept per host; 0: none, each request opens its own
 	IdleTimeout    time.Duration // how long an idle connection is kept; 0: until the other side closes it
+
+	Dial func(ctx context.Context, network, address string) (net.Conn, error) // opens connections; nil: as Dialer's do
 }
 
 // maxResponseHeaderBytes is the maximum size of a response header.
@@ -75,7 +77,10 @@
 // Transport returns a transport that does not request compression and ignores the proxy
 // settings of the environment.
 func Transport(o TransportOptions) *http.Transport {
-	return &http.Transport{DialContext: Dialer(o.ConnectTimeout).DialContext, DisableCompression: true, DisableKeepAlives: o.MaxIdlePerHost == 0,
+	if o.Dial == nil {
+		o.Dial = Dialer(o.ConnectTimeout).DialContext
+	}
+	return &http.Transport{DialContext: o.Dial, DisableCompression: true, DisableKeepAlives: o.MaxIdlePerHost == 0,
 		MaxIdleConnsPerHost: o.MaxIdlePerHost, IdleConnTimeout: o.IdleTimeout, MaxResponseHeaderBytes: maxResponseHeaderBytes}
 }
 
