--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -200,27 +200,6 @@
 	cancel()
 }
 
-// abandonUnreachable returns the function to call when the target's zone is found
-// unreachable. It ends the attempt if there is no connection yet, so that nothing was sent,
-// or if the attempt may be abandoned.
-func (x *exchange) abandonUnreachable(at *attemptState, cancel context.CancelFunc) func() {
-	mayAbandon := x.mayAbandon()
-	return func() {
-		switch {
-		case !at.connObtained.Load():
-			cancel()
-		case mayAbandon:
-			x.abandon(at, cancel)
-		}
-	}
-}
-
-// zoneLostSinceChoice reports whether a target's zone was found unreachable after the target was chosen, so that
-// the attempt may have been recorded too late to be abandoned with the others.
-func (x *exchange) zoneLostSinceChoice(t *catalog.Target) bool {
-	return !x.unreachableZones[t.Zone] && x.g.unreachableZones(x.service, x.view.Serving[x.service])[t.Zone]
-}
-
 // attemptTimeout returns the longest wait for the first byte of a repeatable request.
 func (x *exchange) attemptTimeout() time.Duration {
 	return max(attemptTimeoutFactor*x.route.LatencyObjective, minAttemptTimeout)
--- a/internal/gateway/target_check.go
+++ b/internal/gateway/target_check.go
@@ -31,6 +31,22 @@
 	return nil
 }
 
+// connectResult is the result of a connect to a target.
+type connectResult struct {
+	target *catalog.Target
+	err    error
+}
+
+// connectAll connects to targets at the same time, see connectDirectly, and returns a channel with the result of
+// each.
+func (g *Gateway) connectAll(targets []*catalog.Target, timeout time.Duration) <-chan connectResult {
+	results := make(chan connectResult, len(targets))
+	for _, t := range targets {
+		g.spawn(func() { results <- connectResult{t, g.connectDirectly(t.Address, timeout)} })
+	}
+	return results
+}
+
 // connectOutcome is how a connect to a target ended.
 type connectOutcome uint8
 
@@ -116,3 +132,14 @@
 	}
 	return nil
 }
+
+// presentTargets returns the targets that are not leaving and that match.
+func (v *View) presentTargets(match func(t *catalog.Target) bool) []*catalog.Target {
+	var out []*catalog.Target
+	for _, t := range v.Targets {
+		if match(t) && !t.IsLeaving() {
+			out = append(out, t)
+		}
+	}
+	return out
+}
--- a/internal/gateway/unreachable_zones.go
+++ b/internal/gateway/unreachable_zones.go
@@ -92,13 +92,10 @@
 	}
 	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
 	targets = targets[:min(zoneProbeTargets, len(targets))]
-	answers := make(chan bool, len(targets))
-	for _, t := range targets {
-		m.g.spawn(func() { answers <- m.probeTarget(t) })
-	}
+	results := m.g.connectAll(targets, zoneProbeTimeout)
 	reachable := false
 	for range targets {
-		reachable = <-answers || reachable
+		reachable = hostResponds((<-results).err) || reachable
 	}
 	if !m.zones.EndProbe(zone, reachable) {
 		return
@@ -118,7 +115,7 @@
 	startedAt := m.g.now()
 	for wait.For(m.g.ctx, wait.Jitter(zoneProbeInterval)) {
 		targets := m.g.view.Load().targetsInZone(zone)
-		if len(targets) >= minZoneTargets && !m.probeTarget(targets[rand.IntN(len(targets))]) {
+		if len(targets) >= minZoneTargets && !hostResponds(m.g.connectDirectly(targets[rand.IntN(len(targets))].Address, zoneProbeTimeout)) {
 			continue
 		}
 		m.zones.EndProbe(zone, true)
@@ -127,10 +124,9 @@
 	}
 }
 
-// probeTarget reports whether a target's machine responds to a connection attempt. A refusal or a
-// reset is a response.
-func (m *zoneMonitor) probeTarget(t *catalog.Target) bool {
-	err := m.g.connectDirectly(t.Address, zoneProbeTimeout)
+// hostResponds reports whether a connect that ended with err got a response from the target's machine. A refusal or
+// a reset is a response.
+func hostResponds(err error) bool {
 	return err == nil || errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 }
 
@@ -172,13 +168,7 @@
 
 // targetsInZone returns the targets in a zone that are not leaving.
 func (v *View) targetsInZone(zone string) []*catalog.Target {
-	var out []*catalog.Target
-	for _, t := range v.Targets {
-		if t.Zone == zone && !t.IsLeaving() {
-			out = append(out, t)
-		}
-	}
-	return out
+	return v.presentTargets(func(t *catalog.Target) bool { return t.Zone == zone })
 }
 
 // unreachableZones returns the zones to exclude when choosing among targets. If all of the targets
@@ -199,3 +189,24 @@
 	}
 	return nil
 }
+
+// abandonUnreachable returns the function to call when the target's zone is found
+// unreachable. It ends the attempt if there is no connection yet, so that nothing was sent,
+// or if the attempt may be abandoned.
+func (x *exchange) abandonUnreachable(at *attemptState, cancel context.CancelFunc) func() {
+	mayAbandon := x.mayAbandon()
+	return func() {
+		switch {
+		case !at.connObtained.Load():
+			cancel()
+		case mayAbandon:
+			x.abandon(at, cancel)
+		}
+	}
+}
+
+// zoneLostSinceChoice reports whether a target's zone was found unreachable after the target was chosen, so that
+// the attempt may have been recorded too late to be abandoned with the others.
+func (x *exchange) zoneLostSinceChoice(t *catalog.Target) bool {
+	return !x.unreachableZones[t.Zone] && x.g.unreachableZones(x.service, x.view.Serving[x.service])[t.Zone]
+}
