--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -91,7 +92,9 @@
 	if r.backoffUntil == nil {
 		r.backoffUntil = map[string]time.Time{}
 	}
-	r.backoffUntil[m.Name] = r.g.now().Add(relayBackoff)
+	now := r.g.now()
+	maps.DeleteFunc(r.backoffUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
+	r.backoffUntil[m.Name] = now.Add(relayBackoff)
 	return true
 }
 
