logs explain: lines of one instance up to a moment are gathered in one place

Five findings filtered lines by instance and time in the same way, two asked whether a request was served; five tests picked the findings on a subject with the same loop. sameInstance, isUnserved, findingsOn. Assertions are unchanged.

--- a/internal/requestlog/backoff.go
+++ b/internal/requestlog/backoff.go
@@ -18,7 +18,7 @@
 		}
 	}
 	end := t.end()
-	if end.Message != "request" || end.Fields.Text("outcome") == "done" {
+	if !end.isUnserved() {
 		return out
 	}
 	if n := end.Fields.Number("resting_targets"); n > 0 {
@@ -35,8 +35,8 @@
 // knew to be active at that time.
 func activeBackoffs(lines []Line, end Line) map[string]time.Time {
 	out := map[string]time.Time{}
-	for _, l := range lines {
-		if l.Message != "target asks for rest" || l.Instance != end.Instance || l.Time.After(end.Time) {
+	for l := range sameInstance(lines, end) {
+		if l.Message != "target asks for rest" {
 			continue
 		}
 		until := l.Time.Add(time.Duration(l.Fields.Number("rest_ms")) * time.Millisecond)
--- a/internal/requestlog/backoff_test.go
+++ b/internal/requestlog/backoff_test.go
@@ -1,12 +1,9 @@
 package requestlog_test
 
 import (
-	"strings"
 	"testing"
 
 	"github.com/matryer/is"
-
-	"github.com/shedhoist/shedhoist/internal/requestlog"
 )
 
 // TestBackoffs guards against findings that omit targets in backoff, both for a request
@@ -30,13 +27,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			timeline := requestlog.Build(readLines(t, c.lines...), "r")
-			var got []string
-			for _, f := range timeline.Findings {
-				if strings.Contains(f, "back off") || strings.Contains(f, "backoff") {
-					got = append(got, f)
-				}
-			}
+			got := findingsOn(t, c.lines, "back off", "backoff")
 			is.Equal(got, c.want)
 		})
 	}
--- a/internal/requestlog/brittle.go
+++ b/internal/requestlog/brittle.go
@@ -11,12 +11,12 @@
 // sent nothing at that time.
 func findBrittleTargets(lines []Line, t *Timeline) []string {
 	end := t.end()
-	if end.Message != "request" || end.Fields.Text("outcome") == "done" {
+	if !end.isUnserved() {
 		return nil
 	}
 	paused := map[string]Line{}
-	for _, l := range lines {
-		if l.Message == "brittle target gets no requests" && l.Instance == end.Instance && !l.Time.After(end.Time) {
+	for l := range sameInstance(lines, end) {
+		if l.Message == "brittle target gets no requests" {
 			paused[l.Fields.Text("target")] = l
 		}
 	}
--- a/internal/requestlog/findings.go
+++ b/internal/requestlog/findings.go
@@ -30,8 +30,8 @@
 // describeNotice says whether the instance had received notice of a configuration
 // version. If it had, it still had to fetch the document.
 func describeNotice(lines []Line, end Line, version float64) string {
-	for _, l := range lines {
-		if l.Message == "newer configuration heard of" && l.Instance == end.Instance && !l.Time.After(end.Time) && l.Fields.Number("version") >= version {
+	for l := range sameInstance(lines, end) {
+		if l.Message == "newer configuration heard of" && l.Fields.Number("version") >= version {
 			return fmt.Sprintf("%s had received notice of it %s before (%.0f bytes) but had not fetched it yet", end.Instance, end.Time.Sub(l.Time).Round(time.Millisecond), l.Fields.Number("bytes"))
 		}
 	}
--- a/internal/requestlog/leaving_test.go
+++ b/internal/requestlog/leaving_test.go
@@ -5,8 +5,6 @@
 	"testing"
 
 	"github.com/matryer/is"
-
-	"github.com/shedhoist/shedhoist/internal/requestlog"
 )
 
 // TestLeavingTargets checks that the findings name the targets whose leaving notice was
@@ -34,13 +32,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			timeline := requestlog.Build(readLines(t, c.lines...), "r")
-			var got []string
-			for _, f := range timeline.Findings {
-				if strings.Contains(f, "leaves") {
-					got = append(got, f)
-				}
-			}
+			got := findingsOn(t, c.lines, "leaves")
 			is.Equal(len(got), len(c.want))
 			for i := range got {
 				is.Equal(got[i], c.want[i])
--- a/internal/requestlog/partitions.go
+++ b/internal/requestlog/partitions.go
@@ -36,8 +36,8 @@
 // currentPartition returns the partition that the instance of a request's last line was in at that time, or nil.
 func currentPartition(lines []Line, end Line) *partition {
 	var p *partition
-	for _, l := range lines {
-		if l.Instance != end.Instance || l.Fields.Text("service") != end.Fields.Text("service") || l.Time.After(end.Time) {
+	for l := range sameInstance(lines, end) {
+		if l.Fields.Text("service") != end.Fields.Text("service") {
 			continue
 		}
 		switch l.Message {
--- a/internal/requestlog/partitions_test.go
+++ b/internal/requestlog/partitions_test.go
@@ -1,12 +1,9 @@
 package requestlog_test
 
 import (
-	"strings"
 	"testing"
 
 	"github.com/matryer/is"
-
-	"github.com/shedhoist/shedhoist/internal/requestlog"
 )
 
 // TestPartitionFromTargets checks that the findings tell an instance that lost its links from targets that are
@@ -37,13 +34,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			timeline := requestlog.Build(readLines(t, c.lines...), "r")
-			var got []string
-			for _, f := range timeline.Findings {
-				if strings.Contains(f, "peer") || strings.Contains(f, "reached no target") {
-					got = append(got, f)
-				}
-			}
+			got := findingsOn(t, c.lines, "peer", "reached no target")
 			is.Equal(got, c.want)
 		})
 	}
@@ -56,12 +47,6 @@
 	over := logLine(2000, "a", "brittle target gets no requests", `"target":"t2","limit":5,"until":"`+logTime(3000)+`"`)
 	elsewhere := logLine(4000, "b", "brittle target gets no requests", `"target":"t3","limit":5,"until":"`+logTime(9000)+`"`)
 	refused := logLine(5000, "a", "request", `"request":"r","service":"s","outcome":"overloaded","status":503,"config":13`)
-	timeline := requestlog.Build(readLines(t, paused, over, elsewhere, refused), "r")
-	var got []string
-	for _, f := range timeline.Findings {
-		if strings.Contains(f, "brittle") {
-			got = append(got, f)
-		}
-	}
+	got := findingsOn(t, []string{paused, over, elsewhere, refused}, "brittle")
 	is.Equal(got, []string{"target t1 is brittle (it bears 5 refusals a second) and got no requests from a for another 300ms"})
 }
--- a/internal/requestlog/requestlog.go
+++ b/internal/requestlog/requestlog.go
@@ -9,6 +9,7 @@
 	"cmp"
 	"encoding/json"
 	"io"
+	"iter"
 	"slices"
 	"time"
 )
@@ -170,3 +171,17 @@
 
 // end returns the last line of the request.
 func (t *Timeline) end() Line { return t.Lines[len(t.Lines)-1] }
+
+// isUnserved reports whether a line is the last one of a request that was not served.
+func (l Line) isUnserved() bool { return l.Message == "request" && l.Fields.Text("outcome") != "done" }
+
+// sameInstance returns the lines of an instance up to the time of one of them, in the order of the logs.
+func sameInstance(lines []Line, end Line) iter.Seq[Line] {
+	return func(yield func(Line) bool) {
+		for _, l := range lines {
+			if l.Instance == end.Instance && !l.Time.After(end.Time) && !yield(l) {
+				return
+			}
+		}
+	}
+}
--- a/internal/requestlog/requestlog_test.go
+++ b/internal/requestlog/requestlog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -114,3 +115,14 @@
 		}
 	})
 }
+
+// findingsOn returns the findings on request r that contain one of some texts.
+func findingsOn(t *testing.T, lines []string, texts ...string) []string {
+	var out []string
+	for _, f := range requestlog.Build(readLines(t, lines...), "r").Findings {
+		if slices.ContainsFunc(texts, func(text string) bool { return strings.Contains(f, text) }) {
+			out = append(out, f)
+		}
+	}
+	return out
+}
--- a/internal/requestlog/zones.go
+++ b/internal/requestlog/zones.go
@@ -14,10 +14,7 @@
 	var evacuated []string
 	var changed time.Time
 	unreachable := map[string]time.Time{}
-	for _, l := range lines {
-		if l.Instance != end.Instance || l.Time.After(end.Time) {
-			continue
-		}
+	for l := range sameInstance(lines, end) {
 		switch l.Message {
 		case "evacuated zones changed":
 			evacuated, changed = l.Fields.Names("zones"), l.Time
--- a/internal/requestlog/zones_test.go
+++ b/internal/requestlog/zones_test.go
@@ -1,12 +1,9 @@
 package requestlog_test
 
 import (
-	"strings"
 	"testing"
 
 	"github.com/matryer/is"
-
-	"github.com/shedhoist/shedhoist/internal/requestlog"
 )
 
 // TestExcludedZones checks that the findings for a refused request name the zones that
@@ -28,13 +25,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			timeline := requestlog.Build(readLines(t, c.lines...), "r")
-			var got []string
-			for _, f := range timeline.Findings {
-				if strings.Contains(f, "zone") {
-					got = append(got, f)
-				}
-			}
+			got := findingsOn(t, c.lines, "zone")
 			is.Equal(len(got), len(c.want))
 			for i := range got {
 				is.Equal(got[i], c.want[i])
