--- a/internal/gateway/target_links_test.go
+++ b/internal/gateway/target_links_test.go
@@ -182,6 +182,12 @@
 	}
 }
 
+// partition cuts an instance off from all targets, and sends requests to it until it has noticed.
+func (f *linkFleet) partition(instance int) {
+	f.cutLinks([]int{instance}, linkHangs)
+	f.sendTo(instance, "detected", linkPaths, 2*time.Second)
+}
+
 // instancesIn returns the indexes of the instances in a zone, at most n.
 func (f *linkFleet) instancesIn(zone string, n int) []int {
 	var out []int
--- a/internal/gateway/target_partition_test.go
+++ b/internal/gateway/target_partition_test.go
@@ -191,8 +191,7 @@
 		is := is.New(t)
 		f := newLinkFleet(t, 6, 4) // two targets in z0, one in each other zone: too few to find these unreachable
 		defer f.stop()
-		f.cutLinks([]int{0}, linkHangs)
-		f.sendTo(0, "detected", linkPaths, 2*time.Second)
+		f.partition(0)
 		is.True(f.gateways[0].zoneMonitor.zones.Unreachable()["z0"])
 		f.sendOpenLoop(0, "cut", pathOnce, requestInterval, time.Second)
 		f.mu.Lock()
@@ -239,8 +238,7 @@
 		is := is.New(t)
 		f := newLinkFleet(t, 2, 2)
 		defer f.stop()
-		f.cutLinks([]int{1}, linkHangs)
-		f.sendTo(1, "detected", linkPaths, 2*time.Second)
+		f.partition(1)
 		f.setServe(func(_ *memoryTarget, w http.ResponseWriter, r *http.Request) bool {
 			w.Header().Set(trafficID, r.Header.Get(trafficID))
 			for i := range linkEvents {
@@ -312,8 +310,7 @@
 				f := newLinkFleet(t, 6, 6)
 				defer f.stop()
 				const cut, ends = 1, 4 // both in zone z1
-				f.cutLinks([]int{cut}, linkHangs)
-				f.sendTo(cut, "detected", linkPaths, 2*time.Second)
+				f.partition(cut)
 				time.AfterFunc(time.Second+linkEventInterval, func() {
 					if killed {
 						f.kill(ends)
@@ -339,8 +336,7 @@
 		is := is.New(t)
 		f := newLinkFleet(t, 3, 3)
 		defer f.stop()
-		f.cutLinks([]int{1}, linkHangs)
-		f.sendTo(1, "detected", linkPaths, 2*time.Second)
+		f.partition(1)
 		left := make(chan time.Time, 1)
 		f.setServe(func(_ *memoryTarget, _ http.ResponseWriter, r *http.Request) bool {
 			_, _ = io.Copy(io.Discard, r.Body)
@@ -364,8 +360,7 @@
 		is := is.New(t)
 		f := newLinkFleet(t, 3, 3)
 		defer f.stop()
-		f.cutLinks([]int{1}, linkHangs)
-		f.sendTo(1, "detected", linkPaths, 2*time.Second)
+		f.partition(1)
 		left := make(chan time.Time, 8)
 		f.setServe(func(_ *memoryTarget, _ http.ResponseWriter, r *http.Request) bool {
 			_, _ = io.Copy(io.Discard, r.Body)
@@ -388,8 +383,7 @@
 		is := is.New(t)
 		f := newLinkFleet(t, 6, 6)
 		defer f.stop()
-		f.cutLinks([]int{1}, linkHangs)
-		f.sendTo(1, "detected", linkPaths, 2*time.Second)
+		f.partition(1)
 		arrived := atomic.Int64{}
 		f.setServe(func(*memoryTarget, http.ResponseWriter, *http.Request) bool {
 			arrived.Add(1)
@@ -461,8 +455,7 @@
 		is.Equal(statusOf("t-01:1"), peer.TunnelRefused)
 		f.net.setCut("e-000", "t-01", linkHangs)
 		is.Equal(statusOf("t-01:1"), peer.TunnelUnanswered)
-		f.cutLinks([]int{0}, linkHangs)
-		f.sendTo(0, "detected", linkPaths, 2*time.Second)
+		f.partition(0)
 		is.Equal(statusOf("t-02:1"), peer.TunnelUnable)
 		f.cutLinks([]int{0}, linkIntact)
 		time.Sleep(maxDetectionTime)
