--- a/internal/gateway/target_links_test.go
+++ b/internal/gateway/target_links_test.go
@@ -143,6 +143,18 @@
 	f.serve = serve
 }
 
+// serveUntilLeft makes targets work on each request until its caller has left. The channel tells when.
+func (f *linkFleet) serveUntilLeft() <-chan time.Time {
+	left := make(chan time.Time, 8)
+	f.setServe(func(_ *memoryTarget, _ http.ResponseWriter, r *http.Request) bool {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+		left <- time.Now()
+		return true
+	})
+	return left
+}
+
 // kill ends an instance at once, with all its connections.
 func (f *linkFleet) kill(i int) {
 	g := f.gateways[i]
--- a/internal/gateway/target_partition_test.go
+++ b/internal/gateway/target_partition_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -337,13 +336,7 @@
 		f := newLinkFleet(t, 3, 3)
 		defer f.stop()
 		f.partition(1)
-		left := make(chan time.Time, 1)
-		f.setServe(func(_ *memoryTarget, _ http.ResponseWriter, r *http.Request) bool {
-			_, _ = io.Copy(io.Discard, r.Body)
-			<-r.Context().Done()
-			left <- time.Now()
-			return true
-		})
+		left := f.serveUntilLeft()
 		conn := f.dialCaller(1)
 		fmt.Fprintf(conn, "POST %sx HTTP/1.1\r\nHost: %s\r\n%s: leaving\r\n%s: key\r\nContent-Length: 1\r\n\r\nx", pathAudit, anyHost, trafficID, trafficKey)
 		time.Sleep(200 * time.Millisecond)
@@ -361,13 +354,7 @@
 		f := newLinkFleet(t, 3, 3)
 		defer f.stop()
 		f.partition(1)
-		left := make(chan time.Time, 8)
-		f.setServe(func(_ *memoryTarget, _ http.ResponseWriter, r *http.Request) bool {
-			_, _ = io.Copy(io.Discard, r.Body)
-			<-r.Context().Done()
-			left <- time.Now()
-			return true
-		})
+		left := f.serveUntilLeft()
 		before := f.relayed()
 		r := (&linkCaller{f: f, name: "stalled", instance: 1}).send(pathOnce, 0)
 		is.Equal(r.status, http.StatusGatewayTimeout)
