Retries are counted by service, cause and what the budget had to do with them

Cause: of a sum over the fleet that was too high, nothing told why: retries had neither service nor cause, what the budget let pass free left no trace, and nobody could add up the instances.

Change: each failed attempt logs its service, its number, the budget's part (charged, free, exhausted, not asked), the balance left, the number of instances the budget is computed for and the age of the process; the same as metrics. shedhoist logs retries FILE... sums the logs of all instances, for each service in the window with the most of them. No decision changes.

--- a/internal/core/limit/fleet_budget.go
+++ b/internal/core/limit/fleet_budget.go
@@ -29,6 +29,9 @@
 	b.balance = math.Min(b.balance, b.maxBalance)
 }
 
+// Balance returns the retries that are left.
+func (b *FleetBudget) Balance() float64 { return b.balance }
+
 // Deposit adds what one request earns.
 func (b *FleetBudget) Deposit() { b.balance = math.Min(b.maxBalance, b.balance+b.Ratio) }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -62,6 +62,7 @@
 	decision         placement.Decision   // the decision that refused the request
 	predictedMS      float64              // predicted time to the first byte
 	fallback         *bufferedResponse    // a target's error response, delivered if no attempt succeeds
+	budgetUse        budgetUse            // what the end of the last attempt meant for the retry budget
 	finished         bool
 }
 
@@ -186,7 +187,9 @@
 	if errors.Is(x.r.Context().Err(), context.Canceled) {
 		result.event = attempt.CallerGone // takes precedence over the attempt's own error
 	}
+	x.budgetUse = budgetNotAsked
 	v := x.machine.Step(result.event, func() bool { return x.mayRetry(result) })
+	metric.ServiceRetries(x.service, result.event.String(), string(x.budgetUse)).Inc()
 	if v.Action != attempt.Fail {
 		metric.Retries.Inc()
 		x.logFailedAttempt(result, v.Action.String())
@@ -204,11 +207,32 @@
 	}
 	switch result.event {
 	case attempt.NotSent:
-		return x.failedDials <= maxFailedDials // no target was reached, so the budget is not charged
+		if x.failedDials > maxFailedDials {
+			return false
+		}
+		x.budgetUse = budgetFree // no target was reached
+		return true
 	case attempt.Refused:
-		return x.refusals <= maxRefusals && x.g.retryBudgets.spendRetry(x.service)
+		return x.refusals <= maxRefusals && x.chargeRetry()
 	}
-	return x.possibleRuns < x.route.MaxAttempts && (result.retryPaid || x.g.retryBudgets.spendRetry(x.service))
+	if x.possibleRuns >= x.route.MaxAttempts {
+		return false
+	}
+	if result.retryPaid {
+		x.budgetUse = budgetCharged
+		return true
+	}
+	return x.chargeRetry()
+}
+
+// chargeRetry charges another attempt to the retry budget and reports whether it allows one.
+func (x *exchange) chargeRetry() bool {
+	ok := x.g.retryBudgets.spendRetry(x.service)
+	x.budgetUse = budgetExhausted
+	if ok {
+		x.budgetUse = budgetCharged
+	}
+	return ok
 }
 
 // fail ends the request: with the fallback response if there is one, otherwise with a
@@ -238,7 +262,12 @@
 // logFailedAttempt logs an attempt that did not deliver, and what follows it.
 func (x *exchange) logFailedAttempt(result attemptResult, next string) {
 	e := x.g.log.WithField("request", x.call.ID).WithField("target", x.triedTargets[len(x.triedTargets)-1]).WithField("ended", result.event.String()).
-		WithField("next", next).WithField("age_ms", x.elapsedMS()).WithField("key", x.quarantineKey().String())
+		WithField("next", next).WithField("age_ms", x.elapsedMS()).WithField("key", x.quarantineKey().String()).
+		WithField("service", x.service).WithField("attempt", len(x.triedTargets)).WithField("budget", string(x.budgetUse))
+	if x.budgetUse == budgetCharged || x.budgetUse == budgetExhausted {
+		balance, instances := x.g.retryBudgets.state(x.service)
+		e = e.WithField("budget_balance", balance).WithField("budget_instances", instances).WithField("up_ms", x.g.now().Sub(x.g.startedAt).Milliseconds())
+	}
 	if result.cause != nil {
 		e = e.WithError(result.cause)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -346,6 +346,7 @@
 	metric.SetGauge("shedhoist_targets_reached", boolGauge(!g.targetLinks.lost()))
 	metric.SetGauge("shedhoist_ready", boolGauge(g.Ready()))
 	metric.SetGauge("shedhoist_requests_in_hand", float64(g.inFlight.Load()))
+	g.retryBudgets.setGauges()
 	metric.Write(w)
 }
 
--- a/internal/gateway/retry_budgets.go
+++ b/internal/gateway/retry_budgets.go
@@ -44,6 +44,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.budgetOf(service).Deposit()
+	metric.BudgetedRequests(service).Inc()
 }
 
 // spendRetry takes one retry from a service's budget and reports whether there was one.
@@ -56,3 +57,30 @@
 	}
 	return ok
 }
+
+// state returns the retries left for a service, and the number of instances for which its budget is computed.
+func (b *retryBudgets) state(service string) (balance float64, instances int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budgetOf(service).Balance(), max(b.g.view.Load().InstanceCount, minAssumedFleet)
+}
+
+// setGauges sets the gauges of the retries left, by service.
+func (b *retryBudgets) setGauges() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for service, budget := range b.byService {
+		metric.SetGauge(metric.RetryBalanceGauge(service), budget.Balance())
+	}
+}
+
+// budgetUse says what the end of an attempt meant for the retry budget. It is logged, and a label of metrics.
+type budgetUse string
+
+// Values of budgetUse.
+const (
+	budgetNotAsked  budgetUse = "not-asked" // another attempt is ruled out, whatever the budget
+	budgetFree      budgetUse = "free"      // the attempt reached no target, so that the next one is no repeat
+	budgetCharged   budgetUse = "charged"
+	budgetExhausted budgetUse = "exhausted"
+)
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -65,6 +65,22 @@
 	return metrics.GetOrCreateCounter(fmt.Sprintf(`shedhoist_peer_call_bytes_total{method=%q}`, method))
 }
 
+// BudgetedRequests counts the requests for a service, each of which earns a share of a retry.
+func BudgetedRequests(service string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`shedhoist_budgeted_requests_total{service=%q}`, service))
+}
+
+// ServiceRetries counts the decisions about another attempt at a service, by the end of the attempt before
+// and by what became of the retry budget: "charged", "free", "exhausted" or "not-asked".
+func ServiceRetries(service, cause, budget string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`shedhoist_service_retries_total{service=%q,cause=%q,budget=%q}`, service, cause, budget))
+}
+
+// RetryBalanceGauge is the name of the gauge of the retries that this instance has left for a service.
+func RetryBalanceGauge(service string) string {
+	return fmt.Sprintf(`shedhoist_retry_balance{service=%q}`, service)
+}
+
 // SetGauge sets the gauge of the given name, which it creates if necessary.
 func SetGauge(name string, value float64) { metrics.GetOrCreateGauge(name, nil).Set(value) }
 
--- a/internal/tool/logs.go
+++ b/internal/tool/logs.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -34,10 +36,51 @@
 				return &RequestNotFoundError{Request: args[0]}
 			}
 			return o.print(s, func(w io.Writer) { printTimeline(w, s) })
-		}})
+		}}, o.retriesCmd())
 	return logs
 }
 
+// defaultRetryWindow is the window in which retries are counted, unless a flag sets another one.
+const defaultRetryWindow = 10 * time.Second
+
+func (o *options) retriesCmd() *cobra.Command {
+	var window time.Duration
+	retries := &cobra.Command{Use: "retries FILE...", Short: "Sum the retries of all instances, by service, in the window with the most of them",
+		Long: "Reads the JSON log lines of any number of instances (- is standard input) and prints, for each\n" +
+			"service, the window with the most retries: how many were charged to the budget, why, and by whom.",
+		Example: "  shedhoist logs retries *.log",
+		Args:    cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			lines, err := readLogs(cmd.InOrStdin(), args)
+			if err != nil {
+				return err
+			}
+			windows := requestlog.RetryWindows(lines, window)
+			return o.print(windows, func(w io.Writer) { printRetries(w, windows) })
+		}}
+	retries.Flags().DurationVar(&window, "window", defaultRetryWindow, "length of the window")
+	return retries
+}
+
+func printRetries(w io.Writer, windows []requestlog.RetryWindow) {
+	for _, r := range windows {
+		fmt.Fprintf(w, "%s\tfrom %s: %d requests, %d retries charged, %d free, %d not allowed\n", r.Service, r.Start.Format(time.TimeOnly+".000"), r.Requests, r.Charged, r.Free, r.Exhausted)
+		fmt.Fprintf(w, "  %d starts of instances, %d retries by those; budgets for %d to %d instances\n", r.Starts, r.AfterStart, r.MinInstances, r.MaxInstances)
+		printCounts(w, "after", r.ByCause)
+		printCounts(w, "by", r.ByInstance)
+	}
+	if len(windows) == 0 {
+		fmt.Fprintln(w, "no retries")
+	}
+}
+
+// printCounts prints a line for each count, in the order of the names.
+func printCounts(w io.Writer, label string, counts map[string]int) {
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		fmt.Fprintf(w, "  %s %s\t%d\n", label, name, counts[name])
+	}
+}
+
 func readLogs(stdin io.Reader, files []string) ([]requestlog.Line, error) {
 	var out []requestlog.Line
 	for _, name := range files {
