Requests that a brittle target turned away are not retried while many others turn requests away

What callers saw: brittle targets fell over, and with them the requests that they were running, while instances retried the requests that they had been turned away with, at the next target that was as full.

Cause: a refusal says that a target is full; where several targets of the service refuse within the time in which refusals count, the others are about to.

--- a/internal/gateway/brittle.go
+++ b/internal/gateway/brittle.go
@@ -111,6 +111,30 @@
 	return recent[len(recent)-bearable].Add(brittleWindow).Sub(now)
 }
 
+// refusing returns how many of the targets have turned a request away within brittleWindow.
+func (b *brittleReports) refusing(targets []*catalog.Target, now time.Time) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, t := range targets {
+		if recent := b.recent[t.ID]; len(recent) > 0 && now.Sub(recent[len(recent)-1]) < brittleWindow {
+			n++
+		}
+	}
+	return n
+}
+
+// maxRefusingFraction is the fraction of a service's targets that may turn requests away at a time without
+// the service counting as full.
+const maxRefusingFraction = 0.25
+
+// brittleTargetsAreFull reports whether a brittle target has turned the request away, as many others of its
+// service do: another one would most likely do so too, and each bears few of that.
+func (x *exchange) brittleTargetsAreFull() bool {
+	serving := x.view.Serving[x.service]
+	return x.notice.Brittle > 0 && float64(x.g.brittle.refusing(serving, x.g.now())) > maxRefusingFraction*float64(len(serving))
+}
+
 // spread returns the bound of the random part of a pause.
 func (b *brittleReports) spread() time.Duration {
 	return min(max(brittleSpread*time.Duration(b.g.view.Load().InstanceCount), minBrittleSpread), maxBrittleSpread)
--- a/internal/gateway/brittle_test.go
+++ b/internal/gateway/brittle_test.go
@@ -37,6 +37,8 @@
 	brittlePlaces = 8                      // requests that it runs or lets wait
 	brittleWork   = 400 * time.Millisecond // duration of a request
 	brittleGrace  = 3 * time.Second        // from the first word of its limit on it has room for all
+
+	brittleRetrySlack = 2.5 // retries that the fleet may make for each instance, besides those that requests earn
 )
 
 // brittleState is the state of a brittle target.
@@ -129,7 +131,9 @@
 		interval = 2 * during / time.Duration(3*capacity)
 	)
 	b := &brittleTargets{limit: limit, states: map[string]*brittleState{}}
-	f := newFleetWith(t, n, 3, targets, fleetOptions{codec: brittleCodec{}, serve: b.serve})
+	f := newFleetWith(t, n, 3, targets, fleetOptions{codec: brittleCodec{}, serve: b.serve, editSettings: func(s *Settings) {
+		s.Retry = RetryBudget{Share: 0.2, Slack: brittleRetrySlack * float64(n), Window: 10 * time.Second}
+	}})
 	defer f.stop()
 	b.since = time.Now()
 	var requests sync.WaitGroup
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -213,7 +213,7 @@
 		x.budgetUse = budgetFree // no target was reached
 		return true
 	case attempt.Refused:
-		return x.refusals <= maxRefusals && x.chargeRetry()
+		return x.refusals <= maxRefusals && !x.brittleTargetsAreFull() && x.chargeRetry()
 	}
 	if x.possibleRuns >= x.route.MaxAttempts {
 		return false
@@ -277,6 +277,9 @@
 	if x.notice.Leaving {
 		e = e.WithField("target_leaves", true)
 	}
+	if x.notice.Brittle > 0 {
+		e = e.WithField("refusing_targets", x.g.brittle.refusing(x.view.Serving[x.service], x.g.now()))
+	}
 	if x.relayed {
 		e = e.WithField("relayed_by", x.relayName())
 	}
