Retry budget of a fleet: earned by own requests, slack only after a window of uptime

Cause: an instance's part of the slack lay in its memory and was whole at its start. Each start in a window minted it anew; an instance that had not heard of its peers took a tenth of the whole; and where parts were smaller than one, no instance ever made a retry. The class: a bound of the fleet, divided by what each believes of the fleet, and kept by what a process remembers.

Change: retries are earned by the instance's own requests, and kept for a quarter of a window only: what an instance spends in a window was earned in it or shortly before, by requests that the fleet's bound counts, whoever restarts, splits off or is added. The part of the slack comes once an instance has been up for a window, so that no window holds its part and its predecessor's; a reserve serves instances that start. An instance that is to join others and has heard of none has no part; the largest fleet of the last hour counts. Less than one retry is made with a probability of its size, as a debt.

--- a/internal/gateway/retry_budgets.go
+++ b/internal/gateway/retry_budgets.go
@@ -1,38 +1,78 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"sync"
+	"time"
 
 	"github.com/shedhoist/shedhoist/internal/core/limit"
 	"github.com/shedhoist/shedhoist/internal/metric"
 )
 
-// retryBudgets holds this instance's share of each service's retry budget.
+// retryBudgets holds this instance's part of each service's retry budget.
 type retryBudgets struct {
 	g         *Gateway
 	mu        sync.Mutex
 	byService map[string]*limit.FleetBudget
+	fleet     fleetSize
 }
 
 const (
-	// budgetUtilization is the share of the allowed retries that is used: the shares of
-	// instances that do not know of one another yet add up to more than the budget.
-	budgetUtilization = 0.8
-	// minAssumedFleet is the least number of instances assumed: an instance that has just
-	// started knows of no other.
+	// minAssumedFleet is the least number of instances assumed: instances that start together know
+	// few others at first.
 	minAssumedFleet = 10
+	// fleetSizeMemory is how long a number of instances is remembered after fewer are known: a part of
+	// a fleet that is split must not take the place of the whole.
+	fleetSizeMemory = time.Hour
 )
 
+// fleetSize is the largest number of instances known within fleetSizeMemory.
+type fleetSize struct {
+	largest int
+	until   time.Time
+}
+
+// observe takes note of the number of instances known now and returns the largest recent one.
+func (s *fleetSize) observe(instances int, now time.Time) int {
+	if instances >= s.largest || now.After(s.until) {
+		s.largest, s.until = instances, now.Add(fleetSizeMemory)
+	}
+	return s.largest
+}
+
+// instances returns the number of instances among which the slack is divided; 0: not known, since this
+// instance has not heard of any other although there are some. b.mu is held.
+func (b *retryBudgets) instances() int {
+	known := b.fleet.observe(b.g.view.Load().InstanceCount, b.g.now())
+	switch {
+	case !b.g.hasOtherSeeds():
+		return known
+	case known <= 1:
+		return 0
+	}
+	return max(known, minAssumedFleet)
+}
+
+// hasOtherSeeds reports whether this instance is to join others.
+func (g *Gateway) hasOtherSeeds() bool {
+	for _, seed := range g.seeds() {
+		if seed != g.PeerAddr() {
+			return true
+		}
+	}
+	return false
+}
+
 // budgetOf returns a service's budget, resized to the number of instances. b.mu is held.
 func (b *retryBudgets) budgetOf(service string) *limit.FleetBudget {
-	instances := max(b.g.view.Load().InstanceCount, minAssumedFleet)
+	instances := b.instances()
 	if b.byService == nil {
 		b.byService = map[string]*limit.FleetBudget{}
 	}
 	budget := b.byService[service]
 	if budget == nil {
 		set := b.g.settings().Retry
-		budget = limit.NewFleetBudget(set.Share*budgetUtilization, set.Slack*budgetUtilization, instances)
+		budget = limit.NewFleetBudget(limit.FleetBudgetConfig{Ratio: set.Share, Slack: set.Slack, Window: set.Window}, instances, b.g.startedAt)
 		b.byService[service] = budget
 	}
 	budget.Resize(instances)
@@ -43,7 +83,7 @@
 func (b *retryBudgets) creditRequest(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.budgetOf(service).Deposit()
+	b.budgetOf(service).Deposit(b.g.now())
 	metric.BudgetedRequests(service).Inc()
 }
 
@@ -51,18 +91,18 @@
 func (b *retryBudgets) spendRetry(service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	ok := b.budgetOf(service).TryWithdraw()
+	ok := b.budgetOf(service).TryWithdraw(b.g.now(), rand.Float64())
 	if !ok {
 		metric.RetryBudgetRefusals.Inc()
 	}
 	return ok
 }
 
-// state returns the retries left for a service, and the number of instances for which its budget is computed.
+// state returns the retries left for a service, and the number of instances among which its slack is divided.
 func (b *retryBudgets) state(service string) (balance float64, instances int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.budgetOf(service).Balance(), max(b.g.view.Load().InstanceCount, minAssumedFleet)
+	return b.budgetOf(service).Balance(b.g.now()), b.instances()
 }
 
 // setGauges sets the gauges of the retries left, by service.
@@ -70,7 +110,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for service, budget := range b.byService {
-		metric.SetGauge(metric.RetryBalanceGauge(service), budget.Balance())
+		metric.SetGauge(metric.RetryBalanceGauge(service), budget.Balance(b.g.now()))
 	}
 }
 
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -47,6 +47,7 @@
 	defaultRolloutWithin = 10 * time.Second // docs/ROLLOUT.md
 	defaultConfigWithin  = 10 * time.Second // objective, see docs/CAPACITY.md
 	defaultRetryShare    = 0.1              // Google SRE book, "Addressing Cascading Failures"
+	defaultRetryWindow   = 10 * time.Second
 )
 
 // WithDefaults returns a copy with the default policy, and with defaults for settings that are zero.
@@ -68,5 +69,8 @@
 	if out.Retry.Share <= 0 && out.Retry.Slack <= 0 {
 		out.Retry.Share = defaultRetryShare
 	}
+	if out.Retry.Window <= 0 {
+		out.Retry.Window = defaultRetryWindow
+	}
 	return &out
 }
