The retry budget follows reloaded settings

Reloaded settings replaced the budget (docs/SETTINGS.md says so), but each service kept the one that it had been given first, until the process ended.

--- a/internal/core/limit/fleet_budget.go
+++ b/internal/core/limit/fleet_budget.go
@@ -38,6 +38,11 @@
 	Window time.Duration // any span of this length counts
 }
 
+// horizon returns how long requests count for what they have earned.
+func (c FleetBudgetConfig) horizon() time.Duration {
+	return time.Duration(horizonShare * float64(c.Window))
+}
+
 const (
 	// earnedShare is the part of Ratio that requests earn. The requests of the horizon before a window
 	// may be spent in it too, and both together may not exceed the whole.
@@ -57,7 +62,7 @@
 // size; 0: not known.
 func NewFleetBudget(config FleetBudgetConfig, instances int, started time.Time) *FleetBudget {
 	b := &FleetBudget{config: config, instances: instances, slackAt: started.Add(config.Window),
-		requests: recentCount{span: time.Duration(horizonShare * float64(config.Window))}}
+		requests: recentCount{span: config.horizon()}}
 	b.balance = b.slackPart(startShare / maxStarts)
 	return b
 }
@@ -70,9 +75,12 @@
 	return b.config.Slack * share / float64(b.instances)
 }
 
-// Resize sets the number of instances among which the slack is divided; 0: not known, so that there is no
-// part of it.
-func (b *FleetBudget) Resize(instances int) { b.instances = instances }
+// Update sets the budget of the fleet, and the number of instances among which the slack is divided; 0: not
+// known, so that there is no part of it. It may reduce the balance but never raises it.
+func (b *FleetBudget) Update(config FleetBudgetConfig, instances int) {
+	b.config, b.instances = config, instances
+	b.requests.span = config.horizon()
+}
 
 // Balance returns the retries that are left.
 func (b *FleetBudget) Balance(now time.Time) float64 {
--- a/internal/core/limit/fleet_budget_test.go
+++ b/internal/core/limit/fleet_budget_test.go
@@ -110,11 +110,23 @@
 	is.True(b.Balance(now) > 100)
 	is.Equal(b.Balance(now.Add(config.Window)), start)
 
-	b.Resize(20)
+	b.Update(config, 20)
 	is.Equal(b.Balance(now.Add(config.Window)), start/2)
 	is.Equal(limit.NewFleetBudget(config, 0, now.Add(-config.Window)).Balance(now), 0.0)
 }
 
+// TestFleetBudgetFollowsSettings guards against a budget that stays as it was first set.
+func TestFleetBudgetFollowsSettings(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	config := limit.FleetBudgetConfig{Ratio: 0.2, Slack: 40, Window: 10 * time.Second}
+	b := limit.NewFleetBudget(config, 1, now.Add(-time.Minute))
+	before := b.Balance(now)
+	config.Slack /= 4
+	b.Update(config, 1)
+	is.Equal(b.Balance(now), before/4)
+}
+
 // TestFleetBudgetOfNewInstance guards against an instance that has its part of the slack in the window in which
 // its predecessor may have spent the same part.
 func TestFleetBudgetOfNewInstance(t *testing.T) {
--- a/internal/gateway/retry_budgets.go
+++ b/internal/gateway/retry_budgets.go
@@ -63,19 +63,20 @@
 	return false
 }
 
-// budgetOf returns a service's budget, resized to the number of instances. b.mu is held.
+// budgetOf returns a service's budget, for the present settings and number of instances. b.mu is held.
 func (b *retryBudgets) budgetOf(service string) *limit.FleetBudget {
 	instances := b.instances()
 	if b.byService == nil {
 		b.byService = map[string]*limit.FleetBudget{}
 	}
+	set := b.g.settings().Retry
+	config := limit.FleetBudgetConfig{Ratio: set.Share, Slack: set.Slack, Window: set.Window}
 	budget := b.byService[service]
 	if budget == nil {
-		set := b.g.settings().Retry
-		budget = limit.NewFleetBudget(limit.FleetBudgetConfig{Ratio: set.Share, Slack: set.Slack, Window: set.Window}, instances, b.g.startedAt)
+		budget = limit.NewFleetBudget(config, instances, b.g.startedAt)
 		b.byService[service] = budget
 	}
-	budget.Resize(instances)
+	budget.Update(config, instances)
 	return budget
 }
 
