Limits that targets name in their responses are decoded, logged and counted

Cause: Server-Limit was decoded nowhere, and no line or count told that a target named it.

Change: the notice of a response has the limit; each instance keeps the last word on each target, by the time of its response, and logs when a target names a limit, another one or none any more; the number of limited targets is a gauge. No decision changes.

--- /dev/null
+++ b/internal/core/targetlimit/targetlimit.go
@@ -0,0 +1,143 @@
+// Package targetlimit keeps the requests that all instances together send to a target within the limit that
+// the target names. Every instance knows the limits that it has heard of (Limits). For each target one
+// instance, the keeper, gives out permits at the rate of the limit (Permits); nobody sends without one. The
+// package does no I/O and reads no clock.
+package targetlimit
+
+import (
+	"maps"
+	"math"
+	"sync"
+	"time"
+)
+
+// Word is what an instance knows of a target's limit.
+type Word struct {
+	Named     bool    // false: the target has ceased to name one
+	PerSecond float64 // requests that it takes from all instances together
+	// At is when it was last known to hold: when the response that names the limit arrived, or when the
+	// request was sent whose response names none. Of two words the later one holds, so that a response
+	// that was under way while a limit was named doesn't end it.
+	At time.Time
+}
+
+// Limits holds the last word on each target, by its id. The zero value is ready for use. It is safe for
+// concurrent use.
+type Limits struct {
+	mu    sync.Mutex
+	words map[string]Word
+}
+
+// endMemory is how long an end is remembered: older words may still be on their way meanwhile.
+const endMemory = time.Minute
+
+// Learn takes note of a word and reports whether it changes the limit.
+func (l *Limits) Learn(target string, w Word) (changed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	last, known := l.words[target]
+	if known && !w.At.After(last.At) || !known && !w.Named {
+		return false
+	}
+	if l.words == nil {
+		l.words = map[string]Word{}
+	}
+	l.words[target] = w
+	return w.Named != last.Named || w.PerSecond != last.PerSecond
+}
+
+// Of returns the last word on a target, and whether there is one.
+func (l *Limits) Of(target string) (w Word, known bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w, known = l.words[target]
+	return w, known
+}
+
+// All returns the last words on all targets, by id. It is usually empty.
+func (l *Limits) All() map[string]Word {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.words)
+}
+
+// Count returns the number of targets that name a limit.
+func (l *Limits) Count() int {
+	n := 0
+	for _, w := range l.All() {
+		if w.Named {
+			n++
+		}
+	}
+	return n
+}
+
+// Retain forgets targets that are not kept, and ends that are past.
+func (l *Limits) Retain(keep func(target string) bool, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.words, func(target string, w Word) bool {
+		return !keep(target) || !w.Named && now.Sub(w.At) > endMemory
+	})
+}
+
+// Permits gives out the permits to send requests to targets, by id. The zero value is ready for use. It is
+// safe for concurrent use.
+//
+// Invariant: in any time t, a target's permits are at most perSecond*t + the burst.
+type Permits struct {
+	mu      sync.Mutex
+	buckets map[string]bucket
+}
+
+// bucket is a token bucket, see Permits.
+type bucket struct {
+	level float64
+	at    time.Time
+}
+
+const (
+	// burstTime is the time for whose permits a target's bucket has room, besides one permit.
+	burstTime = 250 * time.Millisecond
+	// maxPermitWait bounds the time until a permit is due that is told.
+	maxPermitWait = 10 * time.Second
+)
+
+// Take takes a permit for one request to a target whose limit is perSecond, as far as this keeper may use it.
+// If there is none, it returns the time until there may be one. A target's first permit is due only after
+// the time that one takes: another keeper may just have given one.
+func (p *Permits) Take(target string, perSecond float64, now time.Time) (ok bool, wait time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.buckets == nil {
+		p.buckets = map[string]bucket{}
+	}
+	b, exists := p.buckets[target]
+	if exists {
+		b.level = math.Min(1+perSecond*burstTime.Seconds(), b.level+perSecond*now.Sub(b.at).Seconds())
+	}
+	b.at = now
+	if ok = b.level >= 1; ok {
+		b.level--
+	}
+	p.buckets[target] = b
+	return ok, permitWait(1-b.level, perSecond)
+}
+
+// permitWait returns the time in which a rate gives a part of a permit.
+func permitWait(missing, perSecond float64) time.Duration {
+	if missing <= 0 {
+		return 0
+	}
+	if missing >= perSecond*maxPermitWait.Seconds() {
+		return maxPermitWait
+	}
+	return time.Duration(missing / perSecond * float64(time.Second))
+}
+
+// Retain forgets targets that are not kept.
+func (p *Permits) Retain(keep func(target string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	maps.DeleteFunc(p.buckets, func(target string, _ bucket) bool { return !keep(target) })
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -137,6 +137,9 @@
 		if x.matchesResponse(at.response) {
 			x.notice = at.response.Notice
 			x.g.applyNotice(t, x.notice, registry.Source{Channel: string(fromAnswer), Reporter: x.call.ID, RequestSent: at.startedAt})
+			if !x.notice.Limit.Named && !at.response.Misdirected {
+				x.g.limits.observe(t, RateLimit{}, at.startedAt) // it may have named one before
+			}
 		}
 		result = x.handleResponse(at)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,6 +104,7 @@
 	zoneMonitor     zoneMonitor    // zones that are unreachable as a whole
 	targetLinks     targetLinks    // the services whose targets this instance reaches
 	brittle         brittleReports // brittle targets that turned requests away
+	limits          targetLimits   // requests a second that targets take from all instances together
 	relays          relays         // peers that reach targets for this instance
 	breaker         *breaker.Set   // targets whose requests fail
 	retryBudgets    retryBudgets
@@ -138,6 +139,7 @@
 	g.upstream.dialRelayed = g.relays.dialRelayed
 	g.quarantine, g.suspectsDue, g.outboxDue = quarantine.NewTracker(), wait.NewSignal(), wait.NewSignal()
 	g.targetLinks.g, g.relays.g = g, g
+	g.limits.g = g
 	g.brittle.g, g.brittle.due = g, wait.NewSignal()
 	g.zoneMonitor.g, g.zoneMonitor.waiting = g, map[string]map[*attemptState]func(){}
 	g.crashDetector = &crashDetector{g: g, checks: map[string]*crashCheck{}}
@@ -310,6 +312,7 @@
 		g.breaker.Retain(keep)
 		g.warmup.Retain(keep)
 		g.brittle.retain(keep)
+		g.limits.retain(keep)
 		g.predictorMu.Lock()
 		g.predictor.Retain(keep)
 		g.predictorMu.Unlock()
@@ -346,6 +349,7 @@
 	metric.SetGauge("shedhoist_targets_reached", boolGauge(!g.targetLinks.lost()))
 	metric.SetGauge("shedhoist_ready", boolGauge(g.Ready()))
 	metric.SetGauge("shedhoist_requests_in_hand", float64(g.inFlight.Load()))
+	metric.SetGauge("shedhoist_limited_targets", float64(g.limits.known.Count()))
 	g.retryBudgets.setGauges()
 	metric.Write(w)
 }
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -15,6 +15,9 @@
 		metric.LeavingNotices.Inc()
 		g.noteLeaving(t, source)
 	}
+	if notice.Limit.Named {
+		g.limits.observe(t, notice.Limit, source.RequestSent)
+	}
 	if notice.Backoff > 0 {
 		metric.BackoffRequests.Inc()
 		g.applyBackoff(t, notice.Backoff, source)
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -116,6 +116,14 @@
 	// Brittle is how many requests a second it can turn away, those of all instances together, before it
 	// falls over; 0: it is not brittle.
 	Brittle int
+	Limit   RateLimit
+}
+
+// RateLimit is how many requests a second a target takes from all instances together. The zero value says
+// that it names no limit.
+type RateLimit struct {
+	Named     bool
+	PerSecond float64 // not negative; below 1: one request in more than a second
 }
 
 // Engines makes the calls to targets and cache stores that are not callers'
