Words that travel along the relay tree have one outbox

The refusals of brittle targets are queued, joined and passed on by a type of their own, for words on any subject: what targets say of their limits will go the same way. No behaviour changes; the tests of brittle targets pass, twice.

--- a/internal/gateway/brittle.go
+++ b/internal/gateway/brittle.go
@@ -11,7 +11,6 @@
 	"github.com/shedhoist/shedhoist/internal/catalog"
 	"github.com/shedhoist/shedhoist/internal/loadreport"
 	"github.com/shedhoist/shedhoist/internal/metric"
-	"github.com/shedhoist/shedhoist/internal/wait"
 )
 
 // A brittle target falls over if it has to turn away more than a few requests a second for want of room,
@@ -28,8 +27,6 @@
 	brittleSpread    = 20 * time.Millisecond
 	minBrittleSpread = 300 * time.Millisecond
 	maxBrittleSpread = 3 * time.Second
-	// brittleReportDelay is how long words of refusals wait to be sent together.
-	brittleReportDelay = time.Millisecond
 	// brittleReportTimeout bounds the sending of a word to a peer.
 	brittleReportTimeout = 300 * time.Millisecond
 	// maxBrittleTargets bounds the targets in one message; the next message has the others.
@@ -51,23 +48,19 @@
 	Limit  int            `cbor:"3,keyasint"` // how many it can turn away in a second
 }
 
-// brittleRefusals are refusals by target.
-type brittleRefusals map[loadreport.Key]BrittleRefusal
-
-// add adds the refusals of one target; the newest limit counts.
-func (b brittleRefusals) add(r BrittleRefusal) {
-	r.Count += b[r.Target].Count
-	b[r.Target] = r
+// addRefusals joins two words of one target's refusals; the newest limit counts.
+func addRefusals(older, newer BrittleRefusal) BrittleRefusal {
+	newer.Count += older.Count
+	return newer
 }
 
 // brittleReports counts the refusals of brittle targets, and tells peers of them.
 type brittleReports struct {
-	g   *Gateway
-	due wait.Signal
+	g      *Gateway
+	outbox *treeOutbox[loadreport.Key, BrittleRefusal]
 
-	mu      sync.Mutex
-	recent  map[string][]time.Time     // refusals within brittleWindow, by id of the target
-	pending map[string]brittleRefusals // to be told, by the peer that told of them; "": this instance was turned away
+	mu     sync.Mutex
+	recent map[string][]time.Time // refusals within brittleWindow, by id of the target
 }
 
 // turnedAway is called when a brittle target has turned away a request of this instance.
@@ -75,9 +68,7 @@
 	metric.BrittleRefusals.Inc()
 	refusal := BrittleRefusal{Target: loadreport.KeyOf(t.ID), Count: 1, Limit: limit}
 	b.count(t, refusal)
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.add("", refusal)
+	b.outbox.add("", refusal.Target, refusal)
 }
 
 // count counts refusals of a target, and keeps requests away from it while there are too many.
@@ -140,29 +131,15 @@
 	return min(max(brittleSpread*time.Duration(b.g.view.Load().InstanceCount), minBrittleSpread), maxBrittleSpread)
 }
 
-// add queues a word; b.mu is held.
-func (b *brittleReports) add(from string, r BrittleRefusal) {
-	if b.pending == nil {
-		b.pending = map[string]brittleRefusals{}
-	}
-	if b.pending[from] == nil {
-		b.pending[from] = brittleRefusals{}
-	}
-	b.pending[from].add(r)
-	b.due.Raise()
-}
-
 // BrittleRefusals handles a peer's word, and passes it on to those that hear of it only through this
 // instance.
 func (h *peerHandler) BrittleRefusals(req *BrittleRefusals, _ *Ack) error {
 	b := &h.g.brittle
-	told := brittleRefusals{}
-	b.mu.Lock()
+	told := map[loadreport.Key]BrittleRefusal{}
 	for _, r := range req.Targets {
-		told.add(r)
-		b.add(req.From, r)
+		b.outbox.put(told, r.Target, r)
+		b.outbox.add(req.From, r.Target, r)
 	}
-	b.mu.Unlock()
 	for _, t := range h.g.view.Load().Targets {
 		if r, ok := told[loadreport.KeyOf(t.ID)]; ok && r.Limit > 0 {
 			b.count(t, r)
@@ -180,34 +157,11 @@
 
 // run sends the pending words to the neighbours until ctx ends.
 func (b *brittleReports) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		if !b.due.Wait(ctx, time.Minute) || !wait.For(ctx, brittleReportDelay) {
-			continue
+	b.outbox.run(ctx, b.g, func(n neighbour, words map[loadreport.Key]BrittleRefusal) {
+		for targets := range slices.Chunk(slices.Collect(maps.Values(words)), maxBrittleTargets) {
+			b.g.spawn(func() { b.send(ctx, n, targets) })
 		}
-		b.mu.Lock()
-		pending := b.pending
-		b.pending = nil
-		b.mu.Unlock()
-		for _, n := range b.g.view.Load().Tree.neighbours() {
-			for targets := range slices.Chunk(n.brittleToReport(pending), maxBrittleTargets) {
-				b.g.spawn(func() { b.send(ctx, n, targets) })
-			}
-		}
-	}
-}
-
-// brittleToReport returns the refusals to tell a neighbour of: those that it does not hear of otherwise.
-func (n neighbour) brittleToReport(pending map[string]brittleRefusals) []BrittleRefusal {
-	out := brittleRefusals{}
-	for from, refusals := range pending {
-		if from != "" && !n.relayedFrom[from] {
-			continue
-		}
-		for _, r := range refusals {
-			out.add(r)
-		}
-	}
-	return slices.Collect(maps.Values(out))
+	})
 }
 
 func (b *brittleReports) send(ctx context.Context, n neighbour, targets []BrittleRefusal) {
