A target's limit holds for all instances together: its keeper gives out permits

What callers saw: servers in need got two to eight times what they had said they take, so that they stayed in need (LIMIT).

Cause: no instance read the limit, and none had a means to keep one that is named for all of them. The class: a bound for the sum over all instances that each meets by itself.

Change: for each target that names a limit one live instance, the first by rendezvous hashing, gives out permits at the rate of the limit; a request to such a target needs one, on every path to a target: first attempts, retries, streams that resume, tunnels. Without one it goes to another target at once, or is refused at once and told when to return. Instances tell one another along the tree, in replies to probes, and with each request for a permit. Later words hold; an answer ends a limit only if its request was sent after the last one that named it.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -26,6 +26,7 @@
 	LacksModel      bool    // does not serve the request's model
 	ZoneUnreachable bool    // its zone is unreachable: a last resort, like an ejected target
 	WarmupLimited   bool    // warming up, and this instance may send it no request now
+	RateLimited     bool    // names a limit, and there is no permit to send it a request now
 	InBackoff       bool    // has asked this instance to back off, and gets no requests
 	// Weight is the target's weight in the choice of homes. A target that is warming up gets
 	// requests from few instances, so each of these gives it a larger weight. 0 means 1.
@@ -79,6 +80,7 @@
 	Index         int // index of the selected target, or -1
 	FullTargets   int // eligible targets without enough free memory
 	WarmupLimited int // targets skipped because they are warming up
+	RateLimited   int // eligible targets skipped because they name limits, and there is no permit now
 	InBackoff     int // eligible targets skipped because they have asked for backoff
 	FreeTokens    int // largest free memory among the full targets
 }
@@ -134,13 +136,16 @@
 		if t.WarmupLimited {
 			d.WarmupLimited++
 		}
+		if t.RateLimited && !t.InBackoff && eligible(t, q) {
+			d.RateLimited++
+		}
 		if t.InBackoff {
 			if eligible(t, q) {
 				d.InBackoff++
 			}
 			continue
 		}
-		if t.Excluded || t.WarmupLimited || !eligible(t, q) {
+		if t.Excluded || t.WarmupLimited || t.RateLimited || !eligible(t, q) {
 			continue
 		}
 		full := q.Policy.Admission && t.isFullFor(q)
@@ -170,7 +175,7 @@
 func (t *Target) lastResort() bool { return t.Ejected || t.ZoneUnreachable }
 
 // unavailable reports whether this instance may send the target no request at all now.
-func (t *Target) unavailable() bool { return t.WarmupLimited || t.InBackoff }
+func (t *Target) unavailable() bool { return t.WarmupLimited || t.RateLimited || t.InBackoff }
 
 // isFullFor reports whether the request needs more memory than the target has free. A target
 // that runs no requests counts as not full: it refuses a request larger than its memory itself.
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -21,6 +21,15 @@
 
 // chooseTarget returns the target of the next attempt, or nil if the decision is not to send.
 func (x *exchange) chooseTarget() (*catalog.Target, placement.Decision) {
+	t, d := x.chooseAmongCandidates()
+	if t == nil && d.RateLimited > 0 && len(x.view.Candidates[x.service]) < len(x.view.Serving[x.service]) {
+		return x.chooseAmongCandidates() // now without those for which there is no permit
+	}
+	return t, d
+}
+
+// chooseAmongCandidates is chooseTarget with the candidates that are fit as far as is known.
+func (x *exchange) chooseAmongCandidates() (*catalog.Target, placement.Decision) {
 	ejected := x.g.breaker.EjectedForSelection()
 	candidates, serving := x.view.Candidates[x.service], x.view.Serving[x.service]
 	x.unreachableZones, x.backoffUntil = x.g.unreachableZones(x.service, serving), x.g.breaker.Backoffs()
@@ -29,7 +38,7 @@
 	}
 	options, works := x.placementTargets(candidates, ejected)
 	query := x.placementQuery()
-	for {
+	for permitCalls := 0; ; {
 		d := placement.Select(options, query)
 		if d.Action != placement.Send {
 			return nil, d
@@ -40,6 +49,14 @@
 			options[d.Index].InBackoff = true // it requested backoff of another request meanwhile
 			continue
 		}
+		if _, limited := x.g.limits.limitOf(t.ID); limited {
+			permitCalls++
+			if permitCalls > maxPermitCalls || !x.g.limits.acquire(x.ctx, t) {
+				x.permitsDenied++
+				options[d.Index].RateLimited = true
+				continue
+			}
+		}
 		if !options[d.Index].Ejected && !x.g.breaker.AllowProbe(t.ID) {
 			options[d.Index].Ejected = true // another request is its half-open probe
 			continue
@@ -81,10 +98,10 @@
 }
 
 // isFit reports whether a target serves the request's model with the newest weights, may
-// still be tried, is neither ejected nor in backoff nor in an unreachable zone, and, while
-// warming up, has a slot left for this instance.
+// still be tried, is neither ejected nor in backoff nor in an unreachable zone, may get a permit
+// if it names a limit, and, while warming up, has a slot left for this instance.
 func (x *exchange) isFit(t *catalog.Target, ejected []string) bool {
-	if x.isExcluded(t) || x.inBackoff(t) || slices.Contains(ejected, t.ID) || x.unreachableZones[t.Zone] {
+	if x.isExcluded(t) || x.inBackoff(t) || x.g.limits.waitFor(t.ID, x.g.now()) > 0 || slices.Contains(ejected, t.ID) || x.unreachableZones[t.Zone] {
 		return false
 	}
 	if blocked, _ := x.warmupBlocked(t, x.g.now()); blocked {
@@ -145,6 +162,7 @@
 	for i, t := range targets {
 		load := x.g.upstream.inflight.Get(t.ID)
 		o := placement.Target{ID: t.Name, Zone: t.Zone, InFlight: int(load.Requests.Load()), Excluded: x.isExcluded(t), Ejected: slices.Contains(ejected, t.ID), ZoneUnreachable: x.unreachableZones[t.Zone], InBackoff: x.inBackoff(t)}
+		o.RateLimited = x.g.limits.waitFor(t.ID, now) > 0
 		o.WarmupLimited, o.Weight = x.warmupBlocked(t, now)
 		if p := x.call.Prompt; p != nil {
 			version := t.WeightVersion(p.Model)
@@ -210,6 +228,8 @@
 		x.refuse(retryLater(problem.NoTarget, "all zones with targets of the service are evacuated", retryAfterEvacuation/2+rand.N(retryAfterEvacuation)))
 	case d.InBackoff > 0:
 		x.refuseInBackoff()
+	case d.RateLimited > 0:
+		x.refuseLimited()
 	case d.WarmupLimited > 0:
 		metric.WarmupRefusals.Inc()
 		x.refuse(retryLater(problem.Overloaded, "the targets are cold and bear no more now", retryAfterWarmup/2+rand.N(retryAfterWarmup)))
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -57,6 +57,7 @@
 	unreachableZones map[string]bool      // as of this attempt
 	backoffUntil     map[string]time.Time // end of the backoff that each target requested, as of this attempt
 	warmupSlotHeld   bool                 // it holds a slot at a target that is warming up, see warmup.go
+	permitsDenied    int                  // targets that got no request for want of a permit
 	isTrial          bool                 // a quarantined request, let through to see whether it still crashes its target
 	quarantineState  *quarantine.State    // set if the request was refused as quarantined
 	decision         placement.Decision   // the decision that refused the request
@@ -367,6 +368,9 @@
 	if n := x.decision.InBackoff; n > 0 {
 		e = e.WithField("resting_targets", n).WithField("rest_left_ms", x.backoffLeft().Milliseconds())
 	}
+	if x.permitsDenied > 0 || x.decision.RateLimited > 0 {
+		e = e.WithField("limited_targets", x.decision.RateLimited).WithField("permits_denied", x.permitsDenied)
+	}
 	if x.decision.Action == placement.Refuse {
 		e = e.WithField("full_targets", x.decision.FullTargets).WithField("free_tokens", x.decision.FreeTokens).WithField("needed_tokens", x.call.memoryTokens())
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -84,6 +84,7 @@
 		*out = c.replyHello(req)
 		behind, missingMembers = c.knownVersions().isBehind(req.StateVersions), c.needsMembers(req.LiveMembers)
 	})
+	out.Limits = h.g.limits.some()
 	out.Staleness = h.g.staleness.Reports(h.g.now())
 	out.SuspectsDigest = h.g.quarantine.Digest(h.g.now())
 	if missingMembers {
@@ -229,6 +230,7 @@
 	}
 	g.sendEvent(probeEnded{g: g, probe: p, ok: err == nil, reply: reply})
 	if err == nil {
+		g.limits.receive(reply.Limits, reply.From.Name)
 		g.lastPeerContact.Store(int64(g.now().Sub(g.startedAt)))
 		g.compareSuspects(reply.From, reply.SuspectsDigest)
 	}
--- a/internal/gateway/target_limits.go
+++ b/internal/gateway/target_limits.go
@@ -1,19 +1,88 @@
 package gateway
 
 import (
+	"context"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
+	"github.com/shedhoist/shedhoist/internal/core/member"
+	"github.com/shedhoist/shedhoist/internal/core/rendezvous"
 	"github.com/shedhoist/shedhoist/internal/core/targetlimit"
 	"github.com/shedhoist/shedhoist/internal/metric"
+	"github.com/shedhoist/shedhoist/internal/problem"
 )
 
 // A target in need names in its responses how many requests a second it takes from all instances together.
+// Instances tell one another of it along the relay tree, and in replies to probes. For each such target one live
+// instance, the first by rendezvous hashing, is the keeper: whoever wants to send the target a request asks
+// it for a permit. A request without a permit goes to another target at once, or is refused.
 
-// targetLimits holds the limits that targets name.
+const (
+	// keeperRole is the prefix of the rendezvous keys that rank instances as keepers of targets.
+	keeperRole = "limit/"
+	// permitTimeout bounds the call for a permit: a round trip between zones takes 3 ms.
+	permitTimeout = 100 * time.Millisecond
+	// keeperRetryTime is how long a target gets no requests from an instance that could get no answer for a permit.
+	keeperRetryTime = 250 * time.Millisecond
+	// maxPermitCalls is the number of targets for which one attempt asks for permits.
+	maxPermitCalls = 8
+	// limitWordTimeout bounds the sending of words to a peer.
+	limitWordTimeout = 300 * time.Millisecond
+	// maxLimitWords bounds the words in one message.
+	maxLimitWords = 64
+	// maxLimitWordsInReply bounds those in the reply to a probe; each reply has others.
+	maxLimitWordsInReply = 16
+)
+
+// LimitWord tells a peer of a target's limit, or of its end.
+type LimitWord struct {
+	Target    string  `cbor:"1,keyasint"` // id of the incarnation
+	Named     bool    `cbor:"2,keyasint"`
+	PerSecond float64 `cbor:"3,keyasint"`
+	AgeMS     int64   `cbor:"4,keyasint"` // see targetlimit.Word.At
+}
+
+// LimitWords tells a peer of limits that have changed.
+type LimitWords struct {
+	From  string      `cbor:"1,keyasint"` // instance that sent this copy
+	Words []LimitWord `cbor:"2,keyasint"`
+}
+
+// PermitRequest asks a target's keeper for a permit to send it one request.
+type PermitRequest struct {
+	Word LimitWord `cbor:"1,keyasint"` // what the asking instance knows of the limit
+}
+
+// PermitReply is the reply to a PermitRequest.
+type PermitReply struct {
+	Granted bool  `cbor:"1,keyasint"`
+	WaitMS  int64 `cbor:"2,keyasint"` // until there may be a permit, if none was granted
+	// Word is what the keeper knows of the limit.
+	Word LimitWord `cbor:"3,keyasint"`
+}
+
+// targetLimits holds the limits that targets name, and asks for permits and gives them out.
 type targetLimits struct {
-	g     *Gateway
-	known targetlimit.Limits
+	g       *Gateway
+	known   targetlimit.Limits
+	permits targetlimit.Permits // given out by this instance as a keeper
+	outbox  *treeOutbox[string, targetlimit.Word]
+
+	mu          sync.Mutex
+	deniedUntil map[string]time.Time // by id of the target: there is no permit before
+}
+
+// laterWord returns the one of two words on a target that holds.
+func laterWord(older, newer targetlimit.Word) targetlimit.Word {
+	if newer.At.Before(older.At) {
+		return older
+	}
+	return newer
 }
 
 // observe takes note of the limit that a target names in a response to a request that was sent at a time, or
@@ -23,7 +92,9 @@
 	if limit.Named {
 		w = targetlimit.Word{Named: true, PerSecond: limit.PerSecond, At: l.g.now()}
 	}
-	l.learn(t.ID, w, fromAnswer, "")
+	if l.learn(t.ID, w, fromAnswer, "") {
+		l.outbox.add("", t.ID, w)
+	}
 }
 
 // learn takes note of a word and reports whether it changes the limit.
@@ -31,6 +102,9 @@
 	if !l.known.Learn(target, w) {
 		return false
 	}
+	l.mu.Lock()
+	delete(l.deniedUntil, target)
+	l.mu.Unlock()
 	e := l.g.log.WithField("target", target).WithField("from", string(from)).WithField("by", by)
 	if w.Named {
 		metric.LimitsNamed.Inc()
@@ -41,5 +115,238 @@
 	return true
 }
 
+// receive takes note of a peer's words and returns those that change a limit, by target.
+func (l *targetLimits) receive(words []LimitWord, by string) map[string]targetlimit.Word {
+	changed := map[string]targetlimit.Word{}
+	for _, word := range words[:min(len(words), maxLimitWords)] {
+		w := word.decode(l.g.now())
+		if word.isValid() && l.learn(word.Target, w, fromPeer, by) {
+			changed[word.Target] = w
+		}
+	}
+	return changed
+}
+
+// isValid reports whether a word that was received makes sense.
+func (w LimitWord) isValid() bool {
+	return w.Target != "" && w.AgeMS >= 0 && w.PerSecond >= 0 && !math.IsInf(w.PerSecond, 0) // and no NaN
+}
+
+func (w LimitWord) decode(now time.Time) targetlimit.Word {
+	return targetlimit.Word{Named: w.Named, PerSecond: w.PerSecond, At: now.Add(-time.Duration(w.AgeMS) * time.Millisecond)}
+}
+
+// encodeLimit returns a word on a target as it is told at a time. Its age is rounded up, so that a word that
+// comes back is not taken for a later one.
+func encodeLimit(target string, w targetlimit.Word, now time.Time) LimitWord {
+	age := max(now.Sub(w.At)+time.Millisecond-1, 0)
+	return LimitWord{Target: target, Named: w.Named, PerSecond: w.PerSecond, AgeMS: age.Milliseconds()}
+}
+
+// some returns words on random targets, for the reply to a probe.
+func (l *targetLimits) some() []LimitWord {
+	now := l.g.now()
+	var out []LimitWord
+	for target, w := range l.known.All() {
+		out = append(out, encodeLimit(target, w, now))
+	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(len(out), maxLimitWordsInReply)]
+}
+
+// run tells the neighbours of changed limits, until ctx ends.
+func (l *targetLimits) run(ctx context.Context) {
+	l.outbox.run(ctx, l.g, func(n neighbour, words map[string]targetlimit.Word) {
+		now := l.g.now()
+		var out []LimitWord
+		for target, w := range words {
+			out = append(out, encodeLimit(target, w, now))
+		}
+		for chunk := range slices.Chunk(out, maxLimitWords) {
+			l.g.spawn(func() { l.send(ctx, n, chunk) })
+		}
+	})
+}
+
+func (l *targetLimits) send(ctx context.Context, n neighbour, words []LimitWord) {
+	ctx, cancel := context.WithTimeout(ctx, limitWordTimeout)
+	defer cancel()
+	err := l.g.pool.Call(ctx, n.Address, peerService+".TargetLimits", &LimitWords{From: l.g.settings().Name, Words: words}, &Ack{})
+	if err != nil {
+		l.g.log.WithError(err).WithField("peer", n.Name).WithField("targets", len(words)).Info("limits of targets not told")
+	}
+}
+
+// TargetLimits handles a peer's words, and passes on those that change a limit.
+func (h *peerHandler) TargetLimits(req *LimitWords, _ *Ack) error {
+	for target, w := range h.g.limits.receive(req.Words, req.From) {
+		h.g.limits.outbox.add(req.From, target, w)
+	}
+	return nil
+}
+
+// limitOf returns what a target takes, and whether it names a limit.
+func (l *targetLimits) limitOf(id string) (targetlimit.Word, bool) {
+	w, known := l.known.Of(id)
+	return w, known && w.Named
+}
+
+// waitFor returns the time until there may be a permit for a target; 0: it may be asked for one, or names no limit.
+func (l *targetLimits) waitFor(id string, now time.Time) time.Duration {
+	l.mu.Lock()
+	until, denied := l.deniedUntil[id]
+	l.mu.Unlock()
+	if !denied || !now.Before(until) {
+		return 0
+	}
+	if _, limited := l.limitOf(id); !limited {
+		return 0
+	}
+	return until.Sub(now)
+}
+
+// acquire reports whether a request may be sent to a target now. If the target names a limit, it asks the keeper for
+// a permit.
+func (l *targetLimits) acquire(ctx context.Context, t *catalog.Target) bool {
+	w, limited := l.limitOf(t.ID)
+	if !limited {
+		return true
+	}
+	reply, err := l.ask(ctx, t, encodeLimit(t.ID, w, l.g.now()))
+	if err != nil {
+		metric.Permits("unanswered").Inc()
+		l.g.log.WithError(err).WithField("target", t.ID).Info("no answer for a permit")
+		l.deny(t.ID, keeperRetryTime)
+		return false
+	}
+	if reply.Word.Target == t.ID {
+		l.receive([]LimitWord{reply.Word}, "keeper")
+	}
+	if reply.Granted {
+		metric.Permits("granted").Inc()
+		return true
+	}
+	metric.Permits("denied").Inc()
+	l.deny(t.ID, time.Duration(reply.WaitMS)*time.Millisecond)
+	return false
+}
+
+// deny notes that there is no permit for a target for about a time. The instances don't all ask again at its end.
+func (l *targetLimits) deny(id string, d time.Duration) {
+	d = max(d, time.Millisecond)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.deniedUntil == nil {
+		l.deniedUntil = map[string]time.Time{}
+	}
+	l.deniedUntil[id] = l.g.now().Add(d + rand.N(d/4+1))
+}
+
+// ask asks the keeper of a target for a permit.
+func (l *targetLimits) ask(ctx context.Context, t *catalog.Target, word LimitWord) (PermitReply, error) {
+	v := l.g.view.Load()
+	keeper := keeperOf(v, t.ID)
+	if keeper == v.Self {
+		return l.grant(word), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	var reply PermitReply
+	err := l.g.pool.Call(ctx, addressOf(v.Peers, keeper), peerService+".Permit", &PermitRequest{Word: word}, &reply)
+	return reply, err
+}
+
+// keeperOf returns the name of the instance that gives out the permits for a target.
+func keeperOf(v *View, target string) string {
+	keeper, highest := v.Self, uint64(0)
+	for _, name := range v.Alive {
+		if score := rendezvous.Score(name, keeperRole+target); score > highest {
+			keeper, highest = name, score
+		}
+	}
+	return keeper
+}
+
+func addressOf(members []member.Member, name string) string {
+	for _, m := range members {
+		if m.Name == name {
+			return m.Address
+		}
+	}
+	return ""
+}
+
+// Permit handles a peer's request for a permit.
+func (h *peerHandler) Permit(req *PermitRequest, out *PermitReply) error {
+	if req.Word.isValid() {
+		*out = h.g.limits.grant(req.Word)
+	}
+	return nil
+}
+
+// grant decides on a request for a permit, by what the asking instance and this one know of the limit.
+func (l *targetLimits) grant(word LimitWord) PermitReply {
+	for target, w := range l.receive([]LimitWord{word}, "asking") {
+		l.outbox.add("", target, w)
+	}
+	now, v := l.g.now(), l.g.view.Load()
+	w, limited := l.limitOf(word.Target)
+	reply := PermitReply{Granted: true, Word: encodeLimit(word.Target, w, now)}
+	if !limited {
+		return reply
+	}
+	share := l.share(v, now)
+	if share <= 0 || keeperOf(v, word.Target) != v.Self {
+		reply.Granted, reply.WaitMS = false, keeperRetryTime.Milliseconds()
+		return reply
+	}
+	granted, wait := l.permits.Take(word.Target, w.PerSecond*share, now)
+	reply.Granted, reply.WaitMS = granted, wait.Milliseconds()+1
+	return reply
+}
+
+// share returns the part of the limits that this instance may give out as a keeper. It is that of the instances
+// that it reaches: in the other parts of a fleet that is split there are other keepers. An instance that has
+// just started doesn't know yet who is the keeper for the others.
+func (l *targetLimits) share(v *View, now time.Time) float64 {
+	if now.Before(v.WarmupAllowedAt) {
+		return 0
+	}
+	known := max(v.InstanceCount, 1)
+	if known == 1 && l.g.hasOtherSeeds() {
+		known = minAssumedFleet
+	}
+	return float64(len(v.Alive)) / float64(known)
+}
+
 // retain forgets the targets for which keep returns false.
-func (l *targetLimits) retain(keep func(id string) bool) { l.known.Retain(keep, l.g.now()) }
+func (l *targetLimits) retain(keep func(id string) bool) {
+	l.known.Retain(keep, l.g.now())
+	l.permits.Retain(keep)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.deniedUntil, func(id string, _ time.Time) bool { return !keep(id) })
+}
+
+// retryAfterLimited returns when a request that no limited target may take should come again: in 1 to 1.5 times
+// the time until the first permit is due.
+func (x *exchange) retryAfterLimited() time.Duration {
+	first, now := maxRetryAfterLimited, x.g.now()
+	for _, t := range x.view.Serving[x.service] {
+		if wait := x.g.limits.waitFor(t.ID, now); wait > 0 {
+			first = min(first, wait)
+		}
+	}
+	first = max(first, retryAfterShort)
+	return first + rand.N(first/2)
+}
+
+// maxRetryAfterLimited bounds what callers are told to wait: the limit may have ended by then.
+const maxRetryAfterLimited = 5 * time.Second
+
+// refuseLimited refuses a request that has not run because the targets that could take it name limits, which
+// others use up.
+func (x *exchange) refuseLimited() {
+	metric.TargetLimitRefusals.Inc()
+	x.refuse(retryLater(problem.Overloaded, "the targets take no more requests a second", x.retryAfterLimited()))
+}
--- a/internal/gateway/target_limits_test.go
+++ b/internal/gateway/target_limits_test.go
@@ -74,7 +74,9 @@
 	for i := range limited {
 		f.limited[fmt.Sprintf("t-%02d", i)] = true
 	}
-	f.trafficFleet = newFleetWith(t, n, 3, targets, fleetOptions{codec: limitCodec{}, serve: f.serve})
+	f.trafficFleet = newFleetWith(t, n, 3, targets, fleetOptions{codec: limitCodec{}, serve: f.serve, editSettings: func(s *Settings) {
+		s.Seeds = s.Seeds[:min(n, len(s.Seeds))]
+	}})
 	return f
 }
 
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -19,13 +19,14 @@
 	MemoryFullRefusals    = metrics.NewCounter("shedhoist_memory_full_refusals_total")
 	WarmupRequests        = metrics.NewCounter("shedhoist_cold_requests_total") // sent to targets that are warming up
 	WarmupRefusals        = metrics.NewCounter("shedhoist_cold_refusals_total")
-	LeavingNotices        = metrics.NewCounter("shedhoist_leaving_words_total")       // responses in which a target announces that it is leaving
-	BrittleRefusals       = metrics.NewCounter("shedhoist_brittle_refusals_total")    // requests that brittle targets turned away
-	LimitsNamed           = metrics.NewCounter("shedhoist_target_limits_named_total") // limits of requests a second that targets named, new or changed
-	BackoffRequests       = metrics.NewCounter("shedhoist_rest_words_total")          // responses in which a target requests backoff
-	BackoffRefusals       = metrics.NewCounter("shedhoist_rest_refusals_total")       // because all targets are in backoff
-	DelayedFetches        = metrics.NewCounter("shedhoist_fetches_delayed_total")     // parts held but not fetched: not yet complete for long enough
-	BlockedFetches        = metrics.NewCounter("shedhoist_fetches_blocked_total")     // parts held but not fetched: a save of them is pending
+	LeavingNotices        = metrics.NewCounter("shedhoist_leaving_words_total")         // responses in which a target announces that it is leaving
+	BrittleRefusals       = metrics.NewCounter("shedhoist_brittle_refusals_total")      // requests that brittle targets turned away
+	LimitsNamed           = metrics.NewCounter("shedhoist_target_limits_named_total")   // limits of requests a second that targets named, new or changed
+	TargetLimitRefusals   = metrics.NewCounter("shedhoist_target_limit_refusals_total") // because the targets' limits are used up
+	BackoffRequests       = metrics.NewCounter("shedhoist_rest_words_total")            // responses in which a target requests backoff
+	BackoffRefusals       = metrics.NewCounter("shedhoist_rest_refusals_total")         // because all targets are in backoff
+	DelayedFetches        = metrics.NewCounter("shedhoist_fetches_delayed_total")       // parts held but not fetched: not yet complete for long enough
+	BlockedFetches        = metrics.NewCounter("shedhoist_fetches_blocked_total")       // parts held but not fetched: a save of them is pending
 	UnreachableZones      = metrics.NewCounter("shedhoist_silent_zones_total")
 	EvacuatedRefusals     = metrics.NewCounter("shedhoist_evacuated_refusals_total")
 	TargetPartitions      = metrics.NewCounter("shedhoist_target_partitions_total") // times that no target of a service could be reached
@@ -82,6 +83,12 @@
 	return fmt.Sprintf(`shedhoist_retry_balance{service=%q}`, service)
 }
 
+// Permits counts the permits that this instance asked for to send requests to targets with limits, by result:
+// "granted", "denied" or "unanswered".
+func Permits(result string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`shedhoist_target_permits_total{result=%q}`, result))
+}
+
 // SetGauge sets the gauge of the given name, which it creates if necessary.
 func SetGauge(name string, value float64) { metrics.GetOrCreateGauge(name, nil).Set(value) }
 
