What instances tell of targets' limits are reports; a request that has ended denies no permit

Names only, for newcomers, but for one thing seen while reading: a caller that left while its instance waited for a permit made the target look as if its keeper were silent, for 250 ms. Tests of limits, brittle targets and retries pass, twice.

--- a/internal/core/targetlimit/targetlimit.go
+++ b/internal/core/targetlimit/targetlimit.go
@@ -11,61 +11,61 @@
 	"time"
 )
 
-// Word is what an instance knows of a target's limit.
-type Word struct {
+// Report is what an instance knows of a target's limit.
+type Report struct {
 	Named     bool    // false: the target has ceased to name one
 	PerSecond float64 // requests that it takes from all instances together
 	// At is when it was last known to hold: when the response that names the limit arrived, or when the
-	// request was sent whose response names none. Of two words the later one holds, so that a response
+	// request was sent whose response names none. Of two reports the later one holds, so that a response
 	// that was under way while a limit was named doesn't end it.
 	At time.Time
 }
 
-// Limits holds the last word on each target, by its id. The zero value is ready for use. It is safe for
+// Limits holds the last report on each target, by its id. The zero value is ready for use. It is safe for
 // concurrent use.
 type Limits struct {
-	mu    sync.Mutex
-	words map[string]Word
+	mu      sync.Mutex
+	reports map[string]Report
 }
 
-// endMemory is how long an end is remembered: older words may still be on their way meanwhile.
+// endMemory is how long an end is remembered: older reports may still be on their way meanwhile.
 const endMemory = time.Minute
 
-// Learn takes note of a word and reports whether it changes the limit.
-func (l *Limits) Learn(target string, w Word) (changed bool) {
+// Learn takes note of a report and reports whether it changes the limit.
+func (l *Limits) Learn(target string, r Report) (changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	last, known := l.words[target]
-	if known && !w.At.After(last.At) || !known && !w.Named {
+	last, known := l.reports[target]
+	if known && !r.At.After(last.At) || !known && !r.Named {
 		return false
 	}
-	if l.words == nil {
-		l.words = map[string]Word{}
+	if l.reports == nil {
+		l.reports = map[string]Report{}
 	}
-	l.words[target] = w
-	return w.Named != last.Named || w.PerSecond != last.PerSecond
+	l.reports[target] = r
+	return r.Named != last.Named || r.PerSecond != last.PerSecond
 }
 
-// Of returns the last word on a target, and whether there is one.
-func (l *Limits) Of(target string) (w Word, known bool) {
+// Of returns the last report on a target, and whether there is one.
+func (l *Limits) Of(target string) (r Report, known bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	w, known = l.words[target]
-	return w, known
+	r, known = l.reports[target]
+	return r, known
 }
 
-// All returns the last words on all targets, by id. It is usually empty.
-func (l *Limits) All() map[string]Word {
+// All returns the last reports on all targets, by id. It is usually empty.
+func (l *Limits) All() map[string]Report {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return maps.Clone(l.words)
+	return maps.Clone(l.reports)
 }
 
 // Count returns the number of targets that name a limit.
 func (l *Limits) Count() int {
 	n := 0
-	for _, w := range l.All() {
-		if w.Named {
+	for _, r := range l.All() {
+		if r.Named {
 			n++
 		}
 	}
@@ -76,8 +76,8 @@
 func (l *Limits) Retain(keep func(target string) bool, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	maps.DeleteFunc(l.words, func(target string, w Word) bool {
-		return !keep(target) || !w.Named && now.Sub(w.At) > endMemory
+	maps.DeleteFunc(l.reports, func(target string, r Report) bool {
+		return !keep(target) || !r.Named && now.Sub(r.At) > endMemory
 	})
 }
 
--- a/internal/core/targetlimit/targetlimit_test.go
+++ b/internal/core/targetlimit/targetlimit_test.go
@@ -10,35 +10,35 @@
 	"github.com/shedhoist/shedhoist/internal/core/targetlimit"
 )
 
-// TestLaterWordHolds guards against a limit that an older response ends or names again, and against an end that
+// TestLaterReportHolds guards against a limit that an older response ends or names again, and against an end that
 // is not remembered.
-func TestLaterWordHolds(t *testing.T) {
+func TestLaterReportHolds(t *testing.T) {
 	const target = "t"
 	at := func(s int) time.Time { return time.Unix(int64(s), 0) }
-	named := func(perSecond float64, s int) targetlimit.Word {
-		return targetlimit.Word{Named: true, PerSecond: perSecond, At: at(s)}
+	named := func(perSecond float64, s int) targetlimit.Report {
+		return targetlimit.Report{Named: true, PerSecond: perSecond, At: at(s)}
 	}
-	ended := func(s int) targetlimit.Word { return targetlimit.Word{At: at(s)} }
+	ended := func(s int) targetlimit.Report { return targetlimit.Report{At: at(s)} }
 	cases := []struct {
 		name    string
-		words   []targetlimit.Word
+		reports []targetlimit.Report
 		changed []bool
-		want    targetlimit.Word
+		want    targetlimit.Report
 	}{
-		{"named", []targetlimit.Word{named(2, 10)}, []bool{true}, named(2, 10)},
-		{"named again", []targetlimit.Word{named(2, 10), named(2, 11)}, []bool{true, false}, named(2, 11)},
-		{"changed", []targetlimit.Word{named(2, 10), named(3, 11)}, []bool{true, true}, named(3, 11)},
-		{"ended", []targetlimit.Word{named(2, 10), ended(11)}, []bool{true, true}, ended(11)},
-		{"an older response names none", []targetlimit.Word{named(2, 10), ended(9)}, []bool{true, false}, named(2, 10)},
-		{"an older word after its end", []targetlimit.Word{named(2, 10), ended(11), named(2, 10)}, []bool{true, true, false}, ended(11)},
-		{"named anew", []targetlimit.Word{named(2, 10), ended(11), named(2, 12)}, []bool{true, true, true}, named(2, 12)},
-		{"none at all", []targetlimit.Word{ended(10)}, []bool{false}, targetlimit.Word{}},
+		{"named", []targetlimit.Report{named(2, 10)}, []bool{true}, named(2, 10)},
+		{"named again", []targetlimit.Report{named(2, 10), named(2, 11)}, []bool{true, false}, named(2, 11)},
+		{"changed", []targetlimit.Report{named(2, 10), named(3, 11)}, []bool{true, true}, named(3, 11)},
+		{"ended", []targetlimit.Report{named(2, 10), ended(11)}, []bool{true, true}, ended(11)},
+		{"an older response names none", []targetlimit.Report{named(2, 10), ended(9)}, []bool{true, false}, named(2, 10)},
+		{"an older report after its end", []targetlimit.Report{named(2, 10), ended(11), named(2, 10)}, []bool{true, true, false}, ended(11)},
+		{"named anew", []targetlimit.Report{named(2, 10), ended(11), named(2, 12)}, []bool{true, true, true}, named(2, 12)},
+		{"none at all", []targetlimit.Report{ended(10)}, []bool{false}, targetlimit.Report{}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			var limits targetlimit.Limits
-			for i, w := range c.words {
+			for i, w := range c.reports {
 				is.Equal(limits.Learn(target, w), c.changed[i])
 			}
 			got, _ := limits.Of(target)
@@ -48,15 +48,15 @@
 }
 
 // TestRetain guards against limits of targets that are gone, and against ends that are kept for good or forgotten
-// while older words may come.
+// while older reports may come.
 func TestRetain(t *testing.T) {
 	is := is.New(t)
 	var limits targetlimit.Limits
 	now := time.Unix(1000, 0)
 	for _, id := range []string{"gone", "named", "ended"} {
-		limits.Learn(id, targetlimit.Word{Named: true, PerSecond: 1, At: now})
+		limits.Learn(id, targetlimit.Report{Named: true, PerSecond: 1, At: now})
 	}
-	limits.Learn("ended", targetlimit.Word{At: now.Add(1)})
+	limits.Learn("ended", targetlimit.Report{At: now.Add(1)})
 	keep := func(id string) bool { return id != "gone" }
 	limits.Retain(keep, now.Add(time.Second))
 	is.Equal(len(limits.All()), 2)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -139,7 +139,7 @@
 	g.upstream.dialRelayed = g.relays.dialRelayed
 	g.quarantine, g.suspectsDue, g.outboxDue = quarantine.NewTracker(), wait.NewSignal(), wait.NewSignal()
 	g.targetLinks.g, g.relays.g = g, g
-	g.limits.g, g.limits.outbox = g, newTreeOutbox[string](laterWord)
+	g.limits.g, g.limits.outbox = g, newTreeOutbox[string](laterReport)
 	g.brittle.g, g.brittle.outbox = g, newTreeOutbox[loadreport.Key](addRefusals)
 	g.zoneMonitor.g, g.zoneMonitor.waiting = g, map[string]map[*attemptState]func(){}
 	g.crashDetector = &crashDetector{g: g, checks: map[string]*crashCheck{}}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -84,7 +84,7 @@
 		*out = c.replyHello(req)
 		behind, missingMembers = c.knownVersions().isBehind(req.StateVersions), c.needsMembers(req.LiveMembers)
 	})
-	out.Limits = h.g.limits.some()
+	out.Limits = h.g.limits.sample()
 	out.Staleness = h.g.staleness.Reports(h.g.now())
 	out.SuspectsDigest = h.g.quarantine.Digest(h.g.now())
 	if missingMembers {
--- a/internal/gateway/target_limits.go
+++ b/internal/gateway/target_limits.go
@@ -31,39 +31,39 @@
 	keeperRetryTime = 250 * time.Millisecond
 	// maxPermitCalls is the number of targets for which one attempt asks for permits.
 	maxPermitCalls = 8
-	// limitWordTimeout bounds the sending of words to a peer.
-	limitWordTimeout = 300 * time.Millisecond
-	// maxLimitWords bounds the words in one message.
-	maxLimitWords = 64
-	// maxLimitWordsInReply bounds those in the reply to a probe; each reply has others.
-	maxLimitWordsInReply = 16
+	// limitReportTimeout bounds the sending of reports to a peer.
+	limitReportTimeout = 300 * time.Millisecond
+	// maxLimitReports bounds the reports in one message.
+	maxLimitReports = 64
+	// maxLimitReportsInReply bounds those in the reply to a probe; each reply has others.
+	maxLimitReportsInReply = 16
 )
 
-// LimitWord tells a peer of a target's limit, or of its end.
-type LimitWord struct {
+// LimitReport tells a peer of a target's limit, or of its end.
+type LimitReport struct {
 	Target    string  `cbor:"1,keyasint"` // id of the incarnation
 	Named     bool    `cbor:"2,keyasint"`
 	PerSecond float64 `cbor:"3,keyasint"`
-	AgeMS     int64   `cbor:"4,keyasint"` // see targetlimit.Word.At
+	AgeMS     int64   `cbor:"4,keyasint"` // see targetlimit.Report.At
 }
 
-// LimitWords tells a peer of limits that have changed.
-type LimitWords struct {
-	From  string      `cbor:"1,keyasint"` // instance that sent this copy
-	Words []LimitWord `cbor:"2,keyasint"`
+// LimitReports tells a peer of limits that have changed.
+type LimitReports struct {
+	From    string        `cbor:"1,keyasint"` // instance that sent this copy
+	Reports []LimitReport `cbor:"2,keyasint"`
 }
 
 // PermitRequest asks a target's keeper for a permit to send it one request.
 type PermitRequest struct {
-	Word LimitWord `cbor:"1,keyasint"` // what the asking instance knows of the limit
+	Report LimitReport `cbor:"1,keyasint"` // what the asking instance knows of the limit
 }
 
 // PermitReply is the reply to a PermitRequest.
 type PermitReply struct {
 	Granted bool  `cbor:"1,keyasint"`
 	WaitMS  int64 `cbor:"2,keyasint"` // until there may be a permit, if none was granted
-	// Word is what the keeper knows of the limit.
-	Word LimitWord `cbor:"3,keyasint"`
+	// Report is what the keeper knows of the limit.
+	Report LimitReport `cbor:"3,keyasint"`
 }
 
 // targetLimits holds the limits that targets name, and asks for permits and gives them out.
@@ -71,14 +71,14 @@
 	g       *Gateway
 	known   targetlimit.Limits
 	permits targetlimit.Permits // given out by this instance as a keeper
-	outbox  *treeOutbox[string, targetlimit.Word]
+	outbox  *treeOutbox[string, targetlimit.Report]
 
 	mu          sync.Mutex
 	deniedUntil map[string]time.Time // by id of the target: there is no permit before
 }
 
-// laterWord returns the one of two words on a target that holds.
-func laterWord(older, newer targetlimit.Word) targetlimit.Word {
+// laterReport returns the one of two reports on a target that holds.
+func laterReport(older, newer targetlimit.Report) targetlimit.Report {
 	if newer.At.Before(older.At) {
 		return older
 	}
@@ -88,17 +88,17 @@
 // observe takes note of the limit that a target names in a response to a request that was sent at a time, or
 // names no more.
 func (l *targetLimits) observe(t *catalog.Target, limit RateLimit, sent time.Time) {
-	w := targetlimit.Word{At: sent}
+	w := targetlimit.Report{At: sent}
 	if limit.Named {
-		w = targetlimit.Word{Named: true, PerSecond: limit.PerSecond, At: l.g.now()}
+		w = targetlimit.Report{Named: true, PerSecond: limit.PerSecond, At: l.g.now()}
 	}
 	if l.learn(t.ID, w, fromAnswer, "") {
 		l.outbox.add("", t.ID, w)
 	}
 }
 
-// learn takes note of a word and reports whether it changes the limit.
-func (l *targetLimits) learn(target string, w targetlimit.Word, from source, by string) (changed bool) {
+// learn takes note of a report and reports whether it changes the limit.
+func (l *targetLimits) learn(target string, w targetlimit.Report, from source, by string) (changed bool) {
 	if !l.known.Learn(target, w) {
 		return false
 	}
@@ -115,78 +115,78 @@
 	return true
 }
 
-// receive takes note of a peer's words and returns those that change a limit, by target.
-func (l *targetLimits) receive(words []LimitWord, by string) map[string]targetlimit.Word {
-	changed := map[string]targetlimit.Word{}
-	for _, word := range words[:min(len(words), maxLimitWords)] {
-		w := word.decode(l.g.now())
-		if word.isValid() && l.learn(word.Target, w, fromPeer, by) {
-			changed[word.Target] = w
+// receive takes note of a peer's reports and returns those that change a limit, by target.
+func (l *targetLimits) receive(reports []LimitReport, by string) map[string]targetlimit.Report {
+	changed := map[string]targetlimit.Report{}
+	for _, report := range reports[:min(len(reports), maxLimitReports)] {
+		w := report.decode(l.g.now())
+		if report.isValid() && l.learn(report.Target, w, fromPeer, by) {
+			changed[report.Target] = w
 		}
 	}
 	return changed
 }
 
-// isValid reports whether a word that was received makes sense.
-func (w LimitWord) isValid() bool {
+// isValid reports whether a report that was received makes sense.
+func (w LimitReport) isValid() bool {
 	return w.Target != "" && w.AgeMS >= 0 && w.PerSecond >= 0 && !math.IsInf(w.PerSecond, 0) // and no NaN
 }
 
-func (w LimitWord) decode(now time.Time) targetlimit.Word {
-	return targetlimit.Word{Named: w.Named, PerSecond: w.PerSecond, At: now.Add(-time.Duration(w.AgeMS) * time.Millisecond)}
+func (w LimitReport) decode(now time.Time) targetlimit.Report {
+	return targetlimit.Report{Named: w.Named, PerSecond: w.PerSecond, At: now.Add(-time.Duration(w.AgeMS) * time.Millisecond)}
 }
 
-// encodeLimit returns a word on a target as it is told at a time. Its age is rounded up, so that a word that
+// encodeLimit returns a report on a target as it is told at a time. Its age is rounded up, so that a report that
 // comes back is not taken for a later one.
-func encodeLimit(target string, w targetlimit.Word, now time.Time) LimitWord {
+func encodeLimit(target string, w targetlimit.Report, now time.Time) LimitReport {
 	age := max(now.Sub(w.At)+time.Millisecond-1, 0)
-	return LimitWord{Target: target, Named: w.Named, PerSecond: w.PerSecond, AgeMS: age.Milliseconds()}
+	return LimitReport{Target: target, Named: w.Named, PerSecond: w.PerSecond, AgeMS: age.Milliseconds()}
 }
 
-// some returns words on random targets, for the reply to a probe.
-func (l *targetLimits) some() []LimitWord {
+// sample returns reports on random targets, for the reply to a probe.
+func (l *targetLimits) sample() []LimitReport {
 	now := l.g.now()
-	var out []LimitWord
+	var out []LimitReport
 	for target, w := range l.known.All() {
 		out = append(out, encodeLimit(target, w, now))
 	}
 	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	return out[:min(len(out), maxLimitWordsInReply)]
+	return out[:min(len(out), maxLimitReportsInReply)]
 }
 
 // run tells the neighbours of changed limits, until ctx ends.
 func (l *targetLimits) run(ctx context.Context) {
-	l.outbox.run(ctx, l.g, func(n neighbour, words map[string]targetlimit.Word) {
+	l.outbox.run(ctx, l.g, func(n neighbour, reports map[string]targetlimit.Report) {
 		now := l.g.now()
-		var out []LimitWord
-		for target, w := range words {
+		var out []LimitReport
+		for target, w := range reports {
 			out = append(out, encodeLimit(target, w, now))
 		}
-		for chunk := range slices.Chunk(out, maxLimitWords) {
+		for chunk := range slices.Chunk(out, maxLimitReports) {
 			l.g.spawn(func() { l.send(ctx, n, chunk) })
 		}
 	})
 }
 
-func (l *targetLimits) send(ctx context.Context, n neighbour, words []LimitWord) {
-	ctx, cancel := context.WithTimeout(ctx, limitWordTimeout)
+func (l *targetLimits) send(ctx context.Context, n neighbour, reports []LimitReport) {
+	ctx, cancel := context.WithTimeout(ctx, limitReportTimeout)
 	defer cancel()
-	err := l.g.pool.Call(ctx, n.Address, peerService+".TargetLimits", &LimitWords{From: l.g.settings().Name, Words: words}, &Ack{})
+	err := l.g.pool.Call(ctx, n.Address, peerService+".TargetLimits", &LimitReports{From: l.g.settings().Name, Reports: reports}, &Ack{})
 	if err != nil {
-		l.g.log.WithError(err).WithField("peer", n.Name).WithField("targets", len(words)).Info("limits of targets not told")
+		l.g.log.WithError(err).WithField("peer", n.Name).WithField("targets", len(reports)).Info("limits of targets not told")
 	}
 }
 
-// TargetLimits handles a peer's words, and passes on those that change a limit.
-func (h *peerHandler) TargetLimits(req *LimitWords, _ *Ack) error {
-	for target, w := range h.g.limits.receive(req.Words, req.From) {
+// TargetLimits handles a peer's reports, and passes on those that change a limit.
+func (h *peerHandler) TargetLimits(req *LimitReports, _ *Ack) error {
+	for target, w := range h.g.limits.receive(req.Reports, req.From) {
 		h.g.limits.outbox.add(req.From, target, w)
 	}
 	return nil
 }
 
 // limitOf returns what a target takes, and whether it names a limit.
-func (l *targetLimits) limitOf(id string) (targetlimit.Word, bool) {
+func (l *targetLimits) limitOf(id string) (targetlimit.Report, bool) {
 	w, known := l.known.Of(id)
 	return w, known && w.Named
 }
@@ -213,14 +213,17 @@
 		return true
 	}
 	reply, err := l.ask(ctx, t, encodeLimit(t.ID, w, l.g.now()))
+	if ctx.Err() != nil {
+		return false // the request has ended meanwhile
+	}
 	if err != nil {
 		metric.Permits("unanswered").Inc()
 		l.g.log.WithError(err).WithField("target", t.ID).Info("no answer for a permit")
 		l.deny(t.ID, keeperRetryTime)
 		return false
 	}
-	if reply.Word.Target == t.ID {
-		l.receive([]LimitWord{reply.Word}, "keeper")
+	if reply.Report.Target == t.ID {
+		l.receive([]LimitReport{reply.Report}, "keeper")
 	}
 	if reply.Granted {
 		metric.Permits("granted").Inc()
@@ -243,16 +246,16 @@
 }
 
 // ask asks the keeper of a target for a permit.
-func (l *targetLimits) ask(ctx context.Context, t *catalog.Target, word LimitWord) (PermitReply, error) {
+func (l *targetLimits) ask(ctx context.Context, t *catalog.Target, report LimitReport) (PermitReply, error) {
 	v := l.g.view.Load()
 	keeper := keeperOf(v, t.ID)
 	if keeper == v.Self {
-		return l.grant(word), nil
+		return l.grant(report), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
 	var reply PermitReply
-	err := l.g.pool.Call(ctx, addressOf(v.Peers, keeper), peerService+".Permit", &PermitRequest{Word: word}, &reply)
+	err := l.g.pool.Call(ctx, addressOf(v.Peers, keeper), peerService+".Permit", &PermitRequest{Report: report}, &reply)
 	return reply, err
 }
 
@@ -278,29 +281,29 @@
 
 // Permit handles a peer's request for a permit.
 func (h *peerHandler) Permit(req *PermitRequest, out *PermitReply) error {
-	if req.Word.isValid() {
-		*out = h.g.limits.grant(req.Word)
+	if req.Report.isValid() {
+		*out = h.g.limits.grant(req.Report)
 	}
 	return nil
 }
 
 // grant decides on a request for a permit, by what the asking instance and this one know of the limit.
-func (l *targetLimits) grant(word LimitWord) PermitReply {
-	for target, w := range l.receive([]LimitWord{word}, "asking") {
+func (l *targetLimits) grant(report LimitReport) PermitReply {
+	for target, w := range l.receive([]LimitReport{report}, "asking") {
 		l.outbox.add("", target, w)
 	}
 	now, v := l.g.now(), l.g.view.Load()
-	w, limited := l.limitOf(word.Target)
-	reply := PermitReply{Granted: true, Word: encodeLimit(word.Target, w, now)}
+	w, limited := l.limitOf(report.Target)
+	reply := PermitReply{Granted: true, Report: encodeLimit(report.Target, w, now)}
 	if !limited {
 		return reply
 	}
 	share := l.share(v, now)
-	if share <= 0 || keeperOf(v, word.Target) != v.Self {
+	if share <= 0 || keeperOf(v, report.Target) != v.Self {
 		reply.Granted, reply.WaitMS = false, keeperRetryTime.Milliseconds()
 		return reply
 	}
-	granted, wait := l.permits.Take(word.Target, w.PerSecond*share, now)
+	granted, wait := l.permits.Take(report.Target, w.PerSecond*share, now)
 	reply.Granted, reply.WaitMS = granted, wait.Milliseconds()+1
 	return reply
 }
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -85,7 +85,7 @@
 	// SuspectsDigest is the sender's quarantine.Book.Digest.
 	SuspectsDigest uint64         `cbor:"8,keyasint,omitempty"`
 	Leaving        LeavingTargets `cbor:"9,keyasint,omitempty"`
-	Limits         []LimitWord    `cbor:"10,keyasint,omitempty"` // of some targets, and those that ended lately
+	Limits         []LimitReport  `cbor:"10,keyasint,omitempty"` // of some targets, and those that ended lately
 }
 
 // VersionAge is how long ago a weight version was named, by the sender's own clock.
