A refused permit always has a time to wait

Cause: where rounding leaves a bucket just below one permit, the time until it is full came out as 0: ask again at once. Found by a random run of TestPermitsKeepRate ('refused without a time to wait'), whose seed was not fixed as those of other packages are. Callers saw nothing of it: the reply rounds up to a millisecond.

--- a/internal/core/targetlimit/targetlimit.go
+++ b/internal/core/targetlimit/targetlimit.go
@@ -132,7 +132,7 @@
 	if missing >= perSecond*maxPermitWait.Seconds() {
 		return maxPermitWait
 	}
-	return time.Duration(missing / perSecond * float64(time.Second))
+	return time.Duration(math.Ceil(missing / perSecond * float64(time.Second)))
 }
 
 // Retain forgets targets that are not kept.
--- a/internal/core/targetlimit/targetlimit_test.go
+++ b/internal/core/targetlimit/targetlimit_test.go
@@ -67,6 +67,21 @@
 	is.Equal(len(limits.All()), 1)
 }
 
+// TestPermitWaitIsNeverZero guards against a refusal that lets callers ask again at once, where rounding leaves
+// a bucket just below one permit.
+func TestPermitWaitIsNeverZero(t *testing.T) {
+	is := is.New(t)
+	var permits targetlimit.Permits
+	now := time.Unix(0, 0)
+	for range 10 { // ten times 0.1 is a little less than 1
+		ok, wait := permits.Take("t", 1, now)
+		is.True(ok != (wait > 0))
+		now = now.Add(100 * time.Millisecond)
+	}
+	ok, wait := permits.Take("t", 1, now)
+	is.True(ok != (wait > 0))
+}
+
 // TestPermitsKeepRate checks with random times that permits never exceed the rate by more than the burst, and
 // that whoever asks as often as allowed gets nearly all of them.
 func TestPermitsKeepRate(t *testing.T) {
