--- a/internal/gateway/target_limits_test.go
+++ b/internal/gateway/target_limits_test.go
@@ -351,6 +351,18 @@
 		limitedFor(f, 10*time.Second)
 		f.checkUse(settled.Add(limitContact), mostOfLimit)
 	}},
+	{"instances are added", 6, 3, 3, 2, func(f *limitFleet) {
+		f.load(limitLoad, 4*time.Second)
+		for range 6 {
+			i := f.addInstance()
+			f.mu.Lock()
+			f.started[i] = time.Now()
+			f.mu.Unlock()
+			f.load(limitLoad, 500*time.Millisecond)
+		}
+		limitedFor(f, 10*time.Second)
+		f.checkUse(f.since.Add(limitContact), mostOfLimit)
+	}},
 	{"the fleet splits", 9, 3, 3, 2, func(f *limitFleet) {
 		f.load(limitLoad, 4*time.Second)
 		f.split(4, linkHangs)
