--- a/internal/gateway/retry_budgets_test.go
+++ b/internal/gateway/retry_budgets_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/matryer/is"
 )
 
@@ -29,6 +30,25 @@
 	requests []time.Time
 	repeats  []time.Time
 	served   int
+
+	charged, free int // retries, as the instances log them
+}
+
+// HandleLog implements log.Handler. It counts the retries that instances say they have charged, and those that
+// they let pass free.
+func (c *retryCounter) HandleLog(e *log.Entry) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if e.Message != "attempt failed" {
+		return nil
+	}
+	switch e.Fields["budget"] {
+	case string(budgetCharged):
+		c.charged++
+	case string(budgetFree):
+		c.free++
+	}
+	return nil
 }
 
 // onArrival counts the arrival of a request at a target.
@@ -78,6 +98,13 @@
 	return repeats, allowed
 }
 
+// totals returns the arrivals beyond the first of each request, and what the instances say of their retries.
+func (c *retryCounter) totals() (repeats, charged, free int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.repeats), c.charged, c.free
+}
+
 // retryFleet is a fleet that counts retries, and callers that send requests to it at a constant rate.
 type retryFleet struct {
 	*trafficFleet
@@ -130,7 +157,7 @@
 	if fault == targetsCut {
 		f.path = pathResumable
 	}
-	f.trafficFleet = newFleetWith(t, n, 3, 6, fleetOptions{codec: brittleCodec{}, onArrival: c.onArrival,
+	f.trafficFleet = newFleetWith(t, n, 3, 6, fleetOptions{codec: brittleCodec{}, onArrival: c.onArrival, log: c,
 		editSettings: func(s *Settings) {
 			s.Retry = RetryBudget{Share: fleetRetryShare, Slack: fleetRetrySlack, Window: fleetRetryWindow}
 		},
@@ -309,6 +336,9 @@
 					if float64(repeats) > allowed {
 						t.Errorf("%d retries in a window, %.0f allowed", repeats, allowed)
 					}
+					if all, charged, free := f.counter.totals(); all > charged {
+						t.Errorf("%d arrivals beyond the first, but %d retries charged (%d free)", all, charged, free)
+					}
 				})
 			})
 		}
