Tests of fleets: killing, starting and cutting instances stand once

Read again: the fleets of retries and of limits killed, restarted and cut instances in loops of their own, beside linkFleet.kill and cutLinks and the loop of restartAll. They are methods of trafficFleet now, and all fleets use them; a kill resets open connections everywhere. No assertion changes.

--- a/internal/gateway/brittle_test.go
+++ b/internal/gateway/brittle_test.go
@@ -132,7 +132,7 @@
 	)
 	b := &brittleTargets{limit: limit, states: map[string]*brittleState{}}
 	f := newFleetWith(t, n, 3, targets, fleetOptions{codec: brittleCodec{}, serve: b.serve, editSettings: func(s *Settings) {
-		s.Retry = RetryBudget{Share: 0.2, Slack: brittleRetrySlack * float64(n), Window: 10 * time.Second}
+		s.Retry = RetryBudget{Share: fleetRetryShare, Slack: brittleRetrySlack * float64(n), Window: fleetRetryWindow}
 	}})
 	defer f.stop()
 	b.since = time.Now()
--- a/internal/gateway/retry_budgets_test.go
+++ b/internal/gateway/retry_budgets_test.go
@@ -213,25 +213,8 @@
 	f.counter.requests, f.counter.repeats, f.counter.served = nil, nil, 0
 }
 
-// kill kills an instance; start starts it again.
-func (f *retryFleet) kill(i int) {
-	set := f.gateways[i].settings()
-	f.closeListeners(set.CallerListen, set.ReadyListen, set.PeerListen)
-	f.gateways[i].Kill()
-}
-
-func (f *retryFleet) start(i int) { f.startInstance(i, f.gateways[i].settings()) }
-
-// cutPeers cuts all instances off from one another, but from nothing else, or reconnects them.
-func (f *retryFleet) cutPeers(cut linkCut) {
-	for i, a := range f.gateways {
-		for j, b := range f.gateways {
-			if i != j {
-				f.net.setCut(a.settings().Name, b.settings().Name, cut)
-			}
-		}
-	}
-}
+// eachAlone puts each instance into a group of its own.
+func eachAlone(instance int) int { return instance }
 
 // retryScenario is what happens to a fleet while its targets fail.
 type retryScenario struct {
@@ -271,14 +254,14 @@
 	}},
 	{"all lose their peers", 24, 40, func(f *retryFleet, fault targetFault, perSecond int) {
 		f.load(perSecond, settled)
-		f.cutPeers(linkRefuses)
+		f.cutPeers(eachAlone, linkRefuses)
 		f.load(perSecond, 75*time.Second)
 		f.fail(fault, 1)
 		f.load(perSecond, 11*time.Second)
 	}},
 	{"all restart without their peers", 24, 40, func(f *retryFleet, fault targetFault, perSecond int) {
 		f.load(perSecond, settled)
-		f.cutPeers(linkRefuses)
+		f.cutPeers(eachAlone, linkRefuses)
 		f.fail(fault, 1)
 		f.restartAll()
 		f.load(perSecond, 11*time.Second)
@@ -310,9 +293,7 @@
 	}},
 	{"one has no links to the targets", 9, 50, func(f *retryFleet, fault targetFault, perSecond int) {
 		f.load(perSecond, settled)
-		for _, m := range f.targets {
-			f.net.setCut(f.gateways[0].settings().Name, m.name, linkHangs)
-		}
+		f.cutLinks([]int{0}, linkHangs)
 		f.load(perSecond, 3*time.Second)
 		f.fail(fault, 1)
 		f.load(perSecond, 11*time.Second)
--- a/internal/gateway/target_limits_test.go
+++ b/internal/gateway/target_limits_test.go
@@ -137,10 +137,13 @@
 
 // restart kills an instance and starts it again at once.
 func (f *limitFleet) restart(i int) {
-	set := f.gateways[i].settings()
-	f.closeListeners(set.CallerListen, set.ReadyListen, set.PeerListen)
-	f.gateways[i].Kill()
-	f.startInstance(i, set)
+	f.kill(i)
+	f.start(i)
+	f.noteStart(i)
+}
+
+// noteStart notes that an instance has just been started.
+func (f *limitFleet) noteStart(i int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.started[i] = time.Now()
@@ -148,13 +151,7 @@
 
 // split cuts the links between the first instances and the others, or mends them.
 func (f *limitFleet) split(first int, cut linkCut) {
-	for i, a := range f.gateways {
-		for j, b := range f.gateways {
-			if (i < first) != (j < first) {
-				f.net.setCut(a.settings().Name, b.settings().Name, cut)
-			}
-		}
-	}
+	f.cutPeers(func(instance int) int { return min(instance/first, 1) }, cut)
 }
 
 // checkLimit checks that, until a time, the sum over all instances kept to the limit at each limited target.
@@ -344,7 +341,7 @@
 		f.load(limitLoad, 4*time.Second)
 		f.restartAll()
 		for i := range f.gateways {
-			f.started[i] = time.Now()
+			f.noteStart(i)
 		}
 		f.load(limitLoad, limitContact)
 		settled := time.Now()
@@ -354,10 +351,7 @@
 	{"instances are added", 6, 3, 3, 2, func(f *limitFleet) {
 		f.load(limitLoad, 4*time.Second)
 		for range 6 {
-			i := f.addInstance()
-			f.mu.Lock()
-			f.started[i] = time.Now()
-			f.mu.Unlock()
+			f.noteStart(f.addInstance())
 			f.load(limitLoad, 500*time.Millisecond)
 		}
 		limitedFor(f, 10*time.Second)
@@ -377,9 +371,7 @@
 		f.checkUse(f.since.Add(limitContact), mostOfLimit)
 	}},
 	{"one instance has lost its targets", 9, 3, 3, 2, func(f *limitFleet) {
-		for _, m := range f.targets {
-			f.net.setCut(f.gateways[0].settings().Name, m.name, linkHangs)
-		}
+		f.cutLinks([]int{0}, linkHangs)
 		limitedFor(f, 12*time.Second)
 		f.checkUse(f.since.Add(limitContact), mostOfLimit)
 	}},
--- a/internal/gateway/target_links_test.go
+++ b/internal/gateway/target_links_test.go
@@ -155,14 +155,6 @@
 	return left
 }
 
-// kill ends an instance at once, with all its connections.
-func (f *linkFleet) kill(i int) {
-	g := f.gateways[i]
-	f.closeListeners(g.settings().CallerListen, g.settings().ReadyListen, g.settings().PeerListen)
-	g.Kill()
-	f.net.resetAll(g.settings().Name)
-}
-
 // relayed returns how many connections peers have carried for others.
 func (f *linkFleet) relayed() uint64 { return metric.RelaysCarried.Get() - f.relayedBefore }
 
@@ -185,15 +177,6 @@
 	return true
 }
 
-// cutLinks cuts the links of instances to all targets, or mends them.
-func (f *linkFleet) cutLinks(instances []int, cut linkCut) {
-	for _, i := range instances {
-		for _, m := range f.targets {
-			f.net.setCut(f.gateways[i].settings().Name, m.name, cut)
-		}
-	}
-}
-
 // partition cuts an instance off from all targets, and sends requests to it until it has noticed.
 func (f *linkFleet) partition(instance int) {
 	f.cutLinks([]int{instance}, linkHangs)
--- a/internal/gateway/traffic_test.go
+++ b/internal/gateway/traffic_test.go
@@ -161,15 +161,45 @@
 	time.Sleep(2 * time.Second)
 }
 
+// kill ends an instance at once, with all its connections.
+func (f *trafficFleet) kill(i int) {
+	g := f.gateways[i]
+	f.closeListeners(g.settings().CallerListen, g.settings().ReadyListen, g.settings().PeerListen)
+	g.Kill()
+	f.net.resetAll(g.settings().Name)
+}
+
+// start starts a killed instance again.
+func (f *trafficFleet) start(i int) { f.startInstance(i, f.gateways[i].settings()) }
+
 // restartAll kills all instances at once and starts them again after fleetOutage.
 func (f *trafficFleet) restartAll() {
-	for _, g := range f.gateways {
-		f.closeListeners(g.settings().CallerListen, g.settings().ReadyListen, g.settings().PeerListen)
-		g.Kill()
+	for i := range f.gateways {
+		f.kill(i)
 	}
 	time.Sleep(fleetOutage)
-	for i, g := range f.gateways {
-		f.startInstance(i, g.settings())
+	for i := range f.gateways {
+		f.start(i)
+	}
+}
+
+// cutLinks cuts the links of instances to all targets, or mends them.
+func (f *trafficFleet) cutLinks(instances []int, cut linkCut) {
+	for _, i := range instances {
+		for _, m := range f.targets {
+			f.net.setCut(f.gateways[i].settings().Name, m.name, cut)
+		}
+	}
+}
+
+// cutPeers cuts the links between instances of different groups, or mends them.
+func (f *trafficFleet) cutPeers(group func(instance int) int, cut linkCut) {
+	for i, a := range f.gateways {
+		for j, b := range f.gateways {
+			if group(i) != group(j) {
+				f.net.setCut(a.settings().Name, b.settings().Name, cut)
+			}
+		}
 	}
 }
 
