--- a/internal/gateway/brittle.go
+++ b/internal/gateway/brittle.go
@@ -137,7 +137,7 @@
 	b := &h.g.brittle
 	told := map[loadreport.Key]BrittleRefusal{}
 	for _, r := range req.Targets {
-		b.outbox.put(told, r.Target, r)
+		told[r.Target] = addRefusals(told[r.Target], r)
 		b.outbox.add(req.From, r.Target, r)
 	}
 	for _, t := range h.g.view.Load().Targets {
@@ -157,8 +157,8 @@
 
 // run sends the pending words to the neighbours until ctx ends.
 func (b *brittleReports) run(ctx context.Context) {
-	b.outbox.run(ctx, b.g, func(n neighbour, words map[loadreport.Key]BrittleRefusal) {
-		for targets := range slices.Chunk(slices.Collect(maps.Values(words)), maxBrittleTargets) {
+	b.outbox.run(ctx, b.g, func(n neighbour, refusals []BrittleRefusal) {
+		for targets := range slices.Chunk(refusals, maxBrittleTargets) {
 			b.g.spawn(func() { b.send(ctx, n, targets) })
 		}
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,8 +96,7 @@
 	// quarantine tracks requests during which targets crashed.
 	quarantine      *quarantine.Tracker
 	suspectsDue     wait.Signal
-	suspectsOutbox  outbox
-	outboxDue       wait.Signal
+	suspectsOutbox  *treeOutbox[quarantine.Key, quarantine.Report]
 	suspectsUnsaved atomic.Bool    // suspects have changed since they were written to the object store
 	lastCompared    atomic.Int64   // when suspects were last compared with a peer's, ns after startedAt
 	warmup          warmup.Limiter // limits requests to targets that are warming up
@@ -137,10 +136,11 @@
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.upstream = newUpstreamWithDial(ports.Dial)
 	g.upstream.dialRelayed = g.relays.dialRelayed
-	g.quarantine, g.suspectsDue, g.outboxDue = quarantine.NewTracker(), wait.NewSignal(), wait.NewSignal()
+	g.quarantine, g.suspectsDue = quarantine.NewTracker(), wait.NewSignal()
+	g.suspectsOutbox = newTreeOutbox[quarantine.Key](suspectsDelay, newest[quarantine.Report])
 	g.targetLinks.g, g.relays.g = g, g
-	g.limits.g, g.limits.outbox = g, newTreeOutbox[string](laterReport)
-	g.brittle.g, g.brittle.outbox = g, newTreeOutbox[loadreport.Key](addRefusals)
+	g.limits.g, g.limits.outbox = g, newTreeOutbox[string](treeOutboxDelay, laterChange)
+	g.brittle.g, g.brittle.outbox = g, newTreeOutbox[loadreport.Key](treeOutboxDelay, addRefusals)
 	g.zoneMonitor.g, g.zoneMonitor.waiting = g, map[string]map[*attemptState]func(){}
 	g.crashDetector = &crashDetector{g: g, checks: map[string]*crashCheck{}}
 	g.breaker = breaker.New(g.now)
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -104,28 +104,23 @@
 // spreadSuspects queues reports for the neighbours: for all if from is "", else for those to which
 // the reports of neighbour from are relayed.
 func (g *Gateway) spreadSuspects(reports []quarantine.Report, from string) {
-	if len(reports) == 0 {
-		return
+	for _, report := range reports {
+		g.suspectsOutbox.add(from, report.Key, report)
 	}
-	g.suspectsOutbox.add(reports, from)
-	g.outboxDue.Raise()
 }
 
+// suspectsDelay is how long crash reports wait to be batched, on each hop through the fleet:
+// when the targets of a zone fail, hundreds arrive at once, which a neighbour gets in one
+// message.
+const suspectsDelay = 25 * time.Millisecond
+
 // reportSuspects sends the contents of the outbox to the neighbours whenever there are any, until
 // ctx ends.
 func (g *Gateway) reportSuspects(ctx context.Context) {
-	for ctx.Err() == nil {
-		if !g.outboxDue.Wait(ctx, quarantine.Retention) || !wait.For(ctx, outboxDelay) {
-			continue
-		}
-		neighbours := g.view.Load().Tree.neighbours()
-		byNeighbour := g.suspectsOutbox.drain(neighbours)
-		for _, n := range neighbours {
-			if reports := byNeighbour[n.Name]; len(reports) > 0 {
-				g.spawn(func() { g.sendSuspects(n.Member, &SuspectsRequest{From: g.settings().Name, Reports: reports}) })
-			}
-		}
-	}
+	g.suspectsOutbox.run(ctx, g, func(n neighbour, reports []quarantine.Report) {
+		req := &SuspectsRequest{From: g.settings().Name, Reports: quarantine.TopReports(reports)}
+		g.spawn(func() { g.sendSuspects(n.Member, req) })
+	})
 }
 
 // sendSuspects sends reports to one peer and merges those of its reply. compareSuspects makes up for
--- a/internal/gateway/target_limits.go
+++ b/internal/gateway/target_limits.go
@@ -71,14 +71,20 @@
 	g       *Gateway
 	known   targetlimit.Limits
 	permits targetlimit.Permits // given out by this instance as a keeper
-	outbox  *treeOutbox[string, targetlimit.Report]
+	outbox  *treeOutbox[string, limitChange]
 
 	mu          sync.Mutex
 	deniedUntil map[string]time.Time // by id of the target: there is no permit before
 }
 
-// laterReport returns the one of two reports on a target that holds.
-func laterReport(older, newer targetlimit.Report) targetlimit.Report {
+// limitChange is a report that changed what this instance knows of a target's limit.
+type limitChange struct {
+	target string
+	targetlimit.Report
+}
+
+// laterChange returns the one of two changes of a target's limit that holds.
+func laterChange(older, newer limitChange) limitChange {
 	if newer.At.Before(older.At) {
 		return older
 	}
@@ -93,7 +99,7 @@
 		w = targetlimit.Report{Named: true, PerSecond: limit.PerSecond, At: l.g.now()}
 	}
 	if l.learn(t.ID, w, fromAnswer, "") {
-		l.outbox.add("", t.ID, w)
+		l.outbox.add("", t.ID, limitChange{t.ID, w})
 	}
 }
 
@@ -115,16 +121,15 @@
 	return true
 }
 
-// receive takes note of a peer's reports and returns those that change a limit, by target.
-func (l *targetLimits) receive(reports []LimitReport, by string) map[string]targetlimit.Report {
-	changed := map[string]targetlimit.Report{}
+// receive takes note of a peer's reports and returns those that change a limit.
+func (l *targetLimits) receive(reports []LimitReport, by string) (changes []limitChange) {
 	for _, report := range reports[:min(len(reports), maxLimitReports)] {
 		w := report.decode(l.g.now())
 		if report.isValid() && l.learn(report.Target, w, fromPeer, by) {
-			changed[report.Target] = w
+			changes = append(changes, limitChange{report.Target, w})
 		}
 	}
-	return changed
+	return changes
 }
 
 // isValid reports whether a report that was received makes sense.
@@ -156,11 +161,11 @@
 
 // run tells the neighbours of changed limits, until ctx ends.
 func (l *targetLimits) run(ctx context.Context) {
-	l.outbox.run(ctx, l.g, func(n neighbour, reports map[string]targetlimit.Report) {
+	l.outbox.run(ctx, l.g, func(n neighbour, changes []limitChange) {
 		now := l.g.now()
 		var out []LimitReport
-		for target, w := range reports {
-			out = append(out, encodeLimit(target, w, now))
+		for _, c := range changes {
+			out = append(out, encodeLimit(c.target, c.Report, now))
 		}
 		for chunk := range slices.Chunk(out, maxLimitReports) {
 			l.g.spawn(func() { l.send(ctx, n, chunk) })
@@ -179,8 +184,8 @@
 
 // TargetLimits handles a peer's reports, and passes on those that change a limit.
 func (h *peerHandler) TargetLimits(req *LimitReports, _ *Ack) error {
-	for target, w := range h.g.limits.receive(req.Reports, req.From) {
-		h.g.limits.outbox.add(req.From, target, w)
+	for _, c := range h.g.limits.receive(req.Reports, req.From) {
+		h.g.limits.outbox.add(req.From, c.target, c)
 	}
 	return nil
 }
@@ -289,8 +294,8 @@
 
 // grant decides on a request for a permit, by what the asking instance and this one know of the limit.
 func (l *targetLimits) grant(report LimitReport) PermitReply {
-	for target, w := range l.receive([]LimitReport{report}, "asking") {
-		l.outbox.add("", target, w)
+	for _, c := range l.receive([]LimitReport{report}, "asking") {
+		l.outbox.add("", c.target, c)
 	}
 	now, v := l.g.now(), l.g.view.Load()
 	w, limited := l.limitOf(report.Target)
