Placement: targets that can't be chosen for a reason are counted in one place each

Read again: the count of targets without a permit asked again for backoff and eligibility, which the branch below it asks too. No decision changes; go test ./internal/core/placement passes.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -136,16 +136,18 @@
 		if t.WarmupLimited {
 			d.WarmupLimited++
 		}
-		if t.RateLimited && !t.InBackoff && eligible(t, q) {
-			d.RateLimited++
+		if !eligible(t, q) {
+			continue
 		}
 		if t.InBackoff {
-			if eligible(t, q) {
-				d.InBackoff++
-			}
+			d.InBackoff++
+			continue
+		}
+		if t.RateLimited {
+			d.RateLimited++
 			continue
 		}
-		if t.Excluded || t.WarmupLimited || t.RateLimited || !eligible(t, q) {
+		if t.Excluded || t.WarmupLimited {
 			continue
 		}
 		full := q.Policy.Admission && t.isFullFor(q)
