Retry budgets: less work under the lock of each request

Read again: each request looked through the seeds and formatted the own address, with the lock held, for a number that is the same without it in fleets of ten and more; and looked up its counter there. No decision changes; TestFleetRetriesStayWithinBudget and TestRetriesHelpCallers pass.

--- a/internal/gateway/retry_budgets.go
+++ b/internal/gateway/retry_budgets.go
@@ -45,12 +45,12 @@
 func (b *retryBudgets) instances() int {
 	known := b.fleet.observe(b.g.view.Load().InstanceCount, b.g.now())
 	switch {
-	case !b.g.hasOtherSeeds():
+	case known >= minAssumedFleet || !b.g.hasOtherSeeds():
 		return known
 	case known <= 1:
 		return 0
 	}
-	return max(known, minAssumedFleet)
+	return minAssumedFleet
 }
 
 // hasOtherSeeds reports whether this instance is to join others.
@@ -82,10 +82,10 @@
 
 // creditRequest adds one request to a service's budget, which allows retries in proportion.
 func (b *retryBudgets) creditRequest(service string) {
+	metric.BudgetedRequests(service).Inc()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.budgetOf(service).Deposit(b.g.now())
-	metric.BudgetedRequests(service).Inc()
 }
 
 // spendRetry takes one retry from a service's budget and reports whether there was one.
