Permits that were refused are looked up once an attempt

Read again: each candidate of each request took two locks to learn that no target names a limit. As with backoffs, the attempt takes what there is once, which is usually nothing; waits that are over are dropped then, where they stayed until their target was gone. No decision changes.

Figures: go test -run TestLimits -count=3 ./internal/gateway passes.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -33,6 +33,7 @@
 	ejected := x.g.breaker.EjectedForSelection()
 	candidates, serving := x.view.Candidates[x.service], x.view.Serving[x.service]
 	x.unreachableZones, x.backoffUntil = x.g.unreachableZones(x.service, serving), x.g.breaker.Backoffs()
+	x.permitWaits = x.g.limits.waits(x.g.now())
 	if len(candidates) < len(serving) && x.countFit(candidates, ejected) < minFitCandidates {
 		candidates = x.widenCandidates(serving, ejected)
 	}
@@ -101,7 +102,7 @@
 // still be tried, is neither ejected nor in backoff nor in an unreachable zone, may get a permit
 // if it names a limit, and, while warming up, has a slot left for this instance.
 func (x *exchange) isFit(t *catalog.Target, ejected []string) bool {
-	if x.isExcluded(t) || x.inBackoff(t) || x.g.limits.waitFor(t.ID, x.g.now()) > 0 || slices.Contains(ejected, t.ID) || x.unreachableZones[t.Zone] {
+	if x.isExcluded(t) || x.inBackoff(t) || x.lacksPermit(t) || slices.Contains(ejected, t.ID) || x.unreachableZones[t.Zone] {
 		return false
 	}
 	if blocked, _ := x.warmupBlocked(t, x.g.now()); blocked {
@@ -117,6 +118,13 @@
 	return found
 }
 
+// lacksPermit reports whether a target names a limit, and there is no permit to send it a request, as of this
+// attempt.
+func (x *exchange) lacksPermit(t *catalog.Target) bool {
+	_, found := x.permitWaits[t.ID]
+	return found
+}
+
 func (x *exchange) countFit(targets []*catalog.Target, ejected []string) int {
 	n := 0
 	for _, t := range targets {
@@ -162,7 +170,7 @@
 	for i, t := range targets {
 		load := x.g.upstream.inflight.Get(t.ID)
 		o := placement.Target{ID: t.Name, Zone: t.Zone, InFlight: int(load.Requests.Load()), Excluded: x.isExcluded(t), Ejected: slices.Contains(ejected, t.ID), ZoneUnreachable: x.unreachableZones[t.Zone], InBackoff: x.inBackoff(t)}
-		o.RateLimited = x.g.limits.waitFor(t.ID, now) > 0
+		o.RateLimited = x.lacksPermit(t)
 		o.WarmupLimited, o.Weight = x.warmupBlocked(t, now)
 		if p := x.call.Prompt; p != nil {
 			version := t.WeightVersion(p.Model)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -53,17 +53,18 @@
 	promptWork    promptWork              // prefill and fetch work of the attempt
 	plan          cachePlan
 
-	keyCache         *quarantine.Key      // see quarantineKey
-	unreachableZones map[string]bool      // as of this attempt
-	backoffUntil     map[string]time.Time // end of the backoff that each target requested, as of this attempt
-	warmupSlotHeld   bool                 // it holds a slot at a target that is warming up, see warmup.go
-	permitsDenied    int                  // targets that got no request for want of a permit
-	isTrial          bool                 // a quarantined request, let through to see whether it still crashes its target
-	quarantineState  *quarantine.State    // set if the request was refused as quarantined
-	decision         placement.Decision   // the decision that refused the request
-	predictedMS      float64              // predicted time to the first byte
-	fallback         *bufferedResponse    // a target's error response, delivered if no attempt succeeds
-	budgetUse        budgetUse            // what the end of the last attempt meant for the retry budget
+	keyCache         *quarantine.Key          // see quarantineKey
+	unreachableZones map[string]bool          // as of this attempt
+	backoffUntil     map[string]time.Time     // end of the backoff that each target requested, as of this attempt
+	permitWaits      map[string]time.Duration // time until there may be a permit for each target without one, as of this attempt
+	warmupSlotHeld   bool                     // it holds a slot at a target that is warming up, see warmup.go
+	permitsDenied    int                      // targets that got no request for want of a permit
+	isTrial          bool                     // a quarantined request, let through to see whether it still crashes its target
+	quarantineState  *quarantine.State        // set if the request was refused as quarantined
+	decision         placement.Decision       // the decision that refused the request
+	predictedMS      float64                  // predicted time to the first byte
+	fallback         *bufferedResponse        // a target's error response, delivered if no attempt succeeds
+	budgetUse        budgetUse                // what the end of the last attempt meant for the retry budget
 	finished         bool
 }
 
--- a/internal/gateway/target_limits.go
+++ b/internal/gateway/target_limits.go
@@ -196,18 +196,22 @@
 	return w, known && w.Named
 }
 
-// waitFor returns the time until there may be a permit for a target; 0: it may be asked for one, or names no limit.
-func (l *targetLimits) waitFor(id string, now time.Time) time.Duration {
+// waits returns, by id of the target, the time until there may be a permit for those for which there is none now.
+// It is usually empty.
+func (l *targetLimits) waits(now time.Time) map[string]time.Duration {
 	l.mu.Lock()
-	until, denied := l.deniedUntil[id]
-	l.mu.Unlock()
-	if !denied || !now.Before(until) {
-		return 0
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.deniedUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
+	if len(l.deniedUntil) == 0 {
+		return nil
 	}
-	if _, limited := l.limitOf(id); !limited {
-		return 0
+	out := make(map[string]time.Duration, len(l.deniedUntil))
+	for id, until := range l.deniedUntil {
+		if _, limited := l.limitOf(id); limited {
+			out[id] = until.Sub(now)
+		}
 	}
-	return until.Sub(now)
+	return out
 }
 
 // acquire reports whether a request may be sent to a target now. If the target names a limit, it asks the keeper for
@@ -331,17 +335,14 @@
 func (l *targetLimits) retain(keep func(id string) bool) {
 	l.known.Retain(keep, l.g.now())
 	l.permits.Retain(keep)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	maps.DeleteFunc(l.deniedUntil, func(id string, _ time.Time) bool { return !keep(id) })
 }
 
 // retryAfterLimited returns when a request that no limited target may take should come again: in 1 to 1.5 times
 // the time until the first permit is due.
 func (x *exchange) retryAfterLimited() time.Duration {
-	first, now := maxRetryAfterLimited, x.g.now()
+	first, waits := maxRetryAfterLimited, x.g.limits.waits(x.g.now())
 	for _, t := range x.view.Serving[x.service] {
-		if wait := x.g.limits.waitFor(t.ID, now); wait > 0 {
+		if wait, denied := waits[t.ID]; denied {
 			first = min(first, wait)
 		}
 	}
