Tests: what the transport repeats, who is told by peers only, and that tunnels and resumed streams are met

The fleet's retries now fail if no attempt went through a peer, or no stream was resumed, where the case is about that. A limit of which eight of nine instances hear from the ninth alone holds from their first request.

--- a/internal/gateway/retry_budgets_test.go
+++ b/internal/gateway/retry_budgets_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/apex/log"
 	"github.com/matryer/is"
+
+	"github.com/shedhoist/shedhoist/internal/core/attempt"
 )
 
 // The retries of a whole fleet, counted where they arrive, while instances restart, lose one another, and are
@@ -31,7 +33,8 @@
 	repeats  []time.Time
 	served   int
 
-	charged, free int // retries, as the instances log them
+	charged, free    int // retries, as the instances log them
+	resumed, relayed int // of the failed attempts: followed by a resumption, and made through a peer
 }
 
 // HandleLog implements log.Handler. It counts the retries that instances say they have charged, and those that
@@ -42,6 +45,12 @@
 	if e.Message != "attempt failed" {
 		return nil
 	}
+	if e.Fields["next"] == attempt.Resume.String() {
+		c.resumed++
+	}
+	if e.Fields["relayed_by"] != nil {
+		c.relayed++
+	}
 	switch e.Fields["budget"] {
 	case string(budgetCharged):
 		c.charged++
@@ -222,6 +231,7 @@
 	instances int
 	perSecond int
 	play      func(f *retryFleet, fault targetFault, perSecond int)
+	relays    bool // attempts go through peers
 }
 
 // settled is how long a fleet works before its targets fail: all budgets are full by then.
@@ -232,7 +242,7 @@
 		f.load(perSecond, settled)
 		f.fail(fault, 1)
 		f.load(perSecond, 11*time.Second)
-	}},
+	}, false},
 	{"all restart, three times", 9, 20, func(f *retryFleet, fault targetFault, perSecond int) {
 		f.load(perSecond, settled)
 		f.fail(fault, 1)
@@ -241,7 +251,7 @@
 			f.restartAll()
 		}
 		f.load(perSecond, 2*time.Second)
-	}},
+	}, false},
 	{"each restarts three times", 9, 33, func(f *retryFleet, fault targetFault, perSecond int) {
 		f.load(perSecond, settled)
 		f.fail(fault, 1)
@@ -251,21 +261,21 @@
 			f.start(k % len(f.gateways))
 		}
 		f.load(perSecond, 4*time.Second)
-	}},
+	}, false},
 	{"all lose their peers", 24, 40, func(f *retryFleet, fault targetFault, perSecond int) {
 		f.load(perSecond, settled)
 		f.cutPeers(eachAlone, linkRefuses)
 		f.load(perSecond, 75*time.Second)
 		f.fail(fault, 1)
 		f.load(perSecond, 11*time.Second)
-	}},
+	}, false},
 	{"all restart without their peers", 24, 40, func(f *retryFleet, fault targetFault, perSecond int) {
 		f.load(perSecond, settled)
 		f.cutPeers(eachAlone, linkRefuses)
 		f.fail(fault, 1)
 		f.restartAll()
 		f.load(perSecond, 11*time.Second)
-	}},
+	}, false},
 	{"instances are added", 6, 30, func(f *retryFleet, fault targetFault, perSecond int) {
 		f.load(perSecond, settled)
 		f.fail(fault, 1)
@@ -274,7 +284,7 @@
 			f.load(perSecond, 250*time.Millisecond)
 		}
 		f.load(perSecond, 5*time.Second)
-	}},
+	}, false},
 	{"half are lost", 10, 60, func(f *retryFleet, fault targetFault, perSecond int) {
 		f.load(perSecond, settled)
 		f.fail(fault, 1)
@@ -284,20 +294,20 @@
 			f.kill(i)
 		}
 		f.load(perSecond, 11*time.Second)
-	}},
+	}, false},
 	{"callers leave", 9, 150, func(f *retryFleet, fault targetFault, perSecond int) {
 		f.load(perSecond, settled)
 		f.load(perSecond/30, fleetRetryWindow)
 		f.fail(fault, 1)
 		f.load(perSecond/30, 11*time.Second)
-	}},
+	}, false},
 	{"one has no links to the targets", 9, 50, func(f *retryFleet, fault targetFault, perSecond int) {
 		f.load(perSecond, settled)
 		f.cutLinks([]int{0}, linkHangs)
 		f.load(perSecond, 3*time.Second)
 		f.fail(fault, 1)
 		f.load(perSecond, 11*time.Second)
-	}},
+	}, true},
 }
 
 // TestFleetRetriesStayWithinBudget guards against instances each of which keeps its own retry budget while the
@@ -320,12 +330,48 @@
 					if all, charged, free := f.counter.totals(); all > charged {
 						t.Errorf("%d arrivals beyond the first, but %d retries charged (%d free)", all, charged, free)
 					}
+					f.counter.mu.Lock()
+					defer f.counter.mu.Unlock()
+					if fault == targetsCut && f.counter.resumed == 0 {
+						t.Error("no stream was resumed")
+					}
+					if s.relays && f.counter.relayed == 0 {
+						t.Error("no attempt went through a peer")
+					}
 				})
 			})
 		}
 	}
 }
 
+// TestTransportRepeatsNothing guards against requests that net/http sends again by itself, without a charge: GET requests
+// without a body, on kept connections that their target closes instead of answering.
+func TestTransportRepeatsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newRetryFleet(t, 1, targetsBreak)
+		defer f.stop()
+		get := func(id string) trafficResponse {
+			conn := f.dialCaller(0)
+			defer conn.Close()
+			return roundTrip(conn, fmt.Sprintf("GET %sx HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: key\r\n\r\n", pathSafe, anyHost, trafficID, id, trafficKey))
+		}
+		for i := range 20 { // to each target, on a connection that stays
+			is.Equal(get(fmt.Sprint("before ", i)).status, http.StatusOK)
+		}
+		set := *f.gateways[0].settings()
+		set.Retry = RetryBudget{Window: fleetRetryWindow} // no retry of the instance's own
+		f.gateways[0].Reload(&set)
+		f.fail(targetsBreak, 1)
+		for i := range 20 {
+			is.True(get(fmt.Sprint("broken ", i)).status != http.StatusOK)
+		}
+		repeats, charged, _ := f.counter.totals()
+		is.Equal(repeats, 0)
+		is.Equal(charged, 0)
+	})
+}
+
 // TestRetriesHelpCallers guards against a retry budget that is kept by giving up the retries that callers need: of
 // requests that fail here and there, of those to one target that fails, and of those to instances that have just
 // started.
--- a/internal/gateway/target_limits_test.go
+++ b/internal/gateway/target_limits_test.go
@@ -67,6 +67,7 @@
 	started   map[int]time.Time // last start, by instance
 	callers   sync.WaitGroup
 	sent      int
+	callersAt func(n int) int // instance that gets the n-th request; nil: the instances in turn
 }
 
 func newLimitFleet(t *testing.T, n, targets, limited int) *limitFleet {
@@ -122,6 +123,9 @@
 	n := int(during.Seconds() * float64(perSecond))
 	for range n {
 		i, path := f.sent%len(f.gateways), limitPaths[f.sent/len(f.gateways)%len(limitPaths)]
+		if f.callersAt != nil {
+			i = f.callersAt(f.sent)
+		}
 		f.sent++
 		address := f.gateways[i].settings().CallerListen
 		f.callers.Go(func() {
@@ -348,6 +352,13 @@
 		limitedFor(f, 10*time.Second)
 		f.checkUse(settled.Add(limitContact), mostOfLimit)
 	}},
+	{"most are told by a peer only", 9, 3, 3, 2, func(f *limitFleet) {
+		f.callersAt = func(int) int { return 0 }
+		f.load(limitLoad, limitContact)
+		f.callersAt = func(n int) int { return 1 + n%(len(f.gateways)-1) } // their first requests since the limit
+		limitedFor(f, 8*time.Second)
+		f.checkUse(f.since.Add(limitContact), mostOfLimit)
+	}},
 	{"instances are added", 6, 3, 3, 2, func(f *limitFleet) {
 		f.load(limitLoad, 4*time.Second)
 		for range 6 {
