--- a/internal/gateway/brittle_test.go
+++ b/internal/gateway/brittle_test.go
@@ -56,6 +56,7 @@
 	mu     sync.Mutex
 	states map[string]*brittleState
 	served int
+	late   int // of these, begun once the targets had no more room than their places
 }
 
 // serve runs a request, turns it away for want of room, or falls over.
@@ -78,6 +79,9 @@
 	defer b.mu.Unlock()
 	b.states[m.name].running--
 	b.served++
+	if time.Since(b.since) >= brittleGrace+brittleWork {
+		b.late++
+	}
 	return true
 }
 
@@ -122,26 +126,36 @@
 	}
 }
 
-func checkBrittle(t *testing.T, n, limit int) {
-	const (
-		targets = 6
-		during  = 12 * time.Second
-		// capacity is what the targets can serve, and interval that of half as many requests again.
-		capacity = int(during/brittleWork) * targets * brittlePlaces
-		interval = 2 * during / time.Duration(3*capacity)
-	)
+// Fleets of brittle targets, and what these can serve.
+const (
+	brittleCount    = 6
+	brittleTime     = 12 * time.Second
+	brittleCapacity = int(brittleTime/brittleWork) * brittleCount * brittlePlaces
+)
+
+// loadBrittle sends a fleet of n instances a number of requests at a constant rate for brittleTime.
+func loadBrittle(t *testing.T, n, limit, load int) *brittleTargets {
 	b := &brittleTargets{limit: limit, states: map[string]*brittleState{}}
-	f := newFleetWith(t, n, 3, targets, fleetOptions{codec: brittleCodec{}, serve: b.serve, editSettings: func(s *Settings) {
+	f := newFleetWith(t, n, 3, brittleCount, fleetOptions{codec: brittleCodec{}, serve: b.serve, editSettings: func(s *Settings) {
 		s.Retry = RetryBudget{Share: fleetRetryShare, Slack: brittleRetrySlack * float64(n), Window: fleetRetryWindow}
 	}})
 	defer f.stop()
 	b.since = time.Now()
 	var requests sync.WaitGroup
-	for i := range int(during / interval) {
+	for i := range load {
 		requests.Go(func() { f.request(i%n, pathOnce, fmt.Sprint("request ", i)) })
-		time.Sleep(interval)
+		time.Sleep(brittleTime / time.Duration(load))
 	}
 	requests.Wait()
+	return b
+}
+
+func checkBrittle(t *testing.T, n, limit int) {
+	const (
+		targets  = brittleCount
+		capacity = brittleCapacity
+	)
+	b := loadBrittle(t, n, limit, capacity*3/2)
 	falls := 0
 	for _, s := range b.states {
 		falls += s.falls
@@ -155,6 +169,27 @@
 	t.Logf("%d falls, %d of %d served", falls, b.served, capacity)
 }
 
+// TestBrittleTargetsAreUsed guards against brittle targets that stand idle while callers are refused: with twice what
+// they can serve, most of their room is used.
+func TestBrittleTargetsAreUsed(t *testing.T) {
+	// capacity is what the targets can serve once they turn requests away.
+	const capacity = int((brittleTime-brittleGrace)/brittleWork) * brittleCount * brittlePlaces
+	for _, n := range []int{1, 3, 9, 60} {
+		for _, limit := range []int{3, 8} {
+			t.Run(fmt.Sprint(n, " instances, limit ", limit), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					b := loadBrittle(t, n, limit, 2*brittleCapacity)
+					t.Logf("%d of %d served", b.late, capacity)
+					if b.late < capacity/2 {
+						t.Errorf("%d requests served, the targets have room for %d", b.late, capacity)
+					}
+				})
+			})
+		}
+	}
+}
+
 // TestRefusalsOfOneTargetAddUp guards against refusals that get lost where one message tells of a target twice: of
 // the requests that its sender was turned away with, and of those that a peer told it of.
 func TestRefusalsOfOneTargetAddUp(t *testing.T) {
