logs explain says when the retry budget was used up

Of limits they do; a request that ended for want of a retry was explained by nothing, though the line of its last attempt says so. The finding names the balance, the number of instances and the age of the process; the timeline shows what the budget had to do with each attempt. go test ./internal/requestlog passes.

--- a/internal/requestlog/retries.go
+++ b/internal/requestlog/retries.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 )
@@ -101,3 +102,15 @@
 	}
 	w.MaxInstances = max(w.MaxInstances, instances)
 }
+
+// findExhaustedBudget reports that a request got no further attempt because the retry budget was used up.
+func findExhaustedBudget(_ []Line, t *Timeline) []string {
+	var out []string
+	for _, a := range t.failedAttempts() {
+		if a.isRetry("exhausted") {
+			out = append(out, fmt.Sprintf("no further attempt: %s had %.2f retries left for service %s, of a budget for %.0f instances, %s after its start",
+				a.Instance, a.Fields.Number("budget_balance"), a.Fields.Text("service"), a.Fields.Number("budget_instances"), time.Duration(a.Fields.Number("up_ms"))*time.Millisecond))
+		}
+	}
+	return out
+}
--- a/internal/requestlog/retries_test.go
+++ b/internal/requestlog/retries_test.go
@@ -41,3 +41,20 @@
 	is.Equal(w, requestlog.RetryWindow{Service: "s", Requests: 5, Charged: 3, Free: 1, Exhausted: 1, ByCause: map[string]int{"refused": 2, "broke within the answer": 1},
 		ByInstance: map[string]int{"a": 1, "b": 1, "c": 1}, AfterStart: 1, Starts: 1, MinInstances: 10, MaxInstances: 12})
 }
+
+// TestExhaustedBudget guards against a request that ends for want of a retry without a word of it.
+func TestExhaustedBudget(t *testing.T) {
+	attempt := func(budget string) string {
+		return logLine(4900, "a", "attempt failed", fmt.Sprintf(`"request":"r","target":"t1","ended":"refused","service":"s","budget":%q,"budget_balance":0.25,"budget_instances":9,"up_ms":2500`, budget))
+	}
+	end := logLine(5000, "a", "request", `"request":"r","outcome":"overloaded","status":503`)
+	for budget, want := range map[string][]string{
+		"exhausted": {"no further attempt: a had 0.25 retries left for service s, of a budget for 9 instances, 2.5s after its start"},
+		"charged":   nil,
+		"not-asked": nil,
+	} {
+		t.Run(budget, func(t *testing.T) {
+			is.New(t).Equal(findingsOn(t, []string{attempt(budget), end}, "no further attempt"), want)
+		})
+	}
+}
--- a/internal/tool/logs.go
+++ b/internal/tool/logs.go
@@ -122,7 +122,7 @@
 }
 
 // timelineFields are the log fields that are printed of each line, in this order.
-var timelineFields = []string{"target", "targets", "outcome", "status", "ended", "next", "detail", "error", "config", "version", "before", "from", "by", "leaving",
+var timelineFields = []string{"target", "targets", "outcome", "status", "ended", "next", "budget", "detail", "error", "config", "version", "before", "from", "by", "leaving",
 	"weights", "ms", "first_ms", "predicted_ms", "link", "read_tokens", "age_ms", "store_age_ms", "token"}
 
 func printLines(w io.Writer, lines []requestlog.Line) {
