--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -230,6 +230,7 @@
 	Zone     string         `cbor:"6,keyasint,omitempty"`
 	Leaving  bool           `cbor:"7,keyasint,omitempty"` // its entry says that it accepts no new requests
 	Models   []ModelVersion `cbor:"8,keyasint,omitempty"`
+	Software string         `cbor:"11,keyasint,omitempty"` // version of its software; versions have no order
 	// WarmupMS is how much longer the target was warming up when it wrote its entry.
 	WarmupMS int64 `cbor:"10,keyasint,omitempty"`
 	// WarmupUntil is the end of its warmup, by this instance's clock.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -107,7 +107,7 @@
 	defer at.load.MemoryTokens.Add(-memoryTokens)
 	at.pending = x.g.addPending(t.ID, at.promptWork.PrefillWork, at.startedAt)
 	defer x.g.removePending(at.pending)
-	x.triedTargets, x.lastZone, x.notice = append(x.triedTargets, t.ID), t.Zone, Notice{}
+	x.triedTargets, x.software, x.lastZone, x.notice = append(x.triedTargets, t.ID), t.Software, t.Zone, Notice{}
 	if x.mayAbandon() {
 		at.silenceTimer = time.AfterFunc(x.attemptTimeout(), func() { x.abandon(at, cancel) })
 		defer at.silenceTimer.Stop()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/shedhoist/shedhoist/internal/catalog"
 	"github.com/shedhoist/shedhoist/internal/core/attempt"
 	"github.com/shedhoist/shedhoist/internal/core/placement"
@@ -43,6 +45,7 @@
 	lastEventID   string // id of the last event sent to the caller
 	firstByteMS   float64
 	triedTargets  []string                // ids, in the order of the attempts
+	software      string                  // version of the software of the last tried target
 	triedBefore   int                     // how many of them were tried before the last change of relayed
 	relayed       bool                    // attempts go through peers
 	relay         atomic.Pointer[string]  // name of the peer that carried the last relayed attempt
@@ -276,6 +279,7 @@
 	if x.notice.Backoff > 0 {
 		e = e.WithField("rest_ms", x.notice.Backoff.Milliseconds())
 	}
+	e = x.withStreamFields(e)
 	if x.notice.Leaving {
 		e = e.WithField("target_leaves", true)
 	}
@@ -288,6 +292,19 @@
 	e.Info("attempt failed")
 }
 
+// withStreamFields adds to a log line of a stream the version of the last tried target's software, and
+// which stream the caller resumes.
+func (x *exchange) withStreamFields(e *log.Entry) *log.Entry {
+	if x.route == nil || x.route.Kind != catalog.Streaming {
+		return e
+	}
+	e = e.WithField("software", x.software)
+	if x.call.Resumes != "" {
+		e = e.WithField("resumes", x.call.Resumes)
+	}
+	return e
+}
+
 // quarantineKey returns the key that the request shares with equivalent ones, which are
 // quarantined together if they crash targets.
 func (x *exchange) quarantineKey() quarantine.Key {
@@ -344,6 +361,7 @@
 	if age, known := x.g.staleness.Age(staleness.Config, x.g.now()); known {
 		e = e.WithField("config_age_ms", age.Milliseconds())
 	}
+	e = x.withStreamFields(e)
 	if x.firstByteMS > 0 {
 		e = e.WithField("first_ms", x.firstByteMS).WithField("predicted_ms", x.predictedMS)
 	}
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -44,6 +44,7 @@
 	APIKey      string
 	Timeout     time.Duration // how long the caller waits; 0: not specified
 	LastEventID string        // the caller resumes a broken stream after this event
+	Resumes     string        // ID of the request that brought the first event of that stream
 	Prompt      *Prompt       // nil: a plain request
 }
 
