--- a/internal/gateway/traffic_test.go
+++ b/internal/gateway/traffic_test.go
@@ -240,12 +240,14 @@
 type memoryTarget struct {
 	f          *trafficFleet
 	name, zone string
+	address    string // name:1 if empty
 
 	mu          sync.Mutex
 	srv         *http.Server
 	startedAt   int64                  // start of its incarnation, in Unix ms
 	stopped     bool                   // it does not restart
 	warmupMS    int64                  // in its registry entry from the next start on
+	software    string                 // the same
 	runs        int                    // requests in progress
 	resetsConns bool                   // it closes connections instead of responding, and keeps running
 	crashesOn   func(body string) bool // reports whether a body crashes it
@@ -259,7 +261,7 @@
 	if stopped {
 		return
 	}
-	address := m.name + ":1"
+	address := m.listenAddress()
 	ln, err := m.f.net.listen(address)
 	if err != nil {
 		m.f.t.Fatal(err)
@@ -267,15 +269,22 @@
 	srv := &http.Server{Handler: m}
 	m.mu.Lock()
 	m.srv, m.startedAt = srv, time.Now().UnixMilli()
-	warmupMS := m.warmupMS
+	warmupMS, software := m.warmupMS, m.software
 	m.mu.Unlock()
 	go func() { _ = srv.Serve(ln) }() // ends with the target
-	m.f.store.set(memoryTargets, m.name, catalog.Target{Service: "s", Address: address, Zone: m.zone, Start: m.startedAt, WarmupMS: warmupMS})
+	m.f.store.set(memoryTargets, m.name, catalog.Target{Service: "s", Address: address, Zone: m.zone, Start: m.startedAt, WarmupMS: warmupMS, Software: software})
+}
+
+func (m *memoryTarget) listenAddress() string {
+	if m.address != "" {
+		return m.address
+	}
+	return m.name + ":1"
 }
 
 // leave marks the target as leaving in its registry entry.
 func (m *memoryTarget) leave() {
-	m.f.store.set(memoryTargets, m.name, catalog.Target{Service: "s", Address: m.name + ":1", Zone: m.zone, Start: m.startedAt, Leaving: true})
+	m.f.store.set(memoryTargets, m.name, catalog.Target{Service: "s", Address: m.listenAddress(), Zone: m.zone, Start: m.startedAt, Leaving: true, Software: m.software})
 }
 
 // crash stops the target and restarts it after restartTime.
@@ -287,7 +296,7 @@
 	if srv == nil {
 		return // not running
 	}
-	m.f.closeListeners(m.name + ":1")
+	m.f.closeListeners(m.listenAddress())
 	srv.Close()
 	time.AfterFunc(restartTime, m.start)
 }
@@ -343,7 +352,7 @@
 		m.mu.Lock()
 		m.stopped = true
 		if m.srv != nil {
-			f.closeListeners(m.name + ":1")
+			f.closeListeners(m.listenAddress())
 			m.srv.Close()
 		}
 		m.mu.Unlock()
