Streams go on only at the version of the targets' software that began them

Cause: an instance chose the target of each attempt without regard to the version of its software, within one answer and when a caller took a stream up; Resumes was read nowhere. Class: an attempt that goes on with another one's work inherits none of what that work was bound to.

The instance that sends a stream's first event binds the stream to the target's version. While a service has several versions, or an instance can't rule them out, it tells three peers, found by rendezvous hashing of the customer and the attempt, in different zones where possible; as a second version appears, it tells of its streams so far. Whoever a stream is taken up at looks into its own records and asks peers. A stream that nobody knows goes on only if a single version can have begun it: somebody has watched the service for as long as the stream may be old, knows a single one, and a peer has answered. Otherwise it is refused at once.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -52,6 +52,11 @@
 	return r.Kind == Idempotent || (r.Kind == Streaming && r.Resumable)
 }
 
+// SendsTo reports whether requests on the route go to a service.
+func (r *Route) SendsTo(service string) bool {
+	return slices.ContainsFunc(r.Backends, func(b Backend) bool { return b.Service == service && (b.Weight > 0 || len(r.Backends) == 1) })
+}
+
 // Engine describes the model servers of a service.
 type Engine struct {
 	Slots       int
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -25,6 +25,7 @@
 	Ejected         bool    // ejected by the circuit breaker after recent failures
 	LacksModel      bool    // does not serve the request's model
 	ZoneUnreachable bool    // its zone is unreachable: a last resort, like an ejected target
+	Incompatible    bool    // its software can't go on with the request's stream
 	WarmupLimited   bool    // warming up, and this instance may send it no request now
 	RateLimited     bool    // names a limit, and there is no permit to send it a request now
 	InBackoff       bool    // has asked this instance to back off, and gets no requests
@@ -188,7 +189,7 @@
 // eligible reports whether the target serves the request's model. Targets with outdated
 // weights are eligible until rolloutMargin before the end of the rollout.
 func eligible(t *Target, q Query) bool {
-	return !t.LacksModel && (t.OutdatedFor == 0 || t.OutdatedFor < q.RolloutTimeout-rolloutMargin)
+	return !t.LacksModel && !t.Incompatible && (t.OutdatedFor == 0 || t.OutdatedFor < q.RolloutTimeout-rolloutMargin)
 }
 
 // homeIndex returns the index of a prompt's home among the targets that serve its model, or
@@ -198,7 +199,7 @@
 // twice as long and occupies the store's link, the scarce resource of a large fleet.
 func homeIndex(targets []Target, prefixKey, storeZone string) int {
 	healthyInZone := func(t Target) bool {
-		return t.Zone == storeZone && !t.LacksModel && !t.unavailable() && !t.lastResort()
+		return t.Zone == storeZone && !t.LacksModel && !t.Incompatible && !t.unavailable() && !t.lastResort()
 	}
 	anyZone := storeZone == "" || !slices.ContainsFunc(targets, healthyInZone)
 	best, highestRank := -1, 0.0
--- /dev/null
+++ b/internal/core/streamversion/streamversion.go
@@ -0,0 +1,201 @@
+// Package streamversion keeps which version of the targets' software began each stream, and which
+// versions have served of late. What two versions write doesn't fit together, so a stream may go on only
+// at the version that began it. The package does no I/O and reads no clock.
+//
+// Invariant: a stream is bound once, by its first event, and never bound anew to another version.
+package streamversion
+
+import (
+	"crypto/sha256"
+	"slices"
+	"sync"
+	"time"
+)
+
+// ID identifies a stream. It is a cryptographic hash, so that no customer can name another's stream.
+type ID [8]byte
+
+// IDOf returns the ID of the stream whose first event a customer's request brought.
+func IDOf(customer, request string) ID {
+	sum := sha256.Sum256([]byte(customer + "\x00" + request))
+	return ID(sum[:len(ID{})])
+}
+
+// Binding says where a stream may go on.
+type Binding struct {
+	Service  string `cbor:"1,keyasint"`
+	Software string `cbor:"2,keyasint"` // version of the software of its targets
+}
+
+// Record is a stream with its binding.
+type Record struct {
+	ID      ID
+	Binding Binding
+	Until   time.Time // until then its caller may take it up
+}
+
+// maxRecords bounds the streams that an instance keeps.
+const maxRecords = 1 << 15
+
+// Records holds the bindings of streams. The zero value is ready for use. It is safe for concurrent use.
+type Records struct {
+	mu      sync.Mutex
+	streams map[ID]*stream
+}
+
+// stream is the state of one stream.
+type stream struct {
+	binding Binding
+	until   time.Time
+	own     bool // it goes through this instance, or went so
+}
+
+// Bind records a stream. A later time is taken over, another binding is not: the first holds. own says
+// that the stream goes through this instance. It returns false if there is no room.
+func (r *Records) Bind(record Record, own bool, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s := r.streams[record.ID]; s != nil && now.Before(s.until) {
+		s.own = s.own || own
+		if record.Until.After(s.until) {
+			s.until = record.Until
+		}
+		return true
+	}
+	if r.streams == nil {
+		r.streams = map[ID]*stream{}
+	}
+	if len(r.streams) >= maxRecords {
+		r.expire(now)
+	}
+	if len(r.streams) >= maxRecords {
+		return false
+	}
+	r.streams[record.ID] = &stream{binding: record.Binding, until: record.Until, own: own}
+	return true
+}
+
+// Find returns the binding of a stream.
+func (r *Records) Find(id ID, now time.Time) (b Binding, found bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.streams[id]
+	if s == nil || !now.Before(s.until) {
+		return Binding{}, false
+	}
+	return s.binding, true
+}
+
+// Own returns the streams of a service that went through this instance and that may be taken up. That an
+// instance has sent a stream to its end doesn't mean that the caller has it.
+func (r *Records) Own(service string, now time.Time) []Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Record
+	for id, s := range r.streams {
+		if s.own && s.binding.Service == service && now.Before(s.until) {
+			out = append(out, Record{ID: id, Binding: s.binding, Until: s.until})
+		}
+	}
+	return out
+}
+
+// Expire forgets the streams that can't be taken up any more.
+func (r *Records) Expire(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expire(now)
+}
+
+func (r *Records) expire(now time.Time) {
+	for id, s := range r.streams {
+		if !now.Before(s.until) {
+			delete(r.streams, id)
+		}
+	}
+}
+
+// Len returns the number of streams.
+func (r *Records) Len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.streams)
+}
+
+// History holds the versions that the targets of each service have had of late. The zero value is ready for
+// use. It is safe for concurrent use.
+type History struct {
+	mu       sync.Mutex
+	since    time.Time                       // it misses nothing from then on; zero: it knows nothing
+	services map[string]map[string]time.Time // by service, then by version: when it was listed last
+	listed   map[string][]string             // versions listed now, by service
+}
+
+// historyRetention is how long versions are kept that are listed no more.
+const historyRetention = 10 * time.Minute
+
+// Observe records the versions that are listed now, by service. It returns the services that have got a
+// second one.
+func (h *History) Observe(listed map[string][]string, now time.Time) (mixed []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.since.IsZero() {
+		h.since = now
+	}
+	h.markListed(now)
+	for service, versions := range listed {
+		if len(versions) > 1 && len(h.listed[service]) <= 1 {
+			mixed = append(mixed, service)
+		}
+	}
+	h.listed = listed
+	h.markListed(now)
+	for service, versions := range h.services {
+		for version, last := range versions {
+			if now.Sub(last) > historyRetention {
+				delete(versions, version)
+			}
+		}
+		if len(versions) == 0 {
+			delete(h.services, service)
+		}
+	}
+	return mixed
+}
+
+// markListed records that the listed versions are so now. h.mu is held.
+func (h *History) markListed(now time.Time) {
+	for service, versions := range h.listed {
+		if h.services == nil {
+			h.services = map[string]map[string]time.Time{}
+		}
+		if h.services[service] == nil {
+			h.services[service] = map[string]time.Time{}
+		}
+		for _, v := range versions {
+			h.services[service][v] = now
+		}
+	}
+}
+
+// Interrupt records that changes up to now may have been missed.
+func (h *History) Interrupt(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.since.IsZero() {
+		h.since = now
+	}
+}
+
+// Within returns the versions of a service's targets in a time before now, sorted, and whether these are all.
+func (h *History) Within(service string, window time.Duration, now time.Time) (versions []string, complete bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for version, last := range h.services[service] {
+		if now.Sub(last) <= window || slices.Contains(h.listed[service], version) {
+			versions = append(versions, version)
+		}
+	}
+	slices.Sort(versions)
+	return versions, !h.since.IsZero() && now.Sub(h.since) >= window
+}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -78,7 +78,7 @@
 		zone = x.g.relays.homeZone()
 	}
 	q := placement.Query{Zone: zone, RolloutTimeout: set.RolloutWithin, ConcurrencyPenaltyMS: x.concurrencyPenaltyMS(), RequestBytes: len(x.body), Rand: rand.Float64, Policy: set.Policy,
-		NeededTokens: x.call.memoryTokens(), Started: x.headerSent || x.possibleRuns > 0}
+		NeededTokens: x.call.memoryTokens(), Started: x.binding != nil || x.headerSent || x.possibleRuns > 0}
 	p := x.call.Prompt
 	if p == nil || len(p.Parts) < 2 {
 		return q
@@ -99,10 +99,10 @@
 }
 
 // isFit reports whether a target serves the request's model with the newest weights, may
-// still be tried, is neither ejected nor in backoff nor in an unreachable zone, may get a permit
+// still be tried, can go on with the request's stream if that has begun, is neither ejected nor in backoff nor in an unreachable zone, may get a permit
 // if it names a limit, and, while warming up, has a slot left for this instance.
 func (x *exchange) isFit(t *catalog.Target, ejected []string) bool {
-	if x.isExcluded(t) || x.inBackoff(t) || x.lacksPermit(t) || slices.Contains(ejected, t.ID) || x.unreachableZones[t.Zone] {
+	if x.isExcluded(t) || x.isIncompatible(t) || x.inBackoff(t) || x.lacksPermit(t) || slices.Contains(ejected, t.ID) || x.unreachableZones[t.Zone] {
 		return false
 	}
 	if blocked, _ := x.warmupBlocked(t, x.g.now()); blocked {
@@ -170,7 +170,7 @@
 	for i, t := range targets {
 		load := x.g.upstream.inflight.Get(t.ID)
 		o := placement.Target{ID: t.Name, Zone: t.Zone, InFlight: int(load.Requests.Load()), Excluded: x.isExcluded(t), Ejected: slices.Contains(ejected, t.ID), ZoneUnreachable: x.unreachableZones[t.Zone], InBackoff: x.inBackoff(t)}
-		o.RateLimited = x.lacksPermit(t)
+		o.RateLimited, o.Incompatible = x.lacksPermit(t), x.isIncompatible(t)
 		o.WarmupLimited, o.Weight = x.warmupBlocked(t, now)
 		if p := x.call.Prompt; p != nil {
 			version := t.WeightVersion(p.Model)
@@ -231,6 +231,8 @@
 	switch {
 	case v.Execution != problem.NotRun:
 		x.fail(v, attemptResult{})
+	case x.lacksCompatible():
+		x.refuse(retryLater(problem.NoTarget, "the stream can't go on: no target has the version of the software that began it", retryAfterShort))
 	case x.view.allEvacuated(x.service):
 		metric.EvacuatedRefusals.Inc()
 		x.refuse(retryLater(problem.NoTarget, "all zones with targets of the service are evacuated", retryAfterEvacuation/2+rand.N(retryAfterEvacuation)))
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -47,6 +47,7 @@
 	draining            bool
 	storeReachable      bool
 	staleness           *staleness.Tracker
+	streams             *streamVersions // nil: the targets' versions are not observed
 	isolation           isolation
 	// firstSourceUntil is the time until which changes that this instance learns may be unknown to
 	// all others: its state was stale, so it read the object store itself.
@@ -271,6 +272,7 @@
 			g.spreadUpdates(c, v)
 		case <-tick.C:
 			paused := c.detectPause()
+			g.streams.checkHistory(paused)
 			g.probePeers(c)
 			expired := c.targets.Expire(c.now())
 			if c.isolation.update(c.isIsolated(g.sincePeerContact()), c.log) || expired || paused || c.fleetChanged() || c.uncordoned() {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -15,6 +15,7 @@
 	"github.com/shedhoist/shedhoist/internal/core/placement"
 	"github.com/shedhoist/shedhoist/internal/core/quarantine"
 	"github.com/shedhoist/shedhoist/internal/core/staleness"
+	"github.com/shedhoist/shedhoist/internal/core/streamversion"
 	"github.com/shedhoist/shedhoist/internal/metric"
 	"github.com/shedhoist/shedhoist/internal/problem"
 )
@@ -46,6 +47,7 @@
 	firstByteMS   float64
 	triedTargets  []string                // ids, in the order of the attempts
 	software      string                  // version of the software of the last tried target
+	binding       *streamversion.Binding  // where the request's stream may go on; nil: it has not begun
 	triedBefore   int                     // how many of them were tried before the last change of relayed
 	relayed       bool                    // attempts go through peers
 	relay         atomic.Pointer[string]  // name of the peer that carried the last relayed attempt
@@ -86,6 +88,10 @@
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	x.ctx = ctx
+	if p := x.bindStream(); p != nil {
+		x.refuse(p)
+		return
+	}
 	x.machine = attempt.New(x.route.Repeatable(), x.route.Resumable, 2*(maxFailedDials+1)+maxRefusals+x.route.MaxAttempts) // dials on both paths
 	x.g.retryBudgets.creditRequest(x.service)
 	for {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,6 +104,7 @@
 	targetLinks     targetLinks    // the services whose targets this instance reaches
 	brittle         brittleReports // brittle targets that turned requests away
 	limits          targetLimits   // requests a second that targets take from all instances together
+	streams         streamVersions // the versions of the targets' software that began streams
 	relays          relays         // peers that reach targets for this instance
 	breaker         *breaker.Set   // targets whose requests fail
 	retryBudgets    retryBudgets
@@ -140,6 +141,7 @@
 	g.suspectsOutbox = newTreeOutbox[quarantine.Key](suspectsDelay, newest[quarantine.Report])
 	g.targetLinks.g, g.relays.g = g, g
 	g.limits.g, g.limits.outbox = g, newTreeOutbox[string](treeOutboxDelay, laterChange)
+	g.streams.g, g.streams.due = g, wait.NewSignal()
 	g.brittle.g, g.brittle.outbox = g, newTreeOutbox[loadreport.Key](treeOutboxDelay, addRefusals)
 	g.zoneMonitor.g, g.zoneMonitor.waiting = g, map[string]map[*attemptState]func(){}
 	g.crashDetector = &crashDetector{g: g, checks: map[string]*crashCheck{}}
@@ -260,11 +262,11 @@
 	self := member.Member{Name: set.Name, Address: g.PeerAddr(), Zone: set.Zone, Incarnation: 1}
 	c := &controlState{log: g.log, now: g.now, named: map[string]NamedVersions{}, members: member.New(params, self, rand.IntN), storeReachable: true, rolloutWithin: set.RolloutWithin, configWithin: set.ConfigWithin,
 		followsEvacuations: set.EvacuateWithin > 0,
-		targets:            newTargetTable(g.log, set.Name), staleness: g.staleness, warmupAllowedAt: g.now().Add(warmupSettleTime)}
+		targets:            newTargetTable(g.log, set.Name), staleness: g.staleness, warmupAllowedAt: g.now().Add(warmupSettleTime), streams: &g.streams}
 	c.targets.OnRestart(func(n registry.Restart) { g.transferBackoff(c, n) })
 	g.spawn(func() { g.runControl(g.ctx, c) })
 	g.watchAll(g.ctx)
-	for _, f := range [...]func(context.Context){g.joinSeeds, g.pollPeersWithoutStore, g.pollStaleness, g.fetchConfigs, g.maintainBootstrap, g.forgetGone, g.maintainQuarantine, g.reportSuspects, g.brittle.run, g.limits.run, g.reportLoads, g.runRollouts, g.cache.run, g.cache.pullDirectory, g.cache.collectGarbage} {
+	for _, f := range [...]func(context.Context){g.joinSeeds, g.pollPeersWithoutStore, g.pollStaleness, g.fetchConfigs, g.maintainBootstrap, g.forgetGone, g.maintainQuarantine, g.reportSuspects, g.brittle.run, g.limits.run, g.streams.run, g.reportLoads, g.runRollouts, g.cache.run, g.cache.pullDirectory, g.cache.collectGarbage} {
 		g.spawn(func() { f(g.ctx) })
 	}
 	g.serveListener("callers", g.callerSrv.Serve)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -62,6 +62,7 @@
 		if !x.isNextEvent(id) {
 			return attemptResult{event: attempt.FailedMidResponse, cause: &BadResponseError{Target: at.target.ID, Reason: "event id " + id + " out of order, last was " + x.lastEventID}}
 		}
+		x.beginStream(at.target)
 		if !x.headerSent {
 			x.writeHeader(at.httpResponse.StatusCode, at.httpResponse.Header, -1)
 		} else if first {
--- /dev/null
+++ b/internal/gateway/stream_versions.go
@@ -0,0 +1,375 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/shedhoist/shedhoist/internal/catalog"
+	"github.com/shedhoist/shedhoist/internal/core/member"
+	"github.com/shedhoist/shedhoist/internal/core/rendezvous"
+	"github.com/shedhoist/shedhoist/internal/core/staleness"
+	"github.com/shedhoist/shedhoist/internal/core/streamversion"
+	"github.com/shedhoist/shedhoist/internal/metric"
+	"github.com/shedhoist/shedhoist/internal/problem"
+	"github.com/shedhoist/shedhoist/internal/wait"
+)
+
+// A stream may go on only at the version of the targets' software that began it: within one response, and
+// over its caller's tries at any instance. The instance that sends the first event binds the stream to the
+// version. While a service has several versions, or may have had some, it tells a few peers, found by
+// rendezvous hashing of the stream; whoever a caller takes the stream up at asks them. A stream that nobody
+// knows goes on only if a single version can have begun it.
+
+const (
+	// streamHomes is how many peers are told of a stream's version, in different zones where possible.
+	streamHomes = 3
+	// askedPeers is how many are asked for it: more than were told, since the instances may not agree on
+	// who is alive.
+	askedPeers = 6
+	// streamAskTimeout bounds the question to a peer: a round trip between zones takes 3 ms.
+	streamAskTimeout = 150 * time.Millisecond
+	// takeUpTime is how long after a stream's deadline its caller may take it up.
+	takeUpTime = 15 * time.Second
+	// streamRecordsDelay is how long records wait to be sent together.
+	streamRecordsDelay = time.Millisecond
+	// streamRecordsTimeout bounds the sending of records to a peer.
+	streamRecordsTimeout = 300 * time.Millisecond
+	// maxStreamRecords bounds the records in one message.
+	maxStreamRecords = 256
+	// maxHistoryAge is the age of the list of targets from which on changes of it may be missed.
+	maxHistoryAge = watcherTimeout + otherStaleMargin + maxStaleDelay
+	// streamRole is the prefix of the rendezvous keys that rank instances for a stream.
+	streamRole = "stream/"
+)
+
+// StreamRecord tells a peer of a stream's version.
+type StreamRecord struct {
+	ID      streamversion.ID      `cbor:"1,keyasint"`
+	Binding streamversion.Binding `cbor:"2,keyasint"`
+	KeepMS  int64                 `cbor:"3,keyasint"` // how much longer its caller may take it up
+}
+
+// StreamRecords tells a peer of streams that it is to remember.
+type StreamRecords struct {
+	Records []StreamRecord `cbor:"1,keyasint"`
+}
+
+// StreamQuestion asks a peer for a stream's version.
+type StreamQuestion struct {
+	ID       streamversion.ID `cbor:"1,keyasint"`
+	Service  string           `cbor:"2,keyasint"`
+	WindowMS int64            `cbor:"3,keyasint"` // the stream began no longer ago
+}
+
+// StreamAnswer is the reply to a StreamQuestion.
+type StreamAnswer struct {
+	Found    bool                  `cbor:"1,keyasint"`
+	Binding  streamversion.Binding `cbor:"2,keyasint"`
+	Versions []string              `cbor:"3,keyasint,omitempty"` // of the service's targets within the window
+	Complete bool                  `cbor:"4,keyasint"`           // these are all
+}
+
+// streamVersions knows which version of the software began each stream.
+type streamVersions struct {
+	g       *Gateway
+	records streamversion.Records
+	history streamversion.History
+	due     wait.Signal
+
+	mu      sync.Mutex
+	pending []streamversion.Record // to be told
+}
+
+// observe records the versions of the listed targets, and tells of the streams of services that have
+// got a second one. It is called by the control goroutine.
+func (s *streamVersions) observe(targets map[string]*catalog.Target) {
+	listed := map[string][]string{}
+	for _, t := range targets {
+		if !slices.Contains(listed[t.Service], t.Software) {
+			listed[t.Service] = append(listed[t.Service], t.Software)
+		}
+	}
+	now := s.g.now()
+	for _, service := range s.history.Observe(listed, now) {
+		own := s.records.Own(service, now)
+		s.g.log.WithField("service", service).WithField("versions", listed[service]).WithField("streams", len(own)).Info("targets of several versions serve")
+		s.tell(own...)
+	}
+}
+
+// checkHistory records that changes of the targets may be missed, if so. It is called by the control
+// goroutine in each tick.
+func (s *streamVersions) checkHistory(paused bool) {
+	if now := s.g.now(); paused || s.listAge(now) > maxHistoryAge {
+		s.history.Interrupt(now)
+	}
+}
+
+// listAge returns the age of this instance's list of targets.
+func (s *streamVersions) listAge(now time.Time) time.Duration {
+	age, known := s.g.staleness.Age(staleness.Targets, now)
+	if !known {
+		return maxHistoryAge + 1
+	}
+	return age
+}
+
+// versionsWithin returns the versions of a service's targets within a window, and whether these are all.
+func (s *streamVersions) versionsWithin(service string, window time.Duration) (versions []string, complete bool) {
+	now := s.g.now()
+	versions, complete = s.history.Within(service, window, now)
+	return versions, complete && s.listAge(now) <= maxHistoryAge
+}
+
+// begin binds a stream to the version that sends its first event, or notes that it goes on there.
+func (s *streamVersions) begin(id streamversion.ID, b streamversion.Binding, until time.Time, window time.Duration) {
+	record := streamversion.Record{ID: id, Binding: b, Until: until}
+	if !s.records.Bind(record, true, s.g.now()) {
+		metric.StreamsForgotten.Inc()
+		return
+	}
+	if versions, complete := s.versionsWithin(b.Service, window); !complete || len(versions) > 1 {
+		s.tell(record)
+	}
+}
+
+// tell queues records for the peers that remember them.
+func (s *streamVersions) tell(records ...streamversion.Record) {
+	if len(records) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pending = append(s.pending, records...)
+	s.due.Raise()
+}
+
+// run sends queued records, and forgets old ones, until ctx ends.
+func (s *streamVersions) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if s.due.Wait(ctx, forgetGoneEvery) && wait.For(ctx, streamRecordsDelay) {
+			s.sendPending(ctx)
+		}
+		s.records.Expire(s.g.now())
+	}
+}
+
+// sendPending sends the queued records, one message for each peer.
+func (s *streamVersions) sendPending(ctx context.Context) {
+	s.mu.Lock()
+	pending := s.pending
+	s.pending = nil
+	s.mu.Unlock()
+	byPeer, now, v := map[string][]StreamRecord{}, s.g.now(), s.g.view.Load()
+	addresses := map[string]string{}
+	for _, r := range pending {
+		wire := StreamRecord{ID: r.ID, Binding: r.Binding, KeepMS: r.Until.Sub(now).Milliseconds()}
+		for _, m := range peersFor(v, r.ID, streamHomes) {
+			byPeer[m.Name] = append(byPeer[m.Name], wire)
+			addresses[m.Name] = m.Address
+		}
+	}
+	for name, records := range byPeer {
+		for chunk := range slices.Chunk(records, maxStreamRecords) {
+			s.g.spawn(func() { s.send(ctx, name, addresses[name], chunk) })
+		}
+	}
+}
+
+func (s *streamVersions) send(ctx context.Context, name, address string, records []StreamRecord) {
+	ctx, cancel := context.WithTimeout(ctx, streamRecordsTimeout)
+	defer cancel()
+	err := s.g.pool.Call(ctx, address, peerService+".Streams", &StreamRecords{Records: records}, &Ack{})
+	if err != nil {
+		s.g.log.WithError(err).WithField("peer", name).WithField("streams", len(records)).Info("versions of streams not told")
+	}
+}
+
+// Streams handles a peer's records.
+func (h *peerHandler) Streams(req *StreamRecords, _ *Ack) error {
+	now := h.g.now()
+	for _, r := range req.Records[:min(len(req.Records), maxStreamRecords)] {
+		keep := min(time.Duration(r.KeepMS)*time.Millisecond, maxStreamKeep)
+		record := streamversion.Record{ID: r.ID, Binding: r.Binding, Until: now.Add(keep)}
+		if keep > 0 && !h.g.streams.records.Bind(record, false, now) {
+			metric.StreamsForgotten.Inc()
+		}
+	}
+	return nil
+}
+
+// maxStreamKeep bounds how long an instance remembers a stream on behalf of a peer.
+const maxStreamKeep = 10 * time.Minute
+
+// StreamVersion handles a peer's question.
+func (h *peerHandler) StreamVersion(req *StreamQuestion, out *StreamAnswer) error {
+	s := &h.g.streams
+	out.Binding, out.Found = s.records.Find(req.ID, h.g.now())
+	out.Versions, out.Complete = s.versionsWithin(req.Service, time.Duration(req.WindowMS)*time.Millisecond)
+	return nil
+}
+
+// peersFor returns the live peers that rank highest for a stream, at most n, without this instance. The first
+// of each zone come before the others.
+func peersFor(v *View, id streamversion.ID, n int) []member.Member {
+	type ranked struct {
+		member.Member
+		score uint64
+	}
+	role := streamRole + string(id[:])
+	all := make([]ranked, 0, len(v.Peers))
+	for _, m := range v.Peers {
+		if m.Name != v.Self {
+			all = append(all, ranked{m, rendezvous.Score(m.Name, role)})
+		}
+	}
+	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
+	var first, rest []member.Member
+	zones := map[string]bool{}
+	for _, m := range all {
+		if zones[m.Zone] {
+			rest = append(rest, m.Member)
+			continue
+		}
+		zones[m.Zone] = true
+		first = append(first, m.Member)
+	}
+	out := append(first, rest...)
+	return out[:min(n, len(out))]
+}
+
+// Ways in which an instance knows the version at which a stream may go on.
+const (
+	streamBoundHere   = "own"    // it went through this instance, or a peer told it
+	streamBoundByPeer = "peer"   // a peer knows
+	streamOneVersion  = "single" // no other version can have begun it
+	streamUnknown     = "unknown"
+	streamMoved       = "moved" // its service gets no requests of the route any more
+)
+
+// find returns where a stream may go on, and how that is known. service is the only one of its route, or "".
+// An instance that gets no answer of any peer may have missed a new version.
+func (s *streamVersions) find(ctx context.Context, id streamversion.ID, service string, window time.Duration) (b streamversion.Binding, how string) {
+	if b, found := s.records.Find(id, s.g.now()); found {
+		return b, streamBoundHere
+	}
+	versions, complete := s.versionsWithin(service, window)
+	answered := !s.g.hasOtherSeeds()
+	for answer := range s.ask(ctx, &StreamQuestion{ID: id, Service: service, WindowMS: window.Milliseconds()}) {
+		if answer.Found {
+			return answer.Binding, streamBoundByPeer
+		}
+		versions, complete, answered = append(versions, answer.Versions...), complete || answer.Complete, true
+	}
+	slices.Sort(versions)
+	if versions = slices.Compact(versions); service != "" && answered && complete && len(versions) == 1 {
+		return streamversion.Binding{Service: service, Software: versions[0]}, streamOneVersion
+	}
+	return streamversion.Binding{}, streamUnknown
+}
+
+// ask asks peers for a stream's version, and returns their answers as they come.
+func (s *streamVersions) ask(ctx context.Context, question *StreamQuestion) func(yield func(StreamAnswer) bool) {
+	v := s.g.view.Load()
+	n := askedPeers
+	if len(v.Peers) <= maxSmallFleet {
+		n = maxSmallFleet
+	}
+	peers := peersFor(v, question.ID, n)
+	return func(yield func(StreamAnswer) bool) {
+		ctx, cancel := context.WithTimeout(ctx, streamAskTimeout)
+		defer cancel()
+		answers := make(chan *StreamAnswer, len(peers))
+		for _, m := range peers {
+			s.g.spawn(func() {
+				var answer StreamAnswer
+				if err := s.g.pool.Call(ctx, m.Address, peerService+".StreamVersion", question, &answer); err != nil {
+					answers <- nil
+					return
+				}
+				answers <- &answer
+			})
+		}
+		for range peers {
+			if answer := <-answers; answer != nil && !yield(*answer) {
+				return
+			}
+		}
+	}
+}
+
+// streamID returns the ID of the stream that the request begins or takes up.
+func (x *exchange) streamID() streamversion.ID {
+	if x.call.Resumes != "" {
+		return streamversion.IDOf(x.customerName(), x.call.Resumes)
+	}
+	return streamversion.IDOf(x.customerName(), x.call.ID)
+}
+
+// takesUpStream reports whether the caller takes up a stream that an earlier request of it began.
+func (x *exchange) takesUpStream() bool {
+	return x.route.Kind == catalog.Streaming && (x.call.Resumes != "" || x.call.LastEventID != "")
+}
+
+// streamWindow is how long ago a stream of the route that can be taken up may have begun.
+func (x *exchange) streamWindow() time.Duration {
+	if x.route.Timeout > 0 {
+		return x.route.Timeout + takeUpTime
+	}
+	return defaultTimeout + takeUpTime
+}
+
+// bindStream binds a stream that the caller takes up to the version that began it. It returns the problem
+// for which it can't go on, or nil.
+func (x *exchange) bindStream() *problem.Problem {
+	if !x.takesUpStream() {
+		return nil
+	}
+	service := ""
+	if len(x.route.Backends) == 1 {
+		service = x.service
+	}
+	b, how := x.g.streams.find(x.ctx, x.streamID(), service, x.streamWindow())
+	if how != streamUnknown && !x.route.SendsTo(b.Service) {
+		how = streamMoved
+	}
+	metric.StreamsTakenUp(how).Inc()
+	x.g.log.WithField("request", x.call.ID).WithField("resumes", x.call.Resumes).WithField("service", b.Service).WithField("software", b.Software).
+		WithField("known", how).WithField("age_ms", x.elapsedMS()).Info("stream taken up")
+	if how == streamUnknown || how == streamMoved {
+		return retryLater(problem.NoTarget, "the stream can't go on: "+streamRefusals[how], retryAfterShort)
+	}
+	x.service, x.binding = b.Service, &b
+	x.g.streams.begin(x.streamID(), b, x.deadline.Add(takeUpTime), x.streamWindow())
+	return nil
+}
+
+// streamRefusals says why a stream can't go on.
+var streamRefusals = map[string]string{
+	streamUnknown: "no instance knows the version of the software that began it",
+	streamMoved:   "its route leads to another service",
+}
+
+// beginStream binds a stream to the version of the target that sends its first event.
+func (x *exchange) beginStream(t *catalog.Target) {
+	if x.binding != nil {
+		return
+	}
+	x.binding = &streamversion.Binding{Service: t.Service, Software: t.Software}
+	if x.route.Resumable && x.call.ID != "" {
+		x.g.streams.begin(x.streamID(), *x.binding, x.deadline.Add(takeUpTime), x.streamWindow())
+	}
+}
+
+// isIncompatible reports whether the request's stream can't go on at a target.
+func (x *exchange) isIncompatible(t *catalog.Target) bool {
+	return x.binding != nil && t.Software != x.binding.Software
+}
+
+// lacksCompatible reports whether the request's stream can go on at none of its service's targets.
+func (x *exchange) lacksCompatible() bool {
+	return x.binding != nil && !slices.ContainsFunc(x.view.Serving[x.service], func(t *catalog.Target) bool { return !x.isIncompatible(t) })
+}
--- a/internal/gateway/stream_versions_test.go
+++ b/internal/gateway/stream_versions_test.go
@@ -446,6 +446,37 @@
 		f.takeUp(s, 0, inTurn(4, 5))
 		return s
 	}, .9, false},
+	{"an instance has just lost the object store and its peers, the second version is new", 9, 3, []string{"v1"}, func(f *versionFleet) []*versionStream {
+		time.Sleep(time.Minute)
+		f.cutPeers(func(instance int) int { return max(instance, 7) }, linkHangs)
+		f.storeClients[8].setSilent(true)
+		for _, m := range f.targets {
+			m.leave()
+		}
+		for range 3 {
+			f.addTarget("v1.1")
+		}
+		time.Sleep(200 * time.Millisecond)
+		s := f.begin(20, eventsBeforeLeave, inTurn(0, 7))
+		f.takeUp(s, 0, inTurn(8, 1))
+		return s
+	}, 0, false},
+	{"one version only, for long", 9, 3, []string{"v1"}, func(f *versionFleet) []*versionStream {
+		time.Sleep(time.Minute)
+		s := f.begin(40, eventsBeforeLeave, inTurn(4, 1))
+		f.kill(4)
+		f.takeUp(s, 0, inTurn(5, 4))
+		return s
+	}, 1, false},
+	{"one version only, for long, at an instance that has just started", 9, 3, []string{"v1"}, func(f *versionFleet) []*versionStream {
+		time.Sleep(time.Minute)
+		s := f.begin(40, eventsBeforeLeave, inTurn(4, 1))
+		f.kill(4)
+		f.start(4)
+		f.awaitReady(9)
+		f.takeUp(s, 0, inTurn(4, 1))
+		return s
+	}, 1, false},
 	{"one version only", 9, 3, []string{"v1"}, func(f *versionFleet) []*versionStream {
 		s := f.begin(40, eventsBeforeLeave, inTurn(4, 1))
 		f.kill(4)
--- a/internal/gateway/view_build.go
+++ b/internal/gateway/view_build.go
@@ -132,6 +132,9 @@
 		}
 	}
 	p.candidates = c.chooseCandidates(p.serving)
+	if c.streams != nil && c.targets.Listed() {
+		c.streams.observe(p.targets)
+	}
 	c.serving = p
 	return p
 }
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -21,6 +21,7 @@
 	WarmupRefusals        = metrics.NewCounter("shedhoist_cold_refusals_total")
 	LeavingNotices        = metrics.NewCounter("shedhoist_leaving_words_total")         // responses in which a target announces that it is leaving
 	BrittleRefusals       = metrics.NewCounter("shedhoist_brittle_refusals_total")      // requests that brittle targets turned away
+	StreamsForgotten      = metrics.NewCounter("shedhoist_streams_forgotten_total")     // streams whose version was not kept for want of room
 	LimitsNamed           = metrics.NewCounter("shedhoist_target_limits_named_total")   // limits of requests a second that targets named, new or changed
 	TargetLimitRefusals   = metrics.NewCounter("shedhoist_target_limit_refusals_total") // because the targets' limits are used up
 	BackoffRequests       = metrics.NewCounter("shedhoist_rest_words_total")            // responses in which a target requests backoff
@@ -89,6 +90,11 @@
 	return metrics.GetOrCreateCounter(fmt.Sprintf(`shedhoist_target_permits_total{result=%q}`, result))
 }
 
+// StreamsTakenUp counts the streams that callers took up, by how it was known where they may go on.
+func StreamsTakenUp(known string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`shedhoist_streams_taken_up_total{known=%q}`, known))
+}
+
 // SetGauge sets the gauge of the given name, which it creates if necessary.
 func SetGauge(name string, value float64) { metrics.GetOrCreateGauge(name, nil).Set(value) }
 
