Streams of callers that don't name them go on by the requests that are like theirs

Callers of earlier deployments take streams up with Last-Event-Id alone. A record now has a hash of the request too (its quarantine key); a caller that names no stream goes on where the streams of requests like this one have a single version, as told by all peers that answer. If they have several, it is refused.

--- a/internal/core/streamversion/streamversion.go
+++ b/internal/core/streamversion/streamversion.go
@@ -30,6 +30,7 @@
 // Record is a stream with its binding.
 type Record struct {
 	ID      ID
+	Request ID // identifies requests that are alike, for callers that don't name the stream they take up
 	Binding Binding
 	Until   time.Time // until then its caller may take it up
 }
@@ -39,13 +40,22 @@
 
 // Records holds the bindings of streams. The zero value is ready for use. It is safe for concurrent use.
 type Records struct {
-	mu      sync.Mutex
-	streams map[ID]*stream
+	mu       sync.Mutex
+	streams  map[ID]*stream
+	requests map[ID]*request
+}
+
+// request is what is known of the streams of requests that are alike.
+type request struct {
+	binding   Binding
+	until     time.Time
+	ambiguous bool // they were bound to different versions
 }
 
 // stream is the state of one stream.
 type stream struct {
 	binding Binding
+	request ID
 	until   time.Time
 	own     bool // it goes through this instance, or went so
 }
@@ -63,7 +73,7 @@
 		return true
 	}
 	if r.streams == nil {
-		r.streams = map[ID]*stream{}
+		r.streams, r.requests = map[ID]*stream{}, map[ID]*request{}
 	}
 	if len(r.streams) >= maxRecords {
 		r.expire(now)
@@ -71,10 +81,36 @@
 	if len(r.streams) >= maxRecords {
 		return false
 	}
-	r.streams[record.ID] = &stream{binding: record.Binding, until: record.Until, own: own}
+	r.streams[record.ID] = &stream{binding: record.Binding, request: record.Request, until: record.Until, own: own}
+	r.bindRequest(record, now)
 	return true
 }
 
+// bindRequest records the binding of a stream for requests that are alike. r.mu is held.
+func (r *Records) bindRequest(record Record, now time.Time) {
+	q := r.requests[record.Request]
+	if q == nil || !now.Before(q.until) {
+		r.requests[record.Request] = &request{binding: record.Binding, until: record.Until}
+		return
+	}
+	q.ambiguous = q.ambiguous || q.binding != record.Binding
+	if record.Until.After(q.until) {
+		q.until = record.Until
+	}
+}
+
+// FindRequest returns the binding of the streams of requests that are alike; ambiguous says that they have
+// several.
+func (r *Records) FindRequest(id ID, now time.Time) (b Binding, found, ambiguous bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	q := r.requests[id]
+	if q == nil || !now.Before(q.until) {
+		return Binding{}, false, false
+	}
+	return q.binding, !q.ambiguous, q.ambiguous
+}
+
 // Find returns the binding of a stream.
 func (r *Records) Find(id ID, now time.Time) (b Binding, found bool) {
 	r.mu.Lock()
@@ -94,7 +130,7 @@
 	var out []Record
 	for id, s := range r.streams {
 		if s.own && s.binding.Service == service && now.Before(s.until) {
-			out = append(out, Record{ID: id, Binding: s.binding, Until: s.until})
+			out = append(out, Record{ID: id, Request: s.request, Binding: s.binding, Until: s.until})
 		}
 	}
 	return out
@@ -113,6 +149,11 @@
 			delete(r.streams, id)
 		}
 	}
+	for id, q := range r.requests {
+		if !now.Before(q.until) {
+			delete(r.requests, id)
+		}
+	}
 }
 
 // Len returns the number of streams.
--- a/internal/core/streamversion/streamversion_test.go
+++ b/internal/core/streamversion/streamversion_test.go
@@ -22,14 +22,14 @@
 	is := is.New(t)
 	var r Records
 	id := IDOf("customer", "request")
-	is.True(r.Bind(Record{id, one, at(10)}, true, at(0)))
-	is.True(r.Bind(Record{id, two, at(20)}, false, at(1)))
+	is.True(r.Bind(Record{ID: id, Binding: one, Until: at(10)}, true, at(0)))
+	is.True(r.Bind(Record{ID: id, Binding: two, Until: at(20)}, false, at(1)))
 	b, found := r.Find(id, at(15)) // the later time holds
 	is.True(found)
 	is.Equal(b, one)
 	_, found = r.Find(id, at(20))
 	is.True(!found)
-	is.True(r.Bind(Record{id, two, at(40)}, true, at(30)))
+	is.True(r.Bind(Record{ID: id, Binding: two, Until: at(40)}, true, at(30)))
 	b, _ = r.Find(id, at(31))
 	is.Equal(b, two) // the first has been forgotten
 }
@@ -54,20 +54,42 @@
 		if name == "old" {
 			until = at(2)
 		}
-		is.True(r.Bind(Record{IDOf("", name), b, until}, name != "a peer's", at(0)))
+		is.True(r.Bind(Record{ID: IDOf("", name), Binding: b, Until: until}, name != "a peer's", at(0)))
 	}
-	is.Equal(r.Own("s", at(5)), []Record{{IDOf("", "own"), one, at(10)}})
+	is.Equal(r.Own("s", at(5)), []Record{{ID: IDOf("", "own"), Binding: one, Until: at(10)}})
 	is.Equal(r.Len(), len(names))
 	r.Expire(at(5))
 	is.Equal(r.Len(), len(names)-1)
 }
 
+// TestRequestsThatAreAlike guards against a stream that is taken for another one of an equal request.
+func TestRequestsThatAreAlike(t *testing.T) {
+	is := is.New(t)
+	var r Records
+	bind := func(name string, b Binding, from, until int) {
+		r.Bind(Record{ID: IDOf("", name), Request: IDOf("", "alike"), Binding: b, Until: at(until)}, true, at(from))
+	}
+	find := func(now int) (Binding, bool, bool) { return r.FindRequest(IDOf("", "alike"), at(now)) }
+	bind("first", one, 0, 10)
+	bind("second", one, 1, 12)
+	b, found, ambiguous := find(11)
+	is.True(found && !ambiguous)
+	is.Equal(b, one)
+	bind("third", two, 11, 15)
+	_, found, ambiguous = find(12)
+	is.True(!found && ambiguous) // which of them is taken up can't be told
+	bind("fourth", two, 20, 30)
+	b, found, ambiguous = find(21)
+	is.True(found && !ambiguous)
+	is.Equal(b, two)
+}
+
 // TestRecordsAreBounded guards against streams that fill the memory.
 func TestRecordsAreBounded(t *testing.T) {
 	is := is.New(t)
 	var r Records
 	bind := func(i int, now time.Time) bool {
-		return r.Bind(Record{ID{byte(i), byte(i >> 8), byte(i >> 16)}, one, now.Add(time.Second)}, false, now)
+		return r.Bind(Record{ID: ID{byte(i), byte(i >> 8), byte(i >> 16)}, Binding: one, Until: now.Add(time.Second)}, false, now)
 	}
 	for i := range maxRecords {
 		is.True(bind(i, at(0)))
--- a/internal/gateway/stream_versions.go
+++ b/internal/gateway/stream_versions.go
@@ -50,6 +50,7 @@
 	ID      streamversion.ID      `cbor:"1,keyasint"`
 	Binding streamversion.Binding `cbor:"2,keyasint"`
 	KeepMS  int64                 `cbor:"3,keyasint"` // how much longer its caller may take it up
+	Request streamversion.ID      `cbor:"4,keyasint"`
 }
 
 // StreamRecords tells a peer of streams that it is to remember.
@@ -60,8 +61,9 @@
 // StreamQuestion asks a peer for a stream's version.
 type StreamQuestion struct {
 	ID       streamversion.ID `cbor:"1,keyasint"`
-	Service  string           `cbor:"2,keyasint"`
+	Service  string           `cbor:"2,keyasint"` // the only one of its route, or ""
 	WindowMS int64            `cbor:"3,keyasint"` // the stream began no longer ago
+	ByID     bool             `cbor:"4,keyasint"` // ID is the stream's; else it is the request's
 }
 
 // StreamAnswer is the reply to a StreamQuestion.
@@ -70,6 +72,8 @@
 	Binding  streamversion.Binding `cbor:"2,keyasint"`
 	Versions []string              `cbor:"3,keyasint,omitempty"` // of the service's targets within the window
 	Complete bool                  `cbor:"4,keyasint"`           // these are all
+	// Ambiguous says that requests like the one in question began streams at several versions.
+	Ambiguous bool `cbor:"5,keyasint"`
 }
 
 // streamVersions knows which version of the software began each stream.
@@ -124,14 +128,14 @@
 	return versions, complete && s.listAge(now) <= maxHistoryAge
 }
 
-// begin binds a stream to the version that sends its first event, or notes that it goes on there.
-func (s *streamVersions) begin(id streamversion.ID, b streamversion.Binding, until time.Time, window time.Duration) {
-	record := streamversion.Record{ID: id, Binding: b, Until: until}
+// begin binds a stream to the version that sends its first event, or notes that it goes on there. It began
+// within window.
+func (s *streamVersions) begin(record streamversion.Record, window time.Duration) {
 	if !s.records.Bind(record, true, s.g.now()) {
 		metric.StreamsForgotten.Inc()
 		return
 	}
-	if versions, complete := s.versionsWithin(b.Service, window); !complete || len(versions) > 1 {
+	if versions, complete := s.versionsWithin(record.Binding.Service, window); !complete || len(versions) > 1 {
 		s.tell(record)
 	}
 }
@@ -166,7 +170,7 @@
 	byPeer, now, v := map[string][]StreamRecord{}, s.g.now(), s.g.view.Load()
 	addresses := map[string]string{}
 	for _, r := range pending {
-		wire := StreamRecord{ID: r.ID, Binding: r.Binding, KeepMS: r.Until.Sub(now).Milliseconds()}
+		wire := StreamRecord{ID: r.ID, Request: r.Request, Binding: r.Binding, KeepMS: r.Until.Sub(now).Milliseconds()}
 		for _, m := range peersFor(v, r.ID, streamHomes) {
 			byPeer[m.Name] = append(byPeer[m.Name], wire)
 			addresses[m.Name] = m.Address
@@ -193,7 +197,7 @@
 	now := h.g.now()
 	for _, r := range req.Records[:min(len(req.Records), maxStreamRecords)] {
 		keep := min(time.Duration(r.KeepMS)*time.Millisecond, maxStreamKeep)
-		record := streamversion.Record{ID: r.ID, Binding: r.Binding, Until: now.Add(keep)}
+		record := streamversion.Record{ID: r.ID, Request: r.Request, Binding: r.Binding, Until: now.Add(keep)}
 		if keep > 0 && !h.g.streams.records.Bind(record, false, now) {
 			metric.StreamsForgotten.Inc()
 		}
@@ -207,8 +211,7 @@
 // StreamVersion handles a peer's question.
 func (h *peerHandler) StreamVersion(req *StreamQuestion, out *StreamAnswer) error {
 	s := &h.g.streams
-	out.Binding, out.Found = s.records.Find(req.ID, h.g.now())
-	out.Versions, out.Complete = s.versionsWithin(req.Service, time.Duration(req.WindowMS)*time.Millisecond)
+	*out = s.answer(req)
 	return nil
 }
 
@@ -243,34 +246,63 @@
 
 // Ways in which an instance knows the version at which a stream may go on.
 const (
-	streamBoundHere   = "own"    // it went through this instance, or a peer told it
-	streamBoundByPeer = "peer"   // a peer knows
-	streamOneVersion  = "single" // no other version can have begun it
-	streamUnknown     = "unknown"
-	streamMoved       = "moved" // its service gets no requests of the route any more
+	streamBoundHere   = "own"  // it went through this instance, or a peer told it
+	streamBoundByPeer = "peer" // a peer knows
+	// streamBoundByRequest: the caller doesn't name it, and requests like this one have a single version.
+	streamBoundByRequest = "request"
+	streamOneVersion     = "single" // no other version can have begun it
+	streamUnknown        = "unknown"
+	streamMoved          = "moved" // its service gets no requests of the route any more
 )
 
-// find returns where a stream may go on, and how that is known. service is the only one of its route, or "".
-// An instance that gets no answer of any peer may have missed a new version.
-func (s *streamVersions) find(ctx context.Context, id streamversion.ID, service string, window time.Duration) (b streamversion.Binding, how string) {
-	if b, found := s.records.Find(id, s.g.now()); found {
-		return b, streamBoundHere
+// answer returns what this instance knows of a stream.
+func (s *streamVersions) answer(q *StreamQuestion) (a StreamAnswer) {
+	if q.ByID {
+		a.Binding, a.Found = s.records.Find(q.ID, s.g.now())
+	} else {
+		a.Binding, a.Found, a.Ambiguous = s.records.FindRequest(q.ID, s.g.now())
+	}
+	a.Versions, a.Complete = s.versionsWithin(q.Service, time.Duration(q.WindowMS)*time.Millisecond)
+	return a
+}
+
+// find returns where a stream may go on, and how that is known. An instance that gets no answer of any peer
+// may have missed a new version.
+func (s *streamVersions) find(ctx context.Context, q *StreamQuestion) (b streamversion.Binding, how string) {
+	known := s.answer(q)
+	if known.Found && q.ByID {
+		return known.Binding, streamBoundHere
 	}
-	versions, complete := s.versionsWithin(service, window)
 	answered := !s.g.hasOtherSeeds()
-	for answer := range s.ask(ctx, &StreamQuestion{ID: id, Service: service, WindowMS: window.Milliseconds()}) {
-		if answer.Found {
+	for answer := range s.ask(ctx, q) {
+		if answer.Found && q.ByID {
 			return answer.Binding, streamBoundByPeer
 		}
-		versions, complete, answered = append(versions, answer.Versions...), complete || answer.Complete, true
+		known, answered = known.and(answer), true
 	}
+	versions := known.Versions
 	slices.Sort(versions)
-	if versions = slices.Compact(versions); service != "" && answered && complete && len(versions) == 1 {
-		return streamversion.Binding{Service: service, Software: versions[0]}, streamOneVersion
+	versions = slices.Compact(versions)
+	switch {
+	case known.Ambiguous:
+	case known.Found:
+		return known.Binding, streamBoundByRequest
+	case q.Service != "" && answered && known.Complete && len(versions) == 1:
+		return streamversion.Binding{Service: q.Service, Software: versions[0]}, streamOneVersion
 	}
 	return streamversion.Binding{}, streamUnknown
 }
 
+// and joins two answers.
+func (a StreamAnswer) and(b StreamAnswer) StreamAnswer {
+	a.Ambiguous = a.Ambiguous || b.Ambiguous || a.Found && b.Found && a.Binding != b.Binding
+	if b.Found {
+		a.Found, a.Binding = true, b.Binding
+	}
+	a.Versions, a.Complete = append(a.Versions, b.Versions...), a.Complete || b.Complete
+	return a
+}
+
 // ask asks peers for a stream's version, and returns their answers as they come.
 func (s *streamVersions) ask(ctx context.Context, question *StreamQuestion) func(yield func(StreamAnswer) bool) {
 	v := s.g.view.Load()
@@ -301,12 +333,28 @@
 	}
 }
 
-// streamID returns the ID of the stream that the request begins or takes up.
-func (x *exchange) streamID() streamversion.ID {
+// streamRecord returns the record of the stream that the request begins or takes up.
+func (x *exchange) streamRecord(b streamversion.Binding) streamversion.Record {
+	return streamversion.Record{ID: streamversion.IDOf(x.customerName(), cmp.Or(x.call.Resumes, x.call.ID)), Request: x.streamRequest(),
+		Binding: b, Until: x.deadline.Add(takeUpTime)}
+}
+
+// streamRequest identifies the requests that are like this one.
+func (x *exchange) streamRequest() streamversion.ID {
+	return streamversion.IDOf(x.customerName(), x.quarantineKey().String())
+}
+
+// streamQuestion asks for the stream that the request takes up. A caller that doesn't name it is taken to
+// have sent a request that is like this one.
+func (x *exchange) streamQuestion() *StreamQuestion {
+	q := &StreamQuestion{ID: x.streamRequest(), WindowMS: x.streamWindow().Milliseconds()}
 	if x.call.Resumes != "" {
-		return streamversion.IDOf(x.customerName(), x.call.Resumes)
+		q.ID, q.ByID = streamversion.IDOf(x.customerName(), x.call.Resumes), true
 	}
-	return streamversion.IDOf(x.customerName(), x.call.ID)
+	if len(x.route.Backends) == 1 {
+		q.Service = x.service
+	}
+	return q
 }
 
 // takesUpStream reports whether the caller takes up a stream that an earlier request of it began.
@@ -328,11 +376,7 @@
 	if !x.takesUpStream() {
 		return nil
 	}
-	service := ""
-	if len(x.route.Backends) == 1 {
-		service = x.service
-	}
-	b, how := x.g.streams.find(x.ctx, x.streamID(), service, x.streamWindow())
+	b, how := x.g.streams.find(x.ctx, x.streamQuestion())
 	if how != streamUnknown && !x.route.SendsTo(b.Service) {
 		how = streamMoved
 	}
@@ -343,7 +387,7 @@
 		return retryLater(problem.NoTarget, "the stream can't go on: "+streamRefusals[how], retryAfterShort)
 	}
 	x.service, x.binding = b.Service, &b
-	x.g.streams.begin(x.streamID(), b, x.deadline.Add(takeUpTime), x.streamWindow())
+	x.g.streams.begin(x.streamRecord(b), x.streamWindow())
 	return nil
 }
 
@@ -360,7 +404,7 @@
 	}
 	x.binding = &streamversion.Binding{Service: t.Service, Software: t.Software}
 	if x.route.Resumable && x.call.ID != "" {
-		x.g.streams.begin(x.streamID(), *x.binding, x.deadline.Add(takeUpTime), x.streamWindow())
+		x.g.streams.begin(x.streamRecord(*x.binding), x.streamWindow())
 	}
 }
 
--- a/internal/gateway/stream_versions_test.go
+++ b/internal/gateway/stream_versions_test.go
@@ -149,10 +149,12 @@
 
 // versionStream is a stream of a caller, over all its tries.
 type versionStream struct {
+	path     string   // below the route's
 	first    string   // id of the try that brought the first event
 	last     string   // id of the last event
 	versions []string // of all events
 	whole    bool
+	unnamed  bool          // its caller doesn't name it
 	refused  time.Duration // how long the last try took until it was refused; 0: it was not
 	status   int           // of the last try
 }
@@ -195,9 +197,12 @@
 func (f *versionFleet) sendTry(conn net.Conn, id string, s *versionStream) *http.Response {
 	resumes := ""
 	if s.first != "" {
-		resumes = fmt.Sprintf("%s: %s\r\n%s: %s\r\n", trafficResumes, s.first, trafficLastEvent, s.last)
+		resumes = fmt.Sprintf("%s: %s\r\n", trafficLastEvent, s.last)
 	}
-	fmt.Fprintf(conn, "POST %sx HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: key\r\n%sContent-Length: 1\r\n\r\nx", pathResumable, anyHost, trafficID, id, trafficKey, resumes)
+	if s.first != "" && !s.unnamed {
+		resumes += fmt.Sprintf("%s: %s\r\n", trafficResumes, s.first)
+	}
+	fmt.Fprintf(conn, "POST %s%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: key\r\n%sContent-Length: 1\r\n\r\nx", pathResumable, s.path, anyHost, trafficID, id, trafficKey, resumes)
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return nil
@@ -230,7 +235,7 @@
 	out := make([]*versionStream, n)
 	var callers sync.WaitGroup
 	for k := range out {
-		out[k] = &versionStream{}
+		out[k] = &versionStream{path: fmt.Sprint(k)}
 		callers.Go(func() { f.try(out[k], from(k), leaveAfter) })
 		time.Sleep(streamInterval)
 	}
@@ -238,6 +243,16 @@
 	return out
 }
 
+// beginAlike is begin with requests that are all alike, of callers that won't name the streams.
+func (f *versionFleet) beginAlike(n int, from func(k int) int) []*versionStream {
+	out := make([]*versionStream, n)
+	for k := range out {
+		out[k] = &versionStream{unnamed: true}
+		f.try(out[k], from(k), eventsBeforeLeave)
+	}
+	return out
+}
+
 // takeUp takes up all streams, at the instances that from names.
 func (f *versionFleet) takeUp(streams []*versionStream, leaveAfter int, from func(k int) int) {
 	var callers sync.WaitGroup
@@ -313,6 +328,19 @@
 		callers.Wait()
 		return s
 	}, .9, false},
+	{"by callers that don't name them", 9, 3, twoVersions, func(f *versionFleet) []*versionStream {
+		s := f.begin(80, eventsBeforeLeave, inTurn(0, 9))
+		for _, s := range s {
+			s.unnamed = true
+		}
+		f.takeUp(s, 0, inTurn(4, 5))
+		return s
+	}, .9, false},
+	{"by callers that don't name them, requests are alike", 9, 3, twoVersions, func(f *versionFleet) []*versionStream {
+		s := f.beginAlike(80, inTurn(0, 9))
+		f.takeUp(s, 0, inTurn(4, 5))
+		return s
+	}, 0, false},
 	{"twice, at a second and a third instance", 9, 3, twoVersions, func(f *versionFleet) []*versionStream {
 		s := f.begin(80, 2, inTurn(0, 3))
 		f.takeUp(s, 2, inTurn(3, 3))
