--- a/internal/gateway/traffic_test.go
+++ b/internal/gateway/traffic_test.go
@@ -248,6 +248,7 @@
 	stopped     bool                   // it does not restart
 	warmupMS    int64                  // in its registry entry from the next start on
 	software    string                 // the same
+	models      []catalog.ModelVersion // the same
 	runs        int                    // requests in progress
 	resetsConns bool                   // it closes connections instead of responding, and keeps running
 	crashesOn   func(body string) bool // reports whether a body crashes it
@@ -269,10 +270,10 @@
 	srv := &http.Server{Handler: m}
 	m.mu.Lock()
 	m.srv, m.startedAt = srv, time.Now().UnixMilli()
-	warmupMS, software := m.warmupMS, m.software
+	warmupMS, software, models := m.warmupMS, m.software, m.models
 	m.mu.Unlock()
 	go func() { _ = srv.Serve(ln) }() // ends with the target
-	m.f.store.set(memoryTargets, m.name, catalog.Target{Service: "s", Address: address, Zone: m.zone, Start: m.startedAt, WarmupMS: warmupMS, Software: software})
+	m.f.store.set(memoryTargets, m.name, catalog.Target{Service: "s", Address: address, Zone: m.zone, Start: m.startedAt, WarmupMS: warmupMS, Software: software, Models: models})
 }
 
 func (m *memoryTarget) listenAddress() string {
