Requests that share a part which crashes targets are quarantined together

Cause: the quarantine knew whole requests only, so each had one crash. Class: suspicion falls on the whole where a part of it is to blame.

The same tracker now also keeps, by customer and model, the parts of the prompts of interrupted requests, but for the last: crashes, complete answers, objections and trials of a part count as those of a request do, and reports carry them. A request is refused if it or one of its parts is quarantined, the latter from four crashes on without an answer; sound parts are answered elsewhere. A trial is claimed for all that its request is refused for.

--- a/internal/core/quarantine/key.go
+++ b/internal/core/quarantine/key.go
@@ -1,6 +1,7 @@
-// Package quarantine decides which requests are rejected because they crash targets. It records
-// which requests were running at targets that crashed and which of them receive a complete
-// response elsewhere. It does no I/O and reads no clock.
+// Package quarantine decides which requests are rejected because they crash targets: equivalent
+// requests, and those that have a part of their prompts in common. It records which of them were
+// running at targets that crashed and which receive a complete response elsewhere. It does no I/O and
+// reads no clock.
 package quarantine
 
 import (
@@ -9,7 +10,8 @@
 	"encoding/hex"
 )
 
-// Key identifies requests that have the same effect on a target. It is a cryptographic hash, so
+// Key identifies requests that may have the same effect on a target: they are equivalent, or share a part
+// of their prompts. It is a cryptographic hash, so
 // that no customer can craft a request that collides with another's.
 type Key [16]byte
 
@@ -38,3 +40,18 @@
 	h.Write(r.Body)
 	return Key(h.Sum(nil)[:len(Key{})])
 }
+
+// Part is one part of a prompt.
+type Part struct {
+	Customer string // as in Request: no customer's crashes count against another's requests
+	Model    string
+	ID       string
+}
+
+// partMethod stands in a part's key where a request's has its method. No method has a zero byte.
+const partMethod = "\x00part"
+
+// KeyOfPart returns the key of all requests with a part in their prompts.
+func KeyOfPart(p Part) Key {
+	return KeyOf(Request{Customer: p.Customer, Method: partMethod, Host: p.Model, URI: p.ID})
+}
--- a/internal/core/quarantine/report.go
+++ b/internal/core/quarantine/report.go
@@ -105,15 +105,16 @@
 		if n < reportThreshold {
 			continue
 		}
+		threshold := e.label.rejectThreshold()
 		var d xxhash.Digest
 		d.Reset()
 		_, _ = d.Write(k[:]) // Digest.Write returns no error
-		_, _ = d.Write([]byte{byte(min(n, rejectThreshold)), byte(e.trials), byte(e.voidTrials)})
+		_, _ = d.Write([]byte{byte(min(n, threshold)), byte(e.trials), byte(e.voidTrials)})
 		incarnations := uint64(0)
 		for incarnation := range e.crashes {
 			incarnations ^= uint64(incarnation)
 		}
-		if n >= rejectThreshold {
+		if n >= threshold {
 			incarnations = 0 // the request is rejected whichever targets crashed
 		}
 		sum += d.Sum64() ^ incarnations
--- a/internal/core/quarantine/tracker.go
+++ b/internal/core/quarantine/tracker.go
@@ -32,6 +32,9 @@
 	// rejectThreshold is the number of crashes from which a request is rejected. One or two
 	// can hit a harmless request that happens to run where another one crashes the target.
 	rejectThreshold = 3
+	// partRejectThreshold is the same for a part of prompts. Chance hits it more often than a single
+	// request: it is in all that run beside the one that crashes the target.
+	partRejectThreshold = 4
 	// reportThreshold is the number of crashes from which a request is stored for instances
 	// that start later.
 	reportThreshold    = 2
@@ -41,10 +44,20 @@
 	maxAnswers         = 4096
 )
 
-// Label names the customer and route of a request, for operators.
+// Label names what a key stands for: the customer and route of a request, and the part of its prompt if the
+// key is that of a part.
 type Label struct {
 	Customer string `cbor:"1,keyasint,omitempty" json:"customer,omitempty"`
 	Route    string `cbor:"2,keyasint,omitempty" json:"route,omitempty"`
+	Part     string `cbor:"3,keyasint,omitempty" json:"part,omitempty"`
+}
+
+// rejectThreshold returns the number of crashes from which requests with the label's key are rejected.
+func (l Label) rejectThreshold() int {
+	if l.Part != "" {
+		return partRejectThreshold
+	}
+	return rejectThreshold
 }
 
 // entry holds the crashes, the last complete response and the trials of one request.
@@ -242,10 +255,11 @@
 
 func (e *entry) state(k Key, now time.Time) State {
 	s := State{Key: k, Label: e.label, Crashes: e.countCrashes(now), Trials: e.trials}
-	if s.Crashes < rejectThreshold {
+	threshold := e.label.rejectThreshold()
+	if s.Crashes < threshold {
 		return s
 	}
-	began := e.countedCrashes(now)[rejectThreshold-1].Add(objectionWindow)
+	began := e.countedCrashes(now)[threshold-1].Add(objectionWindow)
 	s.Rejected = !now.Before(began)
 	s.Pending, s.Age = max(began.Sub(now), 0), max(now.Sub(began), 0)
 	s.Remaining = e.lastCrash().Add(Retention).Sub(now)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -184,7 +184,7 @@
 
 // asInterrupted returns the request in the form that the crash detector records.
 func (x *exchange) asInterrupted() interruptedRequest {
-	return interruptedRequest{id: x.call.ID, key: x.quarantineKey(), customer: x.customerName(), route: x.route.Name}
+	return interruptedRequest{id: x.call.ID, suspects: x.suspects()}
 }
 
 // mayAbandon reports whether the request may be sent elsewhere if its target stays silent.
--- a/internal/gateway/crash_detector.go
+++ b/internal/gateway/crash_detector.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
-	"github.com/shedhoist/shedhoist/internal/core/quarantine"
 	"github.com/shedhoist/shedhoist/internal/metric"
 )
 
@@ -30,9 +29,7 @@
 // interruptedRequest is a request whose connection to its target broke.
 type interruptedRequest struct {
 	id       string
-	key      quarantine.Key
-	customer string
-	route    string
+	suspects []suspect
 }
 
 // crashDetector checks whether targets crashed when connections to them broke. At most one check
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -58,7 +58,8 @@
 	promptWork    promptWork              // prefill and fetch work of the attempt
 	plan          cachePlan
 
-	keyCache         *quarantine.Key          // see quarantineKey
+	suspectsCache    []suspect                // see suspects
+	trialKeys        []quarantine.Key         // that the request is a trial of
 	unreachableZones map[string]bool          // as of this attempt
 	backoffUntil     map[string]time.Time     // end of the backoff that each target requested, as of this attempt
 	permitWaits      map[string]time.Duration // time until there may be a permit for each target without one, as of this attempt
@@ -311,16 +312,6 @@
 	return e
 }
 
-// quarantineKey returns the key that the request shares with equivalent ones, which are
-// quarantined together if they crash targets.
-func (x *exchange) quarantineKey() quarantine.Key {
-	if x.keyCache == nil {
-		k := quarantine.KeyOf(quarantine.Request{Customer: x.customerName(), Method: x.r.Method, Host: x.r.Host, URI: x.r.URL.RequestURI(), Body: x.body})
-		x.keyCache = &k
-	}
-	return *x.keyCache
-}
-
 // relayName returns the name of the peer that carried the last relayed attempt, or "" if none did.
 func (x *exchange) relayName() string {
 	if name := x.relay.Load(); name != nil {
@@ -400,6 +391,9 @@
 		e = e.WithField("full_targets", x.decision.FullTargets).WithField("free_tokens", x.decision.FreeTokens).WithField("needed_tokens", x.call.memoryTokens())
 	}
 	if s := x.quarantineState; s != nil {
+		if s.Label.Part != "" {
+			e = e.WithField("part", s.Label.Part).WithField("part_key", s.Key.String())
+		}
 		e = e.WithField("crashes", s.Crashes).WithField("quarantined_ms", s.Age.Milliseconds()).WithField("trial_in_ms", s.TrialIn.Milliseconds())
 	}
 	if outcome != outcomeDone {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
@@ -14,9 +17,10 @@
 	"github.com/shedhoist/shedhoist/internal/wait"
 )
 
-// A request that crashes targets ends each target incarnation in which it runs. What is known of it
-// must therefore outlive targets and instances, and reach all instances before the request is sent
-// again. Each crash is reported to all instances. Requests with more than one crash are also
+// A request that crashes targets ends each target incarnation in which it runs; so does each request with
+// a part in its prompt that crashes them. What is known of it must therefore outlive targets and instances,
+// and reach all instances before the request is sent again. Which of the requests that ran at a crashed
+// target is to blame, and whether it is one of its parts, shows by what gets answers elsewhere. Each crash is reported to all instances. Requests with more than one crash are also
 // written to the object store, for instances that start when no other is left
 // (quarantine_store.go).
 
@@ -32,15 +36,24 @@
 	incarnation := quarantine.Incarnation(xxhash.Sum64String(t.ID))
 	var reports []quarantine.Report
 	persist := false
+	recorded := map[quarantine.Key]bool{}
 	for _, r := range interrupted {
-		report, counted := g.quarantine.RecordCrash(r.key, quarantine.Label{Customer: r.customer, Route: r.route}, incarnation, now)
-		if counted {
-			reports = append(reports, report)
+		for _, suspect := range r.suspects {
+			if recorded[suspect.key] {
+				continue // a part that several of the requests share
+			}
+			recorded[suspect.key] = true
+			report, counted := g.quarantine.RecordCrash(suspect.key, suspect.label, incarnation, now)
+			if counted {
+				reports = append(reports, report)
+			}
+			s, _ := g.quarantine.Lookup(suspect.key, now)
+			persist = persist || s.Reportable()
+			if suspect.label.Part == "" || counted {
+				suspect.log(g.log).WithField("request", r.id).WithField("target", t.ID).WithField("crashes", s.Crashes).
+					WithField("answered_lately", s.Crashes == 0).Info("target crashed under a request")
+			}
 		}
-		s, _ := g.quarantine.Lookup(r.key, now)
-		persist = persist || s.Reportable()
-		g.log.WithField("request", r.id).WithField("key", r.key.String()).WithField("customer", r.customer).WithField("route", r.route).
-			WithField("target", t.ID).WithField("crashes", s.Crashes).WithField("answered_lately", s.Crashes == 0).Info("target crashed under a request")
 	}
 	g.spreadSuspects(reports, "")
 	g.suspectsDue.Raise()
@@ -49,18 +62,61 @@
 	}
 }
 
-// recordSuccess records a complete response to a request, which clears all requests with the same
-// quarantine key of suspicion.
-func (g *Gateway) recordSuccess(x *exchange) {
-	report, suspected := g.quarantine.RecordAnswer(x.quarantineKey(), g.now())
-	if !suspected {
-		return
+// suspect is what may be to blame if a target crashes under a request: the request itself, or a part of its
+// prompt.
+type suspect struct {
+	key   quarantine.Key
+	label quarantine.Label
+}
+
+func (s suspect) log(l log.Interface) *log.Entry {
+	e := l.WithField("key", s.key.String()).WithField("customer", s.label.Customer).WithField("route", s.label.Route)
+	if s.label.Part != "" {
+		e = e.WithField("part", s.label.Part)
 	}
-	g.log.WithField("request", x.call.ID).WithField("key", x.quarantineKey().String()).WithField("targets", x.triedTargets).WithField("crashes", len(report.Crashes)).
-		Info("request got a complete response, requests with its key are no longer suspected")
-	g.spreadSuspects([]quarantine.Report{report}, "")
-	if report.Reportable() {
-		g.scheduleSuspectsWrite()
+	return e
+}
+
+// maxSuspectParts bounds the parts of a prompt that are suspected, the first ones.
+const maxSuspectParts = 32
+
+// suspects returns what may be to blame if a target crashes under the request. The last part of a prompt is in
+// no other request.
+func (x *exchange) suspects() []suspect {
+	if x.suspectsCache != nil {
+		return x.suspectsCache
+	}
+	label := quarantine.Label{Customer: x.customerName(), Route: x.route.Name}
+	whole := quarantine.KeyOf(quarantine.Request{Customer: label.Customer, Method: x.r.Method, Host: x.r.Host, URI: x.r.URL.RequestURI(), Body: x.body})
+	out := []suspect{{whole, label}}
+	if p := x.call.Prompt; p != nil && len(p.Parts) > 1 {
+		shared := p.Parts[:len(p.Parts)-1]
+		for _, part := range shared[:min(len(shared), maxSuspectParts)] {
+			label.Part = part.ID
+			out = append(out, suspect{quarantine.KeyOfPart(quarantine.Part{Customer: label.Customer, Model: p.Model, ID: part.ID}), label})
+		}
+	}
+	x.suspectsCache = out
+	return out
+}
+
+// quarantineKey returns the key that the request shares with equivalent ones.
+func (x *exchange) quarantineKey() quarantine.Key { return x.suspects()[0].key }
+
+// recordSuccess records a complete response to a request, which clears it and the parts of its prompt of
+// suspicion.
+func (g *Gateway) recordSuccess(x *exchange) {
+	for _, suspect := range x.suspects() {
+		report, suspected := g.quarantine.RecordAnswer(suspect.key, g.now())
+		if !suspected {
+			continue
+		}
+		suspect.log(g.log).WithField("request", x.call.ID).WithField("targets", x.triedTargets).WithField("crashes", len(report.Crashes)).
+			Info("request got a complete response, requests with its key are no longer suspected")
+		g.spreadSuspects([]quarantine.Report{report}, "")
+		if report.Reportable() {
+			g.scheduleSuspectsWrite()
+		}
 	}
 }
 
@@ -154,31 +210,70 @@
 	g.spawn(func() { g.sendSuspects(m, req) })
 }
 
+// quarantined returns the states of what the request is rejected for, and how long to wait for objections until
+// it is clear what else it is rejected for.
+func (x *exchange) quarantined() (rejected []quarantine.State, pending time.Duration) {
+	now := x.g.now()
+	for _, suspect := range x.suspects() {
+		s, known := x.g.quarantine.Lookup(suspect.key, now)
+		if known && s.Rejected {
+			rejected = append(rejected, s)
+		}
+		pending = max(pending, s.Pending)
+	}
+	return rejected, pending
+}
+
 // checkQuarantine reports whether the request is to be rejected now, and the state behind the
-// decision. One request at a time is let through as a trial, to test whether the request still
-// crashes targets.
+// decision. One request at a time is let through as a trial, to test whether it still crashes targets.
 func (x *exchange) checkQuarantine() (quarantine.State, bool) {
 	if x.isTrial || x.g.quarantine.Empty() {
 		return quarantine.State{}, false
 	}
-	s, known := x.g.quarantine.Lookup(x.quarantineKey(), x.g.now())
-	if known && s.Pending > 0 {
+	rejected, pending := x.quarantined()
+	if pending > 0 {
 		// Wait for objections: if sent now, the request may crash one more target; if rejected
 		// now, it may be a harmless one.
-		wait.For(x.ctx, s.Pending)
-		s, known = x.g.quarantine.Lookup(x.quarantineKey(), x.g.now())
+		wait.For(x.ctx, pending)
+		rejected, _ = x.quarantined()
 	}
-	if !known || !s.Rejected {
-		return s, false
+	if len(rejected) == 0 {
+		return quarantine.State{}, false
 	}
-	if x.possibleRuns > 0 || s.TrialIn > 0 || !x.g.claimTrial(x.ctx, s.Key) {
-		return s, true
+	last := slices.MaxFunc(rejected, func(a, b quarantine.State) int { return cmp.Compare(a.TrialIn, b.TrialIn) })
+	if x.possibleRuns > 0 || last.TrialIn > 0 || !x.claimTrials(rejected) {
+		return last, true
 	}
 	x.isTrial = true
 	metric.QuarantineTrials.Inc()
-	x.g.log.WithField("request", x.call.ID).WithField("key", s.Key.String()).WithField("crashes", s.Crashes).WithField("trials", s.Trials+1).
-		WithField("quarantined_ms", s.Age.Milliseconds()).Info("quarantined request let through as a trial")
-	return s, false
+	for _, s := range rejected {
+		suspect{s.Key, s.Label}.log(x.g.log).WithField("request", x.call.ID).WithField("crashes", s.Crashes).WithField("trials", s.Trials+1).
+			WithField("quarantined_ms", s.Age.Milliseconds()).Info("quarantined request let through as a trial")
+	}
+	return last, false
+}
+
+// claimTrials claims the right to let the request through as a trial of all that it is rejected for.
+func (x *exchange) claimTrials(rejected []quarantine.State) bool {
+	for _, s := range rejected {
+		if !x.g.claimTrial(x.ctx, s.Key) {
+			x.voidTrials()
+			return false
+		}
+		x.trialKeys = append(x.trialKeys, s.Key)
+	}
+	return true
+}
+
+// voidTrials takes back the trials that the request has claimed: it has reached no target.
+func (x *exchange) voidTrials() {
+	for _, k := range x.trialKeys {
+		if report, counted := x.g.quarantine.VoidTrial(k, x.g.now()); counted {
+			x.g.spreadSuspects([]quarantine.Report{report}, "")
+			x.g.scheduleSuspectsWrite()
+		}
+	}
+	x.trialKeys = nil
 }
 
 // endTrial records that a trial ended without a response, if the request is one. A trial that
@@ -191,12 +286,8 @@
 	sent := x.possibleRuns+x.refusals > 0
 	x.g.log.WithField("request", x.call.ID).WithField("key", x.quarantineKey().String()).WithField("targets", x.triedTargets).WithField("sent", sent).
 		Info("trial of a quarantined request ended without a response")
-	if sent {
-		return
-	}
-	if report, counted := x.g.quarantine.VoidTrial(x.quarantineKey(), x.g.now()); counted {
-		x.g.spreadSuspects([]quarantine.Report{report}, "")
-		x.g.scheduleSuspectsWrite()
+	if !sent {
+		x.voidTrials()
 	}
 }
 
