A part that crashes targets for one customer is kept from the next after its first crash

A part is now also counted over all customers that share cached parts. That counts against a customer only once a target has crashed under its own request with the part: nobody can have another customer refused (shown to fail without that condition).

--- a/internal/core/quarantine/key.go
+++ b/internal/core/quarantine/key.go
@@ -43,11 +43,14 @@
 
 // Part is one part of a prompt.
 type Part struct {
-	Customer string // as in Request: no customer's crashes count against another's requests
+	Customer string // as in Request, or AllCustomers
 	Model    string
 	ID       string
 }
 
+// AllCustomers stands for all customers that share cached parts.
+const AllCustomers = "\x00all"
+
 // partMethod stands in a part's key where a request's has its method. No method has a zero byte.
 const partMethod = "\x00part"
 
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -67,6 +67,9 @@
 type suspect struct {
 	key   quarantine.Key
 	label quarantine.Label
+	// shared marks a part of all customers. It follows the same part of the request's own customer, and counts
+	// against the request only if that has crashed a target too: no customer can have another one refused.
+	shared bool
 }
 
 func (s suspect) log(l log.Interface) *log.Entry {
@@ -88,12 +91,17 @@
 	}
 	label := quarantine.Label{Customer: x.customerName(), Route: x.route.Name}
 	whole := quarantine.KeyOf(quarantine.Request{Customer: label.Customer, Method: x.r.Method, Host: x.r.Host, URI: x.r.URL.RequestURI(), Body: x.body})
-	out := []suspect{{whole, label}}
+	out := []suspect{{key: whole, label: label}}
 	if p := x.call.Prompt; p != nil && len(p.Parts) > 1 {
 		shared := p.Parts[:len(p.Parts)-1]
 		for _, part := range shared[:min(len(shared), maxSuspectParts)] {
+			key := quarantine.Part{Customer: label.Customer, Model: p.Model, ID: part.ID}
 			label.Part = part.ID
-			out = append(out, suspect{quarantine.KeyOfPart(quarantine.Part{Customer: label.Customer, Model: p.Model, ID: part.ID}), label})
+			out = append(out, suspect{key: quarantine.KeyOfPart(key), label: label})
+			if x.customer != nil && !x.customer.Isolated {
+				key.Customer = quarantine.AllCustomers
+				out = append(out, suspect{key: quarantine.KeyOfPart(key), label: quarantine.Label{Route: label.Route, Part: part.ID}, shared: true})
+			}
 		}
 	}
 	x.suspectsCache = out
@@ -214,12 +222,17 @@
 // it is clear what else it is rejected for.
 func (x *exchange) quarantined() (rejected []quarantine.State, pending time.Duration) {
 	now := x.g.now()
+	var before quarantine.State // of the suspect before
 	for _, suspect := range x.suspects() {
-		s, known := x.g.quarantine.Lookup(suspect.key, now)
-		if known && s.Rejected {
+		s, _ := x.g.quarantine.Lookup(suspect.key, now)
+		if suspect.shared && before.Crashes == 0 {
+			continue
+		}
+		if s.Rejected {
 			rejected = append(rejected, s)
 		}
 		pending = max(pending, s.Pending)
+		before = s
 	}
 	return rejected, pending
 }
@@ -247,7 +260,7 @@
 	x.isTrial = true
 	metric.QuarantineTrials.Inc()
 	for _, s := range rejected {
-		suspect{s.Key, s.Label}.log(x.g.log).WithField("request", x.call.ID).WithField("crashes", s.Crashes).WithField("trials", s.Trials+1).
+		suspect{key: s.Key, label: s.Label}.log(x.g.log).WithField("request", x.call.ID).WithField("crashes", s.Crashes).WithField("trials", s.Trials+1).
 			WithField("quarantined_ms", s.Age.Milliseconds()).Info("quarantined request let through as a trial")
 	}
 	return last, false
--- a/internal/gateway/quarantine_parts_test.go
+++ b/internal/gateway/quarantine_parts_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -33,6 +34,22 @@
 // partCodec is versionCodec with prompts.
 type partCodec struct{ versionCodec }
 
+// Keys of the customers of a partCodec beside the one with the key "key". The last one is isolated.
+var partKeys = []string{"key-0", "key-1", "key-2", "key-3", "key-walled"}
+
+// DecodeConfig implements Codec.
+func (partCodec) DecodeConfig(value []byte) (*catalog.Config, error) {
+	var d storedConfig
+	if err := json.Unmarshal(value, &d); err != nil {
+		return nil, err
+	}
+	spec := linkConfig(d)
+	for i, key := range partKeys {
+		spec.Customers = append(spec.Customers, catalog.CustomerKeys{Customer: catalog.Customer{Name: key, Isolated: i == len(partKeys)-1}, Keys: []string{key}})
+	}
+	return catalog.NewConfig(spec), nil
+}
+
 // ParseRequest implements Codec.
 func (c partCodec) ParseRequest(h http.Header) (CallerRequest, error) {
 	call, err := c.versionCodec.ParseRequest(h)
@@ -122,20 +139,17 @@
 }
 
 // lateArrivals returns the arrivals of requests with the part, later than propagationTime after the
-// maxPartCrashes-th crash, and the time of that crash.
-func (f *partFleet) lateArrivals() (late int, fifth time.Time) {
+// maxPartCrashes-th crash, and the time of that crash, or of the last one if there are fewer.
+func (f *partFleet) lateArrivals() (late int, last time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.crashes) < maxPartCrashes {
-		return 0, time.Time{}
-	}
-	fifth = f.crashes[maxPartCrashes-1]
+	last = f.crashes[min(len(f.crashes), maxPartCrashes)-1]
 	for _, at := range f.arrivals {
-		if at.Sub(fifth) > propagationTime {
+		if len(f.crashes) >= maxPartCrashes && at.Sub(last) > propagationTime {
 			late++
 		}
 	}
-	return late, fifth
+	return late, last
 }
 
 // partRequest is a request and when it was sent.
@@ -146,6 +160,11 @@
 
 // send sends one request, with an own last part. It reports whether its whole answer came.
 func (f *partFleet) send(instance int, path string, parts ...string) bool {
+	return f.sendWithKey(instance, "key", path, parts...)
+}
+
+// sendWithKey is send for the customer with an API key.
+func (f *partFleet) sendWithKey(instance int, key, path string, parts ...string) bool {
 	f.mu.Lock()
 	f.seq++
 	seq := f.seq
@@ -159,7 +178,7 @@
 	}
 	defer conn.Close()
 	body := fmt.Sprint("body ", seq)
-	fmt.Fprintf(conn, "POST %s%d HTTP/1.1\r\nHost: %s\r\n%s: p-%d\r\n%s: key\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", path, seq, anyHost, trafficID, seq, trafficKey,
+	fmt.Fprintf(conn, "POST %s%d HTTP/1.1\r\nHost: %s\r\n%s: p-%d\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", path, seq, anyHost, trafficID, seq, trafficKey, key,
 		trafficParts, strings.Join(parts, ","), len(body), body)
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
@@ -246,10 +265,10 @@
 		senders.Go(func() { c.during(f) })
 	}
 	senders.Wait()
-	late, fifth := f.lateArrivals()
+	late, last := f.lateArrivals()
 	after, ok := 0, 0
 	for _, r := range served {
-		if fifth.IsZero() || r.sentAt.Sub(fifth) < 2*propagationTime {
+		if r.sentAt.Sub(last) < 2*propagationTime {
 			continue
 		}
 		after++
@@ -265,3 +284,77 @@
 		t.Errorf("%d of %d sound requests were served", ok, after)
 	}
 }
+
+// TestCrashingPartOfCustomers guards against a part that crashes targets for each customer anew, and against
+// a customer that has others refused: by requests that share a part with theirs and crash targets by another.
+func TestCrashingPartOfCustomers(t *testing.T) {
+	t.Run("several customers send it", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newPartFleet(t, 9, crashAfterHead)
+			defer f.stop()
+			for _, key := range partKeys[:4] {
+				for i := range 7 {
+					go f.sendWithKey(i, key, pathAudit, "a", crashingPart)
+					time.Sleep(time.Second)
+				}
+			}
+			late, _ := f.lateArrivals()
+			t.Logf("%d crashes, %d late arrivals", len(f.crashes), late)
+			if late > maxLatePartArrivals {
+				t.Errorf("%d requests with the part reached targets later than %v after the fifth crash", late, propagationTime)
+			}
+		})
+	})
+	t.Run("one customer crashes targets with a part that others use", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newPartFleet(t, 9, crashAfterHead)
+			defer f.stop()
+			for k := range 20 { // nobody else has used the part "rule" lately
+				go f.sendWithKey(k%9, partKeys[0], pathAudit, "rule", crashingPart)
+				time.Sleep(300 * time.Millisecond)
+			}
+			time.Sleep(5 * time.Second)
+			var callers sync.WaitGroup
+			for _, key := range partKeys[1:] {
+				callers.Go(func() {
+					if !f.sendWithKey(4, key, pathAudit, "rule") {
+						t.Errorf("customer %s is refused", key)
+					}
+				})
+			}
+			callers.Wait()
+		})
+	})
+}
+
+// TestSeldomPartsAreServed guards against sound requests that are refused since a part of theirs, which few others
+// have, was at several targets as these crashed.
+func TestSeldomPartsAreServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPartFleet(t, 9, crashAfterHead)
+		defer f.stop()
+		var served []partRequest
+		var senders sync.WaitGroup
+		senders.Go(func() {
+			served = f.sendEvery(pathAudit, 50*time.Millisecond, partTime, func(k int) []string { return []string{"a", fmt.Sprint("seldom-", k/4%40)} })
+		})
+		senders.Go(func() {
+			f.sendEvery(pathAudit, 150*time.Millisecond, partTime, func(int) []string { return []string{"a", crashingPart} })
+		})
+		senders.Wait()
+		_, fifth := f.lateArrivals()
+		after, ok := 0, 0
+		for _, r := range served {
+			if r.sentAt.Sub(fifth) >= 2*propagationTime {
+				after++
+				if r.served {
+					ok++
+				}
+			}
+		}
+		t.Logf("%d crashes, %d of %d sound requests served afterwards", len(f.crashes), ok, after)
+		if ok < after*19/20 {
+			t.Errorf("%d of %d sound requests were served", ok, after)
+		}
+	})
+}
--- a/internal/gateway/quarantine_store.go
+++ b/internal/gateway/quarantine_store.go
@@ -245,7 +245,7 @@
 		}
 		rejected[s.Key] = true
 		if _, known := logged[s.Key]; !known {
-			suspect{s.Key, s.Label}.log(g.log).WithField("crashes", s.Crashes).
+			suspect{key: s.Key, label: s.Label}.log(g.log).WithField("crashes", s.Crashes).
 				WithField("left_ms", s.Remaining.Milliseconds()).Warn("requests quarantined")
 		}
 		logged[s.Key] = s
@@ -258,7 +258,7 @@
 		if s.Remaining <= 2*quarantineInterval {
 			reason = "over"
 		}
-		suspect{k, s.Label}.log(g.log).WithField("why", reason).Info("quarantine ended")
+		suspect{key: k, label: s.Label}.log(g.log).WithField("why", reason).Info("quarantine ended")
 		delete(logged, k)
 	}
 	metric.SetGauge("shedhoist_quarantined_requests", float64(len(rejected)))
--- a/internal/gateway/target_links_test.go
+++ b/internal/gateway/target_links_test.go
@@ -56,16 +56,21 @@
 	if err := json.Unmarshal(value, &d); err != nil {
 		return nil, err
 	}
+	return catalog.NewConfig(linkConfig(d)), nil
+}
+
+// linkConfig returns the configuration of a linkCodec.
+func linkConfig(d storedConfig) catalog.ConfigSpec {
 	route := func(prefix string, kind catalog.RequestKind, attempts int, resumable bool) catalog.Route {
 		return catalog.Route{Name: prefix, Host: anyHost, PathPrefix: prefix, Kind: kind, MaxAttempts: attempts, Resumable: resumable,
 			Timeout: linkRouteTimeout, LatencyObjective: 500 * time.Millisecond, MaxEventGap: 300 * time.Millisecond, Backends: []catalog.Backend{{Service: "s", Weight: 1}}}
 	}
 	other := route(pathOther, catalog.AtMostOnce, 1, false)
 	other.Backends = []catalog.Backend{{Service: linkOtherService, Weight: 1}}
-	return catalog.NewConfig(catalog.ConfigSpec{Version: d.Version, Services: []catalog.Service{{Name: "s"}, {Name: linkOtherService}},
+	return catalog.ConfigSpec{Version: d.Version, Services: []catalog.Service{{Name: "s"}, {Name: linkOtherService}},
 		Routes: []catalog.Route{other, route(pathOnce, catalog.AtMostOnce, 1, false), route(pathSafe, catalog.Idempotent, 2, false),
 			route(pathAudit, catalog.Streaming, 2, false), route(pathResumable, catalog.Streaming, 2, true)},
-		Customers: []catalog.CustomerKeys{{Customer: catalog.Customer{Name: "one"}, Keys: d.Keys}}}), nil
+		Customers: []catalog.CustomerKeys{{Customer: catalog.Customer{Name: "one"}, Keys: d.Keys}}}
 }
 
 // ForwardHeader implements Codec.
