--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -328,6 +328,14 @@
 	return x.customer.Name
 }
 
+// routeName returns the route's name, or "" if the request has none.
+func (x *exchange) routeName() string {
+	if x.route == nil {
+		return ""
+	}
+	return x.route.Name
+}
+
 func (x *exchange) elapsedMS() float64 {
 	return float64(x.g.now().Sub(x.arrived)) / float64(time.Millisecond)
 }
@@ -341,9 +349,9 @@
 		return
 	}
 	x.finished = true
-	kind, route := "unrouted", ""
+	kind := "unrouted"
 	if x.route != nil {
-		kind, route = x.route.Kind.String(), x.route.Name
+		kind = x.route.Kind.String()
 	}
 	metric.Requests(kind, outcome).Inc()
 	leftOut := int64(0)
@@ -353,7 +361,7 @@
 			return
 		}
 	}
-	e := x.g.log.WithField("request", x.call.ID).WithField("route", route).WithField("service", x.service).WithField("targets", x.triedTargets).
+	e := x.g.log.WithField("request", x.call.ID).WithField("route", x.routeName()).WithField("service", x.service).WithField("targets", x.triedTargets).
 		WithField("outcome", outcome).WithField("status", status).WithField("ms", x.elapsedMS()).WithField("config", x.configVersion())
 	if age, known := x.g.staleness.Age(staleness.Config, x.g.now()); known {
 		e = e.WithField("config_age_ms", age.Milliseconds())
