Explain tells of streams taken up and of parts that crash targets; room for the keys of parts

A prompt's parts are keys of the quarantine too, some seven a request instead of one: 16,384 recent answers (of 4,096) keep a minute's at 17 requests a second, 4,096 suspects (of 1,024) the crashes of a storm. Records of streams that can't be taken up any more are forgotten every ten seconds and no longer at each message.

--- a/internal/core/quarantine/tracker.go
+++ b/internal/core/quarantine/tracker.go
@@ -39,9 +39,9 @@
 	// that start later.
 	reportThreshold    = 2
 	maxTrials          = 2
-	maxEntries         = 1024
+	maxEntries         = 4096
 	maxCrashesPerEntry = 8
-	maxAnswers         = 4096
+	maxAnswers         = 16384
 )
 
 // Label names what a key stands for: the customer and route of a request, and the part of its prompt if the
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -296,7 +296,8 @@
 // forgetGoneEvery is how often the state kept for targets that are gone is removed.
 const forgetGoneEvery = 10 * time.Second
 
-// forgetGone periodically removes the state kept for targets and cache stores that are gone.
+// forgetGone periodically removes the state kept for targets and cache stores that are gone, and for streams that
+// can't be taken up any more.
 func (g *Gateway) forgetGone(ctx context.Context) {
 	for wait.For(ctx, wait.Jitter(forgetGoneEvery)) {
 		v := g.view.Load()
@@ -315,6 +316,7 @@
 		g.warmup.Retain(keep)
 		g.brittle.retain(keep)
 		g.limits.retain(keep)
+		g.streams.records.Expire(g.now())
 		g.predictorMu.Lock()
 		g.predictor.Retain(keep)
 		g.predictorMu.Unlock()
--- a/internal/gateway/stream_versions.go
+++ b/internal/gateway/stream_versions.go
@@ -151,13 +151,12 @@
 	s.due.Raise()
 }
 
-// run sends queued records, and forgets old ones, until ctx ends.
+// run sends queued records until ctx ends.
 func (s *streamVersions) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if s.due.Wait(ctx, forgetGoneEvery) && wait.For(ctx, streamRecordsDelay) {
+		if s.due.Wait(ctx, time.Minute) && wait.For(ctx, streamRecordsDelay) {
 			s.sendPending(ctx)
 		}
-		s.records.Expire(s.g.now())
 	}
 }
 
@@ -210,8 +209,7 @@
 
 // StreamVersion handles a peer's question.
 func (h *peerHandler) StreamVersion(req *StreamQuestion, out *StreamAnswer) error {
-	s := &h.g.streams
-	*out = s.answer(req)
+	*out = h.g.streams.answer(req)
 	return nil
 }
 
--- a/internal/requestlog/crashes.go
+++ b/internal/requestlog/crashes.go
@@ -8,7 +8,8 @@
 )
 
 // crashedUnderRequest is the message logged for a request that was running on a target
-// when it crashed. Requests with the same customer, path and body share the field "key".
+// when it crashed. Requests with the same customer, path and body share the field "key"; lines with the field
+// "part" are about all requests with that part in their prompts.
 const crashedUnderRequest = "target crashed under a request"
 
 // crashedTargetsByKey lists, for each request key, the targets that crashed while they
@@ -30,10 +31,13 @@
 	if end.Fields.Text("outcome") != "quarantined" {
 		return nil
 	}
-	key := end.Fields.Text("key")
+	key, alike := end.Fields.Text("key"), "the same customer, path and body"
+	if part := end.Fields.Text("part"); part != "" {
+		key, alike = end.Fields.Text("part_key"), "part "+part+" in their prompts"
+	}
 	targets := crashedTargetsByKey(lines, end.Time.Add(lookahead))[key]
-	return []string{fmt.Sprintf("quarantined for %s: %.0f targets crashed while running requests with the same customer, path and body (key %s; in these logs: %s)",
-		time.Duration(end.Fields.Number("quarantined_ms"))*time.Millisecond, end.Fields.Number("crashes"), key, strings.Join(targets, ", "))}
+	return []string{fmt.Sprintf("quarantined for %s: %.0f targets crashed while running requests with %s (key %s; in these logs: %s)",
+		time.Duration(end.Fields.Number("quarantined_ms"))*time.Millisecond, end.Fields.Number("crashes"), alike, key, strings.Join(targets, ", "))}
 }
 
 // minCrashedTargets is the number of targets that must have crashed while they ran
@@ -54,10 +58,19 @@
 		for _, l := range lines {
 			key := l.Fields.Text("key")
 			if l.Message == crashedUnderRequest && l.Fields.Text("target") == target && len(crashedTargets[key]) >= minCrashedTargets {
-				out = append(out, fmt.Sprintf("requests with key %s (customer %s, route %s) were running on it and on %d other targets that crashed",
-					key, l.Fields.Text("customer"), l.Fields.Text("route"), len(crashedTargets[key])-1))
+				out = append(out, fmt.Sprintf("requests with %s (customer %s, route %s) were running on it and on %d other targets that crashed",
+					describeKey(l), l.Fields.Text("customer"), l.Fields.Text("route"), len(crashedTargets[key])-1))
 			}
 		}
 	}
 	return out
 }
+
+// describeKey names what the requests of a line with a key have in common.
+func describeKey(l Line) string {
+	key := "key " + l.Fields.Text("key")
+	if part := l.Fields.Text("part"); part != "" {
+		return "part " + part + " (" + key + ")"
+	}
+	return key
+}
--- a/internal/requestlog/crashes_test.go
+++ b/internal/requestlog/crashes_test.go
@@ -22,6 +22,8 @@
 	cut := logLine(5000, "a", "attempt failed", `"request":"r","target":"t1","ended":"broke within the answer","next":"end"`)
 	cutEnd := logLine(5001, "a", "request", `"request":"r","targets":["t1"],"outcome":"cut","config":13`)
 	rejected := logLine(5000, "a", "request", `"request":"r","outcome":"quarantined","status":503,"key":"k","crashes":3,"quarantined_ms":1750`)
+	rejectedPart := logLine(5000, "a", "request", `"request":"r","outcome":"quarantined","status":503,"key":"other","part":"p","part_key":"k","crashes":4,"quarantined_ms":1750`)
+	underPart := logLine(4999, "b", "target crashed under a request", `"request":"u","key":"k","part":"p","customer":"c","route":"x","target":"t1"`)
 	cases := []struct {
 		name  string
 		lines []string
@@ -33,6 +35,10 @@
 		{"a broken response of a target that did not crash", []string{cut, cutEnd}, nil},
 		{"a quarantine", []string{crashedDuringRequest(1000, "b", "t2"), crashedDuringRequest(2000, "c", "t3"), crashedDuringRequest(2000, "b", "t3"), crashedDuringRequest(3000, "b", "t1"), rejected},
 			[]string{"quarantined for 1.75s: 3 targets crashed while running requests with the same customer, path and body (key k; in these logs: t2, t3, t1)"}},
+		{"a quarantine of a part", []string{crashedDuringRequest(1000, "b", "t2"), crashedDuringRequest(2000, "c", "t3"), rejectedPart},
+			[]string{"quarantined for 1.75s: 4 targets crashed while running requests with part p in their prompts (key k; in these logs: t2, t3)"}},
+		{"a request running next to one with a part that crashes targets", []string{crashedDuringRequest(4000, "b", "t2"), crashedDuringRequest(4500, "c", "t3"), crash, underPart, cut, cutEnd},
+			[]string{"t1 crashed", "requests with part p (key k) (customer c, route x) were running on it and on 2 other targets"}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/requestlog/requestlog.go
+++ b/internal/requestlog/requestlog.go
@@ -128,7 +128,7 @@
 	}
 	sortByTime(t.Related)
 	t.Related = mergeDuplicates(t.Related, end.Instance)
-	for _, find := range [...]func([]Line, *Timeline) []string{findStaleConfig, findQuarantine, findCrashes, findLoadOrders, findRemovedTargets, findCorrelatedFailures, findSlowResponse, findStoreOutage, findLeavingTargets, findPartition, findExcludedZones, findBackoffs, findBrittleTargets, findLimitedTargets, findExhaustedBudget, findRecentStart} {
+	for _, find := range [...]func([]Line, *Timeline) []string{findStaleConfig, findQuarantine, findCrashes, findLoadOrders, findRemovedTargets, findCorrelatedFailures, findSlowResponse, findStoreOutage, findLeavingTargets, findPartition, findExcludedZones, findBackoffs, findBrittleTargets, findLimitedTargets, findStreamVersion, findExhaustedBudget, findRecentStart} {
 		t.Findings = append(t.Findings, find(lines, t)...)
 	}
 	return t
