--- a/internal/core/quarantine/bench_test.go
+++ b/internal/core/quarantine/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -21,11 +22,21 @@
 	}
 }
 
+// BenchmarkRecordPart is BenchmarkRecordAnswer for one part of a prompt; one in eight was not answered lately.
+func BenchmarkRecordPart(b *testing.B) {
+	tracker := quarantine.NewTracker()
+	b.ReportAllocs()
+	for i := range b.N {
+		k := quarantine.KeyOfPart(quarantine.Part{Customer: "customer", Model: "model", ID: strconv.Itoa(i % 1000 * (1 + i%8))})
+		tracker.RecordAnswer(k, start)
+	}
+}
+
 // BenchmarkDigest measures the cost of the digest sent with each probe of a peer, with a nearly
 // full Tracker.
 func BenchmarkDigest(b *testing.B) {
 	tracker := quarantine.NewTracker()
-	for i := range 1000 {
+	for i := range 4000 {
 		tracker.RecordCrash(keyOf(fmt.Sprint(i)), quarantine.Label{}, quarantine.Incarnation(i%7), start.Add(time.Duration(i)*time.Millisecond))
 	}
 	recordCrashes(tracker, keyOf("x"), 3)
