--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -19,6 +19,24 @@
 // taken from all targets of the service.
 const minFitCandidates = 8
 
+// pickBackend returns a random service, each with a probability in proportion to its weight.
+func pickBackend(backends []catalog.Backend, intN func(int) int) string {
+	sum := 0
+	for _, b := range backends {
+		sum += max(b.Weight, 0)
+	}
+	if sum == 0 {
+		return backends[0].Service
+	}
+	n := intN(sum)
+	for _, b := range backends {
+		if n -= max(b.Weight, 0); n < 0 {
+			return b.Service
+		}
+	}
+	return backends[len(backends)-1].Service
+}
+
 // chooseTarget returns the target of the next attempt, or nil if the decision is not to send.
 func (x *exchange) chooseTarget() (*catalog.Target, placement.Decision) {
 	t, d := x.chooseAmongCandidates()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -8,8 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/apex/log"
-
 	"github.com/shedhoist/shedhoist/internal/catalog"
 	"github.com/shedhoist/shedhoist/internal/core/attempt"
 	"github.com/shedhoist/shedhoist/internal/core/placement"
@@ -156,24 +154,6 @@
 	return timeout
 }
 
-// pickBackend returns a random service, each with a probability in proportion to its weight.
-func pickBackend(backends []catalog.Backend, intN func(int) int) string {
-	sum := 0
-	for _, b := range backends {
-		sum += max(b.Weight, 0)
-	}
-	if sum == 0 {
-		return backends[0].Service
-	}
-	n := intN(sum)
-	for _, b := range backends {
-		if n -= max(b.Weight, 0); n < 0 {
-			return b.Service
-		}
-	}
-	return backends[len(backends)-1].Service
-}
-
 // attemptResult describes how one attempt ended.
 type attemptResult struct {
 	delivered  bool // the caller has the complete response
@@ -299,19 +279,6 @@
 	e.Info("attempt failed")
 }
 
-// withStreamFields adds to a log line of a stream the version of the last tried target's software, and
-// which stream the caller resumes.
-func (x *exchange) withStreamFields(e *log.Entry) *log.Entry {
-	if x.route == nil || x.route.Kind != catalog.Streaming {
-		return e
-	}
-	e = e.WithField("software", x.software)
-	if x.call.Resumes != "" {
-		e = e.WithField("resumes", x.call.Resumes)
-	}
-	return e
-}
-
 // relayName returns the name of the peer that carried the last relayed attempt, or "" if none did.
 func (x *exchange) relayName() string {
 	if name := x.relay.Load(); name != nil {
