--- a/internal/gateway/quarantine_parts_test.go
+++ b/internal/gateway/quarantine_parts_test.go
@@ -233,9 +233,9 @@
 // partTime is how long requests with a crashing part come.
 const partTime = 20 * time.Second
 
-// TestCrashingPart guards against a part of prompts that crashes one target after the other though no two
+// TestDeadlyPart guards against a part of prompts that crashes one target after the other though no two
 // requests with it are alike, and against sound requests that are refused for it though they lack it.
-func TestCrashingPart(t *testing.T) {
+func TestDeadlyPart(t *testing.T) {
 	for _, c := range partCases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -285,9 +285,9 @@
 	}
 }
 
-// TestCrashingPartOfCustomers guards against a part that crashes targets for each customer anew, and against
+// TestDeadlyPartOfCustomers guards against a part that crashes targets for each customer anew, and against
 // a customer that has others refused: by requests that share a part with theirs and crash targets by another.
-func TestCrashingPartOfCustomers(t *testing.T) {
+func TestDeadlyPartOfCustomers(t *testing.T) {
 	t.Run("several customers send it", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			f := newPartFleet(t, 9, crashAfterHead)
