Tests of parts that crash targets share no slice between callers

Found by the race detector in the tests' own code: each sender appended its last part to the same array, so that a request could carry another one's.

--- a/internal/gateway/quarantine_parts_test.go
+++ b/internal/gateway/quarantine_parts_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -169,7 +170,7 @@
 	f.seq++
 	seq := f.seq
 	f.mu.Unlock()
-	parts = append(parts, fmt.Sprint("own-", seq))
+	parts = slices.Concat(parts, []string{fmt.Sprint("own-", seq)})
 	ctx, cancel := context.WithTimeout(f.t.Context(), 5*time.Second)
 	defer cancel()
 	conn, err := f.net.dialFrom("caller")(ctx, "memory", f.gateways[instance].settings().CallerListen)
