--- a/internal/gateway/quarantine_parts_test.go
+++ b/internal/gateway/quarantine_parts_test.go
@@ -84,7 +84,8 @@
 // partFleet is a fleet whose targets crash on crashingPart.
 type partFleet struct {
 	*trafficFleet
-	crash partCrash
+	crash     partCrash
+	addresses []string // of the instances, for callers
 
 	mu       sync.Mutex
 	seq      int
@@ -103,6 +104,9 @@
 		f.targets = append(f.targets, m)
 		m.start()
 	}
+	for _, g := range f.gateways {
+		f.addresses = append(f.addresses, g.settings().CallerListen)
+	}
 	time.Sleep(time.Second)
 	return f
 }
@@ -173,7 +177,7 @@
 	parts = slices.Concat(parts, []string{fmt.Sprint("own-", seq)})
 	ctx, cancel := context.WithTimeout(f.t.Context(), 5*time.Second)
 	defer cancel()
-	conn, err := f.net.dialFrom("caller")(ctx, "memory", f.gateways[instance].settings().CallerListen)
+	conn, err := f.net.dialFrom("caller")(ctx, "memory", f.addresses[instance])
 	if err != nil {
 		return false
 	}
