Shared parts that no store delivers are fetched from the prompt's home target

Change: an attempt at another target names the home as the source of these parts. Stores go first; a part that the home does not hold costs a millisecond.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -172,6 +172,13 @@
 // that it doesn't. Without a configuration none is declared.
 func (c *Config) HasService(service string) bool { return c != nil && c.Services[service] != nil }
 
+// FetchesFromTargets reports whether the targets of a service can fetch prompt parts from one another:
+// their engine takes a source for each part, and the speed of their links is declared.
+func (c *Config) FetchesFromTargets(service string) bool {
+	s := c.Services[service]
+	return s != nil && s.Engine != nil && s.Engine.Managed && s.Engine.LinkMbps > 0
+}
+
 // TargetMemory returns the memory of one target of a service, in tokens; 0 if it is not declared.
 func (c *Config) TargetMemory(service string) int {
 	if s := c.Services[service]; s != nil && s.Engine != nil {
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -6,11 +6,8 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/shedhoist/shedhoist/internal/core/policy"
 )
 
@@ -192,45 +189,6 @@
 	return !t.LacksModel && !t.Incompatible && (t.OutdatedFor == 0 || t.OutdatedFor < q.RolloutTimeout-rolloutMargin)
 }
 
-// homeIndex returns the index of a prompt's home among the targets that serve its model, or
-// -1 if there is none. It uses rendezvous hashing (Thaler and Ravishankar, 1998), so that
-// instances agree without messages. If a cache store holds the prompt's parts, the home is in
-// the store's zone, provided that a healthy target is there: a fetch from another zone takes
-// twice as long and occupies the store's link, the scarce resource of a large fleet.
-func homeIndex(targets []Target, prefixKey, storeZone string) int {
-	healthyInZone := func(t Target) bool {
-		return t.Zone == storeZone && !t.LacksModel && !t.Incompatible && !t.unavailable() && !t.lastResort()
-	}
-	anyZone := storeZone == "" || !slices.ContainsFunc(targets, healthyInZone)
-	best, highestRank := -1, 0.0
-	seed := xxhash.Sum64String(prefixKey)
-	for i := range targets {
-		if targets[i].LacksModel || targets[i].unavailable() || targets[i].ZoneUnreachable || !(anyZone || targets[i].Zone == storeZone) {
-			continue
-		}
-		if rank := weightedRank(splitMix64(seed^xxhash.Sum64String(targets[i].ID)), targets[i].Weight); best < 0 || rank > highestRank {
-			best, highestRank = i, rank
-		}
-	}
-	return best
-}
-
-// weightedRank turns a uniform hash into a target's rank for a prompt, by weighted rendezvous
-// hashing (Schindelhauer and Schomaker, 2005): a change of one target's weight does not change
-// the order of the others.
-func weightedRank(hash uint64, weight float64) float64 {
-	u := (float64(hash>>11) + 0.5) / (1 << 53)
-	return -max(weight, 1) / math.Log(u)
-}
-
-// splitMix64 is the finalizer of SplitMix64 (Steele, Lea and Flood, 2014). Without it, XOR with
-// the prefix's hash would leave the targets in nearly the same order for all prefixes.
-func splitMix64(h uint64) uint64 {
-	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
-	h = (h ^ h>>27) * 0x94d049bb133111eb
-	return h ^ h>>31
-}
-
 // score returns the predicted time to the first response, in ms, plus the penalties of the
 // choice. Lower is better.
 func score(t *Target, q Query, notHome bool) float64 {
--- a/internal/core/policy/policy.go
+++ b/internal/core/policy/policy.go
@@ -20,6 +20,7 @@
 	StreamConnReuse   bool // streams that must not run twice are also sent on kept-alive connections
 	StoreZoneHomes    bool // prompts have their home target in the zone of the store that holds their parts
 	WarmupSenders     bool // a few instances send a target that is warming up what it can take; if off, no instance does
+	HomeSources       bool // shared parts that no store delivers are fetched from the prompt's home target
 	HeadsInFastStores bool // parts with which prompts begin are saved in the fastest stores
 }
 
@@ -36,6 +37,7 @@
 	"kept-streams": func(p *Policy) *bool { return &p.StreamConnReuse },
 	"store-zones":  func(p *Policy) *bool { return &p.StoreZoneHomes },
 	"cold-senders": func(p *Policy) *bool { return &p.WarmupSenders },
+	"home-sources": func(p *Policy) *bool { return &p.HomeSources },
 	"heads-apart":  func(p *Policy) *bool { return &p.HeadsInFastStores },
 }
 
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -49,6 +49,7 @@
 // chooseAmongCandidates is chooseTarget with the candidates that are fit as far as is known.
 func (x *exchange) chooseAmongCandidates() (*catalog.Target, placement.Decision) {
 	ejected := x.g.breaker.EjectedForSelection()
+	x.ejected = ejected
 	candidates, serving := x.view.Candidates[x.service], x.view.Serving[x.service]
 	x.unreachableZones, x.backoffUntil = x.g.unreachableZones(x.service, serving), x.g.breaker.Backoffs()
 	x.permitWaits = x.g.limits.waits(x.g.now())
@@ -103,9 +104,7 @@
 	}
 	shared := p.Parts[:len(p.Parts)-1]
 	q.PrefixKey = shared[len(shared)-1].ID
-	if src := x.partSourcesFor(max(x.view.NamedVersions[p.Model].Newest, 1))[len(shared)-1]; src.store != nil && set.Policy.StoreZoneHomes {
-		q.StoreZone = src.store.Zone
-	}
+	q.StoreZone = x.homeZone(max(x.view.NamedVersions[p.Model].Newest, 1), len(shared)-1)
 	tokens := 0
 	for _, part := range shared {
 		tokens += part.Tokens
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -56,6 +56,7 @@
 	promptWork    promptWork              // prefill and fetch work of the attempt
 	plan          cachePlan
 
+	ejected          []string                 // ids of the targets ejected as of this attempt
 	suspectsCache    []suspect                // see suspects
 	trialKeys        []quarantine.Key         // that the request is a trial of
 	unreachableZones map[string]bool          // as of this attempt
@@ -338,7 +339,7 @@
 		e = e.WithField("first_ms", x.firstByteMS).WithField("predicted_ms", x.predictedMS)
 	}
 	if x.plan.weightVersion > 0 {
-		e = e.WithField("weights", x.plan.weightVersion).WithField("fetch_ms", x.promptWork.FetchMS).WithField("target_zone", x.lastZone).WithField("fetched_parts", x.plan.fetchCount).WithField("saved_parts", len(x.plan.savedKeys)).WithField("link", x.promptWork.Link).
+		e = e.WithField("weights", x.plan.weightVersion).WithField("fetch_ms", x.promptWork.FetchMS).WithField("target_zone", x.lastZone).WithField("fetched_parts", x.plan.fetchCount).WithField("home_parts", x.plan.homeParts).WithField("saved_parts", len(x.plan.savedKeys)).WithField("link", x.promptWork.Link).
 			WithField("read_tokens", x.promptWork.PrefillTokens)
 		if x.plan.targetSilentMS > 0 {
 			e = e.WithField("not_saved_target_silent_ms", x.plan.targetSilentMS)
--- a/internal/gateway/prompt.go
+++ b/internal/gateway/prompt.go
@@ -27,6 +27,7 @@
 	parts         []PartPlan
 	fetchCount    int
 	savedKeys     []cachestore.Key
+	homeParts     int              // parts that are fetched from the prompt's home target
 	pendingSave   *cachestore.Save // tracks when the save ends; nil if nothing is saved
 	// targetSilentMS is how long the target had been silent if nothing is saved for that
 	// reason, else 0.
@@ -148,8 +149,11 @@
 	}
 	x.plan.pendingSave = x.g.cache.beginSave(t.ID, x.plan.savedKeys)
 	x.logSaves(t, salt)
-	return &ModelAttempt{Priority: x.effectiveRank(), Version: version, Salt: salt, Cache: x.plan.parts,
-		FetchUntilMS: x.g.cache.serverClockMS(x.fetchTimeout())}
+	fetchUntilMS := x.g.cache.serverClockMS(x.fetchTimeout())
+	if fetchUntilMS > 0 {
+		x.fetchFromHome(t, version)
+	}
+	return &ModelAttempt{Priority: x.effectiveRank(), Version: version, Salt: salt, Cache: x.plan.parts, FetchUntilMS: fetchUntilMS}
 }
 
 // logSaves logs which parts the target is to save in which stores, so that a late save can
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -27,6 +27,7 @@
 	BackoffRequests       = metrics.NewCounter("shedhoist_rest_words_total")            // responses in which a target requests backoff
 	BackoffRefusals       = metrics.NewCounter("shedhoist_rest_refusals_total")         // because all targets are in backoff
 	DelayedFetches        = metrics.NewCounter("shedhoist_fetches_delayed_total")       // parts held but not fetched: not yet complete for long enough
+	HomePartFetches       = metrics.NewCounter("shedhoist_home_part_fetches_total")     // parts that targets were told to fetch from the prompt's home target
 	BlockedFetches        = metrics.NewCounter("shedhoist_fetches_blocked_total")       // parts held but not fetched: a save of them is pending
 	UnreachableZones      = metrics.NewCounter("shedhoist_silent_zones_total")
 	EvacuatedRefusals     = metrics.NewCounter("shedhoist_evacuated_refusals_total")
