--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/shedhoist/shedhoist/internal/core/admission"
 )
 
 // RequestKind tells how often requests on a route may run.
@@ -120,6 +122,7 @@
 	customers         map[string]*Customer // by API key
 	hasKeys           bool
 	isolatedCustomers string // names, sorted and separated by commas
+	promptLevels      map[string]admission.Levels
 }
 
 // ConfigSpec is a configuration as an adapter has decoded it.
@@ -149,6 +152,7 @@
 		host := strings.ToLower(r.Host)
 		c.routes[host] = append(c.routes[host], &r)
 	}
+	c.promptLevels = promptLevels(spec)
 	for _, rs := range c.routes {
 		slices.SortStableFunc(rs, func(a, b *Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
 	}
@@ -168,6 +172,31 @@
 	return c
 }
 
+// promptLevels returns, by service, the levels of the routes that send prompts there.
+func promptLevels(spec ConfigSpec) map[string]admission.Levels {
+	out := map[string]admission.Levels{}
+	for _, s := range spec.Services {
+		var routes []admission.Level
+		for i := range spec.Routes {
+			if r := &spec.Routes[i]; r.UsesModel && r.SendsTo(s.Name) {
+				routes = append(routes, admission.Level{Rank: r.Priority, Objective: r.LatencyObjective})
+			}
+		}
+		if len(routes) > 0 {
+			out[s.Name] = admission.NewLevels(routes)
+		}
+	}
+	return out
+}
+
+// PromptLevels returns the levels of priority of the routes that send prompts to a service.
+func (c *Config) PromptLevels(service string) admission.Levels {
+	if c == nil {
+		return nil
+	}
+	return c.promptLevels[service]
+}
+
 // HasService reports whether the configuration declares a service. A target's entry may name one
 // that it doesn't. Without a configuration none is declared.
 func (c *Config) HasService(service string) bool { return c != nil && c.Services[service] != nil }
--- /dev/null
+++ b/internal/core/admission/admission.go
@@ -0,0 +1,151 @@
+// Package admission decides how much of a target's memory, and how much queued prefill work, a
+// request may find at a target that it is sent to, by the priority of the request among all
+// requests to the same service. It also tells a refused caller when to return. The package does
+// no I/O and reads no clock.
+//
+// Less urgent requests leave headroom, so that a burst of them neither delays nor preempts more
+// urgent ones: a long prompt takes a quarter of a second of a target's time, and while it is read
+// each step of all other runs takes several times as long.
+package admission
+
+import (
+	"slices"
+	"time"
+)
+
+// Level is one of the ranks that the routes to a service have. Level 0 is the most urgent rank.
+type Level struct {
+	Rank      int           // priority, 0 being the most urgent
+	Objective time.Duration // tightest latency objective of the rank's routes; 0: they have none
+}
+
+// Levels are the levels of a service, the most urgent first.
+type Levels []Level
+
+// NewLevels returns the levels of a service whose routes have the given ranks and objectives. Ranks
+// may repeat, and are in any order.
+func NewLevels(routes []Level) Levels {
+	var out Levels
+	for _, r := range routes {
+		r.Rank, r.Objective = max(r.Rank, 0), max(r.Objective, 0)
+		i, found := slices.BinarySearchFunc(out, r.Rank, func(l Level, rank int) int { return l.Rank - rank })
+		if !found {
+			out = slices.Insert(out, i, r)
+			continue
+		}
+		out[i].Objective = tighter(out[i].Objective, r.Objective)
+	}
+	return out
+}
+
+// tighter returns the shorter of two objectives, of which 0 means none.
+func tighter(a, b time.Duration) time.Duration {
+	if a == 0 || b != 0 && b < a {
+		return b
+	}
+	return a
+}
+
+// Prioritized reports whether requests differ in priority. If not, the package changes nothing.
+func (l Levels) Prioritized() bool { return len(l) > 1 }
+
+// Of returns the level of a rank: that of the nearest rank which is as urgent or less urgent. A
+// rank less urgent than all routes' ranks belongs to the last level.
+func (l Levels) Of(rank int) int {
+	for i := range l {
+		if l[i].Rank >= rank {
+			return i
+		}
+	}
+	return max(len(l)-1, 0)
+}
+
+// Share of a target's memory that the requests of a level may fill.
+const (
+	// levelOneShare leaves an eighth of the memory to requests of level 0, since the reports of
+	// the other instances' work are up to 360 ms old: in that time a burst of urgent prompts
+	// arrives before any instance knows of it.
+	levelOneShare = 0.88
+	// lowerLevelsShare leaves as much again to level 1.
+	lowerLevelsShare = 0.76
+	// sameLevelStep is how much more a caller that has waited may fill, and how much less a
+	// customer above its fair share. Twice the step is less than the distance between levels, so
+	// that these differences never exceed those of priority.
+	sameLevelStep = 0.04
+	// queueShare is the part of the tightest objective of the more urgent levels that queued
+	// prefill work may take. The rest is for the work that arrives before reports name it, for
+	// the request's own prompt and for its first step.
+	queueShare = 0.5
+)
+
+// Request describes what the limits of a request depend on.
+type Request struct {
+	Rank           int
+	Waited         bool // its caller returns after a refusal
+	AboveFairShare bool // its customer uses more than its fair share of the service
+}
+
+// Limits bound the load of the targets that a request may be sent to. The zero value sets no
+// limits.
+type Limits struct {
+	Level       int
+	MemoryShare float64       // share of a target's memory, the request included; 0: no limit
+	QueueTime   time.Duration // time that the queued prefill work may take; 0: no limit
+}
+
+// Limits returns the limits of a request.
+func (l Levels) Limits(r Request) Limits {
+	if !l.Prioritized() {
+		return Limits{}
+	}
+	out := Limits{Level: l.Of(r.Rank), MemoryShare: 1}
+	switch {
+	case out.Level == 1:
+		out.MemoryShare = levelOneShare
+	case out.Level > 1:
+		out.MemoryShare = lowerLevelsShare
+	}
+	if r.Waited {
+		out.MemoryShare += sameLevelStep
+	}
+	if r.AboveFairShare {
+		out.MemoryShare -= sameLevelStep
+	}
+	out.MemoryShare = min(out.MemoryShare, 1)
+	objective := time.Duration(0)
+	for _, more := range l[:out.Level] {
+		objective = tighter(objective, more.Objective)
+	}
+	out.QueueTime = time.Duration(queueShare * float64(objective))
+	return out
+}
+
+// maxSentRank is the least urgent rank that model servers accept.
+const maxSentRank = 9
+
+// SentRank returns the rank that is sent to the target, 0 being the most urgent. A late request
+// falls behind others of its own rank, but not behind less urgent ones. If the ranks of the service
+// do not all fit, twice each, into those that targets accept, the level takes the place of the rank.
+func (l Levels) SentRank(rank int, late bool) int {
+	if len(l) > 0 && 2*l[len(l)-1].Rank+1 > maxSentRank {
+		rank = l.Of(rank)
+	}
+	rank *= 2
+	if late {
+		rank++
+	}
+	return min(rank, maxSentRank)
+}
+
+// Bounds on the time left of a request whose caller is assumed to return after a refusal. Both lie
+// below the shortest Retry-After, which is half a second or a sixth of the time left.
+const (
+	waitedTime  = 400 * time.Millisecond
+	waitedShare = 0.15
+)
+
+// HasWaited reports whether a caller returns after a refusal, which shows in the time that it has
+// left of its route's timeout. 0 means that the time is not known.
+func HasWaited(left, timeout time.Duration) bool {
+	return left > 0 && timeout > 0 && timeout-left >= min(waitedTime, time.Duration(waitedShare*float64(timeout)))
+}
--- a/internal/core/policy/policy.go
+++ b/internal/core/policy/policy.go
@@ -10,6 +10,7 @@
 // Policy holds which mechanisms are in use.
 type Policy struct {
 	Admission         bool // requests are refused while the targets' memory is full
+	RankAdmission     bool // less urgent requests leave headroom at the targets to more urgent ones
 	Homes             bool // prompts are preferably sent to the home target of their last shared part
 	ScoreJitter       bool // random jitter on the scores prevents all instances from selecting the same target
 	LinkWeight        bool // transfer time on a shared link has a higher weight than other time
@@ -25,18 +26,19 @@
 
 // switches maps the names of the mechanisms, as used in settings, to their fields.
 var switches = map[string]func(*Policy) *bool{
-	"admission":    func(p *Policy) *bool { return &p.Admission },
-	"homes":        func(p *Policy) *bool { return &p.Homes },
-	"spread":       func(p *Policy) *bool { return &p.ScoreJitter },
-	"link-weight":  func(p *Policy) *bool { return &p.LinkWeight },
-	"old-weights":  func(p *Policy) *bool { return &p.OldWeightsPenalty },
-	"peer-loads":   func(p *Policy) *bool { return &p.PeerLoads },
-	"overdue":      func(p *Policy) *bool { return &p.LearnedLatency },
-	"late-behind":  func(p *Policy) *bool { return &p.DeprioritizeLate },
-	"kept-streams": func(p *Policy) *bool { return &p.StreamConnReuse },
-	"store-zones":  func(p *Policy) *bool { return &p.StoreZoneHomes },
-	"cold-senders": func(p *Policy) *bool { return &p.WarmupSenders },
-	"heads-apart":  func(p *Policy) *bool { return &p.HeadsInFastStores },
+	"admission":      func(p *Policy) *bool { return &p.Admission },
+	"rank-admission": func(p *Policy) *bool { return &p.RankAdmission },
+	"homes":          func(p *Policy) *bool { return &p.Homes },
+	"spread":         func(p *Policy) *bool { return &p.ScoreJitter },
+	"link-weight":    func(p *Policy) *bool { return &p.LinkWeight },
+	"old-weights":    func(p *Policy) *bool { return &p.OldWeightsPenalty },
+	"peer-loads":     func(p *Policy) *bool { return &p.PeerLoads },
+	"overdue":        func(p *Policy) *bool { return &p.LearnedLatency },
+	"late-behind":    func(p *Policy) *bool { return &p.DeprioritizeLate },
+	"kept-streams":   func(p *Policy) *bool { return &p.StreamConnReuse },
+	"store-zones":    func(p *Policy) *bool { return &p.StoreZoneHomes },
+	"cold-senders":   func(p *Policy) *bool { return &p.WarmupSenders },
+	"heads-apart":    func(p *Policy) *bool { return &p.HeadsInFastStores },
 }
 
 // Default returns the policy with all mechanisms in use.
