Placement: a memory share and a queue limit for each request

Change: Query.MemoryShare and Query.MaxQueuedTokens make a target full earlier for less urgent requests, except for its memory share while at most a quarter of the memory is in use. Requests that have started ignore both. Without these values Select decides as before.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -40,6 +40,9 @@
 	CapacityTokens int
 	// UsedTokens is the part of the memory that the running requests of all instances occupy.
 	UsedTokens int
+	// QueuedTokens is the prefill work of all instances' requests that wait for their first
+	// response there.
+	QueuedTokens int
 }
 
 // Query describes the request to place.
@@ -61,8 +64,15 @@
 	// NeededTokens is the target memory that the request will occupy.
 	NeededTokens int
 	// Started is true once a target has worked on the request or the caller has received a
-	// part of the response. Such a request is no longer refused for lack of memory.
+	// part of the response. Such a request is no longer refused for lack of memory, and
+	// MemoryShare and MaxQueuedTokens do not apply to it.
 	Started bool
+	// MemoryShare is the share of a target's memory that the request may fill, see package
+	// admission. 0 counts as 1.
+	MemoryShare float64
+	// MaxQueuedTokens is the prefill work that may be queued at a target before the request; 0: no
+	// limit.
+	MaxQueuedTokens int
 }
 
 // Action is the outcome of a placement.
@@ -79,7 +89,8 @@
 type Decision struct {
 	Action        Action
 	Index         int // index of the selected target, or -1
-	FullTargets   int // eligible targets without enough free memory
+	FullTargets   int // eligible targets without enough free memory, or with too much queued work
+	LongQueues    int // those of them with more queued work than MaxQueuedTokens
 	WarmupLimited int // targets skipped because they are warming up
 	RateLimited   int // eligible targets skipped because they name limits, and there is no permit now
 	InBackoff     int // eligible targets skipped because they have asked for backoff
@@ -106,6 +117,9 @@
 	// scoreJitter randomly increases scores by up to this fraction, so that instances with
 	// the same view do not all select the same target.
 	scoreJitter = 0.25
+	// nearlyIdleShare is the used share of a target's memory up to which MemoryShare does not
+	// apply. Otherwise a request that needs more than that share would never be admitted.
+	nearlyIdleShare = 0.25
 	// outdatedGrace is the time after the announcement of a version in which an older one is
 	// not penalized.
 	outdatedGrace = time.Second
@@ -121,7 +135,9 @@
 // every running request, slower requests occupy memory for longer, and this overload lasts
 // tens of seconds longer than its cause (docs/DECIDING.md). Therefore a request is refused at
 // once if all eligible targets are full: one request fails, and the others keep their pace.
-// A request larger than a target's whole memory is left to the target to refuse.
+// A request larger than a target's whole memory is left to the target to refuse. For a less urgent
+// request a target is full earlier, at Query.MemoryShare of its memory or with more queued prefill
+// work than Query.MaxQueuedTokens.
 //
 // A target in backoff gets no requests, even if there is no other target: each request that
 // it turns away costs resources that it needs to recover.
@@ -137,7 +153,7 @@
 		if t.WarmupLimited {
 			d.WarmupLimited++
 		}
-		if !eligible(t, q) {
+		if !eligible(t, &q) {
 			continue
 		}
 		if t.InBackoff {
@@ -151,15 +167,18 @@
 		if t.Excluded || t.WarmupLimited {
 			continue
 		}
-		full := q.Policy.Admission && t.isFullFor(q)
+		full := q.Policy.Admission && t.isFullFor(&q)
 		if full && !t.lastResort() {
 			d.FullTargets++
+			if t.hasLongQueueFor(&q) {
+				d.LongQueues++
+			}
 			d.FreeTokens = max(d.FreeTokens, t.CapacityTokens-t.UsedTokens)
 		}
 		if full && !q.Started {
 			continue
 		}
-		targetScore := score(t, q, i != home && home >= 0)
+		targetScore := score(t, &q, i != home && home >= 0)
 		if full {
 			targetScore *= fullTargetFactor
 		}
@@ -180,15 +199,31 @@
 // unavailable reports whether this instance may send the target no request at all now.
 func (t *Target) unavailable() bool { return t.WarmupLimited || t.RateLimited || t.InBackoff }
 
-// isFullFor reports whether the request needs more memory than the target has free. A target
-// that runs no requests counts as not full: it refuses a request larger than its memory itself.
-func (t *Target) isFullFor(q Query) bool {
-	return t.CapacityTokens > 0 && t.UsedTokens > 0 && t.UsedTokens+q.NeededTokens > t.CapacityTokens
+// isFullFor reports whether the request needs more memory than the target has free for it, or
+// would find too much work queued there. A target that runs no requests counts as not full: it
+// refuses a request larger than its memory itself.
+func (t *Target) isFullFor(q *Query) bool {
+	if t.CapacityTokens <= 0 || t.UsedTokens <= 0 {
+		return t.hasLongQueueFor(q)
+	}
+	tokens := t.UsedTokens + q.NeededTokens
+	if tokens > t.CapacityTokens || t.hasLongQueueFor(q) {
+		return true
+	}
+	if q.MemoryShare <= 0 || q.Started || float64(tokens) <= q.MemoryShare*float64(t.CapacityTokens) {
+		return false
+	}
+	return float64(t.UsedTokens) > nearlyIdleShare*float64(t.CapacityTokens)
+}
+
+// hasLongQueueFor reports whether more prefill work is queued at the target than the request allows.
+func (t *Target) hasLongQueueFor(q *Query) bool {
+	return q.MaxQueuedTokens > 0 && t.QueuedTokens > q.MaxQueuedTokens && !q.Started
 }
 
 // eligible reports whether the target serves the request's model. Targets with outdated
 // weights are eligible until rolloutMargin before the end of the rollout.
-func eligible(t *Target, q Query) bool {
+func eligible(t *Target, q *Query) bool {
 	return !t.LacksModel && !t.Incompatible && (t.OutdatedFor == 0 || t.OutdatedFor < q.RolloutTimeout-rolloutMargin)
 }
 
@@ -233,7 +268,7 @@
 
 // score returns the predicted time to the first response, in ms, plus the penalties of the
 // choice. Lower is better.
-func score(t *Target, q Query, notHome bool) float64 {
+func score(t *Target, q *Query, notHome bool) float64 {
 	s := math.Max(t.FirstResponseMS, 1) + q.ConcurrencyPenaltyMS*float64(t.InFlight)
 	if q.Policy.LinkWeight {
 		s += linkOccupancyFactor * t.LinkOccupancyMS
--- a/internal/core/placement/predict.go
+++ b/internal/core/placement/predict.go
@@ -129,6 +129,11 @@
 // PrefillTime returns the time expected for the prefill of tokens on an idle target, in ms.
 func (p *Predictor) PrefillTime(tokens int) float64 { return float64(tokens) * p.prefillMSPerToken }
 
+// PrefillTokens returns how many tokens an idle target is expected to prefill in a time.
+func (p *Predictor) PrefillTokens(d time.Duration) int {
+	return int(float64(d) / float64(time.Millisecond) / p.prefillMSPerToken)
+}
+
 // FirstResponseTime returns the time expected from sending a request to its first response, in ms.
 func (p *Predictor) FirstResponseTime(id string, w PrefillWork, now time.Time) float64 {
 	return p.TargetDelay(id, now) + p.FetchTime(w, now) + p.PrefillTime(w.PrefillTokens+w.QueuedTokens)
