Gateway: prompts are limited by the levels of their service

Services whose routes all have one rank keep what they had. Refusals are counted by level, and their log lines name the limits.

Result: go test -run 'RetryAfter|Urgency' ./internal/gateway and ./internal/metric pass; the other gateway tests were not run.

--- /dev/null
+++ b/internal/gateway/admission.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/shedhoist/shedhoist/internal/core/admission"
+	"github.com/shedhoist/shedhoist/internal/core/placement"
+	"github.com/shedhoist/shedhoist/internal/metric"
+)
+
+// Limits on the load of the targets that a prompt may be sent to, by its priority among all
+// prompts to the same service, and the Retry-After of those that are refused.
+
+// admissionState holds the limits of a request, as of the latest attempt. It is the zero value
+// where requests do not differ in priority.
+type admissionState struct {
+	admission.Limits
+	maxQueuedTokens int
+	overloadAge     time.Duration // set if the request was refused
+}
+
+// admissionLevels returns the levels of the request's service, or nil if its prompts do not
+// differ in priority or the policy ignores it.
+func (x *exchange) admissionLevels() admission.Levels {
+	if x.call.Prompt == nil || !x.g.settings().Policy.RankAdmission {
+		return nil
+	}
+	if l := x.view.Config.PromptLevels(x.service); l.Prioritized() {
+		return l
+	}
+	return nil
+}
+
+// limitByRank sets the limits of the request's level.
+func (x *exchange) limitByRank(q *placement.Query) {
+	x.admission = admissionState{}
+	levels := x.admissionLevels()
+	if levels == nil {
+		return
+	}
+	x.admission.Limits = levels.Limits(admission.Request{Rank: x.baseRank(), Waited: x.callerHasWaited(), AboveFairShare: x.customerAboveFairShare()})
+	if x.admission.QueueTime > 0 {
+		x.g.predictorMu.Lock()
+		x.admission.maxQueuedTokens = max(x.g.predictor.PrefillTokens(x.admission.QueueTime), 1)
+		x.g.predictorMu.Unlock()
+	}
+	q.MemoryShare, q.MaxQueuedTokens = x.admission.MemoryShare, x.admission.maxQueuedTokens
+}
+
+// callerHasWaited reports whether the caller returns after a refusal.
+func (x *exchange) callerHasWaited() bool {
+	return admission.HasWaited(x.call.Timeout, x.route.Timeout)
+}
+
+// customerAboveFairShare reports whether the customer uses more than its fair share of the service.
+func (x *exchange) customerAboveFairShare() bool { return false }
+
+// retryAfterMemoryFull is the mean Retry-After when all targets' memory is full and prompts do not
+// differ in priority: a target's memory turns over in one to four seconds. It is spread over 0.5
+// to 1.5 times that, so that callers do not return together.
+const retryAfterMemoryFull = time.Second
+
+// retryAfterFull records the refusal of a prompt at full targets, and returns its Retry-After.
+func (x *exchange) retryAfterFull() time.Duration {
+	levels := x.admissionLevels()
+	if levels == nil {
+		return retryAfterMemoryFull/2 + rand.N(retryAfterMemoryFull)
+	}
+	now, level := x.g.now(), x.admission.Level
+	metric.LevelRefusals(level).Inc()
+	x.admission.overloadAge = x.g.overloads.Refused(x.service, levels, level, now)
+	return admission.RetryAfter(level, x.admission.overloadAge, x.deadline.Sub(now), rand.Float64())
+}
+
+// withAdmissionFields adds the limits that refused the request to its log line.
+func (x *exchange) withAdmissionFields(e *log.Entry) *log.Entry {
+	a := &x.admission
+	if a.MemoryShare == 0 {
+		return e
+	}
+	return e.WithField("level", a.Level).WithField("memory_share", a.MemoryShare).WithField("max_queued_tokens", a.maxQueuedTokens).
+		WithField("long_queues", x.decision.LongQueues).WithField("waited", x.callerHasWaited()).WithField("overload_ms", a.overloadAge.Milliseconds())
+}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -97,6 +97,7 @@
 	}
 	q := placement.Query{Zone: zone, RolloutTimeout: set.RolloutWithin, ConcurrencyPenaltyMS: x.concurrencyPenaltyMS(), RequestBytes: len(x.body), Rand: rand.Float64, Policy: set.Policy,
 		NeededTokens: x.call.memoryTokens(), Started: x.binding != nil || x.headerSent || x.possibleRuns > 0}
+	x.limitByRank(&q)
 	p := x.call.Prompt
 	if p == nil || len(p.Parts) < 2 {
 		return q
@@ -199,6 +200,7 @@
 			o.UsedTokens = int(load.MemoryTokens.Load()) + peerLoads[i].Memory
 		}
 		works[i].QueuedTokens = int(load.PrefillTokens.Load()) + peerLoads[i].Tokens
+		o.QueuedTokens = works[i].QueuedTokens
 		o.FirstResponseMS = x.g.predictor.NominalTime(works[i].PrefillWork)
 		if set.Policy.LearnedLatency {
 			o.FirstResponseMS = x.g.predictor.FirstResponseTime(t.ID, works[i].PrefillWork, now)
@@ -237,11 +239,6 @@
 	return plainConcurrencyPenalty * float64(x.route.LatencyObjective) / float64(time.Millisecond)
 }
 
-// retryAfterMemoryFull is the mean Retry-After when all targets' memory is full: a target's
-// memory turns over in one to four seconds. It is spread over 0.5 to 1.5 times that, so
-// that callers do not return together.
-const retryAfterMemoryFull = time.Second
-
 // refuseNoTarget ends a request for which there is no usable target.
 func (x *exchange) refuseNoTarget(d placement.Decision) {
 	v := x.machine.NoTarget()
@@ -299,11 +296,11 @@
 // spread over 0.5 to 1.5 times that: they need seconds to release a zone.
 const retryAfterEvacuation = 2 * time.Second
 
-// refuseMemoryFull refuses a request that has not run because the memory of every target
-// that could take it is full.
+// refuseMemoryFull refuses a request that has not run because every target that could take it
+// is full, or has no room for a request of its priority.
 func (x *exchange) refuseMemoryFull(d placement.Decision) {
 	x.machine.NoTarget()
 	x.decision = d
 	metric.MemoryFullRefusals.Inc()
-	x.refuse(retryLater(problem.Overloaded, "the targets' memory is full", retryAfterMemoryFull/2+rand.N(retryAfterMemoryFull)))
+	x.refuse(retryLater(problem.Overloaded, "the targets' memory is full", x.retryAfterFull()))
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -66,6 +66,7 @@
 	isTrial          bool                     // a quarantined request, let through to see whether it still crashes its target
 	quarantineState  *quarantine.State        // set if the request was refused as quarantined
 	decision         placement.Decision       // the decision that refused the request
+	admission        admissionState           // see admission.go
 	predictedMS      float64                  // predicted time to the first byte
 	fallback         *bufferedResponse        // a target's error response, delivered if no attempt succeeds
 	budgetUse        budgetUse                // what the end of the last attempt meant for the retry budget
@@ -364,6 +365,7 @@
 	}
 	if x.decision.Action == placement.Refuse {
 		e = e.WithField("full_targets", x.decision.FullTargets).WithField("free_tokens", x.decision.FreeTokens).WithField("needed_tokens", x.call.memoryTokens())
+		e = x.withAdmissionFields(e)
 	}
 	if s := x.quarantineState; s != nil {
 		if s.Label.Part != "" {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/apex/log"
 
 	"github.com/shedhoist/shedhoist/internal/breaker"
+	"github.com/shedhoist/shedhoist/internal/core/admission"
 	"github.com/shedhoist/shedhoist/internal/core/member"
 	"github.com/shedhoist/shedhoist/internal/core/placement"
 	"github.com/shedhoist/shedhoist/internal/core/quarantine"
@@ -108,6 +109,8 @@
 	relays          relays         // peers that reach targets for this instance
 	breaker         *breaker.Set   // targets whose requests fail
 	retryBudgets    retryBudgets
+	// overloads tracks how long prompts have been refused, by service and level.
+	overloads admission.Overloads
 	// predictor is shared by all requests.
 	predictorMu      sync.Mutex
 	predictor        *placement.Predictor
@@ -316,6 +319,7 @@
 		g.warmup.Retain(keep)
 		g.brittle.retain(keep)
 		g.limits.retain(keep)
+		g.overloads.Retain(v.Config.HasService)
 		g.streams.records.Expire(g.now())
 		g.predictorMu.Lock()
 		g.predictor.Retain(keep)
--- a/internal/gateway/prompt.go
+++ b/internal/gateway/prompt.go
@@ -183,7 +183,8 @@
 	// ms of an objective of 500 ms for one response in 20.
 	lateShare = 0.6
 	// lateRankPenalty is added to the rank of a late request: more than the ranks that
-	// operators declare, 0 to 3.
+	// operators declare, 0 to 3. It applies to services whose routes all have one rank, where
+	// no less urgent request can overtake a late one; see admission.Levels.SentRank.
 	lateRankPenalty = 4
 )
 
@@ -197,7 +198,11 @@
 		return min(rank, lowestPriority)
 	}
 	left := float64(x.route.LatencyObjective)/float64(time.Millisecond) - x.elapsedMS()
-	if x.predictedMS > lateShare*left {
+	late := x.predictedMS > lateShare*left
+	if levels := x.admissionLevels(); levels != nil {
+		return levels.SentRank(rank, late)
+	}
+	if late {
 		rank += lateRankPenalty
 	}
 	return min(rank, lowestPriority)
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -79,6 +79,11 @@
 	return metrics.GetOrCreateCounter(fmt.Sprintf(`shedhoist_service_retries_total{service=%q,cause=%q,budget=%q}`, service, cause, budget))
 }
 
+// LevelRefusals counts the prompts refused at full targets, by their level of priority at the service.
+func LevelRefusals(level int) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`shedhoist_level_refusals_total{level="%d"}`, level))
+}
+
 // RetryBalanceGauge is the name of the gauge of the retries that this instance has left for a service.
 func RetryBalanceGauge(service string) string {
 	return fmt.Sprintf(`shedhoist_retry_balance{service=%q}`, service)
--- a/internal/metric/metric_test.go
+++ b/internal/metric/metric_test.go
@@ -21,6 +21,7 @@
 	metric.LimitRefusals("x", "x").Inc()
 	metric.StoreErrors("x").Inc()
 	metric.Attempts("x", "x").Inc()
+	metric.LevelRefusals(1).Inc()
 	for _, name := range metrics.ListMetricNames() {
 		family, _, _ := strings.Cut(name, "{")
 		suffix := strings.TrimPrefix(family, "shedhoist_ledger")
