Admission: lift the limits of starved levels, count requests of lower levels alike

Cause: simulated bursts (internal/core/placement/priority_load_test.go) showed two breaches of the fairness limits. Where the urgent prompts alone exceed the capacity six times, less urgent ones were served 0.16 times as often as they. Large prompts (a third of a target's memory) were served 0.4 times as often as others of their priority, with and without admission by priority.

Change: an instance counts admitted and refused prompts by level, and lifts the limits of a level that is admitted less than half as often as all while more urgent ones are refused too. Requests of lower levels count as a fifth of a target's memory against MemoryShare, whatever their size.

--- a/internal/core/admission/admission.go
+++ b/internal/core/admission/admission.go
@@ -72,6 +72,12 @@
 	// customer above its fair share. Twice the step is less than the distance between levels, so
 	// that these differences never exceed those of priority.
 	sameLevelStep = 0.04
+	// requestShare is the share of a target's memory that a request of a lower level counts as,
+	// whatever its size. If its own size counted, smaller requests of its level would fill each gap
+	// before it is large enough for a large one: in simulations prompts of a third of the memory
+	// were served 0.4 times as often as those of a sixth (internal/core/placement,
+	// priority_load_test.go).
+	requestShare = 0.2
 	// queueShare is the part of the tightest objective of the more urgent levels that queued
 	// prefill work may take. The rest is for the work that arrives before reports name it, for
 	// the request's own prompt and for its first step.
@@ -89,8 +95,11 @@
 // limits.
 type Limits struct {
 	Level       int
-	MemoryShare float64       // share of a target's memory, the request included; 0: no limit
-	QueueTime   time.Duration // time that the queued prefill work may take; 0: no limit
+	MemoryShare float64 // share of a target's memory, the request included; 0: no limit
+	// RequestShare is the share of the memory that the request counts as; 0: its own size.
+	RequestShare float64
+	QueueTime    time.Duration // time that the queued prefill work may take; 0: no limit
+	Lifted       bool          // the level is starved, and has the limits of level 0
 }
 
 // Limits returns the limits of a request.
@@ -98,28 +107,37 @@
 	if !l.Prioritized() {
 		return Limits{}
 	}
-	out := Limits{Level: l.Of(r.Rank), MemoryShare: 1}
-	switch {
-	case out.Level == 1:
-		out.MemoryShare = levelOneShare
-	case out.Level > 1:
-		out.MemoryShare = lowerLevelsShare
-	}
-	if r.Waited {
-		out.MemoryShare += sameLevelStep
+	level := l.Of(r.Rank)
+	out := Limits{Level: level, MemoryShare: memoryShare(level, r)}
+	if level > 0 {
+		out.RequestShare = requestShare
 	}
-	if r.AboveFairShare {
-		out.MemoryShare -= sameLevelStep
-	}
-	out.MemoryShare = min(out.MemoryShare, 1)
 	objective := time.Duration(0)
-	for _, more := range l[:out.Level] {
+	for _, more := range l[:level] {
 		objective = tighter(objective, more.Objective)
 	}
 	out.QueueTime = time.Duration(queueShare * float64(objective))
 	return out
 }
 
+// memoryShare returns the share of a target's memory that a request of a level may fill.
+func memoryShare(level int, r Request) float64 {
+	share := 1.0
+	switch {
+	case level == 1:
+		share = levelOneShare
+	case level > 1:
+		share = lowerLevelsShare
+	}
+	if r.Waited {
+		share += sameLevelStep
+	}
+	if r.AboveFairShare {
+		share -= sameLevelStep
+	}
+	return min(share, 1)
+}
+
 // maxSentRank is the least urgent rank that model servers accept.
 const maxSentRank = 9
 
--- a/internal/core/admission/admission_test.go
+++ b/internal/core/admission/admission_test.go
@@ -48,6 +48,7 @@
 		above := l.Limits(admission.Request{Rank: rank, AboveFairShare: true})
 		is.Equal(plain.Level, rank)
 		is.Equal(plain.QueueTime, queues[rank])
+		is.Equal(plain.RequestShare > 0, rank > 0)
 		is.True(waited.MemoryShare >= plain.MemoryShare && plain.MemoryShare > above.MemoryShare)
 		is.True(waited.MemoryShare <= 1)
 		if rank <= 2 { // all levels from 2 on have one share
--- a/internal/core/placement/load_pattern_test.go
+++ b/internal/core/placement/load_pattern_test.go
@@ -33,6 +33,7 @@
 	sharedTokens, ownTokens, outputTokens int
 	objectiveMS                           float64
 	timeoutMS                             float64
+	rank                                  int // priority, 0 being the most urgent
 }
 
 // promptKinds are long prompts with long outputs and short prompts with short outputs, like the
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -70,6 +70,9 @@
 	// MemoryShare is the share of a target's memory that the request may fill, see package
 	// admission. 0 counts as 1.
 	MemoryShare float64
+	// RequestShare is the share of a target's memory that the request counts as against
+	// MemoryShare; 0: NeededTokens. It must fit into the whole memory in any case.
+	RequestShare float64
 	// MaxQueuedTokens is the prefill work that may be queued at a target before the request; 0: no
 	// limit.
 	MaxQueuedTokens int
@@ -206,14 +209,17 @@
 	if t.CapacityTokens <= 0 || t.UsedTokens <= 0 {
 		return t.hasLongQueueFor(q)
 	}
-	tokens := t.UsedTokens + q.NeededTokens
-	if tokens > t.CapacityTokens || t.hasLongQueueFor(q) {
+	if t.UsedTokens+q.NeededTokens > t.CapacityTokens || t.hasLongQueueFor(q) {
 		return true
 	}
-	if q.MemoryShare <= 0 || q.Started || float64(tokens) <= q.MemoryShare*float64(t.CapacityTokens) {
+	if q.MemoryShare <= 0 || q.Started {
 		return false
 	}
-	return float64(t.UsedTokens) > nearlyIdleShare*float64(t.CapacityTokens)
+	used, needed := float64(t.UsedTokens)/float64(t.CapacityTokens), q.RequestShare
+	if needed <= 0 {
+		needed = float64(q.NeededTokens) / float64(t.CapacityTokens)
+	}
+	return used+needed > q.MemoryShare && used > nearlyIdleShare
 }
 
 // hasLongQueueFor reports whether more prefill work is queued at the target than the request allows.
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -41,13 +41,20 @@
 	if levels == nil {
 		return
 	}
-	x.admission.Limits = levels.Limits(admission.Request{Rank: x.baseRank(), Waited: x.callerHasWaited(), AboveFairShare: x.customerAboveFairShare()})
+	x.admission.Limits = x.g.admissions.Limits(x.service, levels, admission.Request{Rank: x.baseRank(), Waited: x.callerHasWaited(), AboveFairShare: x.customerAboveFairShare()}, x.g.now())
 	if x.admission.QueueTime > 0 {
 		x.g.predictorMu.Lock()
 		x.admission.maxQueuedTokens = max(x.g.predictor.PrefillTokens(x.admission.QueueTime), 1)
 		x.g.predictorMu.Unlock()
 	}
-	q.MemoryShare, q.MaxQueuedTokens = x.admission.MemoryShare, x.admission.maxQueuedTokens
+	q.MemoryShare, q.RequestShare, q.MaxQueuedTokens = x.admission.MemoryShare, x.admission.RequestShare, x.admission.maxQueuedTokens
+}
+
+// recordAdmitted records that a target was found for the request's first attempt.
+func (x *exchange) recordAdmitted() {
+	if x.admission.MemoryShare > 0 && len(x.triedTargets) == 0 {
+		x.g.admissions.Admitted(x.service, x.admission.Level, x.g.now())
+	}
 }
 
 // callerHasWaited reports whether the caller returns after a refusal.
@@ -71,7 +78,7 @@
 	}
 	now, level := x.g.now(), x.admission.Level
 	metric.LevelRefusals(level).Inc()
-	x.admission.overloadAge = x.g.overloads.Refused(x.service, levels, level, now)
+	x.admission.overloadAge = x.g.admissions.Refused(x.service, levels, level, now)
 	return admission.RetryAfter(level, x.admission.overloadAge, x.deadline.Sub(now), rand.Float64())
 }
 
@@ -81,6 +88,6 @@
 	if a.MemoryShare == 0 {
 		return e
 	}
-	return e.WithField("level", a.Level).WithField("memory_share", a.MemoryShare).WithField("max_queued_tokens", a.maxQueuedTokens).
-		WithField("long_queues", x.decision.LongQueues).WithField("waited", x.callerHasWaited()).WithField("overload_ms", a.overloadAge.Milliseconds())
+	return e.WithField("level", a.Level).WithField("memory_share", a.MemoryShare).WithField("request_share", a.RequestShare).WithField("max_queued_tokens", a.maxQueuedTokens).
+		WithField("long_queues", x.decision.LongQueues).WithField("limits_lifted", a.Lifted).WithField("waited", x.callerHasWaited()).WithField("overload_ms", a.overloadAge.Milliseconds())
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -110,6 +110,7 @@
 			x.refuseNoTarget(d)
 			return
 		}
+		x.recordAdmitted()
 		result := x.tryTarget(t)
 		if result.delivered {
 			x.machine.Step(attempt.Done, nil)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -109,8 +109,8 @@
 	relays          relays         // peers that reach targets for this instance
 	breaker         *breaker.Set   // targets whose requests fail
 	retryBudgets    retryBudgets
-	// overloads tracks how long prompts have been refused, by service and level.
-	overloads admission.Overloads
+	// admissions is the history of admitted and refused prompts, by service and level.
+	admissions admission.History
 	// predictor is shared by all requests.
 	predictorMu      sync.Mutex
 	predictor        *placement.Predictor
@@ -319,7 +319,7 @@
 		g.warmup.Retain(keep)
 		g.brittle.retain(keep)
 		g.limits.retain(keep)
-		g.overloads.Retain(v.Config.HasService)
+		g.admissions.Retain(v.Config.HasService)
 		g.streams.records.Expire(g.now())
 		g.predictorMu.Lock()
 		g.predictor.Retain(keep)
