Keep the slots of targets' entries

The field was checked and dropped, so nothing could tell a full plain server from a free one. It is kept on catalog.Target and sent to peers under cbor key 12; instances of earlier versions ignore it. catalog.Config tells which services have no model.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -117,6 +117,7 @@
 	Stores   []CacheStore // sorted by address
 
 	routes            map[string][]*Route  // by host, longest prefix first
+	modelServices     map[string]bool      // services with an engine or a route that uses a model
 	customers         map[string]*Customer // by API key
 	hasKeys           bool
 	isolatedCustomers string // names, sorted and separated by commas
@@ -141,13 +142,21 @@
 // NewConfig indexes a configuration.
 func NewConfig(spec ConfigSpec) *Config {
 	c := &Config{Version: spec.Version, Limits: spec.Limits, Services: map[string]*Service{}, Stores: slices.Clone(spec.Stores),
-		routes: map[string][]*Route{}, customers: map[string]*Customer{}, hasKeys: len(spec.Customers) > 0}
+		routes: map[string][]*Route{}, modelServices: map[string]bool{}, customers: map[string]*Customer{}, hasKeys: len(spec.Customers) > 0}
 	for _, s := range spec.Services {
 		c.Services[s.Name] = &s
+		if s.Engine != nil {
+			c.modelServices[s.Name] = true
+		}
 	}
 	for _, r := range spec.Routes {
 		host := strings.ToLower(r.Host)
 		c.routes[host] = append(c.routes[host], &r)
+		for _, b := range r.Backends {
+			if r.UsesModel && r.SendsTo(b.Service) {
+				c.modelServices[b.Service] = true
+			}
+		}
 	}
 	for _, rs := range c.routes {
 		slices.SortStableFunc(rs, func(a, b *Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
@@ -172,6 +181,12 @@
 // that it doesn't. Without a configuration none is declared.
 func (c *Config) HasService(service string) bool { return c != nil && c.Services[service] != nil }
 
+// IsPlain reports whether a declared service has no model: it has no engine, and no route that sends
+// to it uses a model.
+func (c *Config) IsPlain(service string) bool {
+	return c.HasService(service) && !c.modelServices[service]
+}
+
 // TargetMemory returns the memory of one target of a service, in tokens; 0 if it is not declared.
 func (c *Config) TargetMemory(service string) int {
 	if s := c.Services[service]; s != nil && s.Engine != nil {
@@ -236,6 +251,9 @@
 	Leaving  bool           `cbor:"7,keyasint,omitempty"` // its entry says that it accepts no new requests
 	Models   []ModelVersion `cbor:"8,keyasint,omitempty"`
 	Software string         `cbor:"11,keyasint,omitempty"` // version of its software; versions have no order
+	// Slots is how many requests the target runs at once; 0: not known. Instances of earlier versions
+	// neither send nor read it.
+	Slots int `cbor:"12,keyasint,omitempty"`
 	// WarmupMS is how much longer the target was warming up when it wrote its entry.
 	WarmupMS int64 `cbor:"10,keyasint,omitempty"`
 	// WarmupUntil is the end of its warmup, by this instance's clock.
