Predict the wait for slots of plain targets

New package core/slots: predicted wait, refusal, Retry-After and learned service time. Placement uses the wait in place of the concurrency penalty where slots and reports are known, and refuses a request whose answer would come after its deadline at every target. loadreport and inflight get the mean number of requests by target.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/shedhoist/shedhoist/internal/core/policy"
+	"github.com/shedhoist/shedhoist/internal/core/slots"
 )
 
 // Target is the state of one candidate target.
@@ -40,6 +41,12 @@
 	CapacityTokens int
 	// UsedTokens is the part of the memory that the running requests of all instances occupy.
 	UsedTokens int
+	// Slots is how many requests the target runs at once; 0 if it is not known or the target is a
+	// model server.
+	Slots int
+	// Requests is the estimated number of requests of all instances at the target, if Slots is set.
+	// It includes InFlight.
+	Requests float64
 }
 
 // Query describes the request to place.
@@ -60,8 +67,16 @@
 	SharedPrefillMS float64
 	// NeededTokens is the target memory that the request will occupy.
 	NeededTokens int
+	// ServiceMS is the learned time that a request occupies one of a target's slots; 0: not known,
+	// and the targets' slots are ignored.
+	ServiceMS float64
+	// RequestsReported is true if Target.Requests includes the requests of other instances, or there
+	// are none. Otherwise ConcurrencyPenaltyMS applies to targets with slots too.
+	RequestsReported bool
+	// TimeLeftMS is the time until the request's deadline, if ServiceMS is set.
+	TimeLeftMS float64
 	// Started is true once a target has worked on the request or the caller has received a
-	// part of the response. Such a request is no longer refused for lack of memory.
+	// part of the response. Such a request is no longer refused for lack of memory or slots.
 	Started bool
 }
 
@@ -71,7 +86,7 @@
 // The actions.
 const (
 	Send     Action = iota // send the request to the target at Decision.Index
-	Refuse                 // refuse the request at once: all eligible targets are full
+	Refuse                 // refuse the request at once: all eligible targets are full, or too late
 	NoTarget               // no target may be used
 )
 
@@ -84,6 +99,15 @@
 	RateLimited   int // eligible targets skipped because they name limits, and there is no permit now
 	InBackoff     int // eligible targets skipped because they have asked for backoff
 	FreeTokens    int // largest free memory among the full targets
+	// LateTargets counts the eligible targets whose queue for a slot is so long that the response
+	// would come after the deadline.
+	LateTargets int
+	// ExcessMS is by how much the response would be late at the best of these, which has
+	// LateRequests requests for LateSlots slots and a predicted wait of LateWaitMS.
+	ExcessMS     float64
+	LateRequests float64
+	LateSlots    int
+	LateWaitMS   float64
 }
 
 // Penalties added to a target's score, in ms, and factors applied to it.
@@ -106,6 +130,11 @@
 	// scoreJitter randomly increases scores by up to this fraction, so that instances with
 	// the same view do not all select the same target.
 	scoreJitter = 0.25
+	// slotWaitSpread is the upper end of the uniform random factor, 1 on average, that is applied to
+	// the predicted wait for a slot. Instances decide by reports that are older than the requests
+	// that they count. A target with half the wait of another then gets three quarters of the
+	// requests, and not all of them.
+	slotWaitSpread = 2.0
 	// outdatedGrace is the time after the announcement of a version in which an older one is
 	// not penalized.
 	outdatedGrace = time.Second
@@ -151,6 +180,15 @@
 		if t.Excluded || t.WarmupLimited {
 			continue
 		}
+		if excess := t.excessMS(q); excess > 0 {
+			if d.LateTargets == 0 || excess < d.ExcessMS {
+				d.ExcessMS, d.LateRequests, d.LateSlots, d.LateWaitMS = excess, t.Requests, t.Slots, t.slotLoad().Wait(q.ServiceMS)
+			}
+			d.LateTargets++
+			if !q.Started {
+				continue
+			}
+		}
 		full := q.Policy.Admission && t.isFullFor(q)
 		if full && !t.lastResort() {
 			d.FullTargets++
@@ -171,9 +209,38 @@
 	if d.FullTargets > 0 && !q.Started && (d.Index < 0 || bestIsLastResort) {
 		d.Action, d.Index = Refuse, -1
 	}
+	if d.LateTargets > 0 && !q.Started && d.Index < 0 {
+		d.Action = Refuse
+	}
 	return d
 }
 
+// slotLoad returns the target's load in the form that package slots uses.
+func (t *Target) slotLoad() slots.Load {
+	return slots.Load{Slots: t.Slots, Own: t.InFlight, Peers: math.Max(t.Requests-float64(t.InFlight), 0)}
+}
+
+// HasFreeSlot reports whether a slot of the target is free, as far as is known.
+func (t *Target) HasFreeSlot() bool { return t.slotLoad().HasFree() }
+
+// excessMS returns by how much the response would come after the deadline because of the queue for
+// the target's slots; 0 if it would not, or nothing is known of the slots.
+func (t *Target) excessMS(q Query) float64 {
+	if t.Slots <= 0 || !q.Policy.Slots {
+		return 0
+	}
+	return t.slotLoad().Excess(q.ServiceMS, q.TimeLeftMS)
+}
+
+// slotWaitMS returns the mean wait for one of the target's slots. known is false if the slots, the
+// service time or the other instances' requests are not known.
+func (t *Target) slotWaitMS(q Query) (ms float64, known bool) {
+	if t.Slots <= 0 || q.ServiceMS <= 0 || !q.RequestsReported || !q.Policy.Slots {
+		return 0, false
+	}
+	return t.slotLoad().MeanWait(q.ServiceMS), true
+}
+
 // lastResort reports whether the target is used only if there is no other.
 func (t *Target) lastResort() bool { return t.Ejected || t.ZoneUnreachable }
 
@@ -234,7 +301,15 @@
 // score returns the predicted time to the first response, in ms, plus the penalties of the
 // choice. Lower is better.
 func score(t *Target, q Query, notHome bool) float64 {
-	s := math.Max(t.FirstResponseMS, 1) + q.ConcurrencyPenaltyMS*float64(t.InFlight)
+	s := math.Max(t.FirstResponseMS, 1)
+	if waitMS, known := t.slotWaitMS(q); known {
+		if q.Policy.ScoreJitter {
+			waitMS *= slotWaitSpread * q.Rand()
+		}
+		s += waitMS
+	} else {
+		s += q.ConcurrencyPenaltyMS * float64(t.InFlight)
+	}
 	if q.Policy.LinkWeight {
 		s += linkOccupancyFactor * t.LinkOccupancyMS
 	}
--- a/internal/core/policy/policy.go
+++ b/internal/core/policy/policy.go
@@ -21,6 +21,7 @@
 	StoreZoneHomes    bool // prompts have their home target in the zone of the store that holds their parts
 	WarmupSenders     bool // a few instances send a target that is warming up what it can take; if off, no instance does
 	HeadsInFastStores bool // parts with which prompts begin are saved in the fastest stores
+	Slots             bool // services without a model: waits for slots are predicted from all instances' requests
 }
 
 // switches maps the names of the mechanisms, as used in settings, to their fields.
@@ -37,6 +38,7 @@
 	"store-zones":  func(p *Policy) *bool { return &p.StoreZoneHomes },
 	"cold-senders": func(p *Policy) *bool { return &p.WarmupSenders },
 	"heads-apart":  func(p *Policy) *bool { return &p.HeadsInFastStores },
+	"slots":        func(p *Policy) *bool { return &p.Slots },
 }
 
 // Default returns the policy with all mechanisms in use.
--- a/internal/inflight/inflight.go
+++ b/internal/inflight/inflight.go
@@ -18,6 +18,8 @@
 	Requests      atomic.Int64 // sent and not finished
 	PrefillTokens atomic.Int64 // prompt tokens not computed yet
 	MemoryTokens  atomic.Int64 // tokens that the requests hold in the target's memory
+	// MeanRequests is the mean of Requests, kept for targets with few slots only.
+	MeanRequests MeanRequests
 	// Responses tracks how long the target has not responded to this instance.
 	Responses ResponseTracker
 }
