Report requests at plain targets and use them in placement

Instances report their mean requests in flight at targets with slots (LoadReport key 10), relayed along the tree like the work reports.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -100,6 +100,7 @@
 	}
 	at.load.Requests.Add(1)
 	defer at.load.Requests.Add(-1)
+	defer x.countSlot(t, at.load)()
 	at.load.PrefillTokens.Add(int64(x.promptWork.PrefillTokens))
 	defer at.markPromptRead()
 	memoryTokens := int64(x.call.memoryTokens())
@@ -328,6 +329,9 @@
 	if x.headerSent { // the attempt was to resume a stream
 		return attemptResult{event: attempt.FailedMidResponse, cause: &BadResponseError{Target: at.target.ID, Reason: "stream was not resumed, status " + strconv.Itoa(status)}}
 	}
+	if isSuccess(status) {
+		x.learnServiceTime(at)
+	}
 	buffered.deliver(x)
 	return attemptResult{delivered: true, status: status}
 }
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -40,6 +40,10 @@
 // chooseTarget returns the target of the next attempt, or nil if the decision is not to send.
 func (x *exchange) chooseTarget() (*catalog.Target, placement.Decision) {
 	t, d := x.chooseAmongCandidates()
+	if t == nil && d.LateTargets > 0 && len(x.view.Candidates[x.service]) < len(x.view.Serving[x.service]) {
+		x.considerAll = true // some other target may have a free slot
+		return x.chooseAmongCandidates()
+	}
 	if t == nil && d.RateLimited > 0 && len(x.view.Candidates[x.service]) < len(x.view.Serving[x.service]) {
 		return x.chooseAmongCandidates() // now without those for which there is no permit
 	}
@@ -52,6 +56,9 @@
 	candidates, serving := x.view.Candidates[x.service], x.view.Serving[x.service]
 	x.unreachableZones, x.backoffUntil = x.g.unreachableZones(x.service, serving), x.g.breaker.Backoffs()
 	x.permitWaits = x.g.limits.waits(x.g.now())
+	if x.considerAll {
+		candidates = serving
+	}
 	if len(candidates) < len(serving) && x.countFit(candidates, ejected) < minFitCandidates {
 		candidates = x.widenCandidates(serving, ejected)
 	}
@@ -82,6 +89,7 @@
 		}
 		if x.takeWarmupSlot(t, x.g.now()) {
 			x.promptWork, x.predictedMS = works[d.Index], options[d.Index].FirstResponseMS
+			x.slotsTaken = !options[d.Index].HasFreeSlot()
 			return t, d
 		}
 		options[d.Index].WarmupLimited = true // another request took the last warmup slot
@@ -97,6 +105,7 @@
 	}
 	q := placement.Query{Zone: zone, RolloutTimeout: set.RolloutWithin, ConcurrencyPenaltyMS: x.concurrencyPenaltyMS(), RequestBytes: len(x.body), Rand: rand.Float64, Policy: set.Policy,
 		NeededTokens: x.call.memoryTokens(), Started: x.binding != nil || x.headerSent || x.possibleRuns > 0}
+	x.addSlotQuery(&q)
 	p := x.call.Prompt
 	if p == nil || len(p.Parts) < 2 {
 		return q
@@ -206,6 +215,7 @@
 		o.LinkOccupancyMS = works[i].FetchMS
 		options[i] = o
 	}
+	x.addSlots(targets, options, now)
 	return options, works
 }
 
@@ -299,6 +309,15 @@
 // spread over 0.5 to 1.5 times that: they need seconds to release a zone.
 const retryAfterEvacuation = 2 * time.Second
 
+// refuseOverloaded refuses a request that has not run because no target has room for it.
+func (x *exchange) refuseOverloaded(d placement.Decision) {
+	if d.FullTargets > 0 {
+		x.refuseMemoryFull(d)
+		return
+	}
+	x.refuseTooLate(d)
+}
+
 // refuseMemoryFull refuses a request that has not run because the memory of every target
 // that could take it is full.
 func (x *exchange) refuseMemoryFull(d placement.Decision) {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -62,6 +62,9 @@
 	backoffUntil     map[string]time.Time     // end of the backoff that each target requested, as of this attempt
 	permitWaits      map[string]time.Duration // time until there may be a permit for each target without one, as of this attempt
 	warmupSlotHeld   bool                     // it holds a slot at a target that is warming up, see warmup.go
+	requestsReported bool                     // other instances' requests at the targets are known, as of this attempt
+	slotsTaken       bool                     // the attempt's target was predicted to have no free slot
+	considerAll      bool                     // all targets of the service are candidates, also in a large service
 	permitsDenied    int                      // targets that got no request for want of a permit
 	isTrial          bool                     // a quarantined request, let through to see whether it still crashes its target
 	quarantineState  *quarantine.State        // set if the request was refused as quarantined
@@ -103,7 +106,7 @@
 		t, d := x.chooseTarget()
 		switch d.Action {
 		case placement.Refuse:
-			x.refuseMemoryFull(d)
+			x.refuseOverloaded(d)
 			return
 		case placement.NoTarget:
 			x.refuseNoTarget(d)
@@ -362,7 +365,11 @@
 	if x.permitsDenied > 0 || x.decision.RateLimited > 0 {
 		e = e.WithField("limited_targets", x.decision.RateLimited).WithField("permits_denied", x.permitsDenied)
 	}
-	if x.decision.Action == placement.Refuse {
+	if n := x.decision.LateTargets; n > 0 {
+		e = e.WithField("late_targets", n).WithField("slots", x.decision.LateSlots).WithField("slot_requests", x.decision.LateRequests).
+			WithField("slot_wait_ms", x.decision.LateWaitMS).WithField("late_by_ms", x.decision.ExcessMS)
+	}
+	if x.decision.Action == placement.Refuse && x.decision.FullTargets > 0 {
 		e = e.WithField("full_targets", x.decision.FullTargets).WithField("free_tokens", x.decision.FreeTokens).WithField("needed_tokens", x.call.memoryTokens())
 	}
 	if s := x.quarantineState; s != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -112,6 +112,8 @@
 	predictorMu      sync.Mutex
 	predictor        *placement.Predictor
 	peerLoads        *loadreport.PeerWork
+	peerRequests     *loadreport.PeerRequests // at targets with few slots
+	serviceTimes     serviceTimes             // of services without a model
 	peerSilences     *loadreport.UnresponsiveTargets
 	peerPendingSaves *loadreport.PendingSaves
 	storePositions   positionTracker
@@ -148,6 +150,7 @@
 	g.breaker = breaker.New(g.now)
 	g.predictor = placement.NewPredictor()
 	g.peerLoads, g.peerSilences, g.peerPendingSaves = loadreport.NewPeerWork(loadReportTTL), loadreport.NewUnresponsiveTargets(loadReportTTL), loadreport.NewPendingSaves(pendingSaveTTL, loadReportTTL)
+	g.peerRequests = loadreport.NewPeerRequests(loadReportTTL)
 	g.cache = newCacheDirectory(g)
 	g.rollout = newRolloutController(g)
 	g.retryBudgets.g = g
@@ -315,6 +318,7 @@
 		g.breaker.Retain(keep)
 		g.warmup.Retain(keep)
 		g.brittle.retain(keep)
+		g.serviceTimes.retain(v.Config.HasService)
 		g.limits.retain(keep)
 		g.streams.records.Expire(g.now())
 		g.predictorMu.Lock()
--- a/internal/gateway/load_reports.go
+++ b/internal/gateway/load_reports.go
@@ -49,6 +49,9 @@
 	// PendingSaves are parts whose saves are still pending, including those that the sender
 	// relays.
 	PendingSaves []loadreport.Key `cbor:"5,keyasint,omitempty"`
+	// Requests are the mean numbers of requests at targets with few slots, including those that the
+	// sender relays.
+	Requests []loadreport.TargetRequests `cbor:"10,keyasint,omitempty"`
 }
 
 // Ack is the empty reply to a LoadReport.
@@ -57,6 +60,7 @@
 // Loads applies a peer's load report.
 func (h *peerHandler) Loads(req *LoadReport, _ *Ack) error {
 	h.g.peerLoads.Apply(req.From, req.Seq, req.Targets, h.g.now())
+	h.g.peerRequests.Apply(req.From, req.Seq, req.Requests, h.g.now())
 	h.g.peerSilences.Apply(req.From, req.Seq, req.Silent, h.g.now())
 	h.g.peerSilences.ApplyResponses(req.From, req.Seq, req.Answered, h.g.now())
 	h.g.peerPendingSaves.Apply(req.From, req.Seq, req.PendingSaves, h.g.now())
@@ -126,6 +130,7 @@
 	lastNonEmpty := map[string]bool{} // neighbours whose last report was not empty
 	for seq := uint64(1); wait.For(ctx, g.loadReportPace()); seq++ {
 		ownLoads, peerLoads := g.ownLoads(), g.peerLoads.Reports(g.now())
+		ownRequests, peerRequests := g.ownRequests(), g.peerRequests.Reports(g.now())
 		ownSilent, peerSilences := g.ownSilentTargets(), g.peerSilences.Reports(g.now())
 		g.targetLinks.noteSilences(ownSilent)
 		ownAnswered, peerAnswered := g.ownAnswered(peerSilences), g.peerSilences.ResponseReports(g.now())
@@ -136,8 +141,9 @@
 			if tree.isCrossZone(n.Member) && seq%crossZoneEvery != 0 {
 				continue
 			}
-			report := &LoadReport{From: g.settings().Name, Seq: seq, Targets: n.loadsToReport(ownLoads, peerLoads).Report(), Silent: n.silencesToReport(ownSilent, peerSilences), Answered: n.answeredToReport(ownAnswered, peerAnswered), PendingSaves: n.pendingSavesToReport(ownPending, peerPending), StorePositions: positions}
-			nonEmpty := len(report.Targets)+len(report.Silent)+len(report.Answered)+len(report.PendingSaves)+len(report.StorePositions) > 0
+			report := &LoadReport{From: g.settings().Name, Seq: seq, Targets: n.loadsToReport(ownLoads, peerLoads).Report(), Silent: n.silencesToReport(ownSilent, peerSilences), Answered: n.answeredToReport(ownAnswered, peerAnswered), PendingSaves: n.pendingSavesToReport(ownPending, peerPending), StorePositions: positions,
+				Requests: n.requestsToReport(ownRequests, peerRequests).Report()}
+			nonEmpty := len(report.Targets)+len(report.Requests)+len(report.Silent)+len(report.Answered)+len(report.PendingSaves)+len(report.StorePositions) > 0
 			if !nonEmpty && !lastNonEmpty[n.Name] {
 				continue
 			}
