--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
@@ -58,3 +59,46 @@
 	withoutIsolation := catalog.NewConfig(catalog.ConfigSpec{Customers: []catalog.CustomerKeys{{Customer: catalog.Customer{Name: "one"}, Keys: []string{"k1"}}}})
 	is.True(withoutIsolation.CacheScope(withoutIsolation.Customer("k1")) != c.CacheScope(one))
 }
+
+// TestIsPlain guards against counting slots at services whose requests compete for a model's memory,
+// which their slots say nothing about.
+func TestIsPlain(t *testing.T) {
+	is := is.New(t)
+	to := func(services ...string) (out []catalog.Backend) {
+		for _, s := range services {
+			out = append(out, catalog.Backend{Service: s, Weight: 1})
+		}
+		return out
+	}
+	c := catalog.NewConfig(catalog.ConfigSpec{Services: []catalog.Service{{Name: "plain"}, {Name: "split"}, {Name: "unused"}, {Name: "llm", Engine: &catalog.Engine{}}},
+		Routes: []catalog.Route{
+			{Name: "a", Backends: to("plain", "split", "llm", "undeclared")},
+			{Name: "b", UsesModel: true, Backends: append(to("llm", "split"), catalog.Backend{Service: "plain"})}, // weight 0: never sent there
+		}})
+	is.True(c.IsPlain("plain") && c.IsPlain("unused"))
+	is.True(!c.IsPlain("split") && !c.IsPlain("llm") && !c.IsPlain("undeclared"))
+	is.True(!(*catalog.Config)(nil).IsPlain("plain"))
+}
+
+// TestTargetSlotsBetweenVersions guards against peers of an earlier version that can't read a target
+// with slots, or whose targets can't be read, while a fleet is updated.
+func TestTargetSlotsBetweenVersions(t *testing.T) {
+	is := is.New(t)
+	type earlier struct {
+		Name    string `cbor:"1,keyasint"`
+		Service string `cbor:"4,keyasint,omitempty"`
+	}
+	data, err := cbor.Marshal(catalog.Target{Name: "t", Service: "s", Slots: 6})
+	is.NoErr(err)
+	var old earlier
+	is.NoErr(cbor.Unmarshal(data, &old))
+	is.Equal(old, earlier{Name: "t", Service: "s"})
+	var back catalog.Target
+	is.NoErr(cbor.Unmarshal(data, &back))
+	is.Equal(back.Slots, 6)
+	data, err = cbor.Marshal(old)
+	is.NoErr(err)
+	back = catalog.Target{}
+	is.NoErr(cbor.Unmarshal(data, &back))
+	is.Equal(back.Slots, 0)
+}
--- a/internal/gateway/load_reports_test.go
+++ b/internal/gateway/load_reports_test.go
@@ -48,3 +48,40 @@
 		})
 	}
 }
+
+// TestRequestsReachAll is TestLoadsReachAll for the numbers of requests at targets with few slots:
+// each instance must count those of every other exactly once.
+func TestRequestsReachAll(t *testing.T) {
+	for _, c := range []struct{ n, zones, rounds int }{{1, 1, 0}, {9, 4, 1}, {17, 3, 3}, {79, 3, 5}, {300, 3, 5}} {
+		t.Run(fmt.Sprintf("%d in %d", c.n, c.zones), func(t *testing.T) {
+			is := is.New(t)
+			all := membersOf(c.n, c.zones)
+			trees, received := map[string]*relayTree{}, map[string]map[string]loadreport.RequestsByTarget{}
+			for _, m := range all {
+				trees[m.Name], received[m.Name] = newRelayTree(all, m), map[string]loadreport.RequestsByTarget{}
+			}
+			own := loadreport.RequestsByTarget{1: 3, 2: 16}
+			for range c.rounds {
+				next := map[string]map[string]loadreport.RequestsByTarget{}
+				for _, m := range all {
+					next[m.Name] = map[string]loadreport.RequestsByTarget{}
+				}
+				for _, m := range all {
+					for _, n := range trees[m.Name].neighbours() {
+						next[n.Name][m.Name] = n.requestsToReport(own, received[m.Name])
+					}
+				}
+				received = next
+			}
+			is.Equal(own, loadreport.RequestsByTarget{1: 3, 2: 16}) // reporting doesn't change them
+			for _, m := range all {
+				sum := loadreport.RequestsByTarget{}
+				for _, r := range received[m.Name] {
+					sum.AddAll(r)
+				}
+				is.Equal(sum[1], 3*(c.n-1))
+				is.Equal(sum[2], 16*(c.n-1))
+			}
+		})
+	}
+}
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -58,6 +58,10 @@
 	}
 }
 
+// firstReportsTime is the time after the start of the process by which the peers' load reports have
+// arrived.
+const firstReportsTime = time.Second
+
 // countsSlots reports whether the request competes for slots: its service has no model.
 func (x *exchange) countsSlots() bool {
 	return x.g.settings().Policy.Slots && x.call.Prompt == nil && x.view.Config.IsPlain(x.service)
@@ -82,8 +86,8 @@
 	for i, t := range targets {
 		keys[i] = loadreport.KeyOf(t.ID)
 	}
-	peers, reported := x.g.peerRequests.At(keys, now)
-	x.requestsKnown = reported || len(x.view.Alive) <= 1
+	peers := x.g.peerRequests.At(keys, now)
+	x.requestsKnown = now.Sub(x.g.startedAt) >= firstReportsTime && x.g.peerRequests.Complete(now)
 	for i, t := range targets {
 		options[i].Slots, options[i].Requests = t.Slots, float64(options[i].InFlight)+peers[i]
 	}
--- a/internal/loadreport/requests.go
+++ b/internal/loadreport/requests.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"sync"
 	"time"
 )
 
@@ -60,12 +61,21 @@
 // goroutines. Use NewPeerRequests.
 type PeerRequests struct {
 	reports *latestReports[RequestsByTarget]
+
+	mu sync.Mutex
+	// lastBusy is when each peer last reported requests. A peer that has none any more reports that
+	// once, and then no longer.
+	lastBusy map[string]time.Time
 }
 
+// lostReportTime is how long a peer's reports count as lost if they end without an empty one. After
+// that the peer is taken for stopped.
+const lostReportTime = 10 * time.Second
+
 // NewPeerRequests returns an empty table. A report expires after maxAge. It counts in full until
 // then: the requests that it counts have ended, and others have taken their place.
 func NewPeerRequests(maxAge time.Duration) *PeerRequests {
-	return &PeerRequests{reports: newLatestReports[RequestsByTarget](maxAge)}
+	return &PeerRequests{reports: newLatestReports[RequestsByTarget](maxAge), lastBusy: map[string]time.Time{}}
 }
 
 // Apply keeps a peer's report, unless a newer one is known.
@@ -75,19 +85,41 @@
 		requests[r.Target] += max(r.Units, 0)
 	}
 	p.reports.apply(from, seq, requests, now)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(reported) > 0 {
+		p.lastBusy[from] = now
+	} else {
+		delete(p.lastBusy, from)
+	}
+}
+
+// Complete reports whether no peer's reports are missing: those of each that reported requests have
+// gone on or have ended with an empty one.
+func (p *PeerRequests) Complete(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	complete := true
+	for from, at := range p.lastBusy {
+		switch age := now.Sub(at); {
+		case age >= lostReportTime:
+			delete(p.lastBusy, from)
+		case age >= p.reports.maxAge:
+			complete = false
+		}
+	}
+	return complete
 }
 
-// At returns the mean number of the peers' requests at some targets, in the order of keys, and
-// whether any peer's report has not expired.
-func (p *PeerRequests) At(keys []Key, now time.Time) (requests []float64, reported bool) {
-	requests = make([]float64, len(keys))
+// At returns the mean number of the peers' requests at some targets, in the order of keys.
+func (p *PeerRequests) At(keys []Key, now time.Time) []float64 {
+	requests := make([]float64, len(keys))
 	p.reports.each(now, func(_ string, of RequestsByTarget, _ time.Duration) {
-		reported = true
 		for i, k := range keys {
 			requests[i] += float64(of[k]) * RequestUnit
 		}
 	})
-	return requests, reported
+	return requests
 }
 
 // Reports returns each peer's report that has not expired. The reports must not be modified.
--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -324,7 +324,7 @@
 // equalForReaders reports whether two states of a target are the same in all that readers use.
 func equalForReaders(a, b *catalog.Target) bool {
 	return a.ID == b.ID && a.Unusable == b.Unusable && a.Service == b.Service && a.Address == b.Address && a.Zone == b.Zone &&
-		a.Leaving == b.Leaving && a.LeavingNotice == b.LeavingNotice && a.NoticeInherited == b.NoticeInherited && a.NoticeRequestSent.Equal(b.NoticeRequestSent) && a.WarmupUntil.Equal(b.WarmupUntil) && slices.Equal(a.Models, b.Models)
+		a.Leaving == b.Leaving && a.LeavingNotice == b.LeavingNotice && a.NoticeInherited == b.NoticeInherited && a.NoticeRequestSent.Equal(b.NoticeRequestSent) && a.Slots == b.Slots && a.WarmupUntil.Equal(b.WarmupUntil) && slices.Equal(a.Models, b.Models)
 }
 
 // allowLog reports whether the current update may write one more log line.
--- a/internal/registry/table_test.go
+++ b/internal/registry/table_test.go
@@ -185,3 +185,15 @@
 		is.Equal(tt.Entry("a").WeightVersion("m"), uint64(2))
 	}
 }
+
+// TestChangedSlots guards against readers that keep the slots that a target had before.
+func TestChangedSlots(t *testing.T) {
+	is := is.New(t)
+	tt, target := newTable(), newTarget("a", 100, 1)
+	tt.ApplyList(5, []catalog.Target{target}, nil, baseTime)
+	edits := tt.Edits()
+	target.Revision, target.Slots = 6, 4
+	tt.ApplyChanges(6, []catalog.Target{target}, nil, baseTime)
+	is.Equal(tt.Entry("a").Slots, 4)
+	is.True(tt.Edits() > edits)
+}
