--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -152,7 +152,7 @@
 	if q.Policy.Homes && q.PrefixKey != "" {
 		home = homeIndex(targets, q.PrefixKey, q.StoreZone)
 	}
-	meanPeers := meanPeerRequests(targets, q)
+	meanPeers := meanPeerRequests(targets, &q)
 	lowestScore, bestIsLastResort := math.Inf(1), false
 	for i := range targets {
 		t := &targets[i]
@@ -173,7 +173,7 @@
 		if t.Excluded || t.WarmupLimited {
 			continue
 		}
-		if excess := t.excessMS(q); excess > 0 {
+		if excess := t.excessMS(&q); excess > 0 {
 			if d.LateTargets == 0 || excess < d.ExcessMS {
 				d.ExcessMS, d.LateRequests, d.LateSlots, d.LateWaitMS = excess, t.Requests, t.Slots, t.slotLoad().Wait(q.ServiceMS)
 			}
@@ -218,7 +218,7 @@
 
 // excessMS returns by how much the response would come after the deadline because of the queue for
 // the target's slots; 0 if it would not, or nothing is known of the slots.
-func (t *Target) excessMS(q Query) float64 {
+func (t *Target) excessMS(q *Query) float64 {
 	if t.Slots <= 0 || !q.Policy.Slots {
 		return 0
 	}
@@ -226,7 +226,7 @@
 }
 
 // meanPeerRequests returns the mean number of the other instances' requests at the targets with slots.
-func meanPeerRequests(targets []Target, q Query) float64 {
+func meanPeerRequests(targets []Target, q *Query) float64 {
 	if q.ServiceMS <= 0 || !q.Policy.Slots {
 		return 0
 	}
@@ -241,7 +241,7 @@
 
 // slotWaitMS returns the mean wait for one of the target's slots with which targets are compared; 0
 // if the slots or the service time are not known.
-func (t *Target) slotWaitMS(q Query, meanPeers float64) float64 {
+func (t *Target) slotWaitMS(q *Query, meanPeers float64) float64 {
 	if t.Slots <= 0 || q.ServiceMS <= 0 || !q.Policy.Slots {
 		return 0
 	}
@@ -308,7 +308,7 @@
 // score returns the predicted time to the first response, in ms, plus the penalties of the
 // choice. Lower is better.
 func score(t *Target, q Query, meanPeers float64, notHome bool) float64 {
-	s := math.Max(t.FirstResponseMS, 1) + q.ConcurrencyPenaltyMS*float64(t.InFlight) + t.slotWaitMS(q, meanPeers)
+	s := math.Max(t.FirstResponseMS, 1) + q.ConcurrencyPenaltyMS*float64(t.InFlight) + t.slotWaitMS(&q, meanPeers)
 	if q.Policy.LinkWeight {
 		s += linkOccupancyFactor * t.LinkOccupancyMS
 	}
--- a/internal/core/slots/slots.go
+++ b/internal/core/slots/slots.go
@@ -78,21 +78,21 @@
 	return math.Max(countedWait*l.Wait(serviceMS)+serviceMS-timeLeftMS, 0)
 }
 
-// Bounds of Retry-After.
+// Constants of Retry-After.
 const (
 	minRetryAfter = 50 * time.Millisecond
+	// retrySpread is the upper end of the random factor that keeps callers from returning together.
+	retrySpread = 1.5
 	// maxRetryAfterShare is the part of the remaining time that callers wait at most.
 	maxRetryAfterShare = 1.0 / 3
 )
 
 // RetryAfter returns when a refused caller should return: after the time in which the queue falls
-// to what its deadline allows, which is the smallest excess of all targets, spread over 1 to 1.5
-// times that so that callers don't return together. Callers wait no longer than a third of the time
-// that they have left. random is uniform in [0, 1).
+// to what its deadline allows, which is the smallest excess of all targets, spread over 1 to
+// retrySpread times that. random is uniform in [0, 1).
 func RetryAfter(excessMS, timeLeftMS, random float64) time.Duration {
-	ms := math.Min(excessMS, timeLeftMS*maxRetryAfterShare)
-	wait := max(time.Duration(ms*float64(time.Millisecond)), minRetryAfter)
-	return wait + time.Duration(random*float64(wait)/2)
+	ms := math.Min(excessMS, timeLeftMS*maxRetryAfterShare/retrySpread) * (1 + (retrySpread-1)*random)
+	return max(time.Duration(ms*float64(time.Millisecond)), minRetryAfter)
 }
 
 // ServiceTime is the learned time that a request of a service occupies a slot. The zero value has
--- a/internal/core/slots/slots_test.go
+++ b/internal/core/slots/slots_test.go
@@ -63,11 +63,12 @@
 // later than they would wait.
 func TestRetryAfter(t *testing.T) {
 	is := is.New(t)
-	is.Equal(slots.RetryAfter(200, 900, 0), 200*time.Millisecond)
-	is.Equal(slots.RetryAfter(200, 900, 0.5), 250*time.Millisecond)
-	is.Equal(slots.RetryAfter(2000, 900, 0), 300*time.Millisecond)
+	is.Equal(slots.RetryAfter(100, 900, 0), 100*time.Millisecond)
+	is.Equal(slots.RetryAfter(100, 900, 0.5), 125*time.Millisecond)
+	is.Equal(slots.RetryAfter(2000, 900, 0), 200*time.Millisecond)
+	is.True(slots.RetryAfter(2000, 900, 0.999) <= 300*time.Millisecond) // callers wait no longer
 	is.Equal(slots.RetryAfter(1, 900, 0), 50*time.Millisecond)
-	is.Equal(slots.RetryAfter(200, -5, 0), 50*time.Millisecond)
+	is.Equal(slots.RetryAfter(100, -5, 0), 50*time.Millisecond)
 }
 
 // TestServiceTime guards against a service time that includes waits in queues: of answers that may
