--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/core/policy"
+	"github.com/shedhoist/shedhoist/internal/core/slots"
 )
 
 // Target is the state of one candidate target.
@@ -40,6 +41,12 @@
 	// QueuedTokens is the prefill work of all instances' requests that wait for their first
 	// response there.
 	QueuedTokens int
+	// Slots is how many requests the target runs at once; 0 if it is not known or the target is a
+	// model server.
+	Slots int
+	// Requests is the estimated number of requests of all instances at the target, if Slots is set.
+	// It includes InFlight.
+	Requests float64
 }
 
 // Query describes the request to place.
@@ -60,8 +67,13 @@
 	SharedPrefillMS float64
 	// NeededTokens is the target memory that the request will occupy.
 	NeededTokens int
+	// ServiceMS is the learned time that a request occupies one of a target's slots; 0: not known,
+	// and the targets' slots are ignored.
+	ServiceMS float64
+	// TimeLeftMS is the time until the request's deadline, if ServiceMS is set.
+	TimeLeftMS float64
 	// Started is true once a target has worked on the request or the caller has received a
-	// part of the response. Such a request is no longer refused for lack of memory, and
+	// part of the response. Such a request is no longer refused for lack of memory or slots, and
 	// MemoryShare and MaxQueuedTokens do not apply to it.
 	Started bool
 	// MemoryShare is the share of a target's memory that the request may fill, see package
@@ -81,7 +93,7 @@
 // The actions.
 const (
 	Send     Action = iota // send the request to the target at Decision.Index
-	Refuse                 // refuse the request at once: all eligible targets are full
+	Refuse                 // refuse the request at once: all eligible targets are full, or too late
 	NoTarget               // no target may be used
 )
 
@@ -95,6 +107,15 @@
 	RateLimited   int // eligible targets skipped because they name limits, and there is no permit now
 	InBackoff     int // eligible targets skipped because they have asked for backoff
 	FreeTokens    int // largest free memory among the full targets
+	// LateTargets counts the eligible targets whose queue for a slot is so long that the response
+	// would come after the deadline.
+	LateTargets int
+	// ExcessMS is by how much the response would be late at the best of these, which has
+	// LateRequests requests for LateSlots slots and a predicted wait of LateWaitMS.
+	ExcessMS     float64
+	LateRequests float64
+	LateSlots    int
+	LateWaitMS   float64
 }
 
 // Penalties added to a target's score, in ms, and factors applied to it.
@@ -147,6 +168,7 @@
 	if q.Policy.Homes && q.PrefixKey != "" {
 		home = homeIndex(targets, q.PrefixKey, q.StoreZone)
 	}
+	meanPeers := meanPeerRequests(targets, &q)
 	lowestScore, bestIsLastResort := math.Inf(1), false
 	for i := range targets {
 		t := &targets[i]
@@ -167,6 +189,15 @@
 		if t.Excluded || t.WarmupLimited {
 			continue
 		}
+		if excess := t.excessMS(&q); excess > 0 {
+			if d.LateTargets == 0 || excess < d.ExcessMS {
+				d.ExcessMS, d.LateRequests, d.LateSlots, d.LateWaitMS = excess, t.Requests, t.Slots, t.slotLoad().Wait(q.ServiceMS)
+			}
+			d.LateTargets++
+			if !q.Started {
+				continue
+			}
+		}
 		full := q.Policy.Admission && t.isFullFor(&q)
 		if full && !t.lastResort() {
 			d.FullTargets++
@@ -178,7 +209,7 @@
 		if full && !q.Started {
 			continue
 		}
-		targetScore := score(t, &q, i != home && home >= 0)
+		targetScore := score(t, &q, meanPeers, i != home && home >= 0)
 		if full {
 			targetScore *= fullTargetFactor
 		}
@@ -190,9 +221,52 @@
 	if d.FullTargets > 0 && !q.Started && (d.Index < 0 || bestIsLastResort) {
 		d.Action, d.Index = Refuse, -1
 	}
+	if d.LateTargets > 0 && !q.Started && d.Index < 0 {
+		d.Action = Refuse
+	}
 	return d
 }
 
+// slotLoad returns the target's load in the form that package slots uses.
+func (t *Target) slotLoad() slots.Load {
+	return slots.Load{Slots: t.Slots, Own: t.InFlight, Peers: math.Max(t.Requests-float64(t.InFlight), 0)}
+}
+
+// HasFreeSlot reports whether a slot of the target is free, as far as is known.
+func (t *Target) HasFreeSlot() bool { return t.slotLoad().HasFree() }
+
+// excessMS returns by how much the response would come after the deadline because of the queue for
+// the target's slots; 0 if it would not, or nothing is known of the slots.
+func (t *Target) excessMS(q *Query) float64 {
+	if t.Slots <= 0 || !q.Policy.Slots {
+		return 0
+	}
+	return t.slotLoad().Excess(q.ServiceMS, q.TimeLeftMS)
+}
+
+// meanPeerRequests returns the mean number of the other instances' requests at the targets with slots.
+func meanPeerRequests(targets []Target, q *Query) float64 {
+	if q.ServiceMS <= 0 || !q.Policy.Slots {
+		return 0
+	}
+	sum, n := 0.0, 0.0
+	for i := range targets {
+		if t := &targets[i]; t.Slots > 0 && !t.Excluded {
+			sum, n = sum+t.slotLoad().Peers, n+1
+		}
+	}
+	return sum / max(n, 1)
+}
+
+// slotWaitMS returns the mean wait for one of the target's slots with which targets are compared; 0
+// if the slots or the service time are not known.
+func (t *Target) slotWaitMS(q *Query, meanPeers float64) float64 {
+	if t.Slots <= 0 || q.ServiceMS <= 0 || !q.Policy.Slots {
+		return 0
+	}
+	return t.slotLoad().Damped(meanPeers, q.ServiceMS).MeanWait(q.ServiceMS)
+}
+
 // lastResort reports whether the target is used only if there is no other.
 func (t *Target) lastResort() bool { return t.Ejected || t.ZoneUnreachable }
 
@@ -232,8 +306,8 @@
 
 // score returns the predicted time to the first response, in ms, plus the penalties of the
 // choice. Lower is better.
-func score(t *Target, q *Query, notHome bool) float64 {
-	s := math.Max(t.FirstResponseMS, 1) + q.ConcurrencyPenaltyMS*float64(t.InFlight)
+func score(t *Target, q *Query, meanPeers float64, notHome bool) float64 {
+	s := math.Max(t.FirstResponseMS, 1) + q.ConcurrencyPenaltyMS*float64(t.InFlight) + t.slotWaitMS(q, meanPeers)
 	if q.Policy.LinkWeight {
 		s += linkOccupancyFactor * t.LinkOccupancyMS
 	}
--- a/internal/core/policy/policy.go
+++ b/internal/core/policy/policy.go
@@ -23,6 +23,7 @@
 	WarmupSenders     bool // a few instances send a target that is warming up what it can take; if off, no instance does
 	HomeSources       bool // shared parts that no store delivers are fetched from the prompt's home target
 	HeadsInFastStores bool // parts with which prompts begin are saved in the fastest stores
+	Slots             bool // services without a model: waits for slots are predicted from all instances' requests
 }
 
 // switches maps the names of the mechanisms, as used in settings, to their fields.
@@ -41,6 +42,7 @@
 	"home-sources":   func(p *Policy) *bool { return &p.HomeSources },
 	"heads-apart":    func(p *Policy) *bool { return &p.HeadsInFastStores },
 	"rank-admission": func(p *Policy) *bool { return &p.RankAdmission },
+	"slots":          func(p *Policy) *bool { return &p.Slots },
 }
 
 // Default returns the policy with all mechanisms in use.
