gateway: track customers' use of services and report it while capacity is scarce

Cause: admission needs to know which customers use more than their share of the fleet's capacity. Refusals for full memory log customer and over_fair_share.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -202,6 +202,9 @@
 // Customer returns the customer that a key belongs to, or nil.
 func (c *Config) Customer(key string) *Customer { return c.customers[key] }
 
+// HasCustomers reports whether customers are declared.
+func (c *Config) HasCustomers() bool { return c.hasKeys }
+
 // RequiresKey reports whether requests on a route need an API key.
 func (c *Config) RequiresKey(r *Route) bool { return c.hasKeys && !r.Public }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -105,6 +105,8 @@
 	memoryTokens := int64(x.call.memoryTokens())
 	at.load.MemoryTokens.Add(memoryTokens)
 	defer at.load.MemoryTokens.Add(-memoryTokens)
+	x.g.customerShares.hold(x.service, x.customerName(), int(memoryTokens))
+	defer x.g.customerShares.hold(x.service, x.customerName(), -int(memoryTokens))
 	at.pending = x.g.addPending(t.ID, at.promptWork.PrefillWork, at.startedAt)
 	defer x.g.removePending(at.pending)
 	x.triedTargets, x.software, x.lastZone, x.notice = append(x.triedTargets, t.ID), t.Software, t.Zone, Notice{}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -305,5 +305,9 @@
 	x.machine.NoTarget()
 	x.decision = d
 	metric.MemoryFullRefusals.Inc()
+	if x.overFairShare = x.g.overFairShare(x.service, x.customerName()); x.overFairShare {
+		metric.OverFairShareRefusals.Inc()
+	}
+	x.g.customerShares.refused(x.service, x.customerName(), x.call.memoryTokens())
 	x.refuse(retryLater(problem.Overloaded, "the targets' memory is full", retryAfterMemoryFull/2+rand.N(retryAfterMemoryFull)))
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -66,6 +66,7 @@
 	isTrial          bool                     // a quarantined request, let through to see whether it still crashes its target
 	quarantineState  *quarantine.State        // set if the request was refused as quarantined
 	decision         placement.Decision       // the decision that refused the request
+	overFairShare    bool                     // it was refused for full memory while its customer was above its fair share
 	predictedMS      float64                  // predicted time to the first byte
 	fallback         *bufferedResponse        // a target's error response, delivered if no attempt succeeds
 	budgetUse        budgetUse                // what the end of the last attempt meant for the retry budget
@@ -364,6 +365,9 @@
 	}
 	if x.decision.Action == placement.Refuse {
 		e = e.WithField("full_targets", x.decision.FullTargets).WithField("free_tokens", x.decision.FreeTokens).WithField("needed_tokens", x.call.memoryTokens())
+		if x.customer != nil {
+			e = e.WithField("customer", x.customer.Name).WithField("over_fair_share", x.overFairShare)
+		}
 	}
 	if s := x.quarantineState; s != nil {
 		if s.Label.Part != "" {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -114,6 +114,7 @@
 	peerLoads        *loadreport.PeerWork
 	peerSilences     *loadreport.UnresponsiveTargets
 	peerPendingSaves *loadreport.PendingSaves
+	customerShares   customerShares // customers above their fair shares of scarce capacity
 	storePositions   positionTracker
 	cache            *cacheDirectory
 	rollout          *rolloutController
@@ -148,6 +149,7 @@
 	g.breaker = breaker.New(g.now)
 	g.predictor = placement.NewPredictor()
 	g.peerLoads, g.peerSilences, g.peerPendingSaves = loadreport.NewPeerWork(loadReportTTL), loadreport.NewUnresponsiveTargets(loadReportTTL), loadreport.NewPendingSaves(pendingSaveTTL, loadReportTTL)
+	g.customerShares.g, g.customerShares.peers = g, loadreport.NewPeerCustomers(customerSumsTTL, loadReportTTL)
 	g.cache = newCacheDirectory(g)
 	g.rollout = newRolloutController(g)
 	g.retryBudgets.g = g
@@ -354,6 +356,7 @@
 	metric.SetGauge("shedhoist_ready", boolGauge(g.Ready()))
 	metric.SetGauge("shedhoist_requests_in_hand", float64(g.inFlight.Load()))
 	metric.SetGauge("shedhoist_limited_targets", float64(g.limits.known.Count()))
+	metric.SetGauge("shedhoist_customers_over_fair_share", float64(g.customerShares.countAbove()))
 	g.retryBudgets.setGauges()
 	metric.Write(w)
 }
--- a/internal/gateway/load_reports.go
+++ b/internal/gateway/load_reports.go
@@ -49,6 +49,9 @@
 	// PendingSaves are parts whose saves are still pending, including those that the sender
 	// relays.
 	PendingSaves []loadreport.Key `cbor:"5,keyasint,omitempty"`
+	// Customers are the customers' sums at services whose capacity is scarce, including those that the
+	// sender relays. Most reports have none: they are sent once a second.
+	Customers []loadreport.ServiceSums `cbor:"8,keyasint,omitempty"`
 }
 
 // Ack is the empty reply to a LoadReport.
@@ -60,6 +63,7 @@
 	h.g.peerSilences.Apply(req.From, req.Seq, req.Silent, h.g.now())
 	h.g.peerSilences.ApplyResponses(req.From, req.Seq, req.Answered, h.g.now())
 	h.g.peerPendingSaves.Apply(req.From, req.Seq, req.PendingSaves, h.g.now())
+	h.g.customerShares.peers.Apply(req.From, req.Seq, req.Customers, h.g.now())
 	h.g.storePositions.record(req.From, req.Seq, req.StorePositions, h.g.now()) // after PendingSaves, see LoadReport.StorePositions
 	return nil
 }
@@ -119,8 +123,8 @@
 	return loadRelayInterval
 }
 
-// reportLoads sends load reports to the neighbours: work in flight, silent targets and
-// pending saves. A neighbour gets no report if it would be empty, unless the one before was
+// reportLoads sends load reports to the neighbours: work in flight, silent targets,
+// pending saves and customers' sums. A neighbour gets no report if it would be empty, unless the one before was
 // not.
 func (g *Gateway) reportLoads(ctx context.Context) {
 	lastNonEmpty := map[string]bool{} // neighbours whose last report was not empty
@@ -132,12 +136,16 @@
 		positions := g.cache.ownPositions() // before the pending saves, see LoadReport.StorePositions
 		ownPending, peerPending := g.cache.ownPendingSaves(), g.peerPendingSaves.Reports(g.now())
 		tree := g.view.Load().Tree
+		ownCustomers, peerCustomers := g.customerShares.update(g.now(), tree.neighbours())
 		for _, n := range tree.neighbours() {
 			if tree.isCrossZone(n.Member) && seq%crossZoneEvery != 0 {
 				continue
 			}
 			report := &LoadReport{From: g.settings().Name, Seq: seq, Targets: n.loadsToReport(ownLoads, peerLoads).Report(), Silent: n.silencesToReport(ownSilent, peerSilences), Answered: n.answeredToReport(ownAnswered, peerAnswered), PendingSaves: n.pendingSavesToReport(ownPending, peerPending), StorePositions: positions}
-			nonEmpty := len(report.Targets)+len(report.Silent)+len(report.Answered)+len(report.PendingSaves)+len(report.StorePositions) > 0
+			if use := n.customersToReport(ownCustomers, peerCustomers); g.customerShares.due(n.Name, use, g.now()) {
+				report.Customers = use.Report()
+			}
+			nonEmpty := len(report.Customers)+len(report.Targets)+len(report.Silent)+len(report.Answered)+len(report.PendingSaves)+len(report.StorePositions) > 0
 			if !nonEmpty && !lastNonEmpty[n.Name] {
 				continue
 			}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -17,7 +17,8 @@
 	Resumes               = metrics.NewCounter("shedhoist_resumes_total")
 	RetryBudgetRefusals   = metrics.NewCounter("shedhoist_retry_budget_refusals_total")
 	MemoryFullRefusals    = metrics.NewCounter("shedhoist_memory_full_refusals_total")
-	WarmupRequests        = metrics.NewCounter("shedhoist_cold_requests_total") // sent to targets that are warming up
+	OverFairShareRefusals = metrics.NewCounter("shedhoist_over_fair_share_refusals_total") // of customers above their fair share
+	WarmupRequests        = metrics.NewCounter("shedhoist_cold_requests_total")            // sent to targets that are warming up
 	WarmupRefusals        = metrics.NewCounter("shedhoist_cold_refusals_total")
 	LeavingNotices        = metrics.NewCounter("shedhoist_leaving_words_total")         // responses in which a target announces that it is leaving
 	BrittleRefusals       = metrics.NewCounter("shedhoist_brittle_refusals_total")      // requests that brittle targets turned away
