--- a/internal/gateway/customer_shares.go
+++ b/internal/gateway/customer_shares.go
@@ -19,6 +19,9 @@
 	customerSumsInterval = time.Second
 	// customerSumsTTL is how long a peer's sums count. It bridges two reports that get lost.
 	customerSumsTTL = 3 * time.Second
+	// earlyGrowth is the growth of sums at which they are reported early. When customers are first compared,
+	// an instance of 300 knows at least all of the sums with 1.25, 0.75 with 1.5 and 0.51 with 2.
+	earlyGrowth = 1.25
 	// sharesInterval is the time between two comparisons of all customers.
 	sharesInterval = 250 * time.Millisecond
 )
@@ -221,8 +224,8 @@
 }
 
 // due reports whether sums are to be sent to a neighbour, and records that they are. They are sent each
-// customerSumsInterval. At the beginning of scarcity the known sums grow with each hop that reports have
-// made: once those of a service have doubled, they are sent at once.
+// customerSumsInterval. At the beginning of scarcity, when the known sums grow with each hop that reports have
+// made, they are also sent as soon as those of a service have grown by earlyGrowth.
 func (s *customerShares) due(neighbour string, use loadreport.UseByService, now time.Time) bool {
 	if len(use) == 0 {
 		return false
@@ -232,7 +235,7 @@
 	due := !known || now.Sub(last.at) >= customerSumsInterval
 	for service, demand := range demands {
 		before, reported := last.demands[service]
-		due = due || !reported || demand > 0 && demand >= 2*before
+		due = due || !reported || !s.scarcity[service].Settled(now) && float64(demand) > earlyGrowth*float64(before)
 	}
 	if !due {
 		return false
