--- a/internal/gateway/customer_shares_test.go
+++ b/internal/gateway/customer_shares_test.go
@@ -280,7 +280,8 @@
 }
 
 // TestCustomerSumsByTwoPaths guards against an instance whose sums are counted twice once its reports come by another
-// path: through its former parent and the new one, for as long as the former one's report counts.
+// path: through its former parent and the new one, for as long as the former one's report counts. It also guards
+// against an instance that judges before its new neighbours have reported.
 func TestCustomerSumsByTwoPaths(t *testing.T) {
 	is := is.New(t)
 	s := newSharesSim(300, 3)
@@ -291,6 +292,11 @@
 	children := s.nodes[parent].tree.children()
 	is.True(len(children) > 0)
 	s.remove(parent)
+	s.play(loadRelayInterval, refusing)
+	for _, child := range children { // they know their own sums alone
+		scarcity := s.nodes[child.Name].g.customerShares.scarcity[loadreport.KeyOf("s")]
+		is.True(!scarcity.Settled(s.now))
+	}
 	most := 0.0
 	for range int(5 * time.Second / loadRelayInterval) {
 		s.play(loadRelayInterval, refusing)
--- a/internal/loadreport/customers.go
+++ b/internal/loadreport/customers.go
@@ -71,8 +71,9 @@
 	return out
 }
 
-// Report returns the entries of a report: all services, and the customers with the largest demands. What is
-// left out is small, so that fewer customers are above their shares, never more.
+// Report returns the entries of a report: all services, and the customers with the largest demands. Those left
+// out hold less than an equal part if anybody who is named asks for less than that. So a customer that asks for
+// at most an equal part does not come above its share because of them.
 func (s UseByService) Report() []ServiceSums {
 	type entry struct {
 		service Key
--- a/internal/loadreport/customers_test.go
+++ b/internal/loadreport/customers_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"github.com/shedhoist/shedhoist/internal/core/fairshare"
 	"github.com/shedhoist/shedhoist/internal/loadreport"
@@ -74,6 +75,30 @@
 	is.Equal(report[1], loadreport.ServiceSums{Service: 2, RefusedMS: 1000})
 }
 
+// TestReportKeepsShares guards against customers that come above their share because a report leaves out others: one
+// that asks for at most an equal part must not.
+func TestReportKeepsShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		customers, capacity := map[loadreport.Key]fairshare.Use{}, 0
+		for i := range rapid.IntRange(1, 2*loadreport.MaxReportedCustomers).Draw(t, "customers") {
+			size := rapid.SampledFrom([]int{10, 1000, 100_000}).Draw(t, "size")
+			u := fairshare.Use{Held: rapid.IntRange(0, size).Draw(t, "held"), Unmet: rapid.IntRange(0, size).Draw(t, "unmet")}
+			customers[loadreport.Key(i)] = u
+			capacity += u.Held
+		}
+		use := loadreport.UseByService{}
+		use.Add(1, 0, customers)
+		p := loadreport.NewPeerCustomers(sumsAge, sumsDisorder)
+		now := time.Unix(0, 0)
+		p.Apply("a", 1, use.Report(), now)
+		for k := range fairshare.Above(p.Reports(now)["a"][1].Customers) {
+			if customers[k].Demand()*len(customers) <= capacity {
+				t.Fatalf("customer %d of %v is above its share", k, customers)
+			}
+		}
+	})
+}
+
 // TestCustomerReportSize guards against a report that grows by more than a few hundred bytes.
 func TestCustomerReportSize(t *testing.T) {
 	is := is.New(t)
