--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -41,7 +41,7 @@
 	if levels == nil {
 		return
 	}
-	x.admission.Limits = x.g.admissions.Limits(x.service, levels, admission.Request{Rank: x.baseRank(), Waited: x.callerHasWaited(), AboveFairShare: x.customerAboveFairShare()}, x.g.now())
+	x.admission.Limits = x.g.admissions.Limits(x.service, levels, admission.Request{Rank: x.baseRank(), Waited: x.callerHasWaited(), AboveFairShare: x.g.overFairShare(x.service, x.customerName())}, x.g.now())
 	if x.admission.QueueTime > 0 {
 		x.g.predictorMu.Lock()
 		x.admission.maxQueuedTokens = max(x.g.predictor.PrefillTokens(x.admission.QueueTime), 1)
@@ -62,9 +62,6 @@
 	return admission.HasWaited(x.call.Timeout, x.route.Timeout)
 }
 
-// customerAboveFairShare reports whether the customer uses more than its fair share of the service.
-func (x *exchange) customerAboveFairShare() bool { return false }
-
 // retryAfterMemoryFull is the mean Retry-After when all targets' memory is full and prompts do not
 // differ in priority: a target's memory turns over in one to four seconds. It is spread over 0.5
 // to 1.5 times that, so that callers do not return together.
