Placement: at-most-once requests avoid closing targets

Streams that must not run twice are cut off when their target loads weights. Select uses a closing target for such a request only if no other can take it.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -29,6 +29,7 @@
 	WarmupLimited   bool    // warming up, and this instance may send it no request now
 	RateLimited     bool    // names a limit, and there is no permit to send it a request now
 	InBackoff       bool    // has asked this instance to back off, and gets no requests
+	Closing         bool    // is about to load weights, see Query.AtMostOnce
 	// Weight is the target's weight in the choice of homes. A target that is warming up gets
 	// requests from few instances, so each of these gives it a larger weight. 0 means 1.
 	Weight float64
@@ -63,6 +64,9 @@
 	// Started is true once a target has worked on the request or the caller has received a
 	// part of the response. Such a request is no longer refused for lack of memory.
 	Started bool
+	// AtMostOnce is true if the request must not run twice. A load of weights may cut off its
+	// response, so it is sent to a closing target only if no other can take it.
+	AtMostOnce bool
 }
 
 // Action is the outcome of a placement.
@@ -131,7 +135,7 @@
 	if q.Policy.Homes && q.PrefixKey != "" {
 		home = homeIndex(targets, q.PrefixKey, q.StoreZone)
 	}
-	lowestScore, bestIsLastResort := math.Inf(1), false
+	lowestScore, bestPreference := math.Inf(1), preferred
 	for i := range targets {
 		t := &targets[i]
 		if t.WarmupLimited {
@@ -163,17 +167,38 @@
 		if full {
 			targetScore *= fullTargetFactor
 		}
-		lastResort := t.lastResort()
-		if d.Index < 0 || bestIsLastResort && !lastResort || bestIsLastResort == lastResort && targetScore < lowestScore {
-			d.Action, d.Index, lowestScore, bestIsLastResort = Send, i, targetScore, lastResort
+		p := t.preferenceFor(q)
+		if d.Index < 0 || p < bestPreference || p == bestPreference && targetScore < lowestScore {
+			d.Action, d.Index, lowestScore, bestPreference = Send, i, targetScore, p
 		}
 	}
-	if d.FullTargets > 0 && !q.Started && (d.Index < 0 || bestIsLastResort) {
+	if d.FullTargets > 0 && !q.Started && (d.Index < 0 || bestPreference == lastResort) {
 		d.Action, d.Index = Refuse, -1
 	}
 	return d
 }
 
+// preference ranks targets before their score does: one is used only if no target with a lower
+// preference can take the request.
+type preference uint8
+
+// The preferences.
+const (
+	preferred  preference = iota
+	closing               // the request must not run twice, and the target is about to load weights
+	lastResort            // ejected or unreachable
+)
+
+func (t *Target) preferenceFor(q Query) preference {
+	switch {
+	case t.lastResort():
+		return lastResort
+	case t.Closing && q.AtMostOnce:
+		return closing
+	}
+	return preferred
+}
+
 // lastResort reports whether the target is used only if there is no other.
 func (t *Target) lastResort() bool { return t.Ejected || t.ZoneUnreachable }
 
