Rollouts: close targets before their cordon, and wait for their runs

Cause: a target was cordoned 500 ms before its load, and the streams that still ran there were cut off.

Change: the lease holder names the targets that are next (RolloutUpdate.Closing). After the cordon it polls the target's report until nothing runs. Both take only the time that the loads left do not need before the rollout deadline (rollout.PaceOf). Loads that are not ordered yet go to the newest version named. Acts only on services with streams that run at most once.

go test ./internal/core/..., go test -run 'Rollout|Load|Lease|Views|Oldest|Order' ./internal/gateway ./platform: pass.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -119,6 +119,7 @@
 	routes            map[string][]*Route  // by host, longest prefix first
 	customers         map[string]*Customer // by API key
 	hasKeys           bool
+	onceStreams       map[string]bool // services to which routes send streams that run at most once
 	isolatedCustomers string // names, sorted and separated by commas
 }
 
@@ -141,13 +142,18 @@
 // NewConfig indexes a configuration.
 func NewConfig(spec ConfigSpec) *Config {
 	c := &Config{Version: spec.Version, Limits: spec.Limits, Services: map[string]*Service{}, Stores: slices.Clone(spec.Stores),
-		routes: map[string][]*Route{}, customers: map[string]*Customer{}, hasKeys: len(spec.Customers) > 0}
+		routes: map[string][]*Route{}, customers: map[string]*Customer{}, hasKeys: len(spec.Customers) > 0, onceStreams: map[string]bool{}}
 	for _, s := range spec.Services {
 		c.Services[s.Name] = &s
 	}
 	for _, r := range spec.Routes {
 		host := strings.ToLower(r.Host)
 		c.routes[host] = append(c.routes[host], &r)
+		for _, b := range r.Backends {
+			if r.Kind == Streaming && !r.Resumable && r.SendsTo(b.Service) {
+				c.onceStreams[b.Service] = true
+			}
+		}
 	}
 	for _, rs := range c.routes {
 		slices.SortStableFunc(rs, func(a, b *Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
@@ -172,6 +178,9 @@
 // that it doesn't. Without a configuration none is declared.
 func (c *Config) HasService(service string) bool { return c != nil && c.Services[service] != nil }
 
+// HasOnceStreams reports whether a route sends streams that run at most once to a service.
+func (c *Config) HasOnceStreams(service string) bool { return c != nil && c.onceStreams[service] }
+
 // TargetMemory returns the memory of one target of a service, in tokens; 0 if it is not declared.
 func (c *Config) TargetMemory(service string) int {
 	if s := c.Services[service]; s != nil && s.Engine != nil {
--- a/internal/core/rollout/plan.go
+++ b/internal/core/rollout/plan.go
@@ -36,6 +36,7 @@
 	Version string // weight version; "" while it loads or if unknown
 	Ready   bool
 	Loading bool
+	Held    bool // not to be loaded yet, see Pace
 }
 
 // DesiredVersion is what the configuration requires of a model.
@@ -134,7 +135,7 @@
 		want, ok := desired[t.Model]
 		version := p.EffectiveVersion(t.Model, want)
 		_, pending := p.pending[t.Name]
-		if !ok || version == "" || t.Version == version || pending || t.Loading || loading >= p.maxLoads+p.ahead {
+		if !ok || version == "" || t.Version == version || pending || t.Loading || t.Held || loading >= p.maxLoads+p.ahead {
 			continue
 		}
 		if t.Ready && slices.Contains(want.Allowed, t.Version) && ready[t.Model]-1 < minReadyTargets(want.MinReady, total[t.Model]) {
--- /dev/null
+++ b/internal/core/rollout/stages.go
@@ -0,0 +1,172 @@
+package rollout
+
+import "time"
+
+// Requests that run at most once are lost if their target loads weights while they run. Before
+// its load a target therefore passes through stages, as far as the rollout deadline leaves time.
+
+// Stage is the stage of a target that is to load weights.
+type Stage uint8
+
+// The stages, in order.
+const (
+	StageServing  Stage = iota // gets all requests
+	StageClosing               // gets requests that run at most once only if no other target can take them
+	StageCordoned              // gets no new requests
+	StageWaiting               // cordoned, until its runs have ended
+	StageOrdered               // the order to load may be sent
+)
+
+// Times of the stages.
+const (
+	// MaxClosing is the longest time that a target is closing: most streams that run at most
+	// once are shorter.
+	MaxClosing = 1500 * time.Millisecond
+	// CordonTime is how long a target is cordoned before its order: the other instances learn
+	// of it within milliseconds, and most short responses end meanwhile.
+	CordonTime = 500 * time.Millisecond
+	// MaxWaiting is the longest wait for the runs of a cordoned target.
+	MaxWaiting = 1500 * time.Millisecond
+	// MaxLateness is the time that an order may take longer if it lets the runs finish: model
+	// streams last 3 to 5 s.
+	MaxLateness = 5 * time.Second
+	// deadlineReserve is the time before the rollout deadline at which all loads are to have
+	// ended: no request is sent to outdated weights in the last second, and a change of the
+	// lease's holder takes 1.4 s.
+	deadlineReserve = 2 * time.Second
+	// InitialLoadTime is the assumed duration of a load until one is measured: targets load for
+	// 0.9 s, and reports lag by 0.2 s.
+	InitialLoadTime = 1200 * time.Millisecond
+	// maxLoadTime bounds what is assumed after loads that waited for runs.
+	maxLoadTime = 3 * time.Second
+	// closingDelayShare is the share of the closing time that delays a rollout in progress:
+	// the targets close while others load, and only those for which a place is free are held
+	// back. With 60 targets, 12 loads at a time and 16 cordoned, a quarter is free at the start.
+	closingDelayShare = 4
+)
+
+// Progress is the state of a rollout that its pace depends on.
+type Progress struct {
+	// TimeLeft is the time until the rollout deadline of each load that has not ended,
+	// ascending.
+	TimeLeft []time.Duration
+	Running  int           // loads in progress, of those in TimeLeft
+	Started  bool          // at least one target is cordoned or loads
+	MaxLoads int           // loads that may run at once
+	Ahead    int           // targets that may be cordoned beyond MaxLoads
+	LoadTime time.Duration // from an order to the end of its load
+}
+
+// Pace is how long the stages before an order may take. The zero Pace allows only the cordon.
+type Pace struct {
+	Closing time.Duration
+	Waiting time.Duration
+	// Finish reports whether an order may let the runs that are left finish.
+	Finish bool
+}
+
+// PaceOf returns the pace of a rollout. The rollout deadline comes first: the stages use only
+// the time that the loads left do not need.
+func PaceOf(p Progress) Pace {
+	loads := float64(len(p.TimeLeft)) - float64(p.Running)/2 // loads in progress are half done on average
+	if loads <= 0 {
+		return Pace{}
+	}
+	spare := p.spareTime()
+	if spare <= 0 {
+		return Pace{}
+	}
+	places := float64(p.MaxLoads + p.Ahead)
+	// As many targets close as load at a time. A longer closing time than this would hold back
+	// loads, because places become free sooner than targets are closed.
+	longest := min(MaxClosing, time.Duration(float64(p.MaxLoads)/places*float64(CordonTime+p.LoadTime)))
+	pace := Pace{Closing: min(spare, longest), Finish: spare >= MaxLateness}
+	if p.Started {
+		pace.Closing = min(closingDelayShare*spare, longest)
+		spare = max(spare-longest/closingDelayShare, 0)
+	}
+	pace.Waiting = min(time.Duration(float64(spare)*places/loads), MaxWaiting)
+	return pace
+}
+
+// spareTime returns the time that the loads left do not need: the least over their deadlines.
+func (p Progress) spareTime() time.Duration {
+	spare := time.Duration(1 << 62)
+	for i, left := range p.TimeLeft {
+		if i+1 < len(p.TimeLeft) && p.TimeLeft[i+1] == left {
+			continue // the last load of each deadline decides
+		}
+		spare = min(spare, left-deadlineReserve-p.timeFor(float64(i+1)-float64(p.Running)/2))
+	}
+	return spare
+}
+
+// timeFor returns the time that a number of loads needs without closing and waiting. It is bounded
+// by the loads at a time and by the targets that are cordoned or load at a time.
+func (p Progress) timeFor(loads float64) time.Duration {
+	perTarget := float64(CordonTime + p.LoadTime)
+	earlier := max(loads-1, 0)
+	return time.Duration(max(earlier/float64(p.MaxLoads+p.Ahead)*perTarget, earlier/float64(p.MaxLoads)*float64(p.LoadTime)) + perTarget)
+}
+
+// Next returns the stage of a target that has been in a stage for some time, with a number of
+// runs left at it. Planner.Plan limits how many targets are cordoned.
+func (p Pace) Next(s Stage, in time.Duration, runs int) Stage {
+	switch {
+	case s == StageServing && p.Closing > 0:
+		return StageClosing
+	case s == StageServing || s == StageClosing && in >= p.Closing:
+		return StageCordoned
+	case s == StageCordoned && in >= CordonTime && p.Waiting > 0:
+		return StageWaiting
+	case s == StageCordoned && in >= CordonTime, s == StageWaiting && (runs == 0 || in >= p.Waiting):
+		return StageOrdered
+	}
+	return s
+}
+
+// SmoothLoadTime returns the assumed duration of a load after one has been measured.
+func SmoothLoadTime(assumed, measured time.Duration) time.Duration {
+	return (3*assumed + min(measured, maxLoadTime)) / 4
+}
+
+// Upcoming returns the names of the first count targets that Plan would return beyond its limits,
+// in the order in which it will return them.
+func (p *Planner) Upcoming(targets []Target, desired map[string]DesiredVersion, count int) []string {
+	var out []string
+	seen := map[string]bool{}
+	for _, t := range targets {
+		if len(out) >= count {
+			break
+		}
+		want, ok := desired[t.Model]
+		version := p.EffectiveVersion(t.Model, want)
+		if _, pending := p.pending[t.Name]; !ok || version == "" || t.Version == version || pending || t.Loading || seen[t.Name] {
+			continue
+		}
+		seen[t.Name] = true
+		out = append(out, t.Name)
+	}
+	return out
+}
+
+// Closing holds since when targets are closing, by name.
+type Closing map[string]time.Time
+
+// Update makes exactly the named targets closing, and reports whether that is a change.
+func (c Closing) Update(names []string, now time.Time) (changed bool) {
+	named := make(map[string]bool, len(names))
+	for _, name := range names {
+		named[name] = true
+		if _, known := c[name]; !known {
+			c[name], changed = now, true
+		}
+	}
+	for name := range c {
+		if !named[name] {
+			delete(c, name)
+			changed = true
+		}
+	}
+	return changed
+}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -96,7 +96,7 @@
 		zone = x.g.relays.homeZone()
 	}
 	q := placement.Query{Zone: zone, RolloutTimeout: set.RolloutWithin, ConcurrencyPenaltyMS: x.concurrencyPenaltyMS(), RequestBytes: len(x.body), Rand: rand.Float64, Policy: set.Policy,
-		NeededTokens: x.call.memoryTokens(), Started: x.binding != nil || x.headerSent || x.possibleRuns > 0}
+		NeededTokens: x.call.memoryTokens(), Started: x.binding != nil || x.headerSent || x.possibleRuns > 0, AtMostOnce: x.mustAvoidClosing()}
 	p := x.call.Prompt
 	if p == nil || len(p.Parts) < 2 {
 		return q
@@ -118,9 +118,9 @@
 
 // isFit reports whether a target serves the request's model with the newest weights, may
 // still be tried, can go on with the request's stream if that has begun, is neither ejected nor in backoff nor in an unreachable zone, may get a permit
-// if it names a limit, and, while warming up, has a slot left for this instance.
+// if it names a limit, is not closing if the request must not run twice, and, while warming up, has a slot left for this instance.
 func (x *exchange) isFit(t *catalog.Target, ejected []string) bool {
-	if x.isExcluded(t) || x.isIncompatible(t) || x.inBackoff(t) || x.lacksPermit(t) || slices.Contains(ejected, t.ID) || x.unreachableZones[t.Zone] {
+	if x.isExcluded(t) || x.isIncompatible(t) || x.inBackoff(t) || x.lacksPermit(t) || slices.Contains(ejected, t.ID) || x.unreachableZones[t.Zone] || x.view.Closing[t.ID] && x.mustAvoidClosing() {
 		return false
 	}
 	if blocked, _ := x.warmupBlocked(t, x.g.now()); blocked {
@@ -130,6 +130,12 @@
 	return p == nil || t.WeightVersion(p.Model) >= max(x.view.NamedVersions[p.Model].Newest, 1)
 }
 
+// mustAvoidClosing reports whether the request would be lost if its target loaded weights while
+// it runs.
+func (x *exchange) mustAvoidClosing() bool {
+	return len(x.view.Closing) > 0 && x.call.Prompt != nil && !x.route.Repeatable()
+}
+
 // inBackoff reports whether a target has requested backoff, as of this attempt.
 func (x *exchange) inBackoff(t *catalog.Target) bool {
 	_, found := x.backoffUntil[t.ID]
@@ -187,7 +193,7 @@
 	defer x.g.predictorMu.Unlock()
 	for i, t := range targets {
 		load := x.g.upstream.inflight.Get(t.ID)
-		o := placement.Target{ID: t.Name, Zone: t.Zone, InFlight: int(load.Requests.Load()), Excluded: x.isExcluded(t), Ejected: slices.Contains(ejected, t.ID), ZoneUnreachable: x.unreachableZones[t.Zone], InBackoff: x.inBackoff(t)}
+		o := placement.Target{ID: t.Name, Zone: t.Zone, InFlight: int(load.Requests.Load()), Excluded: x.isExcluded(t), Ejected: slices.Contains(ejected, t.ID), ZoneUnreachable: x.unreachableZones[t.Zone], InBackoff: x.inBackoff(t), Closing: x.view.Closing[t.ID]}
 		o.RateLimited, o.Incompatible = x.lacksPermit(t), x.isIncompatible(t)
 		o.WarmupLimited, o.Weight = x.warmupBlocked(t, now)
 		if p := x.call.Prompt; p != nil {
--- a/internal/gateway/lease.go
+++ b/internal/gateway/lease.go
@@ -132,6 +132,7 @@
 	o.lease.WriteSucceeded(uint64(version), start)
 	if o.lease.TakeAcquired() {
 		o.planner = rollout.NewPlanner(loadTimeout)
+		clear(o.closing)
 		o.loaded, o.fencingToken, o.updateSeq, o.guard = nil, uint64(version), 0, handoverGuard{}
 		if previous != "" && previous != o.g.settings().Name {
 			lastAct := observedSince.Add(leaseParams.Term - leaseParams.Margin)
--- a/internal/gateway/order_notices_test.go
+++ b/internal/gateway/order_notices_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
+	"github.com/shedhoist/shedhoist/internal/core/rollout"
 )
 
 // orderEngines answer orders with a status and a notice.
@@ -37,7 +38,7 @@
 	g.rollout.mu.Unlock()
 	for _, t := range g.view.Load().Targets {
 		if t.Name == target {
-			refusal := g.rollout.sendOrder(f.t.Context(), "m", 2, t, 0)
+			refusal := g.rollout.sendOrder(f.t.Context(), &plannedLoad{Load: rollout.Load{Target: t.ID, Model: "m", Version: "2"}, version: 2, target: t}, 0)
 			is.Equal(refusal == "", e.status == http.StatusAccepted || e.status == http.StatusConflict)
 		}
 	}
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -54,9 +54,6 @@
 	// loadsPerCordonedTarget is how many concurrent loads allow one more target to be cordoned
 	// ahead of its load: a load takes about twice as long as the cordon before it.
 	loadsPerCordonedTarget = 3
-	// cordonTime is how long a target is cordoned before its order: the other instances learn
-	// of it within milliseconds, and most short responses end meanwhile.
-	cordonTime = 500 * time.Millisecond
 	// minLoadTime is the time before a load's progress is first polled: no load has been seen
 	// to be faster.
 	minLoadTime = 600 * time.Millisecond
@@ -89,6 +86,9 @@
 	guard        handoverGuard   // after another holder
 
 	deferredUntil map[string]time.Time // ids of targets, see deferLoads
+	closing       rollout.Closing      // ids of targets
+	pace          rollout.Pace         // of the stages before an order
+	loadTime      time.Duration        // assumed duration of a load
 }
 
 // runRollouts brings targets to the named weight versions while this instance holds the lease.
@@ -103,7 +103,8 @@
 
 func newRolloutController(g *Gateway) *rolloutController {
 	set := g.settings()
-	return &rolloutController{g: g, lease: rollout.NewLease(leaseParams, set.Name), planner: rollout.NewPlanner(loadTimeout), loading: map[string]bool{}, maxLoads: rollout.DefaultMaxLoads, deferredUntil: map[string]time.Time{}}
+	return &rolloutController{g: g, lease: rollout.NewLease(leaseParams, set.Name), planner: rollout.NewPlanner(loadTimeout), loading: map[string]bool{}, maxLoads: rollout.DefaultMaxLoads, deferredUntil: map[string]time.Time{},
+		closing: rollout.Closing{}, loadTime: rollout.InitialLoadTime}
 }
 
 // runRound maintains the lease and starts the loads that are due.
@@ -112,6 +113,7 @@
 	outdated := v.Outdated
 	if len(outdated) == 0 || v.Draining || o.g.targetLinks.lost() {
 		o.workSince = time.Time{}
+		o.dropClosing()
 		return
 	}
 	now := o.g.now()
@@ -126,7 +128,7 @@
 		o.maintainLease(ctx)
 	}
 	for _, l := range o.planLoads(v) {
-		o.g.spawn(func() { o.runLoad(ctx, l, v.Targets[l.Target]) })
+		o.g.spawn(func() { o.runLoad(ctx, l) })
 	}
 	o.repeatUpdate()
 }
@@ -139,16 +141,16 @@
 }
 
 // repeatUpdate announces the rollout update to the other instances periodically while loads are
-// planned or in progress.
+// planned or in progress, or targets are closing.
 func (o *rolloutController) repeatUpdate() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if len(o.loading) > 0 && o.g.now().Sub(o.lastUpdate) >= rolloutUpdateInterval {
+	if len(o.loading)+len(o.closing) > 0 && o.g.now().Sub(o.lastUpdate) >= rolloutUpdateInterval {
 		o.announce()
 	}
 }
 
-// announce publishes a rollout update with the cordoned and the loaded targets; o.mu is held.
+// announce publishes a rollout update with the closing, the cordoned and the loaded targets; o.mu is held.
 func (o *rolloutController) announce() {
 	o.updateSeq++
 	o.lastUpdate = o.g.now()
@@ -156,7 +158,11 @@
 	for id := range o.loading {
 		update.Cordoned = append(update.Cordoned, id)
 	}
+	for id := range o.closing {
+		update.Closing = append(update.Closing, id)
+	}
 	slices.Sort(update.Cordoned)
+	slices.Sort(update.Closing)
 	o.g.sendEvent(rolloutReceived{update: update, own: true})
 }
 
@@ -166,8 +172,9 @@
 	return rendezvous.Rank(alive, self, role)
 }
 
-// planLoads returns the loads to order now; none without the lease.
-func (o *rolloutController) planLoads(v *View) []rollout.Load {
+// planLoads returns the loads to prepare now, and names the targets that are next; none without the
+// lease.
+func (o *rolloutController) planLoads(v *View) []*plannedLoad {
 	var targets []rollout.Target
 	now, outdatedFor := o.g.now(), map[string]time.Duration{}
 	desired := map[string]rollout.DesiredVersion{}
@@ -195,6 +202,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if _, held := o.lease.Held(o.g.now()); !held {
+		if holder, _ := o.lease.Holder(); holder != o.g.settings().Name {
+			clear(o.closing)
+		}
 		return nil
 	}
 	for i := range targets {
@@ -205,11 +215,9 @@
 	targets = slices.DeleteFunc(targets, func(t rollout.Target) bool {
 		return !t.Loading && now.Before(o.deferredUntil[t.Name])
 	})
-	loads := o.planner.Plan(targets, desired, o.g.now())
-	for _, l := range loads {
-		o.loading[l.Target] = true
-	}
-	if len(loads) > 0 {
+	o.holdTargets(v, targets, now)
+	loads := o.startLoads(v, o.planner.Plan(targets, desired, o.g.now()), now)
+	if closingChanged := o.updateClosing(v, targets, desired, now); closingChanged || len(loads) > 0 {
 		o.announce()
 	}
 	return loads
@@ -217,75 +225,10 @@
 
 func versionText(v uint64) string { return strconv.FormatUint(v, 10) }
 
-// runLoad performs one load and logs its outcome.
-func (o *rolloutController) runLoad(ctx context.Context, l rollout.Load, t *catalog.Target) {
-	version, err := strconv.ParseUint(l.Version, 10, 64)
-	if err != nil {
-		panic(err) // unreachable: versionText formatted it
-	}
-	startedAt := o.g.now()
-	outcome := o.performLoad(ctx, l.Model, version, t)
-	o.mu.Lock()
-	delete(o.loading, l.Target)
-	o.planner.LoadEnded(l, false)
-	o.announce()
-	o.mu.Unlock()
-	o.g.log.WithField("target", l.Target).WithField("model", l.Model).WithField("version", version).WithField("outcome", outcome).
-		WithField("ms", o.g.now().Sub(startedAt).Milliseconds()).Info("load ended")
-}
-
-// performLoad waits for a target's cordon to take effect, sends the order and waits until the
-// version is loaded. It returns the outcome for the log.
-func (o *rolloutController) performLoad(ctx context.Context, model string, version uint64, t *catalog.Target) string {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
-	wait.For(ctx, cordonTime)
-	for !o.acquireSlot() {
-		if !wait.For(ctx, rolloutTick/2) {
-			return "no free load slot in time"
-		}
-	}
-	defer o.releaseSlot()
-	if err := o.checkDeferred(t); err != nil {
-		return err.Error()
-	}
-	before, err := o.fetchReport(ctx, t)
-	if err != nil {
-		return "no report: " + err.Error()
-	}
-	if o.recordIfLoaded(before, model, version, t) {
-		return "already loaded"
-	}
-	if before.Notice.Leaving {
-		return (&TargetLeavingError{Target: t.ID}).Error()
-	}
-	if refusal := o.sendOrder(ctx, model, version, t, before.OrderSeq); refusal != "" {
-		return refusal
-	}
-	return o.awaitLoad(ctx, model, version, t, before.OrderSeq)
-}
-
-// acquireSlot takes a load slot if one is free.
-func (o *rolloutController) acquireSlot() bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.runningLoads >= o.maxLoads {
-		return false
-	}
-	o.runningLoads++
-	return true
-}
-
-// releaseSlot returns a load slot.
-func (o *rolloutController) releaseSlot() {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.runningLoads--
-}
-
 // sendOrder sends one order if the lease is held immediately before. It returns "" unless it is
 // certain that the target did not accept the order; then it returns the reason.
-func (o *rolloutController) sendOrder(ctx context.Context, model string, version uint64, t *catalog.Target, seq uint64) string {
+func (o *rolloutController) sendOrder(ctx context.Context, l *plannedLoad, seq uint64) string {
+	t := l.target
 	token, held := o.awaitLease(ctx)
 	if !held {
 		return "lease lapsed before the order"
@@ -295,11 +238,11 @@
 	}
 	metric.Orders.Inc()
 	source := registry.Source{Channel: string(fromOrder), RequestSent: o.g.now()}
-	notice, err := o.g.engines.Load(ctx, LoadOrder{Target: t.Name, Address: t.Address, Model: model, Version: version, Holder: o.g.settings().Name,
-		Token: token, ExpectedSeq: seq, InterruptRuns: true})
+	notice, err := o.g.engines.Load(ctx, LoadOrder{Target: t.Name, Address: t.Address, Model: l.Model, Version: l.version, Holder: o.g.settings().Name,
+		Token: token, ExpectedSeq: seq, InterruptRuns: !l.finish})
 	notice = noticeOf(notice, err)
 	o.g.applyNotice(t, notice, source)
-	o.g.log.WithField("target", t.ID).WithField("model", model).WithField("version", version).WithField("token", token).
+	o.g.log.WithField("target", t.ID).WithField("model", l.Model).WithField("version", l.version).WithField("token", token).
 		WithField("expected", seq).WithField("error", errText(err)).Info("load ordered")
 	o.deferLoads(t, notice.Backoff)
 	var callErr *CallError
@@ -324,7 +267,7 @@
 			continue // a lost report is requested again until the load times out
 		}
 		if o.recordIfLoaded(r, model, version, t) {
-			return "done"
+			return loadDone
 		}
 		if !r.OrderInProgress && r.OrderSeq == seq && o.g.now().Sub(orderedAt) > loadAcceptTime {
 			return "order not accepted"
--- a/internal/gateway/rollout_backoff_test.go
+++ b/internal/gateway/rollout_backoff_test.go
@@ -83,8 +83,13 @@
 	})
 }
 
+// load returns a load of the target's weights that has just been planned.
+func (f *loadFleet) load() *plannedLoad {
+	return &plannedLoad{Load: rollout.Load{Target: f.target.ID, Model: "m", Version: "2"}, version: 2, target: f.target, plannedAt: time.Now()}
+}
+
 // planNextLoads returns the loads that are planned while the target is outdated.
-func (f *loadFleet) planNextLoads() []rollout.Load {
+func (f *loadFleet) planNextLoads() []*plannedLoad {
 	outdated := *f.target
 	outdated.Models = []catalog.ModelVersion{{Model: "m", Version: 1}}
 	v := *f.o.g.view.Load()
@@ -132,8 +137,8 @@
 			newLoadFleet(t, e, func(is *is.I, f *loadFleet) {
 				arrange(e, f)
 				startedAt := time.Now()
-				is.Equal(f.o.performLoad(f.t.Context(), "m", 2, f.target), "done")
-				is.True(time.Since(startedAt) <= cordonTime+minLoadTime+maxBackoffPoll)
+				is.Equal(f.o.performLoad(f.t.Context(), f.load()), "done")
+				is.True(time.Since(startedAt) <= rollout.CordonTime+minLoadTime+maxBackoffPoll)
 				is.Equal(e.orders, 1)
 				is.Equal(e.reports, 2) // before the order, and when the weights are loaded
 			})
@@ -154,7 +159,7 @@
 // would be refused again, and against loads at a target being deferred for too long.
 func TestNoLoadIsPlannedAfterRefusal(t *testing.T) {
 	newLoadFleet(t, &countingEngines{backoff: time.Hour}, func(is *is.I, f *loadFleet) {
-		f.o.performLoad(f.t.Context(), "m", 2, f.target)
+		f.o.performLoad(f.t.Context(), f.load())
 		is.Equal(len(f.planNextLoads()), 0)
 		time.Sleep(maxDeferTime)
 		is.Equal(len(f.planNextLoads()), 1)
@@ -171,7 +176,7 @@
 		done := make(chan struct{})
 		go func() {
 			for ctx.Err() == nil {
-				f.o.performLoad(ctx, "m", 2, f.target)
+				f.o.performLoad(ctx, f.load())
 			}
 			close(done)
 		}()
@@ -211,7 +216,7 @@
 				if c.onReport != nil {
 					e.onReport = func() { c.onReport(f) }
 				}
-				outcome := f.o.performLoad(f.t.Context(), "m", 2, f.target)
+				outcome := f.o.performLoad(f.t.Context(), f.load())
 				is.Equal(e.reports, c.reports)
 				is.Equal(e.orders, 0)
 				is.True(strings.Contains(outcome, "is leaving or gone"))
@@ -225,7 +230,7 @@
 func TestLoadEndsAsReportSaysLeaving(t *testing.T) {
 	e := &countingEngines{notice: Notice{Leaving: true}}
 	newLoadFleet(t, e, func(is *is.I, f *loadFleet) {
-		is.True(strings.Contains(f.o.performLoad(f.t.Context(), "m", 2, f.target), "is leaving or gone"))
+		is.True(strings.Contains(f.o.performLoad(f.t.Context(), f.load()), "is leaving or gone"))
 		is.Equal(e.reports, 1)
 		is.Equal(e.orders, 0)
 	})
@@ -251,7 +256,7 @@
 		ctx, cancel := context.WithTimeout(f.t.Context(), duration)
 		defer cancel()
 		for ctx.Err() == nil {
-			f.o.performLoad(ctx, "m", 2, f.target)
+			f.o.performLoad(ctx, f.load())
 		}
 		is.True(e.orders > 1)
 		is.True(e.orders <= int(duration/(deferFactor*backoff)))
--- /dev/null
+++ b/internal/gateway/rollout_stages.go
@@ -0,0 +1,241 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/shedhoist/shedhoist/internal/catalog"
+	"github.com/shedhoist/shedhoist/internal/core/rollout"
+	"github.com/shedhoist/shedhoist/internal/metric"
+	"github.com/shedhoist/shedhoist/internal/wait"
+)
+
+// The stages of a target before its order, see rollout.Stage.
+
+// plannedLoad is a load from its planning on.
+type plannedLoad struct {
+	rollout.Load
+	version   uint64
+	target    *catalog.Target
+	plannedAt time.Time
+	closed    time.Duration // how long the target was closing
+	cordoned  time.Duration // from the cordon to the wait for runs
+	waited    time.Duration // for runs to end
+	slotWait  time.Duration // for a free load slot
+	runsLeft  int           // runs that the target reported before the order
+	finish    bool          // the order let these runs finish
+}
+
+// usesStages reports whether the targets of a service pass through the stages: routes send it streams
+// that run at most once.
+func (o *rolloutController) usesStages(v *View, service string) bool {
+	return o.g.settings().Policy.RolloutStages && v.Config.HasOnceStreams(service)
+}
+
+// holdTargets holds back the targets that have not been closing for long enough, and sets the pace;
+// o.mu is held. Targets for which the stages do not apply are not held.
+func (o *rolloutController) holdTargets(v *View, targets []rollout.Target, now time.Time) {
+	progress := rollout.Progress{Running: o.runningLoads, Started: len(o.loading) > 0, MaxLoads: o.maxLoads, Ahead: o.maxLoads / loadsPerCordonedTarget, LoadTime: o.loadTime}
+	within := o.g.settings().RolloutWithin
+	for _, t := range v.Outdated { // also those that must not be loaded yet
+		for _, m := range t.Models {
+			if since := v.NamedVersions[m.Model].outdatedFor(m.Version, now); since > 0 {
+				progress.TimeLeft = append(progress.TimeLeft, within-since)
+			}
+		}
+	}
+	slices.Sort(progress.TimeLeft)
+	o.pace = rollout.PaceOf(progress)
+	for i, t := range targets {
+		if !o.usesStages(v, v.Targets[t.Name].Service) {
+			continue
+		}
+		stage, in := rollout.StageServing, time.Duration(0)
+		if since, isClosing := o.closing[t.Name]; isClosing {
+			stage, in = rollout.StageClosing, now.Sub(since)
+		}
+		targets[i].Held = o.pace.Next(stage, in, 0) < rollout.StageCordoned
+	}
+}
+
+// updateClosing names the targets that are cordoned next, and reports whether they have changed;
+// o.mu is held.
+func (o *rolloutController) updateClosing(v *View, targets []rollout.Target, desired map[string]rollout.DesiredVersion, now time.Time) bool {
+	staged := slices.DeleteFunc(slices.Clone(targets), func(t rollout.Target) bool { return !o.usesStages(v, v.Targets[t.Name].Service) })
+	var next []string
+	if o.pace.Closing > 0 {
+		next = o.planner.Upcoming(staged, desired, o.maxLoads)
+	}
+	return o.closing.Update(next, now)
+}
+
+// dropClosing forgets which targets are closing; the other instances do so after cordonTTL.
+func (o *rolloutController) dropClosing() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	clear(o.closing)
+}
+
+// startLoads records planned loads as begun and returns them; o.mu is held.
+func (o *rolloutController) startLoads(v *View, loads []rollout.Load, now time.Time) []*plannedLoad {
+	var out []*plannedLoad
+	for _, l := range loads {
+		version, err := strconv.ParseUint(l.Version, 10, 64)
+		if err != nil {
+			panic(err) // unreachable: versionText formatted it
+		}
+		p := &plannedLoad{Load: l, version: version, target: v.Targets[l.Target], plannedAt: now}
+		if since, wasClosing := o.closing[l.Target]; wasClosing {
+			p.closed = now.Sub(since)
+		}
+		o.loading[l.Target] = true
+		out = append(out, p)
+	}
+	return out
+}
+
+// runLoad performs one load and logs its outcome.
+func (o *rolloutController) runLoad(ctx context.Context, l *plannedLoad) {
+	outcome := o.performLoad(ctx, l)
+	o.mu.Lock()
+	delete(o.loading, l.Target)
+	o.planner.LoadEnded(l.Load, false)
+	o.announce()
+	o.mu.Unlock()
+	o.g.log.WithField("target", l.Target).WithField("model", l.Model).WithField("version", l.version).WithField("outcome", outcome).
+		WithField("ms", o.g.now().Sub(l.plannedAt).Milliseconds()).WithField("closing_ms", l.closed.Milliseconds()).WithField("cordon_ms", l.cordoned.Milliseconds()).
+		WithField("wait_ms", l.waited.Milliseconds()).WithField("slot_wait_ms", l.slotWait.Milliseconds()).WithField("runs_left", l.runsLeft).WithField("finish_runs", l.finish).Info("load ended")
+}
+
+// performLoad waits for a target's cordon to take effect and for its runs to end, sends the order
+// and waits until the version is loaded. It returns the outcome for the log.
+func (o *rolloutController) performLoad(ctx context.Context, l *plannedLoad) string {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	cordonedAt := o.g.now()
+	wait.For(ctx, rollout.CordonTime)
+	l.cordoned = o.g.now().Sub(cordonedAt)
+	if err := o.awaitRuns(ctx, l); err != nil {
+		return err.Error()
+	}
+	slotWaitSince := o.g.now()
+	for !o.acquireSlot() {
+		if !wait.For(ctx, rolloutTick/2) {
+			return "no free load slot in time"
+		}
+	}
+	defer o.releaseSlot()
+	l.slotWait = o.g.now().Sub(slotWaitSince)
+	t := l.target
+	if err := o.checkDeferred(t); err != nil {
+		return err.Error()
+	}
+	before, err := o.fetchReport(ctx, t)
+	if err != nil {
+		return "no report: " + err.Error()
+	}
+	o.updateVersion(l)
+	if o.recordIfLoaded(before, l.Model, l.version, t) {
+		return "already loaded"
+	}
+	if before.Notice.Leaving {
+		return (&TargetLeavingError{Target: t.ID}).Error()
+	}
+	orderedAt := o.g.now()
+	l.runsLeft = before.Running + before.Queued
+	l.finish = l.runsLeft > 0 && o.paceFor(t).Finish
+	if refusal := o.sendOrder(ctx, l, before.OrderSeq); refusal != "" {
+		return refusal
+	}
+	outcome := o.awaitLoad(ctx, l.Model, l.version, t, before.OrderSeq)
+	if outcome == loadDone {
+		o.noteLoadTime(o.g.now().Sub(orderedAt))
+	}
+	return outcome
+}
+
+// loadDone is the outcome of a load that succeeded.
+const loadDone = "done"
+
+// updateVersion makes a load that is not ordered yet load the newest version named meanwhile.
+func (o *rolloutController) updateVersion(l *plannedLoad) {
+	v := o.g.view.Load()
+	if o.usesStages(v, l.target.Service) {
+		l.version = max(l.version, v.NamedVersions[l.Model].Newest)
+	}
+}
+
+// awaitRuns polls a cordoned target's reports until nothing runs or waits there, for as long as
+// the pace allows. It fails if the target must not be loaded now.
+func (o *rolloutController) awaitRuns(ctx context.Context, l *plannedLoad) error {
+	since := o.g.now()
+	stage, runs := rollout.StageCordoned, -1 // no report yet
+	for {
+		in := o.g.now().Sub(since)
+		if stage == rollout.StageCordoned {
+			in = l.cordoned
+		}
+		stage = o.paceFor(l.target).Next(stage, in, runs)
+		if stage != rollout.StageWaiting {
+			break
+		}
+		r, err := o.fetchReport(ctx, l.target)
+		var restarted *TargetRestartedError
+		var leaving *TargetLeavingError
+		if errors.As(err, &restarted) || errors.As(err, &leaving) {
+			return err
+		}
+		if err := o.checkDeferred(l.target); err != nil {
+			return err
+		}
+		if err == nil {
+			runs = r.Running + r.Queued
+		}
+		if runs != 0 && !wait.For(ctx, o.pollPause(l.target)) {
+			break
+		}
+	}
+	l.waited = o.g.now().Sub(since)
+	if runs >= 0 {
+		metric.RolloutWaits.Update(l.waited.Seconds())
+	}
+	return nil
+}
+
+// paceFor returns the pace of the stages of a target; zero if they don't apply to it.
+func (o *rolloutController) paceFor(t *catalog.Target) rollout.Pace {
+	if !o.usesStages(o.g.view.Load(), t.Service) {
+		return rollout.Pace{}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.pace
+}
+
+// noteLoadTime records how long a load took from its order on.
+func (o *rolloutController) noteLoadTime(took time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.loadTime = rollout.SmoothLoadTime(o.loadTime, took)
+}
+
+// acquireSlot takes a load slot if one is free.
+func (o *rolloutController) acquireSlot() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.runningLoads >= o.maxLoads {
+		return false
+	}
+	o.runningLoads++
+	return true
+}
+
+// releaseSlot returns a load slot.
+func (o *rolloutController) releaseSlot() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.runningLoads--
+}
--- a/internal/gateway/view_build.go
+++ b/internal/gateway/view_build.go
@@ -90,6 +90,7 @@
 	cfg            *catalog.Config   // configuration used
 	tableEdits     uint64            // edit count of the target table used
 	cordoned       map[string]bool   // ids of targets excluded because they are about to load weights
+	closing        map[string]bool   // ids of targets that are cordoned next
 	newestVersions map[string]uint64 // newest named weight version, by model
 	targets        map[string]*catalog.Target
 	serving        map[string][]*catalog.Target
@@ -102,16 +103,16 @@
 
 // currentServing returns the snapshot of the targets, rebuilt if one of its inputs has changed.
 func (c *controlState) currentServing() servingSnapshot {
-	cordoned, newest := c.cordoned(), map[string]uint64{}
+	cordoned, closing, newest := c.inRollout(c.rollout.Cordoned), c.inRollout(c.rollout.Closing), map[string]uint64{}
 	for model, n := range c.named {
 		newest[model] = n.Newest
 	}
 	zones := c.evacuated.Names()
 	old := &c.serving
-	if old.valid && old.cfg == c.cfg && old.tableEdits == c.targets.Edits() && maps.Equal(old.cordoned, cordoned) && maps.Equal(old.newestVersions, newest) && slices.Equal(old.evacuatedZones, zones) {
+	if old.valid && old.cfg == c.cfg && old.tableEdits == c.targets.Edits() && maps.Equal(old.cordoned, cordoned) && maps.Equal(old.closing, closing) && maps.Equal(old.newestVersions, newest) && slices.Equal(old.evacuatedZones, zones) {
 		return *old
 	}
-	p := servingSnapshot{valid: true, cfg: c.cfg, tableEdits: c.targets.Edits(), cordoned: cordoned, newestVersions: newest, targets: make(map[string]*catalog.Target, len(c.targets.Entries())),
+	p := servingSnapshot{valid: true, cfg: c.cfg, tableEdits: c.targets.Edits(), cordoned: cordoned, closing: closing, newestVersions: newest, targets: make(map[string]*catalog.Target, len(c.targets.Entries())),
 		serving: map[string][]*catalog.Target{}, departed: c.targets.Departures(), evacuatedZones: zones, evacuatedCount: map[string]int{}}
 	for _, t := range c.targets.Entries() {
 		if t.Unusable {
@@ -189,21 +190,22 @@
 	return 1
 }
 
-// cordoned returns the ids of the targets that get no new requests because they are about to load
-// weights.
-func (c *controlState) cordoned() map[string]bool {
+// inRollout returns the ids of the last rollout update as a set, or an empty one if the update is
+// older than cordonTTL.
+func (c *controlState) inRollout(ids []string) map[string]bool {
 	out := map[string]bool{}
 	if c.now().Sub(c.rolloutReceivedAt) < cordonTTL {
-		for _, id := range c.rollout.Cordoned {
+		for _, id := range ids {
 			out[id] = true
 		}
 	}
 	return out
 }
 
-// uncordoned reports whether the last published view excludes targets that are no longer cordoned.
+// uncordoned reports whether the last published view has targets cordoned or closing that no
+// longer are, because the update has expired.
 func (c *controlState) uncordoned() bool {
-	return len(c.serving.cordoned) > 0 && len(c.cordoned()) == 0
+	return len(c.serving.cordoned)+len(c.serving.closing) > 0 && c.now().Sub(c.rolloutReceivedAt) >= cordonTTL
 }
 
 // buildView builds a view from the current state.
@@ -211,7 +213,7 @@
 	f, s := c.currentFleet(), c.currentServing()
 	v := &View{
 		Config: c.cfg, NewestReportedConfig: max(c.configInForce().Version, c.reportedConfig.Version), ConfigBytes: len(c.rawConfig),
-		Targets: s.targets, Serving: s.serving, Candidates: s.candidates, Outdated: s.outdated, Departed: s.departed,
+		Targets: s.targets, Serving: s.serving, Candidates: s.candidates, Closing: s.closing, Outdated: s.outdated, Departed: s.departed,
 		OtherInstances: f.others, InstanceCount: f.instances, Alive: f.alive, Self: c.members.Self().Name, Peers: f.peers, Orderers: f.orderers, Tree: f.tree, IsWatcher: f.watcher, WatchRank: f.watchRank, Watchers: f.watchers,
 		TargetsRevision: c.targets.Revision(), TargetsListed: c.targets.Listed(),
 		NamedVersions: map[string]NamedVersions{}, Rollout: c.rollout, Draining: c.draining, StoreReachable: c.storeReachable, Isolated: c.isolation.active,
