--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -120,7 +120,7 @@
 	customers         map[string]*Customer // by API key
 	hasKeys           bool
 	onceStreams       map[string]bool // services to which routes send streams that run at most once
-	isolatedCustomers string // names, sorted and separated by commas
+	isolatedCustomers string          // names, sorted and separated by commas
 }
 
 // ConfigSpec is a configuration as an adapter has decoded it.
