Rollouts: tests of closing targets under streams and failures

They guard against streams that may run only once and are cut off by a load, and against orders or closing targets left behind when the holder dies, the store is lost, a target leaves or an update is lost.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -58,3 +58,20 @@
 	withoutIsolation := catalog.NewConfig(catalog.ConfigSpec{Customers: []catalog.CustomerKeys{{Customer: catalog.Customer{Name: "one"}, Keys: []string{"k1"}}}})
 	is.True(withoutIsolation.CacheScope(withoutIsolation.Customer("k1")) != c.CacheScope(one))
 }
+
+// TestHasOnceStreams guards against rollouts that take streams which can be resumed, or requests of other
+// kinds, for streams that run at most once.
+func TestHasOnceStreams(t *testing.T) {
+	is := is.New(t)
+	route := func(service string, weight int, kind catalog.RequestKind, resumable bool) catalog.Route {
+		return catalog.Route{Host: "h", PathPrefix: "/" + service + "/", Kind: kind, Resumable: resumable,
+			Backends: []catalog.Backend{{Service: service, Weight: weight}, {Service: "other", Weight: 1}}}
+	}
+	c := catalog.NewConfig(catalog.ConfigSpec{Routes: []catalog.Route{route("once", 1, catalog.Streaming, false), route("resumable", 1, catalog.Streaming, true),
+		route("idempotent", 1, catalog.Idempotent, false), route("unused", 0, catalog.Streaming, false)}})
+	is.True(c.HasOnceStreams("once"))
+	for _, service := range []string{"resumable", "idempotent", "unused", "absent"} {
+		is.True(!c.HasOnceStreams(service))
+	}
+	is.True(!(*catalog.Config)(nil).HasOnceStreams("once"))
+}
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -87,6 +87,7 @@
 
 	deferredUntil map[string]time.Time // ids of targets, see deferLoads
 	closing       rollout.Closing      // ids of targets
+	heldAt        time.Time            // when the lease was last seen to be held
 	pace          rollout.Pace         // of the stages before an order
 	loadTime      time.Duration        // assumed duration of a load
 }
@@ -201,12 +202,13 @@
 	})
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if _, held := o.lease.Held(o.g.now()); !held {
-		if holder, _ := o.lease.Holder(); holder != o.g.settings().Name {
-			clear(o.closing)
+	if _, held := o.lease.Held(now); !held {
+		if now.Sub(o.heldAt) >= leaseParams.Term {
+			clear(o.closing) // another instance may name targets now
 		}
 		return nil
 	}
+	o.heldAt = now
 	for i := range targets {
 		_, targets[i].Loading = o.loading[targets[i].Name]
 	}
--- a/internal/gateway/traffic_test.go
+++ b/internal/gateway/traffic_test.go
@@ -83,6 +83,7 @@
 // fleetOptions are the optional settings of a trafficFleet.
 type fleetOptions struct {
 	codec        Codec                                  // trafficCodec if nil
+	engines      Engines                                // of all instances; nil: none
 	editSettings func(*Settings)                        // changes each instance's settings
 	onArrival    func(m *memoryTarget, r *http.Request) // called when a request reaches a target
 	log          log.Handler                            // of all instances; discard.Default if nil
@@ -145,7 +146,7 @@
 	if f.options.log != nil {
 		handler = f.options.log
 	}
-	g, err := New(set, Ports{Codec: codec, Store: f.storeClients[i], Listen: f.net.listen, Dial: f.net.dialFrom(set.Name)}, &log.Logger{Handler: handler})
+	g, err := New(set, Ports{Codec: codec, Store: f.storeClients[i], Engines: f.options.engines, Listen: f.net.listen, Dial: f.net.dialFrom(set.Name)}, &log.Logger{Handler: handler})
 	if err != nil {
 		f.t.Fatal(err)
 	}
