Rollouts: wait only where prompts that run at most once are known to run

A target's report counts all runs. Streams that can be resumed run for 3 to 5 s, so that a wait for all of them would nearly always take as long as allowed, and would only cost capacity. Load reports now name the cordoned targets at which prompts run that run at most once; the holder waits for these, and lets runs finish after the order only for these.

go test ./internal/core/rollout ./internal/loadreport ./internal/inflight, and the tests of rollouts in ./internal/gateway: pass.

--- a/internal/core/rollout/stages.go
+++ b/internal/core/rollout/stages.go
@@ -46,6 +46,10 @@
 	// the targets close while others load, and only those for which a place is free are held
 	// back. With 60 targets, 12 loads at a time and 16 cordoned, a quarter is free at the start.
 	closingDelayShare = 4
+	// waitingFactor times the time that each target could wait if all did is how long one waits:
+	// few have such runs left after they were closing. If all wait, later ones wait for less, since
+	// the pace is recomputed.
+	waitingFactor = 4
 )
 
 // Progress is the state of a rollout that its pace depends on.
@@ -85,7 +89,7 @@
 		pace.Closing = min(closingDelayShare*spare, longest)
 		spare = max(spare-longest/closingDelayShare, 0)
 	}
-	pace.Waiting = min(time.Duration(float64(spare)*places/loads), MaxWaiting)
+	pace.Waiting = min(time.Duration(waitingFactor*float64(spare)*places/loads), spare, MaxWaiting)
 	return pace
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -105,6 +105,10 @@
 	memoryTokens := int64(x.call.memoryTokens())
 	at.load.MemoryTokens.Add(memoryTokens)
 	defer at.load.MemoryTokens.Add(-memoryTokens)
+	if x.isOncePrompt() {
+		at.load.OncePrompts.Add(1)
+		defer at.load.OncePrompts.Add(-1)
+	}
 	at.pending = x.g.addPending(t.ID, at.promptWork.PrefillWork, at.startedAt)
 	defer x.g.removePending(at.pending)
 	x.triedTargets, x.software, x.lastZone, x.notice = append(x.triedTargets, t.ID), t.Software, t.Zone, Notice{}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -96,7 +96,7 @@
 		zone = x.g.relays.homeZone()
 	}
 	q := placement.Query{Zone: zone, RolloutTimeout: set.RolloutWithin, ConcurrencyPenaltyMS: x.concurrencyPenaltyMS(), RequestBytes: len(x.body), Rand: rand.Float64, Policy: set.Policy,
-		NeededTokens: x.call.memoryTokens(), Started: x.binding != nil || x.headerSent || x.possibleRuns > 0, AtMostOnce: x.mustAvoidClosing()}
+		NeededTokens: x.call.memoryTokens(), Started: x.binding != nil || x.headerSent || x.possibleRuns > 0, AtMostOnce: x.isOncePrompt()}
 	p := x.call.Prompt
 	if p == nil || len(p.Parts) < 2 {
 		return q
@@ -120,7 +120,7 @@
 // still be tried, can go on with the request's stream if that has begun, is neither ejected nor in backoff nor in an unreachable zone, may get a permit
 // if it names a limit, is not closing if the request must not run twice, and, while warming up, has a slot left for this instance.
 func (x *exchange) isFit(t *catalog.Target, ejected []string) bool {
-	if x.isExcluded(t) || x.isIncompatible(t) || x.inBackoff(t) || x.lacksPermit(t) || slices.Contains(ejected, t.ID) || x.unreachableZones[t.Zone] || x.view.Closing[t.ID] && x.mustAvoidClosing() {
+	if x.isExcluded(t) || x.isIncompatible(t) || x.inBackoff(t) || x.lacksPermit(t) || slices.Contains(ejected, t.ID) || x.unreachableZones[t.Zone] || x.view.Closing[t.ID] && x.isOncePrompt() {
 		return false
 	}
 	if blocked, _ := x.warmupBlocked(t, x.g.now()); blocked {
@@ -130,11 +130,9 @@
 	return p == nil || t.WeightVersion(p.Model) >= max(x.view.NamedVersions[p.Model].Newest, 1)
 }
 
-// mustAvoidClosing reports whether the request would be lost if its target loaded weights while
-// it runs.
-func (x *exchange) mustAvoidClosing() bool {
-	return len(x.view.Closing) > 0 && x.call.Prompt != nil && !x.route.Repeatable()
-}
+// isOncePrompt reports whether the request is a prompt that runs at most once: it is lost if its
+// target loads weights while it runs.
+func (x *exchange) isOncePrompt() bool { return x.call.Prompt != nil && !x.route.Repeatable() }
 
 // inBackoff reports whether a target has requested backoff, as of this attempt.
 func (x *exchange) inBackoff(t *catalog.Target) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -114,6 +114,7 @@
 	peerLoads        *loadreport.PeerWork
 	peerSilences     *loadreport.UnresponsiveTargets
 	peerPendingSaves *loadreport.PendingSaves
+	peerOncePrompts  *loadreport.KeySets // cordoned targets, see LoadReport.OncePrompts
 	storePositions   positionTracker
 	cache            *cacheDirectory
 	rollout          *rolloutController
@@ -148,6 +149,7 @@
 	g.breaker = breaker.New(g.now)
 	g.predictor = placement.NewPredictor()
 	g.peerLoads, g.peerSilences, g.peerPendingSaves = loadreport.NewPeerWork(loadReportTTL), loadreport.NewUnresponsiveTargets(loadReportTTL), loadreport.NewPendingSaves(pendingSaveTTL, loadReportTTL)
+	g.peerOncePrompts = loadreport.NewKeySets(loadReportTTL)
 	g.cache = newCacheDirectory(g)
 	g.rollout = newRolloutController(g)
 	g.retryBudgets.g = g
--- a/internal/gateway/load_reports.go
+++ b/internal/gateway/load_reports.go
@@ -49,6 +49,9 @@
 	// PendingSaves are parts whose saves are still pending, including those that the sender
 	// relays.
 	PendingSaves []loadreport.Key `cbor:"5,keyasint,omitempty"`
+	// OncePrompts are cordoned targets at which prompts run that run at most once, including those
+	// that the sender relays.
+	OncePrompts []loadreport.Key `cbor:"12,keyasint,omitempty"`
 }
 
 // Ack is the empty reply to a LoadReport.
@@ -60,6 +63,7 @@
 	h.g.peerSilences.Apply(req.From, req.Seq, req.Silent, h.g.now())
 	h.g.peerSilences.ApplyResponses(req.From, req.Seq, req.Answered, h.g.now())
 	h.g.peerPendingSaves.Apply(req.From, req.Seq, req.PendingSaves, h.g.now())
+	h.g.peerOncePrompts.Apply(req.From, req.Seq, req.OncePrompts, h.g.now())
 	h.g.storePositions.record(req.From, req.Seq, req.StorePositions, h.g.now()) // after PendingSaves, see LoadReport.StorePositions
 	return nil
 }
@@ -131,13 +135,15 @@
 		ownAnswered, peerAnswered := g.ownAnswered(peerSilences), g.peerSilences.ResponseReports(g.now())
 		positions := g.cache.ownPositions() // before the pending saves, see LoadReport.StorePositions
 		ownPending, peerPending := g.cache.ownPendingSaves(), g.peerPendingSaves.Reports(g.now())
+		ownOnce, peerOnce := g.ownOncePrompts(), g.peerOncePrompts.Reports(g.now())
 		tree := g.view.Load().Tree
 		for _, n := range tree.neighbours() {
 			if tree.isCrossZone(n.Member) && seq%crossZoneEvery != 0 {
 				continue
 			}
-			report := &LoadReport{From: g.settings().Name, Seq: seq, Targets: n.loadsToReport(ownLoads, peerLoads).Report(), Silent: n.silencesToReport(ownSilent, peerSilences), Answered: n.answeredToReport(ownAnswered, peerAnswered), PendingSaves: n.pendingSavesToReport(ownPending, peerPending), StorePositions: positions}
-			nonEmpty := len(report.Targets)+len(report.Silent)+len(report.Answered)+len(report.PendingSaves)+len(report.StorePositions) > 0
+			report := &LoadReport{From: g.settings().Name, Seq: seq, Targets: n.loadsToReport(ownLoads, peerLoads).Report(), Silent: n.silencesToReport(ownSilent, peerSilences), Answered: n.answeredToReport(ownAnswered, peerAnswered), PendingSaves: n.keysToReport(ownPending, peerPending), StorePositions: positions,
+				OncePrompts: n.keysToReport(ownOnce, peerOnce)}
+			nonEmpty := len(report.Targets)+len(report.Silent)+len(report.Answered)+len(report.PendingSaves)+len(report.StorePositions)+len(report.OncePrompts) > 0
 			if !nonEmpty && !lastNonEmpty[n.Name] {
 				continue
 			}
--- a/internal/gateway/pending_saves.go
+++ b/internal/gateway/pending_saves.go
@@ -90,9 +90,9 @@
 	}
 }
 
-// pendingSavesToReport returns the pending saves to report to a neighbour: this instance's own and
-// those of peers that the neighbour does not receive directly.
-func (n neighbour) pendingSavesToReport(own []loadreport.Key, peers map[string][]loadreport.Key) []loadreport.Key {
+// keysToReport returns the keys to report to a neighbour, of pending saves for instance: this
+// instance's own and those of peers that the neighbour does not receive directly.
+func (n neighbour) keysToReport(own []loadreport.Key, peers map[string][]loadreport.Key) []loadreport.Key {
 	reported := map[loadreport.Key]bool{}
 	for _, k := range own {
 		reported[k] = true
--- a/internal/gateway/rollout_stages.go
+++ b/internal/gateway/rollout_stages.go
@@ -9,6 +9,7 @@
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
 	"github.com/shedhoist/shedhoist/internal/core/rollout"
+	"github.com/shedhoist/shedhoist/internal/loadreport"
 	"github.com/shedhoist/shedhoist/internal/metric"
 	"github.com/shedhoist/shedhoist/internal/wait"
 )
@@ -42,8 +43,8 @@
 
 // usesStages reports whether the targets of a service pass through the stages: routes send it streams
 // that run at most once.
-func (o *rolloutController) usesStages(v *View, service string) bool {
-	return o.g.settings().Policy.RolloutStages && v.Config.HasOnceStreams(service)
+func (g *Gateway) usesStages(v *View, service string) bool {
+	return g.settings().Policy.RolloutStages && v.Config.HasOnceStreams(service)
 }
 
 // holdTargets holds back the targets that have not been closing for long enough, and sets the pace;
@@ -64,7 +65,7 @@
 	slices.Sort(progress.TimeLeft)
 	o.pace = rollout.PaceOf(progress)
 	for i, t := range targets {
-		if !o.usesStages(v, v.Targets[t.Name].Service) {
+		if !o.g.usesStages(v, v.Targets[t.Name].Service) {
 			continue
 		}
 		stage, in := rollout.StageServing, time.Duration(0)
@@ -78,7 +79,7 @@
 // updateClosing names the targets that are cordoned next, and reports whether they have changed;
 // o.mu is held.
 func (o *rolloutController) updateClosing(v *View, targets []rollout.Target, desired map[string]rollout.DesiredVersion, now time.Time) bool {
-	staged := slices.DeleteFunc(slices.Clone(targets), func(t rollout.Target) bool { return !o.usesStages(v, v.Targets[t.Name].Service) })
+	staged := slices.DeleteFunc(slices.Clone(targets), func(t rollout.Target) bool { return !o.g.usesStages(v, v.Targets[t.Name].Service) })
 	free := o.maxLoads + o.maxLoads/loadsPerCordonedTarget - len(o.loading)
 	return o.closing.Update(o.planner.Upcoming(staged, desired, max(o.maxLoads, free)), now)
 }
@@ -157,7 +158,12 @@
 	}
 	orderedAt := o.g.now()
 	l.runsLeft = before.Running + before.Queued
-	l.finish = l.runsLeft > 0 && o.paceFor(t).Finish
+	if l.runsLeft > 0 && o.g.hasOncePrompts(t.ID) {
+		l.finish = o.paceFor(t).Finish
+		if !l.finish {
+			metric.RolloutInterrupted.Inc()
+		}
+	}
 	if refusal := o.sendOrder(ctx, l, before.OrderSeq); refusal != "" {
 		return refusal
 	}
@@ -174,13 +180,36 @@
 // updateVersion makes a load that is not ordered yet load the newest version named meanwhile.
 func (o *rolloutController) updateVersion(l *plannedLoad) {
 	v := o.g.view.Load()
-	if o.usesStages(v, l.target.Service) {
+	if o.g.usesStages(v, l.target.Service) {
 		l.version = max(l.version, v.NamedVersions[l.Model].Newest)
 	}
 }
 
-// awaitRuns polls a cordoned target's reports until nothing runs or waits there, for as long as
-// the pace allows. It fails if the target must not be loaded now.
+// hasOncePrompts reports whether prompts that run at most once are known to run at a target: this
+// instance's own, or those in the load reports of its peers, which cover cordoned targets only.
+func (g *Gateway) hasOncePrompts(id string) bool {
+	return g.upstream.inflight.Get(id).OncePrompts.Load() > 0 || g.peerOncePrompts.Has(loadreport.KeyOf(id), g.now())
+}
+
+// ownOncePrompts returns the cordoned targets at which this instance's prompts run that run at most
+// once.
+func (g *Gateway) ownOncePrompts() []loadreport.Key {
+	var out []loadreport.Key
+	v := g.view.Load()
+	for id := range v.Cordoned {
+		if t := v.Targets[id]; t == nil || !g.usesStages(v, t.Service) {
+			continue
+		}
+		if g.upstream.inflight.Get(id).OncePrompts.Load() > 0 {
+			out = append(out, loadreport.KeyOf(id))
+		}
+	}
+	return out
+}
+
+// awaitRuns waits until no prompts that run at most once are known to run at a cordoned target, or
+// its report says that nothing runs or waits there, for as long as the pace allows. It fails if the
+// target must not be loaded now.
 func (o *rolloutController) awaitRuns(ctx context.Context, l *plannedLoad) error {
 	since := o.g.now()
 	stage, runs := rollout.StageCordoned, -1 // no report yet
@@ -190,7 +219,7 @@
 			in = l.cordoned
 		}
 		stage = o.paceFor(l.target).Next(stage, in, runs)
-		if stage != rollout.StageWaiting {
+		if stage != rollout.StageWaiting || !o.g.hasOncePrompts(l.target.ID) {
 			break
 		}
 		r, err := o.fetchReport(ctx, l.target)
@@ -218,7 +247,7 @@
 
 // paceFor returns the pace of the stages of a target; zero if they don't apply to it.
 func (o *rolloutController) paceFor(t *catalog.Target) rollout.Pace {
-	if !o.usesStages(o.g.view.Load(), t.Service) {
+	if !o.g.usesStages(o.g.view.Load(), t.Service) {
 		return rollout.Pace{}
 	}
 	o.mu.Lock()
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -67,6 +67,7 @@
 	Serving              map[string][]*catalog.Target // by service: targets that accept new requests, sorted by id
 	// Candidates are, by service, the targets of Serving that this instance prefers.
 	Candidates     map[string][]*catalog.Target
+	Cordoned       map[string]bool          // ids of targets that are about to load weights and get no new requests
 	Closing        map[string]bool          // ids of targets that are cordoned next
 	Outdated       []*catalog.Target        // targets with weights older than named that are not leaving
 	NamedVersions  map[string]NamedVersions // by model
--- a/internal/gateway/view_build.go
+++ b/internal/gateway/view_build.go
@@ -213,7 +213,7 @@
 	f, s := c.currentFleet(), c.currentServing()
 	v := &View{
 		Config: c.cfg, NewestReportedConfig: max(c.configInForce().Version, c.reportedConfig.Version), ConfigBytes: len(c.rawConfig),
-		Targets: s.targets, Serving: s.serving, Candidates: s.candidates, Closing: s.closing, Outdated: s.outdated, Departed: s.departed,
+		Targets: s.targets, Serving: s.serving, Candidates: s.candidates, Cordoned: s.cordoned, Closing: s.closing, Outdated: s.outdated, Departed: s.departed,
 		OtherInstances: f.others, InstanceCount: f.instances, Alive: f.alive, Self: c.members.Self().Name, Peers: f.peers, Orderers: f.orderers, Tree: f.tree, IsWatcher: f.watcher, WatchRank: f.watchRank, Watchers: f.watchers,
 		TargetsRevision: c.targets.Revision(), TargetsListed: c.targets.Listed(),
 		NamedVersions: map[string]NamedVersions{}, Rollout: c.rollout, Draining: c.draining, StoreReachable: c.storeReachable, Isolated: c.isolation.active,
--- a/internal/inflight/inflight.go
+++ b/internal/inflight/inflight.go
@@ -18,6 +18,7 @@
 	Requests      atomic.Int64 // sent and not finished
 	PrefillTokens atomic.Int64 // prompt tokens not computed yet
 	MemoryTokens  atomic.Int64 // tokens that the requests hold in the target's memory
+	OncePrompts   atomic.Int64 // prompts that run at most once, sent and not finished
 	// Responses tracks how long the target has not responded to this instance.
 	Responses ResponseTracker
 }
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -56,9 +56,10 @@
 	Panics                   = metrics.NewCounter("shedhoist_panics_total")
 	ConfigErrors             = metrics.NewCounter("shedhoist_config_errors_total")
 	PlatformErrors           = metrics.NewCounter("shedhoist_platform_errors_total")
-	UpdatesFailed            = metrics.NewCounter("shedhoist_news_failed_total")      // updates requested from a peer that did not arrive complete
-	UpdatesBypassed          = metrics.NewCounter("shedhoist_news_doubted_total")     // times that an instance that follows its peers' updates read the object store instead
-	RolloutWaits             = metrics.NewHistogram("shedhoist_rollout_wait_seconds") // waits for the runs of cordoned targets
+	UpdatesFailed            = metrics.NewCounter("shedhoist_news_failed_total")         // updates requested from a peer that did not arrive complete
+	UpdatesBypassed          = metrics.NewCounter("shedhoist_news_doubted_total")        // times that an instance that follows its peers' updates read the object store instead
+	RolloutWaits             = metrics.NewHistogram("shedhoist_rollout_wait_seconds")    // waits for the runs of cordoned targets
+	RolloutInterrupted       = metrics.NewCounter("shedhoist_rollout_interrupted_total") // orders that cut off prompts that run at most once
 	FirstToken               = metrics.NewHistogram("shedhoist_first_token_seconds")
 	PredictionError          = metrics.NewHistogram("shedhoist_prediction_error_seconds") // absolute error of the predicted time to the first response
 	BetweenTokens            = metrics.NewHistogram("shedhoist_between_tokens_seconds")
