Rollouts: prompts on their last attempt avoid closing targets too

Closing targets get more of the streams that can be resumed. Their loads cut these off, and the streams were then sent to targets that loaded next, which used up their attempts.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -96,7 +96,7 @@
 		zone = x.g.relays.homeZone()
 	}
 	q := placement.Query{Zone: zone, RolloutTimeout: set.RolloutWithin, ConcurrencyPenaltyMS: x.concurrencyPenaltyMS(), RequestBytes: len(x.body), Rand: rand.Float64, Policy: set.Policy,
-		NeededTokens: x.call.memoryTokens(), Started: x.binding != nil || x.headerSent || x.possibleRuns > 0, AtMostOnce: x.isOncePrompt()}
+		NeededTokens: x.call.memoryTokens(), Started: x.binding != nil || x.headerSent || x.possibleRuns > 0, AtMostOnce: x.lostIfCutOff()}
 	p := x.call.Prompt
 	if p == nil || len(p.Parts) < 2 {
 		return q
@@ -120,7 +120,7 @@
 // still be tried, can go on with the request's stream if that has begun, is neither ejected nor in backoff nor in an unreachable zone, may get a permit
 // if it names a limit, is not closing if the request must not run twice, and, while warming up, has a slot left for this instance.
 func (x *exchange) isFit(t *catalog.Target, ejected []string) bool {
-	if x.isExcluded(t) || x.isIncompatible(t) || x.inBackoff(t) || x.lacksPermit(t) || slices.Contains(ejected, t.ID) || x.unreachableZones[t.Zone] || x.view.Closing[t.ID] && x.isOncePrompt() {
+	if x.isExcluded(t) || x.isIncompatible(t) || x.inBackoff(t) || x.lacksPermit(t) || slices.Contains(ejected, t.ID) || x.unreachableZones[t.Zone] || x.view.Closing[t.ID] && x.lostIfCutOff() {
 		return false
 	}
 	if blocked, _ := x.warmupBlocked(t, x.g.now()); blocked {
@@ -134,6 +134,13 @@
 // target loads weights while it runs.
 func (x *exchange) isOncePrompt() bool { return x.call.Prompt != nil && !x.route.Repeatable() }
 
+// lostIfCutOff reports whether the request is lost if its target loads weights while it runs: it runs
+// at most once, or this is its last attempt. Without the latter, streams that one load has cut off
+// are sent to targets that load next.
+func (x *exchange) lostIfCutOff() bool {
+	return x.isOncePrompt() || x.call.Prompt != nil && x.possibleRuns > 0 && x.possibleRuns+1 >= x.route.MaxAttempts
+}
+
 // inBackoff reports whether a target has requested backoff, as of this attempt.
 func (x *exchange) inBackoff(t *catalog.Target) bool {
 	_, found := x.backoffUntil[t.ID]
--- a/internal/gateway/rollout_stages_test.go
+++ b/internal/gateway/rollout_stages_test.go
@@ -553,3 +553,34 @@
 		f.awaitVersion(2)
 	})
 }
+
+// TestWhichRequestsAvoidClosingTargets guards against closing targets that are avoided by requests which
+// another target can continue, or used by those that would be lost.
+func TestWhichRequestsAvoidClosingTargets(t *testing.T) {
+	for name, c := range map[string]struct {
+		route        catalog.Route
+		plain        bool
+		possibleRuns int
+		want         bool
+	}{
+		"stream that runs at most once":          {route: catalog.Route{Kind: catalog.Streaming, MaxAttempts: 2}, want: true},
+		"prompt that runs at most once":          {route: catalog.Route{Kind: catalog.AtMostOnce, MaxAttempts: 1}, want: true},
+		"plain request":                          {route: catalog.Route{Kind: catalog.AtMostOnce, MaxAttempts: 1}, plain: true},
+		"resumable stream":                       {route: catalog.Route{Kind: catalog.Streaming, Resumable: true, MaxAttempts: 2}},
+		"resumable stream, last attempt":         {route: catalog.Route{Kind: catalog.Streaming, Resumable: true, MaxAttempts: 2}, possibleRuns: 1, want: true},
+		"resumable stream, one but last":         {route: catalog.Route{Kind: catalog.Streaming, Resumable: true, MaxAttempts: 3}, possibleRuns: 1},
+		"resumable stream, one attempt only":     {route: catalog.Route{Kind: catalog.Streaming, Resumable: true, MaxAttempts: 1}},
+		"idempotent prompt":                      {route: catalog.Route{Kind: catalog.Idempotent, MaxAttempts: 2}},
+		"idempotent prompt, last attempt":        {route: catalog.Route{Kind: catalog.Idempotent, MaxAttempts: 2}, possibleRuns: 1, want: true},
+		"plain idempotent request, last attempt": {route: catalog.Route{Kind: catalog.Idempotent, MaxAttempts: 2}, plain: true, possibleRuns: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			x := &exchange{route: &c.route, possibleRuns: c.possibleRuns}
+			if !c.plain {
+				x.call.Prompt = &Prompt{Model: partModel}
+			}
+			is.Equal(x.lostIfCutOff(), c.want)
+		})
+	}
+}
