--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -122,8 +122,9 @@
 	modelServices     map[string]bool      // services with an engine or a route that uses a model
 	customers         map[string]*Customer // by API key
 	hasKeys           bool
-	isolatedCustomers string // names, sorted and separated by commas
-	promptLevels      map[string]admission.Levels
+	onceStreams       map[string]bool             // services to which routes send streams that run at most once
+	isolatedCustomers string                      // names, sorted and separated by commas
+	promptLevels      map[string]admission.Levels // by service
 }
 
 // ConfigSpec is a configuration as an adapter has decoded it.
@@ -145,7 +146,7 @@
 // NewConfig indexes a configuration.
 func NewConfig(spec ConfigSpec) *Config {
 	c := &Config{Version: spec.Version, Limits: spec.Limits, Services: map[string]*Service{}, Stores: slices.Clone(spec.Stores),
-		routes: map[string][]*Route{}, modelServices: map[string]bool{}, customers: map[string]*Customer{}, hasKeys: len(spec.Customers) > 0}
+		routes: map[string][]*Route{}, modelServices: map[string]bool{}, customers: map[string]*Customer{}, hasKeys: len(spec.Customers) > 0, onceStreams: map[string]bool{}}
 	for _, s := range spec.Services {
 		c.Services[s.Name] = &s
 		if s.Engine != nil {
@@ -159,6 +160,9 @@
 			if r.UsesModel && r.SendsTo(b.Service) {
 				c.modelServices[b.Service] = true
 			}
+			if r.Kind == Streaming && !r.Resumable && r.SendsTo(b.Service) {
+				c.onceStreams[b.Service] = true
+			}
 		}
 	}
 	c.promptLevels = promptLevels(spec)
@@ -223,6 +227,9 @@
 	return c.HasService(service) && !c.modelServices[service]
 }
 
+// HasOnceStreams reports whether a route sends streams that run at most once to a service.
+func (c *Config) HasOnceStreams(service string) bool { return c != nil && c.onceStreams[service] }
+
 // TargetMemory returns the memory of one target of a service, in tokens; 0 if it is not declared.
 func (c *Config) TargetMemory(service string) int {
 	if s := c.Services[service]; s != nil && s.Engine != nil {
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -102,3 +102,20 @@
 	is.NoErr(cbor.Unmarshal(data, &back))
 	is.Equal(back.Slots, 0)
 }
+
+// TestHasOnceStreams guards against rollouts that take streams which can be resumed, or requests of other
+// kinds, for streams that run at most once.
+func TestHasOnceStreams(t *testing.T) {
+	is := is.New(t)
+	route := func(service string, weight int, kind catalog.RequestKind, resumable bool) catalog.Route {
+		return catalog.Route{Host: "h", PathPrefix: "/" + service + "/", Kind: kind, Resumable: resumable,
+			Backends: []catalog.Backend{{Service: service, Weight: weight}, {Service: "other", Weight: 1}}}
+	}
+	c := catalog.NewConfig(catalog.ConfigSpec{Routes: []catalog.Route{route("once", 1, catalog.Streaming, false), route("resumable", 1, catalog.Streaming, true),
+		route("idempotent", 1, catalog.Idempotent, false), route("unused", 0, catalog.Streaming, false)}})
+	is.True(c.HasOnceStreams("once"))
+	for _, service := range []string{"resumable", "idempotent", "unused", "absent"} {
+		is.True(!c.HasOnceStreams(service))
+	}
+	is.True(!(*catalog.Config)(nil).HasOnceStreams("once"))
+}
--- a/internal/core/policy/policy.go
+++ b/internal/core/policy/policy.go
@@ -24,6 +24,7 @@
 	HomeSources       bool // shared parts that no store delivers are fetched from the prompt's home target
 	HeadsInFastStores bool // parts with which prompts begin are saved in the fastest stores
 	Slots             bool // services without a model: waits for slots are predicted from all instances' requests
+	RolloutStages     bool // targets close, and their runs are waited for, before they load weights
 }
 
 // switches maps the names of the mechanisms, as used in settings, to their fields.
@@ -43,6 +44,7 @@
 	"heads-apart":    func(p *Policy) *bool { return &p.HeadsInFastStores },
 	"rank-admission": func(p *Policy) *bool { return &p.RankAdmission },
 	"slots":          func(p *Policy) *bool { return &p.Slots },
+	"rollout-stages": func(p *Policy) *bool { return &p.RolloutStages },
 }
 
 // Default returns the policy with all mechanisms in use.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -108,6 +108,10 @@
 	defer at.load.MemoryTokens.Add(-memoryTokens)
 	x.g.customerShares.hold(x.service, x.customerName(), int(memoryTokens))
 	defer x.g.customerShares.hold(x.service, x.customerName(), -int(memoryTokens))
+	if x.isOncePrompt() {
+		at.load.OncePrompts.Add(1)
+		defer at.load.OncePrompts.Add(-1)
+	}
 	at.pending = x.g.addPending(t.ID, at.promptWork.PrefillWork, at.startedAt)
 	defer x.g.removePending(at.pending)
 	x.triedTargets, x.software, x.lastZone, x.notice = append(x.triedTargets, t.ID), t.Software, t.Zone, Notice{}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -105,7 +105,7 @@
 		zone = x.g.relays.homeZone()
 	}
 	q := placement.Query{Zone: zone, RolloutTimeout: set.RolloutWithin, ConcurrencyPenaltyMS: x.concurrencyPenaltyMS(), RequestBytes: len(x.body), Rand: rand.Float64, Policy: set.Policy,
-		NeededTokens: x.call.memoryTokens(), Started: x.binding != nil || x.headerSent || x.possibleRuns > 0}
+		NeededTokens: x.call.memoryTokens(), Started: x.binding != nil || x.headerSent || x.possibleRuns > 0, AtMostOnce: x.lostIfCutOff()}
 	x.limitByRank(&q)
 	x.addSlotQuery(&q)
 	p := x.call.Prompt
@@ -127,9 +127,9 @@
 
 // isFit reports whether a target serves the request's model with the newest weights, may
 // still be tried, can go on with the request's stream if that has begun, is neither ejected nor in backoff nor in an unreachable zone, may get a permit
-// if it names a limit, and, while warming up, has a slot left for this instance.
+// if it names a limit, is not closing if the request must not run twice, and, while warming up, has a slot left for this instance.
 func (x *exchange) isFit(t *catalog.Target, ejected []string) bool {
-	if x.isExcluded(t) || x.isIncompatible(t) || x.inBackoff(t) || x.lacksPermit(t) || slices.Contains(ejected, t.ID) || x.unreachableZones[t.Zone] {
+	if x.isExcluded(t) || x.isIncompatible(t) || x.inBackoff(t) || x.lacksPermit(t) || slices.Contains(ejected, t.ID) || x.unreachableZones[t.Zone] || x.view.Closing[t.ID] && x.lostIfCutOff() {
 		return false
 	}
 	if blocked, _ := x.warmupBlocked(t, x.g.now()); blocked {
@@ -139,6 +139,17 @@
 	return p == nil || t.WeightVersion(p.Model) >= max(x.view.NamedVersions[p.Model].Newest, 1)
 }
 
+// isOncePrompt reports whether the request is a prompt that runs at most once: it is lost if its
+// target loads weights while it runs.
+func (x *exchange) isOncePrompt() bool { return x.call.Prompt != nil && !x.route.Repeatable() }
+
+// lostIfCutOff reports whether the request is lost if its target loads weights while it runs: it runs
+// at most once, or this is its last attempt. Without the latter, streams that one load has cut off
+// are sent to targets that load next.
+func (x *exchange) lostIfCutOff() bool {
+	return x.isOncePrompt() || x.call.Prompt != nil && x.possibleRuns > 0 && x.possibleRuns+1 >= x.route.MaxAttempts
+}
+
 // inBackoff reports whether a target has requested backoff, as of this attempt.
 func (x *exchange) inBackoff(t *catalog.Target) bool {
 	_, found := x.backoffUntil[t.ID]
@@ -196,7 +207,7 @@
 	defer x.g.predictorMu.Unlock()
 	for i, t := range targets {
 		load := x.g.upstream.inflight.Get(t.ID)
-		o := placement.Target{ID: t.Name, Zone: t.Zone, InFlight: int(load.Requests.Load()), Excluded: x.isExcluded(t), Ejected: slices.Contains(ejected, t.ID), ZoneUnreachable: x.unreachableZones[t.Zone], InBackoff: x.inBackoff(t)}
+		o := placement.Target{ID: t.Name, Zone: t.Zone, InFlight: int(load.Requests.Load()), Excluded: x.isExcluded(t), Ejected: slices.Contains(ejected, t.ID), ZoneUnreachable: x.unreachableZones[t.Zone], InBackoff: x.inBackoff(t), Closing: x.view.Closing[t.ID]}
 		o.RateLimited, o.Incompatible = x.lacksPermit(t), x.isIncompatible(t)
 		o.WarmupLimited, o.Weight = x.warmupBlocked(t, now)
 		if p := x.call.Prompt; p != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,7 +119,8 @@
 	serviceTimes     serviceTimes             // of services without a model
 	peerSilences     *loadreport.UnresponsiveTargets
 	peerPendingSaves *loadreport.PendingSaves
-	customerShares   customerShares // customers above their fair shares of scarce capacity
+	customerShares   customerShares      // customers above their fair shares of scarce capacity
+	peerOncePrompts  *loadreport.KeySets // cordoned targets, see LoadReport.OncePrompts
 	storePositions   positionTracker
 	cache            *cacheDirectory
 	rollout          *rolloutController
@@ -156,6 +157,7 @@
 	g.peerLoads, g.peerSilences, g.peerPendingSaves = loadreport.NewPeerWork(loadReportTTL), loadreport.NewUnresponsiveTargets(loadReportTTL), loadreport.NewPendingSaves(pendingSaveTTL, loadReportTTL)
 	g.peerRequests = loadreport.NewPeerRequests(loadReportTTL)
 	g.customerShares.g, g.customerShares.peers = g, loadreport.NewPeerCustomers(customerSumsTTL, loadReportTTL)
+	g.peerOncePrompts = loadreport.NewKeySets(loadReportTTL)
 	g.cache = newCacheDirectory(g)
 	g.rollout = newRolloutController(g)
 	g.retryBudgets.g = g
--- a/internal/gateway/load_reports.go
+++ b/internal/gateway/load_reports.go
@@ -55,6 +55,9 @@
 	// Customers are the customers' sums at services whose capacity is scarce, including those that the
 	// sender relays. Most reports have none: they are sent once a second.
 	Customers []loadreport.ServiceSums `cbor:"8,keyasint,omitempty"`
+	// OncePrompts are cordoned targets at which prompts run that run at most once, including those
+	// that the sender relays.
+	OncePrompts []loadreport.Key `cbor:"12,keyasint,omitempty"`
 }
 
 // Ack is the empty reply to a LoadReport.
@@ -68,6 +71,7 @@
 	h.g.peerSilences.ApplyResponses(req.From, req.Seq, req.Answered, h.g.now())
 	h.g.peerPendingSaves.Apply(req.From, req.Seq, req.PendingSaves, h.g.now())
 	h.g.customerShares.peers.Apply(req.From, req.Seq, req.Customers, h.g.now())
+	h.g.peerOncePrompts.Apply(req.From, req.Seq, req.OncePrompts, h.g.now())
 	h.g.storePositions.record(req.From, req.Seq, req.StorePositions, h.g.now()) // after PendingSaves, see LoadReport.StorePositions
 	return nil
 }
@@ -140,18 +144,19 @@
 		ownAnswered, peerAnswered := g.ownAnswered(peerSilences), g.peerSilences.ResponseReports(g.now())
 		positions := g.cache.ownPositions() // before the pending saves, see LoadReport.StorePositions
 		ownPending, peerPending := g.cache.ownPendingSaves(), g.peerPendingSaves.Reports(g.now())
+		ownOnce, peerOnce := g.ownOncePrompts(), g.peerOncePrompts.Reports(g.now())
 		tree := g.view.Load().Tree
 		ownCustomers, peerCustomers := g.customerShares.update(g.now(), tree.neighbours())
 		for _, n := range tree.neighbours() {
 			if tree.isCrossZone(n.Member) && seq%crossZoneEvery != 0 {
 				continue
 			}
-			report := &LoadReport{From: g.settings().Name, Seq: seq, Targets: n.loadsToReport(ownLoads, peerLoads).Report(), Silent: n.silencesToReport(ownSilent, peerSilences), Answered: n.answeredToReport(ownAnswered, peerAnswered), PendingSaves: n.pendingSavesToReport(ownPending, peerPending), StorePositions: positions,
-				Requests: n.requestsToReport(ownRequests, peerRequests).Report()}
+			report := &LoadReport{From: g.settings().Name, Seq: seq, Targets: n.loadsToReport(ownLoads, peerLoads).Report(), Silent: n.silencesToReport(ownSilent, peerSilences), Answered: n.answeredToReport(ownAnswered, peerAnswered), PendingSaves: n.keysToReport(ownPending, peerPending), StorePositions: positions,
+				Requests: n.requestsToReport(ownRequests, peerRequests).Report(), OncePrompts: n.keysToReport(ownOnce, peerOnce)}
 			if use := n.customersToReport(ownCustomers, peerCustomers); g.customerShares.due(n.Name, use, g.now()) {
 				report.Customers = use.Report()
 			}
-			nonEmpty := len(report.Customers)+len(report.Targets)+len(report.Requests)+len(report.Silent)+len(report.Answered)+len(report.PendingSaves)+len(report.StorePositions) > 0
+			nonEmpty := len(report.Customers)+len(report.Targets)+len(report.Requests)+len(report.Silent)+len(report.Answered)+len(report.PendingSaves)+len(report.StorePositions)+len(report.OncePrompts) > 0
 			if !nonEmpty && !lastNonEmpty[n.Name] {
 				continue
 			}
