--- a/internal/gateway/customer_shares_test.go
+++ b/internal/gateway/customer_shares_test.go
@@ -330,6 +330,8 @@
 	shares := &g.customerShares
 	shares.hold("s", "a", 100_000)
 	shares.hold("s", "", 100_000)
+	shares.hold("other", "a", 100_000)
+	shares.hold("other", "b", 1000)
 	s.play(2*time.Second, "")
 	is.True(!g.overFairShare("s", "a"))
 	shares.refused("s", "b", 50_000)
@@ -343,7 +345,7 @@
 	is.True(!g.overFairShare("s", "b"))
 	is.True(!g.overFairShare("s", ""))
 	is.True(!g.overFairShare("s", "unknown"))
-	is.True(!g.overFairShare("other", "a"))
+	is.True(!g.overFairShare("other", "a")) // its capacity is not scarce
 	is.Equal(testing.AllocsPerRun(100, func() { g.overFairShare("s", "a") }), 0.0)
 	s.now = s.now.Add(fairshare.ScarceTime)
 	is.True(!g.overFairShare("s", "a")) // also if nothing was compared since
@@ -351,6 +353,8 @@
 
 	g.view.Store(&View{Config: catalog.NewConfig(catalog.ConfigSpec{})})
 	shares.hold("s", "a", -100_000-simHold)
+	shares.hold("other", "a", -100_000)
+	shares.hold("other", "b", -1000)
 	s.play(time.Minute, "")
 	is.Equal(len(shares.own), 0) // what has ended is forgotten
 	shares.refused("s", "", 50_000)
