Rollouts: more targets close, each for longer

Change: twice as many targets close as load at a time, at most two fifths of all, and each for up to 3 s if the rollout deadline leaves the time.

--- a/internal/core/rollout/stages.go
+++ b/internal/core/rollout/stages.go
@@ -22,9 +22,9 @@
 
 // Times of the stages.
 const (
-	// MaxClosing is the longest time that a target is closing: most streams that run at most
-	// once are shorter.
-	MaxClosing = 1500 * time.Millisecond
+	// MaxClosing is the longest time that a target is closing: model streams last up to 5 s, and
+	// most of those that run when closing begins have ended by then.
+	MaxClosing = 3 * time.Second
 	// CordonTime is how long a target is cordoned before its order: the other instances learn
 	// of it within milliseconds, and most short responses end meanwhile.
 	CordonTime = 500 * time.Millisecond
@@ -52,6 +52,20 @@
 	waitingFactor = 4
 )
 
+const (
+	// closingPerLoad is how many targets close for each that may load at a time: the more there are,
+	// the longer each is closing.
+	closingPerLoad = 2
+	// maxClosingShare is the largest share of the targets that close, unless more load at a time.
+	// The others have to take all streams that run at most once.
+	maxClosingShare = 0.4
+)
+
+// MaxClosingTargets returns how many of a model's targets may be closing at once.
+func MaxClosingTargets(targets, maxLoads int) int {
+	return min(closingPerLoad*maxLoads, max(int(maxClosingShare*float64(targets)), maxLoads))
+}
+
 // Progress is the state of a rollout that its pace depends on.
 type Progress struct {
 	// TimeLeft is the time until the rollout deadline of each load that has not ended,
@@ -60,6 +74,7 @@
 	Started  bool          // at least one target is cordoned or loads
 	Passed   time.Duration // sum over these targets of the time since their cordon, without waiting
 	MaxLoads int           // loads that may run at once
+	Closing  int           // targets that may be closing at once
 	Ahead    int           // targets that may be cordoned beyond MaxLoads
 	LoadTime time.Duration // from an order to the end of its load
 }
@@ -81,9 +96,9 @@
 		return Pace{}
 	}
 	places := float64(p.MaxLoads + p.Ahead)
-	// As many targets close as load at a time. A longer closing time than this would hold back
-	// loads, because places become free sooner than targets are closed.
-	longest := min(MaxClosing, time.Duration(float64(p.MaxLoads)/places*float64(p.perTarget())))
+	// A longer closing time than this would hold back loads, because places become free sooner than
+	// targets are closed.
+	longest := min(MaxClosing, time.Duration(float64(p.Closing)/places*float64(p.perTarget())))
 	pace := Pace{Closing: min(spare, longest), Finish: spare >= MaxLateness}
 	if p.Started {
 		pace.Closing = min(closingDelayShare*spare, longest)
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -79,6 +79,7 @@
 	loading      map[string]*loadProgress // by id of the target, loads planned or in progress
 	runningLoads int                      // loads in progress
 	maxLoads     int                      // limit of runningLoads
+	maxClosing   int                      // targets that may be closing at once
 	loaded       []LoadedTarget           // since this instance acquired the lease
 	fencingToken uint64                   // of the lease as acquired
 	updateSeq    uint64                   // of the last rollout update
@@ -213,6 +214,7 @@
 		_, targets[i].Loading = o.loading[targets[i].Name]
 	}
 	o.maxLoads = rollout.MaxConcurrentLoads(len(targets))
+	o.maxClosing = rollout.MaxClosingTargets(len(targets), o.maxLoads)
 	o.planner.SetLimits(o.maxLoads, o.maxLoads/loadsPerCordonedTarget)
 	targets = slices.DeleteFunc(targets, func(t rollout.Target) bool {
 		return !t.Loading && now.Before(o.deferredUntil[t.Name])
--- a/internal/gateway/rollout_stages.go
+++ b/internal/gateway/rollout_stages.go
@@ -50,7 +50,7 @@
 // holdTargets holds back the targets that have not been closing for long enough, and sets the pace;
 // o.mu is held. Targets for which the stages do not apply are not held.
 func (o *rolloutController) holdTargets(v *View, targets []rollout.Target, now time.Time) {
-	progress := rollout.Progress{Started: len(o.loading) > 0, MaxLoads: o.maxLoads, Ahead: o.maxLoads / loadsPerCordonedTarget, LoadTime: o.loadTime}
+	progress := rollout.Progress{Started: len(o.loading) > 0, MaxLoads: o.maxLoads, Closing: o.maxClosing, Ahead: o.maxLoads / loadsPerCordonedTarget, LoadTime: o.loadTime}
 	for _, l := range o.loading {
 		progress.Passed += l.passed(now, o.loadTime)
 	}
@@ -81,7 +81,7 @@
 func (o *rolloutController) updateClosing(v *View, targets []rollout.Target, desired map[string]rollout.DesiredVersion, now time.Time) bool {
 	staged := slices.DeleteFunc(slices.Clone(targets), func(t rollout.Target) bool { return !o.g.usesStages(v, v.Targets[t.Name].Service) })
 	free := o.maxLoads + o.maxLoads/loadsPerCordonedTarget - len(o.loading)
-	return o.closing.Update(o.planner.Upcoming(staged, desired, max(o.maxLoads, free)), now)
+	return o.closing.Update(o.planner.Upcoming(staged, desired, max(o.maxClosing, free)), now)
 }
 
 // dropClosing forgets which targets are closing; the other instances do so after cordonTTL.
