--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
+	"github.com/shedhoist/shedhoist/internal/core/admission"
 )
 
 func sampleConfig() *catalog.Config {
@@ -58,3 +60,27 @@
 	withoutIsolation := catalog.NewConfig(catalog.ConfigSpec{Customers: []catalog.CustomerKeys{{Customer: catalog.Customer{Name: "one"}, Keys: []string{"k1"}}}})
 	is.True(withoutIsolation.CacheScope(withoutIsolation.Customer("k1")) != c.CacheScope(one))
 }
+
+// TestPromptLevels checks that the levels of a service come from the routes that send prompts there:
+// other routes to the service, and prompts to other services, must not make its prompts differ in
+// priority.
+func TestPromptLevels(t *testing.T) {
+	is := is.New(t)
+	to := func(services ...string) (out []catalog.Backend) {
+		for _, s := range services {
+			out = append(out, catalog.Backend{Service: s, Weight: 1})
+		}
+		return out
+	}
+	c := catalog.NewConfig(catalog.ConfigSpec{Services: []catalog.Service{{Name: "a"}, {Name: "b"}, {Name: "c"}}, Routes: []catalog.Route{
+		{UsesModel: true, Priority: 2, LatencyObjective: time.Second, Backends: to("a", "b")},
+		{UsesModel: true, Priority: 0, LatencyObjective: 2 * time.Second, Backends: to("a")},
+		{UsesModel: true, Priority: 0, LatencyObjective: 400 * time.Millisecond, Backends: to("a")},
+		{UsesModel: true, Priority: 1, Backends: []catalog.Backend{{Service: "a"}, {Service: "c", Weight: 1}}}, // sends nothing to a
+		{Priority: 0, Backends: to("b")},
+	}})
+	is.Equal(c.PromptLevels("a"), admission.Levels{{Rank: 0, Objective: 400 * time.Millisecond}, {Rank: 2, Objective: time.Second}})
+	is.Equal(c.PromptLevels("b"), admission.Levels{{Rank: 2, Objective: time.Second}})
+	is.Equal(len(c.PromptLevels("unknown")), 0)
+	is.Equal(len((*catalog.Config)(nil).PromptLevels("a")), 0)
+}
--- a/internal/core/placement/bench_test.go
+++ b/internal/core/placement/bench_test.go
@@ -11,7 +11,7 @@
 )
 
 // BenchmarkSelect times one selection among 9, 60 and 600 targets: the sizes of small, large
-// and future fleets.
+// and future fleets, without and with limits on a less urgent request.
 func BenchmarkSelect(b *testing.B) {
 	for _, n := range []int{9, 60, 600} {
 		targets := make([]placement.Target, n)
@@ -25,5 +25,12 @@
 				placement.Select(targets, q)
 			}
 		})
+		q.MemoryShare, q.RequestShare, q.MaxQueuedTokens = 0.88, 0.2, 9600
+		b.Run(fmt.Sprint(n, "/limits"), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				placement.Select(targets, q)
+			}
+		})
 	}
 }
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -46,6 +46,56 @@
 	}
 }
 
+// TestMemoryShare checks when a target is full for a request that may not fill its memory, or may
+// not wait behind much prefill work: less urgent requests must leave headroom to urgent ones, large
+// ones among them must not starve, and a request that a target has worked on is never refused.
+func TestMemoryShare(t *testing.T) {
+	query := placement.Query{Zone: "a", RolloutTimeout: 10 * time.Second, NeededTokens: 1000, Rand: func() float64 { return 0.5 }, Policy: policy.Default(), MemoryShare: 0.8}
+	base := placement.Target{ID: "x", Zone: "a", FirstResponseMS: 50, CapacityTokens: 10_000, UsedTokens: 7000}
+	cases := []struct {
+		name   string
+		change func(x *placement.Target, q *placement.Query)
+		want   placement.Action
+		queues int
+	}{
+		{"fits into the share", func(x *placement.Target, q *placement.Query) {}, placement.Send, 0},
+		{"exceeds the share", func(x *placement.Target, q *placement.Query) { x.UsedTokens = 7001 }, placement.Refuse, 0},
+		{"no share set", func(x *placement.Target, q *placement.Query) { x.UsedTokens, q.MemoryShare = 9000, 0 }, placement.Send, 0},
+		{"the whole memory", func(x *placement.Target, q *placement.Query) { x.UsedTokens, q.MemoryShare = 9000, 1 }, placement.Send, 0},
+		{"counts as more than its size", func(x *placement.Target, q *placement.Query) { q.RequestShare = 0.2 }, placement.Refuse, 0},
+		{"counts as less than its size", func(x *placement.Target, q *placement.Query) {
+			x.UsedTokens, q.NeededTokens, q.RequestShare = 6000, 3000, 0.2
+		}, placement.Send, 0},
+		{"counts as less than its size and exceeds the memory", func(x *placement.Target, q *placement.Query) {
+			x.UsedTokens, q.NeededTokens, q.RequestShare = 6000, 4001, 0.2
+		}, placement.Refuse, 0},
+		{"larger than the share, nearly idle target", func(x *placement.Target, q *placement.Query) { x.UsedTokens, q.NeededTokens = 1000, 9000 }, placement.Send, 0},
+		{"larger than the share, busier target", func(x *placement.Target, q *placement.Query) { x.UsedTokens, q.NeededTokens = 3000, 6000 }, placement.Refuse, 0},
+		{"larger than the free memory of a nearly idle target", func(x *placement.Target, q *placement.Query) { x.UsedTokens, q.NeededTokens = 1000, 9001 }, placement.Refuse, 0},
+		{"idle target", func(x *placement.Target, q *placement.Query) { x.UsedTokens, q.NeededTokens = 0, 20_000 }, placement.Send, 0},
+		{"queue at its limit", func(x *placement.Target, q *placement.Query) { x.QueuedTokens, q.MaxQueuedTokens = 500, 500 }, placement.Send, 0},
+		{"queue beyond its limit", func(x *placement.Target, q *placement.Query) { x.QueuedTokens, q.MaxQueuedTokens = 501, 500 }, placement.Refuse, 1},
+		{"queue beyond its limit, memory not known", func(x *placement.Target, q *placement.Query) {
+			x.CapacityTokens, x.QueuedTokens, q.MaxQueuedTokens = 0, 501, 500
+		}, placement.Refuse, 1},
+		{"no limit on queues", func(x *placement.Target, q *placement.Query) { x.QueuedTokens = 1 << 40 }, placement.Send, 0},
+		{"a target has worked on the request", func(x *placement.Target, q *placement.Query) {
+			x.UsedTokens, x.QueuedTokens, q.MaxQueuedTokens, q.Started = 9000, 501, 500, true
+		}, placement.Send, 0},
+		{"admission is switched off", func(x *placement.Target, q *placement.Query) { x.UsedTokens, q.Policy.Admission = 9000, false }, placement.Send, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			x, q := base, query
+			c.change(&x, &q)
+			d := placement.Select([]placement.Target{x}, q)
+			is.Equal(d.Action, c.want)
+			is.Equal(d.LongQueues, c.queues)
+		})
+	}
+}
+
 // TestFull checks that a target with full memory gets no new requests, and that a request is
 // refused if all eligible targets are full, unless a target has already worked on it. Ejected
 // targets neither cause nor prevent a refusal.
--- a/internal/core/placement/predict_test.go
+++ b/internal/core/placement/predict_test.go
@@ -85,3 +85,15 @@
 	is.Equal(p.TargetDelay("a", later), 0.0)
 	is.Equal(p.FetchTime(fetch, later), 30.0)
 }
+
+// TestPrefillTokens checks that PrefillTokens is the inverse of PrefillTime, after the speed was
+// learned too.
+func TestPrefillTokens(t *testing.T) {
+	is := is.New(t)
+	p, now := placement.NewPredictor(), time.Unix(0, 0)
+	for range 2 {
+		is.Equal(p.PrefillTokens(time.Duration(p.PrefillTime(12_000)*float64(time.Millisecond))+time.Microsecond), 12_000)
+		p.Observe(p.Start("t", placement.PrefillWork{PrefillTokens: 10_000}, now), now.Add(100*time.Millisecond))
+	}
+	is.Equal(p.PrefillTokens(0), 0)
+}
