Rollouts: a wait for runs does not outlast its time during a backoff

The pause between two reports is up to 3 s while a target is in backoff, longer than a wait may take. The wait now checks its end every 100 ms, and requests no report before the pause is over.

go test of the rollout and backoff tests in ./internal/gateway: pass.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -64,8 +64,9 @@
 	// Started is true once a target has worked on the request or the caller has received a
 	// part of the response. Such a request is no longer refused for lack of memory.
 	Started bool
-	// AtMostOnce is true if the request must not run twice. A load of weights may cut off its
-	// response, so it is sent to a closing target only if no other can take it.
+	// AtMostOnce is true if the request must not run twice, or has no further attempt. A load of
+	// weights may cut off its response, so it is sent to a closing target only if no other can
+	// take it.
 	AtMostOnce bool
 }
 
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -202,7 +202,7 @@
 	})
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if _, held := o.lease.Held(now); !held {
+	if _, held := o.lease.Held(o.g.now()); !held {
 		if now.Sub(o.heldAt) >= leaseParams.Term {
 			clear(o.closing) // another instance may name targets now
 		}
--- a/internal/gateway/rollout_stages.go
+++ b/internal/gateway/rollout_stages.go
@@ -212,9 +212,10 @@
 // target must not be loaded now.
 func (o *rolloutController) awaitRuns(ctx context.Context, l *plannedLoad) error {
 	since := o.g.now()
-	stage, runs := rollout.StageCordoned, -1 // no report yet
+	stage, runs, nextReport := rollout.StageCordoned, -1, since // no report yet
 	for {
-		in := o.g.now().Sub(since)
+		now := o.g.now()
+		in := now.Sub(since)
 		if stage == rollout.StageCordoned {
 			in = l.cordoned
 		}
@@ -222,19 +223,22 @@
 		if stage != rollout.StageWaiting || !o.g.hasOncePrompts(l.target.ID) {
 			break
 		}
-		r, err := o.fetchReport(ctx, l.target)
-		var restarted *TargetRestartedError
-		var leaving *TargetLeavingError
-		if errors.As(err, &restarted) || errors.As(err, &leaving) {
-			return err
-		}
-		if err := o.checkDeferred(l.target); err != nil {
-			return err
-		}
-		if err == nil {
-			runs = r.Running + r.Queued
+		if !now.Before(nextReport) {
+			r, err := o.fetchReport(ctx, l.target)
+			var restarted *TargetRestartedError
+			var leaving *TargetLeavingError
+			if errors.As(err, &restarted) || errors.As(err, &leaving) {
+				return err
+			}
+			if err := o.checkDeferred(l.target); err != nil {
+				return err
+			}
+			if err == nil {
+				runs = r.Running + r.Queued
+			}
+			nextReport = now.Add(o.pollPause(l.target)) // may be longer than the wait, in backoff
 		}
-		if runs != 0 && !wait.For(ctx, o.pollPause(l.target)) {
+		if runs != 0 && !wait.For(ctx, loadPollInterval) {
 			break
 		}
 	}
