Rollouts: tests of waits during a backoff and of reported prompts

They guard against a wait for runs that outlasts its time in a backoff, and against a holder that does not learn of its peers' prompts at a cordoned target, or believes in them after their end.

--- a/internal/gateway/rollout_stages_test.go
+++ b/internal/gateway/rollout_stages_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
 	"github.com/shedhoist/shedhoist/internal/core/rollout"
+	"github.com/shedhoist/shedhoist/internal/registry"
 )
 
 // stageCodec is versionCodec with prompts for one model.
@@ -64,6 +65,7 @@
 	loading int // loads in progress
 	peak    int // most loads in progress at once
 	cut     int // streams that loads interrupted
+	reports int // requested
 }
 
 // stageTarget is the state of a target that loads weights.
@@ -142,6 +144,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	l := f.loaders[name]
+	f.reports++
 	return Report{Models: []catalog.ModelVersion{{Model: partModel, Version: l.version}}, OrderInProgress: l.busy, OrderSeq: l.seq, Running: l.running}, ctx.Err()
 }
 
@@ -584,3 +587,64 @@
 		})
 	}
 }
+
+// TestWaitForRunsEndsInBackoff guards against a wait for runs that outlasts its time, and against many
+// reports requested, while the target is in backoff.
+func TestWaitForRunsEndsInBackoff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newStageFleet(t, 1, 2, nil)
+		defer f.end()
+		g := f.gateways[0]
+		streams := &stageStreams{}
+		for range 8 {
+			streams.send(f, 0, pathAudit, 60)
+		}
+		time.Sleep(200 * time.Millisecond)
+		for _, target := range g.view.Load().Targets {
+			g.applyNotice(target, Notice{Backoff: 10 * time.Second}, registry.Source{Channel: string(fromAnswer)})
+			g.rollout.mu.Lock()
+			g.rollout.pace = rollout.Pace{Waiting: time.Second}
+			g.rollout.mu.Unlock()
+			f.reports = 0
+			l := &plannedLoad{Load: rollout.Load{Target: target.ID, Model: partModel}, target: target, cordoned: rollout.CordonTime}
+			is.NoErr(g.rollout.awaitRuns(t.Context(), l))
+			is.True(l.waited >= time.Second && l.waited <= time.Second+2*loadPollInterval)
+			is.Equal(f.reports, 1)
+		}
+		streams.wg.Wait()
+	})
+}
+
+// TestOncePromptsAreReported guards against a holder that does not learn of its peers' prompts at a cordoned
+// target, or believes in them after they have ended, and against reports of other targets.
+func TestOncePromptsAreReported(t *testing.T) {
+	for _, instances := range []int{3, 20} { // directly, and along the relay tree
+		t.Run(fmt.Sprint(instances, " instances"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newStageFleet(t, instances, 4, nil)
+				defer f.end()
+				streams := &stageStreams{}
+				for range 24 { // some at each target
+					streams.send(f, instances-1, pathAudit, 30)
+					streams.send(f, instances-1, pathResumable, 60)
+				}
+				time.Sleep(200 * time.Millisecond)
+				var ids []string
+				for id := range f.gateways[0].view.Load().Targets {
+					ids = append(ids, id)
+				}
+				for _, g := range f.gateways {
+					g.sendEvent(rolloutReceived{update: RolloutUpdate{Holder: "e-000", Stamp: RolloutStamp{Token: 1, Seq: 1}, Cordoned: ids[:1]}})
+				}
+				time.Sleep(500 * time.Millisecond)
+				is.True(f.gateways[0].hasOncePrompts(ids[0]))
+				is.True(!f.gateways[0].hasOncePrompts(ids[1]))
+				time.Sleep(3 * time.Second)
+				is.True(!f.gateways[0].hasOncePrompts(ids[0])) // the resumable streams still run
+				streams.wg.Wait()
+			})
+		})
+	}
+}
