--- a/internal/core/policy/policy.go
+++ b/internal/core/policy/policy.go
@@ -26,18 +26,19 @@
 
 // switches maps the names of the mechanisms, as used in settings, to their fields.
 var switches = map[string]func(*Policy) *bool{
-	"admission":      func(p *Policy) *bool { return &p.Admission },
-	"homes":          func(p *Policy) *bool { return &p.Homes },
-	"spread":         func(p *Policy) *bool { return &p.ScoreJitter },
-	"link-weight":    func(p *Policy) *bool { return &p.LinkWeight },
-	"old-weights":    func(p *Policy) *bool { return &p.OldWeightsPenalty },
-	"peer-loads":     func(p *Policy) *bool { return &p.PeerLoads },
-	"overdue":        func(p *Policy) *bool { return &p.LearnedLatency },
-	"late-behind":    func(p *Policy) *bool { return &p.DeprioritizeLate },
-	"kept-streams":   func(p *Policy) *bool { return &p.StreamConnReuse },
-	"store-zones":    func(p *Policy) *bool { return &p.StoreZoneHomes },
-	"cold-senders":   func(p *Policy) *bool { return &p.WarmupSenders },
-	"heads-apart":    func(p *Policy) *bool { return &p.HeadsInFastStores },
+	"admission":    func(p *Policy) *bool { return &p.Admission },
+	"homes":        func(p *Policy) *bool { return &p.Homes },
+	"spread":       func(p *Policy) *bool { return &p.ScoreJitter },
+	"link-weight":  func(p *Policy) *bool { return &p.LinkWeight },
+	"old-weights":  func(p *Policy) *bool { return &p.OldWeightsPenalty },
+	"peer-loads":   func(p *Policy) *bool { return &p.PeerLoads },
+	"overdue":      func(p *Policy) *bool { return &p.LearnedLatency },
+	"late-behind":  func(p *Policy) *bool { return &p.DeprioritizeLate },
+	"kept-streams": func(p *Policy) *bool { return &p.StreamConnReuse },
+	"store-zones":  func(p *Policy) *bool { return &p.StoreZoneHomes },
+	"cold-senders": func(p *Policy) *bool { return &p.WarmupSenders },
+	"heads-apart":  func(p *Policy) *bool { return &p.HeadsInFastStores },
+
 	"rollout-stages": func(p *Policy) *bool { return &p.RolloutStages },
 }
 
