--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
+	"github.com/shedhoist/shedhoist/internal/core/admission"
 )
 
 func sampleConfig() *catalog.Config {
--- a/internal/core/admission/admission.go
+++ b/internal/core/admission/admission.go
@@ -66,8 +66,9 @@
 	// the other instances' work are up to 360 ms old: in that time a burst of urgent prompts
 	// arrives before any instance knows of it.
 	levelOneShare = 0.88
-	// lowerLevelsShare leaves as much again to level 1.
-	lowerLevelsShare = 0.76
+	// lowerLevelsShare leaves more to level 1 than a long prompt takes, so that level 1 is still
+	// admitted where a lower level has taken all that it may.
+	lowerLevelsShare = 0.72
 	// sameLevelStep is how much more a caller that has waited may fill, and how much less a
 	// customer above its fair share. Twice the step is less than the distance between levels, so
 	// that these differences never exceed those of priority.
@@ -99,7 +100,7 @@
 	// RequestShare is the share of the memory that the request counts as; 0: its own size.
 	RequestShare float64
 	QueueTime    time.Duration // time that the queued prefill work may take; 0: no limit
-	Lifted       bool          // the level is starved, and has the limits of level 0
+	Relaxed      bool          // the level is starved, and has the limits of the next more urgent one
 }
 
 // Limits returns the limits of a request.
--- a/internal/core/admission/history.go
+++ b/internal/core/admission/history.go
@@ -13,10 +13,10 @@
 	// instance enough of them to judge by, and is shorter than most overloads.
 	outcomesHalfLife = 4 * time.Second
 	// starvedShare is how often a level is admitted, relative to all, below which its limits are
-	// lifted. No kind of request may be served less than a quarter as often as all; the rest is a
+	// relaxed. No kind of request may be served less than a quarter as often as all; the rest is a
 	// margin, since one instance counts few requests.
 	starvedShare = 0.5
-	// scarceShare is the refused share of the more urgent requests from which on these count as
+	// scarceShare is the refused share of the requests of level 0 from which on these count as
 	// exceeding the capacity. A burst of less urgent requests has at most a twentieth of them
 	// refused.
 	scarceShare = 0.1
@@ -89,32 +89,32 @@
 	h.levels[key] = l
 }
 
-// Limits returns the limits of a request. They are lifted for a level that is starved: headroom
-// protects urgent requests from bursts of others, and is of no use where the urgent requests alone
-// exceed the capacity.
+// Limits returns the limits of a request. A level that is starved has those of the next more urgent
+// one: headroom protects urgent requests from bursts of others, and is of less use where the urgent
+// requests alone exceed the capacity.
 func (h *History) Limits(service string, levels Levels, r Request, now time.Time) Limits {
-	out := levels.Limits(r)
-	if out.Level > 0 && h.isStarved(service, levels, out.Level, now) {
-		out = Limits{Level: out.Level, MemoryShare: memoryShare(0, r), Lifted: true}
+	level := levels.Of(r.Rank)
+	if level == 0 || !h.isStarved(service, levels, level, now) {
+		return levels.Limits(r)
 	}
+	r.Rank = levels[level-1].Rank
+	out := levels.Limits(r)
+	out.Level, out.Relaxed = level, true
 	return out
 }
 
 // isStarved reports whether the requests of a level are admitted much less often than all while
-// more urgent ones are refused too. Otherwise the level itself exceeds the capacity, and to lift
-// its limits would only make it displace the others.
+// those of level 0 are refused too. Otherwise lower levels exceed the capacity, and to relax their
+// limits would only make them displace the others.
 func (h *History) isStarved(service string, levels Levels, level int, now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var urgent, all levelHistory
+	var all levelHistory
 	for i := range levels {
 		l := h.levels[levelKey{service, i}].decayed(now)
 		all.admitted, all.refused = all.admitted+l.admitted, all.refused+l.refused
-		if i < level {
-			urgent.admitted, urgent.refused = urgent.admitted+l.admitted, urgent.refused+l.refused
-		}
 	}
-	own := h.levels[levelKey{service, level}].decayed(now)
+	urgent, own := h.levels[levelKey{service, 0}].decayed(now), h.levels[levelKey{service, level}].decayed(now)
 	ownSum, allSum := own.admitted+own.refused, all.admitted+all.refused
 	return ownSum >= minOutcomes && urgent.refused > scarceShare*(urgent.admitted+urgent.refused) && own.admitted*allSum < starvedShare*all.admitted*ownSum
 }
--- a/internal/core/admission/history_test.go
+++ b/internal/core/admission/history_test.go
@@ -39,7 +39,7 @@
 	is.Equal(h.Refused("a", l, 1, start.Add(3900*ms)), time.Duration(0))
 }
 
-// TestStarvedLevel checks that the limits of a level are lifted while it is admitted far less often
+// TestStarvedLevel checks that the limits of a level are relaxed while it is admitted far less often
 // than all requests of its service, as when the urgent requests alone exceed the capacity, that
 // the differences within the level remain, and that a few refusals do not suffice.
 func TestStarvedLevel(t *testing.T) {
@@ -54,19 +54,19 @@
 	}
 	h.Refused("a", l, 1, now)
 	h.Refused("a", l, 1, now)
-	is.True(!limits(admission.Request{Rank: 1}).Lifted)
+	is.True(!limits(admission.Request{Rank: 1}).Relaxed)
 	h.Refused("a", l, 1, now)
-	is.Equal(limits(admission.Request{Rank: 1}), admission.Limits{Level: 1, MemoryShare: 1, Lifted: true})
+	is.Equal(limits(admission.Request{Rank: 1}), admission.Limits{Level: 1, MemoryShare: 1, Relaxed: true})
 	is.True(limits(admission.Request{Rank: 1, AboveFairShare: true}).MemoryShare < 1)
-	is.True(!limits(admission.Request{Rank: 0}).Lifted)
-	is.True(!h.Limits("b", l, admission.Request{Rank: 1}, now).Lifted) // another service
-	h.Admitted("a", 1, now)                                            // one of four is not much less than half
+	is.True(!limits(admission.Request{Rank: 0}).Relaxed)
+	is.True(!h.Limits("b", l, admission.Request{Rank: 1}, now).Relaxed) // another service
+	h.Admitted("a", 1, now)                                             // one of four is not much less than half
 	is.Equal(limits(admission.Request{Rank: 1}), l.Limits(admission.Request{Rank: 1}))
 	h.Refused("a", l, 1, now)
 	h.Refused("a", l, 1, now)
-	is.True(limits(admission.Request{Rank: 1}).Lifted)
+	is.True(limits(admission.Request{Rank: 1}).Relaxed)
 	now = now.Add(20 * time.Second) // the counts have decayed
-	is.True(!limits(admission.Request{Rank: 1}).Lifted)
+	is.True(!limits(admission.Request{Rank: 1}).Relaxed)
 }
 
 // TestRetryAfter checks that callers return spread over a time that grows with the age of the
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -86,8 +86,9 @@
 	// MaxQueuedTokens is the prefill work that may be queued at a target before the request; 0: no
 	// limit.
 	MaxQueuedTokens int
-	// AtMostOnce is true if the request must not run twice. A load of weights may cut off its
-	// response, so it is sent to a closing target only if no other can take it.
+	// AtMostOnce is true if the request must not run twice, or has no further attempt. A load of
+	// weights may cut off its response, so it is sent to a closing target only if no other can
+	// take it.
 	AtMostOnce bool
 }
 
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -86,5 +86,5 @@
 		return e
 	}
 	return e.WithField("level", a.Level).WithField("memory_share", a.MemoryShare).WithField("request_share", a.RequestShare).WithField("max_queued_tokens", a.maxQueuedTokens).
-		WithField("long_queues", x.decision.LongQueues).WithField("limits_lifted", a.Lifted).WithField("waited", x.callerHasWaited()).WithField("overload_ms", a.overloadAge.Milliseconds())
+		WithField("long_queues", x.decision.LongQueues).WithField("limits_relaxed", a.Relaxed).WithField("waited", x.callerHasWaited()).WithField("overload_ms", a.overloadAge.Milliseconds())
 }
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -175,7 +175,7 @@
 		line := f.lastRefusal()
 		is.Equal(line["level"], 1)
 		is.Equal(line["memory_share"], 0.88)
-		is.Equal(line["limits_lifted"], false)
+		is.Equal(line["limits_relaxed"], false)
 		is.Equal(line["waited"], false)
 		is.Equal(line["overload_ms"], int64(0))
 		is.True(line["max_queued_tokens"].(int) > 0)
