--- a/internal/gateway/load_reports.go
+++ b/internal/gateway/load_reports.go
@@ -131,32 +131,20 @@
 	return loadRelayInterval
 }
 
-// reportLoads sends load reports to the neighbours: work in flight, silent targets,
-// pending saves and customers' sums. A neighbour gets no report if it would be empty, unless the one before was
-// not.
+// reportLoads sends load reports to the neighbours, see reportState. A neighbour gets no report if
+// it would be empty, unless the one before was not.
 func (g *Gateway) reportLoads(ctx context.Context) {
 	lastNonEmpty := map[string]bool{} // neighbours whose last report was not empty
 	for seq := uint64(1); wait.For(ctx, g.loadReportPace()); seq++ {
-		ownLoads, peerLoads := g.ownLoads(), g.peerLoads.Reports(g.now())
-		ownRequests, peerRequests := g.ownRequests(), g.peerRequests.Reports(g.now())
-		ownSilent, peerSilences := g.ownSilentTargets(), g.peerSilences.Reports(g.now())
-		g.targetLinks.noteSilences(ownSilent)
-		ownAnswered, peerAnswered := g.ownAnswered(peerSilences), g.peerSilences.ResponseReports(g.now())
-		positions := g.cache.ownPositions() // before the pending saves, see LoadReport.StorePositions
-		ownPending, peerPending := g.cache.ownPendingSaves(), g.peerPendingSaves.Reports(g.now())
-		ownOnce, peerOnce := g.ownOncePrompts(), g.peerOncePrompts.Reports(g.now())
 		tree := g.view.Load().Tree
-		ownCustomers, peerCustomers := g.customerShares.update(g.now(), tree.neighbours())
+		state := g.collectReportState(tree)
 		for _, n := range tree.neighbours() {
 			if tree.isCrossZone(n.Member) && seq%crossZoneEvery != 0 {
 				continue
 			}
-			report := &LoadReport{From: g.settings().Name, Seq: seq, Targets: n.loadsToReport(ownLoads, peerLoads).Report(), Silent: n.silencesToReport(ownSilent, peerSilences), Answered: n.answeredToReport(ownAnswered, peerAnswered), PendingSaves: n.keysToReport(ownPending, peerPending), StorePositions: positions,
-				Requests: n.requestsToReport(ownRequests, peerRequests).Report(), OncePrompts: n.keysToReport(ownOnce, peerOnce)}
-			if use := n.customersToReport(ownCustomers, peerCustomers); g.customerShares.due(n.Name, use, g.now()) {
-				report.Customers = use.Report()
-			}
-			nonEmpty := len(report.Customers)+len(report.Targets)+len(report.Requests)+len(report.Silent)+len(report.Answered)+len(report.PendingSaves)+len(report.StorePositions)+len(report.OncePrompts) > 0
+			report := state.reportTo(n)
+			report.From, report.Seq = g.settings().Name, seq
+			nonEmpty := !report.isEmpty()
 			if !nonEmpty && !lastNonEmpty[n.Name] {
 				continue
 			}
