Admission: routes keep their order where customers have priorities of their own

Change: requests rank by the customer's priority and, among equals, by the route's; the levels of a service are made of both.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -185,14 +185,23 @@
 	return c
 }
 
-// promptLevels returns, by service, the levels of the routes that send prompts there.
+// promptLevels returns, by service, the levels of the prompts that routes send there, for all
+// priorities that customers have.
 func promptLevels(spec ConfigSpec) map[string]admission.Levels {
 	out := map[string]admission.Levels{}
+	priorities, withoutPriority := customerPriorities(spec.Customers)
 	for _, s := range spec.Services {
 		var routes []admission.Level
 		for i := range spec.Routes {
-			if r := &spec.Routes[i]; r.UsesModel && r.SendsTo(s.Name) {
-				routes = append(routes, admission.Level{Rank: r.Priority, Objective: r.LatencyObjective})
+			r := &spec.Routes[i]
+			if !r.UsesModel || !r.SendsTo(s.Name) {
+				continue
+			}
+			if withoutPriority || r.Public {
+				routes = append(routes, admission.Level{Rank: admission.RankOf(r.Priority, r.Priority), Objective: r.LatencyObjective})
+			}
+			for _, p := range priorities {
+				routes = append(routes, admission.Level{Rank: admission.RankOf(p, r.Priority), Objective: r.LatencyObjective})
 			}
 		}
 		if len(routes) > 0 {
@@ -202,7 +211,21 @@
 	return out
 }
 
-// PromptLevels returns the levels of priority of the routes that send prompts to a service.
+// customerPriorities returns the priorities that customers have. withoutPriority reports whether
+// requests may come from customers that have none, so that the route's priority counts.
+func customerPriorities(customers []CustomerKeys) (priorities []int, withoutPriority bool) {
+	for _, c := range customers {
+		switch {
+		case !c.HasPriority:
+			withoutPriority = true
+		case !slices.Contains(priorities, c.Priority):
+			priorities = append(priorities, c.Priority)
+		}
+	}
+	return priorities, withoutPriority || len(customers) == 0
+}
+
+// PromptLevels returns the levels of priority of the prompts that routes send to a service.
 func (c *Config) PromptLevels(service string) admission.Levels {
 	if c == nil {
 		return nil
--- a/internal/core/admission/admission.go
+++ b/internal/core/admission/admission.go
@@ -13,9 +13,19 @@
 	"time"
 )
 
+// routePriorities is how many priorities of routes are told apart within one priority.
+const routePriorities = 16
+
+// RankOf returns the rank of a request by its priority, which is its customer's or else its route's,
+// and among requests of one priority by that of the route. So the routes of a customer keep their
+// order where the customer's priority takes the place of theirs.
+func RankOf(priority, routePriority int) int {
+	return max(priority, 0)*routePriorities + min(max(routePriority, 0), routePriorities-1)
+}
+
 // Level is one of the ranks that the routes to a service have. Level 0 is the most urgent rank.
 type Level struct {
-	Rank      int           // priority, 0 being the most urgent
+	Rank      int           // see RankOf; 0 is the most urgent
 	Objective time.Duration // tightest latency objective of the rank's routes; 0: they have none
 }
 
@@ -87,7 +97,7 @@
 
 // Request describes what the limits of a request depend on.
 type Request struct {
-	Rank           int
+	Rank           int  // see RankOf
 	Waited         bool // its caller returns after a refusal
 	AboveFairShare bool // its customer uses more than its fair share of the service
 }
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -34,6 +34,11 @@
 	return nil
 }
 
+// admissionRank returns the rank that decides on the request's level.
+func (x *exchange) admissionRank() int {
+	return admission.RankOf(x.baseRank(), x.route.Priority)
+}
+
 // limitByRank sets the limits of the request's level.
 func (x *exchange) limitByRank(q *placement.Query) {
 	x.admission = admissionState{}
@@ -41,7 +46,7 @@
 	if levels == nil {
 		return
 	}
-	x.admission.Limits = x.g.admissions.Limits(x.service, levels, admission.Request{Rank: x.baseRank(), Waited: x.callerHasWaited(), AboveFairShare: x.g.overFairShare(x.service, x.customerName())}, x.g.now())
+	x.admission.Limits = x.g.admissions.Limits(x.service, levels, admission.Request{Rank: x.admissionRank(), Waited: x.callerHasWaited(), AboveFairShare: x.g.overFairShare(x.service, x.customerName())}, x.g.now())
 	if x.admission.QueueTime > 0 {
 		x.g.predictorMu.Lock()
 		x.admission.maxQueuedTokens = max(x.g.predictor.PrefillTokens(x.admission.QueueTime), 1)
--- a/internal/gateway/prompt.go
+++ b/internal/gateway/prompt.go
@@ -204,7 +204,7 @@
 	left := float64(x.route.LatencyObjective)/float64(time.Millisecond) - x.elapsedMS()
 	late := x.predictedMS > lateShare*left
 	if levels := x.admissionLevels(); levels != nil {
-		return levels.SentRank(rank, late)
+		return levels.SentRank(x.admissionRank(), late)
 	}
 	if late {
 		rank += lateRankPenalty
