--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -165,6 +165,9 @@
 // request a target is full earlier, at Query.MemoryShare of its memory or with more queued prefill
 // work than Query.MaxQueuedTokens.
 //
+// A target with slots gets no request whose answer its queue would delay beyond the deadline. If that
+// is so at all eligible targets, the request is refused at once.
+//
 // A target in backoff gets no requests, even if there is no other target: each request that
 // it turns away costs resources that it needs to recover.
 func Select(targets []Target, q Query) Decision {
