Read events ahead for slow callers, and limit what requests hold in memory

Cause: an event was read, written and flushed in one goroutine, so a slow caller stopped the reading from the target, which then cut the response off. Nothing limited the bytes of bodies and buffered answers, and a caller that took nothing kept its target working until the deadline. Change: once a write takes 50 ms, another goroutine reads events ahead into a bounded queue until the caller has caught up; the request's goroutine stays the only one that writes. A write has a deadline of the caller's patience. Bodies and answers count toward a quarter of the memory limit. A large answer to an attempt to resume a stream is no longer written into that stream.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"net/http/httptrace"
 	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -59,7 +60,9 @@
 // attemptState holds the state of an attempt in progress.
 type attemptState struct {
 	target       *catalog.Target
+	cancel       context.CancelFunc // ends the attempt
 	load         *inflight.Load
+	endWork      func() // ends the counting of the request in load; may be called more than once
 	startedAt    time.Time
 	silenceTimer *time.Timer // abandons the attempt if the target stays silent; nil if it may not be
 	retryPaid    atomic.Bool // the next attempt has been charged to the retry budget
@@ -85,7 +88,7 @@
 func (x *exchange) tryTarget(t *catalog.Target) attemptResult {
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
-	at := &attemptState{target: t, load: x.g.upstream.inflight.Get(t.ID), startedAt: x.g.now(), promptWork: x.promptWork}
+	at := &attemptState{cancel: cancel, target: t, load: x.g.upstream.inflight.Get(t.ID), startedAt: x.g.now(), promptWork: x.promptWork}
 	releaseSlot := x.releaseWarmupSlot(t)
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn:      func(httptrace.GotConnInfo) { at.connObtained.Store(true) },
@@ -98,13 +101,16 @@
 			cancel()
 		}
 	}
+	memoryTokens := int64(x.call.memoryTokens())
 	at.load.Requests.Add(1)
-	defer at.load.Requests.Add(-1)
+	at.load.MemoryTokens.Add(memoryTokens)
+	at.endWork = sync.OnceFunc(func() {
+		at.load.Requests.Add(-1)
+		at.load.MemoryTokens.Add(-memoryTokens)
+	})
+	defer at.endWork()
 	at.load.PrefillTokens.Add(int64(x.promptWork.PrefillTokens))
 	defer at.markPromptRead()
-	memoryTokens := int64(x.call.memoryTokens())
-	at.load.MemoryTokens.Add(memoryTokens)
-	defer at.load.MemoryTokens.Add(-memoryTokens)
 	at.pending = x.g.addPending(t.ID, at.promptWork.PrefillWork, at.startedAt)
 	defer x.g.removePending(at.pending)
 	x.triedTargets, x.software, x.lastZone, x.notice = append(x.triedTargets, t.ID), t.Software, t.Zone, Notice{}
@@ -311,50 +317,77 @@
 
 // relayBuffered forwards a response that is not a stream after it has been read completely.
 func (x *exchange) relayBuffered(at *attemptState) attemptResult {
-	data, err := io.ReadAll(io.LimitReader(at.httpResponse.Body, maxBufferedResponse+1))
+	buffered, whole, err := x.bufferAnswer(at)
+	defer func() {
+		if x.fallback != buffered {
+			x.release(buffered)
+		}
+	}()
 	if err != nil {
 		return attemptResult{event: attempt.FailedMidResponse, connBroken: true, cause: &BadResponseError{Target: at.target.ID, Reason: "response body is incomplete", Cause: err}}
 	}
 	x.recordFirstByte(at)
 	status := at.httpResponse.StatusCode
-	buffered := &bufferedResponse{status: status, header: at.httpResponse.Header, body: data}
-	if len(data) > maxBufferedResponse {
+	if x.headerSent { // the attempt was to resume a stream
+		return attemptResult{event: attempt.FailedMidResponse, cause: &BadResponseError{Target: at.target.ID, Reason: "stream was not resumed, status " + strconv.Itoa(status)}}
+	}
+	if !whole {
 		return x.relayLarge(at, buffered)
 	}
-	if status >= http.StatusInternalServerError && x.route.Repeatable() && !x.headerSent {
+	if status >= http.StatusInternalServerError && x.route.Repeatable() {
+		x.release(x.fallback)
 		x.fallback = buffered
 		return attemptResult{event: attempt.FailedMidResponse, cause: &BadResponseError{Target: at.target.ID, Reason: "failed with status " + strconv.Itoa(status)}}
 	}
-	if x.headerSent { // the attempt was to resume a stream
-		return attemptResult{event: attempt.FailedMidResponse, cause: &BadResponseError{Target: at.target.ID, Reason: "stream was not resumed, status " + strconv.Itoa(status)}}
+	if err := buffered.deliver(x); err != nil {
+		return attemptResult{event: attempt.CallerGone, cause: err}
 	}
-	buffered.deliver(x)
 	return attemptResult{delivered: true, status: status}
 }
 
-// relayLarge forwards a response larger than maxBufferedResponse as it arrives. head holds
-// what was read of it so far.
+// relayLarge forwards a response as it arrives that is larger than maxBufferedResponse, or than
+// the budget allows. head holds what was read of it so far.
 func (x *exchange) relayLarge(at *attemptState, head *bufferedResponse) attemptResult {
 	x.writeHeader(head.status, head.header, at.httpResponse.ContentLength)
-	if _, err := x.w.Write(head.body); err != nil {
+	if err := x.out.write(head.body, false); err != nil {
 		return attemptResult{event: attempt.CallerGone, cause: err}
 	}
-	if _, err := io.Copy(x.w, at.httpResponse.Body); err != nil {
-		return attemptResult{event: attempt.FailedMidResponse, connBroken: true, cause: &BadResponseError{Target: at.target.ID, Reason: "response body is incomplete", Cause: err}}
+	head.body = nil
+	x.release(head)
+	buf := make([]byte, maxWritePiece)
+	for {
+		n, readErr := at.httpResponse.Body.Read(buf)
+		if n > 0 {
+			if err := x.out.write(buf[:n], false); err != nil {
+				return attemptResult{event: attempt.CallerGone, cause: err}
+			}
+		}
+		if errors.Is(readErr, io.EOF) {
+			return attemptResult{delivered: true, status: head.status}
+		}
+		if readErr != nil {
+			return attemptResult{event: attempt.FailedMidResponse, connBroken: true, cause: &BadResponseError{Target: at.target.ID, Reason: "response body is incomplete", Cause: readErr}}
+		}
 	}
-	return attemptResult{delivered: true, status: head.status}
 }
 
 // bufferedResponse is a target's response, held in memory.
 type bufferedResponse struct {
-	status int
-	header http.Header
-	body   []byte
+	status   int
+	header   http.Header
+	body     []byte
+	reserved int64 // bytes of the instance's budget
 }
 
-func (b *bufferedResponse) deliver(x *exchange) {
+// deliver writes the response. It returns an error only if the caller is given up: a caller that
+// closed its connection does not make the response incomplete.
+func (b *bufferedResponse) deliver(x *exchange) error {
 	x.writeHeader(b.status, b.header, int64(len(b.body)))
-	_, _ = x.w.Write(b.body) // fails only if the caller is gone
+	_ = x.out.write(b.body, true)
+	if x.out.gaveUp != nil {
+		return x.out.gaveUp
+	}
+	return nil
 }
 
 // writeHeader forwards a target's status and header. length is -1 if it is not known.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -31,7 +31,9 @@
 	route    *catalog.Route
 	customer *catalog.Customer // nil if the route is public
 	body     []byte
+	heldBody int64 // bytes of the instance's budget that the body uses
 	service  string
+	out      *callerWriter // set by run
 
 	ctx          context.Context
 	deadline     time.Time
@@ -69,6 +71,7 @@
 	predictedMS      float64                  // predicted time to the first byte
 	fallback         *bufferedResponse        // a target's error response, delivered if no attempt succeeds
 	budgetUse        budgetUse                // what the end of the last attempt meant for the retry budget
+	mostReadAhead    int64                    // most bytes that were read ahead for the caller
 	finished         bool
 }
 
@@ -87,6 +90,7 @@
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	x.ctx = ctx
+	x.out = newCallerWriter(x.w, callerPatience(x.route), x.g.now)
 	if p := x.bindStream(); p != nil {
 		x.refuse(p)
 		return
@@ -240,7 +244,10 @@
 		panic(http.ErrAbortHandler) // a truncated response must not look complete
 	}
 	if x.fallback != nil {
-		x.fallback.deliver(x)
+		if x.fallback.deliver(x) != nil {
+			x.finish(0, string(problem.CallerGone), "")
+			panic(http.ErrAbortHandler)
+		}
 		x.finish(x.fallback.status, "target-failure", "")
 		return
 	}
@@ -333,7 +340,7 @@
 	if age, known := x.g.staleness.Age(staleness.Config, x.g.now()); known {
 		e = e.WithField("config_age_ms", age.Milliseconds())
 	}
-	e = x.withStreamFields(e)
+	e = x.withSlowCallerFields(x.withStreamFields(e))
 	if x.firstByteMS > 0 {
 		e = e.WithField("first_ms", x.firstByteMS).WithField("predicted_ms", x.predictedMS)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/apex/log"
 
 	"github.com/shedhoist/shedhoist/internal/breaker"
+	"github.com/shedhoist/shedhoist/internal/core/buffer"
 	"github.com/shedhoist/shedhoist/internal/core/member"
 	"github.com/shedhoist/shedhoist/internal/core/placement"
 	"github.com/shedhoist/shedhoist/internal/core/quarantine"
@@ -107,6 +108,7 @@
 	streams         streamVersions // the versions of the targets' software that began streams
 	relays          relays         // peers that reach targets for this instance
 	breaker         *breaker.Set   // targets whose requests fail
+	buffers         *buffer.Budget // bytes that requests hold in memory
 	retryBudgets    retryBudgets
 	// predictor is shared by all requests.
 	predictorMu      sync.Mutex
@@ -146,6 +148,7 @@
 	g.zoneMonitor.g, g.zoneMonitor.waiting = g, map[string]map[*attemptState]func(){}
 	g.crashDetector = &crashDetector{g: g, checks: map[string]*crashCheck{}}
 	g.breaker = breaker.New(g.now)
+	g.buffers = buffer.New(bufferLimit(set.MemoryBytes))
 	g.predictor = placement.NewPredictor()
 	g.peerLoads, g.peerSilences, g.peerPendingSaves = loadreport.NewPeerWork(loadReportTTL), loadreport.NewUnresponsiveTargets(loadReportTTL), loadreport.NewPendingSaves(pendingSaveTTL, loadReportTTL)
 	g.cache = newCacheDirectory(g)
@@ -207,7 +210,12 @@
 	errorLog := logline.Logger(g.log)
 	idle := &idleConns{limit: g.idleLimit, close: func(conn net.Conn) { g.callerSrv.CloseIdle(conn) }}
 	callers := &http.Server{Handler: http.HandlerFunc(g.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: errorLog, ConnState: idle.onStateChange}
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: errorLog, ConnState: func(conn net.Conn, s http.ConnState) {
+			if s == http.StateIdle {
+				_ = conn.SetWriteDeadline(time.Time{}) // of limitLastWrite; fails only if the connection is closed
+			}
+			idle.onStateChange(conn, s)
+		}}
 	g.callerSrv = drain.NewServer(callers, g.callerLn, nil, g.log)
 	ready := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: errorLog}
 	g.readySrv = drain.NewServer(ready, g.readyLn, nil, g.log)
@@ -353,6 +361,9 @@
 	metric.SetGauge("shedhoist_targets_reached", boolGauge(!g.targetLinks.lost()))
 	metric.SetGauge("shedhoist_ready", boolGauge(g.Ready()))
 	metric.SetGauge("shedhoist_requests_in_hand", float64(g.inFlight.Load()))
+	metric.SetGauge("shedhoist_buffer_limit_bytes", float64(g.buffers.Limit()))
+	metric.SetGauge("shedhoist_buffer_bytes", float64(g.buffers.Held()))
+	metric.SetGauge("shedhoist_read_ahead_bytes", float64(g.buffers.HeldByStreams()))
 	metric.SetGauge("shedhoist_limited_targets", float64(g.limits.known.Count()))
 	g.retryBudgets.setGauges()
 	metric.Write(w)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net/http"
 	"time"
 
@@ -39,11 +40,13 @@
 		}
 		panic(http.ErrAbortHandler) // closes the connection: a truncated response must not look complete
 	}()
+	defer x.releaseHeld()
 	if p := x.admit(); p != nil {
 		x.refuse(p)
-		return
+	} else {
+		x.run()
 	}
-	x.run()
+	limitLastWrite(w, g.now(), x.route)
 }
 
 // admit parses and authenticates the request, finds its route and reads its body. It
@@ -153,7 +156,7 @@
 // deadline may shorten it.
 const bodyTimeout = 10 * time.Second
 
-// readBody reads the whole body within the limits on size and time.
+// readBody reads the whole body within the limits on size, time, and the memory for all bodies.
 func (x *exchange) readBody(l catalog.Limits) *problem.Problem {
 	limit := l.BodyBytes
 	if limit <= 0 {
@@ -165,6 +168,9 @@
 	if x.r.ContentLength == 0 {
 		return nil
 	}
+	if x.r.ContentLength > 0 && !x.holdBody(x.r.ContentLength) {
+		return bufferFull()
+	}
 	rc := http.NewResponseController(x.w)
 	until := x.g.now().Add(bodyTimeout)
 	if x.deadline.Before(until) {
@@ -174,8 +180,12 @@
 		x.g.log.WithError(err).WithField("request", x.call.ID).Warn("cannot set the read deadline for the body")
 	}
 	var err error
-	if x.body, err = body.Read(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength); err != nil {
-		return body.Problem(err)
+	var from io.Reader = http.MaxBytesReader(x.w, x.r.Body, limit)
+	if x.r.ContentLength < 0 {
+		from = &holdingReader{r: from, x: x}
+	}
+	if x.body, err = body.Read(from, x.r.ContentLength); err != nil {
+		return bodyProblem(err)
 	}
 	_ = rc.SetReadDeadline(time.Time{}) // fails only if the connection is closed
 	return nil
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"errors"
 	"io"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -40,16 +39,12 @@
 // stream breaks and the route is resumable, the next attempt continues after the last
 // forwarded event, so that the caller sees a single stream.
 func (x *exchange) relayStream(at *attemptState) attemptResult {
-	events := eventReader{r: bufio.NewReader(at.httpResponse.Body)}
-	flush := http.NewResponseController(x.w)
+	events := newEventSource(x, at)
+	defer events.close()
+	x.out.setOnSlow(events.startAhead)
+	defer x.out.setOnSlow(nil)
 	for first := true; ; first = false {
-		if at.silenceTimer != nil && !first {
-			at.silenceTimer.Reset(x.stallTimeout())
-		}
-		data, id, err := events.next()
-		if at.silenceTimer != nil {
-			at.silenceTimer.Stop() // a slow caller must not count as silence of the target
-		}
+		data, id, err := events.next(first)
 		if errors.Is(err, io.EOF) {
 			return x.endStream(at, first)
 		}
@@ -68,10 +63,7 @@
 		} else if first {
 			metric.Resumes.Inc()
 		}
-		if _, err := x.w.Write(data); err != nil {
-			return attemptResult{event: attempt.CallerGone, cause: err}
-		}
-		if err := flush.Flush(); err != nil {
+		if err := x.out.write(data, true); err != nil {
 			return attemptResult{event: attempt.CallerGone, cause: err}
 		}
 		if id != "" {
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -24,6 +24,8 @@
 	StreamsForgotten      = metrics.NewCounter("shedhoist_streams_forgotten_total")     // streams whose version was not kept for want of room
 	LimitsNamed           = metrics.NewCounter("shedhoist_target_limits_named_total")   // limits of requests a second that targets named, new or changed
 	TargetLimitRefusals   = metrics.NewCounter("shedhoist_target_limit_refusals_total") // because the targets' limits are used up
+	CallersGivenUp        = metrics.NewCounter("shedhoist_callers_given_up_total")      // that took nothing for too long
+	BodiesRefused         = metrics.NewCounter("shedhoist_bodies_refused_total")        // for want of memory for them
 	BackoffRequests       = metrics.NewCounter("shedhoist_rest_words_total")            // responses in which a target requests backoff
 	BackoffRefusals       = metrics.NewCounter("shedhoist_rest_refusals_total")         // because all targets are in backoff
 	DelayedFetches        = metrics.NewCounter("shedhoist_fetches_delayed_total")       // parts held but not fetched: not yet complete for long enough
