--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"syscall"
@@ -33,6 +34,7 @@
 	isolated  map[string]bool // hosts that can't be reached and reach nobody
 	cuts      map[[2]string]linkCut
 	conns     map[*memoryConn]bool // open connections
+	window    int                  // see memoryConn.Write; 0: no limit
 }
 
 // linkCut is what happens to connections from one host to another.
@@ -193,13 +195,17 @@
 	once    sync.Once
 	closed  chan struct{}
 	written chan struct{} // signals that writes are pending
+	ended   chan struct{} // closed when nothing more will be delivered
 
-	mu      sync.Mutex
-	pending [][]byte
+	mu            sync.Mutex
+	pending       [][]byte
+	pendingBytes  int
+	room          chan struct{} // signals that there may be room for a write
+	writeDeadline time.Time
 }
 
 func (n *memoryNetwork) newConn(c net.Conn, hosts [2]string) *memoryConn {
-	m := &memoryConn{Conn: c, network: n, hosts: hosts, closed: make(chan struct{}), written: make(chan struct{}, 1)}
+	m := &memoryConn{Conn: c, network: n, hosts: hosts, closed: make(chan struct{}), written: make(chan struct{}, 1), room: make(chan struct{}, 1), ended: make(chan struct{})}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.conns == nil {
@@ -221,6 +227,7 @@
 
 func (m *memoryConn) deliverWrites() {
 	defer func() {
+		close(m.ended)
 		m.Conn.Close()
 		m.network.mu.Lock()
 		defer m.network.mu.Unlock()
@@ -263,6 +270,14 @@
 	return p, true
 }
 
+// signalRoom wakes up a write that waits for room.
+func (m *memoryConn) signalRoom() {
+	select {
+	case m.room <- struct{}{}:
+	default: // already signalled
+	}
+}
+
 // deliver delivers one write after networkDelay, or drops it if a host is isolated. It returns false if the
 // other end is closed.
 func (m *memoryConn) deliver(p []byte) bool {
@@ -271,11 +286,58 @@
 		return true // the write is lost, the connection stays open
 	}
 	_, err := m.Conn.Write(p)
+	m.mu.Lock()
+	m.pendingBytes -= len(p)
+	m.mu.Unlock()
+	m.signalRoom()
 	return err == nil
 }
 
-// Write implements net.Conn.
+// SetWriteDeadline implements net.Conn. As on a network, the deadline is that of Write, not of what
+// was written before.
+func (m *memoryConn) SetWriteDeadline(t time.Time) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.writeDeadline = t
+	m.signalRoom()
+	return nil
+}
+
+// awaitRoom waits until fewer bytes than the network's window are not delivered.
+func (m *memoryConn) awaitRoom() error {
+	for m.network.window > 0 {
+		m.mu.Lock()
+		full, deadline := m.pendingBytes >= m.network.window, m.writeDeadline
+		m.mu.Unlock()
+		var timeout <-chan time.Time
+		if !deadline.IsZero() {
+			left := time.Until(deadline)
+			if left <= 0 {
+				return os.ErrDeadlineExceeded
+			}
+			timeout = time.After(left)
+		}
+		if !full {
+			return nil
+		}
+		select {
+		case <-m.room:
+		case <-timeout:
+		case <-m.closed:
+			return net.ErrClosed
+		case <-m.ended:
+			return syscall.EPIPE
+		}
+	}
+	return nil
+}
+
+// Write implements net.Conn. It blocks while as many bytes as the network's window are not delivered,
+// for example since the other end does not read.
 func (m *memoryConn) Write(p []byte) (int, error) {
+	if err := m.awaitRoom(); err != nil {
+		return 0, err
+	}
 	select {
 	case <-m.closed:
 		return 0, net.ErrClosed
@@ -283,6 +345,7 @@
 	}
 	m.mu.Lock()
 	m.pending = append(m.pending, append([]byte(nil), p...))
+	m.pendingBytes += len(p)
 	m.mu.Unlock()
 	select {
 	case m.written <- struct{}{}:
--- a/internal/gateway/held_bytes.go
+++ b/internal/gateway/held_bytes.go
@@ -67,17 +67,19 @@
 }
 
 // bodyProblem maps an error from reading the body to a problem.
-func bodyProblem(err error) *problem.Problem {
+func (x *exchange) bodyProblem(err error) *problem.Problem {
 	var full *BufferFullError
 	if errors.As(err, &full) {
-		return bufferFull()
+		return x.bufferFull()
 	}
 	return body.Problem(err)
 }
 
-// bufferFull refuses a request whose body this instance can't hold.
-func bufferFull() *problem.Problem {
+// bufferFull refuses a request whose body this instance can't hold. Its connection is closed, since
+// net/http would otherwise read the body before it sends the refusal.
+func (x *exchange) bufferFull() *problem.Problem {
 	metric.BodiesRefused.Inc()
+	x.w.Header().Set("Connection", "close")
 	return retryLater(problem.Overloaded, (&BufferFullError{}).Error(), retryAfterShort)
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -169,7 +169,7 @@
 		return nil
 	}
 	if x.r.ContentLength > 0 && !x.holdBody(x.r.ContentLength) {
-		return bufferFull()
+		return x.bufferFull()
 	}
 	rc := http.NewResponseController(x.w)
 	until := x.g.now().Add(bodyTimeout)
@@ -185,7 +185,7 @@
 		from = &holdingReader{r: from, x: x}
 	}
 	if x.body, err = body.Read(from, x.r.ContentLength); err != nil {
-		return bodyProblem(err)
+		return x.bodyProblem(err)
 	}
 	_ = rc.SetReadDeadline(time.Time{}) // fails only if the connection is closed
 	return nil
--- a/internal/gateway/traffic_test.go
+++ b/internal/gateway/traffic_test.go
@@ -86,6 +86,7 @@
 	editSettings func(*Settings)                        // changes each instance's settings
 	onArrival    func(m *memoryTarget, r *http.Request) // called when a request reaches a target
 	log          log.Handler                            // of all instances; discard.Default if nil
+	window       int                                    // of the network
 	// serve answers a request in place of the target's own answer; it returns false to leave it to that.
 	serve func(m *memoryTarget, w http.ResponseWriter, r *http.Request) bool
 }
@@ -108,7 +109,7 @@
 
 // newFleetWith is newTrafficFleet with options.
 func newFleetWith(t *testing.T, n, zones, targets int, o fleetOptions) *trafficFleet {
-	f := &trafficFleet{memoryFleet: &memoryFleet{t: t, net: &memoryNetwork{listeners: map[string]*memoryListener{}}, store: newMemoryStore()}, zones: zones, options: o}
+	f := &trafficFleet{memoryFleet: &memoryFleet{t: t, net: &memoryNetwork{listeners: map[string]*memoryListener{}, window: o.window}, store: newMemoryStore()}, zones: zones, options: o}
 	f.store.set(memoryConfigs, memoryConfig, storedConfig{Version: 1, Keys: []string{"key"}})
 	for i := range targets {
 		mt := &memoryTarget{f: f, name: fmt.Sprintf("t-%02d", i), zone: fmt.Sprintf("z%d", i%zones)}
