Let the kernel keep a slow caller's connection for the caller's patience

Cause: TCP_USER_TIMEOUT (2.5 s) also closes a connection whose other end leaves no room for bytes; measured on Linux after 3.0 s. Routes with a longer patience lost their slow callers to it. Change: each request sets the option of its connection to the patience and 0.5 s, if that is longer.

--- a/internal/drain/tracked_conn.go
+++ b/internal/drain/tracked_conn.go
@@ -1,8 +1,10 @@
 package drain
 
 import (
+	"cmp"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -18,6 +20,8 @@
 	bytesRead  int64
 	deadlines  int64 // calls of SetReadDeadline
 	readsEnded bool  // by endReads, and no bytes have arrived since
+
+	unackedTimeout time.Duration // 0: netx.UnackedTimeout
 }
 
 // lateHeaderTime is how long the rest of a header may take whose first part crossed endReads.
@@ -45,6 +49,28 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// SetUnackedTimeout sets for how long the caller of a request may read nothing until the kernel closes the
+// connection. It has no effect on a connection that is not of the kernel.
+func SetUnackedTimeout(r *http.Request, d time.Duration) error {
+	conn, _ := r.Context().Value(connContextKey{}).(net.Conn)
+	if tracked := trackedConnOf(conn); tracked != nil {
+		return tracked.setUnackedTimeout(d)
+	}
+	return nil
+}
+
+func (c *trackedConn) setUnackedTimeout(d time.Duration) error {
+	raw, ok := c.Conn.(syscall.Conn)
+	c.mu.Lock()
+	changed := d != cmp.Or(c.unackedTimeout, netx.UnackedTimeout)
+	c.unackedTimeout = d
+	c.mu.Unlock()
+	if !ok || !changed {
+		return nil
+	}
+	return netx.SetUnackedTimeout(raw, d)
+}
+
 // endReads makes reads fail. Bytes that a Read has already received from the kernel are a part of
 // a request, which shall be refused with a response: they lift the end again.
 func (c *trackedConn) endReads() {
--- a/internal/gateway/caller_writer.go
+++ b/internal/gateway/caller_writer.go
@@ -27,6 +27,10 @@
 	// maxWritePiece is how many bytes a caller has to take within its patience. A caller on a
 	// slow link takes a large answer in many pieces, each of which counts as progress.
 	maxWritePiece = 16 << 10
+	// unackedMargin is how much later than the caller's patience the kernel closes its connection.
+	// Where all bytes fit in the kernel's buffer no write is slow, and only the kernel sees that the
+	// caller reads nothing.
+	unackedMargin = 500 * time.Millisecond
 )
 
 // callerPatience returns how long a caller of a route may take nothing. route is nil for a
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -14,7 +14,9 @@
 	"github.com/shedhoist/shedhoist/internal/core/quarantine"
 	"github.com/shedhoist/shedhoist/internal/core/staleness"
 	"github.com/shedhoist/shedhoist/internal/core/streamversion"
+	"github.com/shedhoist/shedhoist/internal/drain"
 	"github.com/shedhoist/shedhoist/internal/metric"
+	"github.com/shedhoist/shedhoist/internal/netx"
 	"github.com/shedhoist/shedhoist/internal/problem"
 )
 
@@ -91,6 +93,7 @@
 	defer cancel()
 	x.ctx = ctx
 	x.out = newCallerWriter(x.w, callerPatience(x.route), x.g.now)
+	_ = drain.SetUnackedTimeout(x.r, max(netx.UnackedTimeout, x.out.patience+unackedMargin)) // fails only if the connection is closed
 	if p := x.bindStream(); p != nil {
 		x.refuse(p)
 		return
--- a/internal/netx/netx.go
+++ b/internal/netx/netx.go
@@ -24,10 +24,12 @@
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
-	// unackedTimeout closes a connection whose sent bytes stay unacknowledged. On Linux it also
+	// UnackedTimeout closes a connection whose sent bytes stay unacknowledged. On Linux it also
 	// ends the keep-alive probes, whatever their count, and there it counts from the last byte
 	// received, so that it has to exceed keepAliveIdle by the silence that a sound peer may keep.
-	unackedTimeout = 2500 * time.Millisecond
+	// Linux also closes a connection on which the peer leaves no room for bytes for that long,
+	// although it acknowledges each probe: see SetUnackedTimeout.
+	UnackedTimeout = 2500 * time.Millisecond
 )
 
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
@@ -36,7 +38,15 @@
 // kernel rejects the option: the keep-alive probes still work without it.
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
 	return c.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(UnackedTimeout.Milliseconds()))
+	})
+}
+
+// SetUnackedTimeout replaces UnackedTimeout on one connection, for a peer that may read nothing for
+// longer.
+func SetUnackedTimeout(c syscall.Conn, d time.Duration) error {
+	return control(c, func(fd int) error {
+		return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
 	})
 }
 
