--- a/internal/drain/tracked_conn.go
+++ b/internal/drain/tracked_conn.go
@@ -49,6 +49,22 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// UnackedBytes returns how many written bytes the caller of a request has not acknowledged, or false if the
+// connection is not of the kernel, or closed.
+func UnackedBytes(r *http.Request) (int, bool) {
+	conn, _ := r.Context().Value(connContextKey{}).(net.Conn)
+	tracked := trackedConnOf(conn)
+	if tracked == nil {
+		return 0, false
+	}
+	raw, ok := tracked.Conn.(syscall.Conn)
+	if !ok {
+		return 0, false
+	}
+	n, err := netx.UnackedBytes(raw)
+	return n, err == nil
+}
+
 // SetUnackedTimeout sets for how long the caller of a request may read nothing until the kernel closes the
 // connection. It has no effect on a connection that is not of the kernel.
 func SetUnackedTimeout(r *http.Request, d time.Duration) error {
--- a/internal/gateway/caller_writer.go
+++ b/internal/gateway/caller_writer.go
@@ -27,6 +27,9 @@
 	// maxWritePiece is how many bytes a caller has to take within its patience. A caller on a
 	// slow link takes a large answer in many pieces, each of which counts as progress.
 	maxWritePiece = 16 << 10
+	// progressInterval is how often a slow write is checked for progress: several times in the
+	// shortest patience.
+	progressInterval = 250 * time.Millisecond
 	// unackedMargin is how much later than the caller's patience the kernel closes its connection.
 	// Where all bytes fit in the kernel's buffer no write is slow, and only the kernel sees that the
 	// caller reads nothing.
@@ -59,19 +62,22 @@
 	control  *http.ResponseController
 	patience time.Duration
 	now      func() time.Time
-	timer    *time.Timer // runs out when a write becomes slow; nil: nothing was written yet
+	unacked  func() (bytes int, known bool) // written and not acknowledged by the caller
 
 	mu      sync.Mutex
-	since   time.Time // when the current write began
+	timer   *time.Timer // calls limitWrite; nil: nothing was written yet
+	armed   bool        // the timer runs
+	since   time.Time   // when the current write began
 	writing bool
 	slow    bool          // the current write is slow, and has a deadline
+	waiting int           // unacked bytes at the last look, during a slow write
 	onSlow  func()        // called with mu held once a write is slow, before it ends; may be nil
 	slowest time.Duration // the longest slow write
 	gaveUp  *SlowCallerError
 }
 
-func newCallerWriter(w http.ResponseWriter, patience time.Duration, now func() time.Time) *callerWriter {
-	return &callerWriter{w: w, control: http.NewResponseController(w), patience: patience, now: now}
+func newCallerWriter(w http.ResponseWriter, patience time.Duration, now func() time.Time, unacked func() (int, bool)) *callerWriter {
+	return &callerWriter{w: w, control: http.NewResponseController(w), patience: patience, now: now, unacked: unacked}
 }
 
 // setOnSlow sets the function that is called when a write is slow, or none.
@@ -100,32 +106,66 @@
 
 func (c *callerWriter) begin() {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.writing, c.since = true, c.now()
-	c.mu.Unlock()
+	if !c.armed {
+		c.arm(slowWriteThreshold)
+	}
+}
+
+// arm sets the timer. It runs on when a write ends, since setting and stopping it for each write costs
+// more than looking, at most every slowWriteThreshold, whether a write is slow. c.mu is held.
+func (c *callerWriter) arm(d time.Duration) {
+	c.armed = true
 	if c.timer == nil {
-		c.timer = time.AfterFunc(slowWriteThreshold, c.limitWrite)
-	} else {
-		c.timer.Reset(slowWriteThreshold)
+		c.timer = time.AfterFunc(d, c.limitWrite)
+		return
+	}
+	c.timer.Reset(d)
+}
+
+// close stops the timer.
+func (c *callerWriter) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.timer != nil {
+		c.timer.Stop()
 	}
 }
 
-// limitWrite sets a deadline for the current write if it is slow. A timer costs less than a
-// deadline for each write.
+// limitWrite sets a deadline for the current write if it is slow. While the write goes on, each change of the unacknowledged bytes moves the
+// deadline: Linux lets a write go on only when a third of the connection's buffer, up to 4 MB, is
+// free, which takes longer than the patience of a caller that reads slowly all the time.
 func (c *callerWriter) limitWrite() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.writing || c.slow || c.now().Sub(c.since) < slowWriteThreshold {
-		return // the write that the timer was set for has ended
+	if c.armed = false; !c.writing {
+		return
 	}
-	c.slow = true
-	_ = c.control.SetWriteDeadline(c.since.Add(c.patience)) // fails only if the connection is closed
-	if c.onSlow != nil {
+	now := c.now()
+	if elapsed := now.Sub(c.since); elapsed < slowWriteThreshold {
+		c.arm(slowWriteThreshold - elapsed)
+		return
+	}
+	waiting, known := c.unacked()
+	// Errors of SetWriteDeadline mean that the connection is closed.
+	switch {
+	case !c.slow:
+		_ = c.control.SetWriteDeadline(c.since.Add(c.patience))
+	case waiting != c.waiting:
+		_ = c.control.SetWriteDeadline(now.Add(c.patience))
+	}
+	c.waiting = waiting
+	if known {
+		c.arm(progressInterval)
+	}
+	if !c.slow && c.onSlow != nil {
 		c.onSlow()
 	}
+	c.slow = true
 }
 
 func (c *callerWriter) end(err error) error {
-	c.timer.Stop()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writing = false
@@ -133,6 +173,7 @@
 		return err
 	}
 	c.slow = false
+	c.arm(slowWriteThreshold) // it may be set to progressInterval, too late for the next write
 	c.slowest = max(c.slowest, c.now().Sub(c.since))
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		metric.CallersGivenUp.Inc()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -92,7 +92,8 @@
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	x.ctx = ctx
-	x.out = newCallerWriter(x.w, callerPatience(x.route), x.g.now)
+	x.out = newCallerWriter(x.w, callerPatience(x.route), x.g.now, func() (int, bool) { return drain.UnackedBytes(x.r) })
+	defer x.out.close()
 	_ = drain.SetUnackedTimeout(x.r, max(netx.UnackedTimeout, x.out.patience+unackedMargin)) // fails only if the connection is closed
 	if p := x.bindStream(); p != nil {
 		x.refuse(p)
--- a/internal/netx/netx.go
+++ b/internal/netx/netx.go
@@ -42,6 +42,15 @@
 	})
 }
 
+// UnackedBytes returns how many written bytes the peer has not acknowledged.
+func UnackedBytes(c syscall.Conn) (n int, err error) {
+	err = control(c, func(fd int) error {
+		n, err = unix.IoctlGetInt(fd, unix.SIOCOUTQ)
+		return err
+	})
+	return n, err
+}
+
 // SetUnackedTimeout replaces UnackedTimeout on one connection, for a peer that may read nothing for
 // longer.
 func SetUnackedTimeout(c syscall.Conn, d time.Duration) error {
