Retry failures of targets also when there is no room for their answers

Cause: with the budget used up, an answer that reports a failure of the target was forwarded as it arrived, without another attempt. Change: it is dropped, and the request is retried. 'attempt failed' has the fields of slow callers too.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -331,13 +331,16 @@
 	if x.headerSent { // the attempt was to resume a stream
 		return attemptResult{event: attempt.FailedMidResponse, cause: &BadResponseError{Target: at.target.ID, Reason: "stream was not resumed, status " + strconv.Itoa(status)}}
 	}
-	if !whole {
-		return x.relayLarge(at, buffered)
-	}
-	if status >= http.StatusInternalServerError && x.route.Repeatable() {
+	mayRetry := status >= http.StatusInternalServerError && x.route.Repeatable() && len(buffered.body) <= maxBufferedResponse
+	if mayRetry && whole {
 		x.release(x.fallback)
 		x.fallback = buffered
+	}
+	switch {
+	case mayRetry:
 		return attemptResult{event: attempt.FailedMidResponse, cause: &BadResponseError{Target: at.target.ID, Reason: "failed with status " + strconv.Itoa(status)}}
+	case !whole:
+		return x.relayLarge(at, buffered)
 	}
 	if err := buffered.deliver(x); err != nil {
 		return attemptResult{event: attempt.CallerGone, cause: err}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -277,7 +277,7 @@
 	if x.notice.Backoff > 0 {
 		e = e.WithField("rest_ms", x.notice.Backoff.Milliseconds())
 	}
-	e = x.withStreamFields(e)
+	e = x.withSlowCallerFields(x.withStreamFields(e))
 	if x.notice.Leaving {
 		e = e.WithField("target_leaves", true)
 	}
--- a/internal/gateway/slow_callers_test.go
+++ b/internal/gateway/slow_callers_test.go
@@ -51,11 +51,16 @@
 	*trafficFleet
 	log *memoryLog
 
+	patient    atomic.Bool  // targets let responses stay unread
+	failing    atomic.Int64 // answers that report a failure of the target from now on
 	breakAfter atomic.Int64 // the next stream breaks after this event; 0: none does
-	cuts       atomic.Int64 // responses that stayed unread for too long
-	written    atomic.Int64 // bytes that targets wrote
-	arrivals   atomic.Int64
-	ended      chan error // why the work of a target ended: nil if it was complete
+	// failsAfterBreak is failing from the break of a stream on.
+	failsAfterBreak atomic.Int64
+
+	cuts     atomic.Int64 // responses that stayed unread for too long
+	written  atomic.Int64 // bytes that targets wrote
+	arrivals atomic.Int64
+	ended    chan error // why the work of a target ended: nil if it was complete
 
 	mu      sync.Mutex
 	resumes []string // what requests gave as the last event
@@ -84,11 +89,15 @@
 func (f *slowFleet) answer(w http.ResponseWriter, r *http.Request) error {
 	_, _ = io.Copy(io.Discard, r.Body)
 	w.Header().Set(trafficID, r.Header.Get(trafficID))
-	if strings.HasSuffix(r.URL.Path, answersStream) {
+	fails := f.failing.Add(-1) >= 0
+	if strings.HasSuffix(r.URL.Path, answersStream) && !fails {
 		return f.stream(w, r)
 	}
+	if fails {
+		w.WriteHeader(http.StatusInternalServerError)
+	}
 	size := mediumSize
-	if strings.HasSuffix(r.URL.Path, answersLarge) {
+	if !strings.HasSuffix(r.URL.Path, answersMedium) {
 		size = 2 * maxBufferedResponse
 	}
 	for range size / len(eventPadding) {
@@ -112,7 +121,9 @@
 		case <-r.Context().Done():
 			return r.Context().Err()
 		}
-		_ = control.SetWriteDeadline(time.Now().Add(unreadTimeout))
+		if !f.patient.Load() {
+			_ = control.SetWriteDeadline(time.Now().Add(unreadTimeout))
+		}
 		n, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, eventPadding)
 		if err == nil {
 			err = control.Flush()
@@ -125,6 +136,7 @@
 		}
 		f.written.Add(int64(n))
 		if f.breakAfter.CompareAndSwap(int64(i), 0) {
+			f.failing.Store(f.failsAfterBreak.Load())
 			time.Sleep(slowInterval) // until the event has been delivered
 			panic(http.ErrAbortHandler)
 		}
@@ -490,6 +502,74 @@
 	})
 }
 
+// TestWaitingStreamIsNoSilence guards against a stream that waits for its caller, since there is no room to
+// read ahead, and counts as silent: it would be resumed elsewhere.
+func TestWaitingStreamIsNoSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newSlowFleet(t, 16, nil)
+		defer f.stop()
+		f.patient.Store(true)
+		c := f.connect()
+		f.send(c, pathResumable+answersStream)
+		ids, err := c.readStream(3, slowPause) // longer than stallTimeout
+		is.NoErr(err)
+		is.Equal(ids, wholeStream())
+		is.Equal(f.arrivals.Load(), int64(1))
+	})
+}
+
+// TestFailuresAndBudget guards against answers that report a failure of the target and are forwarded without
+// another attempt, or stay counted as held, with and without room to hold them.
+func TestFailuresAndBudget(t *testing.T) {
+	for _, memory := range []int64{0, budgetMemory} {
+		for failures, want := range []int{http.StatusOK, http.StatusOK, http.StatusInternalServerError} {
+			t.Run(fmt.Sprint(memory, failures), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					f := newSlowFleet(t, memory, nil)
+					defer f.stop()
+					f.failing.Store(int64(failures))
+					c := f.connect()
+					f.send(c, pathSafe+answersMedium)
+					resp, err := http.ReadResponse(c.r, nil)
+					is.NoErr(err)
+					if memory > 0 && want != http.StatusOK {
+						want = http.StatusBadGateway // the targets' own answers were dropped
+					}
+					is.Equal(resp.StatusCode, want)
+					_, err = io.Copy(io.Discard, resp.Body)
+					is.NoErr(err)
+					is.Equal(f.arrivals.Load(), int64(min(failures+1, 2)))
+					f.checkNothingHeld()
+				})
+			})
+		}
+	}
+}
+
+// TestLargeFailureIsNoPartOfStream guards against a large answer to the attempt to resume a stream that is
+// written into the stream.
+func TestLargeFailureIsNoPartOfStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newSlowFleet(t, 0, nil)
+		defer f.stop()
+		f.failsAfterBreak.Store(1)
+		f.breakAfter.Store(20)
+		c := f.connect()
+		f.send(c, pathResumable+answersStream)
+		resp, err := http.ReadResponse(c.r, nil)
+		is.NoErr(err)
+		data, err := io.ReadAll(resp.Body)
+		is.True(errors.Is(err, io.ErrUnexpectedEOF))
+		is.Equal(strings.Count(string(data), "id: "), 20)
+		is.Equal(strings.Count(string(data), eventPadding), 20)
+		is.Equal(f.arrivals.Load(), int64(2))
+		f.checkNothingHeld()
+	})
+}
+
 // retryAfterCodec is linkCodec that tells callers when to return.
 type retryAfterCodec struct{ linkCodec }
 
