Leave the last write deadline of a response to net/http

Cause: without the ConnState hook that removed it no test failed: net/http removes a connection's write deadline itself after each response. Change: the hook is gone. Tests: slow callers' tests, kept-alive connections among them, under -race.

--- a/internal/gateway/caller_writer.go
+++ b/internal/gateway/caller_writer.go
@@ -198,7 +198,7 @@
 }
 
 // limitLastWrite sets a deadline for what net/http writes after the handler returns: the rest of
-// a small response, or the end of a stream. The connection's next state, idle, removes it.
+// a small response, or the end of a stream. net/http removes it once that is written.
 func limitLastWrite(w http.ResponseWriter, now time.Time, route *catalog.Route) {
 	_ = http.NewResponseController(w).SetWriteDeadline(now.Add(callerPatience(route))) // fails only if the connection is closed
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -210,12 +210,7 @@
 	errorLog := logline.Logger(g.log)
 	idle := &idleConns{limit: g.idleLimit, close: func(conn net.Conn) { g.callerSrv.CloseIdle(conn) }}
 	callers := &http.Server{Handler: http.HandlerFunc(g.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: errorLog, ConnState: func(conn net.Conn, s http.ConnState) {
-			if s == http.StateIdle {
-				_ = conn.SetWriteDeadline(time.Time{}) // of limitLastWrite; fails only if the connection is closed
-			}
-			idle.onStateChange(conn, s)
-		}}
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: errorLog, ConnState: idle.onStateChange}
 	g.callerSrv = drain.NewServer(callers, g.callerLn, nil, g.log)
 	ready := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: errorLog}
 	g.readySrv = drain.NewServer(ready, g.readyLn, nil, g.log)
