--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 
 	"github.com/shedhoist/shedhoist/internal/breaker"
 	"github.com/shedhoist/shedhoist/internal/core/admission"
+	"github.com/shedhoist/shedhoist/internal/core/buffer"
 	"github.com/shedhoist/shedhoist/internal/core/member"
 	"github.com/shedhoist/shedhoist/internal/core/placement"
 	"github.com/shedhoist/shedhoist/internal/core/quarantine"
@@ -108,6 +109,7 @@
 	streams         streamVersions // the versions of the targets' software that began streams
 	relays          relays         // peers that reach targets for this instance
 	breaker         *breaker.Set   // targets whose requests fail
+	buffers         *buffer.Budget // bytes that requests hold in memory
 	retryBudgets    retryBudgets
 	// admissions is the history of admitted and refused prompts, by service and level.
 	admissions admission.History
@@ -153,6 +155,7 @@
 	g.zoneMonitor.g, g.zoneMonitor.waiting = g, map[string]map[*attemptState]func(){}
 	g.crashDetector = &crashDetector{g: g, checks: map[string]*crashCheck{}}
 	g.breaker = breaker.New(g.now)
+	g.buffers = buffer.New(bufferLimit(set.MemoryBytes))
 	g.predictor = placement.NewPredictor()
 	g.peerLoads, g.peerSilences, g.peerPendingSaves = loadreport.NewPeerWork(loadReportTTL), loadreport.NewUnresponsiveTargets(loadReportTTL), loadreport.NewPendingSaves(pendingSaveTTL, loadReportTTL)
 	g.peerRequests = loadreport.NewPeerRequests(loadReportTTL)
@@ -365,6 +368,9 @@
 	metric.SetGauge("shedhoist_targets_reached", boolGauge(!g.targetLinks.lost()))
 	metric.SetGauge("shedhoist_ready", boolGauge(g.Ready()))
 	metric.SetGauge("shedhoist_requests_in_hand", float64(g.inFlight.Load()))
+	metric.SetGauge("shedhoist_buffer_limit_bytes", float64(g.buffers.Limit()))
+	metric.SetGauge("shedhoist_buffer_bytes", float64(g.buffers.Held()))
+	metric.SetGauge("shedhoist_read_ahead_bytes", float64(g.buffers.HeldByStreams()))
 	metric.SetGauge("shedhoist_limited_targets", float64(g.limits.known.Count()))
 	metric.SetGauge("shedhoist_customers_over_fair_share", float64(g.customerShares.countAbove()))
 	g.retryBudgets.setGauges()
