Admission: levels are those of the routes; customers' priorities order prompts at the target

Change: headroom follows the priority of the route; the rank sent to the target is the customer's priority and, among equals, the route's. Middle levels may find the whole tightest objective queued.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -124,7 +124,8 @@
 	hasKeys           bool
 	onceStreams       map[string]bool             // services to which routes send streams that run at most once
 	isolatedCustomers string                      // names, sorted and separated by commas
-	promptLevels      map[string]admission.Levels // by service
+	promptLevels      map[string]admission.Levels // by service, see PromptLevels
+	promptRanks       map[string]admission.Levels // by service, see PromptRanks
 }
 
 // ConfigSpec is a configuration as an adapter has decoded it.
@@ -165,7 +166,7 @@
 			}
 		}
 	}
-	c.promptLevels = promptLevels(spec)
+	c.indexPrompts(spec)
 	for _, rs := range c.routes {
 		slices.SortStableFunc(rs, func(a, b *Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
 	}
@@ -185,30 +186,29 @@
 	return c
 }
 
-// promptLevels returns, by service, the levels of the prompts that routes send there, for all
-// priorities that customers have.
-func promptLevels(spec ConfigSpec) map[string]admission.Levels {
-	out := map[string]admission.Levels{}
+// indexPrompts sets the levels and ranks of the prompts that routes send to each service.
+func (c *Config) indexPrompts(spec ConfigSpec) {
+	c.promptLevels, c.promptRanks = map[string]admission.Levels{}, map[string]admission.Levels{}
 	priorities, withoutPriority := customerPriorities(spec.Customers)
 	for _, s := range spec.Services {
-		var routes []admission.Level
+		var levels, ranks []admission.Level
 		for i := range spec.Routes {
 			r := &spec.Routes[i]
 			if !r.UsesModel || !r.SendsTo(s.Name) {
 				continue
 			}
+			levels = append(levels, admission.Level{Rank: r.Priority, Objective: r.LatencyObjective})
 			if withoutPriority || r.Public {
-				routes = append(routes, admission.Level{Rank: admission.RankOf(r.Priority, r.Priority), Objective: r.LatencyObjective})
+				ranks = append(ranks, admission.Level{Rank: admission.RankOf(r.Priority, r.Priority)})
 			}
 			for _, p := range priorities {
-				routes = append(routes, admission.Level{Rank: admission.RankOf(p, r.Priority), Objective: r.LatencyObjective})
+				ranks = append(ranks, admission.Level{Rank: admission.RankOf(p, r.Priority)})
 			}
 		}
-		if len(routes) > 0 {
-			out[s.Name] = admission.NewLevels(routes)
+		if len(levels) > 0 {
+			c.promptLevels[s.Name], c.promptRanks[s.Name] = admission.NewLevels(levels), admission.NewLevels(ranks)
 		}
 	}
-	return out
 }
 
 // customerPriorities returns the priorities that customers have. withoutPriority reports whether
@@ -225,7 +225,7 @@
 	return priorities, withoutPriority || len(customers) == 0
 }
 
-// PromptLevels returns the levels of priority of the prompts that routes send to a service.
+// PromptLevels returns the levels of the routes that send prompts to a service, by their priority.
 func (c *Config) PromptLevels(service string) admission.Levels {
 	if c == nil {
 		return nil
@@ -233,6 +233,14 @@
 	return c.promptLevels[service]
 }
 
+// PromptRanks returns the ranks that prompts to a service can have, see admission.RankOf.
+func (c *Config) PromptRanks(service string) admission.Levels {
+	if c == nil {
+		return nil
+	}
+	return c.promptRanks[service]
+}
+
 // HasService reports whether the configuration declares a service. A target's entry may name one
 // that it doesn't. Without a configuration none is declared.
 func (c *Config) HasService(service string) bool { return c != nil && c.Services[service] != nil }
--- a/internal/core/admission/admission.go
+++ b/internal/core/admission/admission.go
@@ -16,16 +16,16 @@
 // routePriorities is how many priorities of routes are told apart within one priority.
 const routePriorities = 16
 
-// RankOf returns the rank of a request by its priority, which is its customer's or else its route's,
-// and among requests of one priority by that of the route. So the routes of a customer keep their
-// order where the customer's priority takes the place of theirs.
+// RankOf returns the rank of a request at its target by its priority, which is its customer's or else
+// its route's, and among requests of one priority by that of the route. So the routes of a
+// customer keep their order where the customer's priority takes the place of theirs.
 func RankOf(priority, routePriority int) int {
 	return max(priority, 0)*routePriorities + min(max(routePriority, 0), routePriorities-1)
 }
 
 // Level is one of the ranks that the routes to a service have. Level 0 is the most urgent rank.
 type Level struct {
-	Rank      int           // see RankOf; 0 is the most urgent
+	Rank      int           // 0 is the most urgent
 	Objective time.Duration // tightest latency objective of the rank's routes; 0: they have none
 }
 
@@ -90,14 +90,17 @@
 	// priority_load_test.go).
 	requestShare = 0.2
 	// queueShare is the part of the tightest objective of the more urgent levels that queued
-	// prefill work may take. The rest is for the work that arrives before reports name it, for
-	// the request's own prompt and for its first step.
+	// prefill work may take for the last level. The rest is for the work that arrives before
+	// reports name it, for the request's own prompt and for its first step.
 	queueShare = 0.5
+	// middleQueueShare is the same for the levels between: they are still admitted where the last
+	// level has queued a long prompt.
+	middleQueueShare = 1.0
 )
 
 // Request describes what the limits of a request depend on.
 type Request struct {
-	Rank           int  // see RankOf
+	Rank           int  // its route's priority
 	Waited         bool // its caller returns after a refusal
 	AboveFairShare bool // its customer uses more than its fair share of the service
 }
@@ -127,7 +130,11 @@
 	for _, more := range l[:level] {
 		objective = tighter(objective, more.Objective)
 	}
-	out.QueueTime = time.Duration(queueShare * float64(objective))
+	share := middleQueueShare
+	if level == len(l)-1 {
+		share = queueShare
+	}
+	out.QueueTime = time.Duration(share * float64(objective))
 	return out
 }
 
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -11,8 +11,10 @@
 	"github.com/shedhoist/shedhoist/internal/metric"
 )
 
-// Limits on the load of the targets that a prompt may be sent to, by its priority among all
-// prompts to the same service, and the Retry-After of those that are refused.
+// Limits on the load of the targets that a prompt may be sent to, by the priority of its route among
+// all that send prompts to the service, and the Retry-After of those that are refused. A customer's
+// own priority decides the order at the target: the headroom protects short prompts from long
+// ones, which its routes still differ in.
 
 // admissionState holds the limits of a request, as of the latest attempt. It is the zero value
 // where requests do not differ in priority.
@@ -34,11 +36,6 @@
 	return nil
 }
 
-// admissionRank returns the rank that decides on the request's level.
-func (x *exchange) admissionRank() int {
-	return admission.RankOf(x.baseRank(), x.route.Priority)
-}
-
 // limitByRank sets the limits of the request's level.
 func (x *exchange) limitByRank(q *placement.Query) {
 	x.admission = admissionState{}
@@ -46,7 +43,7 @@
 	if levels == nil {
 		return
 	}
-	x.admission.Limits = x.g.admissions.Limits(x.service, levels, admission.Request{Rank: x.admissionRank(), Waited: x.callerHasWaited(), AboveFairShare: x.g.overFairShare(x.service, x.customerName())}, x.g.now())
+	x.admission.Limits = x.g.admissions.Limits(x.service, levels, admission.Request{Rank: x.route.Priority, Waited: x.callerHasWaited(), AboveFairShare: x.g.overFairShare(x.service, x.customerName())}, x.g.now())
 	if x.admission.QueueTime > 0 {
 		x.g.predictorMu.Lock()
 		x.admission.maxQueuedTokens = max(x.g.predictor.PrefillTokens(x.admission.QueueTime), 1)
--- a/internal/gateway/prompt.go
+++ b/internal/gateway/prompt.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
+	"github.com/shedhoist/shedhoist/internal/core/admission"
 	"github.com/shedhoist/shedhoist/internal/core/cachestore"
 	"github.com/shedhoist/shedhoist/internal/core/placement"
 	"github.com/shedhoist/shedhoist/internal/loadreport"
@@ -203,8 +204,8 @@
 	}
 	left := float64(x.route.LatencyObjective)/float64(time.Millisecond) - x.elapsedMS()
 	late := x.predictedMS > lateShare*left
-	if levels := x.admissionLevels(); levels != nil {
-		return levels.SentRank(x.admissionRank(), late)
+	if x.admissionLevels() != nil {
+		return x.view.Config.PromptRanks(x.service).SentRank(admission.RankOf(rank, x.route.Priority), late)
 	}
 	if late {
 		rank += lateRankPenalty
