--- a/internal/core/admission/admission_test.go
+++ b/internal/core/admission/admission_test.go
@@ -41,7 +41,7 @@
 	is := is.New(t)
 	l := admission.NewLevels([]admission.Level{{Rank: 0, Objective: 600 * ms}, {Rank: 1, Objective: 400 * ms}, {Rank: 2, Objective: 100 * ms}, {Rank: 3}})
 	queues := []time.Duration{0, 600 * ms, 400 * ms, 50 * ms} // the whole objective, and half of it for the last level
-	lowestAbove := 2.0 // the least share of any request of the level above
+	lowestAbove := 2.0                                        // the least share of any request of the level above
 	for rank := range l {
 		plain := l.Limits(admission.Request{Rank: rank})
 		waited := l.Limits(admission.Request{Rank: rank, Waited: true})
