--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -122,7 +122,7 @@
 	modelServices     map[string]bool      // services with an engine or a route that uses a model
 	customers         map[string]*Customer // by API key
 	hasKeys           bool
-	onceStreams       map[string]bool             // services to which routes send streams that run at most once
+	atMostOnceStreams map[string]bool             // services to which routes send streams that run at most once
 	isolatedCustomers string                      // names, sorted and separated by commas
 	promptLevels      map[string]admission.Levels // by service, see PromptLevels
 	promptRanks       map[string]admission.Levels // by service, see PromptRanks
@@ -147,7 +147,7 @@
 // NewConfig indexes a configuration.
 func NewConfig(spec ConfigSpec) *Config {
 	c := &Config{Version: spec.Version, Limits: spec.Limits, Services: map[string]*Service{}, Stores: slices.Clone(spec.Stores),
-		routes: map[string][]*Route{}, modelServices: map[string]bool{}, customers: map[string]*Customer{}, hasKeys: len(spec.Customers) > 0, onceStreams: map[string]bool{}}
+		routes: map[string][]*Route{}, modelServices: map[string]bool{}, customers: map[string]*Customer{}, hasKeys: len(spec.Customers) > 0, atMostOnceStreams: map[string]bool{}}
 	for _, s := range spec.Services {
 		c.Services[s.Name] = &s
 		if s.Engine != nil {
@@ -162,7 +162,7 @@
 				c.modelServices[b.Service] = true
 			}
 			if r.Kind == Streaming && !r.Resumable && r.SendsTo(b.Service) {
-				c.onceStreams[b.Service] = true
+				c.atMostOnceStreams[b.Service] = true
 			}
 		}
 	}
@@ -199,10 +199,10 @@
 			}
 			levels = append(levels, admission.Level{Rank: r.Priority, Objective: r.LatencyObjective})
 			if withoutPriority || r.Public {
-				ranks = append(ranks, admission.Level{Rank: admission.RankOf(r.Priority, r.Priority)})
+				ranks = append(ranks, admission.Level{Rank: admission.CombinedRank(r.Priority, r.Priority)})
 			}
 			for _, p := range priorities {
-				ranks = append(ranks, admission.Level{Rank: admission.RankOf(p, r.Priority)})
+				ranks = append(ranks, admission.Level{Rank: admission.CombinedRank(p, r.Priority)})
 			}
 		}
 		if len(levels) > 0 {
@@ -233,7 +233,7 @@
 	return c.promptLevels[service]
 }
 
-// PromptRanks returns the ranks that prompts to a service can have, see admission.RankOf.
+// PromptRanks returns the ranks that prompts to a service can have, see admission.CombinedRank.
 func (c *Config) PromptRanks(service string) admission.Levels {
 	if c == nil {
 		return nil
@@ -258,8 +258,10 @@
 	return c.HasService(service) && !c.modelServices[service]
 }
 
-// HasOnceStreams reports whether a route sends streams that run at most once to a service.
-func (c *Config) HasOnceStreams(service string) bool { return c != nil && c.onceStreams[service] }
+// HasAtMostOnceStreams reports whether a route sends streams that run at most once to a service.
+func (c *Config) HasAtMostOnceStreams(service string) bool {
+	return c != nil && c.atMostOnceStreams[service]
+}
 
 // TargetMemory returns the memory of one target of a service, in tokens; 0 if it is not declared.
 func (c *Config) TargetMemory(service string) int {
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -105,9 +105,9 @@
 	is.Equal(back.Slots, 0)
 }
 
-// TestHasOnceStreams guards against rollouts that take streams which can be resumed, or requests of other
+// TestHasAtMostOnceStreams guards against rollouts that take streams which can be resumed, or requests of other
 // kinds, for streams that run at most once.
-func TestHasOnceStreams(t *testing.T) {
+func TestHasAtMostOnceStreams(t *testing.T) {
 	is := is.New(t)
 	route := func(service string, weight int, kind catalog.RequestKind, resumable bool) catalog.Route {
 		return catalog.Route{Host: "h", PathPrefix: "/" + service + "/", Kind: kind, Resumable: resumable,
@@ -115,11 +115,11 @@
 	}
 	c := catalog.NewConfig(catalog.ConfigSpec{Routes: []catalog.Route{route("once", 1, catalog.Streaming, false), route("resumable", 1, catalog.Streaming, true),
 		route("idempotent", 1, catalog.Idempotent, false), route("unused", 0, catalog.Streaming, false)}})
-	is.True(c.HasOnceStreams("once"))
+	is.True(c.HasAtMostOnceStreams("once"))
 	for _, service := range []string{"resumable", "idempotent", "unused", "absent"} {
-		is.True(!c.HasOnceStreams(service))
+		is.True(!c.HasAtMostOnceStreams(service))
 	}
-	is.True(!(*catalog.Config)(nil).HasOnceStreams("once"))
+	is.True(!(*catalog.Config)(nil).HasAtMostOnceStreams("once"))
 }
 
 // TestPromptLevels checks that the levels of a service come from the routes that send prompts there:
@@ -166,7 +166,7 @@
 		return out
 	}
 	one, three := catalog.Customer{Priority: 1, HasPriority: true}, catalog.Customer{Priority: 3, HasPriority: true}
-	is.Equal(ranks(one, one), []int{admission.RankOf(1, 0), admission.RankOf(1, 2)})
-	is.Equal(ranks(three, one), []int{admission.RankOf(1, 0), admission.RankOf(1, 2), admission.RankOf(3, 0), admission.RankOf(3, 2)})
-	is.Equal(ranks(one, catalog.Customer{}), []int{admission.RankOf(0, 0), admission.RankOf(1, 0), admission.RankOf(1, 2), admission.RankOf(2, 2)})
+	is.Equal(ranks(one, one), []int{admission.CombinedRank(1, 0), admission.CombinedRank(1, 2)})
+	is.Equal(ranks(three, one), []int{admission.CombinedRank(1, 0), admission.CombinedRank(1, 2), admission.CombinedRank(3, 0), admission.CombinedRank(3, 2)})
+	is.Equal(ranks(one, catalog.Customer{}), []int{admission.CombinedRank(0, 0), admission.CombinedRank(1, 0), admission.CombinedRank(1, 2), admission.CombinedRank(2, 2)})
 }
--- a/internal/core/admission/admission.go
+++ b/internal/core/admission/admission.go
@@ -16,14 +16,15 @@
 // routePriorities is how many priorities of routes are told apart within one priority.
 const routePriorities = 16
 
-// RankOf returns the rank of a request at its target by its priority, which is its customer's or else
+// CombinedRank returns the rank of a request at its target by its priority, which is its customer's or else
 // its route's, and among requests of one priority by that of the route. So the routes of a
 // customer keep their order where the customer's priority takes the place of theirs.
-func RankOf(priority, routePriority int) int {
+func CombinedRank(priority, routePriority int) int {
 	return max(priority, 0)*routePriorities + min(max(routePriority, 0), routePriorities-1)
 }
 
-// Level is one of the ranks that the routes to a service have. Level 0 is the most urgent rank.
+// Level is one of the ranks that prompts to a service have. A level is also named by its index:
+// level 0 is the most urgent.
 type Level struct {
 	Rank      int           // 0 is the most urgent
 	Objective time.Duration // tightest latency objective of the rank's routes; 0: they have none
@@ -76,18 +77,15 @@
 	// the other instances' work are up to 360 ms old: in that time a burst of urgent prompts
 	// arrives before any instance knows of it.
 	levelOneShare = 0.88
-	// lowerLevelsShare leaves more to level 1 than a long prompt takes, so that level 1 is still
-	// admitted where a lower level has taken all that it may.
+	// lowerLevelsShare is lower, so that level 1 is still admitted while the lower levels are refused.
 	lowerLevelsShare = 0.72
 	// sameLevelStep is how much more a caller that has waited may fill, and how much less a
 	// customer above its fair share. Twice the step is less than the distance between levels, so
 	// that these differences never exceed those of priority.
 	sameLevelStep = 0.04
 	// requestShare is the share of a target's memory that a request of a lower level counts as,
-	// whatever its size. If its own size counted, smaller requests of its level would fill each gap
-	// before it is large enough for a large one: in simulations prompts of a third of the memory
-	// were served 0.4 times as often as those of a sixth (internal/core/placement,
-	// priority_load_test.go).
+	// whatever its size. If its own size counted, small requests of its level would fill each gap
+	// before it is large enough for a large one.
 	requestShare = 0.2
 	// queueShare is the part of the tightest objective of the more urgent levels that queued
 	// prefill work may take for the last level. The rest is for the work that arrives before
@@ -159,7 +157,8 @@
 // maxSentRank is the least urgent rank that model servers accept.
 const maxSentRank = 9
 
-// SentRank returns the rank that is sent to the target, 0 being the most urgent. A late request
+// SentRank returns the rank that is sent to the target, 0 being the most urgent; l are the ranks of the
+// service. A late request
 // falls behind others of its own rank, but not behind less urgent ones. If the ranks of the service
 // do not all fit, twice each, into those that targets accept, the level takes the place of the rank.
 func (l Levels) SentRank(rank int, late bool) int {
@@ -173,8 +172,9 @@
 	return min(rank, maxSentRank)
 }
 
-// Bounds on the time left of a request whose caller is assumed to return after a refusal. Both lie
-// below the shortest Retry-After, which is half a second or a sixth of the time left.
+// A caller is assumed to return after a refusal if at least waitedTime, or waitedShare of the route's
+// timeout if that is less, has passed before the request arrived. Both are shorter than the
+// shortest Retry-After: half a second, or a sixth of the time left.
 const (
 	waitedTime  = 400 * time.Millisecond
 	waitedShare = 0.15
--- a/internal/core/admission/history.go
+++ b/internal/core/admission/history.go
@@ -13,12 +13,11 @@
 	// instance enough of them to judge by, and is shorter than most overloads.
 	outcomesHalfLife = 4 * time.Second
 	// starvedShare is how often a level is admitted, relative to all, below which its limits are
-	// relaxed. No kind of request may be served less than a quarter as often as all; the rest is a
-	// margin, since one instance counts few requests.
+	// relaxed. No kind of request may be served less than a quarter as often as all
+	// (docs/design/contended-and-uneven-load.md); the rest is a margin, since one instance counts few.
 	starvedShare = 0.5
 	// scarceShare is the refused share of the requests of level 0 from which on these count as
-	// exceeding the capacity. A burst of less urgent requests has at most a twentieth of them
-	// refused.
+	// exceeding the capacity. Headroom keeps bursts of less urgent requests from causing as many.
 	scarceShare = 0.1
 	// minOutcomes is the number of requests of a level below which it does not count as starved.
 	minOutcomes = 3
--- a/internal/core/fairshare/fairshare.go
+++ b/internal/core/fairshare/fairshare.go
@@ -24,9 +24,9 @@
 // a margin, about half of the customers that ask for equally much would be above their share at any moment.
 const tolerance = 1.1
 
-// Level returns the max-min fair share of a capacity: the largest amount such that the parts of the
+// MaxMinShare returns the max-min fair share of a capacity: the largest amount such that the parts of the
 // demands up to this amount fit into the capacity. It is +Inf if all demands fit.
-func Level(capacity int, demands []int) float64 {
+func MaxMinShare(capacity int, demands []int) float64 {
 	left := float64(capacity)
 	for i, d := range slices.Sorted(slices.Values(demands)) {
 		equal := left / float64(len(demands)-i)
@@ -47,7 +47,7 @@
 		capacity += u.Held
 		demands = append(demands, u.Demand())
 	}
-	limit := tolerance * Level(capacity, demands)
+	limit := tolerance * MaxMinShare(capacity, demands)
 	var above map[K]bool
 	for k, u := range uses {
 		if float64(u.Held) > limit {
--- a/internal/core/fairshare/fairshare_test.go
+++ b/internal/core/fairshare/fairshare_test.go
@@ -32,7 +32,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			is.Equal(fairshare.Level(c.capacity, c.demands), c.want)
+			is.Equal(fairshare.MaxMinShare(c.capacity, c.demands), c.want)
 		})
 	}
 }
@@ -72,7 +72,7 @@
 			uses[i] = u
 			capacity, demand, demands = capacity+u.Held, demand+u.Demand(), append(demands, u.Demand())
 		}
-		level := fairshare.Level(capacity, demands)
+		level := fairshare.MaxMinShare(capacity, demands)
 		given := 0.0
 		for _, d := range demands {
 			given += math.Min(float64(d), level)
--- a/internal/core/placement/closing_test.go
+++ b/internal/core/placement/closing_test.go
@@ -40,7 +40,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			c.first.ID, c.second.ID = "a", "b"
-			q := placement.Query{RolloutTimeout: 12 * time.Second, Rand: func() float64 { return 0 }, Policy: policy.Default(), NeededTokens: 5, AtMostOnce: !c.repeatable, Started: c.started}
+			q := placement.Query{RolloutTimeout: 12 * time.Second, Rand: func() float64 { return 0 }, Policy: policy.Default(), NeededTokens: 5, LostIfCutOff: !c.repeatable, Started: c.started}
 			d := placement.Select([]placement.Target{c.first, c.second}, q)
 			is.Equal(d.Action, c.action)
 			is.Equal(d.Index, c.index)
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -27,7 +27,7 @@
 	WarmupLimited   bool    // warming up, and this instance may send it no request now
 	RateLimited     bool    // names a limit, and there is no permit to send it a request now
 	InBackoff       bool    // has asked this instance to back off, and gets no requests
-	Closing         bool    // is about to load weights, see Query.AtMostOnce
+	Closing         bool    // is about to load weights, see Query.LostIfCutOff
 	// Weight is the target's weight in the choice of homes. A target that is warming up gets
 	// requests from few instances, so each of these gives it a larger weight. 0 means 1.
 	Weight float64
@@ -86,10 +86,10 @@
 	// MaxQueuedTokens is the prefill work that may be queued at a target before the request; 0: no
 	// limit.
 	MaxQueuedTokens int
-	// AtMostOnce is true if the request must not run twice, or has no further attempt. A load of
+	// LostIfCutOff is true if the request must not run twice, or has no further attempt. A load of
 	// weights may cut off its response, so it is sent to a closing target only if no other can
 	// take it.
-	AtMostOnce bool
+	LostIfCutOff bool
 }
 
 // Action is the outcome of a placement.
@@ -282,7 +282,7 @@
 // The preferences.
 const (
 	preferred  preference = iota
-	closing               // the request must not run twice, and the target is about to load weights
+	closing               // the request would be lost if cut off, and the target is about to load weights
 	lastResort            // ejected or unreachable
 )
 
@@ -290,7 +290,7 @@
 	switch {
 	case t.lastResort():
 		return lastResort
-	case t.Closing && q.AtMostOnce:
+	case t.Closing && q.LostIfCutOff:
 		return closing
 	}
 	return preferred
--- a/internal/core/rollout/stages.go
+++ b/internal/core/rollout/stages.go
@@ -42,12 +42,12 @@
 	InitialLoadTime = 1200 * time.Millisecond
 	// maxLoadTime bounds what is assumed after loads that waited for runs.
 	maxLoadTime = 3 * time.Second
-	// closingDelayShare is the share of the closing time that delays a rollout in progress:
-	// the targets close while others load, and only those for which a place is free are held
-	// back. With 60 targets, 12 loads at a time and 16 cordoned, a quarter is free at the start.
-	closingDelayShare = 4
-	// waitingFactor times the time that each target could wait if all did is how long one waits:
-	// few have such runs left after they were closing. If all wait, later ones wait for less, since
+	// closingPerDelay is the ratio of the closing time to the delay that it causes in a rollout in
+	// progress: targets close while others load, so that only those are held back for which a place
+	// is free.
+	closingPerDelay = 4
+	// waitingFactor is how many times its equal part of the spare time one target may wait: after
+	// closing, few targets have runs left to wait for. If all wait, later ones wait for less, since
 	// the pace is recomputed.
 	waitingFactor = 4
 )
@@ -101,8 +101,8 @@
 	longest := min(MaxClosing, time.Duration(float64(p.Closing)/places*float64(p.perTarget())))
 	pace := Pace{Closing: min(spare, longest), Finish: spare >= MaxLateness}
 	if p.Started {
-		pace.Closing = min(closingDelayShare*spare, longest)
-		spare = max(spare-longest/closingDelayShare, 0)
+		pace.Closing = min(closingPerDelay*spare, longest)
+		spare = max(spare-longest/closingPerDelay, 0)
 	}
 	pace.Waiting = min(time.Duration(waitingFactor*float64(spare)*places/loads), spare, MaxWaiting)
 	return pace
--- a/internal/core/slots/load_pattern_test.go
+++ b/internal/core/slots/load_pattern_test.go
@@ -227,7 +227,7 @@
 			free = free || usable && len(s.targets[t].running) < simSlots
 		}
 		d := placement.Select(options, placement.Query{Zone: "z", RolloutTimeout: 10 * time.Second, ConcurrencyPenaltyMS: 0.05 * simObjective, Rand: s.rnd.Float64, Policy: s.policy,
-			ServiceMS: i.service.Mean(), TimeLeftMS: float64(r.deadlineMS - s.nowMS)})
+			ServiceMS: i.service.Estimate(), TimeLeftMS: float64(r.deadlineMS - s.nowMS)})
 		switch d.Action {
 		case placement.Refuse:
 			s.refused++
--- a/internal/core/slots/slots.go
+++ b/internal/core/slots/slots.go
@@ -49,12 +49,9 @@
 	return math.Max(excess*probability+deviation*density, 0) * serviceMS / float64(l.Slots)
 }
 
-// dampingMS is the service time at which half of a difference between reported loads counts. Reports
-// are 100 to 350 ms old with the smoothing, and all instances act on the same ones. In the simulation
-// of the package's tests, with requests of 30 ms at 0.8 of the capacity, counting differences in full
-// makes 16 or 60 instances overload one target after another (20 to 24 requests queued on average
-// instead of 1.7 to 2.4). A tenth was no worse than 0.015, as with this value, which leaves room for shorter
-// requests and older reports.
+// dampingMS is the service time at which half of a difference between reported loads counts. All
+// instances act on the same reports, which are older than short requests last: counted in full,
+// differences would make all instances send to the same target until the next report.
 const dampingMS = 2000.0
 
 // Damped returns the load with which targets are compared. Of the difference between the peers'
@@ -107,9 +104,9 @@
 const (
 	// minSamples is the number of observations without a queue from which on the estimate is used.
 	minSamples = 10
-	// gainDown and gainUp are the gains for observations below and above the estimate. Their ratio
-	// makes it follow the lowest tenth of the observations: others may include time in the target's
-	// queue that the load reports don't show.
+	// gainDown and gainUp are the gains for observations below and above the estimate. gainDown is
+	// larger, so that the estimate stays near the shortest observations: longer ones may include time
+	// in the target's queue that the load reports don't show.
 	gainDown = 0.1
 	gainUp   = 0.01
 	// maxRise bounds an observation to a multiple of the estimate: a target that stalls says nothing
@@ -137,8 +134,8 @@
 	}
 }
 
-// Mean returns the estimate in ms, or 0 until there are enough observations.
-func (s *ServiceTime) Mean() float64 {
+// Estimate returns the estimate in ms, or 0 until there are enough observations.
+func (s *ServiceTime) Estimate() float64 {
 	if s.samples < minSamples {
 		return 0
 	}
--- a/internal/core/slots/slots_test.go
+++ b/internal/core/slots/slots_test.go
@@ -80,27 +80,27 @@
 	for range 100 {
 		s.Observe(ms(150), true)
 	}
-	is.Equal(s.Mean(), 0.0) // nothing is known from queued requests alone
+	is.Equal(s.Estimate(), 0.0) // nothing is known from queued requests alone
 	for i := range 9 {
 		s.Observe(ms(20+i), false)
-		is.Equal(s.Mean(), 0.0)
+		is.Equal(s.Estimate(), 0.0)
 	}
 	s.Observe(ms(20), false)
-	is.True(s.Mean() >= 20 && s.Mean() < 22)
+	is.True(s.Estimate() >= 20 && s.Estimate() < 22)
 	for range 1000 {
 		s.Observe(ms(500), true)
 	}
-	is.True(s.Mean() < 22)
+	is.True(s.Estimate() < 22)
 	for range 5 {
 		s.Observe(ms(5000), false)
 	}
-	is.True(s.Mean() < 25)
+	is.True(s.Estimate() < 25)
 	for range 500 {
 		s.Observe(ms(60), false) // the service has become slower
 	}
-	is.True(s.Mean() > 55)
+	is.True(s.Estimate() > 55)
 	for range 50 {
 		s.Observe(ms(20), true) // and is faster again: seen in queued requests too
 	}
-	is.True(s.Mean() < 21)
+	is.True(s.Estimate() < 21)
 }
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -11,10 +11,10 @@
 	"github.com/shedhoist/shedhoist/internal/metric"
 )
 
-// Limits on the load of the targets that a prompt may be sent to, by the priority of its route among
-// all that send prompts to the service, and the Retry-After of those that are refused. A customer's
-// own priority decides the order at the target: the headroom protects short prompts from long
-// ones, which its routes still differ in.
+// Limits on the load of the targets that a prompt may be sent to, and the Retry-After of those that are
+// refused. Prompts are limited by the priority of their route only: headroom protects short prompts
+// from long ones, and the routes of one customer still differ in that. A customer's own priority comes
+// first in the order at the target, see effectiveRank.
 
 // admissionState holds the limits of a request, as of the latest attempt. It is the zero value
 // where requests do not differ in priority.
@@ -36,8 +36,8 @@
 	return nil
 }
 
-// limitByRank sets the limits of the request's level.
-func (x *exchange) limitByRank(q *placement.Query) {
+// setAdmissionLimits sets the limits of the request's level.
+func (x *exchange) setAdmissionLimits(q *placement.Query) {
 	x.admission = admissionState{}
 	levels := x.admissionLevels()
 	if levels == nil {
@@ -69,8 +69,8 @@
 // to 1.5 times that, so that callers do not return together.
 const retryAfterMemoryFull = time.Second
 
-// retryAfterFull records the refusal of a prompt at full targets, and returns its Retry-After.
-func (x *exchange) retryAfterFull() time.Duration {
+// recordFullRefusal records the refusal of a prompt at full targets, and returns its Retry-After.
+func (x *exchange) recordFullRefusal() time.Duration {
 	levels := x.admissionLevels()
 	if levels == nil {
 		return retryAfterMemoryFull/2 + rand.N(retryAfterMemoryFull)
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -244,7 +244,7 @@
 			cfg := catalog.NewConfig(catalog.ConfigSpec{Services: []catalog.Service{{Name: "s"}}, Routes: c.routes})
 			x := &exchange{g: g, view: &View{Config: cfg}, service: "s", route: &c.routes[0], call: CallerRequest{Prompt: c.prompt}, customer: &catalog.Customer{Priority: 7, HasPriority: true}}
 			q := placement.Query{}
-			x.limitByRank(&q)
+			x.setAdmissionLimits(&q)
 			is.Equal(q.MemoryShare > 0, c.limited)
 			is.Equal(q.MaxQueuedTokens > 0, false) // the more urgent route has no objective
 			is.Equal(x.admission.MemoryShare > 0, c.limited)
--- a/internal/gateway/attempt_load.go
+++ b/internal/gateway/attempt_load.go
@@ -14,9 +14,9 @@
 	load.Requests.Add(1)
 	load.MemoryTokens.Add(int64(memoryTokens))
 	x.g.customerShares.hold(x.service, x.customerName(), memoryTokens)
-	isOnce := x.isOncePrompt()
+	isOnce := x.isAtMostOncePrompt()
 	if isOnce {
-		load.OncePrompts.Add(1)
+		load.AtMostOncePrompts.Add(1)
 	}
 	endSlot := x.countSlot(t, load)
 	return sync.OnceFunc(func() {
@@ -24,7 +24,7 @@
 		load.MemoryTokens.Add(-int64(memoryTokens))
 		x.g.customerShares.hold(x.service, x.customerName(), -memoryTokens)
 		if isOnce {
-			load.OncePrompts.Add(-1)
+			load.AtMostOncePrompts.Add(-1)
 		}
 		endSlot()
 	})
--- a/internal/gateway/buffered_response.go
+++ b/internal/gateway/buffered_response.go
@@ -15,7 +15,7 @@
 
 // relayBuffered forwards a response that is not a stream after it has been read completely.
 func (x *exchange) relayBuffered(at *attemptState) attemptResult {
-	buffered, whole, err := x.bufferAnswer(at)
+	buffered, whole, err := x.bufferResponse(at)
 	defer func() {
 		if x.fallback != buffered {
 			x.release(buffered)
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -105,8 +105,8 @@
 		zone = x.g.relays.homeZone()
 	}
 	q := placement.Query{Zone: zone, RolloutTimeout: set.RolloutWithin, ConcurrencyPenaltyMS: x.concurrencyPenaltyMS(), RequestBytes: len(x.body), Rand: rand.Float64, Policy: set.Policy,
-		NeededTokens: x.call.memoryTokens(), Started: x.binding != nil || x.headerSent || x.possibleRuns > 0, AtMostOnce: x.lostIfCutOff()}
-	x.limitByRank(&q)
+		NeededTokens: x.call.memoryTokens(), Started: x.binding != nil || x.headerSent || x.possibleRuns > 0, LostIfCutOff: x.lostIfCutOff()}
+	x.setAdmissionLimits(&q)
 	x.addSlotQuery(&q)
 	p := x.call.Prompt
 	if p == nil || len(p.Parts) < 2 {
@@ -139,15 +139,15 @@
 	return p == nil || t.WeightVersion(p.Model) >= max(x.view.NamedVersions[p.Model].Newest, 1)
 }
 
-// isOncePrompt reports whether the request is a prompt that runs at most once: it is lost if its
+// isAtMostOncePrompt reports whether the request is a prompt that runs at most once: it is lost if its
 // target loads weights while it runs.
-func (x *exchange) isOncePrompt() bool { return x.call.Prompt != nil && !x.route.Repeatable() }
+func (x *exchange) isAtMostOncePrompt() bool { return x.call.Prompt != nil && !x.route.Repeatable() }
 
 // lostIfCutOff reports whether the request is lost if its target loads weights while it runs: it runs
 // at most once, or this is its last attempt. Without the latter, streams that one load has cut off
 // are sent to targets that load next.
 func (x *exchange) lostIfCutOff() bool {
-	return x.isOncePrompt() || x.call.Prompt != nil && x.possibleRuns > 0 && x.possibleRuns+1 >= x.route.MaxAttempts
+	return x.isAtMostOncePrompt() || x.call.Prompt != nil && x.possibleRuns > 0 && x.possibleRuns+1 >= x.route.MaxAttempts
 }
 
 // inBackoff reports whether a target has requested backoff, as of this attempt.
@@ -335,5 +335,5 @@
 		metric.OverFairShareRefusals.Inc()
 	}
 	x.g.customerShares.refused(x.service, x.customerName(), x.call.memoryTokens())
-	x.refuse(retryLater(problem.Overloaded, "the targets' memory is full", x.retryAfterFull()))
+	x.refuse(retryLater(problem.Overloaded, "the targets' memory is full", x.recordFullRefusal()))
 }
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -275,7 +275,7 @@
 			g.streams.checkHistory(paused)
 			g.probePeers(c)
 			expired := c.targets.Expire(c.now())
-			if c.isolation.update(c.isIsolated(g.sincePeerContact()), c.log) || expired || paused || c.fleetChanged() || c.uncordoned() {
+			if c.isolation.update(c.isIsolated(g.sincePeerContact()), c.log) || expired || paused || c.fleetChanged() || c.rolloutExpired() {
 				g.view.Store(c.buildView())
 			}
 			g.spreadUpdates(c, g.view.Load())
--- a/internal/gateway/customer_shares.go
+++ b/internal/gateway/customer_shares.go
@@ -19,8 +19,9 @@
 	customerSumsInterval = time.Second
 	// customerSumsTTL is how long a peer's sums count. It bridges two reports that get lost.
 	customerSumsTTL = 3 * time.Second
-	// earlyGrowth is the growth of sums at which they are reported early. When customers are first compared,
-	// an instance of 300 knows at least all of the sums with 1.25, 0.75 with 1.5 and 0.51 with 2.
+	// earlyGrowth is the factor of growth at which sums are reported before customerSumsInterval has
+	// passed. It is small enough that the sums of all instances have arrived when customers are first
+	// compared, and large enough that single requests cause no report.
 	earlyGrowth = 1.25
 	// sharesInterval is the time between two comparisons of all customers.
 	sharesInterval = 250 * time.Millisecond
@@ -223,10 +224,10 @@
 	s.above.Store(&above)
 }
 
-// due reports whether sums are to be sent to a neighbour, and records that they are. They are sent each
+// takeDue reports whether sums are to be sent to a neighbour, and records that they are. They are sent each
 // customerSumsInterval. At the beginning of scarcity, when the known sums grow with each hop that reports have
 // made, they are also sent as soon as those of a service have grown by earlyGrowth.
-func (s *customerShares) due(neighbour string, use loadreport.UseByService, now time.Time) bool {
+func (s *customerShares) takeDue(neighbour string, use loadreport.UseByService, now time.Time) bool {
 	if len(use) == 0 {
 		return false
 	}
--- a/internal/gateway/customer_shares_test.go
+++ b/internal/gateway/customer_shares_test.go
@@ -109,7 +109,7 @@
 				continue
 			}
 			use := n.customersToReport(own, peers)
-			if !node.g.customerShares.due(n.Name, use, s.now) {
+			if !node.g.customerShares.takeDue(n.Name, use, s.now) {
 				continue
 			}
 			s.messages++
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,7 +30,6 @@
 	"github.com/shedhoist/shedhoist/internal/drain"
 	"github.com/shedhoist/shedhoist/internal/loadreport"
 	"github.com/shedhoist/shedhoist/internal/logline"
-	"github.com/shedhoist/shedhoist/internal/metric"
 	"github.com/shedhoist/shedhoist/internal/netx"
 	"github.com/shedhoist/shedhoist/internal/peer"
 	"github.com/shedhoist/shedhoist/internal/platform"
@@ -114,20 +113,20 @@
 	// admissions is the history of admitted and refused prompts, by service and level.
 	admissions admission.History
 	// predictor is shared by all requests.
-	predictorMu      sync.Mutex
-	predictor        *placement.Predictor
-	peerLoads        *loadreport.PeerWork
-	peerRequests     *loadreport.PeerRequests // at targets with few slots
-	serviceTimes     serviceTimes             // of services without a model
-	peerSilences     *loadreport.UnresponsiveTargets
-	peerPendingSaves *loadreport.PendingSaves
-	customerShares   customerShares      // customers above their fair shares of scarce capacity
-	peerOncePrompts  *loadreport.KeySets // cordoned targets, see LoadReport.OncePrompts
-	storePositions   positionTracker
-	cache            *cacheDirectory
-	rollout          *rolloutController
-	inFlight         atomic.Int64
-	stopTimes        atomic.Pointer[drain.Schedule] // of the stop in progress; nil: none
+	predictorMu           sync.Mutex
+	predictor             *placement.Predictor
+	peerLoads             *loadreport.PeerWork
+	peerRequests          *loadreport.PeerRequests // at targets with few slots
+	serviceTimes          serviceTimes             // of services without a model
+	peerSilences          *loadreport.UnresponsiveTargets
+	peerPendingSaves      *loadreport.PendingSaves
+	customerShares        customerShares      // customers above their fair shares of scarce capacity
+	peerAtMostOncePrompts *loadreport.KeySets // cordoned targets, see LoadReport.AtMostOncePrompts
+	storePositions        positionTracker
+	cache                 *cacheDirectory
+	rollout               *rolloutController
+	inFlight              atomic.Int64
+	stopTimes             atomic.Pointer[drain.Schedule] // of the stop in progress; nil: none
 
 	successSampler, saveSampler sampler // limit the rate of log lines
 
@@ -160,7 +159,7 @@
 	g.peerLoads, g.peerSilences, g.peerPendingSaves = loadreport.NewPeerWork(loadReportTTL), loadreport.NewUnresponsiveTargets(loadReportTTL), loadreport.NewPendingSaves(pendingSaveTTL, loadReportTTL)
 	g.peerRequests = loadreport.NewPeerRequests(loadReportTTL)
 	g.customerShares.g, g.customerShares.peers = g, loadreport.NewPeerCustomers(customerSumsTTL, loadReportTTL)
-	g.peerOncePrompts = loadreport.NewKeySets(loadReportTTL)
+	g.peerAtMostOncePrompts = loadreport.NewKeySets(loadReportTTL)
 	g.cache = newCacheDirectory(g)
 	g.rollout = newRolloutController(g)
 	g.retryBudgets.g = g
@@ -352,38 +351,6 @@
 	}
 }
 
-// serveMetrics writes all metrics, including gauges of this instance's current state.
-func (g *Gateway) serveMetrics(w http.ResponseWriter, _ *http.Request) {
-	v := g.view.Load()
-	metric.SetGauge("shedhoist_config_version", float64(g.configVersion()))
-	metric.SetGauge("shedhoist_config_version_heard", float64(v.NewestReportedConfig))
-	metric.SetGauge("shedhoist_config_bytes", float64(v.ConfigBytes))
-	if age, known := g.staleness.Age(staleness.Config, g.now()); known {
-		metric.SetGauge("shedhoist_config_age_seconds", age.Seconds())
-	}
-	metric.SetGauge("shedhoist_targets", float64(len(v.Targets)))
-	metric.SetGauge("shedhoist_zones_evacuated", float64(len(v.EvacuatedZones)))
-	metric.SetGauge("shedhoist_instances_alive", float64(len(v.Alive)))
-	metric.SetGauge("shedhoist_store_reached", boolGauge(v.StoreReachable))
-	metric.SetGauge("shedhoist_targets_reached", boolGauge(!g.targetLinks.lost()))
-	metric.SetGauge("shedhoist_ready", boolGauge(g.Ready()))
-	metric.SetGauge("shedhoist_requests_in_hand", float64(g.inFlight.Load()))
-	metric.SetGauge("shedhoist_buffer_limit_bytes", float64(g.buffers.Limit()))
-	metric.SetGauge("shedhoist_buffer_bytes", float64(g.buffers.Held()))
-	metric.SetGauge("shedhoist_read_ahead_bytes", float64(g.buffers.HeldByStreams()))
-	metric.SetGauge("shedhoist_limited_targets", float64(g.limits.known.Count()))
-	metric.SetGauge("shedhoist_customers_over_fair_share", float64(g.customerShares.countAbove()))
-	g.retryBudgets.setGauges()
-	metric.Write(w)
-}
-
-func boolGauge(b bool) float64 {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 func (g *Gateway) configVersion() uint64 {
 	if cfg := g.view.Load().Config; cfg != nil {
 		return cfg.Version
--- a/internal/gateway/held_bytes.go
+++ b/internal/gateway/held_bytes.go
@@ -9,14 +9,14 @@
 	"github.com/shedhoist/shedhoist/internal/problem"
 )
 
-// memoryShare is the share of the instance's memory limit that bodies, buffered answers and data
+// bufferMemoryShare is the share of the instance's memory limit that bodies, buffered answers and data
 // read ahead may use. Go's heap grows to twice what is in use before a collection ends, so that a
 // quarter in use takes up to half of the memory. The other half is for connections, the catalog
 // and the directory of the cache.
-const memoryShare = 0.25
+const bufferMemoryShare = 0.25
 
 // bufferLimit returns the limit in bytes for an instance; 0 is none.
-func bufferLimit(memoryBytes int64) int64 { return int64(memoryShare * float64(memoryBytes)) }
+func bufferLimit(memoryBytes int64) int64 { return int64(bufferMemoryShare * float64(memoryBytes)) }
 
 // BufferFullError reports that the instance can't hold more bytes of requests.
 type BufferFullError struct{}
@@ -83,14 +83,14 @@
 	return retryLater(problem.Overloaded, (&BufferFullError{}).Error(), retryAfterShort)
 }
 
-// firstAnswerBuffer is the initial buffer for an answer of unknown length.
-const firstAnswerBuffer = 4 << 10
+// initialResponseBuffer is the initial buffer for an answer of unknown length.
+const initialResponseBuffer = 4 << 10
 
-// bufferAnswer reads a target's response up to maxBufferedResponse. whole is false if there is
+// bufferResponse reads a target's response up to maxBufferedResponse. whole is false if there is
 // more, since it is larger or the budget leaves no room for it.
-func (x *exchange) bufferAnswer(at *attemptState) (b *bufferedResponse, whole bool, err error) {
+func (x *exchange) bufferResponse(at *attemptState) (b *bufferedResponse, whole bool, err error) {
 	b = &bufferedResponse{status: at.httpResponse.StatusCode, header: at.httpResponse.Header}
-	size := int64(firstAnswerBuffer)
+	size := int64(initialResponseBuffer)
 	if length := at.httpResponse.ContentLength; length >= 0 {
 		size = min(length, maxBufferedResponse) + 1 // one more: the last Read returns io.EOF
 	}
--- a/internal/gateway/home_source.go
+++ b/internal/gateway/home_source.go
@@ -21,7 +21,7 @@
 	if !x.g.settings().Policy.HomeSources || !x.view.Config.FetchesFromTargets(t.Service) || len(x.call.Prompt.Parts) < 2 {
 		return
 	}
-	home := x.promptHome(version)
+	home := x.promptHome(t, version)
 	if home == nil || home.ID == t.ID {
 		return
 	}
@@ -40,15 +40,16 @@
 
 // promptHome returns the home of the prompt among all targets that serve a weight version, or nil if there
 // is none. Targets that may not respond don't count: a fetch from a dead one takes some hundred ms to fail.
-// Unlike the home that placement prefers, it is the same for instances with different candidates.
-func (x *exchange) promptHome(version uint64) *catalog.Target {
+// Unlike the home that placement prefers, it is the same for instances with different candidates: it ignores
+// warmup and permits, which differ between instances. current is the target of the attempt.
+func (x *exchange) promptHome(current *catalog.Target, version uint64) *catalog.Target {
 	shared := x.call.Prompt.Parts[:len(x.call.Prompt.Parts)-1]
 	key := placement.NewHomeKey(shared[len(shared)-1].ID)
 	storeZone := x.homeZone(version, len(shared)-1)
 	var home *catalog.Target
 	inStoreZone, highestRank := false, 0.0
 	for _, t := range x.view.Serving[x.service] {
-		if t.WeightVersion(x.call.Prompt.Model) != version || slices.Contains(x.ejected, t.ID) || x.unreachableZones[t.Zone] || x.isExcluded(t) {
+		if t.WeightVersion(x.call.Prompt.Model) != version || slices.Contains(x.ejected, t.ID) || x.unreachableZones[t.Zone] || t.ID != current.ID && x.isExcluded(t) {
 			continue
 		}
 		preferred, rank := t.Zone == storeZone, key.Rank(t.Name, 1)
--- a/internal/gateway/home_source_test.go
+++ b/internal/gateway/home_source_test.go
@@ -35,7 +35,7 @@
 func TestFetchFromHome(t *testing.T) {
 	is := is.New(t)
 	x := homeFetchExchange(t, true)
-	home := x.promptHome(2)
+	home := x.promptHome(&catalog.Target{}, 2)
 	other := x.view.Serving["s"][0]
 	if other == home {
 		other = x.view.Serving["s"][1]
@@ -46,6 +46,7 @@
 	is.Equal(x.plan.homeParts, 1)
 
 	x.plan = cachePlan{}
+	x.triedTargets = []string{home.ID} // an attempt's own target counts as tried
 	x.fetchFromHome(home, 2)
 	is.Equal(x.plan.parts, nil) // the home has the parts itself
 
@@ -60,14 +61,15 @@
 func TestHomeThatMayNotRespond(t *testing.T) {
 	is := is.New(t)
 	x := homeFetchExchange(t, true)
-	first := x.promptHome(2)
+	none := &catalog.Target{}
+	first := x.promptHome(none, 2)
 	is.True(first.WeightVersion("m") == 2)
 	x.ejected = []string{first.ID}
-	second := x.promptHome(2)
+	second := x.promptHome(none, 2)
 	is.True(second != nil && second.ID != first.ID)
 	x.triedTargets = []string{second.ID}
-	is.Equal(x.promptHome(2), nil)
+	is.Equal(x.promptHome(none, 2), nil)
 	x.ejected, x.triedTargets = nil, nil
 	x.unreachableZones = map[string]bool{"z": true}
-	is.Equal(x.promptHome(2), nil)
+	is.Equal(x.promptHome(none, 2), nil)
 }
--- a/internal/gateway/load_report_state.go
+++ b/internal/gateway/load_report_state.go
@@ -35,7 +35,7 @@
 	s.answered, s.peerAnswered = g.ownAnswered(s.peerSilent), g.peerSilences.ResponseReports(now)
 	s.positions = g.cache.ownPositions() // before the pending saves, see LoadReport.StorePositions
 	s.pending, s.peerPending = g.cache.ownPendingSaves(), g.peerPendingSaves.Reports(now)
-	s.once, s.peerOnce = g.ownOncePrompts(), g.peerOncePrompts.Reports(now)
+	s.once, s.peerOnce = g.ownAtMostOncePrompts(), g.peerAtMostOncePrompts.Reports(now)
 	s.customers, s.peerCustomers = g.customerShares.update(now, tree.neighbours())
 	return s
 }
@@ -43,15 +43,15 @@
 // reportTo returns the report for a neighbour, without its sender and number.
 func (s *reportState) reportTo(n neighbour) *LoadReport {
 	report := &LoadReport{
-		Targets:        n.loadsToReport(s.work, s.peerWork).Report(),
-		Requests:       n.requestsToReport(s.requests, s.peerRequests).Report(),
-		Silent:         n.silencesToReport(s.silent, s.peerSilent),
-		Answered:       n.answeredToReport(s.answered, s.peerAnswered),
-		PendingSaves:   n.keysToReport(s.pending, s.peerPending),
-		StorePositions: s.positions,
-		OncePrompts:    n.keysToReport(s.once, s.peerOnce),
+		Targets:           n.loadsToReport(s.work, s.peerWork).Report(),
+		Requests:          n.requestsToReport(s.requests, s.peerRequests).Report(),
+		Silent:            n.silencesToReport(s.silent, s.peerSilent),
+		Answered:          n.answeredToReport(s.answered, s.peerAnswered),
+		PendingSaves:      n.keysToReport(s.pending, s.peerPending),
+		StorePositions:    s.positions,
+		AtMostOncePrompts: n.keysToReport(s.once, s.peerOnce),
 	}
-	if use := n.customersToReport(s.customers, s.peerCustomers); s.g.customerShares.due(n.Name, use, s.g.now()) {
+	if use := n.customersToReport(s.customers, s.peerCustomers); s.g.customerShares.takeDue(n.Name, use, s.g.now()) {
 		report.Customers = use.Report()
 	}
 	return report
@@ -59,5 +59,5 @@
 
 // isEmpty reports whether a report says nothing.
 func (r *LoadReport) isEmpty() bool {
-	return len(r.Targets)+len(r.Requests)+len(r.Silent)+len(r.Answered)+len(r.PendingSaves)+len(r.StorePositions)+len(r.OncePrompts)+len(r.Customers) == 0
+	return len(r.Targets)+len(r.Requests)+len(r.Silent)+len(r.Answered)+len(r.PendingSaves)+len(r.StorePositions)+len(r.AtMostOncePrompts)+len(r.Customers) == 0
 }
--- a/internal/gateway/load_reports.go
+++ b/internal/gateway/load_reports.go
@@ -55,9 +55,9 @@
 	// Customers are the customers' sums at services whose capacity is scarce, including those that the
 	// sender relays. Most reports have none: they are sent once a second.
 	Customers []loadreport.ServiceSums `cbor:"8,keyasint,omitempty"`
-	// OncePrompts are cordoned targets at which prompts run that run at most once, including those
+	// AtMostOncePrompts are cordoned targets at which prompts run that run at most once, including those
 	// that the sender relays.
-	OncePrompts []loadreport.Key `cbor:"12,keyasint,omitempty"`
+	AtMostOncePrompts []loadreport.Key `cbor:"12,keyasint,omitempty"`
 }
 
 // Ack is the empty reply to a LoadReport.
@@ -71,7 +71,7 @@
 	h.g.peerSilences.ApplyResponses(req.From, req.Seq, req.Answered, h.g.now())
 	h.g.peerPendingSaves.Apply(req.From, req.Seq, req.PendingSaves, h.g.now())
 	h.g.customerShares.peers.Apply(req.From, req.Seq, req.Customers, h.g.now())
-	h.g.peerOncePrompts.Apply(req.From, req.Seq, req.OncePrompts, h.g.now())
+	h.g.peerAtMostOncePrompts.Apply(req.From, req.Seq, req.AtMostOncePrompts, h.g.now())
 	h.g.storePositions.record(req.From, req.Seq, req.StorePositions, h.g.now()) // after PendingSaves, see LoadReport.StorePositions
 	return nil
 }
--- a/internal/gateway/prompt.go
+++ b/internal/gateway/prompt.go
@@ -151,7 +151,7 @@
 	x.plan.pendingSave = x.g.cache.beginSave(t.ID, x.plan.savedKeys)
 	x.logSaves(t, salt)
 	fetchUntilMS := x.g.cache.serverClockMS(x.fetchTimeout())
-	if fetchUntilMS > 0 {
+	if fetchUntilMS > 0 { // without the servers' clock a fetch from a slow home would have no end
 		x.fetchFromHome(t, version)
 	}
 	return &ModelAttempt{Priority: x.effectiveRank(), Version: version, Salt: salt, Cache: x.plan.parts, FetchUntilMS: fetchUntilMS}
@@ -205,7 +205,7 @@
 	left := float64(x.route.LatencyObjective)/float64(time.Millisecond) - x.elapsedMS()
 	late := x.predictedMS > lateShare*left
 	if x.admissionLevels() != nil {
-		return x.view.Config.PromptRanks(x.service).SentRank(admission.RankOf(rank, x.route.Priority), late)
+		return x.view.Config.PromptRanks(x.service).SentRank(admission.CombinedRank(rank, x.route.Priority), late)
 	}
 	if late {
 		rank += lateRankPenalty
--- a/internal/gateway/read_ahead.go
+++ b/internal/gateway/read_ahead.go
@@ -135,6 +135,7 @@
 	for {
 		data, id, err := s.read(false)
 		if err != nil {
+			// The target has finished, though the caller may read for seconds more.
 			s.at.endWork()
 		}
 		if !s.put(data, id, err) {
--- a/internal/gateway/rollout_stages.go
+++ b/internal/gateway/rollout_stages.go
@@ -44,7 +44,7 @@
 // usesStages reports whether the targets of a service pass through the stages: routes send it streams
 // that run at most once.
 func (g *Gateway) usesStages(v *View, service string) bool {
-	return g.settings().Policy.RolloutStages && v.Config.HasOnceStreams(service)
+	return g.settings().Policy.RolloutStages && v.Config.HasAtMostOnceStreams(service)
 }
 
 // holdTargets holds back the targets that have not been closing for long enough, and sets the pace;
@@ -84,7 +84,7 @@
 	return o.closing.Update(o.planner.Upcoming(staged, desired, max(o.maxClosing, free)), now)
 }
 
-// dropClosing forgets which targets are closing; the other instances do so after cordonTTL.
+// dropClosing forgets which targets are closing; views drop them after cordonTTL.
 func (o *rolloutController) dropClosing() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -158,15 +158,14 @@
 	}
 	orderedAt := o.g.now()
 	l.runsLeft = before.Running + before.Queued
-	if l.runsLeft > 0 && o.g.hasOncePrompts(t.ID) {
-		l.finish = o.paceFor(t).Finish
-		if !l.finish {
-			metric.RolloutInterrupted.Inc()
-		}
-	}
+	losesRuns := l.runsLeft > 0 && o.g.hasAtMostOncePrompts(t.ID)
+	l.finish = losesRuns && o.paceFor(t).Finish
 	if refusal := o.sendOrder(ctx, l, before.OrderSeq); refusal != "" {
 		return refusal
 	}
+	if losesRuns && !l.finish {
+		metric.RolloutInterrupted.Inc()
+	}
 	outcome := o.awaitLoad(ctx, l.Model, l.version, t, before.OrderSeq)
 	if outcome == loadDone {
 		o.noteLoadTime(o.g.now().Sub(orderedAt))
@@ -185,22 +184,22 @@
 	}
 }
 
-// hasOncePrompts reports whether prompts that run at most once are known to run at a target: this
+// hasAtMostOncePrompts reports whether prompts that run at most once are known to run at a target: this
 // instance's own, or those in the load reports of its peers, which cover cordoned targets only.
-func (g *Gateway) hasOncePrompts(id string) bool {
-	return g.upstream.inflight.Get(id).OncePrompts.Load() > 0 || g.peerOncePrompts.Has(loadreport.KeyOf(id), g.now())
+func (g *Gateway) hasAtMostOncePrompts(id string) bool {
+	return g.upstream.inflight.Get(id).AtMostOncePrompts.Load() > 0 || g.peerAtMostOncePrompts.Has(loadreport.KeyOf(id), g.now())
 }
 
-// ownOncePrompts returns the cordoned targets at which this instance's prompts run that run at most
+// ownAtMostOncePrompts returns the cordoned targets at which this instance's prompts run that run at most
 // once.
-func (g *Gateway) ownOncePrompts() []loadreport.Key {
+func (g *Gateway) ownAtMostOncePrompts() []loadreport.Key {
 	var out []loadreport.Key
 	v := g.view.Load()
 	for id := range v.Cordoned {
 		if t := v.Targets[id]; t == nil || !g.usesStages(v, t.Service) {
 			continue
 		}
-		if g.upstream.inflight.Get(id).OncePrompts.Load() > 0 {
+		if g.upstream.inflight.Get(id).AtMostOncePrompts.Load() > 0 {
 			out = append(out, loadreport.KeyOf(id))
 		}
 	}
@@ -209,7 +208,7 @@
 
 // awaitRuns waits until no prompts that run at most once are known to run at a cordoned target, or
 // its report says that nothing runs or waits there, for as long as the pace allows. It fails if the
-// target must not be loaded now.
+// target must not be loaded now, or ctx has ended.
 func (o *rolloutController) awaitRuns(ctx context.Context, l *plannedLoad) error {
 	since := o.g.now()
 	stage, runs, nextReport := rollout.StageCordoned, -1, since // no report yet
@@ -220,7 +219,7 @@
 			in = l.cordoned
 		}
 		stage = o.paceFor(l.target).Next(stage, in, runs)
-		if stage != rollout.StageWaiting || !o.g.hasOncePrompts(l.target.ID) {
+		if stage != rollout.StageWaiting || !o.g.hasAtMostOncePrompts(l.target.ID) {
 			break
 		}
 		if !now.Before(nextReport) {
@@ -239,7 +238,7 @@
 			nextReport = now.Add(o.pollPause(l.target)) // may be longer than the wait, in backoff
 		}
 		if runs != 0 && !wait.For(ctx, loadPollInterval) {
-			break
+			return ctx.Err()
 		}
 	}
 	l.waited = o.g.now().Sub(since)
--- a/internal/gateway/rollout_stages_test.go
+++ b/internal/gateway/rollout_stages_test.go
@@ -502,9 +502,9 @@
 	is.Equal(len(v.Serving["s"]), 3) // it still serves
 	now := at0.Add(cordonTTL)
 	c.now = func() time.Time { return now }
-	is.True(c.uncordoned())
+	is.True(c.rolloutExpired())
 	is.Equal(len(c.buildView().Closing), 0)
-	is.True(!c.uncordoned())
+	is.True(!c.rolloutExpired())
 
 	closing.Stamp.Seq = 2
 	rolloutReceived{update: closing}.apply(c)
@@ -617,9 +617,9 @@
 	})
 }
 
-// TestOncePromptsAreReported guards against a holder that does not learn of its peers' prompts at a cordoned
+// TestAtMostOncePromptsAreReported guards against a holder that does not learn of its peers' prompts at a cordoned
 // target, or believes in them after they have ended, and against reports of other targets.
-func TestOncePromptsAreReported(t *testing.T) {
+func TestAtMostOncePromptsAreReported(t *testing.T) {
 	for _, instances := range []int{3, 20} { // directly, and along the relay tree
 		t.Run(fmt.Sprint(instances, " instances"), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -640,10 +640,10 @@
 					g.sendEvent(rolloutReceived{update: RolloutUpdate{Holder: "e-000", Stamp: RolloutStamp{Token: 1, Seq: 1}, Cordoned: ids[:1]}})
 				}
 				time.Sleep(500 * time.Millisecond)
-				is.True(f.gateways[0].hasOncePrompts(ids[0]))
-				is.True(!f.gateways[0].hasOncePrompts(ids[1]))
+				is.True(f.gateways[0].hasAtMostOncePrompts(ids[0]))
+				is.True(!f.gateways[0].hasAtMostOncePrompts(ids[1]))
 				time.Sleep(3 * time.Second)
-				is.True(!f.gateways[0].hasOncePrompts(ids[0])) // the resumable streams still run
+				is.True(!f.gateways[0].hasAtMostOncePrompts(ids[0])) // the resumable streams still run
 				streams.wg.Wait()
 			})
 		})
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -37,12 +37,12 @@
 	s.byService[service].Observe(elapsed, queued)
 }
 
-// mean returns the service time in ms; 0: not known.
-func (s *serviceTimes) mean(service string) float64 {
+// estimate returns the service time in ms; 0: not known.
+func (s *serviceTimes) estimate(service string) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if t := s.byService[service]; t != nil {
-		return t.Mean()
+		return t.Estimate()
 	}
 	return 0
 }
@@ -98,7 +98,7 @@
 	if !x.countsSlots() {
 		return
 	}
-	q.ServiceMS = x.g.serviceTimes.mean(x.service)
+	q.ServiceMS = x.g.serviceTimes.estimate(x.service)
 	q.TimeLeftMS = float64(x.deadline.Sub(x.g.now())) / float64(time.Millisecond)
 }
 
--- a/internal/gateway/slow_callers_test.go
+++ b/internal/gateway/slow_callers_test.go
@@ -447,14 +447,14 @@
 		used := int64(0)
 		for range 40 {
 			time.Sleep(slowInterval)
-			is.True(b.Held() <= budgetMemory*memoryShare)
-			is.True(b.HeldByStreams() <= budgetMemory*memoryShare/2)
+			is.True(b.Held() <= budgetMemory*bufferMemoryShare)
+			is.True(b.HeldByStreams() <= budgetMemory*bufferMemoryShare/2)
 			used = max(used, b.HeldByStreams())
 		}
-		is.True(used > budgetMemory*memoryShare/4) // the test is of a budget that is used up
+		is.True(used > budgetMemory*bufferMemoryShare/4) // the test is of a budget that is used up
 		// Of each stream the windows of two connections, an event at each of their ends, and the
 		// buffer of a reader are on the way besides.
-		is.True(f.written.Load() < budgetMemory*memoryShare/2+n*(2*slowWindow+4<<10+4*250))
+		is.True(f.written.Load() < budgetMemory*bufferMemoryShare/2+n*(2*slowWindow+4<<10+4*250))
 		for _, c := range callers {
 			reading.Go(func() {
 				ids, err := c.readStream(0, 0)
--- a/internal/gateway/view_build.go
+++ b/internal/gateway/view_build.go
@@ -202,9 +202,9 @@
 	return out
 }
 
-// uncordoned reports whether the last published view has targets cordoned or closing that no
+// rolloutExpired reports whether the last published view has targets cordoned or closing that no
 // longer are, because the update has expired.
-func (c *controlState) uncordoned() bool {
+func (c *controlState) rolloutExpired() bool {
 	return len(c.serving.cordoned)+len(c.serving.closing) > 0 && c.now().Sub(c.rolloutReceivedAt) >= cordonTTL
 }
 
--- a/internal/gateway/view_build_test.go
+++ b/internal/gateway/view_build_test.go
@@ -60,9 +60,9 @@
 	is.Equal(len(c.buildView().Serving["s"]), 2)
 	now := at0.Add(cordonTTL)
 	c.now = func() time.Time { return now }
-	is.True(c.uncordoned())
+	is.True(c.rolloutExpired())
 	is.Equal(len(c.buildView().Serving["s"]), 3)
-	is.True(!c.uncordoned())
+	is.True(!c.rolloutExpired())
 
 	c.targets.ApplyChanges(12, nil, []string{"i-0002"}, now)
 	v = c.buildView()
--- a/internal/inflight/inflight.go
+++ b/internal/inflight/inflight.go
@@ -15,10 +15,10 @@
 
 // Load is the load of this instance's requests at one target.
 type Load struct {
-	Requests      atomic.Int64 // sent and not finished
-	PrefillTokens atomic.Int64 // prompt tokens not computed yet
-	MemoryTokens  atomic.Int64 // tokens that the requests hold in the target's memory
-	OncePrompts   atomic.Int64 // prompts that run at most once, sent and not finished
+	Requests          atomic.Int64 // sent and not finished
+	PrefillTokens     atomic.Int64 // prompt tokens not computed yet
+	MemoryTokens      atomic.Int64 // tokens that the requests hold in the target's memory
+	AtMostOncePrompts atomic.Int64 // prompts that run at most once, sent and not finished
 	// MeanRequests is the mean of Requests, kept for targets with few slots only.
 	MeanRequests MeanRequests
 	// Responses tracks how long the target has not responded to this instance.
--- a/internal/loadreport/latest_reports.go
+++ b/internal/loadreport/latest_reports.go
@@ -27,15 +27,16 @@
 }
 
 // apply stores a peer's report, unless one with the same or a higher number was stored less than
-// maxDisorder ago. An older one doesn't count: a restarted peer numbers its reports from 1 again. The
-// content must not be modified after this call.
-func (l *latestReports[T]) apply(from string, seq uint64, content T, now time.Time) {
+// maxDisorder ago, and reports whether it did. An older one doesn't count: a restarted peer numbers its
+// reports from 1 again. The content must not be modified after this call.
+func (l *latestReports[T]) apply(from string, seq uint64, content T, now time.Time) (stored bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if old, ok := l.byPeer[from]; ok && seq <= old.seq && now.Sub(old.received) < l.maxDisorder {
-		return
+		return false
 	}
 	l.byPeer[from] = report[T]{seq: seq, received: now, content: content}
+	return true
 }
 
 // each calls f for each report that has not expired, and removes the others. f must not call
--- a/internal/loadreport/requests.go
+++ b/internal/loadreport/requests.go
@@ -84,7 +84,9 @@
 	for _, r := range reported {
 		requests[r.Target] += max(r.Units, 0)
 	}
-	p.reports.apply(from, seq, requests, now)
+	if !p.reports.apply(from, seq, requests, now) {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(reported) > 0 {
