Admission by priority acts where a service has three levels or more

Change: with two levels the rank at the target protects the urgent prompts, and there is no headroom.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -24,13 +24,17 @@
 	overloadAge     time.Duration // set if the request was refused
 }
 
-// admissionLevels returns the levels of the request's service, or nil if its prompts do not
-// differ in priority or the policy ignores it.
+// minLevels is the least number of levels at which headroom is left. With two, the order of the
+// targets by rank protects the urgent prompts, and headroom would cost the others more.
+const minLevels = 3
+
+// admissionLevels returns the levels of the request's service, or nil if these are fewer than minLevels
+// or the policy ignores it.
 func (x *exchange) admissionLevels() admission.Levels {
 	if x.call.Prompt == nil || !x.g.settings().Policy.RankAdmission {
 		return nil
 	}
-	if l := x.view.Config.PromptLevels(x.service); l.Prioritized() {
+	if l := x.view.Config.PromptLevels(x.service); len(l) >= minLevels {
 		return l
 	}
 	return nil
