Rollouts: one condition tells whether a target needs a load

Cause: Plan and Upcoming had the same condition twice, so that a change of one could name other targets as next than are loaded then. Change: Planner.dueVersion serves both; no behaviour changes. Tests of rollout, of the daemon, and gateway's and the platform's tests of rollouts pass.

--- a/internal/core/rollout/plan.go
+++ b/internal/core/rollout/plan.go
@@ -132,12 +132,11 @@
 	}
 	var out []Load
 	for _, t := range targets {
-		want, ok := desired[t.Model]
-		version := p.EffectiveVersion(t.Model, want)
-		_, pending := p.pending[t.Name]
-		if !ok || version == "" || t.Version == version || pending || t.Loading || t.Held || loading >= p.maxLoads+p.ahead {
+		version, due := p.dueVersion(t, desired)
+		if !due || t.Held || loading >= p.maxLoads+p.ahead {
 			continue
 		}
+		want := desired[t.Model]
 		if t.Ready && slices.Contains(want.Allowed, t.Version) && ready[t.Model]-1 < minReadyTargets(want.MinReady, total[t.Model]) {
 			continue // it serves an allowed version and is needed for MinReady
 		}
@@ -151,6 +150,15 @@
 	return out
 }
 
+// dueVersion returns the version that a target is to load. due is false if it needs no load, or one
+// is pending or in progress.
+func (p *Planner) dueVersion(t Target, desired map[string]DesiredVersion) (version string, due bool) {
+	want, ok := desired[t.Model]
+	version = p.EffectiveVersion(t.Model, want)
+	_, pending := p.pending[t.Name]
+	return version, ok && version != "" && t.Version != version && !pending && !t.Loading
+}
+
 // updatePending removes the target's pending load if the target serves the version, or if the
 // load is older than loadTimeout, so that Plan may return it again.
 func (p *Planner) updatePending(t Target, now time.Time) {
--- a/internal/core/rollout/stages.go
+++ b/internal/core/rollout/stages.go
@@ -168,9 +168,7 @@
 		if len(out) >= count {
 			break
 		}
-		want, ok := desired[t.Model]
-		version := p.EffectiveVersion(t.Model, want)
-		if _, pending := p.pending[t.Name]; !ok || version == "" || t.Version == version || pending || t.Loading || seen[t.Name] {
+		if _, due := p.dueVersion(t, desired); !due || seen[t.Name] {
 			continue
 		}
 		seen[t.Name] = true
