Review, case 2: a part is fetched from a cache store while a killed machine's save writes it

A process that starts again under its name reports no pending saves, and so makes the others forget those of the process before.

--- a/review/kit/engine.go
+++ b/review/kit/engine.go
@@ -86,6 +86,8 @@
 	extraTimes [][2]time.Duration // when it does so, from the start of the record
 	// sheds makes it refuse what exceeds its slots; otherwise that waits.
 	sheds bool
+	// cache is how a model server uses the cache store; nil: not at all.
+	cache *cacheRules
 }
 
 // addServer starts a server and writes its entry.
@@ -244,6 +246,9 @@
 		s.mu.Unlock()
 	}()
 	time.Sleep(s.workTime)
+	if s.cache != nil {
+		s.cache.prompt(s.id, r.Header) // also of a request whose connection is closed meanwhile
+	}
 	if isClosed(conn, in) {
 		s.f.rec.line("server %s drops request %s: its connection is closed", s.id, id)
 		return answer{}, false
