--- a/review/kit/engine.go
+++ b/review/kit/engine.go
@@ -83,7 +83,8 @@
 	// extraShare is the share of its answers after which it sends the same answer once more, at the point
 	// where the next one on the connection is expected.
 	extraShare float64
-	extraTimes [][2]time.Duration // when it does so, from the start of the record
+	extraTimes [][2]time.Duration // when it does so, from extraFrom on
+	extraFrom  time.Time
 	// sheds makes it refuse what exceeds its slots; otherwise that waits.
 	sheds bool
 	// cache is how a model server uses the cache store; nil: not at all.
@@ -199,7 +200,7 @@
 func (s *server) dueExtra(a answer) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now, active := time.Since(s.f.rec.began), false
+	now, active := time.Since(s.extraFrom), false
 	for _, t := range s.extraTimes {
 		active = active || now >= t[0] && now < t[1]
 	}
@@ -247,9 +248,8 @@
 	}()
 	time.Sleep(s.workTime)
 	if s.cache != nil {
-		s.cache.prompt(s.id, r.Header) // also of a request whose connection is closed meanwhile
-	}
-	if isClosed(conn, in) {
+		s.cache.prompt(s.id, r.Header) // these servers don't drop a request whose connection is closed
+	} else if isClosed(conn, in) {
 		s.f.rec.line("server %s drops request %s: its connection is closed", s.id, id)
 		return answer{}, false
 	}
--- a/review/kit/extra_refusal.go
+++ b/review/kit/extra_refusal.go
@@ -14,9 +14,13 @@
 func extraRefusal(f *fleet, trouble bool) string {
 	const clients, each = 16, 160
 	all := &runs{}
+	var faulty *server
 	for k := 1; k <= 2; k++ {
 		s := f.addServer(fmt.Sprintf("i-7f3a91c%d", k), "huvo11a", "dar-kariakoo", "daka510000", 4, 30*time.Millisecond, all)
 		s.sheds = true
+		if k == 1 {
+			faulty = s
+		}
 		if k == 1 && trouble {
 			s.extraShare = 0.03
 			s.extraTimes = [][2]time.Duration{{time.Second, 6 * time.Second}, {8 * time.Second, 13 * time.Second}}
@@ -27,6 +31,9 @@
 	entry := f.addInstance("front-dar-kariakoo-1", "dar-kariakoo")
 	f.start(entry)
 	f.awaitReady()
+	faulty.mu.Lock()
+	faulty.extraFrom = time.Now()
+	faulty.mu.Unlock()
 	var mu sync.Mutex
 	outcomes := map[string]outcome{}
 	var wait sync.WaitGroup
--- a/review/kit/late_save.go
+++ b/review/kit/late_save.go
@@ -218,14 +218,23 @@
 // lateSave: a machine is killed while its requests wait in the servers' queues; then the cache store crashes
 // and returns empty. No request may take a part from the store that is being written there.
 func lateSave(f *fleet, trouble bool) string {
-	const shared, tokens = 12, 7520
+	const shared, tokens = 16, 7520
 	all, zones := &runs{}, []string{"dar-kariakoo", "dar-mikocheni", "dar-kurasini"}
 	k := f.addKeep()
-	busy := false // guarded by k.mu
+	busy := false      // guarded by k.mu
+	var less time.Time // from then on the servers have less to do; guarded by k.mu
+	isLess := func() bool {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		return !less.IsZero()
+	}
 	rules := &cacheRules{keep: k, queue: func(id string) time.Duration {
 		if n, late := strings.CutPrefix(id, "1a7e"); late {
+			for try := 0; try < 1000 && !isLess(); try++ { // 10 s at most
+				time.Sleep(10 * time.Millisecond)
+			}
 			i, _ := strconv.ParseInt(n, 16, 64)
-			return 4400*time.Millisecond + time.Duration(i)*100*time.Millisecond
+			return 20*time.Millisecond + time.Duration(i)*90*time.Millisecond
 		}
 		k.mu.Lock()
 		defer k.mu.Unlock()
@@ -234,8 +243,8 @@
 		}
 		return 5 * time.Millisecond
 	}}
-	for n := range 9 {
-		s := f.addServer(fmt.Sprintf("i-7f3a91c%d", n), "huvo11a", zones[n%3], "daka510000", 64, 0, all)
+	for n := range 14 {
+		s := f.addServer(fmt.Sprintf("i-7f3a91c%x", n), "huvo11a", zones[n%3], "daka510000", 64, 0, all)
 		s.cache = rules
 	}
 	f.store.set("versions", "daka510000", map[string]any{"model": "daka510000", "version": 1})
@@ -272,7 +281,7 @@
 	k.mu.Lock()
 	busy = true
 	k.mu.Unlock()
-	for round := range 24 {
+	for round := range 20 {
 		for n := range shared {
 			send(f.instances[1+round%2], fmt.Sprintf("%04x%04x", round, n), "/bundle-digest/2f", n)
 		}
@@ -283,6 +292,9 @@
 		time.Sleep(500 * time.Millisecond)
 		k.start()
 	}
+	k.mu.Lock()
+	less = time.Now()
+	k.mu.Unlock()
 	time.Sleep(3 * time.Second)
 	wait.Wait()
 	f.rec.line("%d parts were fetched whole, %d were not there, %d were being written", rules.fetch, rules.miss, len(rules.broken))
