--- a/review/kit/fleet.go
+++ b/review/kit/fleet.go
@@ -24,6 +24,8 @@
 // unable says that the case could not run.
 type unable struct{ err error }
 
+func (u unable) Error() string { return u.err.Error() }
+
 // record is the file that tells what was sent, answered and run.
 type record struct {
 	mu    sync.Mutex
--- a/review/kit/handover.go
+++ b/review/kit/handover.go
@@ -2,17 +2,17 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"time"
 )
 
 func init() { cases["handover"] = handover }
 
 // handover: servers leave half of their orders unanswered, and the machine that gives the orders is killed
-// right after one of these; it starts again a second later. No server may get orders of two holders within
+// within 0.4 s of one of these; it starts again a second later. No server may get orders of two holders within
 // leaseMs, nor a lower fencing token after a higher one.
 func handover(f *fleet, trouble bool) string {
 	const leaseMs, lateFor = 3000, 7 * time.Second
-	all := &runs{}
 	var servers []*server
 	zones := []string{"dar-kariakoo", "dar-mikocheni", "dar-kurasini"}
 	lost := make(chan order, 100)
@@ -32,7 +32,7 @@
 		}
 	}
 	for k := range 3 {
-		servers = append(servers, f.addServer(fmt.Sprintf("i-7f3a91c%d", k), "huvo11a", zones[k%3], "daka510000", 64, 30*time.Millisecond, all))
+		servers = append(servers, f.addServer(fmt.Sprintf("i-7f3a91c%d", k), "huvo11a", zones[k%3], "daka510000", 64))
 	}
 	f.store.set("versions", "daka510000", map[string]any{"model": "daka510000", "version": 1})
 	f.config(7, false)
@@ -57,7 +57,7 @@
 		if trouble {
 			select {
 			case o := <-lost:
-				time.Sleep(20 * time.Millisecond)
+				time.Sleep(rand.N(400 * time.Millisecond))
 				for _, i := range f.instances {
 					if i.name == o.Holder {
 						f.kill(i)
@@ -107,6 +107,11 @@
 		return
 	}
 	s.seq++
-	s.version = o.Version
-	go s.beat()
+	s.busy = true
+	time.AfterFunc(s.loadTime, func() {
+		s.mu.Lock()
+		s.version, s.busy = o.Version, false
+		s.mu.Unlock()
+		s.beat()
+	})
 }
--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -1,5 +1,5 @@
 // Command kit plays the cases of the review that are scripts: it starts machines of the system as the deploy
-// file says, with stand-ins of the platform's store, the servers and the clients, on loopback addresses.
+// file says, with stand-ins of the platform's store, and the servers, on loopback addresses.
 package main
 
 import (
