Lease: a holder knows its own writes, and a guard after a handover keeps its time

Cause: each renewal of the lease is also reported by the holder's own watch. If the report came before the answer to the write, Lease.Observe took the write for one of another process and dropped lastWrite; the answer then counted as an acquisition by an instance whose predecessor was itself, and the guard of the killed holder's targets was replaced by an empty one (and planner, closing and loaded targets were begun anew).

Change: the lease's value names the process and counts its writes, so that an observed value is known to be the write that is under way, answered or not; a late answer doesn't bring back what another process has overwritten. An acquisition is logged with whether this process held the lease before. A process that starts again doesn't write the value of the process before it (the store took that for no change), and another machine under the same name counts as another holder.

--- /dev/null
+++ b/internal/core/rollout/guard.go
@@ -0,0 +1,78 @@
+package rollout
+
+import "time"
+
+// HolderReport is what the last known holder of the lease told the other instances.
+type HolderReport struct {
+	Holder  string   // name of the instance; "": none has told anything
+	Targets []string // to which it may have sent orders
+}
+
+// GuardedTime says for how much longer a target is guarded.
+type GuardedTime struct {
+	Target string
+	For    time.Duration
+}
+
+// OrderGuard keeps orders of two holders to one target apart by the lease gap. A guard ends when its
+// time is over and never before, whoever acquires the lease meanwhile. The zero value guards nothing. It
+// is not safe for concurrent use.
+type OrderGuard struct {
+	all     time.Time            // until then all targets are guarded
+	targets map[string]time.Time // by target, until when it is guarded
+}
+
+// Blocks reports whether a target must not get orders yet.
+func (g *OrderGuard) Blocks(target string, now time.Time) bool {
+	return now.Before(g.all) || now.Before(g.targets[target])
+}
+
+// LeaseAcquired guards the targets to which other holders may have sent orders within gap. A holder tells
+// of a target before it sends it an order. If the previous holder has not told anything, all targets are
+// guarded: every earlier order was sent before its last one.
+func (g *OrderGuard) LeaseAcquired(a Acquisition, self Holder, gap time.Duration, report HolderReport) {
+	if a.Previous.Name == "" || a.Previous == self {
+		return
+	}
+	until := a.LastAct.Add(gap)
+	if report.Holder != a.Previous.Name {
+		g.guardAll(until)
+		return
+	}
+	if !a.Previous.sharesMachine(self) {
+		for _, target := range report.Targets {
+			g.guard(target, until)
+		}
+	}
+}
+
+func (g *OrderGuard) guardAll(until time.Time) {
+	if until.After(g.all) {
+		g.all = until
+	}
+}
+
+func (g *OrderGuard) guard(target string, until time.Time) {
+	if g.targets == nil {
+		g.targets = map[string]time.Time{}
+	}
+	if until.After(g.targets[target]) {
+		g.targets[target] = until
+	}
+}
+
+// Remaining returns for how much longer all targets are guarded, and which are guarded beyond that.
+func (g *OrderGuard) Remaining(now time.Time) (all time.Duration, targets []GuardedTime) {
+	all = max(g.all.Sub(now), 0)
+	for target, until := range g.targets {
+		left := until.Sub(now)
+		if left <= 0 {
+			delete(g.targets, target)
+			continue
+		}
+		if left > all {
+			targets = append(targets, GuardedTime{Target: target, For: left})
+		}
+	}
+	return all, targets
+}
--- a/internal/core/rollout/lease.go
+++ b/internal/core/rollout/lease.go
@@ -31,63 +31,115 @@
 	StepWrite      // write it on condition of its version, then call WriteSucceeded or WriteFailed
 )
 
+// Holder identifies a process that holds the lease.
+type Holder struct {
+	Name    string `json:"holder"`            // of the instance; "": the lease has never been held
+	Machine string `json:"machine,omitempty"` // address of its machine
+	Process uint64 `json:"process,omitempty"` // chosen at random by each process
+}
+
+// sharesMachine reports whether both are processes of one machine.
+func (h Holder) sharesMachine(other Holder) bool {
+	return h.Name == other.Name && h.Machine == other.Machine
+}
+
+// LeaseValue is the value of the lease's object. Each write has another value, also across restarts of
+// a process: platforms take a write of an equal value for no change, and contenders would take its
+// holder for dead.
+type LeaseValue struct {
+	Holder
+	Writes uint64 `json:"renewals"` // of the lease, by this process
+}
+
+// Acquisition describes how the lease was acquired.
+type Acquisition struct {
+	Token    uint64    // fencing token
+	Previous Holder    // the holder before, which may be an earlier process of this instance or this process itself
+	LastAct  time.Time // the previous holder sent its last order no later
+}
+
 // Lease is one instance's view of one lease. It is not safe for concurrent use.
 type Lease struct {
 	params       LeaseParams
-	self         string
-	observed     bool // false until the object is read, at first and after a failed write
-	holder       string
-	version      uint64    // of the object as last seen
-	versionSince time.Time // when that version was first seen here
-	lastWrite    time.Time // start of the last own write that took effect; zero: not held
-	token        uint64
-	acquired     bool // set by an acquisition, not by a renewal; reset by TakeAcquired
+	self         LeaseValue // as written last
+	observed     bool       // false until the object is read, at first and after a failed write
+	holder       Holder
+	version      uint64       // of the object as last seen
+	versionSince time.Time    // when that version was first seen here
+	writeStart   time.Time    // start of the last own write whose outcome is not known; zero: there is none
+	lastWrite    time.Time    // start of the last own write that took effect; zero: not held
+	acquisition  *Acquisition // the last one
+	taken        bool         // TakeAcquired has returned it
 }
 
 // NewLease returns a lease that self does not hold.
-func NewLease(p LeaseParams, self string) *Lease { return &Lease{params: p, self: self} }
+func NewLease(p LeaseParams, self Holder) *Lease {
+	return &Lease{params: p, self: LeaseValue{Holder: self}}
+}
 
 // NextStep returns the operation that is due now. For StepWrite, version is the condition.
 func (l *Lease) NextStep(now time.Time) (step Step, version uint64) {
 	switch {
 	case !l.observed:
 		return StepRead, 0
-	case l.holder == l.self && !l.lastWrite.IsZero():
+	case l.holder == l.self.Holder && !l.lastWrite.IsZero():
 		if now.Sub(l.lastWrite) >= l.params.RenewInterval {
 			return StepWrite, l.version
 		}
 		return StepNone, 0
-	case l.holder == "" || now.Sub(l.versionSince) >= l.params.Term+l.params.Margin:
+	case l.holder.Name == "" || now.Sub(l.versionSince) >= l.params.Term+l.params.Margin:
 		return StepWrite, l.version
 	}
 	return StepRead, 0
 }
 
-// Observe records the object as read at now; holder is "" if there is none. A version older than
-// one seen before is ignored.
-func (l *Lease) Observe(holder string, version uint64, now time.Time) {
+// Observe records the object as read, or as reported by a watch, at now; an object that does not exist
+// has the zero value and version 0. A version older than one seen before is ignored. The own write may
+// be observed before its response arrives, or when that is lost: it counts as a success then.
+func (l *Lease) Observe(value LeaseValue, version uint64, now time.Time) {
 	if version != 0 && version < l.version {
 		return
 	}
+	if version != l.version && value == l.self && !l.writeStart.IsZero() {
+		l.writeTookEffect(version)
+		return
+	}
 	if !l.observed || version != l.version {
 		l.versionSince = now
 	}
-	if version != l.version || holder != l.self {
-		l.lastWrite = time.Time{} // written by another instance or an earlier process of this one
+	if version != l.version || value.Holder != l.self.Holder {
+		l.lastWrite = time.Time{} // written by another process
 	}
-	l.observed, l.holder, l.version = true, holder, version
+	l.observed, l.holder, l.version = true, value.Holder, version
 }
 
-// WriteSucceeded records that a write by this instance, begun at start, took effect.
-func (l *Lease) WriteSucceeded(version uint64, start time.Time) {
+// BeginWrite returns the value to write, in a write that begins at start. WriteSucceeded or WriteFailed
+// has to follow before the next one.
+func (l *Lease) BeginWrite(start time.Time) LeaseValue {
+	l.self.Writes++
+	l.writeStart = start
+	return l.self
+}
+
+// WriteSucceeded records that the write that was begun last took effect.
+func (l *Lease) WriteSucceeded(version uint64) {
+	if version < l.version || l.writeStart.IsZero() {
+		return // observed before, and another process may have written since
+	}
+	l.writeTookEffect(version)
+}
+
+func (l *Lease) writeTookEffect(version uint64) {
 	if l.lastWrite.IsZero() {
-		l.acquired, l.token = true, version
+		l.acquisition = &Acquisition{Token: version, Previous: l.holder, LastAct: l.versionSince.Add(l.params.Term - l.params.Margin)}
+		l.taken = false
 	}
-	l.observed, l.holder, l.version, l.versionSince, l.lastWrite = true, l.self, version, start, start
+	l.observed, l.holder, l.version, l.versionSince, l.lastWrite = true, l.self.Holder, version, l.writeStart, l.writeStart
+	l.writeStart = time.Time{}
 }
 
-// WriteFailed records that a write did not take effect, or that its outcome is unknown. The term
-// of an earlier write continues to its end.
+// WriteFailed records that the write that was begun last did not take effect, or that its outcome is
+// unknown. The term of an earlier write continues to its end.
 func (l *Lease) WriteFailed() { l.observed = false }
 
 // Held returns the fencing token, and whether orders may be sent now. Call it right before each
@@ -97,17 +149,14 @@
 	if l.lastWrite.IsZero() || now.Sub(l.lastWrite) >= l.params.Term-l.params.Margin {
 		return 0, false
 	}
-	return l.token, true
+	return l.acquisition.Token, true
 }
 
-// TakeAcquired reports, once per acquisition, that the lease was acquired: an earlier holder's
-// orders may still run.
-func (l *Lease) TakeAcquired() bool {
-	acquired := l.acquired
-	l.acquired = false
-	return acquired
+// TakeAcquired returns the last acquisition, once: an earlier holder's orders may still run.
+func (l *Lease) TakeAcquired() (a Acquisition, acquired bool) {
+	if l.acquisition == nil || l.taken {
+		return Acquisition{}, false
+	}
+	l.taken = true
+	return *l.acquisition, true
 }
-
-// Holder returns the last known holder, "" if there is none, and when the current version of the
-// object was first seen here: its last order came no later than Term - Margin after that.
-func (l *Lease) Holder() (name string, since time.Time) { return l.holder, l.versionSince }
--- a/internal/core/rollout/rollout_test.go
+++ b/internal/core/rollout/rollout_test.go
@@ -13,21 +13,35 @@
 
 var params = rollout.DefaultLeaseParams
 
+// process returns the identity of a process of an instance.
+func process(name string, id uint64) rollout.Holder {
+	return rollout.Holder{Name: name, Machine: name + ":1", Process: id}
+}
+
+// write writes the lease at once.
+func write(l *rollout.Lease, version uint64, now time.Time) {
+	l.BeginWrite(now)
+	l.WriteSucceeded(version)
+}
+
 // TestLease runs one instance through acquiring, using, renewing and losing the lease.
 func TestLease(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(0, 0)
 	at := func(s float64) time.Time { return now.Add(time.Duration(s * float64(time.Second))) }
-	lease := rollout.NewLease(params, "a")
+	lease := rollout.NewLease(params, process("a", 1))
 	step, _ := lease.NextStep(at(0))
 	is.Equal(step, rollout.StepRead)
-	lease.Observe("", 0, at(0))
+	lease.Observe(rollout.LeaseValue{}, 0, at(0))
 	step, version := lease.NextStep(at(0))
 	is.Equal(step, rollout.StepWrite)
 	is.Equal(version, uint64(0))
-	lease.WriteSucceeded(7, at(0))
-	is.True(lease.TakeAcquired())
-	is.True(!lease.TakeAcquired())
+	write(lease, 7, at(0))
+	a, acquired := lease.TakeAcquired()
+	is.True(acquired)
+	is.Equal(a.Token, uint64(7))
+	_, acquired = lease.TakeAcquired()
+	is.True(!acquired)
 	token, ok := lease.Held(at(7.9))
 	is.True(ok)
 	is.Equal(token, uint64(7))
@@ -36,9 +50,10 @@
 	step, version = lease.NextStep(at(3))
 	is.Equal(step, rollout.StepWrite) // renew
 	is.Equal(version, uint64(7))
-	lease.WriteSucceeded(9, at(3))
-	is.True(!lease.TakeAcquired())
-	lease.Observe("b", 12, at(4)) // acquired by another instance
+	write(lease, 9, at(3))
+	_, acquired = lease.TakeAcquired()
+	is.True(!acquired)
+	lease.Observe(rollout.LeaseValue{Holder: process("b", 1), Writes: 1}, 12, at(4)) // acquired by another instance
 	_, ok = lease.Held(at(4))
 	is.True(!ok)
 	step, _ = lease.NextStep(at(15.9))
@@ -63,10 +78,10 @@
 func TestSingleActiveHolder(t *testing.T) {
 	r := rand.New(rand.NewPCG(1, 1))
 	now := time.Unix(0, 0)
-	version, holder := uint64(0), ""
+	version, value := uint64(0), rollout.LeaseValue{}
 	var all []*contender
 	for i := range 4 {
-		all = append(all, &contender{lease: rollout.NewLease(params, fmt.Sprint(i)), name: fmt.Sprint(i)})
+		all = append(all, &contender{lease: rollout.NewLease(params, process(fmt.Sprint(i), uint64(i))), name: fmt.Sprint(i)})
 	}
 	lastToken, sends, stale := uint64(0), 0, 0
 	for range 200_000 {
@@ -95,18 +110,18 @@
 		}
 		switch step, expected := c.lease.NextStep(now); step {
 		case rollout.StepRead:
-			c.lease.Observe(holder, version, now)
+			c.lease.Observe(value, version, now)
 		case rollout.StepWrite:
-			start := now
+			written := c.lease.BeginWrite(now)
 			outcome := r.IntN(10)
 			applied := expected == version && outcome != 0
 			if applied {
 				version += 1 + uint64(r.IntN(3))
-				holder = c.name
+				value = written
 			}
 			now = now.Add(time.Duration(r.IntN(200)) * time.Millisecond)
 			if applied && outcome != 1 { // else the answer is lost
-				c.lease.WriteSucceeded(version, start)
+				c.lease.WriteSucceeded(version)
 			} else {
 				c.lease.WriteFailed()
 			}
@@ -231,11 +246,11 @@
 func TestHoldersDoNotOverlap(t *testing.T) {
 	is := is.New(t)
 	params := rollout.LeaseParams{Term: time.Second, Margin: 400 * time.Millisecond, RenewInterval: 250 * time.Millisecond}
-	old, next := rollout.NewLease(params, "old"), rollout.NewLease(params, "next")
+	old, next := rollout.NewLease(params, process("old", 1)), rollout.NewLease(params, process("next", 2))
 	start := time.Unix(0, 0)
-	old.Observe("", 0, start)
-	old.WriteSucceeded(5, start)
-	next.Observe("old", 5, start.Add(30*time.Millisecond))
+	old.Observe(rollout.LeaseValue{}, 0, start)
+	write(old, 5, start)
+	next.Observe(rollout.LeaseValue{Holder: process("old", 1), Writes: 1}, 5, start.Add(30*time.Millisecond))
 	lastHeld := start
 	for now := start; ; now = now.Add(time.Millisecond) {
 		if _, held := old.Held(now); held {
@@ -246,24 +261,26 @@
 			break
 		}
 	}
-	name, since := next.Holder()
-	is.Equal(name, "old")
-	is.True(!lastHeld.After(since.Add(params.Term - params.Margin)))
+	write(next, 6, lastHeld.Add(time.Second))
+	a, acquired := next.TakeAcquired()
+	is.True(acquired)
+	is.Equal(a.Previous, process("old", 1))
+	is.True(!lastHeld.After(a.LastAct))
 }
 
 // TestRenewalKeepsToken: renewals keep the token; a new acquisition has a higher one.
 func TestRenewalKeepsToken(t *testing.T) {
 	is := is.New(t)
-	lease := rollout.NewLease(params, "a")
+	lease := rollout.NewLease(params, process("a", 1))
 	now := time.Unix(0, 0)
-	lease.Observe("", 0, now)
-	lease.WriteSucceeded(7, now)
-	lease.WriteSucceeded(9, now)
+	lease.Observe(rollout.LeaseValue{}, 0, now)
+	write(lease, 7, now)
+	write(lease, 9, now)
 	token, held := lease.Held(now)
 	is.True(held)
 	is.Equal(token, uint64(7))
-	lease.Observe("b", 12, now)
-	lease.WriteSucceeded(15, now)
+	lease.Observe(rollout.LeaseValue{Holder: process("b", 1), Writes: 1}, 12, now)
+	write(lease, 15, now)
 	token, _ = lease.Held(now)
 	is.Equal(token, uint64(15))
 }
@@ -272,12 +289,12 @@
 // writes late.
 func TestStaleObservationIsIgnored(t *testing.T) {
 	is := is.New(t)
-	lease := rollout.NewLease(params, "a")
+	lease := rollout.NewLease(params, process("a", 1))
 	now := time.Unix(0, 0)
-	lease.Observe("", 0, now)
-	lease.WriteSucceeded(7, now)
-	lease.WriteSucceeded(9, now)
-	lease.Observe("a", 7, now)
+	lease.Observe(rollout.LeaseValue{}, 0, now)
+	write(lease, 7, now)
+	write(lease, 9, now)
+	lease.Observe(rollout.LeaseValue{Holder: process("a", 1), Writes: 1}, 7, now)
 	_, held := lease.Held(now)
 	is.True(held)
 }
--- a/internal/daemon/rollout.go
+++ b/internal/daemon/rollout.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
@@ -34,11 +35,6 @@
 	loadTimeoutHeartbeats = 30
 )
 
-// leaseValue is the content of the lease object.
-type leaseValue struct {
-	Holder string `json:"holder"`
-}
-
 // rolloutRecord is the content of the rollout object: by model, the weight versions
 // that targets refused to load.
 type rolloutRecord struct {
@@ -61,7 +57,8 @@
 // runRollouts maintains the lease and drives rollouts while this instance is the
 // rollout leader and not draining.
 func (d *Daemon) runRollouts(ctx context.Context) {
-	r := &rolloutRunner{d: d, lease: rollout.NewLease(d.leaseParams(), d.set.Name), planner: rollout.NewPlanner(d.loadTimeout())}
+	self := rollout.Holder{Name: d.set.Name, Process: rand.Uint64()}
+	r := &rolloutRunner{d: d, lease: rollout.NewLease(d.leaseParams(), self), planner: rollout.NewPlanner(d.loadTimeout())}
 	defer r.inFlight.Wait()
 	for wait.For(ctx, planInterval) {
 		v := d.view.Load()
@@ -121,21 +118,24 @@
 func (r *rolloutRunner) readLease(ctx context.Context) {
 	obj, err := r.d.store.Get(ctx, leaseKey)
 	var missing *platform.NotFoundError
-	var v leaseValue
+	var v rollout.LeaseValue
 	if !errors.As(err, &missing) && (err != nil || json.Unmarshal(obj.Value, &v) != nil) {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lease.Observe(v.Holder, uint64(obj.Version), r.d.now())
+	r.lease.Observe(v, uint64(obj.Version), r.d.now())
+	r.applyAcquisition()
 }
 
 func (r *rolloutRunner) writeLease(ctx context.Context, expected platform.Version) {
-	data, err := json.Marshal(leaseValue{Holder: r.d.set.Name})
+	r.mu.Lock()
+	value := r.lease.BeginWrite(r.d.now())
+	r.mu.Unlock()
+	data, err := json.Marshal(value)
 	if err != nil {
-		return
+		panic(err) // unreachable: strings and numbers always marshal
 	}
-	start := r.d.now()
 	version, err := r.d.store.Put(ctx, leaseKey, data, expected)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -143,12 +143,19 @@
 		r.lease.WriteFailed()
 		return
 	}
-	r.lease.WriteSucceeded(uint64(version), start)
-	if r.lease.TakeAcquired() {
-		r.d.log.WithField("token", uint64(version)).Info("acquired the rollout lease")
-		r.planner.LeaseAcquired(r.d.now())
-		r.version, r.storedBadVersions = 0, ""
+	r.lease.WriteSucceeded(uint64(version))
+	r.applyAcquisition()
+}
+
+// applyAcquisition begins the work of a holder if the lease has just been acquired; r.mu is held.
+func (r *rolloutRunner) applyAcquisition() {
+	a, acquired := r.lease.TakeAcquired()
+	if !acquired {
+		return
 	}
+	r.d.log.WithField("token", a.Token).Info("acquired the rollout lease")
+	r.planner.LeaseAcquired(r.d.now())
+	r.version, r.storedBadVersions = 0, ""
 }
 
 // syncBadVersions reads the list of bad versions after a change of holder or a failed
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -445,6 +446,8 @@
 	mu     sync.Mutex
 	silent bool // calls get no response
 	calls  int
+	// answerDelay is the time between a write and its response: watches may report the write first.
+	answerDelay time.Duration
 }
 
 // setSilent sets whether calls get no response.
@@ -557,12 +560,26 @@
 	if err := d.awaitResponse(ctx, "put", kind+"/"+name, storeCallTimeout); err != nil {
 		return 0, err
 	}
-	d.store.mu.Lock()
-	defer d.store.mu.Unlock()
-	if have := d.store.objects[kind][name].Version; have != want {
-		return 0, &platform.ConflictError{Key: kind + "/" + name, Want: want, Have: have}
+	version, err := d.store.put(kind, name, value, want)
+	d.mu.Lock()
+	delay := d.answerDelay
+	d.mu.Unlock()
+	time.Sleep(delay)
+	return version, err
+}
+
+// put writes an object on condition of its version. A write of the present value changes nothing.
+func (s *memoryStore) put(kind, name string, value []byte, want platform.Version) (platform.Version, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	have := s.objects[kind][name]
+	if have.Version != want {
+		return 0, &platform.ConflictError{Key: kind + "/" + name, Want: want, Have: have.Version}
+	}
+	if have.Version != 0 && bytes.Equal(have.Value, value) {
+		return have.Version, nil
 	}
-	return d.store.write(kind, name, value), nil
+	return s.write(kind, name, value), nil
 }
 
 // jsonCodec is the codec of the in-memory store.
--- a/internal/gateway/lease.go
+++ b/internal/gateway/lease.go
@@ -17,41 +17,6 @@
 // holder may have given orders to get none for longer, see handoverGuard.
 var leaseParams = rollout.LeaseParams{Term: time.Second, Margin: 400 * time.Millisecond, RenewInterval: 250 * time.Millisecond}
 
-// leaseValue is the value of the lease's object in the store.
-type leaseValue struct {
-	Holder string `json:"holder"`
-	// Renewals makes each renewal a change: the store ignores writes that change
-	// nothing, and contenders must see that the holder is alive.
-	Renewals uint64 `json:"renewals"`
-}
-
-// handoverGuard prevents orders of a new holder to targets to which the former holder may
-// have sent orders recently.
-type handoverGuard struct {
-	until time.Time
-	all   bool            // it is not known which targets those are: all are guarded
-	ids   map[string]bool // targets that the former holder cordoned or loaded
-}
-
-// blocks reports whether a target must not get orders yet.
-func (guard handoverGuard) blocks(id string, now time.Time) bool {
-	return now.Before(guard.until) && (guard.all || guard.ids[id])
-}
-
-// newHandoverGuard returns the guard after another holder, whose last order was sent no later
-// than lastAct. Its targets are known from its rollout update, which it announces before it
-// gives an order.
-func newHandoverGuard(holder string, lastAct time.Time, gap time.Duration, update RolloutUpdate) handoverGuard {
-	guard := handoverGuard{until: lastAct.Add(gap), all: update.Holder != holder, ids: map[string]bool{}}
-	for _, id := range update.Cordoned {
-		guard.ids[id] = true
-	}
-	for _, a := range update.Loaded {
-		guard.ids[a.Target] = true
-	}
-	return guard
-}
-
 // maintainLease acquires or renews the lease if that is due. It is called by the rollout loop
 // only, so that calls never overlap.
 func (o *rolloutController) maintainLease(ctx context.Context) {
@@ -99,27 +64,29 @@
 
 // recordLease records the lease's object as the store returned it.
 func (o *rolloutController) recordLease(obj platform.NamedObject) {
-	var value leaseValue
+	var value rollout.LeaseValue
 	if obj.Version != 0 {
 		if err := json.Unmarshal(obj.Value, &value); err != nil {
 			o.g.log.WithError(err).Error("lease is not readable, assuming that another instance holds it")
-			value.Holder = "unreadable"
+			value.Name = "unreadable"
 		}
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.lease.Observe(value.Holder, uint64(obj.Version), o.g.now())
+	o.lease.Observe(value, uint64(obj.Version), o.g.now())
+	o.applyAcquisition()
 }
 
 func (o *rolloutController) writeLease(ctx context.Context, expected platform.Version) {
-	o.renewals++
-	data, err := json.Marshal(leaseValue{Holder: o.g.settings().Name, Renewals: o.renewals})
-	if err != nil {
-		panic(err) // unreachable: a string and a number always marshal
-	}
 	start := o.g.now()
 	o.lastLeaseTry = start
-	previous, observedSince := o.lastHolder()
+	o.mu.Lock()
+	value := o.lease.BeginWrite(start)
+	o.mu.Unlock()
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // unreachable: strings and numbers always marshal
+	}
 	version, err := o.g.store.Put(ctx, leaseKind, leaseName, data, expected)
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -129,26 +96,23 @@
 		o.g.log.WithError(err).Warn("failed to write the lease")
 		return
 	}
-	o.lease.WriteSucceeded(uint64(version), start)
-	if o.lease.TakeAcquired() {
-		o.planner = rollout.NewPlanner(loadTimeout)
-		clear(o.closing)
-		o.loaded, o.fencingToken, o.updateSeq, o.guard = nil, uint64(version), 0, handoverGuard{}
-		if previous != "" && previous != o.g.settings().Name {
-			lastAct := observedSince.Add(leaseParams.Term - leaseParams.Margin)
-			o.guard = newHandoverGuard(previous, lastAct, o.g.settings().LeaseGap, o.g.view.Load().Rollout)
-		}
-		o.g.log.WithField("token", uint64(version)).WithField("before", previous).WithField("fenced", len(o.guard.ids)).
-			WithField("fence_all", o.guard.all).WithField("fence_ms", max(o.guard.until.Sub(o.g.now()), 0).Milliseconds()).Info("lease for orders taken")
-	}
+	o.lease.WriteSucceeded(uint64(version))
+	o.applyAcquisition()
 }
 
-// lastHolder returns the last observed holder of the lease, and when the lease was last seen to
-// change.
-func (o *rolloutController) lastHolder() (holder string, since time.Time) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.lease.Holder()
+// applyAcquisition begins the work of a holder if the lease has just been acquired; o.mu is held.
+func (o *rolloutController) applyAcquisition() {
+	a, acquired := o.lease.TakeAcquired()
+	if !acquired {
+		return
+	}
+	o.planner = rollout.NewPlanner(loadTimeout)
+	clear(o.closing)
+	o.loaded, o.fencingToken, o.updateSeq = nil, a.Token, 0
+	o.guard.LeaseAcquired(a, o.self, o.g.settings().LeaseGap, o.g.view.Load().Rollout.report())
+	all, targets := o.guard.Remaining(o.g.now())
+	o.g.log.WithField("token", a.Token).WithField("before", a.Previous.Name).WithField("same_process", a.Previous == o.self).
+		WithField("fenced", len(targets)).WithField("fence_all_ms", all.Milliseconds()).Info("lease for orders taken")
 }
 
 // watchLease observes other instances' writes of the lease, so that a contender knows for how
--- /dev/null
+++ b/internal/gateway/lease_handover_test.go
@@ -0,0 +1,136 @@
+package gateway
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// handover is a series of kills of the instance that gives orders.
+type handover struct {
+	kills       int           // of the present holder, each at its first order
+	after       time.Duration // from that order to the kill
+	downFor     time.Duration // until the killed process starts again
+	lost        int           // one in so many orders of holders to be killed has no effect; 0: none
+	answerDelay time.Duration // of the store's answers to writes, which watches report at once
+}
+
+// orderRecord is an order that reached a target.
+type orderRecord struct {
+	LoadOrder
+	at time.Time
+}
+
+// handoverFleet kills the holder of the lease as orders reach the targets.
+type handoverFleet struct {
+	*stageFleet
+	handover
+	mu      sync.Mutex
+	records []orderRecord
+	killed  map[string]bool // holders that are killed, or are about to be
+	kill    chan string
+}
+
+func newHandoverFleet(t *testing.T, h handover, instances, targets int) *handoverFleet {
+	f := &handoverFleet{handover: h, killed: map[string]bool{}, kill: make(chan string, h.kills)}
+	f.stageFleet = newStageFleet(t, instances, targets, func(s *Settings) { s.Policy.RolloutStages = false })
+	f.onOrder = f.receive
+	for _, d := range f.storeClients {
+		d.mu.Lock()
+		d.answerDelay = h.answerDelay
+		d.mu.Unlock()
+	}
+	return f
+}
+
+// receive records an order, and reports whether it takes effect.
+func (f *handoverFleet) receive(o LoadOrder) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.records = append(f.records, orderRecord{o, time.Now()})
+	if f.kills > 0 && !f.killed[o.Holder] {
+		f.kills--
+		f.killed[o.Holder] = true
+		f.kill <- o.Holder
+	}
+	return f.lost == 0 || !f.killed[o.Holder] || len(f.records)%f.lost != 0
+}
+
+// killHolders kills the holders that receive names, and starts them again, until the channel is closed.
+func (f *handoverFleet) killHolders() {
+	for holder := range f.kill {
+		time.Sleep(f.after)
+		i := f.indexOf(holder)
+		f.trafficFleet.kill(i)
+		go f.restart(i, holder)
+	}
+}
+
+// restart starts a killed instance again later.
+func (f *handoverFleet) restart(i int, holder string) {
+	time.Sleep(f.downFor)
+	f.start(i)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.killed[holder] = false
+}
+
+func (f *handoverFleet) indexOf(name string) int {
+	for i, g := range f.gateways {
+		if g.settings().Name == name {
+			return i
+		}
+	}
+	panic("unknown instance " + name)
+}
+
+// TestHoldersKeepLeaseGap guards against orders of two instances to one target within the lease gap, and
+// against a fencing token that decreases, when holders of the lease are killed. The watch may report a
+// holder's own write before the store answers it.
+func TestHoldersKeepLeaseGap(t *testing.T) {
+	for _, delay := range []time.Duration{0, 20 * time.Millisecond} {
+		for _, h := range []handover{
+			{kills: 1, after: 0, downFor: time.Second, lost: 1},
+			{kills: 1, after: 300 * time.Millisecond, downFor: time.Second, lost: 2},
+			{kills: 3, after: 100 * time.Millisecond, downFor: 500 * time.Millisecond, lost: 2},
+			{kills: 4, after: 950 * time.Millisecond, downFor: 500 * time.Millisecond, lost: 1},
+			{kills: 5, after: 50 * time.Millisecond, downFor: 5 * time.Second, lost: 1},
+			{kills: 3, after: 1300 * time.Millisecond, downFor: 5 * time.Second, lost: 1},
+		} {
+			h.answerDelay = delay
+			t.Run(fmt.Sprintf("%d killed after %v, down for %v, one in %d lost, answers after %v", h.kills, h.after, h.downFor, h.lost, delay), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { testLeaseGap(t, h) })
+			})
+		}
+	}
+}
+
+func testLeaseGap(t *testing.T, h handover) {
+	is := is.New(t)
+	f := newHandoverFleet(t, h, 5, 3)
+	defer f.stop()
+	go f.killHolders()
+	f.nameVersion(2)
+	is.True(f.awaitVersion(2) < 50*time.Second)
+	time.Sleep(h.after + h.downFor + time.Second) // the last one killed has started again
+	close(f.kill)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	is.Equal(f.kills, 0)
+	last := map[string]orderRecord{}
+	for _, o := range f.records {
+		before, ordered := last[o.Target]
+		last[o.Target] = o
+		if !ordered {
+			continue
+		}
+		if gap := o.at.Sub(before.at); o.Holder != before.Holder && gap < f.gateways[0].settings().LeaseGap {
+			t.Errorf("%s got orders of %s and %s within %v", o.Target, before.Holder, o.Holder, gap)
+		}
+		is.True(o.Token >= before.Token)
+	}
+}
--- a/internal/gateway/order_notices_test.go
+++ b/internal/gateway/order_notices_test.go
@@ -34,7 +34,8 @@
 	e.Engines = g.engines
 	g.engines = e
 	g.rollout.mu.Lock()
-	g.rollout.lease.WriteSucceeded(1, g.now())
+	g.rollout.lease.BeginWrite(g.now())
+	g.rollout.lease.WriteSucceeded(1)
 	g.rollout.mu.Unlock()
 	for _, t := range g.view.Load().Targets {
 		if t.Name == target {
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -66,10 +67,10 @@
 // rolloutController sends load orders while this instance holds the lease.
 type rolloutController struct {
 	g            *Gateway
+	self         rollout.Holder
 	workSince    time.Time // since when there are outdated targets; zero: there are none
 	lastLeaseTry time.Time // last attempt to read or write the lease
 
-	renewals     uint64
 	renewWanted  atomic.Bool // an order waits for the lease to be renewed
 	leaseWatched atomic.Bool // the watch reports changes of the lease
 
@@ -84,7 +85,7 @@
 	fencingToken uint64                   // of the lease as acquired
 	updateSeq    uint64                   // of the last rollout update
 	lastUpdate   time.Time                // when it was announced
-	guard        handoverGuard            // after another holder
+	guard        rollout.OrderGuard       // after other holders
 
 	deferredUntil map[string]time.Time // ids of targets, see deferLoads
 	closing       rollout.Closing      // ids of targets
@@ -105,7 +106,8 @@
 
 func newRolloutController(g *Gateway) *rolloutController {
 	set := g.settings()
-	return &rolloutController{g: g, lease: rollout.NewLease(leaseParams, set.Name), planner: rollout.NewPlanner(loadTimeout), loading: map[string]*loadProgress{}, maxLoads: rollout.DefaultMaxLoads, deferredUntil: map[string]time.Time{},
+	self := rollout.Holder{Name: set.Name, Machine: set.PeerListen, Process: rand.Uint64()}
+	return &rolloutController{g: g, self: self, lease: rollout.NewLease(leaseParams, self), planner: rollout.NewPlanner(loadTimeout), loading: map[string]*loadProgress{}, maxLoads: rollout.DefaultMaxLoads, deferredUntil: map[string]time.Time{},
 		closing: rollout.Closing{}, loadTime: rollout.InitialLoadTime}
 }
 
@@ -184,10 +186,9 @@
 		desired[model] = rollout.DesiredVersion{Version: versionText(named.Newest), MinReady: minServingShare}
 	}
 	o.mu.Lock()
-	guard := o.guard
-	o.mu.Unlock()
+	defer o.mu.Unlock()
 	for _, t := range v.Targets {
-		if t.IsLeaving() || !v.Config.HasService(t.Service) || guard.blocks(t.ID, now) {
+		if t.IsLeaving() || !v.Config.HasService(t.Service) || o.guard.Blocks(t.ID, now) {
 			continue
 		}
 		for _, m := range t.Models {
@@ -201,8 +202,6 @@
 	slices.SortFunc(targets, func(a, b rollout.Target) int {
 		return cmp.Or(cmp.Compare(outdatedFor[b.Name], outdatedFor[a.Name]), cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)))
 	})
-	o.mu.Lock()
-	defer o.mu.Unlock()
 	if _, held := o.lease.Held(o.g.now()); !held {
 		if now.Sub(o.heldAt) >= leaseParams.Term {
 			clear(o.closing) // another instance may name targets now
--- a/internal/gateway/rollout_stages_test.go
+++ b/internal/gateway/rollout_stages_test.go
@@ -49,6 +49,7 @@
 const (
 	stageEventInterval = 100 * time.Millisecond
 	stageLoadTime      = 900 * time.Millisecond
+	lostOrderTimeout   = 400 * time.Millisecond // of an order that gets no response
 	stageRolloutWithin = 12 * time.Second
 	stageTimeout       = 10 * time.Second // of all routes
 )
@@ -66,6 +67,9 @@
 	peak    int // most loads in progress at once
 	cut     int // streams that loads interrupted
 	reports int // requested
+	// onOrder is called with each order that reaches a target, without f.mu. It returns false if the
+	// order is lost: it has no effect and gets no response. Nil: none are lost.
+	onOrder func(o LoadOrder) bool
 }
 
 // stageTarget is the state of a target that loads weights.
@@ -151,6 +155,10 @@
 // Load implements Engines.
 func (f *stageFleet) Load(_ context.Context, o LoadOrder) (Notice, error) {
 	time.Sleep(2 * networkDelay)
+	if f.onOrder != nil && !f.onOrder(o) {
+		time.Sleep(lostOrderTimeout)
+		return Notice{}, &CallError{Call: "order", Cause: context.DeadlineExceeded}
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	l := f.loaders[o.Target]
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
 	"github.com/shedhoist/shedhoist/internal/core/member"
+	"github.com/shedhoist/shedhoist/internal/core/rollout"
 	"github.com/shedhoist/shedhoist/internal/core/staleness"
 	"github.com/shedhoist/shedhoist/internal/metric"
 	"github.com/shedhoist/shedhoist/internal/platform"
@@ -47,6 +49,15 @@
 	Closing []string `cbor:"5,keyasint,omitempty"`
 }
 
+// report returns what the update tells a next holder of the lease.
+func (u RolloutUpdate) report() rollout.HolderReport {
+	out := rollout.HolderReport{Holder: u.Holder, Targets: slices.Clone(u.Cordoned)}
+	for _, a := range u.Loaded {
+		out.Targets = append(out.Targets, a.Target)
+	}
+	return out
+}
+
 // LoadedTarget is a target that has been observed to serve new weights.
 type LoadedTarget struct {
 	Target string               `cbor:"1,keyasint"`
