Lease: the next holder learns of all orders within the lease gap

Cause: a new holder guards the targets that the former one names as cordoned or loaded. Not named were a target whose load had ended without effect (an order that was not accepted ends after 0.9 s), and the targets of the holder before the former one: where holders follow one another in under 3 s, only the last one counted.

Change: an update also names the targets ordered within the lease gap whose load has ended, and passes on what its sender guards itself, with the time that is left.

Evidence: TestEndedLoadIsTold fails without the first part (a trial with the list left empty).

--- a/internal/core/rollout/guard.go
+++ b/internal/core/rollout/guard.go
@@ -4,8 +4,11 @@
 
 // HolderReport is what the last known holder of the lease told the other instances.
 type HolderReport struct {
-	Holder  string   // name of the instance; "": none has told anything
-	Targets []string // to which it may have sent orders
+	Holder     string        // name of the instance; "": none has told anything
+	Targets    []string      // to which it may have sent orders
+	Guarded    []GuardedTime // targets that its own guard still covered
+	ReceivedAt time.Time
+	GuardAll   time.Duration // after ReceivedAt, how long its guard covers all targets
 }
 
 // GuardedTime says for how much longer a target is guarded.
@@ -28,8 +31,9 @@
 }
 
 // LeaseAcquired guards the targets to which other holders may have sent orders within gap. A holder tells
-// of a target before it sends it an order. If the previous holder has not told anything, all targets are
-// guarded: every earlier order was sent before its last one.
+// of a target before it sends it an order, and passes on what it guards itself, so that holders that
+// follow one another within the gap know of all orders. If the previous holder has not told anything, all
+// targets are guarded: every earlier order was sent before its last one.
 func (g *OrderGuard) LeaseAcquired(a Acquisition, self Holder, gap time.Duration, report HolderReport) {
 	if a.Previous.Name == "" || a.Previous == self {
 		return
@@ -44,6 +48,10 @@
 			g.guard(target, until)
 		}
 	}
+	g.guardAll(report.ReceivedAt.Add(report.GuardAll))
+	for _, t := range report.Guarded {
+		g.guard(t.Target, report.ReceivedAt.Add(t.For))
+	}
 }
 
 func (g *OrderGuard) guardAll(until time.Time) {
--- a/internal/gateway/lease.go
+++ b/internal/gateway/lease.go
@@ -109,7 +109,8 @@
 	o.planner = rollout.NewPlanner(loadTimeout)
 	clear(o.closing)
 	o.loaded, o.fencingToken, o.updateSeq = nil, a.Token, 0
-	o.guard.LeaseAcquired(a, o.self, o.g.settings().LeaseGap, o.g.view.Load().Rollout.report())
+	v := o.g.view.Load()
+	o.guard.LeaseAcquired(a, o.self, o.g.settings().LeaseGap, v.Rollout.report(v.RolloutReceivedAt))
 	all, targets := o.guard.Remaining(o.g.now())
 	o.g.log.WithField("token", a.Token).WithField("before", a.Previous.Name).WithField("same_process", a.Previous == o.self).
 		WithField("fenced", len(targets)).WithField("fence_all_ms", all.Milliseconds()).Info("lease for orders taken")
--- a/internal/gateway/lease_handover_test.go
+++ b/internal/gateway/lease_handover_test.go
@@ -134,3 +134,24 @@
 		is.True(o.Token >= before.Token)
 	}
 }
+
+// TestEndedLoadIsTold guards against a next holder that doesn't learn of an order whose load has ended
+// without effect: the order counts until the lease gap is over.
+func TestEndedLoadIsTold(t *testing.T) {
+	newLoadFleet(t, &countingEngines{}, func(is *is.I, f *loadFleet) {
+		l := f.load()
+		orderedFrom := time.Now()
+		f.o.runLoad(f.t.Context(), l)
+		synctest.Wait()
+		time.Sleep(100 * time.Millisecond)
+		v := f.o.g.view.Load()
+		is.Equal(v.Rollout.Cordoned, nil)
+		is.Equal(v.Rollout.report(v.RolloutReceivedAt).Targets, []string{f.target.ID})
+		time.Sleep(time.Until(orderedFrom.Add(f.o.g.settings().LeaseGap + time.Second)))
+		f.o.mu.Lock()
+		f.o.announce()
+		f.o.mu.Unlock()
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(f.o.g.view.Load().Rollout.Ordered, nil)
+	})
+}
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -86,6 +86,7 @@
 	updateSeq    uint64                   // of the last rollout update
 	lastUpdate   time.Time                // when it was announced
 	guard        rollout.OrderGuard       // after other holders
+	ordered      map[string]time.Time     // by id of the target, when this process sent the last order; kept for the lease gap
 
 	deferredUntil map[string]time.Time // ids of targets, see deferLoads
 	closing       rollout.Closing      // ids of targets
@@ -108,7 +109,7 @@
 	set := g.settings()
 	self := rollout.Holder{Name: set.Name, Machine: set.PeerListen, Process: rand.Uint64()}
 	return &rolloutController{g: g, self: self, lease: rollout.NewLease(leaseParams, self), planner: rollout.NewPlanner(loadTimeout), loading: map[string]*loadProgress{}, maxLoads: rollout.DefaultMaxLoads, deferredUntil: map[string]time.Time{},
-		closing: rollout.Closing{}, loadTime: rollout.InitialLoadTime}
+		ordered: map[string]time.Time{}, closing: rollout.Closing{}, loadTime: rollout.InitialLoadTime}
 }
 
 // runRound maintains the lease and starts the loads that are due.
@@ -167,9 +168,33 @@
 	}
 	slices.Sort(update.Cordoned)
 	slices.Sort(update.Closing)
+	o.addOrders(&update)
 	o.g.sendEvent(rolloutReceived{update: update, own: true})
 }
 
+// addOrders adds to an update the targets to which a next holder must not send orders yet; o.mu is held.
+func (o *rolloutController) addOrders(update *RolloutUpdate) {
+	now := o.g.now()
+	for id, at := range o.ordered {
+		if now.Sub(at) >= o.g.settings().LeaseGap {
+			delete(o.ordered, id)
+			continue
+		}
+		if _, isCordoned := o.loading[id]; !isCordoned {
+			update.Ordered = append(update.Ordered, id)
+		}
+	}
+	slices.Sort(update.Ordered)
+	all, guarded := o.guard.Remaining(now)
+	update.GuardAllMS = ceilMS(all)
+	for _, t := range guarded {
+		update.Guarded = append(update.Guarded, GuardedTarget{Target: t.Target, ForMS: ceilMS(t.For)})
+	}
+}
+
+// ceilMS returns a duration in ms, rounded up.
+func ceilMS(d time.Duration) int64 { return int64((d + time.Millisecond - 1) / time.Millisecond) }
+
 // rankOf returns an instance's rank among the live ones for a role. All instances compute the
 // same rank.
 func rankOf(alive []string, self, role string) int {
@@ -239,6 +264,7 @@
 	if err := o.checkServing(t); err != nil {
 		return err.Error()
 	}
+	o.noteOrder(t.ID)
 	metric.Orders.Inc()
 	source := registry.Source{Channel: string(fromOrder), RequestSent: o.g.now()}
 	notice, err := o.g.engines.Load(ctx, LoadOrder{Target: t.Name, Address: t.Address, Model: l.Model, Version: l.version, Holder: o.g.settings().Name,
@@ -255,6 +281,13 @@
 	return ""
 }
 
+// noteOrder records an order to a target.
+func (o *rolloutController) noteOrder(id string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.ordered[id] = o.g.now()
+}
+
 // awaitLoad polls reports until the version is loaded, and returns the outcome.
 func (o *rolloutController) awaitLoad(ctx context.Context, model string, version uint64, t *catalog.Target, seq uint64) string {
 	orderedAt := o.g.now()
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -47,14 +47,30 @@
 	// Closing are the ids of targets that are cordoned next. Instances of releases before 2026-12
 	// ignore it, and don't pass it on.
 	Closing []string `cbor:"5,keyasint,omitempty"`
+	// Ordered are the ids of targets that are no longer cordoned, and to which the holder sent an order
+	// within the lease gap.
+	Ordered []string `cbor:"6,keyasint,omitempty"`
+	// Guarded are the targets to which holders before this one sent orders within the lease gap. In the
+	// first GuardAllMS it may be any.
+	Guarded    []GuardedTarget `cbor:"7,keyasint,omitempty"`
+	GuardAllMS int64           `cbor:"8,keyasint,omitempty"`
 }
 
-// report returns what the update tells a next holder of the lease.
-func (u RolloutUpdate) report() rollout.HolderReport {
-	out := rollout.HolderReport{Holder: u.Holder, Targets: slices.Clone(u.Cordoned)}
+// GuardedTarget is a target that must not get orders of another holder.
+type GuardedTarget struct {
+	Target string `cbor:"1,keyasint"`
+	ForMS  int64  `cbor:"2,keyasint"` // from when the update is sent
+}
+
+// report returns what the update, received at some time, tells a next holder of the lease.
+func (u RolloutUpdate) report(receivedAt time.Time) rollout.HolderReport {
+	out := rollout.HolderReport{Holder: u.Holder, Targets: slices.Concat(u.Cordoned, u.Ordered), ReceivedAt: receivedAt, GuardAll: time.Duration(u.GuardAllMS) * time.Millisecond}
 	for _, a := range u.Loaded {
 		out.Targets = append(out.Targets, a.Target)
 	}
+	for _, t := range u.Guarded {
+		out.Guarded = append(out.Guarded, rollout.GuardedTime{Target: t.Target, For: time.Duration(t.ForMS) * time.Millisecond})
+	}
 	return out
 }
 
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -101,6 +101,7 @@
 	Isolated           bool             // neither the object store nor any peer responds
 	TargetsRevision    platform.Version // revision up to which the list of targets is complete
 	Rollout            RolloutUpdate    // last update of the instance that gives orders
+	RolloutReceivedAt  time.Time        // when it was received
 	StoreReachable     bool             // the object store responds
 }
 
