Lease: the guard is checked right before each order

Cause: targets were held against the guard when a load was planned. From there to the order pass up to 15 s (cordon, running prompts, a free slot); if another instance held the lease meanwhile, the order went out unguarded.

Change: the guard is asked with the lease, right before the order is sent.

Evidence: TestGuardIsCheckedAtTheOrder fails without the check (a trial).

--- a/internal/gateway/lease_handover_test.go
+++ b/internal/gateway/lease_handover_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/shedhoist/shedhoist/internal/core/rollout"
 )
 
 // handover is a series of kills of the instance that gives orders.
@@ -155,3 +157,19 @@
 		is.Equal(f.o.g.view.Load().Rollout.Ordered, nil)
 	})
 }
+
+// TestGuardIsCheckedAtTheOrder guards against the order of a load that was planned before another
+// instance had the lease.
+func TestGuardIsCheckedAtTheOrder(t *testing.T) {
+	e := &countingEngines{loadsImmediately: true}
+	newLoadFleet(t, e, func(is *is.I, f *loadFleet) {
+		l := f.load()
+		f.o.mu.Lock()
+		f.o.guard.LeaseAcquired(rollout.Acquisition{Previous: rollout.Holder{Name: "other"}, LastAct: time.Now()}, f.o.self, f.o.g.settings().LeaseGap, rollout.HolderReport{})
+		f.o.mu.Unlock()
+		is.True(f.o.performLoad(f.t.Context(), l) != loadDone)
+		is.Equal(e.orders, 0)
+		time.Sleep(f.o.g.settings().LeaseGap)
+		is.Equal(f.o.performLoad(f.t.Context(), l), loadDone)
+	})
+}
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -264,7 +264,9 @@
 	if err := o.checkServing(t); err != nil {
 		return err.Error()
 	}
-	o.noteOrder(t.ID)
+	if !o.beginOrder(t.ID) {
+		return "another holder may have ordered it within the lease gap"
+	}
 	metric.Orders.Inc()
 	source := registry.Source{Channel: string(fromOrder), RequestSent: o.g.now()}
 	notice, err := o.g.engines.Load(ctx, LoadOrder{Target: t.Name, Address: t.Address, Model: l.Model, Version: l.version, Holder: o.g.settings().Name,
@@ -281,11 +283,17 @@
 	return ""
 }
 
-// noteOrder records an order to a target.
-func (o *rolloutController) noteOrder(id string) {
+// beginOrder records an order to a target unless the target is guarded: another holder may have had the
+// lease since the load was planned.
+func (o *rolloutController) beginOrder(id string) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.ordered[id] = o.g.now()
+	now := o.g.now()
+	if o.guard.Blocks(id, now) {
+		return false
+	}
+	o.ordered[id] = now
+	return true
 }
 
 // awaitLoad polls reports until the version is loaded, and returns the outcome.
