Rollouts: a load ends when the target carried out another order instead

Cause: an order that arrives late may be carried out before the one that was sent after it, which is answered 409. Its load was then polled until its time limit, as only an unchanged sequence number counted as not accepted; the target stayed behind and its load slot taken for 15 s.

Evidence: TestLoadEndsAfterAnotherOrder, "timed out" after 15 s before.

--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -313,9 +313,13 @@
 		if o.recordIfLoaded(r, model, version, t) {
 			return loadDone
 		}
-		if !r.OrderInProgress && r.OrderSeq == seq && o.g.now().Sub(orderedAt) > loadAcceptTime {
-			return "order not accepted"
+		if r.OrderInProgress || o.g.now().Sub(orderedAt) <= loadAcceptTime {
+			continue
+		}
+		if r.OrderSeq != seq {
+			return loadSuperseded
 		}
+		return "order not accepted"
 	}
 	return "timed out"
 }
--- a/internal/gateway/rollout_backoff_test.go
+++ b/internal/gateway/rollout_backoff_test.go
@@ -25,6 +25,7 @@
 	notice           Notice        // of the reports that succeed
 	loadsImmediately bool          // an order loads the weights at once
 	onOrder          func()        // called with each order; nil: nothing
+	lateOrder        bool          // the target carries out a late order instead of the first one sent to it
 	reports, orders  int
 }
 
@@ -41,7 +42,11 @@
 	if e.loadsImmediately && e.orders > 0 {
 		version = 2
 	}
-	return Report{Models: []catalog.ModelVersion{{Model: "m", Version: version}}, Notice: e.notice}, nil
+	seq := uint64(0)
+	if e.lateOrder && e.orders > 0 {
+		seq = 1
+	}
+	return Report{Models: []catalog.ModelVersion{{Model: "m", Version: version}}, OrderSeq: seq, Notice: e.notice}, nil
 }
 
 // Load implements Engines.
@@ -263,3 +268,13 @@
 		is.True(e.orders <= int(duration/(deferFactor*backoff)))
 	})
 }
+
+// TestLoadEndsAfterAnotherOrder guards against a load that waits for its time limit after the target has
+// carried out a late order of an older version instead of this one.
+func TestLoadEndsAfterAnotherOrder(t *testing.T) {
+	newLoadFleet(t, &countingEngines{lateOrder: true}, func(is *is.I, f *loadFleet) {
+		startedAt := time.Now()
+		is.Equal(f.o.performLoad(f.t.Context(), f.load()), loadSuperseded)
+		is.True(time.Since(startedAt) < 3*time.Second)
+	})
+}
--- a/internal/gateway/rollout_stages.go
+++ b/internal/gateway/rollout_stages.go
@@ -173,8 +173,12 @@
 	return outcome
 }
 
-// loadDone is the outcome of a load that succeeded.
-const loadDone = "done"
+// Outcomes of a load.
+const (
+	loadDone = "done"
+	// loadSuperseded: the target carried out another order, which was delivered late.
+	loadSuperseded = "another order came first"
+)
 
 // updateVersion makes a load that is not ordered yet load the newest version named meanwhile.
 func (o *rolloutController) updateVersion(l *plannedLoad) {
