Membership: a probe counts as answered by the instance that it was meant for

Cause: whoever answered at a member's address proved that member alive. An instance at the address of one that is gone kept that one alive for all, and its reply was taken for an acknowledgement; only indirect probes looked at the name.

Change: a reply under another name is a failed probe of the member. What the reply tells is used as before: the one that answers is alive.

Evidence: TestReusedPeerAddress; before, the gone instance was still alive after 20 s at all four instances.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -204,6 +204,8 @@
 		c.receiveConfigRef(e.reply.StateVersions, e.reply.From)
 		c.receiveLeaving(e.reply.Leaving, e.reply.From)
 		c.members.Receive([]member.Member{e.reply.From}, now)
+	}
+	if e.ok && !e.answeredByAnother() {
 		c.members.Ack(e.probe.To, now)
 		return
 	}
@@ -212,6 +214,11 @@
 	}
 }
 
+// answeredByAnother reports whether the probe reached another instance, at the address of one that is gone.
+func (e probeEnded) answeredByAnother() bool {
+	return e.probe.To != "" && e.reply.From.Name != "" && e.reply.From.Name != e.probe.To
+}
+
 // probesFailed is the event that neither direct nor indirect probes reached a member.
 type probesFailed struct{ name string }
 
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -98,3 +100,24 @@
 		})
 	}
 }
+
+// TestReusedPeerAddress guards against an instance that is gone but counts as alive everywhere, because
+// another one answers probes at its address.
+func TestReusedPeerAddress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTrafficFleet(t, 4, 2, 2)
+		defer f.stop()
+		gone := member.Member{Name: "e-gone", Address: f.gateways[1].PeerAddr(), Zone: "z0", Incarnation: 1}
+		f.gateways[0].queryControl(func(c *controlState) { c.members.Receive([]member.Member{gone}, c.now()) })
+		time.Sleep(time.Second)
+		is.True(slices.Contains(f.gateways[2].view.Load().Alive, gone.Name)) // told by the first
+		time.Sleep(20 * time.Second)
+		for _, g := range f.gateways {
+			is.Equal(len(g.view.Load().Alive), len(f.gateways))
+			var members []member.Member
+			g.queryControl(func(c *controlState) { members = c.members.Members() })
+			is.True(!slices.ContainsFunc(members, func(m member.Member) bool { return m.Name == gone.Name && m.State <= member.Suspect }))
+		}
+	})
+}
