Streams: requests that are alike tell a version only if none of their streams can be missing

Cause: a caller that names no stream is bound to the version of requests like it. Records begin with the process, so after the kill the first fresh stream of such a request bound all streams of before. The question whether an instance can know all of them was asked for versions, not for requests. Fewer losses do it too: an instance killed before the second version comes, or peers that don't answer.

Change: core/streamversion, Inquiry, gathers the answers and decides. An answer says whether its instance remembers the window; those that don't, are gone or don't answer are lost. Found by request counts with none lost, or with fewer lost than hold a stream while no other version was the only one in the window, or if one version is possible at all. A mark in the object store tells the first instances of a fleet that nothing began before them (one read and at most one write a process; in large fleets by the watchers). Streams of requests without an id are recorded.

--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -110,20 +110,6 @@
 	return out
 }
 
-// LiveCount returns the number of live members, this one included.
-func (m *Machine) LiveCount() int {
-	n := 0
-	if m.self.State == Alive {
-		n = 1
-	}
-	for _, r := range m.members {
-		if r.State == Alive {
-			n++
-		}
-	}
-	return n
-}
-
 // TakeChanged reports whether the members changed since the last call.
 func (m *Machine) TakeChanged() bool {
 	changed := m.changed
--- a/internal/core/streamversion/streamversion.go
+++ b/internal/core/streamversion/streamversion.go
@@ -7,7 +7,6 @@
 
 import (
 	"crypto/sha256"
-	"slices"
 	"sync"
 	"time"
 )
@@ -38,11 +37,14 @@
 // maxRecords bounds the streams that an instance keeps.
 const maxRecords = 1 << 15
 
-// Records holds the bindings of streams. The zero value is ready for use. It is safe for concurrent use.
+// Records holds the bindings of streams. The zero value is ready for use, and takes it that no stream has
+// begun before. It is safe for concurrent use.
 type Records struct {
 	mu       sync.Mutex
 	streams  map[ID]*stream
 	requests map[ID]*request
+	since    time.Time // streams that began before may be missing
+	all      bool      // none is missing, whenever it began
 }
 
 // request is what is known of the streams of requests that are alike.
@@ -60,6 +62,27 @@
 	own     bool // it goes through this instance, or went so
 }
 
+// Start records that the instance starts now: it misses the streams of earlier processes.
+func (r *Records) Start(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.since, r.all = now, false
+}
+
+// NoneBefore records that no stream had begun anywhere before this instance started.
+func (r *Records) NoneBefore() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all = true
+}
+
+// Remember reports whether no stream is missing that began in a time before now.
+func (r *Records) Remember(window time.Duration, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.all || now.Sub(r.since) >= window
+}
+
 // Bind records a stream. A later time is taken over, another binding is not: the first holds. own says
 // that the stream goes through this instance. It returns false if there is no room.
 func (r *Records) Bind(record Record, own bool, now time.Time) bool {
@@ -79,6 +102,7 @@
 		r.expire(now)
 	}
 	if len(r.streams) >= maxRecords {
+		r.since, r.all = now, false
 		return false
 	}
 	r.streams[record.ID] = &stream{binding: record.Binding, request: record.Request, until: record.Until, own: own}
@@ -162,81 +186,3 @@
 	defer r.mu.Unlock()
 	return len(r.streams)
 }
-
-// History holds the versions that the targets of each service have had of late. The zero value is ready for
-// use. It is safe for concurrent use.
-type History struct {
-	mu       sync.Mutex
-	since    time.Time                       // it misses nothing from then on; zero: it knows nothing
-	services map[string]map[string]time.Time // by service, then by version: when it was listed last
-	listed   map[string][]string             // versions listed now, by service
-}
-
-// historyRetention is how long versions are kept that are listed no more.
-const historyRetention = 10 * time.Minute
-
-// Observe records the versions that are listed now, by service. It returns the services that have got a
-// second one.
-func (h *History) Observe(listed map[string][]string, now time.Time) (mixed []string) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.since.IsZero() {
-		h.since = now
-	}
-	h.markListed(now)
-	for service, versions := range listed {
-		if len(versions) > 1 && len(h.listed[service]) <= 1 {
-			mixed = append(mixed, service)
-		}
-	}
-	h.listed = listed
-	h.markListed(now)
-	for service, versions := range h.services {
-		for version, last := range versions {
-			if now.Sub(last) > historyRetention {
-				delete(versions, version)
-			}
-		}
-		if len(versions) == 0 {
-			delete(h.services, service)
-		}
-	}
-	return mixed
-}
-
-// markListed records that the listed versions are so now. h.mu is held.
-func (h *History) markListed(now time.Time) {
-	for service, versions := range h.listed {
-		if h.services == nil {
-			h.services = map[string]map[string]time.Time{}
-		}
-		if h.services[service] == nil {
-			h.services[service] = map[string]time.Time{}
-		}
-		for _, v := range versions {
-			h.services[service][v] = now
-		}
-	}
-}
-
-// Interrupt records that changes up to now may have been missed.
-func (h *History) Interrupt(now time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if !h.since.IsZero() {
-		h.since = now
-	}
-}
-
-// Within returns the versions of a service's targets in a time before now, sorted, and whether these are all.
-func (h *History) Within(service string, window time.Duration, now time.Time) (versions []string, complete bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for version, last := range h.services[service] {
-		if now.Sub(last) <= window || slices.Contains(h.listed[service], version) {
-			versions = append(versions, version)
-		}
-	}
-	slices.Sort(versions)
-	return versions, !h.since.IsZero() && now.Sub(h.since) >= window
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -149,7 +149,8 @@
 	g.suspectsOutbox = newTreeOutbox[quarantine.Key](suspectsDelay, newest[quarantine.Report])
 	g.targetLinks.g, g.relays.g = g, g
 	g.limits.g, g.limits.outbox = g, newTreeOutbox[string](treeOutboxDelay, laterChange)
-	g.streams.g, g.streams.due = g, wait.NewSignal()
+	g.streams.g, g.streams.due, g.streams.begun = g, wait.NewSignal(), wait.NewSignal()
+	g.streams.records.Start(g.now())
 	g.brittle.g, g.brittle.outbox = g, newTreeOutbox[loadreport.Key](treeOutboxDelay, addRefusals)
 	g.zoneMonitor.g, g.zoneMonitor.waiting = g, map[string]map[*attemptState]func(){}
 	g.crashDetector = &crashDetector{g: g, checks: map[string]*crashCheck{}}
@@ -278,7 +279,7 @@
 	c.targets.OnRestart(func(n registry.Restart) { g.transferBackoff(c, n) })
 	g.spawn(func() { g.runControl(g.ctx, c) })
 	g.watchAll(g.ctx)
-	for _, f := range [...]func(context.Context){g.joinSeeds, g.pollPeersWithoutStore, g.pollStaleness, g.fetchConfigs, g.maintainBootstrap, g.forgetGone, g.maintainQuarantine, g.reportSuspects, g.brittle.run, g.limits.run, g.streams.run, g.reportLoads, g.runRollouts, g.cache.run, g.cache.pullDirectory, g.cache.collectGarbage} {
+	for _, f := range [...]func(context.Context){g.joinSeeds, g.pollPeersWithoutStore, g.pollStaleness, g.fetchConfigs, g.maintainBootstrap, g.forgetGone, g.maintainQuarantine, g.reportSuspects, g.brittle.run, g.limits.run, g.streams.run, g.streams.runMark, g.reportLoads, g.runRollouts, g.cache.run, g.cache.pullDirectory, g.cache.collectGarbage} {
 		g.spawn(func() { f(g.ctx) })
 	}
 	g.serveListener("callers", g.callerSrv.Serve)
--- a/internal/gateway/stream_takeup.go
+++ b/internal/gateway/stream_takeup.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"encoding/binary"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -15,9 +17,15 @@
 
 // The stream of one request: which version of the targets' software it is bound to, see stream_versions.go.
 
-// streamRecord returns the record of the stream that the request begins or takes up.
+// streamRecord returns the record of the stream that the request begins or takes up. A request without an
+// id begins a stream that nobody can name, but that requests like it may take up.
 func (x *exchange) streamRecord(b streamversion.Binding) streamversion.Record {
-	return streamversion.Record{ID: streamversion.IDOf(x.customerName(), cmp.Or(x.call.Resumes, x.call.ID)), Request: x.streamRequest(),
+	var id streamversion.ID
+	binary.LittleEndian.PutUint64(id[:], rand.Uint64())
+	if name := cmp.Or(x.call.Resumes, x.call.ID); name != "" {
+		id = streamversion.IDOf(x.customerName(), name)
+	}
+	return streamversion.Record{ID: id, Request: x.streamRequest(),
 		Binding: b, Until: x.deadline.Add(takeUpTime)}
 }
 
@@ -59,13 +67,13 @@
 		return nil
 	}
 	b, how := x.g.streams.find(x.ctx, x.streamQuestion())
-	if how != streamUnknown && !x.route.SendsTo(b.Service) {
+	if how != streamversion.Unknown && !x.route.SendsTo(b.Service) {
 		how = streamMoved
 	}
 	metric.StreamsTakenUp(how).Inc()
 	x.g.log.WithField("request", x.call.ID).WithField("resumes", x.call.Resumes).WithField("service", b.Service).WithField("software", b.Software).
 		WithField("known", how).WithField("age_ms", x.elapsedMS()).Info("stream taken up")
-	if how == streamUnknown || how == streamMoved {
+	if how == streamversion.Unknown || how == streamMoved {
 		return retryLater(problem.NoTarget, "the stream can't go on: "+streamRefusals[how], retryAfterShort)
 	}
 	x.service, x.binding = b.Service, &b
@@ -75,8 +83,8 @@
 
 // streamRefusals says why a stream can't go on.
 var streamRefusals = map[string]string{
-	streamUnknown: "no instance knows the version of the software that began it",
-	streamMoved:   "its route leads to another service",
+	streamversion.Unknown: "no instance knows the version of the software that began it",
+	streamMoved:           "its route leads to another service",
 }
 
 // beginStream binds a stream to the version of the target that sends its first event.
@@ -85,7 +93,7 @@
 		return
 	}
 	x.binding = &streamversion.Binding{Service: t.Service, Software: t.Software}
-	if x.route.Resumable && x.call.ID != "" {
+	if x.route.Resumable {
 		x.g.streams.begin(x.streamRecord(*x.binding), x.streamWindow())
 	}
 }
--- a/internal/gateway/stream_versions.go
+++ b/internal/gateway/stream_versions.go
@@ -73,6 +73,14 @@
 	Complete bool                  `cbor:"4,keyasint"`           // these are all
 	// Ambiguous says that requests like the one in question began streams at several versions.
 	Ambiguous bool `cbor:"5,keyasint"`
+	// Remembers, Alone: see streamversion.Knowledge. Releases before 2026-12 don't tell.
+	Remembers bool     `cbor:"6,keyasint,omitempty"`
+	Alone     []string `cbor:"7,keyasint,omitempty"`
+}
+
+// knowledge returns the answer as the core takes it.
+func (a StreamAnswer) knowledge() streamversion.Knowledge {
+	return streamversion.Knowledge{Binding: a.Binding, Found: a.Found, Ambiguous: a.Ambiguous, Remembers: a.Remembers, Versions: a.Versions, Alone: a.Alone, Complete: a.Complete}
 }
 
 // streamVersions knows which version of the software began each stream.
@@ -81,6 +89,7 @@
 	records streamversion.Records
 	history streamversion.History
 	due     wait.Signal
+	begun   wait.Signal // a stream has begun
 
 	mu      sync.Mutex
 	pending []streamversion.Record // to be told
@@ -130,6 +139,7 @@
 // begin binds a stream to the version that sends its first event, or notes that it goes on there. It began
 // within window.
 func (s *streamVersions) begin(record streamversion.Record, window time.Duration) {
+	s.begun.Raise()
 	if !s.records.Bind(record, true, s.g.now()) {
 		metric.StreamsForgotten.Inc()
 		return
@@ -241,63 +251,63 @@
 	return out[:min(n, len(out))]
 }
 
-// Ways in which an instance knows the version at which a stream may go on.
+// Ways in which an instance knows where a stream may go on, besides those of package streamversion.
 const (
-	streamBoundHere   = "own"  // it went through this instance, or a peer told it
-	streamBoundByPeer = "peer" // a peer knows
-	// streamBoundByRequest: the caller doesn't name it, and requests like this one have a single version.
-	streamBoundByRequest = "request"
-	streamOneVersion     = "single" // no other version can have begun it
-	streamUnknown        = "unknown"
-	streamMoved          = "moved" // its service gets no requests of the route any more
+	streamBoundHere   = "own"   // it went through this instance, or a peer told it
+	streamBoundByPeer = "peer"  // a peer knows
+	streamMoved       = "moved" // its service gets no requests of the route any more
 )
 
 // answer returns what this instance knows of a stream.
 func (s *streamVersions) answer(q *StreamQuestion) (a StreamAnswer) {
+	now, window := s.g.now(), time.Duration(q.WindowMS)*time.Millisecond
 	if q.ByID {
-		a.Binding, a.Found = s.records.Find(q.ID, s.g.now())
+		a.Binding, a.Found = s.records.Find(q.ID, now)
 	} else {
-		a.Binding, a.Found, a.Ambiguous = s.records.FindRequest(q.ID, s.g.now())
+		a.Binding, a.Found, a.Ambiguous = s.records.FindRequest(q.ID, now)
 	}
-	a.Versions, a.Complete = s.versionsWithin(q.Service, time.Duration(q.WindowMS)*time.Millisecond)
+	a.Remembers = s.records.Remember(window, now)
+	a.Versions, a.Complete = s.versionsWithin(q.Service, window)
+	a.Alone = s.history.Alone(q.Service, window+maxHistoryAge, now) // lists of other instances may lag by that
 	return a
 }
 
 // find returns where a stream may go on, and how that is known. An instance that gets no answer of any peer
 // may have missed a new version.
 func (s *streamVersions) find(ctx context.Context, q *StreamQuestion) (b streamversion.Binding, how string) {
-	known := s.answer(q)
-	if known.Found && q.ByID {
-		return known.Binding, streamBoundHere
+	inquiry := s.newInquiry(q)
+	own := s.answer(q)
+	if inquiry.Add(own.knowledge()) {
+		return own.Binding, streamBoundHere
 	}
 	answered := !s.g.hasOtherSeeds()
 	for answer := range s.ask(ctx, q) {
-		if answer.Found && q.ByID {
-			return answer.Binding, streamBoundByPeer
+		answered = true
+		if inquiry.Add(answer.knowledge()) {
+			break
 		}
-		known, answered = known.and(answer), true
 	}
-	versions := known.Versions
-	slices.Sort(versions)
-	versions = slices.Compact(versions)
-	switch {
-	case known.Ambiguous:
-	case known.Found:
-		return known.Binding, streamBoundByRequest
-	case q.Service != "" && answered && known.Complete && len(versions) == 1:
-		return streamversion.Binding{Service: q.Service, Software: versions[0]}, streamOneVersion
+	if !answered {
+		inquiry.Service = ""
+	}
+	b, how = inquiry.Decide()
+	if how == streamversion.ByName {
+		how = streamBoundByPeer
 	}
-	return streamversion.Binding{}, streamUnknown
+	return b, how
 }
 
-// and joins two answers.
-func (a StreamAnswer) and(b StreamAnswer) StreamAnswer {
-	a.Ambiguous = a.Ambiguous || b.Ambiguous || a.Found && b.Found && a.Binding != b.Binding
-	if b.Found {
-		a.Found, a.Binding = true, b.Binding
+// newInquiry returns an inquiry into the stream of a question. In a large fleet some of the streams' holders
+// are not asked, and count as lost.
+func (s *streamVersions) newInquiry(q *StreamQuestion) *streamversion.Inquiry {
+	v, now := s.g.view.Load(), s.g.now()
+	members := len(v.Peers)
+	for _, since := range v.Gone {
+		if now.Sub(since) <= time.Duration(q.WindowMS)*time.Millisecond {
+			members++
+		}
 	}
-	a.Versions, a.Complete = append(a.Versions, b.Versions...), a.Complete || b.Complete
-	return a
+	return &streamversion.Inquiry{Service: q.Service, Members: members, Holders: min(members, 1+streamHomes), Named: q.ByID}
 }
 
 // ask asks peers for a stream's version, and returns their answers as they come.
--- a/internal/gateway/view_build.go
+++ b/internal/gateway/view_build.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/apex/log"
 
@@ -24,6 +25,7 @@
 	others    []string // see View.OtherInstances
 	alive     []string
 	peers     []member.Member
+	gone      []time.Time // see View.Gone
 	attached  []string
 	orderers  []string // see View.Orderers
 	tree      *relayTree
@@ -46,7 +48,7 @@
 	if !c.fleetChanged() {
 		return c.fleet
 	}
-	p := fleetSnapshot{valid: true}
+	p := fleetSnapshot{valid: true, gone: c.members.Gone()}
 	self := c.members.Self()
 	p.warmup = &warmupShares{self: self.Name}
 	for _, m := range c.members.Members() {
@@ -214,7 +216,7 @@
 	v := &View{
 		Config: c.cfg, NewestReportedConfig: max(c.configInForce().Version, c.reportedConfig.Version), ConfigBytes: len(c.rawConfig),
 		Targets: s.targets, Serving: s.serving, Candidates: s.candidates, Cordoned: s.cordoned, Closing: s.closing, Outdated: s.outdated, Departed: s.departed,
-		OtherInstances: f.others, InstanceCount: f.instances, Alive: f.alive, Self: c.members.Self().Name, Peers: f.peers, Orderers: f.orderers, Tree: f.tree, IsWatcher: f.watcher, WatchRank: f.watchRank, Watchers: f.watchers,
+		OtherInstances: f.others, InstanceCount: f.instances, Alive: f.alive, Self: c.members.Self().Name, Peers: f.peers, Gone: f.gone, Orderers: f.orderers, Tree: f.tree, IsWatcher: f.watcher, WatchRank: f.watchRank, Watchers: f.watchers,
 		TargetsRevision: c.targets.Revision(), TargetsListed: c.targets.Listed(),
 		NamedVersions: map[string]NamedVersions{}, Rollout: c.rollout, RolloutReceivedAt: c.rolloutReceivedAt, Draining: c.draining, StoreReachable: c.storeReachable, Isolated: c.isolation.active,
 		ReleasedAt: c.releasedAt, warmupShares: f.warmup, WarmupAllowedAt: c.warmupAllowedAt,
