Weight versions: an instance that starts knows when older versions were replaced

Cause: an instance that starts finds the newest named version alone. Peers told it the ages of older ones too, but only ages of versions in its history were taken, and the newest one's true, young age took the place of the careful assumption for all. So a target several versions behind counted as outdated since the newest version was named, anew after each start.

Change: core/rollout, NamedVersions (moved from the gateway's view): what a peer tells of a version enters the history, an older age replaces a younger one and never the other way, and versions of which history doesn't tell when they were replaced have a bound of their own: the careful assumption, or the older one of a peer (new in the reply to a join). Ages that come before the list of versions are kept.

TestNewProcessAssumesVersionAge asserted that an age that is known isn't replaced by an older one of a peer. That was wrong: what instances know is when they learned of a version, and the earliest is nearest to when it was named. It now asserts that the older age is taken and a younger one is not.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -213,7 +213,7 @@
 		if p := x.call.Prompt; p != nil {
 			version := t.WeightVersion(p.Model)
 			o.LacksModel = version == 0
-			o.OutdatedFor = x.view.NamedVersions[p.Model].outdatedFor(version, now)
+			o.OutdatedFor = x.view.NamedVersions[p.Model].OutdatedFor(version, now)
 			works[i] = x.promptWorkAt(t, version, now)
 			o.CapacityTokens = x.view.Config.TargetMemory(t.Service)
 			o.UsedTokens = int(load.MemoryTokens.Load()) + peerLoads[i].Memory
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -8,6 +8,7 @@
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
 	"github.com/shedhoist/shedhoist/internal/core/member"
+	"github.com/shedhoist/shedhoist/internal/core/rollout"
 	"github.com/shedhoist/shedhoist/internal/core/staleness"
 	"github.com/shedhoist/shedhoist/internal/evacuation"
 	"github.com/shedhoist/shedhoist/internal/platform"
@@ -24,7 +25,7 @@
 	rawConfig      []byte // cfg as stored, for peers
 	reportedConfig reportedConfig
 	targets        *registry.Table
-	named          map[string]NamedVersions
+	named          map[string]rollout.NamedVersions
 	namedRevision  platform.Version // revision up to which named is complete
 	namedChanged   platform.Version // revision of the last change of named
 	// versionsListed is set once the named versions have been received for the first time.
@@ -135,27 +136,35 @@
 const startupVersionGrace = 3 * time.Second
 
 // versionAgesReceived delivers a peer's report of how long ago versions were named.
-type versionAgesReceived struct{ ages []VersionAge }
+type versionAgesReceived struct {
+	ages    []VersionAge
+	unknown []UnknownVersions
+}
 
 func (e versionAgesReceived) apply(c *controlState) {
+	now := c.now()
 	for _, a := range e.ages {
-		c.named[a.Model] = c.named[a.Model].withAge(a.Version, time.Duration(a.AgeMS)*time.Millisecond, c.now())
+		age := rollout.VersionAge{Version: a.Version, Age: time.Duration(a.AgeMS) * time.Millisecond}
+		c.named[a.Model] = c.named[a.Model].WithAge(age, now)
+	}
+	for _, u := range e.unknown {
+		c.named[u.Model] = c.named[u.Model].WithUnknownAge(time.Duration(u.AgeMS)*time.Millisecond, now)
 	}
 }
 
-// versionAges returns how long ago versions were named, for a peer. Versions whose age is only
-// assumed are left out.
-func (c *controlState) versionAges() []VersionAge {
-	var out []VersionAge
+// versionAges returns for a peer how long ago versions were named, and how long ago others were replaced. Ages
+// that are only assumed are left out.
+func (c *controlState) versionAges() (ages []VersionAge, unknown []UnknownVersions) {
+	now := c.now()
 	for model, n := range c.named {
-		for _, h := range n.history {
-			if h.assumed {
-				continue
-			}
-			out = append(out, VersionAge{Model: model, Version: h.version, AgeMS: c.now().Sub(h.learnedAt).Milliseconds()})
+		for _, a := range n.Ages(now) {
+			ages = append(ages, VersionAge{Model: model, Version: a.Version, AgeMS: a.Age.Milliseconds()})
+		}
+		if age := n.UnknownAge(now); age > 0 {
+			unknown = append(unknown, UnknownVersions{Model: model, AgeMS: age.Milliseconds()})
 		}
 	}
-	return out
+	return ages, unknown
 }
 
 // targetWeightsObserved delivers the weight version that a target serves, taken from its response
@@ -183,11 +192,11 @@
 		}
 		c.log.WithField("model", v.Model).WithField("version", v.Version).WithField("before", c.named[v.Model].Newest).
 			WithField("from", string(e.from)).Info("weight version named")
-		named := namedVersion{version: v.Version, learnedAt: c.now()}
-		if !c.versionsListed {
-			named.learnedAt, named.assumed = named.learnedAt.Add(-c.assumedVersionAge()), true
+		if c.versionsListed {
+			c.named[v.Model] = c.named[v.Model].WithNamed(v.Version, c.now())
+		} else {
+			c.named[v.Model] = c.named[v.Model].WithFound(v.Version, c.assumedVersionAge(), c.now())
 		}
-		c.named[v.Model] = c.named[v.Model].withVersion(named)
 	}
 	c.versionsListed = true
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/shedhoist/shedhoist/internal/core/member"
 	"github.com/shedhoist/shedhoist/internal/core/placement"
 	"github.com/shedhoist/shedhoist/internal/core/quarantine"
+	"github.com/shedhoist/shedhoist/internal/core/rollout"
 	"github.com/shedhoist/shedhoist/internal/core/staleness"
 	"github.com/shedhoist/shedhoist/internal/core/warmup"
 	"github.com/shedhoist/shedhoist/internal/drain"
@@ -273,7 +274,7 @@
 	// The first incarnation is 1, not a timestamp: a former incarnation under this name is
 	// refuted as soon as a peer reports it.
 	self := member.Member{Name: set.Name, Address: g.PeerAddr(), Zone: set.Zone, Incarnation: 1}
-	c := &controlState{log: g.log, now: g.now, named: map[string]NamedVersions{}, members: member.New(params, self, rand.IntN), storeReachable: true, rolloutWithin: set.RolloutWithin, configWithin: set.ConfigWithin,
+	c := &controlState{log: g.log, now: g.now, named: map[string]rollout.NamedVersions{}, members: member.New(params, self, rand.IntN), storeReachable: true, rolloutWithin: set.RolloutWithin, configWithin: set.ConfigWithin,
 		followsEvacuations: set.EvacuateWithin > 0,
 		targets:            newTargetTable(g.log, set.Name), staleness: g.staleness, warmupAllowedAt: g.now().Add(warmupSettleTime), streams: &g.streams}
 	c.targets.OnRestart(func(n registry.Restart) { g.transferBackoff(c, n) })
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -119,7 +119,8 @@
 	c.receiveLeaving(req.Leaving, req.From)
 	out := HelloReply{From: c.members.Self(), StateVersions: c.stateVersions(), LiveMembers: c.members.LiveCount(), Leaving: c.reportLeavingTo(req.From.Name)}
 	if req.Join {
-		out.Members, out.VersionAges = c.members.Members(), c.versionAges()
+		out.Members = c.members.Members()
+		out.VersionAges, out.UnknownVersions = c.versionAges()
 	} else {
 		out.Members = c.members.UpdatesFor(req.From.Name)
 	}
@@ -199,7 +200,7 @@
 func (e probeEnded) apply(c *controlState) {
 	now := c.now()
 	c.members.Receive(e.reply.Members, now)
-	versionAgesReceived{e.reply.VersionAges}.apply(c)
+	versionAgesReceived{ages: e.reply.VersionAges, unknown: e.reply.UnknownVersions}.apply(c)
 	if e.ok {
 		c.receiveConfigRef(e.reply.StateVersions, e.reply.From)
 		c.receiveLeaving(e.reply.Leaving, e.reply.From)
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -219,7 +219,7 @@
 		for _, m := range t.Models {
 			version := min(m.Version, v.NamedVersions[m.Model].Newest) // a version newer than the newest known counts as that one
 			targets = append(targets, rollout.Target{Name: t.ID, Model: m.Model, Version: versionText(version), Ready: true})
-			outdatedFor[t.ID] = v.NamedVersions[m.Model].outdatedFor(m.Version, now)
+			outdatedFor[t.ID] = v.NamedVersions[m.Model].OutdatedFor(m.Version, now)
 		}
 	}
 	// Those that have been outdated for longest go first; ties are broken by hash, which mixes
--- a/internal/gateway/rollout_stages.go
+++ b/internal/gateway/rollout_stages.go
@@ -57,7 +57,7 @@
 	within := o.g.settings().RolloutWithin
 	for _, t := range v.Outdated { // also those that must not be loaded yet
 		for _, m := range t.Models {
-			if since := v.NamedVersions[m.Model].outdatedFor(m.Version, now); since > 0 {
+			if since := v.NamedVersions[m.Model].OutdatedFor(m.Version, now); since > 0 {
 				progress.TimeLeft = append(progress.TimeLeft, within-since)
 			}
 		}
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -116,6 +116,8 @@
 	SuspectsDigest uint64         `cbor:"8,keyasint,omitempty"`
 	Leaving        LeavingTargets `cbor:"9,keyasint,omitempty"`
 	Limits         []LimitReport  `cbor:"10,keyasint,omitempty"` // of some targets, and those that ended lately
+	// UnknownVersions is in the reply to a join only.
+	UnknownVersions []UnknownVersions `cbor:"11,keyasint,omitempty"`
 }
 
 // VersionAge is how long ago a weight version was named, by the sender's own clock.
@@ -125,6 +127,13 @@
 	AgeMS   int64  `cbor:"3,keyasint"`
 }
 
+// UnknownVersions says for how long the versions of a model count as replaced of which the sender doesn't know
+// when they were.
+type UnknownVersions struct {
+	Model string `cbor:"1,keyasint"`
+	AgeMS int64  `cbor:"2,keyasint"`
+}
+
 // StateUpdate holds the parts of a peer's state that are newer than the requester's.
 type StateUpdate struct {
 	Config          []byte                 `cbor:"1,keyasint,omitempty"` // as stored
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -1,63 +1,16 @@
 package gateway
 
 import (
-	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
 	"github.com/shedhoist/shedhoist/internal/core/member"
+	"github.com/shedhoist/shedhoist/internal/core/rollout"
 	"github.com/shedhoist/shedhoist/internal/platform"
 	"github.com/shedhoist/shedhoist/internal/registry"
 )
 
-// NamedVersions holds the weight versions named for a model.
-type NamedVersions struct {
-	Newest  uint64         // the newest version named; 0 if there is none
-	history []namedVersion // the last maxNamedHistory versions, ascending
-}
-
-type namedVersion struct {
-	version   uint64
-	learnedAt time.Time // when this instance learned of the version
-	assumed   bool      // the version was found at startup: learnedAt is an estimate
-}
-
-// maxNamedHistory bounds the versions kept per model: no more are rolled out at a time.
-const maxNamedHistory = 8
-
-// withVersion returns a copy of n with a newer version added.
-func (n NamedVersions) withVersion(newest namedVersion) NamedVersions {
-	history := append(slices.Clone(n.history), newest)
-	if len(history) > maxNamedHistory {
-		history = history[1:]
-	}
-	return NamedVersions{Newest: newest.version, history: history}
-}
-
-// withAge returns a copy of n in which an assumed age of a version is replaced by the one that a
-// peer reported. An age that this instance observed itself stays.
-func (n NamedVersions) withAge(version uint64, age time.Duration, now time.Time) NamedVersions {
-	history := slices.Clone(n.history)
-	for i, h := range history {
-		if h.version == version && h.assumed {
-			history[i] = namedVersion{version: version, learnedAt: now.Add(-age)}
-		}
-	}
-	return NamedVersions{Newest: n.Newest, history: history}
-}
-
-// outdatedFor returns how long a version has been known to be older than the newest one: the time
-// since the first newer version. It returns 0 for the newest version.
-func (n NamedVersions) outdatedFor(version uint64, now time.Time) time.Duration {
-	for _, h := range n.history {
-		if h.version > version {
-			return max(now.Sub(h.learnedAt), 1)
-		}
-	}
-	return 0
-}
-
 // View is the state that request goroutines read. A published view is immutable.
 type View struct {
 	Config               *catalog.Config              // nil if none has been received
@@ -67,17 +20,17 @@
 	Serving              map[string][]*catalog.Target // by service: targets that accept new requests, sorted by id
 	// Candidates are, by service, the targets of Serving that this instance prefers.
 	Candidates     map[string][]*catalog.Target
-	Cordoned       map[string]bool          // ids of targets that are about to load weights and get no new requests
-	Closing        map[string]bool          // ids of targets that are cordoned next
-	Outdated       []*catalog.Target        // targets with weights older than named that are not leaving
-	NamedVersions  map[string]NamedVersions // by model
-	Departed       []registry.Departure     // targets that recently left the list
-	OtherInstances []string                 // names of all other instances that have not left, including dead ones
-	InstanceCount  int                      // number of known instances, including this one and recently lost ones
-	Self           string                   // name of this instance
-	Alive          []string                 // sorted names of the live instances, including this one
-	Peers          []member.Member          // the instances in Alive, as members
-	Gone           []time.Time              // when each instance that is not alive was found so, or left; forgotten after some minutes
+	Cordoned       map[string]bool                  // ids of targets that are about to load weights and get no new requests
+	Closing        map[string]bool                  // ids of targets that are cordoned next
+	Outdated       []*catalog.Target                // targets with weights older than named that are not leaving
+	NamedVersions  map[string]rollout.NamedVersions // by model
+	Departed       []registry.Departure             // targets that recently left the list
+	OtherInstances []string                         // names of all other instances that have not left, including dead ones
+	InstanceCount  int                              // number of known instances, including this one and recently lost ones
+	Self           string                           // name of this instance
+	Alive          []string                         // sorted names of the live instances, including this one
+	Peers          []member.Member                  // the instances in Alive, as members
+	Gone           []time.Time                      // when each instance that is not alive was found so, or left; forgotten after some minutes
 	// Orderers are the names of the live instances that may give orders to targets: those that reach the
 	// object store and have not lost their links to the targets of a service. If there is none, they are
 	// those that reach the object store, or else all.
