Placement: a request that would begin on replaced weights too late isn't sent there

Cause: a target with older weights was eligible until a second before the end of the rollout, by the time of sending.

Change: the expected time to the first response counts as well.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -149,8 +149,8 @@
 	// outdatedGrace is the time after the announcement of a version in which an older one is
 	// not penalized.
 	outdatedGrace = time.Second
-	// rolloutMargin is the time before the end of RolloutTimeout from which no request is
-	// sent to an older version.
+	// rolloutMargin is the time before the end of RolloutTimeout from which no request is to
+	// begin on an older version.
 	rolloutMargin = time.Second
 )
 
@@ -327,10 +327,15 @@
 	return q.MaxQueuedTokens > 0 && t.QueuedTokens > q.MaxQueuedTokens && !q.Started
 }
 
-// eligible reports whether the target serves the request's model. Targets with outdated
-// weights are eligible until rolloutMargin before the end of the rollout.
+// eligible reports whether the target serves the request's model. A target with outdated weights is
+// eligible if the request is expected to begin there rolloutMargin before the end of the rollout.
 func eligible(t *Target, q *Query) bool {
-	return !t.LacksModel && !t.Incompatible && (t.OutdatedFor == 0 || t.OutdatedFor < q.RolloutTimeout-rolloutMargin)
+	return !t.LacksModel && !t.Incompatible && (t.OutdatedFor == 0 || t.beginsAfter() < q.RolloutTimeout-rolloutMargin)
+}
+
+// beginsAfter returns how long the target's weights will have been outdated when the request begins there.
+func (t *Target) beginsAfter() time.Duration {
+	return t.OutdatedFor + time.Duration(t.FirstResponseMS*float64(time.Millisecond))
 }
 
 // score returns the predicted time to the first response, in ms, plus the penalties of the
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -30,6 +30,9 @@
 		{"outdated weights are better than a long queue", func(x, y *placement.Target) { x.InFlight, y.OutdatedFor = 5, 2*time.Second }, 1},
 		{"outdated weights are not penalized at first", func(x, y *placement.Target) { x.InFlight, y.OutdatedFor = 1, 1 }, 1},
 		{"outdated weights are not eligible at the end of a rollout", func(x, y *placement.Target) { x.InFlight, y.OutdatedFor = 50, 9*time.Second }, 0},
+		{"outdated weights are not eligible for a request that would begin after the rollout", func(x, y *placement.Target) {
+			x.InFlight, y.OutdatedFor, y.FirstResponseMS = 500, 7*time.Second, 2000
+		}, 0},
 		{"no eligible target", func(x, y *placement.Target) { x.OutdatedFor, y.OutdatedFor = time.Minute, time.Minute }, -1},
 		{"lacks the model", func(x, _ *placement.Target) { x.LacksModel = true }, 1},
 		{"already tried", func(x, _ *placement.Target) { x.Excluded = true }, 1},
