--- a/internal/gateway/rollout_stages_test.go
+++ b/internal/gateway/rollout_stages_test.go
@@ -70,6 +70,7 @@
 	// onOrder is called with each order that reaches a target, without f.mu. It returns false if the
 	// order is lost: it has no effect and gets no response. Nil: none are lost.
 	onOrder func(o LoadOrder) bool
+	onRun   func(version uint64) // called as a target with these weights begins a request; nil: nothing
 }
 
 // stageTarget is the state of a target that loads weights.
@@ -117,6 +118,9 @@
 	}
 	l.running++
 	reset := l.reset
+	if f.onRun != nil {
+		f.onRun(l.version)
+	}
 	f.mu.Unlock()
 	defer func() {
 		f.mu.Lock()
