Tests of handovers: no data race between restarts and readers of the fleet

Names and addresses are taken before the first kill, and the test waits for the restarts. TestVersionsReplacedInTime read the list in the same way. What they check is as before.

Both under -race -cpu 1, twice: no race.

--- a/internal/gateway/lease_handover_test.go
+++ b/internal/gateway/lease_handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -31,16 +32,22 @@
 type handoverFleet struct {
 	*stageFleet
 	handover
-	mu      sync.Mutex
-	records []orderRecord
-	killed  map[string]bool // holders that are killed, or are about to be
-	kill    chan string
+	names    []string // of the instances
+	mu       sync.Mutex
+	records  []orderRecord
+	killed   map[string]bool // holders that are killed, or are about to be
+	kill     chan string
+	killing  sync.WaitGroup // the goroutine that kills
+	restarts sync.WaitGroup
 }
 
 func newHandoverFleet(t *testing.T, h handover, instances, targets int) *handoverFleet {
 	f := &handoverFleet{handover: h, killed: map[string]bool{}, kill: make(chan string, h.kills)}
 	f.stageFleet = newStageFleet(t, instances, targets, func(s *Settings) { s.Policy.RolloutStages = false })
 	f.onOrder = f.receive
+	for _, g := range f.gateways {
+		f.names = append(f.names, g.settings().Name)
+	}
 	for _, d := range f.storeClients {
 		d.mu.Lock()
 		d.answerDelay = h.answerDelay
@@ -66,9 +73,9 @@
 func (f *handoverFleet) killHolders() {
 	for holder := range f.kill {
 		time.Sleep(f.after)
-		i := f.indexOf(holder)
+		i := slices.Index(f.names, holder)
 		f.trafficFleet.kill(i)
-		go f.restart(i, holder)
+		f.restarts.Go(func() { f.restart(i, holder) })
 	}
 }
 
@@ -81,15 +88,6 @@
 	f.killed[holder] = false
 }
 
-func (f *handoverFleet) indexOf(name string) int {
-	for i, g := range f.gateways {
-		if g.settings().Name == name {
-			return i
-		}
-	}
-	panic("unknown instance " + name)
-}
-
 // TestHoldersKeepLeaseGap guards against orders of two instances to one target within the lease gap, and
 // against a fencing token that decreases, when holders of the lease are killed. The watch may report a
 // holder's own write before the store answers it.
@@ -115,11 +113,13 @@
 	is := is.New(t)
 	f := newHandoverFleet(t, h, 5, 3)
 	defer f.stop()
-	go f.killHolders()
+	f.killing.Go(f.killHolders)
 	f.nameVersion(2)
 	is.True(f.awaitVersion(2) < 50*time.Second)
-	time.Sleep(h.after + h.downFor + time.Second) // the last one killed has started again
 	close(f.kill)
+	f.killing.Wait()
+	f.restarts.Wait()
+	time.Sleep(time.Second)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	is.Equal(f.kills, 0)
--- a/internal/gateway/versions_handover_test.go
+++ b/internal/gateway/versions_handover_test.go
@@ -40,15 +40,22 @@
 	f.nameVersion(newest)
 }
 
+// callerAddresses returns the callers' addresses of all instances.
+func (f *versionsFleet) callerAddresses() (out []string) {
+	for _, g := range f.gateways {
+		out = append(out, g.settings().CallerListen)
+	}
+	return out
+}
+
 // sendUntil sends requests to all instances in turn until the channel is closed.
-func (f *versionsFleet) sendUntil(done <-chan struct{}) {
+func (f *versionsFleet) sendUntil(done <-chan struct{}, addresses []string) {
 	for n := 0; ; n++ {
 		select {
 		case <-done:
 			return
 		case <-time.After(10 * time.Millisecond):
-			address := f.gateways[n%len(f.gateways)].settings().CallerListen
-			go f.requestAt(address, pathSafe, "1")
+			go f.requestAt(addresses[n%len(addresses)], pathSafe, "1")
 		}
 	}
 }
@@ -128,7 +135,7 @@
 				f := newVersionsFleet(t, 5, 12)
 				defer f.stop()
 				done := make(chan struct{})
-				go f.sendUntil(done)
+				go f.sendUntil(done, f.callerAddresses())
 				go func() {
 					for range 6 {
 						f.nameNext()
