--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -109,9 +109,13 @@
 		f := newTrafficFleet(t, 4, 2, 2)
 		defer f.stop()
 		gone := member.Member{Name: "e-gone", Address: f.gateways[1].PeerAddr(), Zone: "z0", Incarnation: 1}
-		f.gateways[0].queryControl(func(c *controlState) { c.members.Receive([]member.Member{gone}, c.now()) })
-		time.Sleep(time.Second)
-		is.True(slices.Contains(f.gateways[2].view.Load().Alive, gone.Name)) // told by the first
+		for _, g := range f.gateways {
+			g.queryControl(func(c *controlState) { c.members.Receive([]member.Member{gone}, c.now()) })
+		}
+		synctest.Wait()
+		for _, g := range f.gateways {
+			is.True(slices.Contains(g.view.Load().Alive, gone.Name))
+		}
 		time.Sleep(20 * time.Second)
 		for _, g := range f.gateways {
 			is.Equal(len(g.view.Load().Alive), len(f.gateways))
