Stream tests: one piece of code plays the scenarios of both

TestStreamsOfBeforeAreNotJoined copied the loop of TestStreamsStayAtTheirVersion. Scenarios and checks are as before; both pass three times.

--- a/internal/gateway/stream_rejoin_test.go
+++ b/internal/gateway/stream_rejoin_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 )
 
@@ -153,15 +152,4 @@
 
 // TestStreamsOfBeforeAreNotJoined guards against a stream that goes on at the version of other streams of
 // requests like it, while it is not known which version began it.
-func TestStreamsOfBeforeAreNotJoined(t *testing.T) {
-	for _, c := range rejoinScenarios {
-		t.Run(c.name, func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				f := newVersionFleet(t, c.instances, c.each, c.versions...)
-				defer f.stop()
-				checkStreams(t, c, c.play(f))
-			})
-		})
-	}
-}
+func TestStreamsOfBeforeAreNotJoined(t *testing.T) { playStreams(t, rejoinScenarios) }
--- a/internal/gateway/stream_versions_test.go
+++ b/internal/gateway/stream_versions_test.go
@@ -543,8 +543,11 @@
 
 // TestStreamsStayAtTheirVersion guards against streams that go on at targets of another version of the
 // software than began them, and against those that could go on at their version and don't.
-func TestStreamsStayAtTheirVersion(t *testing.T) {
-	for _, c := range streamScenarios {
+func TestStreamsStayAtTheirVersion(t *testing.T) { playStreams(t, streamScenarios) }
+
+// playStreams plays scenarios, each in a fleet of its own, and checks how their streams end.
+func playStreams(t *testing.T, scenarios []streamScenario) {
+	for _, c := range scenarios {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
