--- a/internal/gateway/stream_rejoin_test.go
+++ b/internal/gateway/stream_rejoin_test.go
@@ -26,6 +26,18 @@
 		f.takeUp(s, 0, inTurn(0, 9))
 		return s
 	}, 0, false},
+	{"all instances are killed twice", 9, 3, twoVersions, func(f *versionFleet) []*versionStream {
+		s := f.beginAlike(30, inTurn(0, 9))
+		f.endVersion("v1")
+		f.restartAll()
+		f.awaitReady(9)
+		f.beginAlike(5, inTurn(0, 9))
+		f.restartAll()
+		f.awaitReady(9)
+		f.beginAlike(9, inTurn(0, 9))
+		f.takeUp(s, 0, inTurn(0, 9))
+		return s
+	}, 0, false},
 	{"the only instance is killed", 1, 3, twoVersions, func(f *versionFleet) []*versionStream {
 		s := f.beginAlike(10, inTurn(0, 1))
 		f.endVersion("v1")
