Stops: goroutines may start while a stop waits for them

What was seen: a panic, "WaitGroup is reused before previous Wait has returned", once in 400 fleets of TestVersionsReplacedInTime as their instances were stopped. In a process the stop would end with a crash.

Cause: a sync.WaitGroup forbids that goroutines start while Wait returns. Those of requests and of calls from peers aren't counted, and start counted ones.

Change: wait.Group, a counter under a lock, for the goroutines of an instance; also for saves to cache stores and partitions of the ledger, which requests start too.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -59,7 +59,7 @@
 	retryBudget *limit.Budget
 
 	saveSlots chan struct{} // limits concurrent exports
-	savesWG   sync.WaitGroup
+	saves     wait.Group
 	savesCtx  context.Context
 }
 
@@ -88,7 +88,7 @@
 }
 
 // Wait returns when no export is in progress.
-func (d *Dispatcher) Wait() { d.savesWG.Wait() }
+func (d *Dispatcher) Wait() { d.saves.Wait() }
 
 // creditRetryBudget credits the retry budget for one request. share is the number of
 // retries per request.
--- a/internal/dispatch/save.go
+++ b/internal/dispatch/save.go
@@ -135,12 +135,10 @@
 	r.rec.SavedIn = s.Name
 	export := target.Export{Store: s.Address, Version: r.version, Adapter: r.req.Adapter, Salt: r.salt, Keys: r.keyNames}
 	address, name := r.target.Address, r.target.Name
-	d.savesWG.Add(1)
-	go func() {
-		defer d.savesWG.Done()
+	d.saves.Go(func() {
 		defer func() { <-d.saveSlots }()
 		d.exportCache(name, address, s.Name, export)
-	}()
+	})
 }
 
 func (d *Dispatcher) exportCache(name, address, store string, export target.Export) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,7 +62,7 @@
 	cancel      context.CancelFunc
 	events      chan event
 	controlDone chan struct{}
-	goroutines  sync.WaitGroup
+	goroutines  wait.Group
 
 	view viewHolder
 	// initialized is closed when a view first has all that requests need.
@@ -258,13 +258,7 @@
 func (g *Gateway) PeerAddr() string { return g.peerLn.Addr().String() }
 
 // spawn runs f on a goroutine that Shutdown waits for.
-func (g *Gateway) spawn(f func()) {
-	g.goroutines.Add(1)
-	go func() {
-		defer g.goroutines.Done()
-		f()
-	}()
-}
+func (g *Gateway) spawn(f func()) { g.goroutines.Go(f) }
 
 // Start starts all background goroutines and begins to serve.
 func (g *Gateway) Start() {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -14,6 +14,7 @@
 	"github.com/shedhoist/shedhoist/internal/core/atmostonce"
 	"github.com/shedhoist/shedhoist/internal/metric"
 	"github.com/shedhoist/shedhoist/internal/platform"
+	"github.com/shedhoist/shedhoist/internal/wait"
 )
 
 // Partitions is the number of partitions that claims are distributed over by their
@@ -61,7 +62,7 @@
 
 	mu      sync.Mutex
 	runners [Partitions]*runner
-	wg      sync.WaitGroup
+	wg      wait.Group // a request may start one while the ledger ends
 }
 
 // New returns a ledger whose goroutines end with ctx.
@@ -80,11 +81,7 @@
 	if l.runners[n] == nil {
 		r := &runner{ledger: l, prefix: fmt.Sprintf("once/%02d/", n), ops: make(chan op, opBacklog), partition: atmostonce.New(l.params)}
 		l.runners[n] = r
-		l.wg.Add(1)
-		go func() {
-			defer l.wg.Done()
-			r.run()
-		}()
+		l.wg.Go(r.run)
 	}
 	return l.runners[n]
 }
