Weight versions: an instance asks for their ages until it knows them

Cause: peers told the ages of versions in the reply to a join alone. An instance that its peers probe before it joins takes its seeds for known and doesn't join, so that the assumption stayed for all of its first seconds. A log of what was known at each late request shows it: all peers known, no ages.

Change: while the age of a newest version is only assumed, each hello asks for ages, also one to a seed that is known already, until the peers have told or the assumption excludes all older weights (3 s). An assumed age gives way to an older bound of a peer.

What is left, single requests in the first 100 ms of an instance, is another cause.

--- a/internal/core/rollout/named.go
+++ b/internal/core/rollout/named.go
@@ -88,18 +88,29 @@
 	if version >= n.Newest {
 		return 0
 	}
-	i := slices.IndexFunc(n.history, func(h namedVersion) bool { return h.version > version })
+	i := n.indexAfter(version)
 	if i < 0 {
 		return 0
 	}
 	since := n.history[i].learnedAt
 	mayMissNewer := i == 0 && n.history[0].version != version+1
-	if mayMissNewer && !n.unknownSince.IsZero() && n.unknownSince.Before(since) {
+	if (mayMissNewer || n.history[i].assumed) && !n.unknownSince.IsZero() && n.unknownSince.Before(since) {
 		since = n.unknownSince
 	}
 	return max(now.Sub(since), 1)
 }
 
+// indexAfter returns the index in history of the first version newer than version; -1: there is none.
+func (n NamedVersions) indexAfter(version uint64) int {
+	return slices.IndexFunc(n.history, func(h namedVersion) bool { return h.version > version })
+}
+
+// Assumed reports whether it is only assumed when the newest version was named.
+func (n NamedVersions) Assumed() bool {
+	i := n.indexAfter(n.Newest - 1)
+	return n.Newest > 0 && i >= 0 && n.history[i].assumed
+}
+
 // Ages returns the ages of the versions that are known, not assumed.
 func (n NamedVersions) Ages(now time.Time) []VersionAge {
 	var out []VersionAge
--- a/internal/core/rollout/named_test.go
+++ b/internal/core/rollout/named_test.go
@@ -60,6 +60,7 @@
 		{"a peer tells that started of late", join(found, late, sec(13)), [6]int{0, 11, 11, 11, 2, 0}},
 		{"two peers tell, in turn", join(join(found, late, sec(13)), old, sec(13)), [6]int{0, 14, 10, 6, 2, 0}},
 		{"two peers tell, in the other turn", join(join(found, old, sec(13)), late, sec(13)), [6]int{0, 14, 10, 6, 2, 0}},
+		{"a peer tells that assumes itself", join(found, rollout.NamedVersions{}.WithFound(5, assumedAge, sec(12)), sec(13)), [6]int{0, 9, 9, 9, 9, 0}},
 		{"started again and again", join(found, join(rollout.NamedVersions{}.WithFound(5, assumedAge, sec(12)), late, sec(12)), sec(13)), [6]int{0, 11, 11, 11, 2, 0}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -71,6 +72,19 @@
 	}
 }
 
+// TestAssumedUntilTold guards against an instance that stops asking for the age of the newest version before it is
+// told, or never stops.
+func TestAssumedUntilTold(t *testing.T) {
+	is := is.New(t)
+	is.True(!rollout.NamedVersions{}.Assumed())
+	n := rollout.NamedVersions{}.WithFound(5, assumedAge, sec(13))
+	is.True(n.Assumed())
+	is.True(n.WithAge(age(4, 2), sec(13)).Assumed())          // of another version
+	is.True(n.WithUnknownAge(time.Minute, sec(13)).Assumed()) // a bound
+	is.True(!n.WithAge(age(5, 1), sec(13)).Assumed())
+	is.True(!n.WithNamed(6, sec(14)).Assumed())
+}
+
 // TestAgesNeverGetYounger guards against a version that counts as replaced later than before, because a peer
 // learned of it late, or the history is full.
 func TestAgesNeverGetYounger(t *testing.T) {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -21,21 +21,20 @@
 	log log.Interface
 	now func() time.Time
 
-	cfg            *catalog.Config
-	rawConfig      []byte // cfg as stored, for peers
-	reportedConfig reportedConfig
-	targets        *registry.Table
-	named          map[string]rollout.NamedVersions
-	namedRevision  platform.Version // revision up to which named is complete
-	namedChanged   platform.Version // revision of the last change of named
-	// versionsListed is set once the named versions have been received for the first time.
-	versionsListed  bool
-	rolloutWithin   time.Duration // bound on the duration of a rollout
-	configWithin    time.Duration // time within which a configuration must be in force everywhere
-	evacuated       evacuation.Zones
-	releasedAt      map[string]time.Time // by zone: when its evacuation ended; copied on write, since views share it
-	warmupAllowedAt time.Time            // no requests to targets in warm-up before; see warmupSettleTime
-	lastTick        time.Time            // time of the last tick
+	cfg              *catalog.Config
+	rawConfig        []byte // cfg as stored, for peers
+	reportedConfig   reportedConfig
+	targets          *registry.Table
+	named            map[string]rollout.NamedVersions
+	namedRevision    platform.Version // revision up to which named is complete
+	namedChanged     platform.Version // revision of the last change of named
+	versionsListedAt time.Time        // when the named versions were received for the first time; zero: not yet
+	rolloutWithin    time.Duration    // bound on the duration of a rollout
+	configWithin     time.Duration    // time within which a configuration must be in force everywhere
+	evacuated        evacuation.Zones
+	releasedAt       map[string]time.Time // by zone: when its evacuation ended; copied on write, since views share it
+	warmupAllowedAt  time.Time            // no requests to targets in warm-up before; see warmupSettleTime
+	lastTick         time.Time            // time of the last tick
 	// followsEvacuations is set if operators can evacuate zones: requests then wait until the
 	// evacuated zones are known.
 	followsEvacuations bool
@@ -124,49 +123,6 @@
 	c.targets.ApplyChanges(e.revision, e.present, e.gone, c.now())
 }
 
-// assumedVersionAge is the assumed age of a named version that this process finds at its start:
-// most of the rollout's time may have passed already. The time left is enough for the first
-// targets to load.
-func (c *controlState) assumedVersionAge() time.Duration {
-	return max(c.rolloutWithin-startupVersionGrace, 0)
-}
-
-// startupVersionGrace is how long a new process still uses weights older than the version it
-// found named, unless a peer reports that version's age.
-const startupVersionGrace = 3 * time.Second
-
-// versionAgesReceived delivers a peer's report of how long ago versions were named.
-type versionAgesReceived struct {
-	ages    []VersionAge
-	unknown []UnknownVersions
-}
-
-func (e versionAgesReceived) apply(c *controlState) {
-	now := c.now()
-	for _, a := range e.ages {
-		age := rollout.VersionAge{Version: a.Version, Age: time.Duration(a.AgeMS) * time.Millisecond}
-		c.named[a.Model] = c.named[a.Model].WithAge(age, now)
-	}
-	for _, u := range e.unknown {
-		c.named[u.Model] = c.named[u.Model].WithUnknownAge(time.Duration(u.AgeMS)*time.Millisecond, now)
-	}
-}
-
-// versionAges returns for a peer how long ago versions were named, and how long ago others were replaced. Ages
-// that are only assumed are left out.
-func (c *controlState) versionAges() (ages []VersionAge, unknown []UnknownVersions) {
-	now := c.now()
-	for model, n := range c.named {
-		for _, a := range n.Ages(now) {
-			ages = append(ages, VersionAge{Model: model, Version: a.Version, AgeMS: a.Age.Milliseconds()})
-		}
-		if age := n.UnknownAge(now); age > 0 {
-			unknown = append(unknown, UnknownVersions{Model: model, AgeMS: age.Milliseconds()})
-		}
-	}
-	return ages, unknown
-}
-
 // targetWeightsObserved delivers the weight version that a target serves, taken from its response
 // to this instance.
 type targetWeightsObserved struct {
@@ -192,13 +148,15 @@
 		}
 		c.log.WithField("model", v.Model).WithField("version", v.Version).WithField("before", c.named[v.Model].Newest).
 			WithField("from", string(e.from)).Info("weight version named")
-		if c.versionsListed {
+		if c.versionsListed() {
 			c.named[v.Model] = c.named[v.Model].WithNamed(v.Version, c.now())
 		} else {
 			c.named[v.Model] = c.named[v.Model].WithFound(v.Version, c.assumedVersionAge(), c.now())
 		}
 	}
-	c.versionsListed = true
+	if !c.versionsListed() {
+		c.versionsListedAt = c.now()
+	}
 }
 
 // storeContactChanged reports whether the object store responds.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -120,10 +120,12 @@
 	out := HelloReply{From: c.members.Self(), StateVersions: c.stateVersions(), LiveMembers: c.members.LiveCount(), Leaving: c.reportLeavingTo(req.From.Name)}
 	if req.Join {
 		out.Members = c.members.Members()
-		out.VersionAges, out.UnknownVersions = c.versionAges()
 	} else {
 		out.Members = c.members.UpdatesFor(req.From.Name)
 	}
+	if req.Join || req.WantVersionAges {
+		out.VersionAges, out.UnknownVersions = c.versionAges()
+	}
 	if req.WantUpdate {
 		out.Update = c.updateFor(req.KnownVersions, req.StoreUnreachable)
 	}
@@ -143,7 +145,7 @@
 
 func (c *controlState) buildHello(leaving LeavingTargets, wantUpdate bool) *HelloRequest {
 	return &HelloRequest{From: c.members.Self(), StateVersions: c.stateVersions(), KnownVersions: c.knownVersions(), WantUpdate: wantUpdate, StoreUnreachable: !c.storeReachable,
-		LiveMembers: c.members.LiveCount(), Leaving: leaving}
+		LiveMembers: c.members.LiveCount(), Leaving: leaving, WantVersionAges: c.wantsVersionAges()}
 }
 
 // needsMembers reports whether a peer that knows this many live members should be asked
@@ -200,7 +202,7 @@
 func (e probeEnded) apply(c *controlState) {
 	now := c.now()
 	c.members.Receive(e.reply.Members, now)
-	versionAgesReceived{ages: e.reply.VersionAges, unknown: e.reply.UnknownVersions}.apply(c)
+	e.reply.versionAges().apply(c)
 	if e.ok {
 		c.receiveConfigRef(e.reply.StateVersions, e.reply.From)
 		c.receiveLeaving(e.reply.Leaving, e.reply.From)
@@ -301,20 +303,22 @@
 	}
 }
 
-// joinVia joins through an address, unless its instance is already a live member.
+// joinVia joins through an address. An instance that is already a live member is only asked for the ages of
+// versions, while they are wanted: it may have been heard of before it replied to a join.
 func (g *Gateway) joinVia(address string) {
 	known := false
 	var hello *HelloRequest
 	g.queryControl(func(c *controlState) {
 		hello = c.newHello(!c.storeReachable)
-		hello.Join = true
 		for _, m := range c.members.Members() {
 			known = known || (m.Address == address && m.State == member.Alive)
 		}
 	})
-	if hello != nil && !known && address != hello.From.Address {
-		g.spawn(func() { g.sendHello(member.Probe{Address: address}, hello) })
+	if hello == nil || address == hello.From.Address || known && !hello.WantVersionAges {
+		return
 	}
+	hello.Join = !known
+	g.spawn(func() { g.sendHello(member.Probe{Address: address}, hello) })
 }
 
 // pollPeersWithoutStore requests updates from peers more often than probes do, while the
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -91,6 +91,7 @@
 	StoreUnreachable bool            `cbor:"7,keyasint,omitempty"` // the sender can't reach the object store
 	LiveMembers      int             `cbor:"8,keyasint,omitempty"` // number of live members that the sender knows
 	Leaving          LeavingTargets  `cbor:"9,keyasint,omitempty"`
+	WantVersionAges  bool            `cbor:"10,keyasint,omitempty"` // reply with the ages of named versions
 }
 
 // KnownVersions holds the versions up to which an instance's state is complete.
@@ -109,17 +110,22 @@
 	Members       []member.Member    `cbor:"2,keyasint"`
 	StateVersions StateVersions      `cbor:"3,keyasint"`
 	Update        *StateUpdate       `cbor:"4,keyasint,omitempty"`
-	VersionAges   []VersionAge       `cbor:"5,keyasint,omitempty"` // only in the reply to a join
+	VersionAges   []VersionAge       `cbor:"5,keyasint,omitempty"` // if the request wants them, or joins
 	LiveMembers   int                `cbor:"6,keyasint,omitempty"` // number of live members that the sender knows
 	Staleness     []staleness.Report `cbor:"7,keyasint,omitempty"`
 	// SuspectsDigest is the sender's quarantine.Book.Digest.
 	SuspectsDigest uint64         `cbor:"8,keyasint,omitempty"`
 	Leaving        LeavingTargets `cbor:"9,keyasint,omitempty"`
 	Limits         []LimitReport  `cbor:"10,keyasint,omitempty"` // of some targets, and those that ended lately
-	// UnknownVersions is in the reply to a join only.
+	// UnknownVersions is in the reply with VersionAges.
 	UnknownVersions []UnknownVersions `cbor:"11,keyasint,omitempty"`
 }
 
+// versionAges returns the event that the reply's ages were received.
+func (r *HelloReply) versionAges() versionAgesReceived {
+	return versionAgesReceived{ages: r.VersionAges, unknown: r.UnknownVersions, from: r.From}
+}
+
 // VersionAge is how long ago a weight version was named, by the sender's own clock.
 type VersionAge struct {
 	Model   string `cbor:"1,keyasint"`
@@ -283,6 +289,7 @@
 		return
 	}
 	g.sendEvent(leavingReceived{targets: reply.Leaving, from: reply.From})
+	g.sendEvent(reply.versionAges())
 	if update := reply.Update; update != nil {
 		entry.WithField("config_bytes", len(update.Config)).WithField("targets", len(update.Targets)+len(update.GoneTargets)).WithField("all", update.AllTargets).
 			WithField("ask_store", update.ReadStore).WithField("versions", len(update.NamedVersions)).WithField("rollout", update.Rollout != nil).Info("news taken from a peer")
