Weight versions: a prompt waits for the first answers about them after a start

Cause: an instance sent prompts before any peer had answered, by the assumption that the version it found was named 3 s before the end of a rollout's time; and before the named versions were listed, when no target counts as behind. Configuration, targets and evacuated zones were waited for, versions and ages were not. A log of what was known at each late request shows it: uptime 4 to 62 ms, no peer or one, no ages.

Change: a prompt waits for the named versions, for a second after the start at most, and for their ages, for 250 ms at most, if a target is behind by a version whose age is only assumed. Three latches, opened by the control goroutine, in place of one channel (startup.go, with awaitStartup, which was in serve.go).

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -229,9 +229,7 @@
 			c.noteStaleness()
 			v := c.buildView()
 			g.view.Store(v)
-			if v.initialized() {
-				g.initializedOnce.Do(func() { close(g.initialized) })
-			}
+			g.startup.open(v)
 			if c.reportedConfig.Version != old.reportedConfig {
 				g.configDue.Raise()
 			}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,10 +64,8 @@
 	controlDone chan struct{}
 	goroutines  wait.Group
 
-	view viewHolder
-	// initialized is closed when a view first has all that requests need.
-	initialized      chan struct{}
-	initializedOnce  sync.Once
+	view             viewHolder
+	startup          startupLatches
 	storeReachable   atomic.Bool
 	lastStoreContact atomic.Int64 // when the object store answered last, ns after startedAt
 	startedAt        time.Time
@@ -139,7 +137,7 @@
 // it leaves nothing open.
 func New(set *Settings, ports Ports, logger log.Interface) (*Gateway, error) {
 	g := &Gateway{log: logger.WithField("instance", set.Name).WithField("zone", set.Zone), now: time.Now, codec: ports.Codec, store: ports.Store,
-		engines: ports.Engines, events: make(chan event, eventQueueSize), controlDone: make(chan struct{}), targetsDue: wait.NewSignal(), versionsDue: wait.NewSignal(), evacuationsDue: wait.NewSignal(), configDue: wait.NewSignal(), initialized: make(chan struct{}), failingKinds: map[string]bool{}}
+		engines: ports.Engines, events: make(chan event, eventQueueSize), controlDone: make(chan struct{}), targetsDue: wait.NewSignal(), versionsDue: wait.NewSignal(), evacuationsDue: wait.NewSignal(), configDue: wait.NewSignal(), startup: newStartupLatches(), failingKinds: map[string]bool{}}
 	g.currentSettings.Store(set)
 	g.startedAt = g.now()
 	g.staleness = &staleness.Tracker{}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -101,39 +101,6 @@
 	return retryLater(problem.Draining, "this instance stops before the request may end", retryAfterShort)
 }
 
-// Limits on the time that a request waits for a new process to initialize.
-const (
-	// startupWait covers a start in which the object store responds: 20 ms for one
-	// process, about a second for hundreds that start at a time.
-	startupWait = time.Second
-	// startupTime is the age from which on a process without a configuration doesn't let requests wait: the
-	// object store and the peers have none for it.
-	startupTime = 3 * time.Second
-	// startupWaitShare is the share of the caller's timeout that the wait may take. The
-	// rest is enough for a response, or for another attempt elsewhere.
-	startupWaitShare = 1.0 / 3
-)
-
-// awaitStartup waits, if the process has just started, until it knows the configuration
-// and the targets.
-func (x *exchange) awaitStartup() {
-	if x.view.initialized() {
-		return
-	}
-	limit := min(startupWait, startupTime-x.g.now().Sub(x.g.startedAt))
-	if x.call.Timeout > 0 {
-		limit = min(limit, time.Duration(startupWaitShare*float64(x.call.Timeout)))
-	}
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
-	select {
-	case <-x.g.initialized:
-	case <-timer.C:
-	case <-x.r.Context().Done():
-	}
-	x.view = x.g.view.Load()
-}
-
 // headerSize returns the size in bytes of a request's line and header, line ends included.
 func headerSize(r *http.Request) int {
 	n := len(r.Method) + len(r.RequestURI) + len(" ")*2 + len(r.Proto) + len("\r\n") + len("Host: \r\n") + len(r.Host)
--- a/internal/gateway/serve_test.go
+++ b/internal/gateway/serve_test.go
@@ -40,8 +40,8 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				g := &Gateway{initialized: make(chan struct{}), now: time.Now, startedAt: time.Now().Add(-c.startedAgo)}
-				initialize := func() { g.view.Store(initialized); close(g.initialized) }
+				g := &Gateway{startup: newStartupLatches(), now: time.Now, startedAt: time.Now().Add(-c.startedAgo)}
+				initialize := func() { g.view.Store(initialized); g.startup.open(initialized) }
 				if c.initializedIn == 0 {
 					initialize()
 				} else {
@@ -50,7 +50,7 @@
 				ctx, disconnect := context.WithCancel(t.Context())
 				time.AfterFunc(c.disconnectIn, disconnect)
 				r := (&http.Request{}).WithContext(ctx)
-				x := &exchange{g: g, r: r, view: g.view.Load(), call: CallerRequest{Timeout: c.callerTimeout}}
+				x := &exchange{g: g, r: r, arrived: time.Now(), view: g.view.Load(), call: CallerRequest{Timeout: c.callerTimeout}}
 				start := time.Now()
 				x.awaitStartup()
 				is.Equal(time.Since(start), c.wantWait)
--- a/internal/gateway/version_ages.go
+++ b/internal/gateway/version_ages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/shedhoist/shedhoist/internal/catalog"
 	"github.com/shedhoist/shedhoist/internal/core/member"
 	"github.com/shedhoist/shedhoist/internal/core/rollout"
 )
@@ -10,9 +11,14 @@
 // The object store holds the newest named version of each model alone, without a time. An instance that
 // starts learns from its peers when versions were named, and makes an assumption until then.
 
-// startupVersionGrace is how long a new process still uses weights older than the version it
-// found named, unless a peer reports that version's age. It is enough for the first targets to load.
-const startupVersionGrace = 3 * time.Second
+const (
+	// startupVersionGrace is how long a new process still uses weights older than the version it
+	// found named, unless a peer reports that version's age. It is enough for the first targets to load.
+	startupVersionGrace = 3 * time.Second
+	// versionAgesWait is the time after its start in which an instance doesn't rely on the assumption: it
+	// covers the replies of all seeds.
+	versionAgesWait = 250 * time.Millisecond
+)
 
 // assumedVersionAge is the assumed age of a named version that this process finds at its start:
 // most of the rollout's time may have passed already.
@@ -33,6 +39,19 @@
 	return false
 }
 
+// lacksVersionAges reports whether it is only assumed when the newest version of some outdated target's model was
+// named.
+func (c *controlState) lacksVersionAges(outdated []*catalog.Target) bool {
+	for _, t := range outdated {
+		for _, m := range t.Models {
+			if n := c.named[m.Model]; m.Version < n.Newest && n.Assumed() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // wantsVersionAges reports whether peers are asked for the ages of versions: until all are known, or the
 // assumption excludes all older weights.
 func (c *controlState) wantsVersionAges() bool {
--- a/internal/gateway/version_ages_test.go
+++ b/internal/gateway/version_ages_test.go
@@ -50,3 +50,25 @@
 	now = now.Add(startupVersionGrace)
 	is.True(!alone.wantsVersionAges()) // what is assumed excludes all older weights now
 }
+
+// TestPromptsNeedAgesOfOutdatedTargets guards against prompts that wait at each start for ages that decide nothing.
+func TestPromptsNeedAgesOfOutdatedTargets(t *testing.T) {
+	is := is.New(t)
+	c := controlOf("e-1", "z0")
+	c.cfg = catalog.NewConfig(catalog.ConfigSpec{Services: []catalog.Service{{Name: "s"}}})
+	target := func(model string, version uint64) catalog.Target {
+		x := entry("t-"+model, 1)
+		x.Service, x.Models = "s", []catalog.ModelVersion{{Model: model, Version: version}}
+		return x
+	}
+	c.nameVersions(3)
+	is.True(!c.buildView().VersionAgesMissing) // no target is known
+	c.targets.ApplyList(1, []catalog.Target{target("m", 3), target("other", 1)}, nil, c.now())
+	is.True(!c.buildView().VersionAgesMissing) // none is outdated
+	behind := target("m", 2)
+	behind.Name = "t-behind"
+	c.targets.ApplyChanges(2, []catalog.Target{behind}, nil, c.now())
+	is.True(c.buildView().VersionAgesMissing)
+	versionAgesReceived{ages: []VersionAge{{Model: "m", Version: 3, AgeMS: 2000}}}.apply(c)
+	is.True(!c.buildView().VersionAgesMissing)
+}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -40,6 +40,11 @@
 	WatchRank     int        // its rank for that role: the lowest ranks are watchers
 	Watchers      []string   // names of all watchers
 	TargetsListed bool       // the list of targets was received at least once
+	// VersionsListed is set once the named versions have been received.
+	VersionsListed bool
+	// VersionAgesMissing is set if it is only assumed when the newest version of some outdated target's
+	// model was named.
+	VersionAgesMissing bool
 	// EvacuatedZones get no requests. EvacuatedTargets counts the targets that this excludes, by
 	// service. EvacuationsRevision is the revision up to which the list of zones is
 	// complete.
--- a/internal/gateway/view_build.go
+++ b/internal/gateway/view_build.go
@@ -218,7 +218,7 @@
 		Config: c.cfg, NewestReportedConfig: max(c.configInForce().Version, c.reportedConfig.Version), ConfigBytes: len(c.rawConfig),
 		Targets: s.targets, Serving: s.serving, Candidates: s.candidates, Cordoned: s.cordoned, Closing: s.closing, Outdated: s.outdated, Departed: s.departed,
 		OtherInstances: f.others, InstanceCount: f.instances, Alive: f.alive, Self: c.members.Self().Name, Peers: f.peers, Gone: f.gone, Orderers: f.orderers, Tree: f.tree, IsWatcher: f.watcher, WatchRank: f.watchRank, Watchers: f.watchers,
-		TargetsRevision: c.targets.Revision(), TargetsListed: c.targets.Listed(),
+		TargetsRevision: c.targets.Revision(), TargetsListed: c.targets.Listed(), VersionsListed: c.versionsListed(), VersionAgesMissing: c.lacksVersionAges(s.outdated),
 		NamedVersions: map[string]rollout.NamedVersions{}, Rollout: c.rollout, RolloutReceivedAt: c.rolloutReceivedAt, Draining: c.draining, StoreReachable: c.storeReachable, Isolated: c.isolation.active,
 		ReleasedAt: c.releasedAt, warmupShares: f.warmup, WarmupAllowedAt: c.warmupAllowedAt,
 		EvacuatedZones: s.evacuatedZones, EvacuatedTargets: s.evacuatedCount, EvacuationsRevision: c.evacuated.Revision(), EvacuationsUnknown: c.followsEvacuations && !c.evacuated.Listed(),
