--- /dev/null
+++ b/internal/gateway/stream_records.go
@@ -0,0 +1,138 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/shedhoist/shedhoist/internal/core/member"
+	"github.com/shedhoist/shedhoist/internal/core/rendezvous"
+	"github.com/shedhoist/shedhoist/internal/core/streamversion"
+	"github.com/shedhoist/shedhoist/internal/metric"
+	"github.com/shedhoist/shedhoist/internal/wait"
+)
+
+// Records of streams, which the instance that begins them tells a few peers.
+
+const (
+	// streamHomes is how many peers are told of a stream's version, in different zones where possible.
+	streamHomes = 3
+	// streamRecordsDelay is how long records wait to be sent together.
+	streamRecordsDelay = time.Millisecond
+	// streamRecordsTimeout bounds the sending of records to a peer.
+	streamRecordsTimeout = 300 * time.Millisecond
+	// maxStreamRecords bounds the records in one message.
+	maxStreamRecords = 256
+	// streamRole is the prefix of the rendezvous keys that rank instances for a stream.
+	streamRole = "stream/"
+)
+
+// StreamRecord tells a peer of a stream's version.
+type StreamRecord struct {
+	ID      streamversion.ID      `cbor:"1,keyasint"`
+	Binding streamversion.Binding `cbor:"2,keyasint"`
+	KeepMS  int64                 `cbor:"3,keyasint"` // how much longer its caller may take it up
+	Request streamversion.ID      `cbor:"4,keyasint"`
+}
+
+// StreamRecords tells a peer of streams that it is to remember.
+type StreamRecords struct {
+	Records []StreamRecord `cbor:"1,keyasint"`
+}
+
+// tell queues records for the peers that remember them.
+func (s *streamVersions) tell(records ...streamversion.Record) {
+	if len(records) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pending = append(s.pending, records...)
+	s.due.Raise()
+}
+
+// run sends queued records until ctx ends.
+func (s *streamVersions) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if s.due.Wait(ctx, time.Minute) && wait.For(ctx, streamRecordsDelay) {
+			s.sendPending(ctx)
+		}
+	}
+}
+
+// sendPending sends the queued records, one message for each peer.
+func (s *streamVersions) sendPending(ctx context.Context) {
+	s.mu.Lock()
+	pending := s.pending
+	s.pending = nil
+	s.mu.Unlock()
+	byPeer, now, v := map[string][]StreamRecord{}, s.g.now(), s.g.view.Load()
+	addresses := map[string]string{}
+	for _, r := range pending {
+		wire := StreamRecord{ID: r.ID, Request: r.Request, Binding: r.Binding, KeepMS: r.Until.Sub(now).Milliseconds()}
+		for _, m := range peersFor(v, r.ID, streamHomes) {
+			byPeer[m.Name] = append(byPeer[m.Name], wire)
+			addresses[m.Name] = m.Address
+		}
+	}
+	for name, records := range byPeer {
+		for chunk := range slices.Chunk(records, maxStreamRecords) {
+			s.g.spawn(func() { s.send(ctx, name, addresses[name], chunk) })
+		}
+	}
+}
+
+func (s *streamVersions) send(ctx context.Context, name, address string, records []StreamRecord) {
+	ctx, cancel := context.WithTimeout(ctx, streamRecordsTimeout)
+	defer cancel()
+	err := s.g.pool.Call(ctx, address, peerService+".Streams", &StreamRecords{Records: records}, &Ack{})
+	if err != nil {
+		s.g.log.WithError(err).WithField("peer", name).WithField("streams", len(records)).Info("versions of streams not told")
+	}
+}
+
+// Streams handles a peer's records.
+func (h *peerHandler) Streams(req *StreamRecords, _ *Ack) error {
+	now := h.g.now()
+	for _, r := range req.Records[:min(len(req.Records), maxStreamRecords)] {
+		keep := min(time.Duration(r.KeepMS)*time.Millisecond, maxStreamKeep)
+		record := streamversion.Record{ID: r.ID, Request: r.Request, Binding: r.Binding, Until: now.Add(keep)}
+		if keep > 0 && !h.g.streams.records.Bind(record, false, now) {
+			metric.StreamsForgotten.Inc()
+		}
+	}
+	return nil
+}
+
+// maxStreamKeep bounds how long an instance remembers a stream on behalf of a peer.
+const maxStreamKeep = 10 * time.Minute
+
+// peersFor returns the live peers that rank highest for a stream, at most n, without this instance. The first
+// of each zone come before the others.
+func peersFor(v *View, id streamversion.ID, n int) []member.Member {
+	type ranked struct {
+		member.Member
+		score uint64
+	}
+	role := streamRole + string(id[:])
+	all := make([]ranked, 0, len(v.Peers))
+	for _, m := range v.Peers {
+		if m.Name != v.Self {
+			all = append(all, ranked{m, rendezvous.Score(m.Name, role)})
+		}
+	}
+	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
+	var first, rest []member.Member
+	zones := map[string]bool{}
+	for _, m := range all {
+		if zones[m.Zone] {
+			rest = append(rest, m.Member)
+			continue
+		}
+		zones[m.Zone] = true
+		first = append(first, m.Member)
+	}
+	out := append(first, rest...)
+	return out[:min(n, len(out))]
+}
