Streams: an instance that was out of reach may not have told of its streams

What callers saw: a stream that had begun through an instance without contact to its peers was taken up elsewhere, answered 200, and went on at another version of the software, while requests like it had begun streams there. Callers that name no stream; one version leaves.

Cause: with fewer instances lost than hold a stream, what is known of requests alike counted, since every lost instance was taken to have told of its streams. One that is out of reach goes on to serve and tells nobody, and what could not be told was never told later.

Change: instances note whom they did not reach, by probes and by the question itself. A connection that ends or is refused means that the process has ended; no answer doesn't. Lost instances that somebody did not reach within the window may miss streams. Records are sent again until a peer has taken them, at most one copy of each. A take-up whose version isn't found logs which instances are lost and out of reach.

--- a/internal/core/member/live.go
+++ b/internal/core/member/live.go
@@ -2,13 +2,19 @@
 
 import "time"
 
-// Gone returns when each member that is not alive got its present state, in no order. Those that are dead
-// or have left count until they are removed.
-func (m *Machine) Gone() []time.Time {
-	var out []time.Time
+// GoneMember is a member that is not alive.
+type GoneMember struct {
+	Name  string
+	Since time.Time // when it got its present state
+}
+
+// Gone returns the members that are not alive, in no order. Those that are dead or have left count until they
+// are removed.
+func (m *Machine) Gone() []GoneMember {
+	var out []GoneMember
 	for _, r := range m.members {
 		if r.State != Alive {
-			out = append(out, r.since)
+			out = append(out, GoneMember{Name: r.Name, Since: r.since})
 		}
 	}
 	return out
--- a/internal/core/streamversion/inquiry.go
+++ b/internal/core/streamversion/inquiry.go
@@ -13,21 +13,25 @@
 	Versions  []string // of the service's targets within the window
 	Alone     []string // versions that were the only one of the service at some time within the window
 	Complete  bool     // Versions and Alone miss none
+	// Unreached are instances that did not answer the one that knows this within the window, though their
+	// process had not ended, as far as is known.
+	Unreached []string
 }
 
 // Inquiry gathers what instances know of a stream, and decides where it may go on.
 type Inquiry struct {
 	// Service is the only one that the stream can have begun at, or "".
 	Service string
-	// Members is how many instances there are, and were within the window, the asking one included.
-	Members int
+	// Members are the names of the instances that there are, and were within the window, the asking one
+	// included.
+	Members []string
 	// Holders is how many instances know of a stream that began while the service had several versions.
 	Holders int
 	// Named says that the caller names the stream, and is asked for that one.
 	Named bool
 
 	known       Knowledge // of all that answered
-	remembering int       // instances that answered and remember the window
+	remembering []string  // instances that answered and remember the window
 }
 
 // Ways in which it is known where a stream may go on.
@@ -43,7 +47,7 @@
 )
 
 // Add adds what one instance knows. It reports whether that settles the question.
-func (q *Inquiry) Add(k Knowledge) (settled bool) {
+func (q *Inquiry) Add(instance string, k Knowledge) (settled bool) {
 	all := &q.known
 	all.Ambiguous = all.Ambiguous || k.Ambiguous || all.Found && k.Found && all.Binding != k.Binding
 	if k.Found {
@@ -51,8 +55,9 @@
 	}
 	all.Versions, all.Alone = append(all.Versions, k.Versions...), append(all.Alone, k.Alone...)
 	all.Complete = all.Complete || k.Complete
+	all.Unreached = append(all.Unreached, k.Unreached...)
 	if k.Remembers {
-		q.remembering++
+		q.remembering = append(q.remembering, instance)
 	}
 	return q.Named && k.Found
 }
@@ -77,13 +82,25 @@
 }
 
 // missesNone reports whether every stream of the requests in question is known or has the binding b. A
-// stream is forgotten with the instance that it went through, while its service has one version, and with
-// all its holders otherwise.
+// stream is forgotten with the instance that it went through, if that one had not told of it: while its
+// service had one version, or while it did not reach its peers. Else it is forgotten with all its holders.
 func (q *Inquiry) missesNone(b Binding) bool {
-	lost := q.Members - q.remembering // they don't answer, are gone, or have started of late
-	if lost <= 0 {
+	lost := q.Lost()
+	if len(lost) == 0 {
 		return true
 	}
 	others := func(version string) bool { return version != b.Software }
-	return lost < q.Holders && q.known.Complete && !slices.ContainsFunc(q.known.Alone, others)
+	unreached := func(instance string) bool { return slices.Contains(q.known.Unreached, instance) }
+	return len(lost) < q.Holders && q.known.Complete && !slices.ContainsFunc(q.known.Alone, others) && !slices.ContainsFunc(lost, unreached)
+}
+
+// Unreached returns the instances that another one did not reach within the window.
+func (q *Inquiry) Unreached() []string {
+	return slices.Compact(slices.Sorted(slices.Values(q.known.Unreached)))
+}
+
+// Lost returns the instances whose streams may be forgotten: they don't answer, are gone, or have started of
+// late.
+func (q *Inquiry) Lost() []string {
+	return slices.DeleteFunc(slices.Clone(q.Members), func(instance string) bool { return slices.Contains(q.remembering, instance) })
 }
--- a/internal/core/streamversion/inquiry_test.go
+++ b/internal/core/streamversion/inquiry_test.go
@@ -1,6 +1,7 @@
 package streamversion
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -14,6 +15,8 @@
 	twoListed := Knowledge{Versions: []string{"v1", "v2"}, Complete: true, Remembers: true}
 	replaced := Knowledge{Versions: []string{"v1", "v2"}, Alone: []string{"v1", "v2"}, Complete: true, Remembers: true}
 	started := Knowledge{Versions: []string{"v2"}, Alone: []string{"v2"}}
+	partition := twoListed
+	partition.Unreached = []string{"2"}
 	found := func(k Knowledge, b Binding) Knowledge {
 		k.Found, k.Binding = true, b
 		return k
@@ -24,7 +27,7 @@
 		name    string
 		members int
 		named   bool
-		answers []Knowledge
+		answers []Knowledge // of the first members
 		want    string
 		at      Binding
 	}{
@@ -39,14 +42,21 @@
 		{"one has started, the version was alone", 3, false, []Knowledge{found(oneListed, one), oneListed, started}, Unknown, Binding{}},
 		{"one doesn't answer, the version was alone", 3, false, []Knowledge{found(oneListed, one), oneListed}, ByRequest, one},
 		{"as many don't answer as hold a stream", 5, false, []Knowledge{found(twoListed, two)}, Unknown, Binding{}},
+		{"one can't be reached, always several versions", 3, false, []Knowledge{found(twoListed, two), partition}, Unknown, Binding{}},
+		{"one could not be reached, and has started", 3, false, []Knowledge{found(twoListed, two), partition, started}, Unknown, Binding{}},
+		{"one could not be reached, and remembers", 3, false, []Knowledge{found(twoListed, two), partition, twoListed}, ByRequest, two},
+		{"one can't be reached, another doesn't answer", 4, false, []Knowledge{found(twoListed, two), partition, twoListed}, ByRequest, two},
 		{"all have started", 3, false, []Knowledge{found(started, two), started, started}, Unknown, Binding{}},
 		{"none is known, one version", 5, false, []Knowledge{oneListed}, ByVersion, one},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			q := Inquiry{Service: "s", Members: c.members, Holders: min(c.members, 4), Named: c.named}
+			q := Inquiry{Service: "s", Holders: min(c.members, 4), Named: c.named}
+			for i := range c.members {
+				q.Members = append(q.Members, strconv.Itoa(i))
+			}
 			for i, answer := range c.answers {
-				is.Equal(q.Add(answer), c.want == ByName && i == len(c.answers)-1)
+				is.Equal(q.Add(strconv.Itoa(i), answer), c.want == ByName && i == len(c.answers)-1)
 			}
 			at, how := q.Decide()
 			is.Equal(how, c.want)
@@ -100,3 +110,17 @@
 	_, complete = h.Within("s", time.Minute, at(3))
 	is.True(!complete)
 }
+
+// TestContacts guards against an instance that is taken to have told of its streams while it did not answer, and
+// against one that is never taken so again.
+func TestContacts(t *testing.T) {
+	is := is.New(t)
+	var c Contacts
+	is.Equal(len(c.LostWithin(time.Minute, at(0))), 0)
+	c.Lose("b", at(0))
+	c.Lose("a", at(5))
+	is.Equal(c.LostWithin(10*time.Second, at(10)), []string{"a", "b"})
+	is.Equal(c.LostWithin(10*time.Second, at(11)), []string{"a"})
+	c.Lose("b", at(20))
+	is.Equal(c.LostWithin(10*time.Second, at(20)), []string{"b"})
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -238,6 +238,9 @@
 	if err != nil && req.Join {
 		return // a seed that does not answer is not a member yet
 	}
+	if err != nil && p.To != "" && ctx.Err() != nil {
+		g.streams.contacts.Lose(p.To, g.now())
+	}
 	g.sendEvent(probeEnded{g: g, probe: p, ok: err == nil, reply: reply})
 	if err == nil {
 		g.limits.receive(reply.Limits, reply.From.Name)
--- a/internal/gateway/stream_inquiry.go
+++ b/internal/gateway/stream_inquiry.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/shedhoist/shedhoist/internal/core/member"
 	"github.com/shedhoist/shedhoist/internal/core/streamversion"
 )
 
@@ -33,14 +34,16 @@
 	Complete bool                  `cbor:"4,keyasint"`           // these are all
 	// Ambiguous says that requests like the one in question began streams at several versions.
 	Ambiguous bool `cbor:"5,keyasint"`
-	// Remembers, Alone: see streamversion.Knowledge. Releases before 2026-12 don't tell.
+	// Remembers, Alone, Unreached: see streamversion.Knowledge. Releases before 2026-12 don't tell.
 	Remembers bool     `cbor:"6,keyasint,omitempty"`
 	Alone     []string `cbor:"7,keyasint,omitempty"`
+	Unreached []string `cbor:"8,keyasint,omitempty"`
 }
 
 // knowledge returns the answer as the core takes it.
 func (a StreamAnswer) knowledge() streamversion.Knowledge {
-	return streamversion.Knowledge{Binding: a.Binding, Found: a.Found, Ambiguous: a.Ambiguous, Remembers: a.Remembers, Versions: a.Versions, Alone: a.Alone, Complete: a.Complete}
+	return streamversion.Knowledge{Binding: a.Binding, Found: a.Found, Ambiguous: a.Ambiguous, Remembers: a.Remembers, Versions: a.Versions, Alone: a.Alone, Complete: a.Complete,
+		Unreached: a.Unreached}
 }
 
 // Ways in which an instance knows where a stream may go on, besides those of package streamversion.
@@ -67,6 +70,7 @@
 	a.Remembers = s.records.Remember(window, now)
 	a.Versions, a.Complete = s.versionsWithin(q.Service, window)
 	a.Alone = s.history.Alone(q.Service, window+maxHistoryAge, now) // lists of other instances may lag by that
+	a.Unreached = s.contacts.LostWithin(window, now)
 	return a
 }
 
@@ -75,13 +79,13 @@
 func (s *streamVersions) find(ctx context.Context, q *StreamQuestion) (b streamversion.Binding, how string) {
 	inquiry := s.newInquiry(q)
 	own := s.answer(q)
-	if inquiry.Add(own.knowledge()) {
+	if inquiry.Add(s.g.settings().Name, own.knowledge()) {
 		return own.Binding, streamBoundHere
 	}
 	answered := !s.g.hasOtherSeeds()
-	for answer := range s.ask(ctx, q) {
-		answered = true
-		if inquiry.Add(answer.knowledge()) {
+	for reply := range s.ask(ctx, q) {
+		answered = answered || reply.answered
+		if inquiry.Add(reply.peer, reply.knowledge) {
 			break
 		}
 	}
@@ -89,8 +93,12 @@
 		inquiry.Service = ""
 	}
 	b, how = inquiry.Decide()
-	if how == streamversion.ByName {
+	switch how {
+	case streamversion.ByName:
 		how = streamBoundByPeer
+	case streamversion.Unknown:
+		s.g.log.WithField("by_id", q.ByID).WithField("members", len(inquiry.Members)).WithField("lost", inquiry.Lost()).WithField("unreached", inquiry.Unreached()).
+			Info("version of a stream not found")
 	}
 	return b, how
 }
@@ -99,41 +107,60 @@
 // are not asked, and count as lost.
 func (s *streamVersions) newInquiry(q *StreamQuestion) *streamversion.Inquiry {
 	v, now := s.g.view.Load(), s.g.now()
-	members := len(v.Peers)
-	for _, since := range v.Gone {
-		if now.Sub(since) <= time.Duration(q.WindowMS)*time.Millisecond {
-			members++
+	inquiry := &streamversion.Inquiry{Service: q.Service, Named: q.ByID}
+	for _, m := range v.Peers {
+		inquiry.Members = append(inquiry.Members, m.Name)
+	}
+	for _, m := range v.Gone {
+		if now.Sub(m.Since) <= time.Duration(q.WindowMS)*time.Millisecond {
+			inquiry.Members = append(inquiry.Members, m.Name)
 		}
 	}
-	return &streamversion.Inquiry{Service: q.Service, Members: members, Holders: min(members, 1+streamHomes), Named: q.ByID}
+	inquiry.Holders = min(len(inquiry.Members), 1+streamHomes)
+	return inquiry
+}
+
+// streamReply is what came of a question to a peer.
+type streamReply struct {
+	peer      string
+	answered  bool
+	knowledge streamversion.Knowledge
 }
 
-// ask asks peers for a stream's version, and returns their answers as they come.
-func (s *streamVersions) ask(ctx context.Context, question *StreamQuestion) func(yield func(StreamAnswer) bool) {
+// ask asks peers for a stream's version, and returns their replies as they come.
+func (s *streamVersions) ask(ctx context.Context, question *StreamQuestion) func(yield func(streamReply) bool) {
 	v := s.g.view.Load()
 	n := askedPeers
 	if len(v.Peers) <= maxSmallFleet {
 		n = maxSmallFleet
 	}
 	peers := peersFor(v, question.ID, n)
-	return func(yield func(StreamAnswer) bool) {
+	return func(yield func(streamReply) bool) {
 		ctx, cancel := context.WithTimeout(ctx, streamAskTimeout)
 		defer cancel()
-		answers := make(chan *StreamAnswer, len(peers))
+		replies := make(chan streamReply, len(peers))
 		for _, m := range peers {
-			s.g.spawn(func() {
-				var answer StreamAnswer
-				if err := s.g.pool.Call(ctx, m.Address, peerService+".StreamVersion", question, &answer); err != nil {
-					answers <- nil
-					return
-				}
-				answers <- &answer
-			})
+			s.g.spawn(func() { replies <- s.askPeer(ctx, m, question) })
 		}
 		for range peers {
-			if answer := <-answers; answer != nil && !yield(*answer) {
+			if !yield(<-replies) {
 				return
 			}
 		}
 	}
 }
+
+// askPeer asks one peer until ctx ends. The process of a peer whose connection ends, or that refuses one, has
+// ended; one that doesn't answer may go on.
+func (s *streamVersions) askPeer(ctx context.Context, m member.Member, question *StreamQuestion) streamReply {
+	var answer StreamAnswer
+	reply := streamReply{peer: m.Name}
+	err := s.g.pool.Call(ctx, m.Address, peerService+".StreamVersion", question, &answer)
+	switch {
+	case err == nil:
+		reply.answered, reply.knowledge = true, answer.knowledge()
+	case ctx.Err() != nil:
+		reply.knowledge.Unreached = []string{m.Name}
+	}
+	return reply
+}
--- a/internal/gateway/stream_records.go
+++ b/internal/gateway/stream_records.go
@@ -22,6 +22,8 @@
 	streamRecordsDelay = time.Millisecond
 	// streamRecordsTimeout bounds the sending of records to a peer.
 	streamRecordsTimeout = 300 * time.Millisecond
+	// streamRecordsRetry is the time after which records are sent again that a peer may not have received.
+	streamRecordsRetry = time.Second
 	// maxStreamRecords bounds the records in one message.
 	maxStreamRecords = 256
 	// streamRole is the prefix of the rendezvous keys that rank instances for a stream.
@@ -48,10 +50,23 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pending = append(s.pending, records...)
+	if s.pending == nil {
+		s.pending = map[streamversion.ID]streamversion.Record{}
+	}
+	for _, r := range records {
+		s.pending[r.ID] = r
+	}
 	s.due.Raise()
 }
 
+// tellLater queues records that a peer may not have received again: it may be out of reach for a while, or
+// another takes its place.
+func (s *streamVersions) tellLater(ctx context.Context, records []streamversion.Record) {
+	if wait.For(ctx, streamRecordsRetry) {
+		s.tell(records...)
+	}
+}
+
 // run sends queued records until ctx ends.
 func (s *streamVersions) run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -61,18 +76,25 @@
 	}
 }
 
-// sendPending sends the queued records, one message for each peer.
+// sendPending sends the queued records, one message for each peer. If no peer is known, they wait for one.
 func (s *streamVersions) sendPending(ctx context.Context) {
 	s.mu.Lock()
 	pending := s.pending
 	s.pending = nil
 	s.mu.Unlock()
-	byPeer, now, v := map[string][]StreamRecord{}, s.g.now(), s.g.view.Load()
+	byPeer, now, v := map[string][]streamversion.Record{}, s.g.now(), s.g.view.Load()
 	addresses := map[string]string{}
+	var untold []streamversion.Record
 	for _, r := range pending {
-		wire := StreamRecord{ID: r.ID, Request: r.Request, Binding: r.Binding, KeepMS: r.Until.Sub(now).Milliseconds()}
-		for _, m := range peersFor(v, r.ID, streamHomes) {
-			byPeer[m.Name] = append(byPeer[m.Name], wire)
+		if !now.Before(r.Until) {
+			continue
+		}
+		homes := peersFor(v, r.ID, streamHomes)
+		if len(homes) == 0 {
+			untold = append(untold, r)
+		}
+		for _, m := range homes {
+			byPeer[m.Name] = append(byPeer[m.Name], r)
 			addresses[m.Name] = m.Address
 		}
 	}
@@ -81,14 +103,23 @@
 			s.g.spawn(func() { s.send(ctx, name, addresses[name], chunk) })
 		}
 	}
+	if len(untold) > 0 && s.g.hasOtherSeeds() {
+		s.g.spawn(func() { s.tellLater(ctx, untold) })
+	}
 }
 
-func (s *streamVersions) send(ctx context.Context, name, address string, records []StreamRecord) {
-	ctx, cancel := context.WithTimeout(ctx, streamRecordsTimeout)
+// send tells a peer of records.
+func (s *streamVersions) send(ctx context.Context, name, address string, records []streamversion.Record) {
+	message, now := StreamRecords{}, s.g.now()
+	for _, r := range records {
+		message.Records = append(message.Records, StreamRecord{ID: r.ID, Request: r.Request, Binding: r.Binding, KeepMS: r.Until.Sub(now).Milliseconds()})
+	}
+	callCtx, cancel := context.WithTimeout(ctx, streamRecordsTimeout)
 	defer cancel()
-	err := s.g.pool.Call(ctx, address, peerService+".Streams", &StreamRecords{Records: records}, &Ack{})
+	err := s.g.pool.Call(callCtx, address, peerService+".Streams", &message, &Ack{})
 	if err != nil {
 		s.g.log.WithError(err).WithField("peer", name).WithField("streams", len(records)).Info("versions of streams not told")
+		s.tellLater(ctx, records)
 	}
 }
 
--- a/internal/gateway/stream_rejoin_test.go
+++ b/internal/gateway/stream_rejoin_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -98,6 +99,62 @@
 		f.takeUp(s, 0, inTurn(4, 5))
 		return s
 	}, 0, false},
+	{"one instance has lost its peers", 9, 3, twoVersions, func(f *versionFleet) []*versionStream {
+		f.cutPeers(sideOf(4), linkHangs)
+		s := f.beginAlike(20, inTurn(4, 1))
+		f.endVersion("v1")
+		f.beginAlike(5, inTurn(0, 4))
+		f.takeUp(s, 0, inTurn(5, 4))
+		return s
+	}, 0, false},
+	{"one instance lost its peers long ago", 9, 3, twoVersions, func(f *versionFleet) []*versionStream {
+		f.cutPeers(sideOf(4), linkHangs)
+		time.Sleep(10 * time.Second)
+		s := f.beginAlike(20, inTurn(4, 1))
+		f.endVersion("v1")
+		f.beginAlike(5, inTurn(0, 4))
+		f.takeUp(s, 0, inTurn(5, 4))
+		return s
+	}, 0, false},
+	{"one instance has lost its peers, and is killed", 9, 3, twoVersions, func(f *versionFleet) []*versionStream {
+		f.cutPeers(sideOf(4), linkHangs)
+		s := f.beginAlike(20, inTurn(4, 1))
+		f.kill(4)
+		f.endVersion("v1")
+		f.beginAlike(5, inTurn(0, 4))
+		f.takeUp(s, 0, inTurn(5, 4))
+		return s
+	}, 0, false},
+	{"one instance has lost its peers, is killed, and starts with them", 9, 3, twoVersions, func(f *versionFleet) []*versionStream {
+		f.cutPeers(sideOf(4), linkHangs)
+		s := f.beginAlike(20, inTurn(4, 1))
+		time.Sleep(2 * time.Second)
+		f.kill(4)
+		f.cutPeers(sideOf(4), linkIntact)
+		f.start(4)
+		f.awaitReady(9)
+		f.endVersion("v1")
+		f.beginAlike(5, inTurn(0, 9))
+		f.takeUp(s, 0, inTurn(0, 9))
+		return s
+	}, 0, false},
+	{"a zone has lost the others", 9, 3, twoVersions, func(f *versionFleet) []*versionStream {
+		f.cutPeers(sideOf(0, 3, 6), linkHangs)
+		s := f.beginAlike(30, func(k int) int { return k % 3 * 3 })
+		f.endVersion("v1")
+		f.beginAlike(5, inTurn(1, 2))
+		f.takeUp(s, 0, inTurn(1, 2))
+		return s
+	}, 0, false},
+	{"one instance had lost its peers for a while, and is killed", 9, 3, twoVersions, func(f *versionFleet) []*versionStream {
+		f.cutPeers(sideOf(4), linkHangs)
+		s := f.begin(80, eventsBeforeLeave, inTurn(4, 1))
+		f.cutPeers(sideOf(4), linkIntact)
+		time.Sleep(5 * time.Second)
+		f.kill(4)
+		f.takeUp(s, 0, inTurn(5, 4))
+		return s
+	}, .9, false},
 	{"sixty instances, none killed", 60, 3, twoVersions, func(f *versionFleet) []*versionStream {
 		s := f.beginAlike(30, inTurn(0, 30))
 		f.endVersion("v1")
@@ -148,6 +205,16 @@
 // awaitForgotten waits until no stream of before can be taken up.
 func (f *versionFleet) awaitForgotten() { time.Sleep(linkRouteTimeout + takeUpTime + 2*maxHistoryAge) }
 
+// sideOf puts some instances on one side of a partition, and all others on the other.
+func sideOf(instances ...int) func(instance int) int {
+	return func(instance int) int {
+		if slices.Contains(instances, instance) {
+			return 1
+		}
+		return 0
+	}
+}
+
 // replaceBy replaces all targets by ones of another version.
 func (f *versionFleet) replaceBy(version string) {
 	f.replaceVersion("v1", func(*memoryTarget) string { return version })
--- a/internal/gateway/stream_versions.go
+++ b/internal/gateway/stream_versions.go
@@ -30,11 +30,13 @@
 	g       *Gateway
 	records streamversion.Records
 	history streamversion.History
-	due     wait.Signal
-	begun   wait.Signal // a stream has begun
+	// contacts holds the instances that did not answer probes.
+	contacts streamversion.Contacts
+	due      wait.Signal
+	begun    wait.Signal // a stream has begun
 
 	mu      sync.Mutex
-	pending []streamversion.Record // to be told
+	pending map[streamversion.ID]streamversion.Record // to be told
 }
 
 // observe records the versions of the listed targets, and tells of the streams of services that have
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -30,7 +30,7 @@
 	Self           string                           // name of this instance
 	Alive          []string                         // sorted names of the live instances, including this one
 	Peers          []member.Member                  // the instances in Alive, as members
-	Gone           []time.Time                      // when each instance that is not alive was found so, or left; forgotten after some minutes
+	Gone           []member.GoneMember              // the instances that are not alive; forgotten after some minutes
 	// Orderers are the names of the live instances that may give orders to targets: those that reach the
 	// object store and have not lost their links to the targets of a service. If there is none, they are
 	// those that reach the object store, or else all.
--- a/internal/gateway/view_build.go
+++ b/internal/gateway/view_build.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"maps"
 	"slices"
-	"time"
 
 	"github.com/apex/log"
 
@@ -26,7 +25,7 @@
 	others    []string // see View.OtherInstances
 	alive     []string
 	peers     []member.Member
-	gone      []time.Time // see View.Gone
+	gone      []member.GoneMember // see View.Gone
 	attached  []string
 	orderers  []string // see View.Orderers
 	tree      *relayTree
