Streams: with an instance lost, routes of several services don't go by requests alike

What callers saw: a stream of a route that leads to several services, each with one version, could be taken up at the service and version of requests like it, though it had begun at another one through an instance that was lost.

Cause: an instance tells of its streams while their service has several versions; for one with a single version the versions that were alone of late are asked, of the question's service. A question about several services names none, so that no version was ever alone.

Evidence: TestInquiry, "one doesn't answer, several services": "request" where "unknown" is wanted, before. Now such streams go on by requests alike only if no instance is lost.

--- a/internal/core/streamversion/inquiry.go
+++ b/internal/core/streamversion/inquiry.go
@@ -91,7 +91,7 @@
 	}
 	others := func(version string) bool { return version != b.Software }
 	unreached := func(instance string) bool { return slices.Contains(q.known.Unreached, instance) }
-	return len(lost) < q.Holders && q.known.Complete && !slices.ContainsFunc(q.known.Alone, others) && !slices.ContainsFunc(lost, unreached)
+	return q.Service != "" && len(lost) < q.Holders && q.known.Complete && !slices.ContainsFunc(q.known.Alone, others) && !slices.ContainsFunc(lost, unreached)
 }
 
 // Unreached returns the instances that another one did not reach within the window.
--- a/internal/core/streamversion/inquiry_test.go
+++ b/internal/core/streamversion/inquiry_test.go
@@ -17,6 +17,7 @@
 	started := Knowledge{Versions: []string{"v2"}, Alone: []string{"v2"}}
 	partition := twoListed
 	partition.Unreached = []string{"2"}
+	noService := Knowledge{Complete: true, Remembers: true} // the question names no service, whose versions could be told
 	found := func(k Knowledge, b Binding) Knowledge {
 		k.Found, k.Binding = true, b
 		return k
@@ -46,12 +47,17 @@
 		{"one could not be reached, and has started", 3, false, []Knowledge{found(twoListed, two), partition, started}, Unknown, Binding{}},
 		{"one could not be reached, and remembers", 3, false, []Knowledge{found(twoListed, two), partition, twoListed}, ByRequest, two},
 		{"one can't be reached, another doesn't answer", 4, false, []Knowledge{found(twoListed, two), partition, twoListed}, ByRequest, two},
+		{"all remember, several services", 2, false, []Knowledge{found(noService, two), noService}, ByRequest, two},
+		{"one doesn't answer, several services", 3, false, []Knowledge{found(noService, two), noService}, Unknown, Binding{}},
 		{"all have started", 3, false, []Knowledge{found(started, two), started, started}, Unknown, Binding{}},
 		{"none is known, one version", 5, false, []Knowledge{oneListed}, ByVersion, one},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			q := Inquiry{Service: "s", Holders: min(c.members, 4), Named: c.named}
+			if len(c.answers[0].Versions) == 0 {
+				q.Service = ""
+			}
 			for i := range c.members {
 				q.Members = append(q.Members, strconv.Itoa(i))
 			}
