Streams: the only version known counts as of the take-up while an instance is silent

What callers saw: instances that had just lost the object store and most others, but reached each other, let streams go on at the version before, which they took for the only one.

Cause: a list of targets up to 2.2 s old counted as whole, and any answer of a peer as contact. An instance out of reach may have seen a newer version, and begun streams at it.

Change: while an instance doesn't answer and has not ended, the list has to be known as of the take-up; else it is read, one call to the store at a time, 90 ms at most.

--- a/internal/core/streamversion/inquiry.go
+++ b/internal/core/streamversion/inquiry.go
@@ -12,7 +12,7 @@
 	Remembers bool
 	Versions  []string // of the service's targets within the window
 	Alone     []string // versions that were the only one of the service at some time within the window
-	Complete  bool     // Versions and Alone miss none
+	Complete  bool     // Versions and Alone miss none, but for those listed in the last seconds
 	// Unreached are instances that did not answer the one that knows this within the window, though their
 	// process had not ended, as far as is known.
 	Unreached []string
@@ -29,8 +29,11 @@
 	Holders int
 	// Named says that the caller names the stream, and is asked for that one.
 	Named bool
+	// Current says that the known versions miss none that was listed before the stream was taken up.
+	Current bool
 
 	known       Knowledge // of all that answered
+	answered    []string  // instances that answered
 	remembering []string  // instances that answered and remember the window
 }
 
@@ -49,6 +52,7 @@
 // Add adds what one instance knows. It reports whether that settles the question.
 func (q *Inquiry) Add(instance string, k Knowledge) (settled bool) {
 	all := &q.known
+	q.answered = append(q.answered, instance)
 	all.Ambiguous = all.Ambiguous || k.Ambiguous || all.Found && k.Found && all.Binding != k.Binding
 	if k.Found {
 		all.Found, all.Binding = true, k.Binding
@@ -73,12 +77,35 @@
 	case k.Found && q.missesNone(k.Binding):
 		return k.Binding, ByRequest
 	}
-	slices.Sort(k.Versions)
-	versions := slices.Compact(k.Versions)
-	if q.Service == "" || !k.Complete || len(versions) != 1 {
+	version, single := q.singleVersion()
+	if !single || q.MayMissVersions() {
 		return Binding{}, Unknown
 	}
-	return Binding{Service: q.Service, Software: versions[0]}, ByVersion
+	return Binding{Service: q.Service, Software: version}, ByVersion
+}
+
+// AddUnreached adds that an instance does not answer the asking one.
+func (q *Inquiry) AddUnreached(instance string) {
+	q.known.Unreached = append(q.known.Unreached, instance)
+}
+
+// MayMissVersions reports whether the stream could go on at the only version that is known if it were known
+// that there is no other: an instance that doesn't answer may have seen a newer one.
+func (q *Inquiry) MayMissVersions() bool {
+	_, single := q.singleVersion()
+	answered := func(instance string) bool { return slices.Contains(q.answered, instance) }
+	silent := slices.DeleteFunc(slices.Clone(q.known.Unreached), answered)
+	return single && !q.Current && len(silent) > 0
+}
+
+// singleVersion returns the only version that is known of the service the stream began at, if there is one.
+func (q *Inquiry) singleVersion() (version string, single bool) {
+	versions := slices.Sorted(slices.Values(q.known.Versions))
+	versions = slices.Compact(versions)
+	if q.Service == "" || !q.known.Complete || len(versions) != 1 {
+		return "", false
+	}
+	return versions[0], true
 }
 
 // missesNone reports whether every stream of the requests in question is known or has the binding b. A
--- a/internal/core/streamversion/inquiry_test.go
+++ b/internal/core/streamversion/inquiry_test.go
@@ -15,6 +15,8 @@
 	twoListed := Knowledge{Versions: []string{"v1", "v2"}, Complete: true, Remembers: true}
 	replaced := Knowledge{Versions: []string{"v1", "v2"}, Alone: []string{"v1", "v2"}, Complete: true, Remembers: true}
 	started := Knowledge{Versions: []string{"v2"}, Alone: []string{"v2"}}
+	silent := oneListed
+	silent.Unreached = []string{"2"}
 	partition := twoListed
 	partition.Unreached = []string{"2"}
 	noService := Knowledge{Complete: true, Remembers: true} // the question names no service, whose versions could be told
@@ -50,6 +52,8 @@
 		{"all remember, several services", 2, false, []Knowledge{found(noService, two), noService}, ByRequest, two},
 		{"one doesn't answer, several services", 3, false, []Knowledge{found(noService, two), noService}, Unknown, Binding{}},
 		{"all have started", 3, false, []Knowledge{found(started, two), started, started}, Unknown, Binding{}},
+		{"named, not known, one version, one can't be reached", 3, true, []Knowledge{oneListed, silent}, Unknown, Binding{}},
+		{"named, not known, one version, one could not be reached", 3, true, []Knowledge{oneListed, silent, oneListed}, ByVersion, one},
 		{"none is known, one version", 5, false, []Knowledge{oneListed}, ByVersion, one},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -71,6 +75,26 @@
 	}
 }
 
+// TestCurrentList guards against a stream that is refused though the list of versions was read after it was taken up, and
+// against a list that is read in vain.
+func TestCurrentList(t *testing.T) {
+	is := is.New(t)
+	q := Inquiry{Service: "s", Members: []string{"a", "b", "c"}, Holders: 3, Named: true}
+	k := Knowledge{Versions: []string{"v1"}, Complete: true, Remembers: true}
+	q.Add("a", k)
+	is.True(!q.MayMissVersions())
+	q.AddUnreached("b")
+	is.True(q.MayMissVersions())
+	q.Current = true
+	is.True(!q.MayMissVersions())
+	at, how := q.Decide()
+	is.Equal(how, ByVersion)
+	is.Equal(at, Binding{Service: "s", Software: "v1"})
+	q.Current, k.Versions = false, []string{"v2"}
+	q.Add("a", k)
+	is.True(!q.MayMissVersions()) // there are two versions anyway
+}
+
 // TestRemember guards against an instance that takes its records for whole, though streams began before it
 // started, or found no room.
 func TestRemember(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -148,7 +148,7 @@
 	g.suspectsOutbox = newTreeOutbox[quarantine.Key](suspectsDelay, newest[quarantine.Report])
 	g.targetLinks.g, g.relays.g = g, g
 	g.limits.g, g.limits.outbox = g, newTreeOutbox[string](treeOutboxDelay, laterChange)
-	g.streams.g, g.streams.due, g.streams.begun = g, wait.NewSignal(), wait.NewSignal()
+	g.streams.g, g.streams.due, g.streams.begun, g.streams.reading = g, wait.NewSignal(), wait.NewSignal(), make(chan struct{}, 1)
 	g.streams.records.Start(g.now())
 	g.brittle.g, g.brittle.outbox = g, newTreeOutbox[loadreport.Key](treeOutboxDelay, addRefusals)
 	g.zoneMonitor.g, g.zoneMonitor.waiting = g, map[string]map[*attemptState]func(){}
--- a/internal/gateway/stream_inquiry.go
+++ b/internal/gateway/stream_inquiry.go
@@ -16,6 +16,9 @@
 	askedPeers = 6
 	// streamAskTimeout bounds the question to a peer: a round trip between zones takes 3 ms.
 	streamAskTimeout = 150 * time.Millisecond
+	// streamListTimeout bounds the reading of the list of targets for a stream: callers are refused within a
+	// quarter of a second.
+	streamListTimeout = 90 * time.Millisecond
 )
 
 // StreamQuestion asks a peer for a stream's version.
@@ -77,14 +80,20 @@
 // find returns where a stream may go on, and how that is known. An instance that gets no answer of any peer
 // may have missed a new version.
 func (s *streamVersions) find(ctx context.Context, q *StreamQuestion) (b streamversion.Binding, how string) {
-	inquiry := s.newInquiry(q)
+	inquiry, asked := s.newInquiry(q), s.g.now()
 	own := s.answer(q)
 	if inquiry.Add(s.g.settings().Name, own.knowledge()) {
 		return own.Binding, streamBoundHere
 	}
 	answered := !s.g.hasOtherSeeds()
 	for reply := range s.ask(ctx, q) {
-		answered = answered || reply.answered
+		if reply.unreached {
+			inquiry.AddUnreached(reply.peer)
+		}
+		if !reply.answered {
+			continue
+		}
+		answered = true
 		if inquiry.Add(reply.peer, reply.knowledge) {
 			break
 		}
@@ -92,6 +101,10 @@
 	if !answered {
 		inquiry.Service = ""
 	}
+	if inquiry.MayMissVersions() && s.readTargets(ctx, asked) {
+		inquiry.Current = true
+		inquiry.Add(s.g.settings().Name, s.answer(q).knowledge())
+	}
 	b, how = inquiry.Decide()
 	switch how {
 	case streamversion.ByName:
@@ -120,11 +133,38 @@
 	return inquiry
 }
 
+// readTargets reads the list of targets unless this instance has it as of a time. It reports whether it has
+// then. One call to the object store serves all streams that were taken up before.
+func (s *streamVersions) readTargets(ctx context.Context, asOf time.Time) bool {
+	ctx, cancel := context.WithTimeout(ctx, streamListTimeout)
+	defer cancel()
+	select {
+	case s.reading <- struct{}{}:
+		defer func() { <-s.reading }()
+	case <-ctx.Done():
+		return s.hasTargets(asOf)
+	}
+	if s.hasTargets(asOf) {
+		return true
+	}
+	if err := s.g.readTargets(ctx); err != nil {
+		s.g.log.WithError(err).Info("targets not read for a stream")
+	}
+	return s.hasTargets(asOf)
+}
+
+// hasTargets reports whether this instance has the list of targets as of a time or later.
+func (s *streamVersions) hasTargets(asOf time.Time) bool {
+	now := s.g.now()
+	return !now.Add(-s.listAge(now)).Before(asOf)
+}
+
 // streamReply is what came of a question to a peer.
 type streamReply struct {
 	peer      string
 	answered  bool
-	knowledge streamversion.Knowledge
+	unreached bool                    // its process may go on, but doesn't answer
+	knowledge streamversion.Knowledge // if it answered
 }
 
 // ask asks peers for a stream's version, and returns their replies as they come.
@@ -160,7 +200,7 @@
 	case err == nil:
 		reply.answered, reply.knowledge = true, answer.knowledge()
 	case ctx.Err() != nil:
-		reply.knowledge.Unreached = []string{m.Name}
+		reply.unreached = true
 	}
 	return reply
 }
--- a/internal/gateway/stream_rejoin_test.go
+++ b/internal/gateway/stream_rejoin_test.go
@@ -155,6 +155,37 @@
 		f.takeUp(s, 0, inTurn(5, 4))
 		return s
 	}, .9, false},
+	{"two instances have just lost the object store and the others, the second version is new", 9, 3, []string{"v1"}, func(f *versionFleet) []*versionStream {
+		time.Sleep(time.Minute)
+		f.cutPeers(sideOf(7, 8), linkHangs)
+		f.storeClients[7].setSilent(true)
+		f.storeClients[8].setSilent(true)
+		for _, m := range f.targets {
+			m.leave()
+		}
+		for range 3 {
+			f.addTarget("v1.1")
+		}
+		time.Sleep(200 * time.Millisecond)
+		s := f.begin(20, eventsBeforeLeave, inTurn(0, 7))
+		f.takeUp(s, 0, inTurn(7, 2))
+		return s
+	}, 0, false},
+	{"one version only, an instance has fallen silent", 9, 3, []string{"v1"}, func(f *versionFleet) []*versionStream {
+		time.Sleep(time.Minute)
+		s := f.begin(40, eventsBeforeLeave, inTurn(4, 1))
+		f.cutPeers(sideOf(4), linkHangs)
+		f.takeUp(s, 0, inTurn(5, 4))
+		return s
+	}, 1, false},
+	{"one version only, an instance fell silent 10 s ago", 9, 3, []string{"v1"}, func(f *versionFleet) []*versionStream {
+		time.Sleep(time.Minute)
+		s := f.begin(40, eventsBeforeLeave, inTurn(4, 1))
+		f.cutPeers(sideOf(4), linkHangs)
+		time.Sleep(10 * time.Second)
+		f.takeUp(s, 0, inTurn(5, 4))
+		return s
+	}, 1, false},
 	{"sixty instances, none killed", 60, 3, twoVersions, func(f *versionFleet) []*versionStream {
 		s := f.beginAlike(30, inTurn(0, 30))
 		f.endVersion("v1")
--- a/internal/gateway/stream_versions.go
+++ b/internal/gateway/stream_versions.go
@@ -32,6 +32,7 @@
 	history streamversion.History
 	// contacts holds the instances that did not answer probes.
 	contacts streamversion.Contacts
+	reading  chan struct{} // holds an element while the list of targets is read for a stream
 	due      wait.Signal
 	begun    wait.Signal // a stream has begun
 
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -165,6 +165,18 @@
 	return max(c.Revision, revision), nil
 }
 
+// readTargets reads from the object store what has changed in the list of targets, and returns once it is in
+// force here.
+func (g *Gateway) readTargets(ctx context.Context) error {
+	_, kind, _ := g.codec.Kinds()
+	f := feed{kind: kind, onChanges: g.changeTargets, onConfirmed: func(at time.Time) { g.confirmComplete(staleness.Targets, at) }}
+	if _, err := g.watchOnce(ctx, f, g.view.Load().TargetsRevision, true, minWatchInterval); err != nil {
+		return err
+	}
+	g.queryControl(func(*controlState) {}) // the view is published after the events that are applied together
+	return nil
+}
+
 // countUnreadable counts and logs objects that can't be decoded.
 func (g *Gateway) countUnreadable(kind string, n int) {
 	if n == 0 {
