Streams: records are sent again to the peer that didn't take them, at its present address

Cause: a record that one of three peers had not taken was queued for all three again, each second for as long as that peer was dark: some hundred records a second too many, by reading.

Change: the message is sent again to that peer alone, wherever it listens now; if the peer goes, the records are queued for those that take its place. Comments name no date of a release.

--- a/internal/gateway/stream_inquiry.go
+++ b/internal/gateway/stream_inquiry.go
@@ -37,7 +37,7 @@
 	Complete bool                  `cbor:"4,keyasint"`           // these are all
 	// Ambiguous says that requests like the one in question began streams at several versions.
 	Ambiguous bool `cbor:"5,keyasint"`
-	// Remembers, Alone, Unreached: see streamversion.Knowledge. Releases before 2026-12 don't tell.
+	// Remembers, Alone, Unreached: see streamversion.Knowledge. Earlier releases don't tell.
 	Remembers bool     `cbor:"6,keyasint,omitempty"`
 	Alone     []string `cbor:"7,keyasint,omitempty"`
 	Unreached []string `cbor:"8,keyasint,omitempty"`
--- a/internal/gateway/stream_records.go
+++ b/internal/gateway/stream_records.go
@@ -59,14 +59,6 @@
 	s.due.Raise()
 }
 
-// tellLater queues records that a peer may not have received again: it may be out of reach for a while, or
-// another takes its place.
-func (s *streamVersions) tellLater(ctx context.Context, records []streamversion.Record) {
-	if wait.For(ctx, streamRecordsRetry) {
-		s.tell(records...)
-	}
-}
-
 // run sends queued records until ctx ends.
 func (s *streamVersions) run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -82,45 +74,67 @@
 	pending := s.pending
 	s.pending = nil
 	s.mu.Unlock()
-	byPeer, now, v := map[string][]streamversion.Record{}, s.g.now(), s.g.view.Load()
-	addresses := map[string]string{}
-	var untold []streamversion.Record
+	byPeer, v := map[string][]streamversion.Record{}, s.g.view.Load()
+	var homeless []streamversion.Record
 	for _, r := range pending {
-		if !now.Before(r.Until) {
-			continue
-		}
 		homes := peersFor(v, r.ID, streamHomes)
 		if len(homes) == 0 {
-			untold = append(untold, r)
+			homeless = append(homeless, r)
 		}
 		for _, m := range homes {
 			byPeer[m.Name] = append(byPeer[m.Name], r)
-			addresses[m.Name] = m.Address
 		}
 	}
 	for name, records := range byPeer {
 		for chunk := range slices.Chunk(records, maxStreamRecords) {
-			s.g.spawn(func() { s.send(ctx, name, addresses[name], chunk) })
+			s.g.spawn(func() { s.send(ctx, name, chunk) })
 		}
 	}
-	if len(untold) > 0 && s.g.hasOtherSeeds() {
-		s.g.spawn(func() { s.tellLater(ctx, untold) })
+	if len(homeless) > 0 && s.g.hasOtherSeeds() {
+		s.g.spawn(func() { s.tellLater(ctx, homeless) })
+	}
+}
+
+// tellLater queues records after a pause, but for those that are no longer needed.
+func (s *streamVersions) tellLater(ctx context.Context, records []streamversion.Record) {
+	if wait.For(ctx, streamRecordsRetry) {
+		s.tell(unexpired(records, s.g.now())...)
 	}
 }
 
-// send tells a peer of records.
-func (s *streamVersions) send(ctx context.Context, name, address string, records []streamversion.Record) {
+// unexpired returns the records of streams that may still be taken up.
+func unexpired(records []streamversion.Record, now time.Time) []streamversion.Record {
+	return slices.DeleteFunc(slices.Clone(records), func(r streamversion.Record) bool { return !now.Before(r.Until) })
+}
+
+// send tells a peer of records until it has taken them. If the peer goes meanwhile, others take its place.
+func (s *streamVersions) send(ctx context.Context, name string, records []streamversion.Record) {
+	for len(records) > 0 {
+		m, live := s.g.view.Load().peer(name)
+		if !live {
+			s.tellLater(ctx, records)
+			return
+		}
+		err := s.sendOnce(ctx, m.Address, records)
+		if err == nil {
+			return
+		}
+		s.g.log.WithError(err).WithField("peer", name).WithField("streams", len(records)).Info("versions of streams not told")
+		if !wait.For(ctx, streamRecordsRetry) {
+			return
+		}
+		records = unexpired(records, s.g.now())
+	}
+}
+
+func (s *streamVersions) sendOnce(ctx context.Context, address string, records []streamversion.Record) error {
 	message, now := StreamRecords{}, s.g.now()
 	for _, r := range records {
 		message.Records = append(message.Records, StreamRecord{ID: r.ID, Request: r.Request, Binding: r.Binding, KeepMS: r.Until.Sub(now).Milliseconds()})
 	}
-	callCtx, cancel := context.WithTimeout(ctx, streamRecordsTimeout)
+	ctx, cancel := context.WithTimeout(ctx, streamRecordsTimeout)
 	defer cancel()
-	err := s.g.pool.Call(callCtx, address, peerService+".Streams", &message, &Ack{})
-	if err != nil {
-		s.g.log.WithError(err).WithField("peer", name).WithField("streams", len(records)).Info("versions of streams not told")
-		s.tellLater(ctx, records)
-	}
+	return s.g.pool.Call(ctx, address, peerService+".Streams", &message, &Ack{})
 }
 
 // Streams handles a peer's records.
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -44,7 +44,7 @@
 	Stamp    RolloutStamp   `cbor:"1,keyasint"`
 	Cordoned []string       `cbor:"2,keyasint,omitempty"` // ids of targets that must get no new requests
 	Loaded   []LoadedTarget `cbor:"3,keyasint,omitempty"` // targets with new weights
-	// Closing are the ids of targets that are cordoned next. Instances of releases before 2026-12
+	// Closing are the ids of targets that are cordoned next. Instances of earlier releases
 	// ignore it, and don't pass it on.
 	Closing []string `cbor:"5,keyasint,omitempty"`
 	// Ordered are the ids of targets that are no longer cordoned, and to which the holder sent an order
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -80,3 +81,12 @@
 
 // Store publishes a view.
 func (h *viewHolder) Store(v *View) { h.p.Store(v) }
+
+// peer returns the live instance of a name.
+func (v *View) peer(name string) (m member.Member, live bool) {
+	i := slices.IndexFunc(v.Peers, func(m member.Member) bool { return m.Name == name })
+	if i < 0 {
+		return member.Member{}, false
+	}
+	return v.Peers[i], true
+}
