Lease: a next holder knows whether it was told of all orders

Cause: the next holder guards what it was told. A holder without contact to the others keeps the lease in the store and orders further targets of which nobody hears, and what it had told before counted as all it did. The same for an earlier process of the holder's instance.

TestOrderGuard has the cases of the core.

Change: the lease's value counts the notices that its process has given, an order waits until the lease names the notice of its target, and a next holder that has not received as much guards all targets until the gap is over. The renewals carry it: no call more.

--- a/internal/core/rollout/guard.go
+++ b/internal/core/rollout/guard.go
@@ -5,12 +5,19 @@
 // HolderReport is what the last known holder of the lease told the other instances.
 type HolderReport struct {
 	Holder     string        // name of the instance; "": none has told anything
+	Process    uint64        // see Holder
+	Notices    uint64        // that the holder had given with it, see LeaseValue
 	Targets    []string      // to which it may have sent orders
 	Guarded    []GuardedTime // targets that its own guard still covered
 	ReceivedAt time.Time
 	GuardAll   time.Duration // after ReceivedAt, how long its guard covers all targets
 }
 
+// isComplete reports whether the report names all targets to which the previous holder may have sent orders.
+func (r HolderReport) isComplete(a Acquisition) bool {
+	return r.Holder == a.Previous.Name && r.Process == a.Previous.Process && r.Notices >= a.Notices
+}
+
 // GuardedTime says for how much longer a target is guarded.
 type GuardedTime struct {
 	Target string
@@ -32,14 +39,14 @@
 
 // LeaseAcquired guards the targets to which other holders may have sent orders within gap. A holder tells
 // of a target before it sends it an order, and passes on what it guards itself, so that holders that
-// follow one another within the gap know of all orders. If the previous holder has not told anything, all
-// targets are guarded: every earlier order was sent before its last one.
+// follow one another within the gap know of all orders. If not all that the previous holder told has been
+// received, all targets are guarded: every earlier order was sent before its last one.
 func (g *OrderGuard) LeaseAcquired(a Acquisition, self Holder, gap time.Duration, report HolderReport) {
 	if a.Previous.Name == "" || a.Previous == self {
 		return
 	}
 	until := a.LastAct.Add(gap)
-	if report.Holder != a.Previous.Name {
+	if !report.isComplete(a) {
 		g.guardAll(until)
 		return
 	}
--- a/internal/core/rollout/guard_test.go
+++ b/internal/core/rollout/guard_test.go
@@ -28,7 +28,7 @@
 			lease.Observe(rollout.LeaseValue{}, 0, start)
 			for i := range uint64(5) {
 				now, version := start.Add(time.Duration(i)*params.RenewInterval), 7+2*i
-				value := lease.BeginWrite(now)
+				value := lease.BeginWrite(now, 0)
 				lease.Observe(value, version, now.Add(10*time.Millisecond))
 				answer.end(lease, version)
 				lease.Observe(value, version, now.Add(20*time.Millisecond))
@@ -49,7 +49,7 @@
 	now := time.Unix(0, 0)
 	lease := rollout.NewLease(params, process("a", 1))
 	lease.Observe(rollout.LeaseValue{}, 0, now)
-	lease.BeginWrite(now)
+	lease.BeginWrite(now, 0)
 	lease.Observe(rollout.LeaseValue{Holder: process("b", 2), Writes: 1}, 8, now)
 	lease.WriteSucceeded(7)
 	_, held := lease.Held(now)
@@ -63,8 +63,8 @@
 	is := is.New(t)
 	now := time.Unix(0, 0)
 	first, second := rollout.NewLease(params, process("a", 1)), rollout.NewLease(params, process("a", 2))
-	value := first.BeginWrite(now)
-	is.True(value != second.BeginWrite(now))
+	value := first.BeginWrite(now, 0)
+	is.True(value != second.BeginWrite(now, 0))
 	second.WriteFailed()
 	second.Observe(value, 7, now)
 	_, held := second.Held(now)
@@ -81,11 +81,13 @@
 	old, self, before := process("old", 1), process("self", 2), process("self", 1)
 	lastAct := time.Unix(100, 0)
 	end := lastAct.Add(gap)
-	report := rollout.HolderReport{Holder: "old", Targets: []string{"a", "b"}}
-	guarded := rollout.HolderReport{Holder: "old", Targets: []string{"a"}, ReceivedAt: lastAct, Guarded: []rollout.GuardedTime{{Target: "b", For: gap - time.Second}}}
+	report := rollout.HolderReport{Holder: "old", Process: 1, Notices: 2, Targets: []string{"a", "b"}}
+	guarded := rollout.HolderReport{Holder: "old", Process: 1, Notices: 2, Targets: []string{"a"}, ReceivedAt: lastAct, Guarded: []rollout.GuardedTime{{Target: "b", For: gap - time.Second}}}
+	early := report
+	early.Notices = 1
 	renamed := before
 	renamed.Machine = "elsewhere:1"
-	own := rollout.HolderReport{Holder: "self", Targets: []string{"a"}, ReceivedAt: lastAct, Guarded: []rollout.GuardedTime{{Target: "b", For: gap}}}
+	own := rollout.HolderReport{Holder: "self", Process: 1, Notices: 2, Targets: []string{"a"}, ReceivedAt: lastAct, Guarded: []rollout.GuardedTime{{Target: "b", For: gap}}}
 	for _, c := range []struct {
 		name     string
 		previous []rollout.Holder // of one acquisition each
@@ -98,6 +100,9 @@
 		{"nothing told", []rollout.Holder{old}, rollout.HolderReport{}, end.Add(-1), []string{"a", "b", "c"}},
 		{"nothing told, over", []rollout.Holder{old}, rollout.HolderReport{}, end, []string{}},
 		{"another told", []rollout.Holder{process("other", 1)}, report, end.Add(-1), []string{"a", "b", "c"}},
+		{"an earlier process of the former holder told", []rollout.Holder{process("old", 2)}, report, end.Add(-1), []string{"a", "b", "c"}},
+		{"told before the last notice", []rollout.Holder{old}, early, end.Add(-1), []string{"a", "b", "c"}},
+		{"told before the last notice, over", []rollout.Holder{old}, early, end, []string{}},
 		{"acquired again by this process", []rollout.Holder{old, self, self}, report, end.Add(-1), []string{"a", "b"}},
 		{"guarded by the former holder", []rollout.Holder{old}, guarded, end.Add(-time.Second - 1), []string{"a", "b"}},
 		{"guarded by the former holder, over", []rollout.Holder{old}, guarded, end.Add(-time.Second), []string{"a"}},
@@ -111,14 +116,14 @@
 			is := is.New(t)
 			var g rollout.OrderGuard
 			for _, p := range c.previous {
-				g.LeaseAcquired(rollout.Acquisition{Previous: p, LastAct: lastAct}, self, gap, c.report)
+				g.LeaseAcquired(rollout.Acquisition{Previous: p, LastAct: lastAct, Notices: 2}, self, gap, c.report)
 			}
 			is.Equal(blocked(&g, c.at), c.want)
 			// A next holder that learns of this guard keeps to it too.
 			var next rollout.OrderGuard
 			all, targets := g.Remaining(c.at)
 			next.LeaseAcquired(rollout.Acquisition{Previous: self, LastAct: c.at.Add(-gap)}, process("next", 3), gap,
-				rollout.HolderReport{Holder: "self", ReceivedAt: c.at, GuardAll: all, Guarded: targets})
+				rollout.HolderReport{Holder: "self", Process: self.Process, ReceivedAt: c.at, GuardAll: all, Guarded: targets})
 			is.Equal(blocked(&next, c.at), c.want)
 		})
 	}
--- a/internal/core/rollout/lease.go
+++ b/internal/core/rollout/lease.go
@@ -49,6 +49,9 @@
 type LeaseValue struct {
 	Holder
 	Writes uint64 `json:"renewals"` // of the lease, by this process
+	// Notices counts what the process had told the other instances for a next holder when it began the write.
+	// A next holder that has not received as much does not know of all its orders.
+	Notices uint64 `json:"notices,omitempty"`
 }
 
 // Acquisition describes how the lease was acquired.
@@ -56,14 +59,15 @@
 	Token    uint64    // fencing token
 	Previous Holder    // the holder before, which may be an earlier process of this instance or this process itself
 	LastAct  time.Time // the previous holder sent its last order no later
+	Notices  uint64    // of the previous holder, before its last order
 }
 
 // Lease is one instance's view of one lease. It is not safe for concurrent use.
 type Lease struct {
 	params       LeaseParams
-	self         LeaseValue // as written last
-	observed     bool       // false until the object is read, at first and after a failed write
-	holder       Holder
+	self         LeaseValue   // as written last
+	observed     bool         // false until the object is read, at first and after a failed write
+	last         LeaseValue   // as last seen
 	version      uint64       // of the object as last seen
 	versionSince time.Time    // when that version was first seen here
 	writeStart   time.Time    // start of the last own write whose outcome is not known; zero: there is none
@@ -82,12 +86,12 @@
 	switch {
 	case !l.observed:
 		return StepRead, 0
-	case l.holder == l.self.Holder && !l.lastWrite.IsZero():
+	case l.last.Holder == l.self.Holder && !l.lastWrite.IsZero():
 		if now.Sub(l.lastWrite) >= l.params.RenewInterval {
 			return StepWrite, l.version
 		}
 		return StepNone, 0
-	case l.holder.Name == "" || now.Sub(l.versionSince) >= l.params.Term+l.params.Margin:
+	case l.last.Name == "" || now.Sub(l.versionSince) >= l.params.Term+l.params.Margin:
 		return StepWrite, l.version
 	}
 	return StepRead, 0
@@ -110,13 +114,14 @@
 	if version != l.version || value.Holder != l.self.Holder {
 		l.lastWrite = time.Time{} // written by another process
 	}
-	l.observed, l.holder, l.version = true, value.Holder, version
+	l.observed, l.last, l.version = true, value, version
 }
 
-// BeginWrite returns the value to write, in a write that begins at start. WriteSucceeded or WriteFailed
-// has to follow before the next one.
-func (l *Lease) BeginWrite(start time.Time) LeaseValue {
+// BeginWrite returns the value to write, in a write that begins at start, when the process has given so many
+// notices. WriteSucceeded or WriteFailed has to follow before the next one.
+func (l *Lease) BeginWrite(start time.Time, notices uint64) LeaseValue {
 	l.self.Writes++
+	l.self.Notices = notices
 	l.writeStart = start
 	return l.self
 }
@@ -131,10 +136,10 @@
 
 func (l *Lease) writeTookEffect(version uint64) {
 	if l.lastWrite.IsZero() {
-		l.acquisition = &Acquisition{Token: version, Previous: l.holder, LastAct: l.versionSince.Add(l.params.Term - l.params.Margin)}
+		l.acquisition = &Acquisition{Token: version, Previous: l.last.Holder, LastAct: l.versionSince.Add(l.params.Term - l.params.Margin), Notices: l.last.Notices}
 		l.taken = false
 	}
-	l.observed, l.holder, l.version, l.versionSince, l.lastWrite = true, l.self.Holder, version, l.writeStart, l.writeStart
+	l.observed, l.last, l.version, l.versionSince, l.lastWrite = true, l.self, version, l.writeStart, l.writeStart
 	l.writeStart = time.Time{}
 }
 
@@ -152,6 +157,11 @@
 	return l.acquisition.Token, true
 }
 
+// Covers reports whether the lease, as this process has written it, names so many of its notices.
+func (l *Lease) Covers(notices uint64) bool {
+	return l.last.Holder == l.self.Holder && l.last.Notices >= notices
+}
+
 // TakeAcquired returns the last acquisition, once: an earlier holder's orders may still run.
 func (l *Lease) TakeAcquired() (a Acquisition, acquired bool) {
 	if l.acquisition == nil || l.taken {
--- a/internal/core/rollout/rollout_test.go
+++ b/internal/core/rollout/rollout_test.go
@@ -20,7 +20,7 @@
 
 // write writes the lease at once.
 func write(l *rollout.Lease, version uint64, now time.Time) {
-	l.BeginWrite(now)
+	l.BeginWrite(now, 0)
 	l.WriteSucceeded(version)
 }
 
@@ -112,7 +112,7 @@
 		case rollout.StepRead:
 			c.lease.Observe(value, version, now)
 		case rollout.StepWrite:
-			written := c.lease.BeginWrite(now)
+			written := c.lease.BeginWrite(now, 0)
 			outcome := r.IntN(10)
 			applied := expected == version && outcome != 0
 			if applied {
--- a/internal/daemon/rollout.go
+++ b/internal/daemon/rollout.go
@@ -130,7 +130,7 @@
 
 func (r *rolloutRunner) writeLease(ctx context.Context, expected platform.Version) {
 	r.mu.Lock()
-	value := r.lease.BeginWrite(r.d.now())
+	value := r.lease.BeginWrite(r.d.now(), 0) // a new holder waits for the longest order
 	r.mu.Unlock()
 	data, err := json.Marshal(value)
 	if err != nil {
--- a/internal/gateway/lease.go
+++ b/internal/gateway/lease.go
@@ -14,7 +14,7 @@
 // leaseParams let a contender take over within 1.4 s after the holder has crashed. A
 // holder gives orders for 600 ms after it has written the lease, which is time for a few
 // calls, so the orders of two holders are at least 800 ms apart. Targets that the former
-// holder may have given orders to get none for longer, see handoverGuard.
+// holder may have given orders to get none for longer, see rollout.OrderGuard.
 var leaseParams = rollout.LeaseParams{Term: time.Second, Margin: 400 * time.Millisecond, RenewInterval: 250 * time.Millisecond}
 
 // maintainLease acquires or renews the lease if that is due. It is called by the rollout loop
@@ -33,12 +33,13 @@
 	}
 }
 
-// awaitLease returns the fencing token for an order that is due. If the lease is about to
-// lapse, it waits for the rollout loop to renew it.
-func (o *rolloutController) awaitLease(ctx context.Context) (token uint64, held bool) {
+// awaitLease returns the fencing token for an order that is due. If the lease is about to lapse, or
+// does not name the notice of the order's target yet, it waits for the rollout loop to renew it.
+func (o *rolloutController) awaitLease(ctx context.Context, notice uint64) (token uint64, held bool) {
 	for range renewTries {
 		o.mu.Lock()
 		token, held = o.lease.Held(o.g.now())
+		held = held && o.lease.Covers(notice)
 		o.mu.Unlock()
 		if held {
 			return token, true
@@ -81,7 +82,7 @@
 	start := o.g.now()
 	o.lastLeaseTry = start
 	o.mu.Lock()
-	value := o.lease.BeginWrite(start)
+	value := o.lease.BeginWrite(start, o.notices)
 	o.mu.Unlock()
 	data, err := json.Marshal(value)
 	if err != nil {
@@ -109,6 +110,7 @@
 	o.planner = rollout.NewPlanner(loadTimeout)
 	clear(o.closing)
 	o.loaded, o.fencingToken, o.updateSeq = nil, a.Token, 0
+	o.notices++ // of the guard
 	v := o.g.view.Load()
 	o.guard.LeaseAcquired(a, o.self, o.g.settings().LeaseGap, v.Rollout.report(v.RolloutReceivedAt))
 	all, targets := o.guard.Remaining(o.g.now())
--- a/internal/gateway/lease_handover_test.go
+++ b/internal/gateway/lease_handover_test.go
@@ -20,6 +20,10 @@
 	downFor     time.Duration // until the killed process starts again
 	lost        int           // one in so many orders of holders to be killed has no effect; 0: none
 	answerDelay time.Duration // of the store's answers to writes, which watches report at once
+	// losesPeers says that the holder has no contact to the other instances from its first order until it starts
+	// again. Its orders to further targets are lost instead of one in so many.
+	losesPeers bool
+	targets    int
 }
 
 // orderRecord is an order that reached a target.
@@ -41,9 +45,9 @@
 	restarts sync.WaitGroup
 }
 
-func newHandoverFleet(t *testing.T, h handover, instances, targets int) *handoverFleet {
+func newHandoverFleet(t *testing.T, h handover, instances int) *handoverFleet {
 	f := &handoverFleet{handover: h, killed: map[string]bool{}, kill: make(chan string, h.kills)}
-	f.stageFleet = newStageFleet(t, instances, targets, func(s *Settings) { s.Policy.RolloutStages = false })
+	f.stageFleet = newStageFleet(t, instances, h.targets, func(s *Settings) { s.Policy.RolloutStages = false })
 	f.onOrder = f.receive
 	for _, g := range f.gateways {
 		f.names = append(f.names, g.settings().Name)
@@ -66,14 +70,26 @@
 		f.killed[o.Holder] = true
 		f.kill <- o.Holder
 	}
-	return f.lost == 0 || !f.killed[o.Holder] || len(f.records)%f.lost != 0
+	return !f.killed[o.Holder] || !f.loses(o)
+}
+
+// loses reports whether an order of a holder that is to be killed, the last one received, is lost; f.mu is held.
+func (f *handoverFleet) loses(o LoadOrder) bool {
+	if !f.losesPeers {
+		return f.lost != 0 && len(f.records)%f.lost == 0
+	}
+	first := slices.IndexFunc(f.records, func(r orderRecord) bool { return r.Token == o.Token })
+	return time.Since(f.records[first].at) > time.Second
 }
 
 // killHolders kills the holders that receive names, and starts them again, until the channel is closed.
 func (f *handoverFleet) killHolders() {
 	for holder := range f.kill {
-		time.Sleep(f.after)
 		i := slices.Index(f.names, holder)
+		if f.losesPeers {
+			f.cutPeers(sideOf(i), linkHangs)
+		}
+		time.Sleep(f.after)
 		f.trafficFleet.kill(i)
 		f.restarts.Go(func() { f.restart(i, holder) })
 	}
@@ -82,6 +98,7 @@
 // restart starts a killed instance again later.
 func (f *handoverFleet) restart(i int, holder string) {
 	time.Sleep(f.downFor)
+	f.cutPeers(sideOf(i), linkIntact)
 	f.start(i)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -90,19 +107,22 @@
 
 // TestHoldersKeepLeaseGap guards against orders of two instances to one target within the lease gap, and
 // against a fencing token that decreases, when holders of the lease are killed. The watch may report a
-// holder's own write before the store answers it.
+// holder's own write before the store answers it, and a holder may have told nobody of its last targets.
 func TestHoldersKeepLeaseGap(t *testing.T) {
 	for _, delay := range []time.Duration{0, 20 * time.Millisecond} {
 		for _, h := range []handover{
-			{kills: 1, after: 0, downFor: time.Second, lost: 1},
-			{kills: 1, after: 300 * time.Millisecond, downFor: time.Second, lost: 2},
-			{kills: 3, after: 100 * time.Millisecond, downFor: 500 * time.Millisecond, lost: 2},
-			{kills: 4, after: 950 * time.Millisecond, downFor: 500 * time.Millisecond, lost: 1},
-			{kills: 5, after: 50 * time.Millisecond, downFor: 5 * time.Second, lost: 1},
-			{kills: 3, after: 1300 * time.Millisecond, downFor: 5 * time.Second, lost: 1},
+			{kills: 1, after: 0, downFor: time.Second, lost: 1, targets: 3},
+			{kills: 1, after: 300 * time.Millisecond, downFor: time.Second, lost: 2, targets: 3},
+			{kills: 3, after: 100 * time.Millisecond, downFor: 500 * time.Millisecond, lost: 2, targets: 3},
+			{kills: 4, after: 950 * time.Millisecond, downFor: 500 * time.Millisecond, lost: 1, targets: 3},
+			{kills: 5, after: 50 * time.Millisecond, downFor: 5 * time.Second, lost: 1, targets: 3},
+			{kills: 3, after: 1300 * time.Millisecond, downFor: 5 * time.Second, lost: 1, targets: 3},
+			{kills: 1, after: 1800 * time.Millisecond, downFor: 5 * time.Second, losesPeers: true, targets: 12},
+			{kills: 1, after: 2500 * time.Millisecond, downFor: 5 * time.Second, losesPeers: true, targets: 12},
+			{kills: 3, after: 2500 * time.Millisecond, downFor: 5 * time.Second, losesPeers: true, targets: 12},
 		} {
 			h.answerDelay = delay
-			t.Run(fmt.Sprintf("%d killed after %v, down for %v, one in %d lost, answers after %v", h.kills, h.after, h.downFor, h.lost, delay), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%d killed after %v, down for %v, one in %d lost, loses peers %v, answers after %v", h.kills, h.after, h.downFor, h.lost, h.losesPeers, delay), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) { testLeaseGap(t, h) })
 			})
 		}
@@ -111,7 +131,7 @@
 
 func testLeaseGap(t *testing.T, h handover) {
 	is := is.New(t)
-	f := newHandoverFleet(t, h, 5, 3)
+	f := newHandoverFleet(t, h, 5)
 	defer f.stop()
 	f.killing.Go(f.killHolders)
 	f.nameVersion(2)
--- a/internal/gateway/order_notices_test.go
+++ b/internal/gateway/order_notices_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -34,7 +35,7 @@
 	e.Engines = g.engines
 	g.engines = e
 	g.rollout.mu.Lock()
-	g.rollout.lease.BeginWrite(g.now())
+	g.rollout.lease.BeginWrite(g.now(), math.MaxUint64)
 	g.rollout.lease.WriteSucceeded(1)
 	g.rollout.mu.Unlock()
 	for _, t := range g.view.Load().Targets {
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -84,6 +84,7 @@
 	loaded       []LoadedTarget           // since this instance acquired the lease
 	fencingToken uint64                   // of the lease as acquired
 	updateSeq    uint64                   // of the last rollout update
+	notices      uint64                   // given by this process, see rollout.LeaseValue
 	lastUpdate   time.Time                // when it was announced
 	guard        rollout.OrderGuard       // after other holders
 	ordered      map[string]time.Time     // by id of the target, when this process sent the last order; kept for the lease gap
@@ -159,7 +160,7 @@
 func (o *rolloutController) announce() {
 	o.updateSeq++
 	o.lastUpdate = o.g.now()
-	update := RolloutUpdate{Holder: o.g.settings().Name, Stamp: RolloutStamp{Token: o.fencingToken, Seq: o.updateSeq}, Loaded: slices.Clone(o.loaded)}
+	update := RolloutUpdate{Holder: o.g.settings().Name, Process: o.self.Process, Notices: o.notices, Stamp: RolloutStamp{Token: o.fencingToken, Seq: o.updateSeq}, Loaded: slices.Clone(o.loaded)}
 	for id := range o.loading {
 		update.Cordoned = append(update.Cordoned, id)
 	}
@@ -257,7 +258,7 @@
 // certain that the target did not accept the order; then it returns the reason.
 func (o *rolloutController) sendOrder(ctx context.Context, l *plannedLoad, seq uint64) string {
 	t := l.target
-	token, held := o.awaitLease(ctx)
+	token, held := o.awaitLease(ctx, l.notice)
 	if !held {
 		return "lease lapsed before the order"
 	}
--- a/internal/gateway/rollout_backoff_test.go
+++ b/internal/gateway/rollout_backoff_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"strings"
 	"sync"
@@ -82,7 +83,7 @@
 		l.o.mu.Lock()
 		l.o.maxLoads = 1
 		l.o.lease = rollout.NewLease(rollout.LeaseParams{Term: time.Hour, Margin: time.Minute, RenewInterval: time.Hour}, rollout.Holder{Name: "e-0"})
-		l.o.lease.BeginWrite(time.Now())
+		l.o.lease.BeginWrite(time.Now(), math.MaxUint64)
 		l.o.lease.WriteSucceeded(1)
 		l.o.mu.Unlock()
 		test(is.New(t), l)
--- a/internal/gateway/rollout_stages.go
+++ b/internal/gateway/rollout_stages.go
@@ -22,6 +22,7 @@
 	version   uint64
 	target    *catalog.Target
 	plannedAt time.Time
+	notice    uint64        // that tells of the target, see rollout.LeaseValue
 	closed    time.Duration // how long the target was closing
 	cordoned  time.Duration // from the cordon to the wait for runs
 	waited    time.Duration // for runs to end
@@ -94,12 +95,15 @@
 // startLoads records planned loads as begun and returns them; o.mu is held.
 func (o *rolloutController) startLoads(v *View, loads []rollout.Load, now time.Time) []*plannedLoad {
 	var out []*plannedLoad
+	if len(loads) > 0 {
+		o.notices++
+	}
 	for _, l := range loads {
 		version, err := strconv.ParseUint(l.Version, 10, 64)
 		if err != nil {
 			panic(err) // unreachable: versionText formatted it
 		}
-		p := &plannedLoad{Load: l, version: version, target: v.Targets[l.Target], plannedAt: now}
+		p := &plannedLoad{Load: l, version: version, target: v.Targets[l.Target], plannedAt: now, notice: o.notices}
 		if since, wasClosing := o.closing[l.Target]; wasClosing {
 			p.closed = now.Sub(since)
 		}
--- a/internal/gateway/updates.go
+++ b/internal/gateway/updates.go
@@ -54,6 +54,9 @@
 	// first GuardAllMS it may be any.
 	Guarded    []GuardedTarget `cbor:"7,keyasint,omitempty"`
 	GuardAllMS int64           `cbor:"8,keyasint,omitempty"`
+	// Process and Notices: see rollout.HolderReport.
+	Process uint64 `cbor:"9,keyasint,omitempty"`
+	Notices uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // GuardedTarget is a target that must not get orders of another holder.
@@ -64,7 +67,7 @@
 
 // report returns what the update, received at some time, tells a next holder of the lease.
 func (u RolloutUpdate) report(receivedAt time.Time) rollout.HolderReport {
-	out := rollout.HolderReport{Holder: u.Holder, Targets: slices.Concat(u.Cordoned, u.Ordered), ReceivedAt: receivedAt, GuardAll: time.Duration(u.GuardAllMS) * time.Millisecond}
+	out := rollout.HolderReport{Holder: u.Holder, Process: u.Process, Notices: u.Notices, Targets: slices.Concat(u.Cordoned, u.Ordered), ReceivedAt: receivedAt, GuardAll: time.Duration(u.GuardAllMS) * time.Millisecond}
 	for _, a := range u.Loaded {
 		out.Targets = append(out.Targets, a.Target)
 	}
