Streams: the list of targets is read only for a stream that isn't settled without it

Cause: a named stream that a peer knows made the asking instance read the list first, a call to the store and 50 ms, while some instance was silent and one version served.

Change: the question is decided first; what peers are asked has a function of its own.

--- a/internal/gateway/stream_inquiry.go
+++ b/internal/gateway/stream_inquiry.go
@@ -77,14 +77,33 @@
 	return a
 }
 
-// find returns where a stream may go on, and how that is known. An instance that gets no answer of any peer
-// may have missed a new version.
+// find returns where a stream may go on, and how that is known.
 func (s *streamVersions) find(ctx context.Context, q *StreamQuestion) (b streamversion.Binding, how string) {
 	inquiry, asked := s.newInquiry(q), s.g.now()
 	own := s.answer(q)
 	if inquiry.Add(s.g.settings().Name, own.knowledge()) {
 		return own.Binding, streamBoundHere
 	}
+	s.askPeers(ctx, q, inquiry)
+	b, how = inquiry.Decide()
+	if how == streamversion.Unknown && inquiry.MayMissVersions() && s.readTargets(ctx, asked) {
+		inquiry.Current = true
+		inquiry.Add(s.g.settings().Name, s.answer(q).knowledge())
+		b, how = inquiry.Decide()
+	}
+	switch how {
+	case streamversion.ByName:
+		how = streamBoundByPeer
+	case streamversion.Unknown:
+		s.g.log.WithField("by_id", q.ByID).WithField("members", len(inquiry.Members)).WithField("lost", inquiry.Lost()).WithField("unreached", inquiry.Unreached()).
+			Info("version of a stream not found")
+	}
+	return b, how
+}
+
+// askPeers adds to an inquiry what peers know. An instance that gets no answer of any peer may have missed a new
+// version.
+func (s *streamVersions) askPeers(ctx context.Context, q *StreamQuestion, inquiry *streamversion.Inquiry) {
 	answered := !s.g.hasOtherSeeds()
 	for reply := range s.ask(ctx, q) {
 		if reply.unreached {
@@ -95,25 +114,12 @@
 		}
 		answered = true
 		if inquiry.Add(reply.peer, reply.knowledge) {
-			break
+			return
 		}
 	}
 	if !answered {
 		inquiry.Service = ""
 	}
-	if inquiry.MayMissVersions() && s.readTargets(ctx, asked) {
-		inquiry.Current = true
-		inquiry.Add(s.g.settings().Name, s.answer(q).knowledge())
-	}
-	b, how = inquiry.Decide()
-	switch how {
-	case streamversion.ByName:
-		how = streamBoundByPeer
-	case streamversion.Unknown:
-		s.g.log.WithField("by_id", q.ByID).WithField("members", len(inquiry.Members)).WithField("lost", inquiry.Lost()).WithField("unreached", inquiry.Unreached()).
-			Info("version of a stream not found")
-	}
-	return b, how
 }
 
 // newInquiry returns an inquiry into the stream of a question. In a large fleet some of the streams' holders
