--- a/internal/gateway/stream_rejoin_test.go
+++ b/internal/gateway/stream_rejoin_test.go
@@ -160,13 +160,7 @@
 		f.cutPeers(sideOf(7, 8), linkHangs)
 		f.storeClients[7].setSilent(true)
 		f.storeClients[8].setSilent(true)
-		for _, m := range f.targets {
-			m.leave()
-		}
-		for range 3 {
-			f.addTarget("v1.1")
-		}
-		time.Sleep(200 * time.Millisecond)
+		f.release("v1.1")
 		s := f.begin(20, eventsBeforeLeave, inTurn(0, 7))
 		f.takeUp(s, 0, inTurn(7, 2))
 		return s
--- a/internal/gateway/stream_versions_test.go
+++ b/internal/gateway/stream_versions_test.go
@@ -478,13 +478,7 @@
 		time.Sleep(time.Minute)
 		f.cutPeers(func(instance int) int { return max(instance, 7) }, linkHangs)
 		f.storeClients[8].setSilent(true)
-		for _, m := range f.targets {
-			m.leave()
-		}
-		for range 3 {
-			f.addTarget("v1.1")
-		}
-		time.Sleep(200 * time.Millisecond)
+		f.release("v1.1")
 		s := f.begin(20, eventsBeforeLeave, inTurn(0, 7))
 		f.takeUp(s, 0, inTurn(8, 1))
 		return s
@@ -513,6 +507,17 @@
 	}, 1, false},
 }
 
+// release starts targets of a new version while the others begin to leave, and waits until most instances know.
+func (f *versionFleet) release(version string) {
+	for _, m := range f.targets {
+		m.leave()
+	}
+	for range 3 {
+		f.addTarget(version)
+	}
+	time.Sleep(200 * time.Millisecond)
+}
+
 // replaceVersion ends all targets of a version, and starts those of the versions that next names; "": none.
 func (f *versionFleet) replaceVersion(version string, next func(*memoryTarget) string) {
 	for _, m := range f.of(version) {
