--- a/internal/gateway/lease_handover_test.go
+++ b/internal/gateway/lease_handover_test.go
@@ -87,7 +87,7 @@
 	for holder := range f.kill {
 		i := slices.Index(f.names, holder)
 		if f.losesPeers {
-			f.cutPeers(sideOf(i), linkHangs)
+			f.setContact(holder, linkHangs)
 		}
 		time.Sleep(f.after)
 		f.trafficFleet.kill(i)
@@ -95,10 +95,20 @@
 	}
 }
 
+// setContact cuts the links between an instance and all others, or mends them.
+func (f *handoverFleet) setContact(instance string, cut linkCut) {
+	for _, other := range f.names {
+		if other != instance {
+			f.net.setCut(instance, other, cut)
+			f.net.setCut(other, instance, cut)
+		}
+	}
+}
+
 // restart starts a killed instance again later.
 func (f *handoverFleet) restart(i int, holder string) {
 	time.Sleep(f.downFor)
-	f.cutPeers(sideOf(i), linkIntact)
+	f.setContact(holder, linkIntact)
 	f.start(i)
 	f.mu.Lock()
 	defer f.mu.Unlock()
