--- a/internal/gateway/stream_rejoin_test.go
+++ b/internal/gateway/stream_rejoin_test.go
@@ -102,27 +102,21 @@
 	{"one instance has lost its peers", 9, 3, twoVersions, func(f *versionFleet) []*versionStream {
 		f.cutPeers(sideOf(4), linkHangs)
 		s := f.beginAlike(20, inTurn(4, 1))
-		f.endVersion("v1")
-		f.beginAlike(5, inTurn(0, 4))
-		f.takeUp(s, 0, inTurn(5, 4))
+		f.takeUpAfterEnd(s)
 		return s
 	}, 0, false},
 	{"one instance lost its peers long ago", 9, 3, twoVersions, func(f *versionFleet) []*versionStream {
 		f.cutPeers(sideOf(4), linkHangs)
 		time.Sleep(10 * time.Second)
 		s := f.beginAlike(20, inTurn(4, 1))
-		f.endVersion("v1")
-		f.beginAlike(5, inTurn(0, 4))
-		f.takeUp(s, 0, inTurn(5, 4))
+		f.takeUpAfterEnd(s)
 		return s
 	}, 0, false},
 	{"one instance has lost its peers, and is killed", 9, 3, twoVersions, func(f *versionFleet) []*versionStream {
 		f.cutPeers(sideOf(4), linkHangs)
 		s := f.beginAlike(20, inTurn(4, 1))
 		f.kill(4)
-		f.endVersion("v1")
-		f.beginAlike(5, inTurn(0, 4))
-		f.takeUp(s, 0, inTurn(5, 4))
+		f.takeUpAfterEnd(s)
 		return s
 	}, 0, false},
 	{"one instance has lost its peers, is killed, and starts with them", 9, 3, twoVersions, func(f *versionFleet) []*versionStream {
@@ -227,6 +221,14 @@
 	f.replaceVersion(version, func(*memoryTarget) string { return "" })
 }
 
+// takeUpAfterEnd takes streams up at four instances, after the first version has ended and fresh streams have begun
+// at four others.
+func (f *versionFleet) takeUpAfterEnd(streams []*versionStream) {
+	f.endVersion("v1")
+	f.beginAlike(5, inTurn(0, 4))
+	f.takeUp(streams, 0, inTurn(5, 4))
+}
+
 // awaitForgotten waits until no stream of before can be taken up.
 func (f *versionFleet) awaitForgotten() { time.Sleep(linkRouteTimeout + takeUpTime + 2*maxHistoryAge) }
 
