Prompts start on replaced weights in time, or not at all

Cause: the time left was checked once, at the send, against a predicted wait and a margin of 1 s. Nothing bounded the wait in the target's queue, whatever makes it longer: other instances, memory, priority.

Change: the rest of the time, less 0.3 s, goes along as the deadline of a request to replaced weights (placement.StartBound), so that its target refuses what is still queued; that has not run and goes elsewhere. A request that is lost if it is cut off has to be expected to end by then; one that runs for longer gets no deadline, is sent only with 3 s to spare and is given up if it has not begun. A connect over 150 ms makes the deadline out of date, and the request goes elsewhere. Runs' lengths are learned from responses. Lines of requests say what their sender reckoned with.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -68,6 +68,8 @@
 	SharedPrefillMS float64
 	// NeededTokens is the target memory that the request will occupy.
 	NeededTokens int
+	// RunTime is the predicted time from the request's first response to its last, on a model server.
+	RunTime time.Duration
 	// ServiceMS is the learned time that a request occupies one of a target's slots; 0: not known,
 	// and the targets' slots are ignored.
 	ServiceMS float64
@@ -149,9 +151,6 @@
 	// outdatedGrace is the time after the announcement of a version in which an older one is
 	// not penalized.
 	outdatedGrace = time.Second
-	// rolloutMargin is the time before the end of RolloutTimeout from which no request is to
-	// begin on an older version.
-	rolloutMargin = time.Second
 )
 
 // Select chooses the eligible target with the lowest score.
@@ -327,15 +326,9 @@
 	return q.MaxQueuedTokens > 0 && t.QueuedTokens > q.MaxQueuedTokens && !q.Started
 }
 
-// eligible reports whether the target serves the request's model. A target with outdated weights is
-// eligible if the request is expected to begin there rolloutMargin before the end of the rollout.
+// eligible reports whether the target serves the request's model, on weights that are not replaced for too long.
 func eligible(t *Target, q *Query) bool {
-	return !t.LacksModel && !t.Incompatible && (t.OutdatedFor == 0 || t.beginsAfter() < q.RolloutTimeout-rolloutMargin)
-}
-
-// beginsAfter returns how long the target's weights will have been outdated when the request begins there.
-func (t *Target) beginsAfter() time.Duration {
-	return t.OutdatedFor + time.Duration(t.FirstResponseMS*float64(time.Millisecond))
+	return !t.LacksModel && !t.Incompatible && t.startsInTime(q)
 }
 
 // score returns the predicted time to the first response, in ms, plus the penalties of the
--- a/internal/core/placement/predict.go
+++ b/internal/core/placement/predict.go
@@ -13,11 +13,12 @@
 	Link          string  // source of the fetch
 }
 
-// Predictor predicts the time to the first response of a request. It learns the prefill speed
-// and, for each target and each link, the recent delay beyond the nominal time. A request that
-// is overdue raises the delay before its response arrives. It is not safe for concurrent use.
+// Predictor predicts the time to the first response of a request, and from there to its last. It learns the
+// speeds of prefill and of output and, for each target and each link, the recent delay beyond the nominal
+// time. A request that is overdue raises the delay before its response arrives. It is not safe for concurrent use.
 type Predictor struct {
 	prefillMSPerToken float64 // on an idle target
+	outputMSPerToken  float64 // by the maximum output, of which most requests use a part; 0: not known
 	targetDelays      map[string]*delayEstimate
 	linkDelays        map[string]*delayEstimate
 	pendingByTarget   pendingRequests
@@ -64,6 +65,12 @@
 	// time in a queue.
 	prefillGainDown = 0.2
 	prefillGainUp   = 0.01
+	// unknownRunTime is assumed before the first observation: longer than any response takes.
+	unknownRunTime = time.Hour
+	// outputGainUp and outputGainDown are the gains for samples above and below the estimate, so that most
+	// requests take no longer than predicted.
+	outputGainUp   = 0.1
+	outputGainDown = 0.02
 	// minPrefillSample is the size of the smallest prompt used to learn the prefill speed, in
 	// tokens: a shorter one says nothing about it.
 	minPrefillSample = 1000
@@ -177,6 +184,31 @@
 	return errorMS
 }
 
+// RunTime returns the time expected from a request's first response to its last.
+func (p *Predictor) RunTime(maxOutput int) time.Duration {
+	if p.outputMSPerToken == 0 {
+		return unknownRunTime
+	}
+	return time.Duration(float64(maxOutput) * p.outputMSPerToken * float64(time.Millisecond))
+}
+
+// ObserveRun updates the speed of output with a complete response.
+func (p *Predictor) ObserveRun(maxOutput int, elapsed time.Duration) {
+	if maxOutput <= 0 {
+		return
+	}
+	sample := float64(elapsed) / float64(time.Millisecond) / float64(maxOutput)
+	if p.outputMSPerToken == 0 {
+		p.outputMSPerToken = sample
+		return
+	}
+	gain := outputGainDown
+	if sample > p.outputMSPerToken {
+		gain = outputGainUp
+	}
+	p.outputMSPerToken += gain * (sample - p.outputMSPerToken)
+}
+
 // updatePrefillSpeed moves the prefill speed towards a sample.
 func (p *Predictor) updatePrefillSpeed(msPerToken float64) {
 	gain := prefillGainUp
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -63,6 +63,9 @@
 	endWork      func() // ends the counting of the request in load; may be called more than once
 	startedAt    time.Time
 	silenceTimer *time.Timer // abandons the attempt if the target stays silent; nil if it may not be
+	startTimer   *time.Timer // abandons the attempt if it does not start in time; nil if there is no bound
+	notStarted   atomic.Bool // it was abandoned by startTimer
+	firstByteAt  time.Time
 	retryPaid    atomic.Bool // the next attempt has been charged to the retry budget
 	httpResponse *http.Response
 	response     TargetResponse
@@ -110,6 +113,7 @@
 		at.silenceTimer = time.AfterFunc(x.attemptTimeout(), func() { x.abandon(at, cancel) })
 		defer at.silenceTimer.Stop()
 	}
+	defer x.boundStart(at, cancel)()
 	x.plan = cachePlan{}
 	out := x.buildRequest(t)
 	at.load.Responses.RecordRequest(at.startedAt)
@@ -144,6 +148,7 @@
 	if !result.delivered {
 		result.event = x.attributeEnd(result.event)
 	}
+	result = x.withNotStarted(at, result)
 	x.noteNewConnRetry(t, way, result, ctx.Err() == nil)
 	result.retryPaid = at.retryPaid.Load()
 	x.recordHealth(at, result)
@@ -223,7 +228,7 @@
 
 // buildRequest builds the request to a target.
 func (x *exchange) buildRequest(t *catalog.Target) upstreamRequest {
-	a := Attempt{Target: t.Name, Remaining: x.deadline.Sub(x.g.now()), LastEventID: x.call.LastEventID}
+	a := Attempt{Target: t.Name, Remaining: x.remainingAtTarget(), LastEventID: x.call.LastEventID}
 	a.Customer = x.customerName()
 	if x.lastEventID != "" {
 		a.LastEventID = x.lastEventID
@@ -325,6 +330,10 @@
 	if at.silenceTimer != nil {
 		at.silenceTimer.Stop()
 	}
+	if at.startTimer != nil {
+		at.startTimer.Stop()
+	}
+	at.firstByteAt = x.g.now()
 	at.markPromptRead()
 	x.g.predictorMu.Lock()
 	predictionErrorMS := x.g.predictor.Observe(at.pending, x.g.now())
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -57,6 +57,8 @@
 	lastZone      string                  // zone of the last tried target
 	partSources   map[uint64][]partSource // stores that hold the prompt's parts, by weight version, as of this attempt
 	promptWork    promptWork              // prefill and fetch work of the attempt
+	startBound    placement.StartBound    // of the attempt
+	outdatedFor   time.Duration           // for how long the weights of the attempt's target had been replaced
 	plan          cachePlan
 
 	ejected          []string                 // ids of the targets ejected as of this attempt
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -43,13 +43,17 @@
 
 // Values of linkCut.
 const (
-	linkIntact     linkCut = iota
-	linkHangs              // open connections deliver nothing, new ones are never established
-	linkResets             // open connections are reset, new ones are never established
-	linkRefuses            // open connections are reset, new ones are refused
-	linkRefusesNew         // open connections live on, new ones are refused
+	linkIntact         linkCut = iota
+	linkHangs                  // open connections deliver nothing, new ones are never established
+	linkResets                 // open connections are reset, new ones are never established
+	linkRefuses                // open connections are reset, new ones are refused
+	linkRefusesNew             // open connections live on, new ones are refused
+	linkConnectsSlowly         // open connections live on, new ones take slowConnect
 )
 
+// slowConnect is how long a connect takes over a slow link.
+const slowConnect = 300 * time.Millisecond
+
 // setCut cuts the link between two hosts for connections that the first one opens, or mends it.
 func (n *memoryNetwork) setCut(from, to string, cut linkCut) {
 	n.mu.Lock()
@@ -114,6 +118,8 @@
 		switch cut := n.cutOf(hosts); {
 		case cut == linkRefuses || cut == linkRefusesNew:
 			return nil, syscall.ECONNREFUSED
+		case cut == linkConnectsSlowly:
+			time.Sleep(slowConnect)
 		case cut == linkResets || !n.isConnected(hosts):
 			<-ctx.Done()
 			return nil, ctx.Err()
--- a/internal/gateway/request_lines.go
+++ b/internal/gateway/request_lines.go
@@ -23,7 +23,7 @@
 	if x.notice.Backoff > 0 {
 		e = e.WithField("rest_ms", x.notice.Backoff.Milliseconds())
 	}
-	e = x.withSlowCallerFields(x.withStreamFields(e))
+	e = x.withStartFields(x.withSlowCallerFields(x.withStreamFields(e)))
 	if x.notice.Leaving {
 		e = e.WithField("target_leaves", true)
 	}
@@ -62,7 +62,7 @@
 	if age, known := x.g.staleness.Age(staleness.Config, x.g.now()); known {
 		e = e.WithField("config_age_ms", age.Milliseconds())
 	}
-	e = x.withSlowCallerFields(x.withStreamFields(e))
+	e = x.withStartFields(x.withSlowCallerFields(x.withStreamFields(e)))
 	if x.firstByteMS > 0 {
 		e = e.WithField("first_ms", x.firstByteMS).WithField("predicted_ms", x.predictedMS)
 	}
--- a/internal/gateway/rollout_stages_test.go
+++ b/internal/gateway/rollout_stages_test.go
@@ -45,6 +45,16 @@
 	return call, err
 }
 
+// trafficDeadline is the header with the time that a target has for a request, in ms.
+const trafficDeadline = "Deadline-Ms"
+
+// ForwardHeader implements Codec.
+func (c stageCodec) ForwardHeader(in http.Header, a Attempt) http.Header {
+	h := c.versionCodec.ForwardHeader(in, a)
+	h.Set(trafficDeadline, strconv.FormatInt(a.Remaining.Milliseconds(), 10))
+	return h
+}
+
 // Times of the targets of a stageFleet.
 const (
 	stageEventInterval = 100 * time.Millisecond
@@ -70,6 +80,9 @@
 	// onOrder is called with each order that reaches a target, without f.mu. It returns false if the
 	// order is lost: it has no effect and gets no response. Nil: none are lost.
 	onOrder func(o LoadOrder) bool
+	// onQueue is called as a target puts a request in its queue, and returns once the request is first in it, or
+	// is given up. It reports whether the request begins. Nil: there is no queue.
+	onQueue func(m *memoryTarget, w http.ResponseWriter, r *http.Request) bool
 	onRun   func(version uint64) // called as a target with these weights begins a request; nil: nothing
 }
 
@@ -108,12 +121,15 @@
 	events, _ := strconv.Atoi(string(body))
 	from, _ := strconv.Atoi(r.Header.Get(trafficLastEvent))
 	w.Header().Set(trafficID, r.Header.Get(trafficID))
+	deadline := stageDeadline(r)
+	if f.onQueue != nil && !f.onQueue(m, w, r) {
+		return true
+	}
 	f.mu.Lock()
 	l := f.loaders[m.name]
 	if l.busy {
 		f.mu.Unlock()
-		w.Header().Set(trafficRefusal, "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		refuseStage(w)
 		return true
 	}
 	l.running++
@@ -132,6 +148,8 @@
 		case <-time.After(stageEventInterval):
 		case <-r.Context().Done():
 			return true
+		case <-deadline:
+			panic(http.ErrAbortHandler)
 		case <-reset:
 			f.mu.Lock()
 			f.cut++
@@ -146,6 +164,18 @@
 	return true
 }
 
+// stageDeadline returns a channel that signals the end of the time that a target has for a request.
+func stageDeadline(r *http.Request) <-chan time.Time {
+	ms, _ := strconv.Atoi(r.Header.Get(trafficDeadline))
+	return time.After(time.Duration(ms) * time.Millisecond)
+}
+
+// refuseStage refuses a request that has not run.
+func refuseStage(w http.ResponseWriter) {
+	w.Header().Set(trafficRefusal, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // Report implements Engines.
 func (f *stageFleet) Report(ctx context.Context, _, name string) (Report, error) {
 	time.Sleep(2 * networkDelay)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -89,6 +89,7 @@
 	if empty {
 		x.recordFirstByte(at)
 	}
+	x.learnRunTime(at)
 	if !x.headerSent {
 		x.writeHeader(at.httpResponse.StatusCode, at.httpResponse.Header, -1)
 	}
--- a/internal/gateway/versions_handover_test.go
+++ b/internal/gateway/versions_handover_test.go
@@ -20,8 +20,9 @@
 	begun    int
 }
 
-func newVersionsFleet(t *testing.T, instances, targets int) *versionsFleet {
-	f := &versionsFleet{stageFleet: newStageFleet(t, instances, targets, nil)}
+// newVersionsFleet starts some instances and targets. edit changes the settings if it is not nil.
+func newVersionsFleet(t *testing.T, instances, targets int, edit func(*Settings)) *versionsFleet {
+	f := &versionsFleet{stageFleet: newStageFleet(t, instances, targets, edit)}
 	f.onRun = func(version uint64) {
 		f.begun++
 		if replaced := int(version) - 1; replaced < len(f.named) && time.Since(f.named[replaced]) > stageRolloutWithin {
@@ -132,7 +133,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				f := newVersionsFleet(t, 5, 12)
+				f := newVersionsFleet(t, 5, 12, nil)
 				defer f.stop()
 				done := make(chan struct{})
 				go f.sendUntil(done, f.callerAddresses())
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -17,6 +17,7 @@
 	Resumes               = metrics.NewCounter("shedhoist_resumes_total")
 	RetryBudgetRefusals   = metrics.NewCounter("shedhoist_retry_budget_refusals_total")
 	MemoryFullRefusals    = metrics.NewCounter("shedhoist_memory_full_refusals_total")
+	NotStartedInTime      = metrics.NewCounter("shedhoist_requests_not_started_in_time_total")
 	SlotRefusals          = metrics.NewCounter("shedhoist_slot_refusals_total")
 	OverFairShareRefusals = metrics.NewCounter("shedhoist_over_fair_share_refusals_total") // of customers above their fair share
 	WarmupRequests        = metrics.NewCounter("shedhoist_cold_requests_total")            // sent to targets that are warming up
