Peers read messages with texts that are not UTF-8

A caller's header may bring any bytes, and ids of prompt parts that crashed their server travel to all peers: one text that is not UTF-8 made the whole message unreadable there. The decoder accepts such texts now. TestTextThatIsNotUTF8 failed before ("cbor: invalid UTF-8 string").

--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -29,7 +29,7 @@
 
 func mustDecMode() cbor.DecMode {
 	m, err := cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxArrayElements: maxCollectionLength, MaxMapPairs: maxCollectionLength,
-		MaxNestedLevels: maxNestedLevels, IndefLength: cbor.IndefLengthForbidden}.DecMode()
+		MaxNestedLevels: maxNestedLevels, IndefLength: cbor.IndefLengthForbidden, UTF8: cbor.UTF8DecodeInvalid}.DecMode()
 	if err != nil {
 		panic(err) // the options are constants
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -28,6 +28,20 @@
 	return append(binary.BigEndian.AppendUint32(nil, uint32(len(data))), data...)
 }
 
+// TestTextThatIsNotUTF8 guards against a message that peers can't read since one text in it, which a caller's header
+// brought, is not UTF-8.
+func TestTextThatIsNotUTF8(t *testing.T) {
+	is := is.New(t)
+	var sent bytes.Buffer
+	is.NoErr(newFrameConn(struct {
+		io.ReadCloser
+		io.Writer
+	}{io.NopCloser(&sent), &sent}).send("", header{Method: "m", Error: "part \xff\xfe"}))
+	var got header
+	is.NoErr(newFrameConn(readOnlyConn{&sent}).read(&got))
+	is.Equal(got.Error, "part \xff\xfe")
+}
+
 // TestMessageSizeLimit checks that a message whose announced size exceeds the limit is
 // refused, and that one which is announced but never sent allocates no memory.
 func TestMessageSizeLimit(t *testing.T) {
