Bounded starts: long runs go without the deadline while there is time

What an instance's own bound ended is no failure of the target (TestBoundIsNoFailureOfTarget failed before).

TestQueuedRequestsStartBeforeRolloutEnds as before.

--- a/internal/gateway/start_bound.go
+++ b/internal/gateway/start_bound.go
@@ -44,8 +44,8 @@
 		return placement.StartBound{}, 0
 	}
 	outdatedFor = x.view.NamedVersions[p.Model].OutdatedFor(t.WeightVersion(p.Model), x.g.now())
-	first := time.Duration(x.predictedMS * float64(time.Millisecond))
-	return placement.BoundStart(outdatedFor, x.g.settings().RolloutWithin, first+x.runTime(), x.lostIfCutOff()), outdatedFor
+	r := placement.PredictedRun{First: time.Duration(x.predictedMS * float64(time.Millisecond)), Run: x.runTime(), LostIfCutOff: x.lostIfCutOff()}
+	return placement.BoundStart(outdatedFor, x.g.settings().RolloutWithin, r), outdatedFor
 }
 
 // boundStart bounds the start of an attempt: it is given up if it has not started by then, or if the connect takes so
@@ -83,6 +83,11 @@
 	return left
 }
 
+// endedByBound reports whether an attempt ended since its bound passed, which says nothing about its target's health.
+func (x *exchange) endedByBound(at *attemptState) bool {
+	return at.notStarted.Load() || x.startBound.AsDeadline && x.g.now().Sub(at.startedAt) >= x.startBound.Within
+}
+
 // withNotStarted returns the result of an attempt, with its cause if it was given up since it had not started.
 func (x *exchange) withNotStarted(at *attemptState, result attemptResult) attemptResult {
 	if result.delivered || !at.notStarted.Load() {
--- a/internal/gateway/start_bound_test.go
+++ b/internal/gateway/start_bound_test.go
@@ -176,5 +176,22 @@
 	})
 }
 
+// TestBoundIsNoFailureOfTarget guards against targets that get no requests since a request's bound, which this instance
+// set itself, ended there.
+func TestBoundIsNoFailureOfTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newQueueFleet(t, 1, 3, true)
+		defer f.end()
+		f.onOrder = func(LoadOrder) bool { return false }
+		f.nameNext()
+		is.Equal(f.request(0, pathAudit, "1").status, http.StatusOK)
+		time.Sleep(stageRolloutWithin - 3*time.Second)
+		f.lengthen(1, 5*time.Second)
+		is.Equal(f.request(0, pathAudit, "1").status, http.StatusServiceUnavailable) // it has not run
+		is.Equal(len(f.gateways[0].breaker.EjectedForSelection()), 0)
+	})
+}
+
 // minServedPerCent is the least share of requests that are served in full.
 const minServedPerCent = 95
