Responses of watches that were held up are no younger than their timeout

A response with changes counted as sent 0.3 s before it was read. Where a link held it up, or the process stood still for seconds, the copy counted as complete as of a time at which the store had newer changes already, and peers that rely on this instance's reports were told so. The store sends a response by the watch's timeout, and it counts as of no later time now. TestWatchValidAt failed before (3 s too late).

--- a/internal/gateway/staleness.go
+++ b/internal/gateway/staleness.go
@@ -73,10 +73,15 @@
 
 // watchValidAt returns the time as of which a watch response is valid. A response without
 // changes that arrives after the watch's timeout is valid as of that timeout. Any other may
-// have spent up to maxResponseTransit in transit, but is not older than the request.
+// have spent up to maxResponseTransit in transit, but is not older than the request; it was sent by
+// the watch's timeout, however late a link or a process that stood still let it arrive.
 func watchValidAt(requestedAt, respondedAt time.Time, timeout time.Duration, changes int) time.Time {
-	if changes == 0 && respondedAt.Sub(requestedAt) >= timeout {
-		return requestedAt.Add(timeout)
+	expiredAt := requestedAt.Add(timeout)
+	if changes == 0 && !respondedAt.Before(expiredAt) {
+		return expiredAt
+	}
+	if respondedAt.After(expiredAt) {
+		respondedAt = expiredAt
 	}
 	if at := respondedAt.Add(-maxResponseTransit); at.After(requestedAt) {
 		return at
--- a/internal/gateway/staleness_test.go
+++ b/internal/gateway/staleness_test.go
@@ -118,4 +118,5 @@
 	is.Equal(watchValidAt(at(0), at(10), 800*time.Millisecond, 0), at(0))     // returned before its timeout
 	is.Equal(watchValidAt(at(0), at(10), 800*time.Millisecond, 1), at(0))
 	is.Equal(watchValidAt(at(0), at(700), 800*time.Millisecond, 1), at(400))
+	is.Equal(watchValidAt(at(0), at(3800), 800*time.Millisecond, 1), at(500)) // held up by a link, or the process stood still
 }
