Questions about streams: one outcome in place of two flags

Two flags stood for three outcomes of a question to a peer; one of their four values meant nothing. No behaviour changes; the tests of streams pass.

--- a/internal/gateway/stream_inquiry.go
+++ b/internal/gateway/stream_inquiry.go
@@ -106,15 +106,14 @@
 func (s *streamVersions) askPeers(ctx context.Context, q *StreamQuestion, inquiry *streamversion.Inquiry) {
 	answered := !s.g.hasOtherSeeds()
 	for reply := range s.ask(ctx, q) {
-		if reply.unreached {
+		switch reply.outcome {
+		case peerSilent:
 			inquiry.AddUnreached(reply.peer)
-		}
-		if !reply.answered {
-			continue
-		}
-		answered = true
-		if inquiry.Add(reply.peer, reply.knowledge) {
-			return
+		case peerAnswered:
+			answered = true
+			if inquiry.Add(reply.peer, reply.knowledge) {
+				return
+			}
 		}
 	}
 	if !answered {
@@ -165,11 +164,20 @@
 	return !now.Add(-s.listAge(now)).Before(asOf)
 }
 
+// askOutcome is how a question to a peer ended.
+type askOutcome uint8
+
+// The outcomes.
+const (
+	peerEnded  askOutcome = iota // its process has ended
+	peerSilent                   // its process may go on, but doesn't answer
+	peerAnswered
+)
+
 // streamReply is what came of a question to a peer.
 type streamReply struct {
 	peer      string
-	answered  bool
-	unreached bool                    // its process may go on, but doesn't answer
+	outcome   askOutcome
 	knowledge streamversion.Knowledge // if it answered
 }
 
@@ -204,9 +212,9 @@
 	err := s.g.pool.Call(ctx, m.Address, peerService+".StreamVersion", question, &answer)
 	switch {
 	case err == nil:
-		reply.answered, reply.knowledge = true, answer.knowledge()
+		reply.outcome, reply.knowledge = peerAnswered, answer.knowledge()
 	case ctx.Err() != nil:
-		reply.unreached = true
+		reply.outcome = peerSilent
 	}
 	return reply
 }
