--- a/internal/core/placement/start.go
+++ b/internal/core/placement/start.go
@@ -43,7 +43,7 @@
 // ConnectWithin returns the longest connect after which the deadline is not out of date as the request is sent;
 // 0: any, since the request doesn't wait until that deadline.
 func (b StartBound) ConnectWithin() time.Duration {
-	if b.Within > maxQueueTime {
+	if !b.AsDeadline || b.Within > maxQueueTime {
 		return 0
 	}
 	return boundedConnect
