A partition forgives its targets the connects that failed before it was found

As a partition is found, the service's ejected targets are allowed again; what fails through peers ejects them anew, and what follows a requested backoff stays.

--- a/internal/breaker/breaker.go
+++ b/internal/breaker/breaker.go
@@ -161,6 +161,17 @@
 	e.ejectUntil(until)
 }
 
+// Forgive ends the ejection of a name whose failures were not its own. What follows a backoff that the name
+// requested stays.
+func (b *Set) Forgive(name string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e := b.breakers[name]; e != nil && e.failures > 0 && !e.afterBackoff {
+		b.failing--
+		e.failures = 0
+	}
+}
+
 // markFailing counts name as failing, and returns its breaker; b.mu is held.
 func (b *Set) markFailing(name string) *breaker {
 	e := b.breakers[name]
--- a/internal/breaker/breaker_test.go
+++ b/internal/breaker/breaker_test.go
@@ -31,3 +31,22 @@
 	is.Equal(len(s.Ejected()), 0)
 	is.True(s.Allow("b"))
 }
+
+// TestForgive guards against a name that stays ejected for failures that were not its own, and against the loss of
+// what follows a backoff that it requested.
+func TestForgive(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	s := breaker.New(func() time.Time { return now })
+	s.Forgive("unknown")
+	s.RecordResult("a", false)
+	s.RecordResult("a", false)
+	s.RequestBackoff("b", time.Second)
+	now = now.Add(time.Second)
+	is.Equal(s.Backoffs(), nil)
+	is.True(s.AllowProbe("b"))
+	s.Forgive("a")
+	s.Forgive("b")
+	is.True(s.Allow("a"))
+	is.True(!s.Allow("b")) // its probe is under way
+}
--- a/internal/gateway/link_probes.go
+++ b/internal/gateway/link_probes.go
@@ -92,6 +92,9 @@
 	g := s.links.g
 	metric.TargetPartitions.Inc()
 	ended := s.links.endConnects(s.service)
+	for _, t := range s.targets() {
+		g.breaker.Forgive(t.ID) // its connects failed for the links of this instance
+	}
 	g.log.WithField("service", s.service).WithField("probed_targets", probed).WithField("attempts_left", ended).WithError(cause).Warn("no target can be reached")
 	g.upstream.closeIdle() // the other ends may be gone when the links come back
 	for service := range g.view.Load().Serving {
--- a/internal/gateway/target_partition_test.go
+++ b/internal/gateway/target_partition_test.go
@@ -201,6 +201,27 @@
 	})
 }
 
+// TestPartitionForgivesTargets guards against a target that gets nothing through peers since its connects had failed
+// before the instance found that its own links were lost.
+func TestPartitionForgivesTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newLinkFleet(t, 6, 4)
+		defer f.stop()
+		f.cutLinks([]int{0}, linkHangs)
+		for id, m := range f.gateways[0].view.Load().Targets {
+			for range 8 {
+				f.gateways[0].breaker.RecordResult(id, m.Name != f.targets[1].name)
+			}
+		}
+		f.partition(0)
+		f.sendOpenLoop(0, "cut", pathOnce, requestInterval, time.Second)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		is.True(f.arrivals[f.targets[1].name] > 0)
+	})
+}
+
 // TestRelaysCrossFewestZones guards against bytes that cross zones more often than they must: peers in the
 // own zone or in the target's come first, and where the own zone has none, targets in the zone of a peer.
 func TestRelaysCrossFewestZones(t *testing.T) {
