--- a/internal/gateway/rollout_stages_test.go
+++ b/internal/gateway/rollout_stages_test.go
@@ -81,8 +81,8 @@
 	// order is lost: it has no effect and gets no response. Nil: none are lost.
 	onOrder func(o LoadOrder) bool
 	// onQueue is called as a target puts a request in its queue, and returns once the request is first in it, or
-	// is given up. It reports whether the request begins. Nil: there is no queue.
-	onQueue func(m *memoryTarget, w http.ResponseWriter, r *http.Request) bool
+	// is given up, at its deadline at the latest. It reports whether the request begins. Nil: there is no queue.
+	onQueue func(m *memoryTarget, w http.ResponseWriter, r *http.Request, deadline <-chan time.Time) bool
 	onRun   func(version uint64) // called as a target with these weights begins a request; nil: nothing
 }
 
@@ -122,7 +122,7 @@
 	from, _ := strconv.Atoi(r.Header.Get(trafficLastEvent))
 	w.Header().Set(trafficID, r.Header.Get(trafficID))
 	deadline := stageDeadline(r)
-	if f.onQueue != nil && !f.onQueue(m, w, r) {
+	if f.onQueue != nil && !f.onQueue(m, w, r, deadline) {
 		return true
 	}
 	f.mu.Lock()
--- a/internal/gateway/start_bound_test.go
+++ b/internal/gateway/start_bound_test.go
@@ -29,6 +29,9 @@
 	newestWait = 200 * time.Millisecond
 )
 
+// minServedPerCent is the least share of requests that are served in full.
+const minServedPerCent = 95
+
 func newQueueFleet(t *testing.T, instances, targets int, keepsClosed bool) *queueFleet {
 	f := &queueFleet{keepsClosed: keepsClosed, versionsFleet: newVersionsFleet(t, instances, targets, func(s *Settings) {
 		s.Retry.Share, s.Retry.Slack = 1, 1000 // enough for all
@@ -71,7 +74,7 @@
 }
 
 // queue lets a request wait. The target refuses it if its deadline passes in the queue.
-func (f *queueFleet) queue(m *memoryTarget, w http.ResponseWriter, r *http.Request) (begins bool) {
+func (f *queueFleet) queue(m *memoryTarget, w http.ResponseWriter, r *http.Request, deadline <-chan time.Time) (begins bool) {
 	closed := r.Context().Done()
 	if f.keepsClosed {
 		closed = nil
@@ -79,7 +82,7 @@
 	select {
 	case <-time.After(f.waitAt(m)):
 		return true
-	case <-stageDeadline(r):
+	case <-deadline:
 		refuseStage(w)
 		return false
 	case <-closed:
@@ -192,6 +195,3 @@
 		is.Equal(len(f.gateways[0].breaker.EjectedForSelection()), 0)
 	})
 }
-
-// minServedPerCent is the least share of requests that are served in full.
-const minServedPerCent = 95
