--- a/internal/core/buffer/buffer.go
+++ b/internal/core/buffer/buffer.go
@@ -1,9 +1,10 @@
-// Package buffer counts the bytes that the requests of an instance hold in memory, and limits
-// them. It does no I/O, starts no goroutines and reads no clock. All methods may be called by
-// several goroutines at a time, and none of them allocates.
+// Package buffer counts the bytes that callers make an instance hold in memory, and limits them. It
+// does no I/O, starts no goroutines and reads no clock. All methods may be called by several
+// goroutines at a time, and none of them allocates.
 //
-// Bodies and answers share the whole limit. What is read ahead for slow callers may use only
-// streamsShare of it, so that slow callers alone never cause a body to be refused.
+// A Holder counts what one connection costs, with the request on it. What is read ahead for slow
+// callers may use only streamsShare of the limit, so that slow callers alone never cause a body to
+// be refused.
 package buffer
 
 import "sync/atomic"
@@ -12,7 +13,7 @@
 // remains for the bodies of new requests, however many callers are slow.
 const streamsShare = 0.5
 
-// Budget is the number of bytes that all requests of an instance may hold together.
+// Budget is the number of bytes that all callers of an instance may make it hold together.
 type Budget struct {
 	all, streams counter
 }
@@ -82,7 +83,7 @@
 
 // Fits reports whether n more bytes would stay within the stream's bound. If they do, and
 // Reserve returns false, the budget is used up by others.
-func (s *Stream) Fits(n int64) bool { return s.own.fits(s.Held(), n) }
+func (s *Stream) Fits(n int64) bool { return s.own.fits(n) }
 
 // Held returns the bytes that the stream holds now.
 func (s *Stream) Held() int64 { return s.own.held.Load() }
@@ -96,14 +97,17 @@
 	held  atomic.Int64
 }
 
-func (c *counter) fits(held, n int64) bool { return c.limit <= 0 || n <= c.limit-held }
+func (c *counter) fits(n int64) bool { return c.limit <= 0 || n <= c.limit-c.held.Load() }
 
 // reserve adds n unless the limit would be exceeded. The sum is compared before it is changed,
 // so that a large request that is refused never makes a small one fail.
-func (c *counter) reserve(n int64) bool {
+func (c *counter) reserve(n int64) bool { return c.reserveWithin(n, c.limit) }
+
+// reserveWithin is reserve with another limit; 0 is none.
+func (c *counter) reserveWithin(n, limit int64) bool {
 	for {
 		held := c.held.Load()
-		if !c.fits(held, n) {
+		if limit > 0 && n > limit-held {
 			return false
 		}
 		if c.held.CompareAndSwap(held, held+n) {
