Drain and netx: wrapped connections, bytes unread in the kernel

Cause: a limiter of connections has to wrap those that an HTTP server accepts, and drain took only its own, or those of crypto/tls over them. It also replaced a ConnContext hook of the server.

Change: drain looks through any connection with a method NetConn, lets its listener be wrapped, and calls the server's own ConnContext. netx tells and limits what the kernel holds unread of a connection.

--- a/internal/drain/conns.go
+++ b/internal/drain/conns.go
@@ -38,10 +38,10 @@
 }
 
 // Attach installs hooks in the server that track its connections. Requests that begin on a
-// connection that is being closed go to refuse, which must not run them. The server's own ConnState
-// hook is still called.
+// connection that is being closed go to refuse, which must not run them. The server's own hooks are
+// still called.
 func (c *Conns) Attach(srv *http.Server, refuse http.Handler) {
-	hook, next := srv.ConnState, srv.Handler
+	hook, contextHook, next := srv.ConnState, srv.ConnContext, srv.Handler
 	c.headerTimeout = srv.ReadHeaderTimeout
 	srv.ConnState = func(conn net.Conn, state http.ConnState) {
 		if hook != nil {
@@ -50,6 +50,9 @@
 		c.SetState(conn, state)
 	}
 	srv.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		if contextHook != nil {
+			ctx = contextHook(ctx, conn)
+		}
 		return context.WithValue(ctx, connContextKey{}, conn)
 	}
 	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/drain/server.go
+++ b/internal/drain/server.go
@@ -30,6 +30,7 @@
 	ln     *listener
 	tls    *tls.Config // nil: plain HTTP
 	log    log.Interface
+	wrap   func(net.Listener) net.Listener // nil: none
 	conns  Conns
 	served chan struct{} // closed when Serve returns
 
@@ -62,12 +63,20 @@
 // Serve accepts and serves connections until the listener is closed. It must be called once.
 func (s *Server) Serve() error {
 	defer close(s.served)
+	var ln net.Listener = s.ln
 	if s.tls != nil {
-		return s.http.Serve(tls.NewListener(s.ln, s.tls))
+		ln = tls.NewListener(ln, s.tls)
 	}
-	return s.http.Serve(s.ln)
+	if s.wrap != nil {
+		ln = s.wrap(ln)
+	}
+	return s.http.Serve(ln)
 }
 
+// WrapListener sets a function that wraps the listener from which the server takes its connections, with TLS if it has
+// it. Connections that it wraps must have a method NetConn, as those of crypto/tls. It must be called before Serve.
+func (s *Server) WrapListener(wrap func(net.Listener) net.Listener) { s.wrap = wrap }
+
 // Close closes the listener and all connections without waiting for requests.
 func (s *Server) Close() error {
 	_ = s.ln.Close() // Serve may not have begun; an error means that it is closed
--- a/internal/drain/tracked_conn.go
+++ b/internal/drain/tracked_conn.go
@@ -108,15 +108,23 @@
 // interruptRead makes the current and later reads fail. An error means that the connection is closed.
 func interruptRead(conn net.Conn) { _ = conn.SetReadDeadline(time.Unix(1, 0)) }
 
-// trackedConnOf returns the trackedConn that conn is, or carries TLS over; nil: none.
+// trackedConnOf returns the trackedConn that conn is, or that it wraps, as a tls.Conn does; nil: none.
 func trackedConnOf(conn net.Conn) *trackedConn {
-	if secured, ok := conn.(interface{ NetConn() net.Conn }); ok { // a tls.Conn
-		conn = secured.NetConn()
+	for {
+		if tracked, ok := conn.(*trackedConn); ok {
+			return tracked
+		}
+		wrapper, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		conn = wrapper.NetConn()
 	}
-	tracked, _ := conn.(*trackedConn)
-	return tracked
 }
 
+// NetConn returns the connection of the kernel.
+func (c *trackedConn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/internal/netx/netx.go
+++ b/internal/netx/netx.go
@@ -51,6 +51,46 @@
 	return n, err
 }
 
+// UnreadBytes returns how many bytes the kernel holds of a connection that have not been read.
+func UnreadBytes(conn net.Conn) (n int, err error) {
+	raw, ok := unwrap(conn).(syscall.Conn)
+	if !ok {
+		return 0, syscall.ENOTSUP
+	}
+	err = control(raw, func(fd int) error {
+		n, err = unix.IoctlGetInt(fd, unix.SIOCINQ)
+		return err
+	})
+	return n, err
+}
+
+// unwrap returns the connection that others wrap, as those of crypto/tls do.
+func unwrap(conn net.Conn) net.Conn {
+	for {
+		wrapper, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			return conn
+		}
+		conn = wrapper.NetConn()
+	}
+}
+
+// SetReceiveBuffer limits how many bytes the kernel holds of a connection that have not been read, or of each connection
+// that a listener accepts.
+func SetReceiveBuffer(c syscall.Conn, bytes int) error {
+	return control(c, func(fd int) error {
+		return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
+	})
+}
+
+// LimitReceiveBuffer limits how many bytes the kernel holds unread of each connection that a listener accepts. It has no
+// effect on a listener that is not of the kernel.
+func LimitReceiveBuffer(ln net.Listener, bytes int) {
+	if c, ok := ln.(syscall.Conn); ok {
+		_ = SetReceiveBuffer(c, bytes) // without it the kernel chooses a size
+	}
+}
+
 // SetUnackedTimeout replaces UnackedTimeout on one connection, for a peer that may read nothing for
 // longer.
 func SetUnackedTimeout(c syscall.Conn, d time.Duration) error {
@@ -65,6 +105,20 @@
 	return &net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
 }
 
+// LimitedDialer is Dialer with a limit on how many bytes the kernel holds of each connection that have not been read.
+func LimitedDialer(timeout time.Duration, receiveBuffer int) *net.Dialer {
+	d := Dialer(timeout)
+	d.Control = func(network, address string, c syscall.RawConn) error {
+		if err := setUserTimeout(network, address, c); err != nil {
+			return err
+		}
+		return c.Control(func(fd uintptr) {
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer) // without it the kernel chooses a size
+		})
+	}
+	return d
+}
+
 // Listen opens a TCP listener whose connections detect unresponsive peers.
 func Listen(address string) (net.Listener, error) {
 	return listenTCP(net.ListenConfig{KeepAliveConfig: keepAlive, Control: setUserTimeout}, address)
