Connlimit: what callers' connections use of memory and descriptors

Cause: nothing counted heads, parsed or on their way, nor connections. On this runtime a head of 16 kB of short lines holds 250 kB once it is parsed and 495 kB with the copy that is forwarded (31 times its bytes); one of a usual kind five times.

Change: a Limiter wraps the connections of a listener and follows them by the hooks of net/http: the connection, the head as it arrives (by bytes and lines, counted in the connection; net/http parses), the request, and what its handler reserves. Where there is no room it evicts connections by core/eviction and waits until they have released what they held. The limit on a head and the time for it are looked up for each head.

Nothing uses it yet.

--- /dev/null
+++ b/internal/connlimit/limiter.go
@@ -0,0 +1,410 @@
+// Package connlimit keeps what callers' connections use of a process's memory and descriptors within limits. It counts
+// what each connection costs from its first byte to the end of its response: the connection itself, the head of a
+// request as it arrives and as it is parsed, and what the handler reserves for the body and the response. When there
+// is no room for more, package eviction decides which connections are closed.
+//
+// A Limiter wraps the connections of one listener and follows them by the hooks of net/http.
+package connlimit
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/shedhoist/shedhoist/internal/core/buffer"
+	"github.com/shedhoist/shedhoist/internal/core/eviction"
+	"github.com/shedhoist/shedhoist/internal/metric"
+)
+
+// Options configures a Limiter.
+type Options struct {
+	Name   string         // of the listener, in metrics and log lines
+	Budget *buffer.Budget // shared by all listeners of the process
+	// Essential connections are admitted whether there is room in the budget or not: those of a load balancer or
+	// of operators, which MaxDescriptors keeps few.
+	Essential bool
+	// MaxDescriptors limits the open connections, each running request counted as one more: its connection to a target;
+	// 0: no limit.
+	MaxDescriptors int
+	// HeaderBytes returns the size of the largest head in force; 0: defaultHeaderBytes. It may be nil.
+	HeaderBytes func() int
+	// HeaderTimeout returns how long a head may take from its first byte on; 0: as long as the server allows. It
+	// may be nil.
+	HeaderTimeout func() time.Duration
+	Costs         Costs
+	Log           log.Interface
+	Now           func() time.Time
+}
+
+// Costs are what connections and requests cost, in bytes of memory.
+type Costs struct {
+	Conn    int64 // a connection: the goroutine that serves it, its buffers, and its entries in tables
+	Request int64 // a request under work: a deeper stack, its state, and a connection to a target
+	// HeadByte and HeadLine are those of a head, by its size: net/http makes an entry of a table and a string of
+	// each line, and parses the request line into several strings; a table that grows has its old half beside
+	// its new one.
+	HeadByte, HeadLine int64
+	CopiedLine         int64 // a line of the copy that is made to forward a head
+	// Unread is what the kernel may hold of a connection to a target while the caller is slow.
+	Unread int64
+}
+
+// DefaultCosts are those of a plain connection over TCP.
+var DefaultCosts = Costs{Conn: 20 << 10, Request: 40 << 10, HeadByte: 3, HeadLine: 120, CopiedLine: 110, Unread: 32 << 10}
+
+// ofHead returns what a head costs while it is parsed.
+func (c Costs) ofHead(s headSize) int64 { return c.HeadByte*s.bytes + c.HeadLine*s.lines }
+
+// ofRequest returns what a request with a head costs that has been parsed and is forwarded.
+func (c Costs) ofRequest(s headSize) int64 { return c.Request + c.ofHead(s) + c.CopiedLine*s.lines }
+
+const (
+	// roomTimeout bounds the wait for evicted connections to end.
+	roomTimeout = time.Second
+	// evictedAhead is the share of the budget that is freed at a time, so that connections are ranked rarely.
+	evictedAhead = 1.0 / 64
+	// overdraft is the share of the budget by which new connections may exceed it until those that were evicted
+	// for them have ended.
+	overdraft = 1.0 / 16
+	// reportInterval is the shortest time between two log lines about evicted connections.
+	reportInterval = time.Second
+)
+
+// Limiter limits the connections of one listener.
+type Limiter struct {
+	options Options
+
+	mu       sync.Mutex
+	conns    map[*Conn]struct{} // open and not evicted
+	running  int                // of conns
+	evicting map[*Conn]struct{} // evicted, and not ended by the server yet
+	waiters  int
+	freed    chan struct{} // closed when bytes are released, while there are waiters
+	evicted  int64         // connections evicted since the last log line
+	reported time.Time     // when that was written
+}
+
+// New returns a limiter without connections.
+func New(o Options) *Limiter {
+	return &Limiter{options: o, conns: map[*Conn]struct{}{}, evicting: map[*Conn]struct{}{}, freed: make(chan struct{})}
+}
+
+// Listener returns a listener whose connections are limited.
+func (l *Limiter) Listener(ln net.Listener) net.Listener { return &listener{Listener: ln, limiter: l} }
+
+type listener struct {
+	net.Listener
+	limiter *Limiter
+}
+
+// Accept implements net.Listener. It closes connections for which there is no room.
+func (ln *listener) Accept() (net.Conn, error) {
+	for {
+		conn, err := ln.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := ln.limiter.admit(conn); c != nil {
+			return c, nil
+		}
+		conn.Close()
+	}
+}
+
+// admit takes up a new connection, or returns nil if there is no room for it. It doesn't wait: the bytes of those
+// that are evicted for it are released soon.
+func (l *Limiter) admit(conn net.Conn) *Conn {
+	c := &Conn{Conn: conn, limiter: l, holder: buffer.NewHolder(l.options.Budget), progressAt: l.options.Now(), evictedSignal: make(chan struct{})}
+	c.startHead()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.freeDescriptor() {
+		metric.ConnectionsRefused(l.options.Name, "descriptors").Inc()
+		return nil
+	}
+	if cost := l.options.Costs.Conn; !c.tryReserve(cost) {
+		if !l.evictFor(c, cost) || !l.mayOverdraw(cost) {
+			metric.ConnectionsRefused(l.options.Name, "memory").Inc()
+			return nil
+		}
+		c.holder.Add(cost)
+	}
+	l.conns[c] = struct{}{}
+	return c
+}
+
+// mayOverdraw reports whether n more bytes may be held before those of evicted connections are released. l.mu is held.
+func (l *Limiter) mayOverdraw(n int64) bool {
+	limit := float64(l.options.Budget.Limit())
+	return float64(l.options.Budget.Held()+n) <= limit+overdraft*limit
+}
+
+// freeDescriptor reports whether one more descriptor may be used, and evicts a connection for it if need be. l.mu is
+// held.
+func (l *Limiter) freeDescriptor() bool {
+	if l.options.MaxDescriptors <= 0 || len(l.conns)+l.running < l.options.MaxDescriptors {
+		return true
+	}
+	conns, candidates := l.candidates(nil)
+	i, ok := eviction.ForConnection(candidates)
+	return ok && l.evict(conns[i])
+}
+
+// candidates returns all connections but one, and what is known of each. l.mu is held.
+func (l *Limiter) candidates(except *Conn) ([]*Conn, []eviction.Candidate) {
+	conns, candidates := make([]*Conn, 0, len(l.conns)), make([]eviction.Candidate, 0, len(l.conns))
+	now := l.options.Now()
+	for c := range l.conns {
+		if c != except {
+			conns, candidates = append(conns, c), append(candidates, c.candidate(now))
+		}
+	}
+	return conns, candidates
+}
+
+// evictFor evicts connections so that c may reserve n more bytes, and returns false if not enough of them may be. l.mu
+// is held.
+func (l *Limiter) evictFor(c *Conn, n int64) bool {
+	lacks := c.holder.Lacks(n) - l.evictingBytes()
+	if lacks <= 0 {
+		return true
+	}
+	conns, candidates := l.candidates(c)
+	held := c.holder.Held() + n
+	ahead := int64(evictedAhead * float64(l.options.Budget.Limit()))
+	victims := eviction.ForMemory(candidates, lacks+ahead, held)
+	if victims == nil {
+		victims = eviction.ForMemory(candidates, lacks, held)
+	}
+	for _, i := range victims {
+		l.evict(conns[i])
+	}
+	return victims != nil
+}
+
+// evictingBytes returns how many bytes evicted connections have not released yet. l.mu is held.
+func (l *Limiter) evictingBytes() (sum int64) {
+	for c := range l.evicting {
+		sum += c.holder.Held()
+	}
+	return sum
+}
+
+// evict closes a connection, unless its request has become whole since it was chosen. What it holds is released once
+// the server has noticed. l.mu is held.
+func (l *Limiter) evict(c *Conn) bool {
+	phase, ok := c.markEvicted()
+	if !ok {
+		return false
+	}
+	delete(l.conns, c)
+	l.evicting[c] = struct{}{}
+	c.Conn.Close()
+	metric.ConnectionsEvicted(l.options.Name, phase.String()).Inc()
+	l.evicted++
+	l.report()
+	return true
+}
+
+// report logs how many connections were evicted, at most once in reportInterval. l.mu is held.
+func (l *Limiter) report() {
+	now := l.options.Now()
+	if now.Sub(l.reported) < reportInterval {
+		return
+	}
+	l.options.Log.WithField("listener", l.options.Name).WithField("evicted", l.evicted).WithField("open", len(l.conns)).WithField("running", l.running).
+		WithField("held_bytes", l.options.Budget.Held()).WithField("limit_bytes", l.options.Budget.Limit()).Warn("connections evicted to make room")
+	l.evicted, l.reported = 0, now
+}
+
+// makeRoom evicts connections so that c may reserve n more bytes, and waits until some bytes are released. It returns
+// false if there will be no room.
+func (l *Limiter) makeRoom(c *Conn, n int64) bool {
+	l.mu.Lock()
+	if c.isEvicted() || !l.evictFor(c, n) {
+		l.mu.Unlock()
+		return false
+	}
+	freed := l.freed
+	l.waiters++
+	l.mu.Unlock()
+	defer func() {
+		l.mu.Lock()
+		l.waiters--
+		l.mu.Unlock()
+	}()
+	if c.holder.Lacks(n) == 0 { // released before this connection waited
+		return true
+	}
+	timeout := time.NewTimer(roomTimeout)
+	defer timeout.Stop()
+	select {
+	case <-freed:
+		return true
+	case <-c.evictedSignal:
+	case <-timeout.C:
+	}
+	return false
+}
+
+// wake lets those that wait for room look again. l.mu is held.
+func (l *Limiter) wake() {
+	if l.waiters > 0 {
+		close(l.freed)
+		l.freed = make(chan struct{})
+	}
+}
+
+// addRunning counts a request that has become whole. It makes room for the descriptor that its connection to a target
+// uses, if it can.
+func (l *Limiter) addRunning() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.running++
+	if l.options.MaxDescriptors > 0 && len(l.conns)+l.running > l.options.MaxDescriptors {
+		l.freeDescriptor()
+	}
+}
+
+// requestEnded notes that a request has released what it held.
+func (l *Limiter) requestEnded(wasRunning bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if wasRunning {
+		l.running--
+	}
+	l.wake()
+}
+
+// bytesReleased notes that a request has released some of what it holds.
+func (l *Limiter) bytesReleased() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.wake()
+}
+
+// remove forgets a closed connection.
+func (l *Limiter) remove(c *Conn) {
+	l.mu.Lock()
+	delete(l.conns, c)
+	delete(l.evicting, c)
+	l.wake()
+	l.mu.Unlock()
+}
+
+// CountUnread counts what the kernel holds unread of the connections, each receiveBuffer bytes at most, if it may be
+// much, and evicts connections if there is no room for it.
+func (l *Limiter) CountUnread(receiveBuffer int64) {
+	conns := l.mayHoldUnread(receiveBuffer)
+	for _, c := range conns {
+		c.countUnread()
+	}
+	if len(conns) == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.evictExcess()
+}
+
+// unreadAllowance is the share of the budget that unread bytes may exceed it by before they are counted.
+const unreadAllowance = 1.0 / 16
+
+// mayHoldUnread returns the connections on which a request is under work, if their unread bytes may be more than
+// unreadAllowance: the others are read as bytes arrive.
+func (l *Limiter) mayHoldUnread(receiveBuffer int64) (out []*Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	limit := l.options.Budget.Limit()
+	if limit <= 0 || float64(int64(l.running)*receiveBuffer) <= unreadAllowance*float64(limit) {
+		return nil
+	}
+	for c := range l.conns {
+		out = append(out, c)
+	}
+	return out
+}
+
+// evictExcess evicts connections while callers hold more than the budget's limit. l.mu is held.
+func (l *Limiter) evictExcess() {
+	excess := l.options.Budget.Held() - l.options.Budget.Limit() - l.evictingBytes()
+	if excess <= 0 {
+		return
+	}
+	conns, candidates := l.candidates(nil)
+	for _, i := range eviction.ForMemory(candidates, excess, 0) {
+		l.evict(conns[i])
+	}
+}
+
+// Connections returns the number of open connections.
+func (l *Limiter) Connections() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
+// connKey is the key of the connection in a request's context.
+type connKey struct{}
+
+// Attach installs hooks in the server that follow its connections. A request for which there is no room goes to refuse,
+// which must not run it; nil: its connection is closed. The server's own hooks are still called. It must be called before
+// the server serves.
+func (l *Limiter) Attach(srv *http.Server, refuse http.Handler) {
+	if refuse == nil {
+		refuse = http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	}
+	onState, onContext, next := srv.ConnState, srv.ConnContext, srv.Handler
+	srv.ConnState = func(conn net.Conn, state http.ConnState) {
+		if onState != nil {
+			onState(conn, state)
+		}
+		if c, ok := conn.(*Conn); ok {
+			c.setState(state)
+		}
+	}
+	srv.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		if onContext != nil {
+			ctx = onContext(ctx, conn)
+		}
+		if c, ok := conn.(*Conn); ok {
+			ctx = context.WithValue(ctx, connKey{}, c)
+		}
+		return ctx
+	}
+	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := FromRequest(r)
+		if c == nil {
+			next.ServeHTTP(w, r)
+			return
+		}
+		c.handle(w, r, next, refuse)
+	})
+}
+
+// handle serves a request that came on a connection.
+func (c *Conn) handle(w http.ResponseWriter, r *http.Request, next, refuse http.Handler) {
+	defer c.endRequest()
+	if c.beginRequest(r) {
+		next.ServeHTTP(w, r)
+	} else {
+		refuse.ServeHTTP(w, r)
+	}
+	if c.isEvicted() {
+		panic(http.ErrAbortHandler) // the server would otherwise wait for the caller to notice the close
+	}
+}
+
+// FromRequest returns the connection on which a request came, or nil if its server has no limiter. All methods that
+// handlers use may be called on nil.
+func FromRequest(r *http.Request) *Conn { return FromContext(r.Context()) }
+
+// FromContext is FromRequest with the request's context.
+func FromContext(ctx context.Context) *Conn {
+	c, _ := ctx.Value(connKey{}).(*Conn)
+	return c
+}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -108,6 +108,22 @@
 	return metrics.GetOrCreateCounter(fmt.Sprintf(`shedhoist_streams_taken_up_total{known=%q}`, known))
 }
 
+// HeadsRefused counts heads of requests that were not read to their end, by reason.
+func HeadsRefused(reason string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`shedhoist_heads_refused_total{reason=%q}`, reason))
+}
+
+// ConnectionsEvicted counts callers' connections that were closed to make room for others, by listener and by what they
+// were used for.
+func ConnectionsEvicted(listener, phase string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`shedhoist_connections_evicted_total{listener=%q,phase=%q}`, listener, phase))
+}
+
+// ConnectionsRefused counts callers' connections that were closed at once, by listener and by what was lacking for them.
+func ConnectionsRefused(listener, lack string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`shedhoist_connections_refused_total{listener=%q,lack=%q}`, listener, lack))
+}
+
 // SetGauge sets the gauge of the given name, which it creates if necessary.
 func SetGauge(name string, value float64) { metrics.GetOrCreateGauge(name, nil).Set(value) }
 
