Heads, connections and growing bodies are counted, and what stalls gives way

What callers saw: a crowd whose requests stop short took several times the memory of the machine, and the platform ends such a process. Others were refused for ten seconds, as long as bodies that stay a byte short kept all the room.

Cause: the instance's account counted the bytes of bodies, answers and what is read ahead. A parsed head costs some thirty times its bytes and was counted nowhere, nor were heads on their way and connections; a chunked body was counted by the byte while its buffer held an old and a new half; what was counted kept its room whatever else came.

Change: the callers' listener has a connlimit.Limiter on the same budget. Bodies are read into pieces that are never copied, each reserved before it is read; a buffered answer that grows is counted twice while it is copied; headers of answers, large events and the parts of prompts are counted. Callers may use 5/16 of the memory limit (a quarter before, for bodies alone). A body that net/http reads after a refusal is bounded in time like one that is read.

TestBodyBeyondBudget: a body of which nothing arrives no longer keeps its room, which it asserted; the new one asks that a whole request at a target keeps its room against three others, and that a body that does not arrive gives way. The other tests of slow callers count what they did before, by costs of zero for connections.

--- a/internal/caller/model.go
+++ b/internal/caller/model.go
@@ -13,6 +13,7 @@
 	"github.com/tidwall/gjson"
 
 	"github.com/shedhoist/shedhoist/internal/body"
+	"github.com/shedhoist/shedhoist/internal/connlimit"
 	"github.com/shedhoist/shedhoist/internal/core/prefix"
 	"github.com/shedhoist/shedhoist/internal/dispatch"
 	"github.com/shedhoist/shedhoist/internal/problem"
@@ -50,7 +51,11 @@
 	if w != nil {
 		_ = http.NewResponseController(w).SetReadDeadline(s.Now().Add(time.Duration(s.Limits.BodySeconds) * time.Second))
 	}
-	data, err := body.Read(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
+	read, err := body.Read(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, connlimit.FromRequest(r))
+	if err != nil {
+		return nil, body.Problem(err)
+	}
+	data, err := read.Bytes()
 	if err != nil {
 		return nil, body.Problem(err)
 	}
--- a/internal/core/quarantine/bench_test.go
+++ b/internal/core/quarantine/bench_test.go
@@ -17,7 +17,7 @@
 	b.ReportAllocs()
 	for i := range b.N {
 		body[0], body[1], body[2] = byte(i), byte(i>>8), byte(i>>16)
-		k := quarantine.KeyOf(quarantine.Request{Customer: "customer", Method: "POST", Host: "a.example", URI: "/route/1/2", Body: body})
+		k := quarantine.KeyOf(quarantine.Request{Customer: "customer", Method: "POST", Host: "a.example", URI: "/route/1/2", Body: [][]byte{body}})
 		tracker.RecordAnswer(k, start)
 	}
 }
--- a/internal/core/quarantine/key.go
+++ b/internal/core/quarantine/key.go
@@ -24,8 +24,8 @@
 	Customer string // "": anonymous, the route is public
 	Method   string
 	Host     string
-	URI      string // path and query, as the caller sent them
-	Body     []byte
+	URI      string   // path and query, as the caller sent them
+	Body     [][]byte // in pieces
 }
 
 // KeyOf returns the key of a request.
@@ -37,7 +37,9 @@
 		h.Write(size[:]) // the length prefix keeps the parts' boundaries unambiguous
 		h.Write([]byte(part))
 	}
-	h.Write(r.Body)
+	for _, piece := range r.Body {
+		h.Write(piece)
+	}
 	return Key(h.Sum(nil)[:len(Key{})])
 }
 
--- a/internal/core/quarantine/tracker_test.go
+++ b/internal/core/quarantine/tracker_test.go
@@ -16,7 +16,7 @@
 func at(d time.Duration) time.Time { return start.Add(d) }
 
 func keyOf(body string) quarantine.Key {
-	return quarantine.KeyOf(quarantine.Request{Customer: "c", Method: "POST", Host: "h", URI: "/p", Body: []byte(body)})
+	return quarantine.KeyOf(quarantine.Request{Customer: "c", Method: "POST", Host: "h", URI: "/p", Body: [][]byte{[]byte(body)}})
 }
 
 // recordCrashes records crashes of n targets, one per second from start on.
@@ -35,15 +35,15 @@
 // also if bytes move from one part to its neighbour.
 func TestKeyCoversWholeRequest(t *testing.T) {
 	is := is.New(t)
-	r := quarantine.Request{Customer: "c", Method: "POST", Host: "h", URI: "/p", Body: []byte("b")}
+	r := quarantine.Request{Customer: "c", Method: "POST", Host: "h", URI: "/p", Body: [][]byte{[]byte("b")}}
 	is.Equal(quarantine.KeyOf(r), quarantine.KeyOf(r))
 	for _, other := range []quarantine.Request{
-		{Customer: "d", Method: "POST", Host: "h", URI: "/p", Body: []byte("b")},
-		{Customer: "c", Method: "PUT", Host: "h", URI: "/p", Body: []byte("b")},
-		{Customer: "c", Method: "POST", Host: "h2", URI: "/p", Body: []byte("b")},
+		{Customer: "d", Method: "POST", Host: "h", URI: "/p", Body: [][]byte{[]byte("b")}},
+		{Customer: "c", Method: "PUT", Host: "h", URI: "/p", Body: [][]byte{[]byte("b")}},
+		{Customer: "c", Method: "POST", Host: "h2", URI: "/p", Body: [][]byte{[]byte("b")}},
 		{Customer: "c", Method: "POST", Host: "h", URI: "/pb"},
-		{Customer: "c", Method: "POST", Host: "h/", URI: "p", Body: []byte("b")},
-		{Customer: "c", Method: "POST", Host: "h", URI: "/p", Body: []byte("b2")},
+		{Customer: "c", Method: "POST", Host: "h/", URI: "p", Body: [][]byte{[]byte("b")}},
+		{Customer: "c", Method: "POST", Host: "h", URI: "/p", Body: [][]byte{[]byte("b2")}},
 	} {
 		is.True(quarantine.KeyOf(r) != quarantine.KeyOf(other))
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -135,6 +135,7 @@
 	case err == nil:
 		defer resp.Body.Close()
 		at.httpResponse, at.response = resp, x.g.codec.ParseResponse(resp.StatusCode, resp.Header)
+		x.conn.AddHeader(resp.Header)
 		x.g.upstream.learnKeepAlive(t.Service, at.response.KeepAliveTimeout)
 		if x.matchesResponse(at.response) {
 			x.notice = at.response.Notice
--- a/internal/gateway/buffered_response.go
+++ b/internal/gateway/buffered_response.go
@@ -59,6 +59,7 @@
 	head.body = nil
 	x.release(head)
 	buf := make([]byte, maxWritePiece)
+	x.conn.Add(maxWritePiece)
 	for {
 		n, readErr := at.httpResponse.Body.Read(buf)
 		if n > 0 {
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -104,7 +104,7 @@
 	if x.relayed {
 		zone = x.g.relays.homeZone()
 	}
-	q := placement.Query{Zone: zone, RolloutTimeout: set.RolloutWithin, ConcurrencyPenaltyMS: x.concurrencyPenaltyMS(), RequestBytes: len(x.body), Rand: rand.Float64, Policy: set.Policy,
+	q := placement.Query{Zone: zone, RolloutTimeout: set.RolloutWithin, ConcurrencyPenaltyMS: x.concurrencyPenaltyMS(), RequestBytes: x.body.Len(), Rand: rand.Float64, Policy: set.Policy,
 		NeededTokens: x.call.memoryTokens(), Started: x.binding != nil || x.headerSent || x.possibleRuns > 0, LostIfCutOff: x.lostIfCutOff(), RunTime: x.runTime()}
 	x.setAdmissionLimits(&q)
 	x.addSlotQuery(&q)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -8,7 +8,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/shedhoist/shedhoist/internal/body"
 	"github.com/shedhoist/shedhoist/internal/catalog"
+	"github.com/shedhoist/shedhoist/internal/connlimit"
 	"github.com/shedhoist/shedhoist/internal/core/attempt"
 	"github.com/shedhoist/shedhoist/internal/core/placement"
 	"github.com/shedhoist/shedhoist/internal/core/quarantine"
@@ -31,8 +33,8 @@
 	call     CallerRequest
 	route    *catalog.Route
 	customer *catalog.Customer // nil if the route is public
-	body     []byte
-	heldBody int64 // bytes of the instance's budget that the body uses
+	body     *body.Body
+	conn     *connlimit.Conn // counts what the request holds; nil: the caller's listener has no limits
 	service  string
 	out      *callerWriter // set by run
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/apex/log"
 
 	"github.com/shedhoist/shedhoist/internal/breaker"
+	"github.com/shedhoist/shedhoist/internal/connlimit"
 	"github.com/shedhoist/shedhoist/internal/core/admission"
 	"github.com/shedhoist/shedhoist/internal/core/buffer"
 	"github.com/shedhoist/shedhoist/internal/core/member"
@@ -30,11 +31,11 @@
 	"github.com/shedhoist/shedhoist/internal/core/warmup"
 	"github.com/shedhoist/shedhoist/internal/drain"
 	"github.com/shedhoist/shedhoist/internal/loadreport"
-	"github.com/shedhoist/shedhoist/internal/logline"
 	"github.com/shedhoist/shedhoist/internal/netx"
 	"github.com/shedhoist/shedhoist/internal/peer"
 	"github.com/shedhoist/shedhoist/internal/platform"
 	"github.com/shedhoist/shedhoist/internal/registry"
+	"github.com/shedhoist/shedhoist/internal/resources"
 	"github.com/shedhoist/shedhoist/internal/wait"
 )
 
@@ -47,6 +48,8 @@
 	// of this machine. Tests set them to an in-memory network.
 	Listen func(address string) (net.Listener, error)
 	Dial   peer.DialFunc
+	// ConnCosts is what callers' connections cost; nil: connlimit.DefaultCosts.
+	ConnCosts *connlimit.Costs
 }
 
 // Gateway is one entry instance.
@@ -107,7 +110,8 @@
 	streams         streamVersions // the versions of the targets' software that began streams
 	relays          relays         // peers that reach targets for this instance
 	breaker         *breaker.Set   // targets whose requests fail
-	buffers         *buffer.Budget // bytes that requests hold in memory
+	buffers         *buffer.Budget // bytes that callers make this instance hold in memory
+	callerLimiter   *connlimit.Limiter
 	retryBudgets    retryBudgets
 	// admissions is the history of admitted and refused prompts, by service and level.
 	admissions admission.History
@@ -154,7 +158,7 @@
 	g.zoneMonitor.g, g.zoneMonitor.waiting = g, map[string]map[*attemptState]func(){}
 	g.crashDetector = &crashDetector{g: g, checks: map[string]*crashCheck{}}
 	g.breaker = breaker.New(g.now)
-	g.buffers = buffer.New(bufferLimit(set.MemoryBytes))
+	g.buffers = buffer.New(resources.CallerMemory(set.MemoryBytes))
 	g.predictor = placement.NewPredictor()
 	g.peerLoads, g.peerSilences, g.peerPendingSaves = loadreport.NewPeerWork(loadReportTTL), loadreport.NewUnresponsiveTargets(loadReportTTL), loadreport.NewPendingSaves(pendingSaveTTL, loadReportTTL)
 	g.peerRequests = loadreport.NewPeerRequests(loadReportTTL)
@@ -167,7 +171,10 @@
 	if ports.Listen == nil {
 		ports.Listen = netx.Listen
 	}
-	if err := g.listen(ports.Listen, ports.Dial); err != nil {
+	if ports.ConnCosts == nil {
+		ports.ConnCosts = &connlimit.DefaultCosts
+	}
+	if err := g.listen(ports); err != nil {
 		g.closeListeners()
 		g.cancel()
 		return nil, err
@@ -189,55 +196,6 @@
 
 func (g *Gateway) seeds() []string { return g.settings().Seeds }
 
-// Limits of the callers' listener, independent of the configuration.
-const (
-	headerTimeout  = 10 * time.Second
-	idleTimeout    = 120 * time.Second // above any idle limit announced to callers
-	maxHeaderBytes = 64 << 10          // bytes
-)
-
-func (g *Gateway) listen(open func(address string) (net.Listener, error), dial peer.DialFunc) error {
-	set := g.settings()
-	sec := peer.Security{Secret: []byte(peerSecret)}
-	g.pool = peer.NewPoolWithDialer(dial, sec, g.now)
-	var err error
-	if g.peers, err = peer.NewServerFor(peerService, &peerHandler{g}, sec); err != nil {
-		return err
-	}
-	g.peers.SetTunnels(g.relays.open)
-	for _, l := range [...]struct {
-		into    *net.Listener
-		address string
-	}{{&g.callerLn, set.CallerListen}, {&g.readyLn, set.ReadyListen}, {&g.peerLn, set.PeerListen}, {&g.metricsLn, set.MetricsListen}} {
-		if l.address == "" {
-			continue
-		}
-		if *l.into, err = open(l.address); err != nil {
-			return err
-		}
-	}
-	errorLog := logline.Logger(g.log)
-	idle := &idleConns{limit: g.idleLimit, close: func(conn net.Conn) { g.callerSrv.CloseIdle(conn) }}
-	callers := &http.Server{Handler: http.HandlerFunc(g.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: errorLog, ConnState: idle.onStateChange}
-	g.callerSrv = drain.NewServer(callers, g.callerLn, nil, g.log)
-	ready := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: errorLog}
-	g.readySrv = drain.NewServer(ready, g.readyLn, nil, g.log)
-	if g.metricsLn != nil {
-		scrapes := &http.Server{Handler: http.HandlerFunc(g.serveMetrics), ReadHeaderTimeout: headerTimeout, ErrorLog: errorLog}
-		g.metricsSrv = drain.NewServer(scrapes, g.metricsLn, nil, g.log)
-	}
-	return nil
-}
-
-// idleLimit returns the configured idle timeout of callers' connections; 0: none.
-func (g *Gateway) idleLimit() time.Duration {
-	if cfg := g.view.Load().Config; cfg != nil {
-		return cfg.Limits.IdleTimeout
-	}
-	return 0
-}
-
 func (g *Gateway) closeListeners() {
 	for _, ln := range [...]net.Listener{g.callerLn, g.readyLn, g.peerLn, g.metricsLn} {
 		if ln != nil {
--- a/internal/gateway/held_bytes.go
+++ b/internal/gateway/held_bytes.go
@@ -3,91 +3,64 @@
 import (
 	"errors"
 	"io"
+	"net/http"
 
 	"github.com/shedhoist/shedhoist/internal/body"
+	"github.com/shedhoist/shedhoist/internal/connlimit"
 	"github.com/shedhoist/shedhoist/internal/metric"
 	"github.com/shedhoist/shedhoist/internal/problem"
 )
 
-// bufferMemoryShare is the share of the instance's memory limit that bodies, buffered answers and data
-// read ahead may use. Go's heap grows to twice what is in use before a collection ends, so that a
-// quarter in use takes up to half of the memory. The other half is for connections, the catalog
-// and the directory of the cache.
-const bufferMemoryShare = 0.25
-
-// bufferLimit returns the limit in bytes for an instance; 0 is none.
-func bufferLimit(memoryBytes int64) int64 { return int64(bufferMemoryShare * float64(memoryBytes)) }
-
-// BufferFullError reports that the instance can't hold more bytes of requests.
-type BufferFullError struct{}
-
-// Error implements error.
-func (*BufferFullError) Error() string {
-	return "the bodies and answers in hand use up this instance's memory for them"
-}
-
-// holdBody reserves room for n bytes of the request's body until the request ends.
-func (x *exchange) holdBody(n int64) bool {
-	if !x.g.buffers.Reserve(n) {
-		return false
-	}
-	x.heldBody += n
-	return true
-}
-
-// releaseHeld returns what the request's body and a fallback response use.
-func (x *exchange) releaseHeld() {
-	x.g.buffers.Release(x.heldBody)
-	x.heldBody = 0
-	x.release(x.fallback)
-}
-
 // release returns what a buffered response uses.
 func (x *exchange) release(b *bufferedResponse) {
 	if b != nil {
-		x.g.buffers.Release(b.reserved)
+		x.conn.Release(b.reserved)
 		b.reserved = 0
 	}
 }
 
-// holdingReader reserves room for the bytes that are read through it: the size of a chunked body
-// is not known before.
-type holdingReader struct {
-	r io.Reader
-	x *exchange
-}
-
-// Read implements io.Reader.
-func (h *holdingReader) Read(p []byte) (int, error) {
-	n, err := h.r.Read(p)
-	if n > 0 && !h.x.holdBody(int64(n)) {
-		return 0, &BufferFullError{}
-	}
-	return n, err
-}
-
 // bodyProblem maps an error from reading the body to a problem.
 func (x *exchange) bodyProblem(err error) *problem.Problem {
-	var full *BufferFullError
-	if errors.As(err, &full) {
+	var full *body.FullError
+	if errors.As(err, &full) || x.conn.Evicted() {
 		return x.bufferFull()
 	}
 	return body.Problem(err)
 }
 
-// bufferFull refuses a request whose body this instance can't hold. Its connection is closed, since
-// net/http would otherwise read the body before it sends the refusal.
+// bufferFull refuses a request for which there is no room. Its connection is closed, since net/http would otherwise read
+// the body before it sends the refusal.
 func (x *exchange) bufferFull() *problem.Problem {
 	metric.BodiesRefused.Inc()
 	x.w.Header().Set("Connection", "close")
-	return retryLater(problem.Overloaded, (&BufferFullError{}).Error(), retryAfterShort)
+	return retryLater(problem.Overloaded, (&body.FullError{}).Error(), retryAfterShort)
+}
+
+// refuseForRoom refuses a request that there was no room to begin.
+func (g *Gateway) refuseForRoom(w http.ResponseWriter, r *http.Request) {
+	x := &exchange{g: g, w: w, r: r, arrived: g.now(), view: g.view.Load(), conn: connlimit.FromRequest(r)}
+	x.limitBodyTime(bodyTimeout)
+	x.call, _ = g.codec.ParseRequest(r.Header) // of a header that can't be parsed the id is enough
+	x.refuse(x.bufferFull())
+	limitLastWrite(w, g.now(), nil)
+}
+
+// partBytes is what a part of a prompt costs while its request is under work: its entries in the plan of what is fetched
+// and saved, and its keys.
+const partBytes = 512
+
+// holdParts counts the parts of the request's prompt.
+func (x *exchange) holdParts() {
+	if x.call.Prompt != nil {
+		x.conn.Add(partBytes * int64(len(x.call.Prompt.Parts)))
+	}
 }
 
 // initialResponseBuffer is the initial buffer for an answer of unknown length.
 const initialResponseBuffer = 4 << 10
 
 // bufferResponse reads a target's response up to maxBufferedResponse. whole is false if there is
-// more, since it is larger or the budget leaves no room for it.
+// more, since it is larger or there is no room for it.
 func (x *exchange) bufferResponse(at *attemptState) (b *bufferedResponse, whole bool, err error) {
 	b = &bufferedResponse{status: at.httpResponse.StatusCode, header: at.httpResponse.Header}
 	size := int64(initialResponseBuffer)
@@ -96,11 +69,9 @@
 	}
 	for {
 		if len(b.body) == cap(b.body) {
-			if len(b.body) > maxBufferedResponse || !x.g.buffers.Reserve(size-b.reserved) {
+			if len(b.body) > maxBufferedResponse || !x.growResponse(b, size) {
 				return b, false, nil
 			}
-			b.reserved = size
-			b.body = append(make([]byte, 0, size), b.body...)
 			size = min(2*size, maxBufferedResponse+1)
 		}
 		n, err := at.httpResponse.Body.Read(b.body[len(b.body):cap(b.body)])
@@ -113,3 +84,15 @@
 		}
 	}
 }
+
+// growResponse gives a buffered response a buffer of a size, or returns false if there is no room for it. The old buffer
+// is held until it has been copied.
+func (x *exchange) growResponse(b *bufferedResponse, size int64) bool {
+	if !x.conn.Reserve(size) {
+		return false
+	}
+	b.body = append(make([]byte, 0, size), b.body...)
+	x.conn.Release(b.reserved)
+	b.reserved = size
+	return true
+}
--- /dev/null
+++ b/internal/gateway/listeners.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/shedhoist/shedhoist/internal/connlimit"
+	"github.com/shedhoist/shedhoist/internal/drain"
+	"github.com/shedhoist/shedhoist/internal/logline"
+	"github.com/shedhoist/shedhoist/internal/peer"
+)
+
+// Limits of the listeners, independent of the configuration.
+const (
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 120 * time.Second // above any idle limit announced to callers
+)
+
+func (g *Gateway) listen(ports Ports) error {
+	set := g.settings()
+	sec := peer.Security{Secret: []byte(peerSecret)}
+	g.pool = peer.NewPoolWithDialer(ports.Dial, sec, g.now)
+	var err error
+	if g.peers, err = peer.NewServerFor(peerService, &peerHandler{g}, sec); err != nil {
+		return err
+	}
+	g.peers.SetTunnels(g.relays.open)
+	for _, l := range [...]struct {
+		into    *net.Listener
+		address string
+	}{{&g.callerLn, set.CallerListen}, {&g.readyLn, set.ReadyListen}, {&g.peerLn, set.PeerListen}, {&g.metricsLn, set.MetricsListen}} {
+		if l.address == "" {
+			continue
+		}
+		if *l.into, err = ports.Listen(l.address); err != nil {
+			return err
+		}
+	}
+	g.serveCallersOn(ports)
+	errorLog := logline.Logger(g.log)
+	ready := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: errorLog}
+	g.readySrv = drain.NewServer(ready, g.readyLn, nil, g.log)
+	if g.metricsLn != nil {
+		scrapes := &http.Server{Handler: http.HandlerFunc(g.serveMetrics), ReadHeaderTimeout: headerTimeout, ErrorLog: errorLog}
+		g.metricsSrv = drain.NewServer(scrapes, g.metricsLn, nil, g.log)
+	}
+	return nil
+}
+
+// serveCallersOn makes the server of the callers' listener.
+func (g *Gateway) serveCallersOn(ports Ports) {
+	idle := &idleConns{limit: g.idleLimit, close: func(conn net.Conn) { g.callerSrv.CloseIdle(conn) }}
+	srv := &http.Server{Handler: http.HandlerFunc(g.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: connlimit.MaxHeaderBytes, ErrorLog: logline.Logger(g.log), ConnState: idle.onStateChange}
+	g.callerLimiter = connlimit.New(connlimit.Options{Name: "callers", Budget: g.buffers, HeaderBytes: g.headerLimit,
+		Costs: *ports.ConnCosts, Log: g.log, Now: g.now})
+	g.callerLimiter.Attach(srv, http.HandlerFunc(g.refuseForRoom))
+	g.callerSrv = drain.NewServer(srv, g.callerLn, nil, g.log)
+	g.callerSrv.WrapListener(g.callerLimiter.Listener)
+}
+
+// headerLimit returns the configured size of the largest head of a request, in bytes; 0: none.
+func (g *Gateway) headerLimit() int {
+	if cfg := g.view.Load().Config; cfg != nil {
+		return cfg.Limits.HeaderBytes
+	}
+	return 0
+}
+
+// idleLimit returns the configured idle timeout of callers' connections; 0: none.
+func (g *Gateway) idleLimit() time.Duration {
+	if cfg := g.view.Load().Config; cfg != nil {
+		return cfg.Limits.IdleTimeout
+	}
+	return 0
+}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -90,7 +90,7 @@
 		return x.suspectsCache
 	}
 	label := quarantine.Label{Customer: x.customerName(), Route: x.routeName()}
-	whole := quarantine.KeyOf(quarantine.Request{Customer: label.Customer, Method: x.r.Method, Host: x.r.Host, URI: x.r.URL.RequestURI(), Body: x.body})
+	whole := quarantine.KeyOf(quarantine.Request{Customer: label.Customer, Method: x.r.Method, Host: x.r.Host, URI: x.r.URL.RequestURI(), Body: x.body.Pieces()})
 	out := []suspect{{key: whole, label: label}}
 	if p := x.call.Prompt; p != nil && len(p.Parts) > 1 {
 		shared := p.Parts[:len(p.Parts)-1]
--- a/internal/gateway/read_ahead.go
+++ b/internal/gateway/read_ahead.go
@@ -13,6 +13,8 @@
 	// maxReadAhead bounds what is read ahead for one stream. A stream of 30 kB a second, faster
 	// than any model writes, fills it in 8 s, the longest patience of usual routes.
 	maxReadAhead = 256 << 10
+	// usualEvent is how many bytes of an event are part of what each request costs.
+	usualEvent = 4 << 10
 	// eventOverhead is counted for each event on top of its bytes: its entry in the queue and
 	// the rounding up of its allocation.
 	eventOverhead = 96
@@ -25,10 +27,11 @@
 // promptly, the goroutine of the request reads them itself. When a write to the caller is slow,
 // another goroutine reads ahead, until the caller has caught up or the response ends.
 type eventSource struct {
-	x      *exchange
-	at     *attemptState
-	events eventReader // belongs to the goroutine that reads
-	share  *buffer.Stream
+	x       *exchange
+	at      *attemptState
+	events  eventReader // belongs to the goroutine that reads
+	share   *buffer.Stream
+	counted int64 // bytes of the buffer of events that are counted
 
 	// Used by the goroutine of the request, and by startAhead during its writes.
 	ahead   bool // another goroutine reads
@@ -53,7 +56,7 @@
 }
 
 func newEventSource(x *exchange, at *attemptState) *eventSource {
-	return &eventSource{x: x, at: at, events: eventReader{r: bufio.NewReader(at.httpResponse.Body)}}
+	return &eventSource{x: x, at: at, counted: usualEvent, events: eventReader{r: bufio.NewReader(at.httpResponse.Body)}}
 }
 
 // next returns the next event, as eventReader does. first is set for the first event. The bytes
@@ -73,12 +76,21 @@
 		s.at.silenceTimer.Reset(s.x.stallTimeout())
 	}
 	data, id, err = s.events.next()
+	s.countBuffer()
 	if s.at.silenceTimer != nil {
 		s.at.silenceTimer.Stop()
 	}
 	return data, id, err
 }
 
+// countBuffer counts the buffer of the event in hand, which grows to the size of the largest event.
+func (s *eventSource) countBuffer() {
+	if grown := int64(cap(s.events.buf)) - s.counted; grown > 0 {
+		s.x.conn.Add(grown)
+		s.counted += grown
+	}
+}
+
 // take returns the oldest event that was read ahead, and waits for one if there is none. Once the
 // request's deadline has passed, what was read ahead is of no use to the caller.
 func (s *eventSource) take() (data []byte, id string, err error) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -2,12 +2,12 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/body"
 	"github.com/shedhoist/shedhoist/internal/catalog"
+	"github.com/shedhoist/shedhoist/internal/connlimit"
 	"github.com/shedhoist/shedhoist/internal/metric"
 	"github.com/shedhoist/shedhoist/internal/problem"
 )
@@ -22,7 +22,8 @@
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	x := &exchange{g: g, w: w, r: r, arrived: g.now(), view: g.view.Load()}
+	x := &exchange{g: g, w: w, r: r, arrived: g.now(), view: g.view.Load(), conn: connlimit.FromRequest(r)}
+	x.limitBodyTime(bodyTimeout)
 	if x.view.Draining || x.view.Isolated || len(r.TransferEncoding) > 0 {
 		// While this instance is draining or isolated, callers should reconnect elsewhere.
 		// The connection is also closed after a chunked body: a message that states a
@@ -40,7 +41,6 @@
 		}
 		panic(http.ErrAbortHandler) // closes the connection: a truncated response must not look complete
 	}()
-	defer x.releaseHeld()
 	if p := x.admit(); p != nil {
 		x.refuse(p)
 	} else {
@@ -54,6 +54,7 @@
 func (x *exchange) admit() *problem.Problem {
 	var err error
 	x.call, err = x.g.codec.ParseRequest(x.r.Header)
+	x.holdParts()
 	x.awaitStartup()
 	if x.view.Config == nil {
 		return retryLater(problem.Draining, "this instance has no configuration yet", retryAfterStartup)
@@ -135,27 +136,27 @@
 	if x.r.ContentLength == 0 {
 		return nil
 	}
-	if x.r.ContentLength > 0 && !x.holdBody(x.r.ContentLength) {
+	x.limitBodyTime(min(bodyTimeout, x.deadline.Sub(x.g.now())))
+	var err error
+	if x.body, err = body.Read(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength, x.conn); err != nil {
+		return x.bodyProblem(err)
+	}
+	_ = http.NewResponseController(x.w).SetReadDeadline(time.Time{}) // fails only if the connection is closed
+	if !x.conn.RequestWhole() {
 		return x.bufferFull()
 	}
-	rc := http.NewResponseController(x.w)
-	until := x.g.now().Add(bodyTimeout)
-	if x.deadline.Before(until) {
-		until = x.deadline
+	return nil
+}
+
+// limitBodyTime bounds the time until the body has been read, also by net/http, which reads the rest of a body that was
+// refused before it sends the response.
+func (x *exchange) limitBodyTime(d time.Duration) {
+	if x.r.ContentLength == 0 {
+		return
 	}
-	if err := rc.SetReadDeadline(until); err != nil {
+	if err := http.NewResponseController(x.w).SetReadDeadline(x.g.now().Add(d)); err != nil {
 		x.g.log.WithError(err).WithField("request", x.call.ID).Warn("cannot set the read deadline for the body")
 	}
-	var err error
-	var from io.Reader = http.MaxBytesReader(x.w, x.r.Body, limit)
-	if x.r.ContentLength < 0 {
-		from = &holdingReader{r: from, x: x}
-	}
-	if x.body, err = body.Read(from, x.r.ContentLength); err != nil {
-		return x.bodyProblem(err)
-	}
-	_ = rc.SetReadDeadline(time.Time{}) // fails only if the connection is closed
-	return nil
 }
 
 // defaultMaxBodyBytes applies where the configuration sets no limit.
--- a/internal/gateway/slow_callers_test.go
+++ b/internal/gateway/slow_callers_test.go
@@ -17,7 +17,9 @@
 
 	"github.com/matryer/is"
 
+	"github.com/shedhoist/shedhoist/internal/connlimit"
 	"github.com/shedhoist/shedhoist/internal/metric"
+	"github.com/shedhoist/shedhoist/internal/resources"
 )
 
 // Callers that read slowly, on a network on which writes block once the other end does not read.
@@ -60,7 +62,8 @@
 	cuts     atomic.Int64 // responses that stayed unread for too long
 	written  atomic.Int64 // bytes that targets wrote
 	arrivals atomic.Int64
-	ended    chan error // why the work of a target ended: nil if it was complete
+	holding  atomic.Bool // targets don't answer
+	ended    chan error  // why the work of a target ended: nil if it was complete
 
 	mu      sync.Mutex
 	resumes []string // what requests gave as the last event
@@ -71,7 +74,7 @@
 	if codec == nil {
 		codec = linkCodec{}
 	}
-	f.trafficFleet = newFleetWith(t, 1, 1, 3, fleetOptions{codec: codec, log: f.log, window: slowWindow,
+	f.trafficFleet = newFleetWith(t, 1, 1, 3, fleetOptions{codec: codec, log: f.log, window: slowWindow, connCosts: &connlimit.Costs{},
 		serve: func(_ *memoryTarget, w http.ResponseWriter, r *http.Request) bool {
 			f.arrivals.Add(1)
 			f.ended <- f.answer(w, r)
@@ -89,6 +92,10 @@
 func (f *slowFleet) answer(w http.ResponseWriter, r *http.Request) error {
 	_, _ = io.Copy(io.Discard, r.Body)
 	w.Header().Set(trafficID, r.Header.Get(trafficID))
+	if f.holding.Load() {
+		<-r.Context().Done()
+		return r.Context().Err()
+	}
 	fails := f.failing.Add(-1) >= 0
 	if strings.HasSuffix(r.URL.Path, answersStream) && !fails {
 		return f.stream(w, r)
@@ -425,9 +432,12 @@
 	is.New(t).Equal(longest(3), longest(0)) // the clock is the test's own
 }
 
-// budgetMemory is a memory limit that leaves 16 kB for requests, half of it for streams.
+// budgetMemory is a memory limit that leaves 20 kB for requests, half of it for streams.
 const budgetMemory = 64 << 10
 
+// budgetBytes is what requests may hold of it.
+var budgetBytes = resources.CallerMemory(budgetMemory)
+
 // TestSlowCallersShareBudget guards against more bytes in memory than the budget allows while many callers
 // are slow, by its own count and by what targets wrote and callers did not get; and against streams that
 // lose events when they find the budget used up.
@@ -447,14 +457,14 @@
 		used := int64(0)
 		for range 40 {
 			time.Sleep(slowInterval)
-			is.True(b.Held() <= budgetMemory*bufferMemoryShare)
-			is.True(b.HeldByStreams() <= budgetMemory*bufferMemoryShare/2)
+			is.True(b.Held() <= budgetBytes)
+			is.True(b.HeldByStreams() <= budgetBytes/2)
 			used = max(used, b.HeldByStreams())
 		}
-		is.True(used > budgetMemory*bufferMemoryShare/4) // the test is of a budget that is used up
+		is.True(used > budgetBytes/4) // the test is of a budget that is used up
 		// Of each stream the windows of two connections, an event at each of their ends, and the
 		// buffer of a reader are on the way besides.
-		is.True(f.written.Load() < budgetMemory*bufferMemoryShare/2+n*(2*slowWindow+4<<10+4*250))
+		is.True(f.written.Load() < budgetBytes/2+n*(2*slowWindow+4<<10+4*250))
 		for _, c := range callers {
 			reading.Go(func() {
 				ids, err := c.readStream(0, 0)
@@ -579,7 +589,8 @@
 }
 
 // TestBodyBeyondBudget guards against bodies that are read beyond the budget, against refusals of those that
-// fit, and against refused requests that reach a target or come without Retry-After.
+// fit, against refused requests that reach a target or come without Retry-After, and against bodies that don't
+// arrive and keep others out. A whole request that a target works on keeps its room.
 func TestBodyBeyondBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -598,23 +609,28 @@
 			is.NoErr(err)
 			return resp
 		}
-		first := post("", fmt.Sprint("Content-Length: ", 12<<10)) // its body does not arrive
-		is.Equal(b.Held(), int64(12<<10))
-		second := post("", fmt.Sprint("Content-Length: ", 6<<10)) // never sends its body
+		f.holding.Store(true)
+		first := post(strings.Repeat("x", 14<<10), fmt.Sprint("Content-Length: ", 14<<10))
+		is.Equal(b.Held(), int64(14<<10))
+		f.holding.Store(false)
+		second := post("", fmt.Sprint("Content-Length: ", 8<<10)) // never sends its body
 		resp := response(second)
 		is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
 		is.Equal(resp.Header.Get("Retry-After"), retryAfterShort.String())
-		is.Equal(b.Held(), int64(12<<10))
-		chunk := strings.Repeat("x", 6<<10)
+		is.Equal(b.Held(), int64(14<<10))
+		chunk := strings.Repeat("x", 8<<10)
 		third := post(fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(chunk), chunk), "Transfer-Encoding: chunked")
 		is.Equal(response(third).StatusCode, http.StatusServiceUnavailable)
-		fourth := post(strings.Repeat("x", 4<<10), fmt.Sprint("Content-Length: ", 4<<10))
+		fourth := post(strings.Repeat("x", 5<<10), fmt.Sprint("Content-Length: ", 5<<10))
 		is.Equal(response(fourth).StatusCode, http.StatusOK)
-		is.Equal(f.arrivals.Load(), int64(1))
+		is.Equal(f.arrivals.Load(), int64(2))
 		is.Equal(metric.BodiesRefused.Get()-refused, uint64(2))
 		first.Close()
 		f.checkNothingHeld()
-		fifth := post(strings.Repeat("x", 12<<10), fmt.Sprint("Content-Length: ", 12<<10))
-		is.Equal(response(fifth).StatusCode, http.StatusOK)
+		post("", fmt.Sprint("Content-Length: ", 14<<10)) // its body does not arrive
+		is.Equal(b.Held(), int64(14<<10))
+		time.Sleep(time.Second)
+		sixth := post(strings.Repeat("x", 14<<10), fmt.Sprint("Content-Length: ", 14<<10))
+		is.Equal(response(sixth).StatusCode, http.StatusOK)
 	})
 }
--- a/internal/gateway/traffic_test.go
+++ b/internal/gateway/traffic_test.go
@@ -17,6 +17,7 @@
 	"github.com/apex/log/handlers/discard"
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
+	"github.com/shedhoist/shedhoist/internal/connlimit"
 )
 
 // An in-memory fleet with callers, and with targets that execute requests and may crash.
@@ -88,6 +89,7 @@
 	onArrival    func(m *memoryTarget, r *http.Request) // called when a request reaches a target
 	log          log.Handler                            // of all instances; discard.Default if nil
 	window       int                                    // of the network
+	connCosts    *connlimit.Costs                       // of callers' connections; connlimit.DefaultCosts if nil
 	// serve answers a request in place of the target's own answer; it returns false to leave it to that.
 	serve func(m *memoryTarget, w http.ResponseWriter, r *http.Request) bool
 }
@@ -147,7 +149,7 @@
 	if f.options.log != nil {
 		handler = f.options.log
 	}
-	g, err := New(set, Ports{Codec: codec, Store: f.storeClients[i], Engines: f.options.engines, Listen: f.net.listen, Dial: f.net.dialFrom(set.Name)}, &log.Logger{Handler: handler})
+	g, err := New(set, Ports{Codec: codec, Store: f.storeClients[i], Engines: f.options.engines, Listen: f.net.listen, Dial: f.net.dialFrom(set.Name), ConnCosts: f.options.connCosts}, &log.Logger{Handler: handler})
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"net"
 	"net/http"
@@ -12,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/shedhoist/shedhoist/internal/body"
 	"github.com/shedhoist/shedhoist/internal/inflight"
 	"github.com/shedhoist/shedhoist/internal/netx"
 	"github.com/shedhoist/shedhoist/internal/peer"
@@ -157,7 +157,7 @@
 	url       *url.URL // the caller's; path and query are sent unchanged
 	host      string
 	header    http.Header
-	body      []byte
+	body      *body.Body
 	reuseConn bool // a keep-alive connection may be used
 	relayed   bool // it is sent through a peer
 }
@@ -166,8 +166,8 @@
 // it by itself.
 func (u *upstream) send(ctx context.Context, o upstreamRequest) (resp *http.Response, way netx.SendInfo, err error) {
 	to := &url.URL{Scheme: "http", Host: incarnationHost(o.targetID), Path: o.url.Path, RawPath: o.url.RawPath, RawQuery: o.url.RawQuery, ForceQuery: o.url.ForceQuery}
-	req := (&http.Request{Method: o.method, URL: to, Host: o.host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: o.header, Body: netx.SingleUseBody(bytes.NewReader(o.body)),
-		ContentLength: int64(len(o.body))}).WithContext(context.WithValue(ctx, dialKey{}, o.dial))
+	req := (&http.Request{Method: o.method, URL: to, Host: o.host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: o.header, Body: netx.SingleUseBody(o.body.Reader()),
+		ContentLength: int64(o.body.Len())}).WithContext(context.WithValue(ctx, dialKey{}, o.dial))
 	if req.Host == "" {
 		req.Host = o.dial.address
 	}
