The collector knows the memory limit

Cause: the heap grows to twice what is in use before a collection ends, whatever the memory of the machine: with heads of 400 callers in the account a process of 96 MB reached 126 MB.

Change: the process sets the runtime's memory limit to 7/8 of its own, less what the program occupies; the rest is for what the kernel holds unread. It never is under a half, with which the runtime would do little but collect.

--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -17,6 +17,7 @@
 
 	"github.com/shedhoist/shedhoist/internal/core/policy"
 	"github.com/shedhoist/shedhoist/internal/logline"
+	"github.com/shedhoist/shedhoist/internal/resources"
 	"github.com/shedhoist/shedhoist/internal/version"
 	"github.com/shedhoist/shedhoist/internal/wait"
 )
@@ -108,6 +109,7 @@
 		logger.WithError(err).Error("invalid settings")
 		return ExitSettings
 	}
+	resources.LimitHeap(set.MemoryBytes)
 	g, err := New(set, s.NewPorts(set), logger)
 	if err != nil {
 		logger.WithError(err).Error("failed to start")
