What the kernel holds unread is limited and counted

Cause: the kernel lets the receive buffer of a connection grow to megabytes. Bytes that a process has not read count as its memory: 400 callers whose bodies were refused left 182 MB of 245 MB in the kernel.

Change: connections of callers and to targets have a receive buffer of 32 KB. While requests under work may hold more than a sixteenth of the account there, the unread bytes of callers are counted ten times a second; where an answer is passed on at the speed of a slow caller, the buffer of its target's connection is.

--- a/internal/gateway/buffered_response.go
+++ b/internal/gateway/buffered_response.go
@@ -60,6 +60,7 @@
 	x.release(head)
 	buf := make([]byte, maxWritePiece)
 	x.conn.Add(maxWritePiece)
+	x.conn.AddUnread() // the target is read at the speed of the caller
 	for {
 		n, readErr := at.httpResponse.Body.Read(buf)
 		if n > 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -230,7 +230,7 @@
 	c.targets.OnRestart(func(n registry.Restart) { g.transferBackoff(c, n) })
 	g.spawn(func() { g.runControl(g.ctx, c) })
 	g.watchAll(g.ctx)
-	for _, f := range [...]func(context.Context){g.joinSeeds, g.pollPeersWithoutStore, g.pollStaleness, g.fetchConfigs, g.maintainBootstrap, g.forgetGone, g.maintainQuarantine, g.reportSuspects, g.brittle.run, g.limits.run, g.streams.run, g.streams.runMark, g.reportLoads, g.runRollouts, g.cache.run, g.cache.pullDirectory, g.cache.collectGarbage} {
+	for _, f := range [...]func(context.Context){g.joinSeeds, g.pollPeersWithoutStore, g.pollStaleness, g.fetchConfigs, g.maintainBootstrap, g.forgetGone, g.maintainQuarantine, g.reportSuspects, g.brittle.run, g.limits.run, g.streams.run, g.streams.runMark, g.reportLoads, g.runRollouts, g.countUnread, g.cache.run, g.cache.pullDirectory, g.cache.collectGarbage} {
 		g.spawn(func() { f(g.ctx) })
 	}
 	g.serveListener("callers", g.callerSrv.Serve)
--- a/internal/gateway/listeners.go
+++ b/internal/gateway/listeners.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
@@ -8,7 +9,9 @@
 	"github.com/shedhoist/shedhoist/internal/connlimit"
 	"github.com/shedhoist/shedhoist/internal/drain"
 	"github.com/shedhoist/shedhoist/internal/logline"
+	"github.com/shedhoist/shedhoist/internal/netx"
 	"github.com/shedhoist/shedhoist/internal/peer"
+	"github.com/shedhoist/shedhoist/internal/wait"
 )
 
 // Limits of the listeners, independent of the configuration.
@@ -56,10 +59,25 @@
 	g.callerLimiter = connlimit.New(connlimit.Options{Name: "callers", Budget: g.buffers, HeaderBytes: g.headerLimit,
 		Costs: *ports.ConnCosts, Log: g.log, Now: g.now})
 	g.callerLimiter.Attach(srv, http.HandlerFunc(g.refuseForRoom))
+	netx.LimitReceiveBuffer(g.callerLn, receiveBuffer)
 	g.callerSrv = drain.NewServer(srv, g.callerLn, nil, g.log)
 	g.callerSrv.WrapListener(g.callerLimiter.Listener)
 }
 
+// receiveBuffer is how many bytes the kernel may hold of one connection that the process has not read. Callers are some
+// milliseconds away, and targets not much further: it lets a connection carry megabytes a second.
+const receiveBuffer = 32 << 10
+
+// unreadInterval is how often the bytes that callers sent and requests under work have not read are counted.
+const unreadInterval = 100 * time.Millisecond
+
+// countUnread counts what the kernel holds unread of callers' connections, as long as it may be much.
+func (g *Gateway) countUnread(ctx context.Context) {
+	for wait.For(ctx, unreadInterval) {
+		g.callerLimiter.CountUnread(receiveBuffer)
+	}
+}
+
 // headerLimit returns the configured size of the largest head of a request, in bytes; 0: none.
 func (g *Gateway) headerLimit() int {
 	if cfg := g.view.Load().Config; cfg != nil {
--- a/internal/gateway/read_ahead.go
+++ b/internal/gateway/read_ahead.go
@@ -133,6 +133,7 @@
 	}
 	if s.share == nil {
 		s.share = buffer.NewStream(s.x.g.buffers, maxReadAhead)
+		s.x.conn.AddUnread() // the target is read at the speed of the caller once no more may be read ahead
 		s.queued, s.taken = make(chan struct{}, 1), make(chan struct{}, 1)
 	}
 	s.ahead, s.waiting = true, false
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -55,7 +55,7 @@
 // own network.
 func newUpstreamWithDial(dial peer.DialFunc) *upstream {
 	if dial == nil {
-		dial = netx.Dialer(targetConnectTimeout).DialContext
+		dial = netx.LimitedDialer(targetConnectTimeout, receiveBuffer).DialContext
 	}
 	u := &upstream{dial: dial, singleUseClient: newClient(dial, 0, 0), inflight: inflight.New(), keepAliveClients: map[time.Duration]*http.Client{}, serviceIdleTimeout: map[string]time.Duration{}}
 	u.relayedClient = u.newRelayedClient()
