Heads are counted until the server has let go of them

What was seen: beside heads of many short lines the heap stayed at 105 MB in use (gctrace: 105->105->105 MB), with 30 MB in the account, so that the process used 105 to 138 MB.

Cause: what a request held was released when its handler returned. net/http refers to the parsed head until the connection is idle again or closed, and waits half a second before it closes one on which a body was refused.

Change: the part of a head is released only then.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -40,6 +40,7 @@
 	arrived      int64 // bytes since progressAt
 	head         *head // the head that arrives, or is awaited; nil: a request is being handled
 	recent       headSize
+	parsedHeld   int64     // bytes of the budget that the parsed head holds
 	readDeadline time.Time // set by the server
 	unread       int64     // bytes counted that the kernel holds
 	closed       bool
@@ -300,15 +301,24 @@
 		held, c.head = c.head.held, nil
 	}
 	c.mu.Unlock()
-	cost := c.limiter.options.Costs.ofRequest(parsedSize(r))
+	costs, size := c.limiter.options.Costs, parsedSize(r)
+	c.setParsedHeld(min(held, costs.ofHead(size)))
+	cost := costs.ofRequest(size)
 	if cost <= held {
 		c.Release(held - cost)
 	} else if !c.Reserve(cost - held) {
 		return false
 	}
+	c.setParsedHeld(costs.ofHead(size))
 	return r.ContentLength != 0 || c.RequestWhole()
 }
 
+func (c *Conn) setParsedHeld(n int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.parsedHeld = n
+}
+
 // RequestWhole notes that the request on the connection has been received whole: the connection is not evicted from now
 // on, until the response has been written. It returns false if the connection has been evicted before.
 func (c *Conn) RequestWhole() bool {
@@ -327,14 +337,15 @@
 	return !evicted
 }
 
-// endRequest releases all that the request holds.
+// endRequest releases all that the request holds, but its head: the server refers to that until it awaits the next one or
+// has closed the connection, which takes half a second if the caller was to notice a refusal.
 //
 // The last of the response may not be written yet, so that a whole request remains safe from eviction.
 func (c *Conn) endRequest() {
 	c.mu.Lock()
-	wasRunning := c.phase == eviction.Running
+	wasRunning, parsed := c.phase == eviction.Running, c.parsedHeld
 	c.mu.Unlock()
-	c.releaseBytes(c.requestHeld.Load())
+	c.releaseBytes(c.requestHeld.Load() - parsed)
 	c.limiter.requestEnded(wasRunning)
 }
 
@@ -382,6 +393,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.startHead()
+	c.releaseBytes(c.parsedHeld)
+	c.parsedHeld = 0
 	c.head.held = c.limiter.options.Costs.ofHead(c.recent)
 	c.Add(c.head.held)
 	c.recent = headSize{}
