Callers leave descriptors for targets, the object store and peers

What callers saw: beside 1,200 connections without a request, requests failed with "socket: too many open files".

Cause: the process took every connection that the system gave it, and did not read maxFds.

Change: callers get what is left of the descriptors after a share for peers, one for idle connections to targets, and those of the process itself; a request under work counts twice, for its connection to a target. Where they are used up, the connection that has gone longest without progress gives way. Requests under work may use three quarters of them: further ones are refused with 503 before they are sent, so that their callers learn when to come back.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -320,21 +320,25 @@
 }
 
 // RequestWhole notes that the request on the connection has been received whole: the connection is not evicted from now
-// on, until the response has been written. It returns false if the connection has been evicted before.
+// on, until the response has been written. It returns false if the request can't be run: the connection has been evicted
+// before, or requests under work use up the descriptors.
 func (c *Conn) RequestWhole() bool {
 	if c == nil {
 		return true
 	}
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
 	c.mu.Lock()
-	changed, evicted := c.phase != eviction.Running && !c.evicted, c.evicted
-	if changed {
-		c.phase = eviction.Running
-	}
-	c.mu.Unlock()
-	if changed {
-		c.limiter.addRunning()
+	defer c.mu.Unlock()
+	switch {
+	case c.phase == eviction.Running:
+		return true
+	case c.evicted || !c.limiter.mayRun():
+		return false
 	}
-	return !evicted
+	c.phase = eviction.Running
+	c.limiter.running++
+	return true
 }
 
 // endRequest releases all that the request holds, but its head: the server refers to that until it awaits the next one or
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -181,6 +181,29 @@
 	})
 }
 
+// TestRequestsUnderWork guards against requests under work that leave no descriptors for other connections: further
+// requests are refused, not cut off.
+func TestRequestsUnderWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newServer(0, func(o *Options) { o.MaxDescriptors = 20 })
+		defer s.stop()
+		statuses := make(chan int, 12)
+		for range cap(statuses) {
+			go func() { statuses <- s.try("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n") }()
+			time.Sleep(time.Millisecond)
+		}
+		is.Equal(s.try(smallRequest), http.StatusServiceUnavailable)
+		s.release()
+		count := map[int]int{}
+		for range cap(statuses) {
+			count[<-statuses]++
+		}
+		is.Equal(count, map[int]int{http.StatusOK: 7, http.StatusServiceUnavailable: 5})
+		is.Equal(s.try(smallRequest), http.StatusOK)
+	})
+}
+
 // TestHeadLimits guards against heads that are read beyond the limit or the time that the configuration sets, also after
 // these have changed, and against heads within them that are refused.
 func TestHeadLimits(t *testing.T) {
--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -67,6 +67,9 @@
 	roomTimeout = time.Second
 	// evictedAhead is the share of the budget that is freed at a time, so that connections are ranked rarely.
 	evictedAhead = 1.0 / 64
+	// runningShare is the share of the descriptors that requests under work may use. The rest is for connections whose
+	// requests are refused then, so that their callers learn when to come back.
+	runningShare = 0.75
 	// overdraft is the share of the budget by which new connections may exceed it until those that were evicted
 	// for them have ended.
 	overdraft = 1.0 / 16
@@ -259,15 +262,10 @@
 	}
 }
 
-// addRunning counts a request that has become whole. It makes room for the descriptor that its connection to a target
-// uses, if it can.
-func (l *Limiter) addRunning() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.running++
-	if l.options.MaxDescriptors > 0 && len(l.conns)+l.running > l.options.MaxDescriptors {
-		l.freeDescriptor()
-	}
+// mayRun reports whether one more request may be run: it uses two descriptors, its connection and the one to its target.
+// l.mu is held.
+func (l *Limiter) mayRun() bool {
+	return l.options.MaxDescriptors <= 0 || float64(2*(l.running+1)) <= runningShare*float64(l.options.MaxDescriptors)
 }
 
 // requestEnded notes that a request has released what it held.
--- a/internal/gateway/listeners.go
+++ b/internal/gateway/listeners.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"github.com/shedhoist/shedhoist/internal/logline"
 	"github.com/shedhoist/shedhoist/internal/netx"
 	"github.com/shedhoist/shedhoist/internal/peer"
+	"github.com/shedhoist/shedhoist/internal/resources"
 	"github.com/shedhoist/shedhoist/internal/wait"
 )
 
@@ -40,7 +42,8 @@
 			return err
 		}
 	}
-	g.serveCallersOn(ports)
+	limits := resources.ShareDescriptors(cmp.Or(set.Descriptors, resources.SystemDescriptors()))
+	g.serveCallersOn(ports, limits.Callers)
 	errorLog := logline.Logger(g.log)
 	ready := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: errorLog}
 	g.readySrv = drain.NewServer(ready, g.readyLn, nil, g.log)
@@ -52,11 +55,11 @@
 }
 
 // serveCallersOn makes the server of the callers' listener.
-func (g *Gateway) serveCallersOn(ports Ports) {
+func (g *Gateway) serveCallersOn(ports Ports, maxDescriptors int) {
 	idle := &idleConns{limit: g.idleLimit, close: func(conn net.Conn) { g.callerSrv.CloseIdle(conn) }}
 	srv := &http.Server{Handler: http.HandlerFunc(g.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: connlimit.MaxHeaderBytes, ErrorLog: logline.Logger(g.log), ConnState: idle.onStateChange}
-	g.callerLimiter = connlimit.New(connlimit.Options{Name: "callers", Budget: g.buffers, HeaderBytes: g.headerLimit,
+	g.callerLimiter = connlimit.New(connlimit.Options{Name: "callers", Budget: g.buffers, MaxDescriptors: maxDescriptors, HeaderBytes: g.headerLimit,
 		Costs: *ports.ConnCosts, Log: g.log, Now: g.now})
 	g.callerLimiter.Attach(srv, http.HandlerFunc(g.refuseForRoom))
 	netx.LimitReceiveBuffer(g.callerLn, receiveBuffer)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -17,6 +17,7 @@
 	Seeds           []string      // peer addresses to join by; any may be stale
 	PlatformAddress string        // host:port of the object store
 	MemoryBytes     int64         // memory limit of the process; 0: none
+	Descriptors     int           // file descriptors that the process may use for connections; 0: as many as the system allows
 	StopWithin      time.Duration // time for a graceful stop
 	LeaseGap        time.Duration // minimum time between orders of two instances, see handoverGuard
 	RolloutWithin   time.Duration // time in which new weights must be loaded everywhere
