headerTimeoutMs of the configuration is in force

Cause: the time that a configuration allows for a head was decoded and never used; the callers' server had ten seconds for all configurations, so that heads that stop short stayed three times as long as operators said.

--- a/internal/gateway/listeners.go
+++ b/internal/gateway/listeners.go
@@ -59,8 +59,8 @@
 	idle := &idleConns{limit: g.idleLimit, close: func(conn net.Conn) { g.callerSrv.CloseIdle(conn) }}
 	srv := &http.Server{Handler: http.HandlerFunc(g.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: connlimit.MaxHeaderBytes, ErrorLog: logline.Logger(g.log), ConnState: idle.onStateChange}
-	g.callerLimiter = connlimit.New(connlimit.Options{Name: "callers", Budget: g.buffers, MaxDescriptors: maxDescriptors, HeaderBytes: g.headerLimit,
-		Costs: *ports.ConnCosts, Log: g.log, Now: g.now})
+	g.callerLimiter = connlimit.New(connlimit.Options{Name: "callers", Budget: g.buffers, MaxDescriptors: maxDescriptors,
+		HeaderBytes: g.headerLimit, HeaderTimeout: g.headerTimeLimit, Costs: *ports.ConnCosts, Log: g.log, Now: g.now})
 	g.callerLimiter.Attach(srv, http.HandlerFunc(g.refuseForRoom))
 	netx.LimitReceiveBuffer(g.callerLn, receiveBuffer)
 	g.callerSrv = drain.NewServer(srv, g.callerLn, nil, g.log)
@@ -89,6 +89,14 @@
 	return 0
 }
 
+// headerTimeLimit returns how long the configuration allows for a head; 0: no limit of its own.
+func (g *Gateway) headerTimeLimit() time.Duration {
+	if cfg := g.view.Load().Config; cfg != nil {
+		return cfg.Limits.HeaderTimeout
+	}
+	return 0
+}
+
 // idleLimit returns the configured idle timeout of callers' connections; 0: none.
 func (g *Gateway) idleLimit() time.Duration {
 	if cfg := g.view.Load().Config; cfg != nil {
