The listeners for readiness and metrics take small heads on few connections

Cause: they had no limit but net/http's on a head, a megabyte of which costs sixteen to twenty once parsed, and none on connections. 400 heads that stop short of a megabyte took 7.2 GB at the one and 7.8 GB at the other; connections alone used up the descriptors.

Change: heads of 4 kB, 32 connections, of which the one that has gone longest without progress gives way. What they hold is counted with what callers hold, and admitted whether there is room or not: a load balancer gets its answer while callers use up their share.

--- a/internal/gateway/listeners.go
+++ b/internal/gateway/listeners.go
@@ -44,12 +44,9 @@
 	}
 	limits := resources.ShareDescriptors(cmp.Or(set.Descriptors, resources.SystemDescriptors()))
 	g.serveCallersOn(ports, limits.Callers)
-	errorLog := logline.Logger(g.log)
-	ready := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: errorLog}
-	g.readySrv = drain.NewServer(ready, g.readyLn, nil, g.log)
+	g.readySrv = g.newAdminServer(ports, "readiness", g.readyLn, g.serveReady)
 	if g.metricsLn != nil {
-		scrapes := &http.Server{Handler: http.HandlerFunc(g.serveMetrics), ReadHeaderTimeout: headerTimeout, ErrorLog: errorLog}
-		g.metricsSrv = drain.NewServer(scrapes, g.metricsLn, nil, g.log)
+		g.metricsSrv = g.newAdminServer(ports, "metrics", g.metricsLn, g.serveMetrics)
 	}
 	return nil
 }
@@ -67,6 +64,21 @@
 	g.callerSrv.WrapListener(g.callerLimiter.Listener)
 }
 
+// maxAdminHeaderBytes is the largest head that a listener for the load balancer or for operators takes.
+const maxAdminHeaderBytes = 4 << 10
+
+// newAdminServer makes a server whose requests are answered also while callers use up their share of the memory.
+func (g *Gateway) newAdminServer(ports Ports, name string, ln net.Listener, handler http.HandlerFunc) *drain.Server {
+	srv := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxAdminHeaderBytes, ErrorLog: logline.Logger(g.log)}
+	limiter := connlimit.New(connlimit.Options{Name: name, Budget: g.buffers, Essential: true, MaxDescriptors: resources.MaxAdminConns,
+		HeaderBytes: func() int { return maxAdminHeaderBytes }, Costs: *ports.ConnCosts, Log: g.log, Now: g.now})
+	limiter.Attach(srv, nil)
+	netx.LimitReceiveBuffer(ln, receiveBuffer)
+	out := drain.NewServer(srv, ln, nil, g.log)
+	out.WrapListener(limiter.Listener)
+	return out
+}
+
 // receiveBuffer is how many bytes the kernel may hold of one connection that the process has not read. Callers are some
 // milliseconds away, and targets not much further: it lets a connection carry megabytes a second.
 const receiveBuffer = 32 << 10
