Strangers at the peers' listener give way

Cause: the listener for peers took 1,024 connections, and each one two seconds to prove that it is a peer's: strangers used up the descriptors, and then kept peers out.

Change: connections from peers have a share of the descriptors. Where it is used up, the connection that has gone longest without authentication is closed; those of peers stay.

--- a/internal/gateway/listeners.go
+++ b/internal/gateway/listeners.go
@@ -43,6 +43,7 @@
 		}
 	}
 	limits := resources.ShareDescriptors(cmp.Or(set.Descriptors, resources.SystemDescriptors()))
+	g.peers.SetMaxConns(limits.Peers)
 	g.serveCallersOn(ports, limits.Callers)
 	g.readySrv = g.newAdminServer(ports, "readiness", g.readyLn, g.serveReady)
 	if g.metricsLn != nil {
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -57,6 +57,7 @@
 	LedgerConflicts          = metrics.NewCounter("shedhoist_ledger_conflicts_total")
 	PeerBytes                = metrics.NewCounter("shedhoist_peer_bytes_total") // written to peers
 	PeerMessages             = metrics.NewCounter("shedhoist_peer_messages_total")
+	PeerStrangersClosed      = metrics.NewCounter("shedhoist_peer_strangers_closed_total") // connections that gave way before they were authenticated
 	TargetProbes             = metrics.NewCounter("shedhoist_target_probes_total")
 	Orders                   = metrics.NewCounter("shedhoist_orders_total")
 	Panics                   = metrics.NewCounter("shedhoist_panics_total")
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/shedhoist/shedhoist/internal/core/member"
 	"github.com/shedhoist/shedhoist/internal/core/observe"
 	"github.com/shedhoist/shedhoist/internal/explain"
+	"github.com/shedhoist/shedhoist/internal/metric"
 )
 
 // TLSConfig provides the TLS configurations of both sides of a connection.
@@ -174,17 +176,19 @@
 const (
 	indirectTimeout = 500 * time.Millisecond
 	idleTimeout     = time.Minute
-	maxInboundConns = 1024 // open connections from peers
+	maxInboundConns = 1024 // open connections from peers, unless SetMaxConns sets another number
 )
 
 // Server accepts connections from peers and serves their calls.
 type Server struct {
 	rpc      *rpc.Server
 	security Security
-	slots    chan struct{}
-	mu       sync.Mutex
-	conns    map[net.Conn]bool
-	closed   bool
+
+	mu        sync.Mutex
+	conns     map[net.Conn]bool
+	strangers []net.Conn // of conns: not authenticated yet, the oldest first
+	maxConns  int
+	closed    bool
 
 	openTunnel OpenTunnelFunc // nil: peers get no tunnels
 }
@@ -196,10 +200,13 @@
 
 // NewServerFor returns a server for a net/rpc receiver, registered under name.
 func NewServerFor(name string, receiver any, sec Security) (*Server, error) {
-	s := &Server{rpc: rpc.NewServer(), security: sec, slots: make(chan struct{}, maxInboundConns), conns: map[net.Conn]bool{}}
+	s := &Server{rpc: rpc.NewServer(), security: sec, maxConns: maxInboundConns, conns: map[net.Conn]bool{}}
 	return s, s.rpc.RegisterName(name, receiver)
 }
 
+// SetMaxConns limits the open connections from peers. It must be called before Serve.
+func (s *Server) SetMaxConns(n int) { s.maxConns = n }
+
 // acceptPause is the pause after a temporary error of Accept, for example too many open files.
 const acceptPause = 50 * time.Millisecond
 
@@ -215,26 +222,22 @@
 		if err != nil {
 			return err
 		}
-		select {
-		case s.slots <- struct{}{}:
+		if s.admit(conn) {
 			go s.serve(conn)
-		default:
+		} else {
 			conn.Close()
 		}
 	}
 }
 
 func (s *Server) serve(conn net.Conn) {
-	defer func() { <-s.slots }()
+	defer s.forget(conn)
 	defer conn.Close()
-	if !s.track(conn, true) {
-		return
-	}
-	defer s.track(conn, false)
 	secured, dialer, err := s.secure(conn)
 	if err != nil {
 		return
 	}
+	s.noteAuthenticated(conn)
 	if dialer == roleTunnelUser {
 		s.serveTunnel(secured)
 		return
@@ -242,22 +245,45 @@
 	s.rpc.ServeCodec(serverCodec{newFrameConn(idleConn{secured})})
 }
 
-// track adds or removes an open connection, so that Close can close it. It returns false
-// if the server is already closed.
-func (s *Server) track(conn net.Conn, open bool) bool {
+// admit tracks a new connection, so that Close can close it. Where there are too many, it closes the one that has gone
+// longest without authentication: a peer needs some round trips for it, and strangers can't keep peers out. It returns
+// false if there is no room, or the server is closed.
+func (s *Server) admit(conn net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if open && s.closed {
+	if s.closed {
 		return false
 	}
-	if open {
-		s.conns[conn] = true
-	} else {
-		delete(s.conns, conn)
+	if len(s.conns) >= s.maxConns {
+		if len(s.strangers) == 0 {
+			return false
+		}
+		oldest := s.strangers[0]
+		s.strangers = s.strangers[1:]
+		delete(s.conns, oldest)
+		oldest.Close()
+		metric.PeerStrangersClosed.Inc()
 	}
+	s.conns[conn] = true
+	s.strangers = append(s.strangers, conn)
 	return true
 }
 
+// noteAuthenticated notes that a connection is a peer's.
+func (s *Server) noteAuthenticated(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.strangers = slices.DeleteFunc(s.strangers, func(c net.Conn) bool { return c == conn })
+}
+
+// forget ends the tracking of a connection.
+func (s *Server) forget(conn net.Conn) {
+	s.noteAuthenticated(conn)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
 // Close closes all connections.
 func (s *Server) Close() {
 	s.mu.Lock()
