Lines of the log that wait are limited in bytes

Cause: 4,096 lines may wait for a slow reader. A line of a refused request holds its id, and an odd header in quotes, as the caller sent them: 4,096 lines of 60 kB are 240 MB.

Change: the lines that wait hold 2 MB at most; what is left out is counted as before.

Result: TestLogNeverBlocks with lines of 60 kB fails without the change, passes with it.

--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -11,13 +11,17 @@
 	"github.com/apex/log/handlers/json"
 )
 
-// logQueueSize is how many lines are queued for a slow reader.
-const logQueueSize = 4096
+// Limits of the lines that are queued for a slow reader. A line may be as long as what a caller sent.
+const (
+	logQueueSize  = 4096
+	logQueueBytes = 2 << 20
+)
 
 // LogWriter passes lines to a writer without ever blocking on it: when its queue is full, it
 // drops further lines and counts them.
 type LogWriter struct {
 	lines     chan []byte
+	queued    atomic.Int64 // bytes of the lines
 	dropped   atomic.Int64
 	done      chan struct{}
 	closeOnce sync.Once
@@ -32,9 +36,16 @@
 
 // Write implements io.Writer; p is one line. It never fails.
 func (l *LogWriter) Write(p []byte) (int, error) {
+	size := int64(len(p))
+	if l.queued.Add(size) > logQueueBytes {
+		l.queued.Add(-size)
+		l.dropped.Add(1)
+		return len(p), nil
+	}
 	select {
 	case l.lines <- bytes.Clone(p):
 	default:
+		l.queued.Add(-size)
 		l.dropped.Add(1)
 	}
 	return len(p), nil
@@ -45,6 +56,7 @@
 	logger := &log.Logger{Level: log.InfoLevel, Handler: json.New(w)}
 	for line := range l.lines {
 		_, _ = w.Write(line) // there is nowhere left to report a failure
+		l.queued.Add(-int64(len(line)))
 		if n := l.dropped.Swap(0); n > 0 {
 			logger.WithField("lines", n).Warn("log lines left out, the reader is slow")
 		}
--- a/internal/gateway/log_test.go
+++ b/internal/gateway/log_test.go
@@ -34,18 +34,22 @@
 	return w.written.Write(p)
 }
 
-// TestLogNeverBlocks guards against a log writer that blocks while its reader is stuck: lines beyond
-// the queue are dropped, and their number is logged once the reader continues.
+// TestLogNeverBlocks guards against a log writer that blocks while its reader is stuck, and against lines that fill the
+// memory meanwhile: lines beyond the queue are dropped, and their number is logged once the reader continues.
 func TestLogNeverBlocks(t *testing.T) {
-	is := is.New(t)
-	w := &stuckWriter{release: make(chan struct{})}
-	l := NewLogWriter(w)
-	for range 2 * logQueueSize {
-		_, err := l.Write([]byte("line\n"))
-		is.NoErr(err)
+	for _, padding := range []int{0, 60 << 10} { // what a caller sent may stand in a line
+		is := is.New(t)
+		w := &stuckWriter{release: make(chan struct{})}
+		l := NewLogWriter(w)
+		line := strings.Repeat("x", padding) + "line\n"
+		for range 2 * logQueueSize {
+			_, err := l.Write([]byte(line))
+			is.NoErr(err)
+		}
+		close(w.release)
+		l.Close()
+		is.True(strings.Contains(w.written.String(), "log lines left out"))
+		is.True(strings.Count(w.written.String(), "line\n") <= logQueueSize+1)
+		is.True(w.written.Len() <= logQueueBytes+2*len(line))
 	}
-	close(w.release)
-	l.Close()
-	is.True(strings.Contains(w.written.String(), "log lines left out"))
-	is.True(strings.Count(w.written.String(), "line\n") <= logQueueSize+1)
 }
