Unread bytes of all connections in use are counted

Cause: bytes unread in the kernel were counted while requests under work might hold many. Connections on which a body was refused hold them too, until the caller has noticed.

Change: all connections but idle ones count. The size of the receive buffer is connlimit's, for whoever limits connections.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -367,6 +367,13 @@
 	}
 }
 
+// mayHoldUnread reports whether the kernel may hold unread bytes of the connection for long, or some are counted.
+func (c *Conn) mayHoldUnread() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase != eviction.Idle || c.unread > 0
+}
+
 // AddHeader counts the header of a response that the request holds.
 func (c *Conn) AddHeader(h http.Header) {
 	if c != nil {
--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -54,7 +54,7 @@
 }
 
 // DefaultCosts are those of a plain connection over TCP.
-var DefaultCosts = Costs{Conn: 20 << 10, Request: 40 << 10, HeadByte: 3, HeadLine: 120, CopiedLine: 110, Unread: 32 << 10}
+var DefaultCosts = Costs{Conn: 20 << 10, Request: 40 << 10, HeadByte: 3, HeadLine: 120, CopiedLine: 110, Unread: ReceiveBuffer}
 
 // ofHead returns what a head costs while it is parsed.
 func (c Costs) ofHead(s headSize) int64 { return c.HeadByte*s.bytes + c.HeadLine*s.lines }
@@ -294,10 +294,17 @@
 	l.mu.Unlock()
 }
 
-// CountUnread counts what the kernel holds unread of the connections, each receiveBuffer bytes at most, if it may be
+// ReceiveBuffer is how many bytes the kernel may hold of one connection that the process has not read. A caller some
+// milliseconds away can send megabytes a second with it.
+const ReceiveBuffer = 32 << 10
+
+// UnreadInterval is how often CountUnread is to be called.
+const UnreadInterval = 100 * time.Millisecond
+
+// CountUnread counts what the kernel holds unread of the connections, each some ReceiveBuffer bytes at most, if it may be
 // much, and evicts connections if there is no room for it.
-func (l *Limiter) CountUnread(receiveBuffer int64) {
-	conns := l.mayHoldUnread(receiveBuffer)
+func (l *Limiter) CountUnread() {
+	conns := l.mayHoldUnread()
 	for _, c := range conns {
 		c.countUnread()
 	}
@@ -312,17 +319,22 @@
 // unreadAllowance is the share of the budget that unread bytes may exceed it by before they are counted.
 const unreadAllowance = 1.0 / 16
 
-// mayHoldUnread returns the connections on which a request is under work, if their unread bytes may be more than
-// unreadAllowance: the others are read as bytes arrive.
-func (l *Limiter) mayHoldUnread(receiveBuffer int64) (out []*Conn) {
+// mayHoldUnread returns the connections that are in use, if their unread bytes may be more than unreadAllowance: idle ones
+// are read as bytes arrive.
+func (l *Limiter) mayHoldUnread() (out []*Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	limit := l.options.Budget.Limit()
-	if limit <= 0 || float64(int64(l.running)*receiveBuffer) <= unreadAllowance*float64(limit) {
+	if limit <= 0 {
 		return nil
 	}
 	for c := range l.conns {
-		out = append(out, c)
+		if c.mayHoldUnread() {
+			out = append(out, c)
+		}
+	}
+	if float64(len(out)*ReceiveBuffer) <= unreadAllowance*float64(limit) {
+		return nil
 	}
 	return out
 }
--- a/internal/gateway/listeners.go
+++ b/internal/gateway/listeners.go
@@ -60,7 +60,7 @@
 	g.callerLimiter = connlimit.New(connlimit.Options{Name: "callers", Budget: g.buffers, MaxDescriptors: maxDescriptors,
 		HeaderBytes: g.headerLimit, HeaderTimeout: g.headerTimeLimit, Costs: *ports.ConnCosts, Log: g.log, Now: g.now})
 	g.callerLimiter.Attach(srv, http.HandlerFunc(g.refuseForRoom))
-	netx.LimitReceiveBuffer(g.callerLn, receiveBuffer)
+	netx.LimitReceiveBuffer(g.callerLn, connlimit.ReceiveBuffer)
 	g.callerSrv = drain.NewServer(srv, g.callerLn, nil, g.log)
 	g.callerSrv.WrapListener(g.callerLimiter.Listener)
 }
@@ -74,23 +74,16 @@
 	limiter := connlimit.New(connlimit.Options{Name: name, Budget: g.buffers, Essential: true, MaxDescriptors: resources.MaxAdminConns,
 		HeaderBytes: func() int { return maxAdminHeaderBytes }, Costs: *ports.ConnCosts, Log: g.log, Now: g.now})
 	limiter.Attach(srv, nil)
-	netx.LimitReceiveBuffer(ln, receiveBuffer)
+	netx.LimitReceiveBuffer(ln, connlimit.ReceiveBuffer)
 	out := drain.NewServer(srv, ln, nil, g.log)
 	out.WrapListener(limiter.Listener)
 	return out
 }
 
-// receiveBuffer is how many bytes the kernel may hold of one connection that the process has not read. Callers are some
-// milliseconds away, and targets not much further: it lets a connection carry megabytes a second.
-const receiveBuffer = 32 << 10
-
-// unreadInterval is how often the bytes that callers sent and requests under work have not read are counted.
-const unreadInterval = 100 * time.Millisecond
-
 // countUnread counts what the kernel holds unread of callers' connections, as long as it may be much.
 func (g *Gateway) countUnread(ctx context.Context) {
-	for wait.For(ctx, unreadInterval) {
-		g.callerLimiter.CountUnread(receiveBuffer)
+	for wait.For(ctx, connlimit.UnreadInterval) {
+		g.callerLimiter.CountUnread()
 	}
 }
 
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/shedhoist/shedhoist/internal/body"
+	"github.com/shedhoist/shedhoist/internal/connlimit"
 	"github.com/shedhoist/shedhoist/internal/inflight"
 	"github.com/shedhoist/shedhoist/internal/netx"
 	"github.com/shedhoist/shedhoist/internal/peer"
@@ -55,7 +56,7 @@
 // own network.
 func newUpstreamWithDial(dial peer.DialFunc) *upstream {
 	if dial == nil {
-		dial = netx.LimitedDialer(targetConnectTimeout, receiveBuffer).DialContext
+		dial = netx.LimitedDialer(targetConnectTimeout, connlimit.ReceiveBuffer).DialContext
 	}
 	u := &upstream{dial: dial, singleUseClient: newClient(dial, 0, 0), inflight: inflight.New(), keepAliveClients: map[time.Duration]*http.Client{}, serviceIdleTimeout: map[string]time.Duration{}}
 	u.relayedClient = u.newRelayedClient()
