The daemon with its own settings counts what callers make it hold

Cause: shedhoistd with its own settings file serves callers too, and had no limit on what all of them together make it hold: bodies were read into buffers that grow, decoded into several copies, and messages and members of a byte each into lists of a hundred bytes an entry; answers of services were read the same way.

Change: limits.memory_mb (1,024) is the memory of the process; callers and operators have limiters on one budget. A body is counted with its decoded copies; lists of messages are walked, not made; a body has 1,024 top-level members at most. Answers of services take room as they come, texts are counted.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -17,6 +17,7 @@
 	kithttp "github.com/go-kit/kit/transport/http"
 	"github.com/google/uuid"
 
+	"github.com/shedhoist/shedhoist/internal/body"
 	"github.com/shedhoist/shedhoist/internal/dispatch"
 	"github.com/shedhoist/shedhoist/internal/drain"
 	"github.com/shedhoist/shedhoist/internal/metric"
@@ -163,6 +164,12 @@
 	})
 }
 
+// RefuseForRoom refuses a request that there was no room to begin.
+func RefuseForRoom(w http.ResponseWriter, _ *http.Request) {
+	abandonBody(w)
+	bodyProblem(&body.FullError{}).Write(w)
+}
+
 // encodeError writes a problem document. An error that is not a problem is
 // reported as an internal error after which the request may have run.
 func encodeError(ctx context.Context, err error, w http.ResponseWriter) {
--- a/internal/caller/model.go
+++ b/internal/caller/model.go
@@ -16,6 +16,7 @@
 	"github.com/shedhoist/shedhoist/internal/connlimit"
 	"github.com/shedhoist/shedhoist/internal/core/prefix"
 	"github.com/shedhoist/shedhoist/internal/dispatch"
+	"github.com/shedhoist/shedhoist/internal/metric"
 	"github.com/shedhoist/shedhoist/internal/problem"
 	"github.com/shedhoist/shedhoist/internal/target"
 )
@@ -38,6 +39,10 @@
 // reservedMembers are set by engineBody and never copied from the caller's body.
 var reservedMembers = map[string]bool{"stream": true, "stream_options": true, "shedhoist": true, "model": true}
 
+// maxMembers limits the top-level members of a body: the APIs that engines offer have some dozens. A short member costs
+// many times its bytes once it is decoded.
+const maxMembers = 1024
+
 // promptMembers are the members from which cache keys are computed.
 var promptMembers = map[string]bool{"prompt": true, "messages": true}
 
@@ -51,13 +56,17 @@
 	if w != nil {
 		_ = http.NewResponseController(w).SetReadDeadline(s.Now().Add(time.Duration(s.Limits.BodySeconds) * time.Second))
 	}
-	read, err := body.Read(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, connlimit.FromRequest(r))
+	conn := connlimit.FromRequest(r)
+	read, err := body.Read(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, conn)
 	if err != nil {
-		return nil, body.Problem(err)
+		return nil, bodyProblem(err)
 	}
 	data, err := read.Bytes()
 	if err != nil {
-		return nil, body.Problem(err)
+		return nil, bodyProblem(err)
+	}
+	if !conn.Reserve(copies*int64(len(data))) || !conn.RequestWhole() {
+		return nil, bodyProblem(&body.FullError{})
 	}
 	callFrom(ctx).bodyRead = true
 	if w != nil {
@@ -66,6 +75,23 @@
 	return data, nil
 }
 
+// copies is how many times the bytes of a body are held besides: decoded, and as the text from which cache keys are
+// computed.
+const copies = 2
+
+// bodyProblem maps an error from reading the body to a problem.
+func bodyProblem(err error) *problem.Problem {
+	p := body.Problem(err)
+	if p.Kind == problem.Overloaded {
+		metric.BodiesRefused.Inc()
+		p.RetryAfter = fullRetryAfter
+	}
+	return p
+}
+
+// fullRetryAfter is the Retry-After of a request for which there is no room: others end meanwhile.
+const fullRetryAfter = time.Second
+
 // responseWriterKey is the context key of the request's http.ResponseWriter.
 type responseWriterKey struct{}
 
@@ -112,8 +138,10 @@
 		if _, repeated := values[k.Str]; !repeated && !reservedMembers[k.Str] {
 			req.members = append(req.members, member{name: k.Str})
 		}
-		values[k.Str] = value
-		return true
+		if values[k.Str] = value; len(values) > maxMembers {
+			err = badRequest("the body has more than " + strconv.Itoa(maxMembers) + " members")
+		}
+		return err == nil
 	})
 	if err != nil {
 		return nil, err
@@ -153,12 +181,15 @@
 		return badRequest("messages: an array is needed")
 	}
 	var messages []prefix.Message
-	for _, item := range list.Array() {
+	valid := true
+	list.ForEach(func(_, item gjson.Result) bool { // which makes no list of all items, however many there are
 		content, ok := messageText(item.Get("content"))
-		if !ok || item.Get("role").Type != gjson.String {
-			return badRequest("messages: each needs a role and text content")
-		}
+		valid = ok && item.Get("role").Type == gjson.String
 		messages = append(messages, prefix.Message{Role: item.Get("role").Str, Content: content})
+		return valid
+	})
+	if !valid {
+		return badRequest("messages: each needs a role and text content")
 	}
 	if len(messages) == 0 {
 		return badRequest("messages: at least one is needed")
@@ -177,13 +208,13 @@
 		return "", false
 	}
 	var b strings.Builder
-	for _, part := range v.Array() {
-		if part.Get("type").Str != "text" || part.Get("text").Type != gjson.String {
-			return "", false
-		}
+	valid := true
+	v.ForEach(func(_, part gjson.Result) bool {
+		valid = part.Get("type").Str == "text" && part.Get("text").Type == gjson.String
 		b.WriteString(part.Get("text").Str)
-	}
-	return b.String(), true
+		return valid
+	})
+	return b.String(), valid
 }
 
 // engineBody builds the engine's request from the caller's members and the
@@ -237,7 +268,7 @@
 		release(0)
 		return nil, err
 	}
-	resp := &modelResponse{run: run, req: req, id: c.id, created: c.arrived, release: release}
+	resp := &modelResponse{run: run, req: req, id: c.id, created: c.arrived, release: release, conn: connlimit.FromContext(ctx)}
 	if req.stream {
 		return (*streamedResponse)(resp), nil
 	}
@@ -252,6 +283,7 @@
 	id      string
 	created time.Time
 	release func(int)
+	conn    *connlimit.Conn // counts what the response holds; nil: the listener has no limits
 }
 
 func (resp *modelResponse) close() {
@@ -281,6 +313,9 @@
 	Content string `json:"content"`
 }
 
+// textCopies is how many times the bytes of a text are held until it is sent: in a buffer that grows, and encoded.
+const textCopies = 3
+
 // collect reads the whole output of the run. If the run fails midway, it returns
 // the problem, and no part of the output is sent to the caller.
 func (resp *modelResponse) collect() (any, error) {
@@ -295,6 +330,7 @@
 			return nil, err
 		}
 		text.WriteString(chunk.Text)
+		resp.conn.Add(textCopies * int64(len(chunk.Text)))
 		if chunk.FinishReason != "" {
 			finish = chunk.FinishReason
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,7 +20,9 @@
 	"github.com/shedhoist/shedhoist/internal/caller"
 	"github.com/shedhoist/shedhoist/internal/certs"
 	"github.com/shedhoist/shedhoist/internal/config"
+	"github.com/shedhoist/shedhoist/internal/connlimit"
 	"github.com/shedhoist/shedhoist/internal/core/atmostonce"
+	"github.com/shedhoist/shedhoist/internal/core/buffer"
 	"github.com/shedhoist/shedhoist/internal/core/cache"
 	"github.com/shedhoist/shedhoist/internal/core/member"
 	"github.com/shedhoist/shedhoist/internal/core/observe"
@@ -35,6 +37,7 @@
 	"github.com/shedhoist/shedhoist/internal/operator"
 	"github.com/shedhoist/shedhoist/internal/peer"
 	"github.com/shedhoist/shedhoist/internal/platform"
+	"github.com/shedhoist/shedhoist/internal/resources"
 	"github.com/shedhoist/shedhoist/internal/settings"
 	"github.com/shedhoist/shedhoist/internal/target"
 	"github.com/shedhoist/shedhoist/internal/view"
@@ -71,6 +74,9 @@
 	platformOK     atomic.Bool
 	observedCount  atomic.Int64 // number of targets that this instance probes
 
+	budget        *buffer.Budget // bytes that callers make this instance hold in memory
+	callerLimiter *connlimit.Limiter
+
 	callerLn, operatorLn, peerLn net.Listener
 	callerSrv, operatorSrv       *drain.Server
 }
@@ -87,6 +93,7 @@
 	d := &Daemon{set: set, log: logger.WithField("instance", set.Name).WithField("zone", set.Zone), now: time.Now,
 		events: make(chan event, eventQueueSize), controlDone: make(chan struct{}), hints: cache.NewHints(cache.DefaultHintKeys), explainLog: explain.NewLog(set.Limits.WhyRecords)}
 	d.ctx, d.stop = context.WithCancel(context.Background())
+	d.budget = buffer.New(resources.CallerMemory(set.Limits.MemoryBytes()))
 	d.store = platform.NewClient(set.Platform.URL, set.Platform.Token, nil)
 	d.repo = &config.Repo{Store: d.store, Now: d.now}
 	d.ledger = ledger.New(d.ctx, d.store, atmostonce.DefaultParams, d.now)
@@ -139,17 +146,45 @@
 	if d.operatorLn, err = netx.ListenDefault(d.set.Listen.Operators); err != nil {
 		return err
 	}
-	d.callerSrv = d.newServer(d.callerHandler(), d.callerLn, callerTLS)
+	limits := resources.ShareDescriptors(resources.SystemDescriptors())
+	d.peers.SetMaxConns(limits.Peers)
+	d.callerLimiter = d.newLimiter("callers", callerTLS, connlimit.Options{MaxDescriptors: limits.Callers})
+	d.callerSrv = d.newServer(d.callerHandler(), d.callerLn, callerTLS, d.callerLimiter)
 	ops := &operator.Edge{State: d, Keys: d.set.Operators.KeyHashes}
-	d.operatorSrv = d.newServer(ops.Handler(), d.operatorLn, operatorTLS)
+	opsLimiter := d.newLimiter("operators", operatorTLS, connlimit.Options{Essential: true, MaxDescriptors: resources.MaxAdminConns})
+	d.operatorSrv = d.newServer(ops.Handler(), d.operatorLn, operatorTLS, opsLimiter)
 	return nil
 }
 
-func (d *Daemon) newServer(h http.Handler, ln net.Listener, tlsConfig *tls.Config) *drain.Server {
+// tlsBytes is what TLS adds to the cost of a connection, in bytes of memory.
+const tlsBytes = 40 << 10
+
+// newLimiter completes the options of a limiter for the connections of one listener.
+func (d *Daemon) newLimiter(name string, tlsConfig *tls.Config, o connlimit.Options) *connlimit.Limiter {
+	o.Name, o.Budget, o.Costs, o.Log, o.Now = name, d.budget, connlimit.DefaultCosts, d.log, d.now
+	o.HeaderBytes = func() int { return d.set.Limits.HeaderBytes }
+	if tlsConfig != nil {
+		o.Costs.Conn += tlsBytes
+	}
+	return connlimit.New(o)
+}
+
+func (d *Daemon) newServer(h http.Handler, ln net.Listener, tlsConfig *tls.Config, limiter *connlimit.Limiter) *drain.Server {
 	l := d.set.Limits
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Duration(l.HeaderSeconds) * time.Second,
 		IdleTimeout: time.Duration(l.IdleSeconds) * time.Second, MaxHeaderBytes: l.HeaderBytes, ErrorLog: logline.Logger(d.log)}
-	return drain.NewServer(srv, ln, tlsConfig, d.log)
+	limiter.Attach(srv, http.HandlerFunc(caller.RefuseForRoom))
+	netx.LimitReceiveBuffer(ln, connlimit.ReceiveBuffer)
+	out := drain.NewServer(srv, ln, tlsConfig, d.log)
+	out.WrapListener(limiter.Listener)
+	return out
+}
+
+// countUnread counts what the kernel holds unread of callers' connections, as long as it may be much.
+func (d *Daemon) countUnread(ctx context.Context) {
+	for wait.For(ctx, connlimit.UnreadInterval) {
+		d.callerLimiter.CountUnread()
+	}
 }
 
 // serverTLS returns the configuration of a TLS server, or nil if no certificate is set.
@@ -193,7 +228,7 @@
 	self := member.Member{Name: d.set.Name, Address: advertise, Zone: d.set.Zone, Incarnation: uint64(d.now().UnixMilli())}
 	c := &control{targets: observe.New(observe.ParamsFor(params.Period)), members: member.New(params, self, rand.IntN), now: d.now}
 	for _, f := range [...]func(context.Context){
-		func(ctx context.Context) { d.run(ctx, c) }, d.followConfig, d.followMachines, d.probeTargets, d.joinSeeds, d.runRollouts,
+		func(ctx context.Context) { d.run(ctx, c) }, d.followConfig, d.followMachines, d.probeTargets, d.joinSeeds, d.runRollouts, d.countUnread,
 	} {
 		d.done.Add(1)
 		go func() {
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/shedhoist/shedhoist/internal/logline"
+	"github.com/shedhoist/shedhoist/internal/resources"
 	"github.com/shedhoist/shedhoist/internal/settings"
 	"github.com/shedhoist/shedhoist/internal/version"
 )
@@ -69,6 +70,7 @@
 	defer signal.Stop(signals)
 	logger := NewLogger(stderr, set.Log)
 	logline.Capture(logger)
+	resources.LimitHeap(set.Limits.MemoryBytes())
 	d, err := New(set, logger)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
--- a/internal/daemon/stop_order_test.go
+++ b/internal/daemon/stop_order_test.go
@@ -14,6 +14,7 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/matryer/is"
 
+	"github.com/shedhoist/shedhoist/internal/connlimit"
 	"github.com/shedhoist/shedhoist/internal/operator"
 	"github.com/shedhoist/shedhoist/internal/settings"
 	standin "github.com/shedhoist/shedhoist/internal/standin/platform"
@@ -92,7 +93,7 @@
 func TestShutdownServesQueuedCaller(t *testing.T) {
 	d := newLoneDaemon(t)
 	ln := watch(d.callerLn, true)
-	d.callerSrv = d.newServer(d.callerHandler(), ln, nil)
+	d.callerSrv = d.newServer(d.callerHandler(), ln, nil, d.newLimiter("callers", nil, connlimit.Options{}))
 	checkAnswered(t, d, ln, [2]string{"GET /livez HTTP/1.1\r\n", "Host: a.example\r\n\r\n"})
 }
 
@@ -101,6 +102,6 @@
 	d := newLoneDaemon(t)
 	ln := watch(d.operatorLn, false)
 	ops := &operator.Edge{State: d, Keys: d.set.Operators.KeyHashes}
-	d.operatorSrv = d.newServer(ops.Handler(), ln, nil)
+	d.operatorSrv = d.newServer(ops.Handler(), ln, nil, d.newLimiter("operators", nil, connlimit.Options{}))
 	checkAnswered(t, d, ln, [2]string{"GET /v1/status HTTP/1.1\r\n", "Host: a.example\r\n\r\n"})
 }
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/config"
+	"github.com/shedhoist/shedhoist/internal/connlimit"
 	"github.com/shedhoist/shedhoist/internal/core/attempt"
 	"github.com/shedhoist/shedhoist/internal/explain"
 	"github.com/shedhoist/shedhoist/internal/metric"
@@ -108,7 +109,8 @@
 		}
 		retries++
 		resp, err := d.Targets.Do(ctx, target.Call{Target: inst.Name, Address: inst.Address, Method: req.Method, Path: req.Path,
-			Header: req.Header, Body: req.Body, ID: req.ID, EchoesID: req.Service.EchoesRequestID, Idempotent: idempotent, MaxResponseBytes: d.MaxResponseBytes})
+			Header: req.Header, Body: req.Body, ID: req.ID, EchoesID: req.Service.EchoesRequestID, Idempotent: idempotent, MaxResponseBytes: d.MaxResponseBytes,
+			Room: connlimit.FromContext(ctx)})
 		ev := attempt.Done
 		if err != nil {
 			ev, cause = attemptEvent(ctx, err), err
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -78,7 +78,8 @@
 // the number of explain records kept (WhyRecords). HeaderSeconds and BodySeconds
 // limit how long reading the header and the body may take, IdleSeconds how long an
 // idle connection stays open; the limits on headers and idle connections also apply to
-// operators. AnswerBytes limits a plain service's response.
+// operators. AnswerBytes limits a plain service's response. MemoryMB is the memory that the
+// process may use, of which callers get a share; 0: no limit.
 type Limits struct {
 	HeaderBytes   int `toml:"header_bytes" validate:"min=1024,max=1048576"`
 	BodyBytes     int `toml:"body_bytes" validate:"min=1024,max=67108864"`
@@ -86,9 +87,13 @@
 	HeaderSeconds int `toml:"header_seconds" validate:"min=1,max=600"`
 	BodySeconds   int `toml:"body_seconds" validate:"min=1,max=600"`
 	IdleSeconds   int `toml:"idle_seconds" validate:"min=1,max=3600"`
+	MemoryMB      int `toml:"memory_mb" validate:"min=0,max=1048576"`
 	WhyRecords    int `toml:"why_records" validate:"min=1,max=1000000"`
 }
 
+// MemoryBytes returns the memory that the process may use, in bytes; 0: no limit.
+func (l Limits) MemoryBytes() int64 { return int64(l.MemoryMB) << 20 }
+
 // Timing holds periods and timeouts in milliseconds. On shutdown the daemon reports
 // not ready and accepts requests for DrainNoticeMS, and then finishes the requests in
 // flight within DrainMS.
@@ -110,7 +115,7 @@
 		Listen: Listen{Callers: "127.0.0.1:0", Operators: "127.0.0.1:0", Peers: "127.0.0.1:0"},
 		Log:    Log{Level: "info", Format: "json"},
 		Limits: Limits{HeaderBytes: 64 << 10, BodyBytes: 8 << 20, AnswerBytes: 16 << 20, HeaderSeconds: 5,
-			BodySeconds: 30, IdleSeconds: 120, WhyRecords: 4096},
+			BodySeconds: 30, IdleSeconds: 120, MemoryMB: 1024, WhyRecords: 4096},
 		Timing: Timing{DrainNoticeMS: 5000, DrainMS: 120_000, ProbeMS: 250, HeartbeatMS: 500,
 			ConfigPollMS: 5000, ConnectMS: 1000},
 	}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -113,6 +113,9 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// PeerSecret returns the secret that the instances of every fleet share.
+func PeerSecret() string { return secret("peers") }
+
 // Start runs a fleet and applies its configuration with the operators' tool.
 // It returns when every instance has it in force and has heard every target.
 func Start(ctx context.Context, o Options) (*Fleet, error) {
@@ -220,7 +223,7 @@
 	set.Name, set.Zone = name("entry", f.started), f.zone(f.started)
 	set.Timing = f.Options.Timing
 	set.Platform.URL = f.PlatformURL
-	set.Peers.Secret = secret("peers")
+	set.Peers.Secret = PeerSecret()
 	for _, d := range f.Daemons[:min(len(f.Daemons), fleetSeeds)] {
 		set.Peers.Seeds = append(set.Peers.Seeds, d.PeerAddr())
 	}
--- a/internal/target/service.go
+++ b/internal/target/service.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/shedhoist/shedhoist/internal/body"
 	"github.com/shedhoist/shedhoist/internal/netx"
 )
 
@@ -21,7 +22,8 @@
 	ID               string
 	EchoesID         bool
 	Idempotent       bool
-	MaxResponseBytes int64 // bytes
+	MaxResponseBytes int64     // bytes
+	Room             body.Room // for the response
 }
 
 // Response is the complete response of a service.
@@ -77,15 +79,28 @@
 		// response and a truncated one look the same (RFC 9112, section 6.3).
 		return nil, &IncompleteError{Target: call.Target, ResponseStarted: true, Reason: "response has no length"}
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, call.MaxResponseBytes+1))
+	data, err := readBody(call, resp)
 	if err != nil {
-		return nil, &IncompleteError{Target: call.Target, ResponseStarted: true, Reason: "response is truncated", Cause: err}
+		return nil, &IncompleteError{Target: call.Target, ResponseStarted: true, Reason: "response is truncated, or there is no room for it", Cause: err}
 	}
-	if int64(len(body)) > call.MaxResponseBytes {
+	if int64(len(data)) > call.MaxResponseBytes {
 		return nil, &IncompleteError{Target: call.Target, ResponseStarted: true, Reason: "response exceeds " + strconv.FormatInt(call.MaxResponseBytes, 10) + " bytes"}
 	}
 	if resp.Header.Get(HeaderExecution) == ExecutionNotRun && resp.StatusCode >= 400 {
 		return nil, &RefusedError{Target: call.Target, Status: resp.StatusCode, Reason: "documented refusal", RetryAfter: retryAfter(resp)}
 	}
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: data}, nil
+}
+
+// readBody reads the body of a response, and one byte more than a response may have if it is too large.
+func readBody(call Call, resp *http.Response) ([]byte, error) {
+	size := resp.ContentLength
+	if size > call.MaxResponseBytes {
+		size = call.MaxResponseBytes + 1
+	}
+	read, err := body.Read(io.LimitReader(resp.Body, call.MaxResponseBytes+1), size, call.Room)
+	if err != nil {
+		return nil, err
+	}
+	return read.Bytes()
 }
