What the kernel may hold of a request that arrives is counted; small requests wait for room

What was seen: a trial with 2,000 callers that come back at once, 112 MB and 4,100 descriptors, used up to 146 MB: 90 MB of them unread in the kernel, of a thousand connections whose bodies had been refused. Beside a small account a usual request was refused in the moment in which nothing had stalled yet.

Cause: unread bytes were counted where requests are under work, ten times a second; those of requests that arrive, or were refused, only as they showed. A request for which nothing could be evicted was refused at once.

Change: what the kernel may hold is a part of what a request costs until it is whole; the receive buffer is 16 KB, of which the kernel makes 32. A request of the usual size waits for up to a second until others end or stall. A connection in progress gives way to one that holds half as much (a quarter before, with the larger costs).

Result: TestStalledGiveWay failed in some of 100 runs before, passes 150 of 150.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -40,7 +40,7 @@
 	arrived      int64 // bytes since progressAt
 	head         *head // the head that arrives, or is awaited; nil: a request is being handled
 	recent       headSize
-	parsedHeld   int64     // bytes of the budget that the parsed head holds
+	parsedHeld   int64     // bytes of the budget for the parsed head, and for what the kernel may hold of the body
 	readDeadline time.Time // set by the server
 	unread       int64     // bytes counted that the kernel holds
 	closed       bool
@@ -163,7 +163,7 @@
 	}
 	h.size = h.size.plus(size)
 	tooLarge := h.size.bytes > c.limiter.headerBytes()+serverReadAhead
-	missing := c.limiter.options.Costs.ofHead(h.size) - h.held
+	missing := c.limiter.options.Costs.ofHead(h.size) + c.limiter.options.Costs.Unread - h.held
 	c.mu.Unlock()
 	if tooLarge {
 		return c.refuseHead(headTooLarge, "too large")
@@ -244,15 +244,27 @@
 	if c == nil {
 		return true
 	}
-	for !c.tryReserve(n) {
-		if !c.holder.Possible(n) || !c.limiter.makeRoom(c, n) {
-			return false
-		}
+	if !c.tryReserve(n) && !c.awaitRoom(n) {
+		return false
 	}
 	c.requestHeld.Add(n)
 	return true
 }
 
+// awaitRoom reserves n bytes once others have made room for them, and returns false if they don't.
+func (c *Conn) awaitRoom(n int64) bool {
+	if !c.holder.Possible(n) {
+		return false
+	}
+	deadline := c.limiter.options.Now().Add(roomTimeout)
+	for c.limiter.makeRoom(c, n, deadline) {
+		if c.tryReserve(n) {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Conn) tryReserve(n int64) bool {
 	if c.limiter.options.Essential {
 		c.holder.Add(n)
@@ -302,14 +314,14 @@
 	}
 	c.mu.Unlock()
 	costs, size := c.limiter.options.Costs, parsedSize(r)
-	c.setParsedHeld(min(held, costs.ofHead(size)))
-	cost := costs.ofRequest(size)
+	parsed, cost := costs.ofHead(size)+costs.Unread, costs.ofRequest(size)+costs.Unread
+	c.setParsedHeld(min(held, parsed))
 	if cost <= held {
 		c.Release(held - cost)
 	} else if !c.Reserve(cost - held) {
 		return false
 	}
-	c.setParsedHeld(costs.ofHead(size))
+	c.setParsedHeld(parsed)
 	return r.ContentLength != 0 || c.RequestWhole()
 }
 
@@ -338,6 +350,9 @@
 	}
 	c.phase = eviction.Running
 	c.limiter.running++
+	unread := c.limiter.options.Costs.Unread // CountUnread counts what there is from now on
+	c.parsedHeld -= unread
+	c.releaseBytes(unread)
 	return true
 }
 
@@ -371,7 +386,7 @@
 func (c *Conn) mayHoldUnread() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.phase != eviction.Idle || c.unread > 0
+	return c.phase == eviction.Running || c.unread > 0
 }
 
 // AddHeader counts the header of a response that the request holds.
--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -49,12 +49,13 @@
 	// its new one.
 	HeadByte, HeadLine int64
 	CopiedLine         int64 // a line of the copy that is made to forward a head
-	// Unread is what the kernel may hold of a connection to a target while the caller is slow.
+	// Unread is what the kernel may hold of a connection that is not read as fast as bytes arrive: that of a caller while
+	// its request arrives, and that to a target while its caller is slow.
 	Unread int64
 }
 
 // DefaultCosts are those of a plain connection over TCP.
-var DefaultCosts = Costs{Conn: 20 << 10, Request: 40 << 10, HeadByte: 3, HeadLine: 120, CopiedLine: 110, Unread: ReceiveBuffer}
+var DefaultCosts = Costs{Conn: 20 << 10, Request: 40 << 10, HeadByte: 3, HeadLine: 120, CopiedLine: 110, Unread: 2 * ReceiveBuffer}
 
 // ofHead returns what a head costs while it is parsed.
 func (c Costs) ofHead(s headSize) int64 { return c.HeadByte*s.bytes + c.HeadLine*s.lines }
@@ -63,8 +64,10 @@
 func (c Costs) ofRequest(s headSize) int64 { return c.Request + c.ofHead(s) + c.CopiedLine*s.lines }
 
 const (
-	// roomTimeout bounds the wait for evicted connections to end.
+	// roomTimeout bounds the wait for room.
 	roomTimeout = time.Second
+	// roomInterval is how often a connection that waits looks for others that have stalled meanwhile.
+	roomInterval = 50 * time.Millisecond
 	// evictedAhead is the share of the budget that is freed at a time, so that connections are ranked rarely.
 	evictedAhead = 1.0 / 64
 	// runningShare is the share of the descriptors that requests under work may use. The rest is for connections whose
@@ -225,33 +228,54 @@
 }
 
 // makeRoom evicts connections so that c may reserve n more bytes, and waits until some bytes are released. It returns
-// false if there will be no room.
-func (l *Limiter) makeRoom(c *Conn, n int64) bool {
-	l.mu.Lock()
-	if c.isEvicted() || !l.evictFor(c, n) {
-		l.mu.Unlock()
+// false if there will be no room until a deadline. A small request waits also while nothing may be evicted: what is in
+// progress ends or stalls soon.
+func (l *Limiter) makeRoom(c *Conn, n int64, deadline time.Time) bool {
+	wait, freed := l.evictAndWatch(c, n, deadline)
+	if wait <= 0 {
 		return false
 	}
-	freed := l.freed
-	l.waiters++
-	l.mu.Unlock()
-	defer func() {
-		l.mu.Lock()
-		l.waiters--
-		l.mu.Unlock()
-	}()
+	defer l.stopWatching()
 	if c.holder.Lacks(n) == 0 { // released before this connection waited
 		return true
 	}
-	timeout := time.NewTimer(roomTimeout)
+	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	select {
 	case <-freed:
 		return true
 	case <-c.evictedSignal:
+		return false
 	case <-timeout.C:
+		return l.options.Now().Before(deadline)
+	}
+}
+
+// evictAndWatch evicts connections for c, and returns how long it is to wait for room at a time, and a channel that is
+// closed when bytes are released. The time is 0 if there will be no room; else stopWatching has to be called.
+func (l *Limiter) evictAndWatch(c *Conn, n int64, deadline time.Time) (wait time.Duration, freed <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.isEvicted() {
+		return 0, nil
 	}
-	return false
+	wait = deadline.Sub(l.options.Now())
+	if !l.evictFor(c, n) {
+		if !c.holder.Small(n) {
+			return 0, nil
+		}
+		wait = min(wait, roomInterval)
+	}
+	if wait > 0 {
+		l.waiters++
+	}
+	return wait, l.freed
+}
+
+func (l *Limiter) stopWatching() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.waiters--
 }
 
 // wake lets those that wait for room look again. l.mu is held.
@@ -294,15 +318,15 @@
 	l.mu.Unlock()
 }
 
-// ReceiveBuffer is how many bytes the kernel may hold of one connection that the process has not read. A caller some
-// milliseconds away can send megabytes a second with it.
-const ReceiveBuffer = 32 << 10
+// ReceiveBuffer is the size of the receive buffer of one connection, in bytes; the kernel uses up to twice as many. A
+// caller some milliseconds away can send megabytes a second with it.
+const ReceiveBuffer = 16 << 10
 
 // UnreadInterval is how often CountUnread is to be called.
 const UnreadInterval = 100 * time.Millisecond
 
-// CountUnread counts what the kernel holds unread of the connections, each some ReceiveBuffer bytes at most, if it may be
-// much, and evicts connections if there is no room for it.
+// CountUnread counts what the kernel holds unread of the connections on which requests are under work, if it may be much,
+// and evicts connections if there is no room for it. Costs has what it may hold of requests that arrive.
 func (l *Limiter) CountUnread() {
 	conns := l.mayHoldUnread()
 	for _, c := range conns {
@@ -319,13 +343,12 @@
 // unreadAllowance is the share of the budget that unread bytes may exceed it by before they are counted.
 const unreadAllowance = 1.0 / 16
 
-// mayHoldUnread returns the connections that are in use, if their unread bytes may be more than unreadAllowance: idle ones
-// are read as bytes arrive.
+// mayHoldUnread returns the connections to look at, if requests under work may hold more than unreadAllowance.
 func (l *Limiter) mayHoldUnread() (out []*Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	limit := l.options.Budget.Limit()
-	if limit <= 0 {
+	if limit <= 0 || float64(int64(l.running)*l.options.Costs.Unread) <= unreadAllowance*float64(limit) {
 		return nil
 	}
 	for c := range l.conns {
@@ -333,9 +356,6 @@
 			out = append(out, c)
 		}
 	}
-	if float64(len(out)*ReceiveBuffer) <= unreadAllowance*float64(limit) {
-		return nil
-	}
 	return out
 }
 
--- a/internal/core/buffer/holder.go
+++ b/internal/core/buffer/holder.go
@@ -62,6 +62,9 @@
 	return limit <= 0 || total <= limit
 }
 
+// Small reports whether the holder counts as small with n bytes more.
+func (h *Holder) Small(n int64) bool { return h.held.Load()+n <= smallHolder }
+
 // limitFor returns how many bytes all holders may hold when one of them gets a total of so many; 0 is no limit.
 func (b *Budget) limitFor(total int64) int64 {
 	if b.all.limit <= 0 || total <= smallHolder {
--- a/internal/core/eviction/eviction.go
+++ b/internal/core/eviction/eviction.go
@@ -50,7 +50,7 @@
 	// held up for some round trips at most.
 	grace = 250 * time.Millisecond
 	// smallerBy is how many times less than a connection in progress another has to hold to take its place.
-	smallerBy = 4
+	smallerBy = 2
 	// idleWorth is how many times more than an idle connection another may hold to take its place: large requests
 	// don't cost many callers their connections.
 	idleWorth = 16
