A caller that the process lets wait for room does not count as stalled

Change: the wait is looked at every 50 ms and is no lack of progress. In the test the request that keeps its room goes to a route whose requests are sent once: on the other it was given up at its target while others waited.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -258,6 +258,7 @@
 	}
 	deadline := c.limiter.options.Now().Add(roomTimeout)
 	for c.limiter.makeRoom(c, n, deadline) {
+		c.noteHeldUp()
 		if c.tryReserve(n) {
 			return true
 		}
@@ -265,6 +266,13 @@
 	return false
 }
 
+// noteHeldUp notes that the connection makes no progress since the process lets it wait, not its caller.
+func (c *Conn) noteHeldUp() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.progressAt = c.limiter.options.Now()
+}
+
 func (c *Conn) tryReserve(n int64) bool {
 	if c.limiter.options.Essential {
 		c.holder.Add(n)
--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -259,13 +259,10 @@
 	if c.isEvicted() {
 		return 0, nil
 	}
-	wait = deadline.Sub(l.options.Now())
-	if !l.evictFor(c, n) {
-		if !c.holder.Small(n) {
-			return 0, nil
-		}
-		wait = min(wait, roomInterval)
+	if !l.evictFor(c, n) && !c.holder.Small(n) {
+		return 0, nil
 	}
+	wait = min(roomInterval, deadline.Sub(l.options.Now()))
 	if wait > 0 {
 		l.waiters++
 	}
--- a/internal/gateway/slow_callers_test.go
+++ b/internal/gateway/slow_callers_test.go
@@ -598,19 +598,20 @@
 		defer f.stop()
 		b := f.gateways[0].buffers
 		refused := metric.BodiesRefused.Get()
-		post := func(body, length string) *slowCaller {
+		postTo := func(path, body, length string) *slowCaller {
 			c := f.connect()
-			fmt.Fprintf(c, "POST %s%s HTTP/1.1\r\nHost: %s\r\n%s: post-%d\r\n%s: key\r\n%s\r\n\r\n%s", pathSafe, answersMedium, anyHost, trafficID, b.Held(), trafficKey, length, body)
+			fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: %s\r\n%s: post-%d\r\n%s: key\r\n%s\r\n\r\n%s", path, anyHost, trafficID, b.Held(), trafficKey, length, body)
 			time.Sleep(slowInterval)
 			return c
 		}
+		post := func(body, length string) *slowCaller { return postTo(pathSafe+answersMedium, body, length) }
 		response := func(c *slowCaller) *http.Response {
 			resp, err := http.ReadResponse(c.r, nil)
 			is.NoErr(err)
 			return resp
 		}
 		f.holding.Store(true)
-		first := post(strings.Repeat("x", 14<<10), fmt.Sprint("Content-Length: ", 14<<10))
+		first := postTo(pathAudit+answersStream, strings.Repeat("x", 14<<10), fmt.Sprint("Content-Length: ", 14<<10)) // stays at its target
 		is.Equal(b.Held(), int64(14<<10))
 		f.holding.Store(false)
 		second := post("", fmt.Sprint("Content-Length: ", 8<<10)) // never sends its body
