--- a/review/kit2/main.go
+++ b/review/kit2/main.go
@@ -75,6 +75,5 @@
 
 var cases = map[string]func(root string, rec *record, trouble bool) (broken bool){
 	"wall": playWall,
-	"shed": playShed,
 	"long": playLong,
 }
