A head ends when the server has parsed it, not when its handler is called

Cause: net/http reads behind a request in a goroutine of its own. If that read came before the handler, connlimit took it for a read of the head and set the head's deadline, which nobody took back; the read failed and cancelled the request.

Evidence: TestHeadEndsBeforeHandler holds the handler back until that read has begun. On the code before, go test ./internal/connlimit: fails each time for GET, POST without a length and with length 0, a byte, a part or the whole of the next head behind, a blank line behind, and a request that the server refuses itself; passes for POST with a body and in chunks. TestSlowHeadsEnd failed for a head that began together with the request before it (400 after the server's ten seconds), and TestHeadTimeChanges for a time that was prolonged while a head arrived.

Change: the head ends with the ConnState hook for StateActive, which net/http calls after it has parsed a head and before it reads behind it. A head whose bytes came with the request before begins when the server sets its deadline. The time of a head under way is compared with the configuration each half second.

Why this works: parsing, the hook and the start of the read behind follow one another in one goroutine.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -38,9 +38,9 @@
 	phase        eviction.Phase
 	progressAt   time.Time
 	arrived      int64 // bytes since progressAt
-	head         *head // the head that arrives, or is awaited; nil: a request is being handled
+	head         *head // the head that arrives, or is awaited; nil: it has been parsed
 	recent       headSize
-	parsedHeld   int64     // bytes of the budget for the parsed head, and for what the kernel may hold of the body
+	parsedHeld   int64     // bytes of the budget for the parsed head; from beginRequest on also for what the kernel may hold of the body
 	readDeadline time.Time // set by the server
 	unread       int64     // bytes counted that the kernel holds
 	closed       bool
@@ -50,10 +50,10 @@
 // head is the head of a request that has not been parsed yet.
 type head struct {
 	size      headSize
-	held      int64 // bytes of the budget
-	startedAt time.Time
-	deadlines int  // read deadlines that the server has set since it awaits the head
-	bounded   bool // the deadline is that of the configuration
+	held      int64     // bytes of the budget
+	begunAt   time.Time // zero: nothing of it is known to have arrived
+	deadlines int       // read deadlines that the server has set since it awaits the head
+	recheckAt time.Time // when the read deadline that limitHead has set passes
 }
 
 // startHead awaits a head. c.mu is held, or c is not shared yet.
@@ -61,28 +61,47 @@
 	c.phase, c.progressAt, c.arrived, c.head = eviction.Idle, c.limiter.options.Now(), 0, &head{}
 }
 
+// beginHead notes that a part of the awaited head has arrived. c.mu is held.
+func (c *Conn) beginHead() {
+	c.head.begunAt, c.phase = c.limiter.options.Now(), eviction.Receiving
+}
+
+// endHead notes that the server has parsed the head. It has to be called before the server reads on: net/http reads
+// behind a head to notice the caller's end, in a goroutine of its own that may come before the handler.
+func (c *Conn) endHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.head != nil {
+		c.phase, c.parsedHeld, c.head = eviction.Receiving, c.head.held, nil
+	}
+}
+
 // NetConn returns the wrapped connection.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
 // Read implements net.Conn. While a head arrives it reserves what that will cost, and fails if there is no room or the
-// head is too large.
+// head is too large or too slow.
 func (c *Conn) Read(p []byte) (int, error) {
-	c.beforeRead()
-	n, err := c.Conn.Read(p)
-	if n == 0 && c.isLate(err) {
-		return 0, c.refuseHead(headTooSlow, "too slow")
-	}
-	if n == 0 {
-		return n, err
-	}
-	if failure := c.received(p[:n]); failure != nil {
-		return 0, failure
+	for {
+		c.beforeRead()
+		n, err := c.Conn.Read(p)
+		if n > 0 {
+			if failure := c.received(p[:n]); failure != nil {
+				return 0, failure
+			}
+			return n, err
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.headHasBegun() {
+			return 0, err
+		}
+		if !c.hasTimeLeft() {
+			return 0, c.refuseHead(headTooSlow, "too slow")
+		}
 	}
-	return n, err
 }
 
 // idleDeadlines is how many read deadlines the server sets on an idle connection before it reads: that of the idle
-// timeout. It reads then only if it holds nothing of the next head.
+// timeout. It reads then only if it holds nothing of the next head, and sets another one once it holds some of it.
 const idleDeadlines = 1
 
 // beforeRead releases what was reserved for bytes that the server might have held of the next head, and bounds the time
@@ -93,50 +112,71 @@
 	h := c.head
 	switch {
 	case h == nil:
-	case h.size.bytes > 0:
-		c.boundHead()
+	case !h.begunAt.IsZero():
+		c.limitHead()
 	case h.held > 0 && h.deadlines <= idleDeadlines:
 		c.releaseHead()
 	}
 }
 
-// boundHead sets the read deadline to that of the head, unless the server's is earlier. c.mu is held.
-func (c *Conn) boundHead() {
-	if c.head.bounded {
+// headRecheckInterval is how often the time of a head under way is compared with the configuration, which may change.
+const headRecheckInterval = 500 * time.Millisecond
+
+// limitHead sets the read deadline to the end of the head's time, or to the next look at it. c.mu is held.
+func (c *Conn) limitHead() {
+	if c.limiter.options.HeaderTimeout == nil {
 		return
 	}
-	c.head.bounded = true
-	if until := c.headUntil(c.readDeadline); !until.Equal(c.readDeadline) {
-		_ = c.Conn.SetReadDeadline(until) // fails only if the connection is closed
+	c.head.recheckAt = c.limiter.options.Now().Add(headRecheckInterval)
+	if until := c.headUntil(); !until.IsZero() && until.Before(c.head.recheckAt) {
+		c.head.recheckAt = until
 	}
+	_ = c.Conn.SetReadDeadline(c.head.recheckAt) // fails only if the connection is closed
 }
 
-// headUntil returns the earlier of a deadline and the end of the time that the configuration allows for a head. c.mu
-// is held.
-func (c *Conn) headUntil(deadline time.Time) time.Time {
+// hasTimeLeft reports whether a head may go on to arrive whose read deadline has passed: it was that of limitHead, and the
+// head's time has not ended.
+func (c *Conn) hasTimeLeft() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now, until := c.limiter.options.Now(), c.headUntil()
+	if c.head.recheckAt.IsZero() || now.Before(c.head.recheckAt) {
+		return false // the deadline is another one, as that of a server which stops
+	}
+	return until.IsZero() || now.Before(until)
+}
+
+// headUntil returns when the time of the head under way ends: that of the configuration, or the server's deadline if that
+// is earlier; zero: never. c.mu is held.
+func (c *Conn) headUntil() time.Time {
 	timeout := c.limiter.headerTimeout()
 	if timeout <= 0 {
-		return deadline
+		return c.readDeadline
 	}
-	until := c.head.startedAt.Add(time.Duration(headerSlack * float64(timeout)))
-	if deadline.IsZero() || until.Before(deadline) {
-		return until
+	until := c.head.begunAt.Add(time.Duration(headerSlack * float64(timeout)))
+	if !c.readDeadline.IsZero() && c.readDeadline.Before(until) {
+		return c.readDeadline
 	}
-	return deadline
+	return until
 }
 
 // SetReadDeadline implements net.Conn.
 func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.noteDeadline(t)
+	return c.Conn.SetReadDeadline(t)
+}
+
+func (c *Conn) noteDeadline(t time.Time) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.readDeadline = t
-	if c.head != nil {
-		c.head.deadlines++
-		if c.head.size.bytes > 0 && !t.IsZero() {
-			t, c.head.bounded = c.headUntil(t), true
-		}
+	if c.head == nil {
+		return
+	}
+	c.head.deadlines++
+	if c.head.deadlines > idleDeadlines && c.head.begunAt.IsZero() {
+		c.beginHead() // its bytes came together with the request before
 	}
-	c.mu.Unlock()
-	return c.Conn.SetReadDeadline(t)
 }
 
 // SetDeadline implements net.Conn.
@@ -158,8 +198,8 @@
 		c.mu.Unlock()
 		return nil
 	}
-	if h.size.bytes == 0 {
-		h.startedAt, c.phase = c.limiter.options.Now(), eviction.Receiving
+	if h.begunAt.IsZero() {
+		c.beginHead()
 	}
 	h.size = h.size.plus(size)
 	tooLarge := h.size.bytes > c.limiter.headerBytes()+serverReadAhead
@@ -180,11 +220,11 @@
 	return nil
 }
 
-// isLate reports whether an error of a read means that the rest of a head did not arrive in time.
-func (c *Conn) isLate(err error) bool {
+// headHasBegun reports whether a part of a head has arrived on a connection that is not evicted, and the rest is awaited.
+func (c *Conn) headHasBegun() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return errors.Is(err, os.ErrDeadlineExceeded) && c.head != nil && c.head.size.bytes > 0 && !c.evicted
+	return c.head != nil && !c.head.begunAt.IsZero() && !c.evicted
 }
 
 // noteProgress counts bytes that arrived. c.mu is held.
@@ -315,11 +355,7 @@
 // beginRequest replaces what was reserved for the head by what the request costs. It returns false if there is no room.
 func (c *Conn) beginRequest(r *http.Request) bool {
 	c.mu.Lock()
-	c.phase = eviction.Receiving
-	held := int64(0)
-	if c.head != nil {
-		held, c.head = c.head.held, nil
-	}
+	held := c.parsedHeld
 	c.mu.Unlock()
 	costs, size := c.limiter.options.Costs, parsedSize(r)
 	parsed, cost := costs.ofHead(size)+costs.Unread, costs.ofRequest(size)+costs.Unread
@@ -414,6 +450,8 @@
 // setState follows the server's use of the connection.
 func (c *Conn) setState(state http.ConnState) {
 	switch state {
+	case http.StateActive: // the head has been parsed, or can't be
+		c.endHead()
 	case http.StateIdle:
 		c.awaitNext()
 	case http.StateClosed, http.StateHijacked:
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -9,6 +9,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -63,6 +64,7 @@
 	http    *http.Server
 	slow    chan struct{} // closed to let requests for /slow end
 	release func()        // closes it
+	delay   atomic.Int64  // ns by which the limiter's handler is called later
 }
 
 // stop ends all requests and connections.
@@ -85,10 +87,26 @@
 		w.Header().Set("Connection", "close")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}))
+	s.http.Handler = s.delayed(s.http.Handler)
 	go s.http.Serve(s.limiter.Listener(s.pipeListener))
 	return s
 }
 
+// delayed returns a handler that calls next after the delay, as one does that waits for a processor. Requests for /outside
+// don't reach next, as those that a server refuses which stops.
+func (s *server) delayed(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(time.Duration(s.delay.Load()))
+		if r.URL.Path != "/outside" {
+			next.ServeHTTP(w, r)
+			return
+		}
+		if time.Sleep(longWork); r.Context().Err() != nil {
+			panic(http.ErrAbortHandler) // the caller is gone
+		}
+	})
+}
+
 func (s *server) serve(w http.ResponseWriter, r *http.Request) {
 	conn := FromRequest(r)
 	for piece := make([]byte, 1<<10); ; {
@@ -101,8 +119,18 @@
 			break
 		}
 	}
-	if conn.RequestWhole() && r.URL.Path == "/slow" {
+	if !conn.RequestWhole() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	switch r.URL.Path {
+	case "/slow":
 		<-s.slow
+	case "/long":
+		time.Sleep(longWork)
+	}
+	if r.Context().Err() != nil {
+		panic(http.ErrAbortHandler) // the caller is gone
 	}
 }
 
@@ -123,8 +151,12 @@
 	return resp.StatusCode
 }
 
+// longWork is the time that a request for /long takes.
+const longWork = 10 * time.Second
+
 const (
 	smallRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	longRequest  = "GET /long HTTP/1.1\r\nHost: h\r\n\r\n"
 	bodyStalls   = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n"
 )
 
@@ -237,6 +269,118 @@
 	})
 }
 
+// TestHeadEndsBeforeHandler guards against the head of a request that is being handled and counts as one that still arrives,
+// since net/http's read behind it comes before the handler: the connection was closed at the end of the head's time.
+func TestHeadEndsBeforeHandler(t *testing.T) {
+	const post = "POST /long HTTP/1.1\r\nHost: h\r\n"
+	for name, c := range map[string]struct{ request, next string }{
+		"GET":                   {longRequest, longRequest},
+		"POST, no length":       {post + "\r\n", longRequest},
+		"POST, length 0":        {post + "Content-Length: 0\r\n\r\n", longRequest},
+		"POST, body":            {post + "Content-Length: 1\r\n\r\nx", longRequest},
+		"POST, chunks":          {post + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", longRequest},
+		"byte of the next head": {longRequest + longRequest[:1], longRequest[1:]},
+		"part of the next head": {longRequest + longRequest[:12], longRequest[12:]},
+		"whole next head":       {longRequest + longRequest, ""},
+		"blank line behind":     {post + "\r\n\r\n", longRequest},
+		"refused by the server": {"GET /outside HTTP/1.1\r\nHost: h\r\n\r\n", longRequest},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newServer(0, func(o *Options) { o.HeaderTimeout = func() time.Duration { return longWork / 4 } })
+				defer s.stop()
+				s.delay.Store(int64(time.Second)) // the read behind the head has begun by then
+				conn := s.dial()
+				defer conn.Close()
+				go io.WriteString(conn, c.request) // ends with the connection
+				responses := bufio.NewReader(conn)
+				for _, next := range []string{c.next, longRequest, ""} {
+					resp, err := http.ReadResponse(responses, nil)
+					is.NoErr(err)
+					is.Equal(resp.StatusCode, http.StatusOK)
+					go io.WriteString(conn, next) // ends with the connection
+				}
+			})
+		})
+	}
+}
+
+// TestSlowHeadsEnd guards against a head that may stay unfinished: the first on its connection, a later one, and one that
+// began together with the request before it.
+func TestSlowHeadsEnd(t *testing.T) {
+	const timeout = 2 * time.Second
+	for name, sent := range map[string]struct {
+		first, part string
+	}{
+		"first":    {"", smallRequest[:10]},
+		"later":    {smallRequest, smallRequest[:10]},
+		"together": {smallRequest + smallRequest[:10], ""},
+		"a byte":   {smallRequest + smallRequest[:1], smallRequest[1:10]},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newServer(0, func(o *Options) { o.HeaderTimeout = func() time.Duration { return timeout } })
+				defer s.stop()
+				conn := s.dial()
+				defer conn.Close()
+				responses := bufio.NewReader(conn)
+				if sent.first != "" {
+					go io.WriteString(conn, sent.first) // ends with the connection
+					resp, err := http.ReadResponse(responses, nil)
+					is.NoErr(err)
+					is.Equal(resp.StatusCode, http.StatusOK)
+				}
+				began := time.Now()
+				go io.WriteString(conn, sent.part) // ends with the connection
+				resp, err := http.ReadResponse(responses, nil)
+				is.NoErr(err)
+				is.Equal(resp.StatusCode, http.StatusRequestTimeout)
+				is.True(time.Since(began) >= timeout && time.Since(began) <= 2*timeout) // the clock is the test's own
+			})
+		})
+	}
+}
+
+// TestHeadTimeChanges guards against a head under way for which the time holds that was configured as it began.
+func TestHeadTimeChanges(t *testing.T) {
+	for name, c := range map[string]struct {
+		before, after time.Duration
+		status        int
+	}{
+		"shorter": {time.Minute, 2 * time.Second, http.StatusRequestTimeout},
+		"longer":  {2 * time.Second, 30 * time.Second, http.StatusOK},
+		"none":    {2 * time.Second, 0, http.StatusOK},
+		"first":   {0, 2 * time.Second, http.StatusRequestTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				var timeout atomic.Int64
+				timeout.Store(int64(c.before))
+				s := newServer(0, func(o *Options) { o.HeaderTimeout = func() time.Duration { return time.Duration(timeout.Load()) } })
+				defer s.stop()
+				conn := s.dial()
+				var rest sync.WaitGroup
+				defer rest.Wait()
+				defer conn.Close()
+				_, err := io.WriteString(conn, smallRequest[:10])
+				is.NoErr(err)
+				rest.Go(func() {
+					time.Sleep(10 * time.Second)
+					_, _ = io.WriteString(conn, smallRequest[10:]) // fails once the head is refused
+				})
+				time.Sleep(time.Second)
+				timeout.Store(int64(c.after))
+				resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				is.NoErr(err)
+				is.Equal(resp.StatusCode, c.status)
+			})
+		})
+	}
+}
+
 // TestHeadCosts guards against heads that cost more memory than is counted for them.
 func TestHeadCosts(t *testing.T) {
 	const heads, size = 100, 16 << 10
