A connection that has failed has no end that makes an answer whole

Cause: Linux reports a reset once. If the write of the request takes the error, the read behind it sees an ordinary end, which is what makes an answer without a length whole. A peer that carries the connection sends that end on as the target's.

Change: netx.VerifyEnd, in netx.Transport and at the peer's end of a tunnel: io.EOF only if no write has failed and the kernel does not say that the connection was reset, else AbruptEndError. All clients use netx.Transport.

Why this works: a reset leaves the connection in TCP_CLOSE, whichever call takes the error; a peer's end in TCP_CLOSE_WAIT.

--- a/internal/netx/netx.go
+++ b/internal/netx/netx.go
@@ -141,19 +141,22 @@
 	MaxIdlePerHost int           // idle connections kept per host; 0: none, each request opens its own
 	IdleTimeout    time.Duration // how long an idle connection is kept; 0: until the other side closes it
 
-	Dial func(ctx context.Context, network, address string) (net.Conn, error) // opens connections; nil: as Dialer's do
+	Dial DialFunc // opens connections; nil: as Dialer's do
 }
 
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // maxResponseHeaderBytes is the maximum size of a response header.
 const maxResponseHeaderBytes = 64 << 10
 
-// Transport returns a transport that does not request compression and ignores the proxy
-// settings of the environment.
+// Transport returns a transport that does not request compression, ignores the proxy settings of the environment, and
+// verifies the ends of its connections, see VerifyEnd. All clients of other processes use one.
 func Transport(o TransportOptions) *http.Transport {
 	if o.Dial == nil {
 		o.Dial = Dialer(o.ConnectTimeout).DialContext
 	}
-	return &http.Transport{DialContext: o.Dial, DisableCompression: true, DisableKeepAlives: o.MaxIdlePerHost == 0,
+	return &http.Transport{DialContext: verifyingDial(o.Dial), DisableCompression: true, DisableKeepAlives: o.MaxIdlePerHost == 0,
 		MaxIdleConnsPerHost: o.MaxIdlePerHost, IdleConnTimeout: o.IdleTimeout, MaxResponseHeaderBytes: maxResponseHeaderBytes}
 }
 
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -36,7 +36,7 @@
 }
 
 // DialFunc opens a connection; it has the signature of net.Dialer.DialContext.
-type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+type DialFunc = netx.DialFunc
 
 // pooledConn is a connection of the pool and its state.
 type pooledConn struct {
--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -7,6 +7,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/shedhoist/shedhoist/internal/netx"
 )
 
 // A tunnel carries the bytes of one connection to a target through a peer that reaches it. It uses
@@ -194,6 +196,7 @@
 	}
 	if target != nil {
 		defer target.Close()
+		target = netx.VerifyEnd(target)
 	}
 	if err := frames.send(tunnelOpening, reply); err != nil || target == nil {
 		return
--- a/internal/peer/tunnel_test.go
+++ b/internal/peer/tunnel_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -19,6 +20,8 @@
 	via     string
 	target  net.Listener
 	carried chan struct{} // gets a value for each tunnel that has ended
+
+	wrapTarget func(net.Conn) net.Conn // wraps the peer's connections to the target; nil: none
 }
 
 func newTunnelFixture(t testing.TB, status TunnelStatus) *tunnelFixture {
@@ -39,6 +42,9 @@
 		if err != nil {
 			return nil, TunnelRefused, done
 		}
+		if f.wrapTarget != nil {
+			conn = f.wrapTarget(conn)
+		}
 		return conn, TunnelOpen, done
 	})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -116,6 +122,38 @@
 	}
 }
 
+// failingWrites is a connection of which the kernel has reported a reset to a write, so that a read sees an ordinary end.
+type failingWrites struct {
+	net.Conn
+	failed chan struct{}
+}
+
+// Write implements net.Conn.
+func (c *failingWrites) Write([]byte) (int, error) {
+	close(c.failed)
+	return 0, syscall.ECONNRESET
+}
+
+// Read implements net.Conn.
+func (c *failingWrites) Read([]byte) (int, error) {
+	<-c.failed
+	return 0, io.EOF
+}
+
+// TestTunnelEndAfterFailedWrite guards against a part of an answer that looks whole at the user of a tunnel: the target has
+// reset the connection while the peer was writing to it.
+func TestTunnelEndAfterFailedWrite(t *testing.T) {
+	is := is.New(t)
+	f := newTunnelFixture(t, TunnelOpen)
+	f.wrapTarget = func(conn net.Conn) net.Conn { return &failingWrites{Conn: conn, failed: make(chan struct{})} }
+	user, _ := f.open(t)
+	_, err := io.WriteString(user, "question")
+	is.NoErr(err)
+	_, err = user.Read(make([]byte, 1))
+	is.True(err != nil)
+	is.True(!errors.Is(err, io.EOF))
+}
+
 // TestTunnelUserLeaves checks that a user that closes its end closes the connection to the target.
 func TestTunnelUserLeaves(t *testing.T) {
 	is := is.New(t)
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -5,11 +5,14 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/shedhoist/shedhoist/internal/netx"
 )
 
 // Client is a client of the platform's object API over HTTP (docs/STANDINS.md, "platform").
@@ -29,7 +32,7 @@
 // NewClient returns a client of the API at base, such as "http://10.0.0.1:80". A nil httpClient selects a default.
 func NewClient(base, token string, httpClient *http.Client) *Client {
 	if httpClient == nil {
-		httpClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}}
+		httpClient = &http.Client{Transport: netx.Transport(netx.TransportOptions{Dial: new(net.Dialer).DialContext, MaxIdlePerHost: 16, IdleTimeout: time.Minute})}
 	}
 	return &Client{base: strings.TrimRight(base, "/"), token: token, http: httpClient, callTimeout: DefaultCallTimeout}
 }
