A rejection of an engine that is too large is not passed on in part

Cause: internal/target read the first 64 KB of an engine's error response and took them for all of it; a longer one reached the caller cut and complete in form. Found while looking for other places that take an end for a whole.

Change: one byte more is read; a longer response counts as incomplete.

Result: TestLargeRejection failed for a body of 64 KB and a byte before, and passes; so do the tests of target and dispatch.

--- a/internal/target/engine.go
+++ b/internal/target/engine.go
@@ -150,11 +150,14 @@
 	if resp.StatusCode == http.StatusOK {
 		return nil
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBodyBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBodyBytes+1))
 	if resp.Header.Get(HeaderExecution) == ExecutionNotRun {
 		return &RefusedError{Target: r.Target, Status: resp.StatusCode, Reason: gjson.GetBytes(body, "error.message").String(),
 			RetryAfter: retryAfter(resp)}
 	}
+	if err == nil && len(body) > maxErrorBodyBytes {
+		return &IncompleteError{Target: r.Target, Reason: "response exceeds " + strconv.Itoa(maxErrorBodyBytes) + " bytes"}
+	}
 	if err == nil && resp.StatusCode >= 400 && resp.StatusCode < 500 {
 		return &RejectedError{Target: r.Target, Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}
 	}
