Responses that are none in HTTP are answered 502

What callers saw (MIXED): a server answers with status 000; the caller's connection is closed without an answer. A 101 that nobody asked for, 600 and 999 reached the caller.

Cause: net/http reads any three characters that parse as a number for a status, and its server panics when one below 100 is passed on. Nothing checked it between.

Evidence: without the check, TestInvalidStatus fails each time for 000, 001, 099, +20, 101, 600, 999 and HTTP/2.0.

The gateway takes it for an invalid answer: it may be tried elsewhere, it is no crash of the target, and the attempt's log line has the error.

Why this works: all clients of the project read through this transport.

Result: go test -race -run 'TestInvalidStatus|TestEarly|TestFailedAttempts|TestExtra' ./platform passes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -129,9 +129,12 @@
 		x.g.zoneMonitor.connectSlow(t)
 	}
 	result := attemptResult{cause: err, event: attempt.FailedBeforeResponse, connBroken: way.MaybeSent}
+	var invalid *netx.InvalidResponseError
 	switch {
 	case err != nil && !way.MaybeSent:
 		result.event = attempt.NotSent
+	case errors.As(err, &invalid):
+		result = attemptResult{event: attempt.FailedMidResponse, cause: &BadResponseError{Target: t.ID, Reason: "response can't be forwarded", Cause: err}}
 	case err == nil:
 		defer resp.Body.Close()
 		at.httpResponse, at.response = resp, x.g.codec.ParseResponse(resp.StatusCode, resp.Header)
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -48,6 +48,7 @@
 	UnreadableWeightVersions = metrics.NewCounter("shedhoist_weight_versions_unreadable_total")
 	UnreadableObjects        = metrics.NewCounter("shedhoist_objects_unreadable_total")
 	MismatchedResponses      = metrics.NewCounter("shedhoist_mismatched_answers_total") // responses that belong to another request
+	InvalidResponses         = metrics.NewCounter("shedhoist_invalid_responses_total")  // of any server, that are none in HTTP
 	PromptTokens             = metrics.NewCounter("shedhoist_prompt_tokens_total")
 	CachedTokens             = metrics.NewCounter("shedhoist_prompt_tokens_cached_total")
 	RestoredTokens           = metrics.NewCounter("shedhoist_prompt_tokens_restored_total")
