A response to HEAD states the length that its target stated

Cause: an answer that is read whole before it is passed on got the length of what was read, which for HEAD is nothing: callers were told Content-Length: 0, whatever the target had said. Found while looking for other ways to frame an answer wrongly.

Change: for HEAD the target's length is passed on, or none if it stated none.

Result: TestResponsesWithoutBody failed for HEAD with and without a length, and passes; for 204 and 304 net/http's server drops a length itself.

--- a/internal/gateway/buffered_response.go
+++ b/internal/gateway/buffered_response.go
@@ -82,13 +82,18 @@
 	status   int
 	header   http.Header
 	body     []byte
+	length   int64 // that the target stated, -1: none; for HEAD that of a body that is not sent (RFC 9110, section 8.6)
 	reserved int64 // bytes of the instance's budget
 }
 
 // deliver writes the response. It returns an error only if the caller is given up: a caller that
 // closed its connection does not make the response incomplete.
 func (b *bufferedResponse) deliver(x *exchange) error {
-	x.writeHeader(b.status, b.header, int64(len(b.body)))
+	length := int64(len(b.body))
+	if x.r.Method == http.MethodHead {
+		length = b.length
+	}
+	x.writeHeader(b.status, b.header, length)
 	_ = x.out.write(b.body, true)
 	if x.out.gaveUp != nil {
 		return x.out.gaveUp
--- a/internal/gateway/held_bytes.go
+++ b/internal/gateway/held_bytes.go
@@ -62,7 +62,7 @@
 // bufferResponse reads a target's response up to maxBufferedResponse. whole is false if there is
 // more, since it is larger or there is no room for it.
 func (x *exchange) bufferResponse(at *attemptState) (b *bufferedResponse, whole bool, err error) {
-	b = &bufferedResponse{status: at.httpResponse.StatusCode, header: at.httpResponse.Header}
+	b = &bufferedResponse{status: at.httpResponse.StatusCode, header: at.httpResponse.Header, length: at.httpResponse.ContentLength}
 	size := int64(initialResponseBuffer)
 	if length := at.httpResponse.ContentLength; length >= 0 {
 		size = min(length, maxBufferedResponse) + 1 // one more: the last Read returns io.EOF
