What a request holds is released if its handler panics

Cause: the slot at a target that is warming up, the save of a part, and the trial of a quarantined request were released in the ordinary course only; nothing logged the end of a request that panicked.

Change: slot and save are released by a defer of the attempt; the recovery ends the trial, and logs and counts the request's end with the outcome panic.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -91,6 +91,7 @@
 	defer cancel()
 	at := &attemptState{cancel: cancel, target: t, load: x.g.upstream.inflight.Get(t.ID), startedAt: x.g.now(), promptWork: x.promptWork}
 	releaseSlot := x.releaseWarmupSlot(t)
+	defer releaseSlot()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn:      func(httptrace.GotConnInfo) { at.connObtained.Store(true) },
 		WroteRequest: func(httptrace.WroteRequestInfo) { releaseSlot() },
@@ -115,10 +116,11 @@
 	}
 	defer x.boundStart(at, cancel)()
 	x.plan = cachePlan{}
+	defer func() { x.endSave(saveAbandoned) }() // if it has not ended, after a panic
 	out := x.buildRequest(t)
 	at.load.Responses.RecordRequest(at.startedAt)
 	resp, way, err := x.g.upstream.send(ctx, out)
-	x.g.cache.endSave(x.plan.pendingSave, saveResultOf(way, err, ctx.Err() != nil))
+	x.endSave(saveResultOf(way, err, ctx.Err() != nil))
 	releaseSlot()
 	if err != nil && ctx.Err() != nil {
 		at.load.Responses.RecordAbandoned(at.startedAt, x.g.now(), silenceThreshold)
@@ -162,6 +164,12 @@
 	return result
 }
 
+// endSave records how the attempt that carried a save ended, once.
+func (x *exchange) endSave(result saveResult) {
+	x.g.cache.endSave(x.plan.pendingSave, result)
+	x.plan.pendingSave = nil
+}
+
 // saveResultOf returns the result of the saves that a request asked its target for.
 func saveResultOf(way netx.SendInfo, err error, abandoned bool) saveResult {
 	switch {
--- a/internal/gateway/request_lines.go
+++ b/internal/gateway/request_lines.go
@@ -36,8 +36,11 @@
 	e.Info("attempt failed")
 }
 
-// outcomeDone is the outcome of a request whose response was delivered.
-const outcomeDone = "done"
+// Outcomes of requests that end without a problem.
+const (
+	outcomeDone  = "done"  // the response was delivered
+	outcomePanic = "panic" // the handler panicked
+)
 
 // finish counts the request and logs its end, once. Of successes only a sample is logged.
 func (x *exchange) finish(status int, outcome, detail string) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -38,6 +38,7 @@
 		if err, ok := v.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
 			metric.Panics.Inc()
 			g.log.WithField("request", x.call.ID).WithField("panic", v).Error("panic in a request")
+			x.endAfterPanic()
 		}
 		panic(http.ErrAbortHandler) // closes the connection: a truncated response must not look complete
 	}()
@@ -49,6 +50,13 @@
 	limitLastWrite(w, g.now(), x.route)
 }
 
+// endAfterPanic ends a request whose handler has panicked. What its attempt holds has been released by then.
+func (x *exchange) endAfterPanic() {
+	x.possibleRuns = max(x.possibleRuns, len(x.triedTargets)) // the last attempt has no result
+	x.endTrial()
+	x.finish(0, outcomePanic, "")
+}
+
 // admit parses and authenticates the request, finds its route and reads its body. It
 // returns the problem for which the request is refused, or nil.
 func (x *exchange) admit() *problem.Problem {
