A request that has not run is not sent late in a stop that may cut it

Cause: whether the stop could cut a request was looked at as it was admitted. One that a target refused late, without running it, was sent to another whatever was left of the stop.

Evidence: TestLateRetryInStop, a request that arrives as the stop begins, is refused after 4 s and would run for a minute at the next target: "unexpected EOF" on the code before.

Change: the same look before each attempt, as long as no target may have run the request.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -115,6 +115,10 @@
 			x.refuseQuarantined(s)
 			return
 		}
+		if p := x.checkStop(); p != nil && x.possibleRuns == 0 {
+			x.refuse(p) // it has waited, or been refused, until late in a stop
+			return
+		}
 		x.view = x.g.view.Load() // may have changed since arrival or the last attempt
 		x.updatePath()
 		t, d := x.chooseTarget()
--- a/internal/gateway/shutdown_late_test.go
+++ b/internal/gateway/shutdown_late_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -67,3 +68,72 @@
 		})
 	}
 }
+
+// refusingCodec is a codec whose requests to pathOnce may take a time, and whose targets may refuse one without running it.
+type refusingCodec struct {
+	trafficCodec
+	timeout time.Duration
+}
+
+// refusalHeader is the header of such a refusal.
+const refusalHeader = "Not-Run"
+
+// DecodeConfig implements Codec.
+func (c refusingCodec) DecodeConfig(value []byte) (*catalog.Config, error) {
+	cfg, err := c.trafficCodec.DecodeConfig(value)
+	if err == nil {
+		cfg.Route(anyHost, pathOnce).Timeout = c.timeout
+	}
+	return cfg, err
+}
+
+// ParseResponse implements Codec.
+func (c refusingCodec) ParseResponse(status int, h http.Header) TargetResponse {
+	response := c.trafficCodec.ParseResponse(status, h)
+	response.NotExecuted = h.Get(refusalHeader) != ""
+	return response
+}
+
+// TestLateRetryInStop guards against a request that has not run yet, is sent to another target late in a stop, and is cut by
+// its end: a refusal lets its caller go elsewhere at once. One that ends in time is sent.
+func TestLateRetryInStop(t *testing.T) {
+	const refusedAfter = 4 * time.Second // of the request, which arrives as the stop begins
+	for name, c := range map[string]struct {
+		timeout, work time.Duration
+		status        int
+		arrivals      int64
+	}{
+		"may be cut":   {time.Minute, time.Minute, http.StatusServiceUnavailable, 1},
+		"ends in time": {edgeMaxDeadline - beforeAbort, time.Second, http.StatusOK, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				var arrivals atomic.Int64
+				f := newFleetWith(t, 2, 1, 2, fleetOptions{codec: refusingCodec{timeout: c.timeout}, editSettings: func(set *Settings) { set.Retry = RetryBudget{Share: fleetRetryShare, Slack: fleetRetrySlack, Window: fleetRetryWindow} }, serve: func(_ *memoryTarget, w http.ResponseWriter, r *http.Request) bool {
+					w.Header().Set(trafficID, r.Header.Get(trafficID))
+					if arrivals.Add(1) > 1 {
+						time.Sleep(c.work)
+						return true
+					}
+					time.Sleep(refusedAfter)
+					w.Header().Set(refusalHeader, "1")
+					w.WriteHeader(http.StatusServiceUnavailable)
+					return true
+				}})
+				defer f.stop()
+				time.Sleep(3 * fleetRetryWindow) // until there is a retry budget
+				stopped := make(chan error, 1)
+				go func() { stopped <- f.gateways[0].Shutdown(t.Context()) }()
+				conn := f.dialCaller(0)
+				_, err := fmt.Fprintf(conn, "POST %sx HTTP/1.1\r\nHost: %s\r\n%s: late\r\n%s: key\r\nContent-Length: 1\r\n\r\nx", pathOnce, anyHost, trafficID, trafficKey)
+				is.NoErr(err)
+				resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				is.NoErr(err)
+				is.Equal(resp.StatusCode, c.status)
+				is.Equal(arrivals.Load(), c.arrivals)
+				is.NoErr(<-stopped)
+			})
+		})
+	}
+}
