A repeated SIGTERM does not cut a stop short

Cause: the second signal of a stop ended it at once, an operator's SIGINT and a supervisor's SIGTERM alike; requests under work were cut without an answer.

--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -94,8 +94,20 @@
 	return code
 }
 
+// abortOnInterrupt calls abort, which ends a stop under way at once, on SIGINT. A supervisor may repeat SIGTERM, and has
+// SIGKILL to end the process.
+func abortOnInterrupt(signals <-chan os.Signal, abort func(), logger log.Interface) {
+	for sig := range signals {
+		if sig == syscall.SIGINT {
+			abort()
+			return
+		}
+		logger.WithField("signal", sig.String()).Info("signal ignored: the process stops already")
+	}
+}
+
 // Run serves until a signal stops it and returns the exit code. SIGTERM and SIGINT stop it
-// gracefully, a second one immediately; SIGHUP reloads the settings.
+// gracefully, SIGINT during a stop immediately; SIGHUP reloads the settings.
 func Run(s StartOptions, stdout io.Writer) int {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
@@ -130,14 +142,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go func() {
-		for sig := range signals {
-			if sig != syscall.SIGHUP {
-				cancel()
-				return
-			}
-		}
-	}()
+	go abortOnInterrupt(signals, cancel, logger)
 	var aborted *CutError
 	if err := g.Shutdown(ctx); errors.As(err, &aborted) {
 		return ExitCut
