--- a/internal/gateway/idle_conns_test.go
+++ b/internal/gateway/idle_conns_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/shedhoist/shedhoist/internal/netx"
 )
 
 // fakeConn records that it was closed.
@@ -51,7 +53,7 @@
 	is := is.New(t)
 	u := newUpstream()
 	idle := func(service string) time.Duration {
-		return u.keepAliveClient(service).Transport.(*http.Transport).IdleConnTimeout
+		return u.keepAliveClient(service).Transport.(*netx.Transport).IdleConnTimeout
 	}
 	is.Equal(idle("a"), minTargetIdleTimeout)
 	u.learnKeepAlive("a", 0)
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -70,7 +70,7 @@
 		to, _ := ctx.Value(dialKey{}).(dialTarget)
 		return u.dialRelayed(ctx, to)
 	}
-	return &http.Client{Transport: netx.Transport(netx.TransportOptions{Dial: dial}), CheckRedirect: netx.NoRedirect}
+	return &http.Client{Transport: netx.NewTransport(netx.TransportOptions{Dial: dial}), CheckRedirect: netx.NoRedirect}
 }
 
 // newClient returns a client that pools connections by target incarnation: a connection to
@@ -89,7 +89,7 @@
 		}
 		return conn, err
 	}
-	return &http.Client{Transport: netx.Transport(netx.TransportOptions{Dial: dialFromContext, MaxIdlePerHost: perTarget, IdleTimeout: idle}), CheckRedirect: netx.NoRedirect}
+	return &http.Client{Transport: netx.NewTransport(netx.TransportOptions{Dial: dialFromContext, MaxIdlePerHost: perTarget, IdleTimeout: idle}), CheckRedirect: netx.NoRedirect}
 }
 
 // dialKey is the context key of a dialTarget.
--- a/internal/kvstore/kvstore.go
+++ b/internal/kvstore/kvstore.go
@@ -101,7 +101,7 @@
 // NewClient returns a client whose connection setup is limited to connectTimeout.
 func NewClient(connectTimeout time.Duration) *Client {
 	dialer := &net.Dialer{Timeout: connectTimeout}
-	return &Client{http: &http.Client{Transport: netx.Transport(netx.TransportOptions{Dial: dialer.DialContext, MaxIdlePerHost: 32, IdleTimeout: time.Minute})}}
+	return &Client{http: &http.Client{Transport: netx.NewTransport(netx.TransportOptions{Dial: dialer.DialContext, MaxIdlePerHost: 32, IdleTimeout: time.Minute})}}
 }
 
 // Lookup queries how much of a chain a store holds.
--- a/internal/netx/end_test.go
+++ b/internal/netx/end_test.go
@@ -59,7 +59,7 @@
 				defer far.Close()
 				conn := &endingConn{Conn: near, bytes: strings.NewReader(head + "a part"), writeErr: writeErr,
 					asked: make(chan struct{}), answered: make(chan struct{}), failed: make(chan struct{})}
-				transport := Transport(TransportOptions{Dial: func(context.Context, string, string) (net.Conn, error) { return conn, nil }})
+				transport := NewTransport(TransportOptions{Dial: func(context.Context, string, string) (net.Conn, error) { return conn, nil }})
 				req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://t/", SingleUseBody(strings.NewReader(strings.Repeat("x", 1<<20))))
 				is.NoErr(err)
 				resp, err := transport.RoundTrip(req)
--- a/internal/netx/netx.go
+++ b/internal/netx/netx.go
@@ -150,14 +150,14 @@
 // maxResponseHeaderBytes is the maximum size of a response header.
 const maxResponseHeaderBytes = 64 << 10
 
-// Transport returns a transport that does not request compression and ignores the proxy settings of the environment. It
+// NewTransport returns a transport that does not request compression and ignores the proxy settings of the environment. It
 // verifies the ends of its connections, see VerifyEnd, and returns an *InvalidResponseError in place of a response that is
 // none in HTTP. All clients of other processes use one.
-func Transport(o TransportOptions) http.RoundTripper {
+func NewTransport(o TransportOptions) *Transport {
 	if o.Dial == nil {
 		o.Dial = Dialer(o.ConnectTimeout).DialContext
 	}
-	return checkingTransport{&http.Transport{DialContext: verifyingDial(o.Dial), DisableCompression: true, DisableKeepAlives: o.MaxIdlePerHost == 0,
+	return &Transport{&http.Transport{DialContext: verifyingDial(o.Dial), DisableCompression: true, DisableKeepAlives: o.MaxIdlePerHost == 0,
 		MaxIdleConnsPerHost: o.MaxIdlePerHost, IdleConnTimeout: o.IdleTimeout, MaxResponseHeaderBytes: maxResponseHeaderBytes}}
 }
 
--- a/internal/netx/response.go
+++ b/internal/netx/response.go
@@ -42,11 +42,12 @@
 	return &InvalidResponseError{Status: resp.StatusCode, Reason: reason}
 }
 
-// checkingTransport is a transport that fails if a response is invalid.
-type checkingTransport struct{ *http.Transport }
+// Transport is an http.Transport that returns an *InvalidResponseError in place of a response that is none in HTTP. Only
+// NewTransport returns valid ones.
+type Transport struct{ *http.Transport }
 
 // RoundTrip implements http.RoundTripper.
-func (t checkingTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	resp, err := t.Transport.RoundTrip(req)
 	if err != nil {
 		return nil, err
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -32,7 +32,7 @@
 // NewClient returns a client of the API at base, such as "http://10.0.0.1:80". A nil httpClient selects a default.
 func NewClient(base, token string, httpClient *http.Client) *Client {
 	if httpClient == nil {
-		httpClient = &http.Client{Transport: netx.Transport(netx.TransportOptions{Dial: new(net.Dialer).DialContext, MaxIdlePerHost: 16, IdleTimeout: time.Minute})}
+		httpClient = &http.Client{Transport: netx.NewTransport(netx.TransportOptions{Dial: new(net.Dialer).DialContext, MaxIdlePerHost: 16, IdleTimeout: time.Minute})}
 	}
 	return &Client{base: strings.TrimRight(base, "/"), token: token, http: httpClient, callTimeout: DefaultCallTimeout}
 }
--- a/internal/target/engine.go
+++ b/internal/target/engine.go
@@ -34,8 +34,8 @@
 // NewClient returns a client whose connection setup is limited to connectTimeout.
 func NewClient(connectTimeout time.Duration) *Client {
 	dialer := &net.Dialer{Timeout: connectTimeout}
-	keepAlive := netx.Transport(netx.TransportOptions{Dial: dialer.DialContext, MaxIdlePerHost: 256, IdleTimeout: 30 * time.Second})
-	singleUse := netx.Transport(netx.TransportOptions{Dial: dialer.DialContext})
+	keepAlive := netx.NewTransport(netx.TransportOptions{Dial: dialer.DialContext, MaxIdlePerHost: 256, IdleTimeout: 30 * time.Second})
+	singleUse := netx.NewTransport(netx.TransportOptions{Dial: dialer.DialContext})
 	return &Client{keepAliveClient: &http.Client{Transport: keepAlive, CheckRedirect: netx.NoRedirect},
 		singleUseClient: &http.Client{Transport: singleUse, CheckRedirect: netx.NoRedirect}}
 }
