A customer's cache scope goes by the newest configuration

Cause: the customer is of the configuration in which the head was read, and said itself whether it is isolated; the shared scope is of the newest.

Change: Config.Isolates looks the customer up by name; one that was isolated when its request was authenticated stays so.

Why this works: scope and set of isolated customers are of one configuration now.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -123,7 +123,8 @@
 	customers         map[string]*Customer // by API key
 	hasKeys           bool
 	atMostOnceStreams map[string]bool             // services to which routes send streams that run at most once
-	isolatedCustomers string                      // names, sorted and separated by commas
+	isolated          []string                    // names of the isolated customers, sorted
+	sharedScope       string                      // of all others, see CacheScope
 	promptLevels      map[string]admission.Levels // by service, see PromptLevels
 	promptRanks       map[string]admission.Levels // by service, see PromptRanks
 }
@@ -181,7 +182,7 @@
 		}
 	}
 	slices.Sort(isolated)
-	c.isolatedCustomers = strings.Join(isolated, ",")
+	c.isolated, c.sharedScope = isolated, "s/"+strings.Join(isolated, ",")
 	slices.SortFunc(c.Stores, func(a, b CacheStore) int { return cmp.Compare(a.Address, b.Address) })
 	return c
 }
@@ -304,10 +305,20 @@
 // isolated customers, so that cache which a customer stored before it was isolated is not found by
 // others afterwards.
 func (c *Config) CacheScope(cust *Customer) string {
-	if cust != nil && cust.Isolated {
+	if c.Isolates(cust) {
 		return "c/" + cust.Name
 	}
-	return "s/" + c.isolatedCustomers
+	return c.sharedScope
+}
+
+// Isolates reports whether a customer shares no cache with others: it is isolated by this configuration, or by that which
+// authenticated its request. cust may be nil.
+func (c *Config) Isolates(cust *Customer) bool {
+	if cust == nil {
+		return false
+	}
+	_, isolated := slices.BinarySearch(c.isolated, cust.Name)
+	return isolated || cust.Isolated
 }
 
 // ModelVersion is a model with the weight version that a target serves.
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -62,6 +62,23 @@
 	is.True(withoutIsolation.CacheScope(withoutIsolation.Customer("k1")) != c.CacheScope(one))
 }
 
+// TestCacheScopeOfEarlierCustomer guards against cache that a customer shares with others since its request was authenticated
+// by a configuration in which it was not isolated, or in which it was and no longer is.
+func TestCacheScopeOfEarlierCustomer(t *testing.T) {
+	is := is.New(t)
+	config := func(isolated bool) *catalog.Config {
+		return catalog.NewConfig(catalog.ConfigSpec{Customers: []catalog.CustomerKeys{
+			{Customer: catalog.Customer{Name: "one", Isolated: isolated}, Keys: []string{"k1"}},
+			{Customer: catalog.Customer{Name: "two"}, Keys: []string{"k2"}},
+		}})
+	}
+	open, isolated := config(false), config(true)
+	one := open.Customer("k1")
+	is.Equal(isolated.CacheScope(one), isolated.CacheScope(isolated.Customer("k1")))
+	is.True(isolated.CacheScope(one) != isolated.CacheScope(isolated.Customer("k2")))
+	is.True(open.CacheScope(isolated.Customer("k1")) != open.CacheScope(open.Customer("k2")))
+}
+
 // TestIsPlain guards against counting slots at services whose requests compete for a model's memory,
 // which their slots say nothing about.
 func TestIsPlain(t *testing.T) {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -98,7 +98,7 @@
 			key := quarantine.Part{Customer: label.Customer, Model: p.Model, ID: part.ID}
 			label.Part = part.ID
 			out = append(out, suspect{key: quarantine.KeyOfPart(key), label: label})
-			if x.customer != nil && !x.customer.Isolated {
+			if x.customer != nil && !x.view.Config.Isolates(x.customer) {
 				key.Customer = quarantine.AllCustomers
 				out = append(out, suspect{key: quarantine.KeyOfPart(key), label: quarantine.Label{Route: label.Route, Part: part.ID}, shared: true})
 			}
--- a/internal/gateway/shutdown_late_test.go
+++ b/internal/gateway/shutdown_late_test.go
@@ -110,7 +110,9 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				var arrivals atomic.Int64
-				f := newFleetWith(t, 2, 1, 2, fleetOptions{codec: refusingCodec{timeout: c.timeout}, editSettings: func(set *Settings) { set.Retry = RetryBudget{Share: fleetRetryShare, Slack: fleetRetrySlack, Window: fleetRetryWindow} }, serve: func(_ *memoryTarget, w http.ResponseWriter, r *http.Request) bool {
+				f := newFleetWith(t, 2, 1, 2, fleetOptions{codec: refusingCodec{timeout: c.timeout}, editSettings: func(set *Settings) {
+					set.Retry = RetryBudget{Share: fleetRetryShare, Slack: fleetRetrySlack, Window: fleetRetryWindow}
+				}, serve: func(_ *memoryTarget, w http.ResponseWriter, r *http.Request) bool {
 					w.Header().Set(trafficID, r.Header.Get(trafficID))
 					if arrivals.Add(1) > 1 {
 						time.Sleep(c.work)
