The ledger reads a Content-Type that is not UTF-8

Cause: a service's Content-Type is stored as it comes; the decoder refused text that is not UTF-8, and with it the partition's tip.

Change: decoding takes such text, also in segments; the test holds that the entries come back as they were.

--- a/internal/core/atmostonce/atmostonce.go
+++ b/internal/core/atmostonce/atmostonce.go
@@ -70,13 +70,24 @@
 // Unwrap returns the cause.
 func (e *CodecError) Unwrap() error { return e.Cause }
 
+// decMode takes text that is not UTF-8: a service's Content-Type is stored as it came.
+var decMode = mustDecMode()
+
+func mustDecMode() cbor.DecMode {
+	m, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return m
+}
+
 // DecodeTip parses a stored tip. Empty data stands for an empty chain.
 func DecodeTip(data []byte) (Tip, error) {
 	var t Tip
 	if len(data) == 0 {
 		return t, nil
 	}
-	if err := cbor.Unmarshal(data, &t); err != nil {
+	if err := decMode.Unmarshal(data, &t); err != nil {
 		return Tip{}, &CodecError{Cause: err}
 	}
 	return t, nil
@@ -85,7 +96,7 @@
 // DecodeSegment parses a stored segment.
 func DecodeSegment(data []byte) ([]Entry, error) {
 	var out []Entry
-	if err := cbor.Unmarshal(data, &out); err != nil {
+	if err := decMode.Unmarshal(data, &out); err != nil {
 		return nil, &CodecError{Cause: err}
 	}
 	return out, nil
