--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -18,6 +18,7 @@
 	"github.com/google/uuid"
 
 	"github.com/shedhoist/shedhoist/internal/body"
+	"github.com/shedhoist/shedhoist/internal/connlimit"
 	"github.com/shedhoist/shedhoist/internal/dispatch"
 	"github.com/shedhoist/shedhoist/internal/drain"
 	"github.com/shedhoist/shedhoist/internal/metric"
@@ -165,9 +166,19 @@
 }
 
 // RefuseForRoom refuses a request that there was no room to begin.
-func RefuseForRoom(w http.ResponseWriter, _ *http.Request) {
+func RefuseForRoom(w http.ResponseWriter, r *http.Request) {
 	abandonBody(w)
-	bodyProblem(&body.FullError{}).Write(w)
+	noRoom(connlimit.FromRequest(r)).Write(w)
+}
+
+// noRoom returns the problem of a request for which there are no memory or descriptors.
+func noRoom(conn *connlimit.Conn) *problem.Problem {
+	if !conn.LacksDescriptors() {
+		return bodyProblem(&body.FullError{})
+	}
+	p := problem.New(problem.Overloaded, (&connlimit.DescriptorsError{}).Error())
+	p.RetryAfter = fullRetryAfter
+	return p
 }
 
 // encodeError writes a problem document. An error that is not a problem is
--- a/internal/caller/model.go
+++ b/internal/caller/model.go
@@ -66,7 +66,7 @@
 		return nil, bodyProblem(err)
 	}
 	if !conn.Reserve(copies*int64(len(data))) || !conn.RequestWhole() {
-		return nil, bodyProblem(&body.FullError{})
+		return nil, noRoom(conn)
 	}
 	callFrom(ctx).bodyRead = true
 	if w != nil {
--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -45,6 +45,7 @@
 	unread       int64     // bytes counted that the kernel holds
 	closed       bool
 	evicted      bool
+	noDescriptor bool // the request was refused since others use up the descriptors
 }
 
 // head is the head of a request that has not been parsed yet.
@@ -389,7 +390,11 @@
 	switch {
 	case c.phase == eviction.Running:
 		return true
-	case c.evicted || !c.limiter.mayRun():
+	case c.evicted:
+		return false
+	case !c.limiter.mayRun():
+		c.noDescriptor = true
+		metric.RequestsRefused(c.limiter.options.Name, "descriptors").Inc()
 		return false
 	}
 	c.phase = eviction.Running
@@ -400,6 +405,24 @@
 	return true
 }
 
+// DescriptorsError reports that requests under work use up the descriptors.
+type DescriptorsError struct{}
+
+// Error implements error.
+func (*DescriptorsError) Error() string {
+	return "the requests in hand use up this instance's descriptors"
+}
+
+// LacksDescriptors reports whether the request on the connection can't be run since others use up the descriptors.
+func (c *Conn) LacksDescriptors() bool {
+	if c == nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.noDescriptor
+}
+
 // endRequest releases all that the request holds, but its head: the server refers to that until it awaits the next one or
 // has closed the connection, which takes half a second if the caller was to notice a refusal.
 //
@@ -465,6 +488,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.startHead()
+	c.noDescriptor = false
 	c.releaseBytes(c.parsedHeld)
 	c.parsedHeld = 0
 	c.head.held = c.limiter.options.Costs.ofHead(c.recent)
--- a/internal/gateway/head_limits_test.go
+++ b/internal/gateway/head_limits_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/shedhoist/shedhoist/internal/catalog"
+	"github.com/shedhoist/shedhoist/internal/resources"
 )
 
 // limitsCodec is linkCodec whose configurations limit heads by their version: version n allows n kB, and n seconds.
@@ -58,3 +59,28 @@
 		}
 	})
 }
+
+// TestFewDescriptors guards against a process that says that it is ready and refuses all requests, since callers get too few
+// descriptors, and against a refusal for them that speaks of memory.
+func TestFewDescriptors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleetWith(t, 1, 1, 1, fleetOptions{editSettings: func(set *Settings) { set.Descriptors = resources.MinDescriptors }})
+		defer f.stop()
+		got := make(chan trafficResponse, resources.ShareDescriptors(resources.MinDescriptors).Callers)
+		for range cap(got) {
+			go func() { got <- f.request(0, pathOnce, slowBody) }()
+		}
+		served := 0
+		for range cap(got) {
+			r := <-got
+			if r.status == http.StatusOK {
+				served++
+				continue
+			}
+			is.Equal(r.status, http.StatusServiceUnavailable)
+			is.True(strings.Contains(r.body, "descriptors"))
+		}
+		is.True(served >= 10 && served < cap(got))
+	})
+}
--- a/internal/gateway/held_bytes.go
+++ b/internal/gateway/held_bytes.go
@@ -23,16 +23,19 @@
 func (x *exchange) bodyProblem(err error) *problem.Problem {
 	var full *body.FullError
 	if errors.As(err, &full) || x.conn.Evicted() {
-		return x.bufferFull()
+		return x.noRoom()
 	}
 	return body.Problem(err)
 }
 
-// bufferFull refuses a request for which there is no room. Its connection is closed, since net/http would otherwise read
-// the body before it sends the refusal.
-func (x *exchange) bufferFull() *problem.Problem {
-	metric.BodiesRefused.Inc()
+// noRoom refuses a request for which there are no memory or descriptors. Its connection is closed, since net/http would
+// otherwise read the body before it sends the refusal.
+func (x *exchange) noRoom() *problem.Problem {
 	x.w.Header().Set("Connection", "close")
+	if x.conn.LacksDescriptors() {
+		return retryLater(problem.Overloaded, (&connlimit.DescriptorsError{}).Error(), retryAfterShort)
+	}
+	metric.BodiesRefused.Inc()
 	return retryLater(problem.Overloaded, (&body.FullError{}).Error(), retryAfterShort)
 }
 
@@ -41,7 +44,7 @@
 	x := &exchange{g: g, w: w, r: r, arrived: g.now(), view: g.view.Load(), conn: connlimit.FromRequest(r)}
 	x.limitBodyTime(bodyTimeout)
 	x.call, _ = g.codec.ParseRequest(r.Header) // of a header that can't be parsed the id is enough
-	x.refuse(x.bufferFull())
+	x.refuse(x.noRoom())
 	limitLastWrite(w, g.now(), nil)
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -152,7 +152,7 @@
 	}
 	_ = http.NewResponseController(x.w).SetReadDeadline(time.Time{}) // fails only if the connection is closed
 	if !x.conn.RequestWhole() {
-		return x.bufferFull()
+		return x.noRoom()
 	}
 	return nil
 }
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -121,6 +121,11 @@
 	return metrics.GetOrCreateCounter(fmt.Sprintf(`shedhoist_connections_evicted_total{listener=%q,phase=%q}`, listener, phase))
 }
 
+// RequestsRefused counts requests that were refused before they ran, by listener and by what was lacking for them.
+func RequestsRefused(listener, lack string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`shedhoist_requests_refused_total{listener=%q,lack=%q}`, listener, lack))
+}
+
 // ConnectionsRefused counts callers' connections that were closed at once, by listener and by what was lacking for them.
 func ConnectionsRefused(listener, lack string) *metrics.Counter {
 	return metrics.GetOrCreateCounter(fmt.Sprintf(`shedhoist_connections_refused_total{listener=%q,lack=%q}`, listener, lack))
--- a/internal/resources/resources.go
+++ b/internal/resources/resources.go
@@ -52,6 +52,9 @@
 	ownDescriptors = 64 + 2*MaxAdminConns
 )
 
+// MinDescriptors is how many descriptors a process needs so that callers get more than a handful.
+const MinDescriptors = 256
+
 // Descriptors is how many descriptors each kind of connection may use; 0: no limit of its own.
 type Descriptors struct {
 	Callers int // of callers, with the connections to targets that their requests use
--- a/internal/resources/resources_test.go
+++ b/internal/resources/resources_test.go
@@ -16,6 +16,7 @@
 		is.True(total < 400 || total-d.Callers-d.Peers >= total/8+ownDescriptors)
 	}
 	is.Equal(ShareDescriptors(0), Descriptors{Peers: maxPeerDescriptors})
+	is.True(ShareDescriptors(MinDescriptors).Callers >= 32)
 }
 
 // TestHeapLimit guards against a heap and callers that together leave no room for the program.
