An answer that breaks off resets the connection of an HTTP/1.0 caller

Cause: such a caller gets an answer of unknown length without chunks, and takes the end of its connection for that of the answer; a broken stream was ended by an ordinary close.

Change: the close of the connection is a reset then.

--- a/internal/drain/tracked_conn.go
+++ b/internal/drain/tracked_conn.go
@@ -75,6 +75,13 @@
 	return nil
 }
 
+// ResetOnClose makes the close of a request's connection reset it, see netx.ResetOnClose.
+func ResetOnClose(r *http.Request) {
+	if conn, ok := r.Context().Value(connContextKey{}).(net.Conn); ok {
+		netx.ResetOnClose(conn)
+	}
+}
+
 func (c *trackedConn) setUnackedTimeout(d time.Duration) error {
 	raw, ok := c.Conn.(syscall.Conn)
 	c.mu.Lock()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -8,6 +8,7 @@
 	"github.com/shedhoist/shedhoist/internal/body"
 	"github.com/shedhoist/shedhoist/internal/catalog"
 	"github.com/shedhoist/shedhoist/internal/connlimit"
+	"github.com/shedhoist/shedhoist/internal/drain"
 	"github.com/shedhoist/shedhoist/internal/metric"
 	"github.com/shedhoist/shedhoist/internal/problem"
 )
@@ -40,6 +41,9 @@
 			g.log.WithField("request", x.call.ID).WithField("panic", v).Error("panic in a request")
 			x.endAfterPanic()
 		}
+		if x.headerSent && !r.ProtoAtLeast(1, 1) {
+			drain.ResetOnClose(r) // without chunks the end of the connection is that of the response
+		}
 		panic(http.ErrAbortHandler) // closes the connection: a truncated response must not look complete
 	}()
 	if p := x.admit(); p != nil {
--- a/internal/netx/netx.go
+++ b/internal/netx/netx.go
@@ -91,6 +91,14 @@
 	}
 }
 
+// ResetOnClose makes the close of a connection reset it, so that its peer can't take the end of its bytes for that of a
+// whole message. What was written and is not received yet may be lost. It has no effect on a connection that is not TCP.
+func ResetOnClose(conn net.Conn) {
+	if tcp, ok := unwrap(conn).(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only if the connection is closed
+	}
+}
+
 // SetUnackedTimeout replaces UnackedTimeout on one connection, for a peer that may read nothing for
 // longer.
 func SetUnackedTimeout(c syscall.Conn, d time.Duration) error {
