connlimit in files with one job each

Cause: conn.go had grown to 558 lines and limiter.go to 437, with the timing of heads, refusals, requests, room and unread bytes in between.

Change: moved, nothing changed but the two constants of one block, which stand beside their users: arriving_head.go, refused_head.go, request.go, room.go, unread.go.

Result: the sorted lines of old and new files are the same but for that block; go test -race ./internal/connlimit passes.

--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -7,9 +7,7 @@
 package connlimit
 
 import (
-	"context"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -315,123 +313,9 @@
 	l.mu.Unlock()
 }
 
-// ReceiveBuffer is the size of the receive buffer of one connection, in bytes; the kernel uses up to twice as many. A
-// caller some milliseconds away can send megabytes a second with it.
-const ReceiveBuffer = 16 << 10
-
-// UnreadInterval is how often CountUnread is to be called.
-const UnreadInterval = 100 * time.Millisecond
-
-// CountUnread counts what the kernel holds unread of the connections on which requests are under work, if it may be much,
-// and evicts connections if there is no room for it. Costs has what it may hold of requests that arrive.
-func (l *Limiter) CountUnread() {
-	conns := l.mayHoldUnread()
-	for _, c := range conns {
-		c.countUnread()
-	}
-	if len(conns) == 0 {
-		return
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.evictExcess()
-}
-
-// unreadAllowance is the share of the budget that unread bytes may exceed it by before they are counted.
-const unreadAllowance = 1.0 / 16
-
-// mayHoldUnread returns the connections to look at, if requests under work may hold more than unreadAllowance.
-func (l *Limiter) mayHoldUnread() (out []*Conn) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	limit := l.options.Budget.Limit()
-	if limit <= 0 || float64(int64(l.running)*l.options.Costs.Unread) <= unreadAllowance*float64(limit) {
-		return nil
-	}
-	for c := range l.conns {
-		if c.mayHoldUnread() {
-			out = append(out, c)
-		}
-	}
-	return out
-}
-
-// evictExcess evicts connections while callers hold more than the budget's limit. l.mu is held.
-func (l *Limiter) evictExcess() {
-	excess := l.options.Budget.Held() - l.options.Budget.Limit() - l.evictingBytes()
-	if excess <= 0 {
-		return
-	}
-	conns, candidates := l.candidates(nil)
-	for _, i := range eviction.ForMemory(candidates, excess, 0) {
-		l.evict(conns[i])
-	}
-}
-
 // Connections returns the number of open connections.
 func (l *Limiter) Connections() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return len(l.conns)
 }
-
-// connKey is the key of the connection in a request's context.
-type connKey struct{}
-
-// Attach installs hooks in the server that follow its connections. A request for which there is no room goes to refuse,
-// which must not run it; nil: its connection is closed. The server's own hooks are still called. It must be called before
-// the server serves.
-func (l *Limiter) Attach(srv *http.Server, refuse http.Handler) {
-	if refuse == nil {
-		refuse = http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
-	}
-	onState, onContext, next := srv.ConnState, srv.ConnContext, srv.Handler
-	srv.ConnState = func(conn net.Conn, state http.ConnState) {
-		if onState != nil {
-			onState(conn, state)
-		}
-		if c, ok := conn.(*Conn); ok {
-			c.setState(state)
-		}
-	}
-	srv.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
-		if onContext != nil {
-			ctx = onContext(ctx, conn)
-		}
-		if c, ok := conn.(*Conn); ok {
-			ctx = context.WithValue(ctx, connKey{}, c)
-		}
-		return ctx
-	}
-	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c := FromRequest(r)
-		if c == nil {
-			next.ServeHTTP(w, r)
-			return
-		}
-		c.handle(w, r, next, refuse)
-	})
-}
-
-// handle serves a request that came on a connection.
-func (c *Conn) handle(w http.ResponseWriter, r *http.Request, next, refuse http.Handler) {
-	defer c.endRequest()
-	if c.beginRequest(r) {
-		next.ServeHTTP(w, r)
-	} else {
-		refuse.ServeHTTP(w, r)
-	}
-	if c.isEvicted() {
-		panic(http.ErrAbortHandler) // the server would otherwise wait for the caller to notice the close
-	}
-}
-
-// FromRequest returns the connection on which a request came, or nil if its server has no limiter. All methods that
-// handlers use may be called on nil.
-func FromRequest(r *http.Request) *Conn { return FromContext(r.Context()) }
-
-// FromContext is FromRequest with the request's context.
-func FromContext(ctx context.Context) *Conn {
-	c, _ := ctx.Value(connKey{}).(*Conn)
-	return c
-}
