--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -101,7 +101,8 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		if time.Sleep(longWork); r.Context().Err() != nil {
+		time.Sleep(longWork)
+		if r.Context().Err() != nil {
 			panic(http.ErrAbortHandler) // the caller is gone
 		}
 	})
