Tests of crowds: the wait for a process to see the crowd has no time bound

Traced: the wait ends when 50 samples in a row show no new maximum, or after 1,000 samples; beside callers that come back again and again it is mostly the 1,000, which take 10 s when a sample is due each 10 ms. Beside other load a sample takes longer, and 60 s may not hold them.

Change: the wait ends with its samples, whatever time they take, or with the process. The number of samples and all checks of memory and descriptors stay.

--- a/internal/e2e/crowd/usage_test.go
+++ b/internal/e2e/crowd/usage_test.go
@@ -81,6 +81,18 @@
 	maxSamples = 1000
 )
 
+// awaitSettled waits until the process has seen the crowd. The wait ends with a number of samples, whose time depends on what
+// else the machine does. It fails the test if the process ends.
+func (p *instance) awaitSettled() {
+	p.t.Helper()
+	for !p.usage.hasSettled() {
+		if p.hasExited() {
+			p.t.Fatalf("the process ended (%v) while the test waited for it to see the crowd", p.cmd.ProcessState)
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
 // hasSettled reports whether the process uses no more than it has used for a while.
 func (u *usage) hasSettled() bool {
 	u.mu.Lock()
