TestEndAfterFailedWrite reads once the failed write has returned

What was seen: go test -race -count=40 ./internal/netx beside other load: six failures of the test, also after the fix it guards.

Cause: the test's connection said that a write failed before that write had returned, so that the read could come first. For a connection of the kernel its state decides then (TestEndOfTCP); this one has none.

Change: the test waits for net/http's trace of the written request.

--- a/internal/netx/end_test.go
+++ b/internal/netx/end_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"syscall"
 	"testing"
@@ -20,7 +21,6 @@
 	writeErr error         // of writes behind the head; nil: they succeed
 	asked    chan struct{} // closed by the write of the head; reads wait for it
 	answered chan struct{} // writes behind the head wait until it is closed
-	failed   chan struct{} // closed by the first that fails
 }
 
 // Read implements net.Conn.
@@ -39,7 +39,6 @@
 	if c.writeErr == nil {
 		return len(p), nil
 	}
-	close(c.failed) // net/http writes nothing more
 	return 0, c.writeErr
 }
 
@@ -58,17 +57,17 @@
 				near, far := net.Pipe()
 				defer far.Close()
 				conn := &endingConn{Conn: near, bytes: strings.NewReader(head + "a part"), writeErr: writeErr,
-					asked: make(chan struct{}), answered: make(chan struct{}), failed: make(chan struct{})}
+					asked: make(chan struct{}), answered: make(chan struct{})}
+				written := make(chan struct{})
+				ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) { close(written) }})
 				transport := NewTransport(TransportOptions{Dial: func(context.Context, string, string) (net.Conn, error) { return conn, nil }})
-				req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://t/", SingleUseBody(strings.NewReader(strings.Repeat("x", 1<<20))))
+				req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://t/", SingleUseBody(strings.NewReader(strings.Repeat("x", 1<<20))))
 				is.NoErr(err)
 				resp, err := transport.RoundTrip(req)
 				is.NoErr(err)
 				defer resp.Body.Close()
 				close(conn.answered)
-				if writeErr != nil {
-					<-conn.failed
-				}
+				<-written // or failed
 				_, err = io.ReadAll(resp.Body)
 				is.Equal(err == nil, writeErr == nil)
 			})
