TestStrangersGiveWay waits until the server has authenticated a peer

Cause: the dialer's side of the handshake ends first. Until the server has read the last message the connection counts as a stranger's, and the next one may take its place; the peer would dial again.

Change: the test waits until the server counts as many authenticated connections as there are peers.

--- a/internal/peer/strangers_test.go
+++ b/internal/peer/strangers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"runtime"
 	"testing"
 	"time"
 
@@ -30,14 +31,22 @@
 		is.NoErr(err)
 		t.Cleanup(func() { conn.Close() })
 	}
+	awaitAuthenticated := func(n int) { // the dialer's side of the handshake ends first
+		for counted := false; !counted; runtime.Gosched() {
+			s.mu.Lock()
+			counted = len(s.conns)-len(s.strangers) == n
+			s.mu.Unlock()
+		}
+	}
 	pool := NewPool(sec, time.Now)
-	for range 3 { // the third takes the place of the last stranger
+	for n := range 3 { // the third takes the place of the last stranger
 		for range 5 {
 			stranger()
 		}
 		conn, err := pool.dial(t.Context(), ln.Addr().String(), roleCaller)
 		is.NoErr(err) // authenticated
 		defer conn.Close()
+		awaitAuthenticated(n + 1)
 	}
 	_, err = pool.dial(t.Context(), ln.Addr().String(), roleCaller)
 	is.True(err != nil) // three peers are connected, and stay so
