A response with a field name that HTTP does not have is none

Callers saw: a server's response in whose head the name of a field held a blank reached them as an answer. "X Y: v" was left out; with "Content-Length : 4" the bytes behind the body became a part of it, with "Transfer-Encoding : chunked" the frames of the chunks did; a 429 or 503 with such a head counted as a true "has not run". Names with a control byte were answered 502 already, without a type or a count.

Cause: net/textproto takes a blank for a byte of a name and leaves the name as it came, so that net/http does not find the length or encoding. netx.checkResponse looked at the status and the version alone.

The trailer's names are looked at where the body ends, those of informational responses by a trace, which has to bound their number, since net/http then does not bound their bytes. What net/textproto refuses is an InvalidResponseError as well. It works since each client of another process has this transport, and nothing of a response is read before the check.

Looked at: targets on new, kept and relayed connections, streams and large answers that are passed on as they arrive, engines (internal/target), cache stores, the object API, reports and orders of servers: all use netx.NewTransport. A peer's tunnel carries bytes. Callers' heads with such names get 400 from net/http's server. The operators' tool reads answers of instances only.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -131,11 +131,10 @@
 		x.g.zoneMonitor.connectSlow(t)
 	}
 	result := attemptResult{cause: err, event: attempt.FailedBeforeResponse, connBroken: way.MaybeSent}
-	var invalid *netx.InvalidResponseError
 	switch {
 	case err != nil && !way.MaybeSent:
 		result.event = attempt.NotSent
-	case errors.As(err, &invalid):
+	case netx.IsInvalidResponse(err):
 		result = attemptResult{event: attempt.FailedMidResponse, cause: &BadResponseError{Target: t.ID, Reason: "response can't be forwarded", Cause: err}}
 	case err == nil:
 		defer resp.Body.Close()
@@ -308,6 +307,12 @@
 	return resp.ID == x.call.ID || resp.ID == "" && resp.NotExecuted
 }
 
+// incompleteResponse returns the result of an attempt whose response began and can't be read to its end.
+func incompleteResponse(at *attemptState, reason string, cause error) attemptResult {
+	return attemptResult{event: attempt.FailedMidResponse, connBroken: !netx.IsInvalidResponse(cause),
+		cause: &BadResponseError{Target: at.target.ID, Reason: reason, Cause: cause}}
+}
+
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
 
 // learnWeightVersion records the weight version that the response was generated with, if
--- a/internal/gateway/buffered_response.go
+++ b/internal/gateway/buffered_response.go
@@ -22,7 +22,7 @@
 		}
 	}()
 	if err != nil {
-		return attemptResult{event: attempt.FailedMidResponse, connBroken: true, cause: &BadResponseError{Target: at.target.ID, Reason: "response body is incomplete", Cause: err}}
+		return incompleteResponse(at, "response body is incomplete", err)
 	}
 	x.recordFirstByte(at)
 	status := at.httpResponse.StatusCode
@@ -72,7 +72,7 @@
 			return attemptResult{delivered: true, status: head.status}
 		}
 		if readErr != nil {
-			return attemptResult{event: attempt.FailedMidResponse, connBroken: true, cause: &BadResponseError{Target: at.target.ID, Reason: "response body is incomplete", Cause: readErr}}
+			return incompleteResponse(at, "response body is incomplete", readErr)
 		}
 	}
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -49,7 +49,7 @@
 			return x.endStream(at, first)
 		}
 		if err != nil {
-			return attemptResult{event: attempt.FailedMidResponse, connBroken: true, cause: &BadResponseError{Target: at.target.ID, Reason: "stream is incomplete", Cause: err}}
+			return incompleteResponse(at, "stream is incomplete", err)
 		}
 		if first {
 			x.recordFirstByte(at)
--- a/internal/netx/response.go
+++ b/internal/netx/response.go
@@ -1,15 +1,21 @@
 package netx
 
 import (
+	"errors"
+	"io"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
 	"strconv"
 
+	"golang.org/x/net/http/httpguts"
+
 	"github.com/shedhoist/shedhoist/internal/metric"
 )
 
 // InvalidResponseError reports a response that has no meaning in HTTP, so that nothing of it may be passed on.
 type InvalidResponseError struct {
-	Status int // as it was sent
+	Status int // as it was sent; 0: not known
 	Reason string
 }
 
@@ -24,37 +30,107 @@
 	maxFinalStatus = 599
 )
 
+// maxInformational is how many informational responses may precede a final one. net/http does not limit the bytes of those
+// that a trace looks at.
+const maxInformational = 100
+
+// maxReason is how many bytes a reason may have: it may quote what the server sent.
+const maxReason = 200
+
+// invalid returns an *InvalidResponseError and counts it.
+func invalid(status int, reason string) error {
+	metric.InvalidResponses.Inc()
+	return &InvalidResponseError{Status: status, Reason: reason[:min(len(reason), maxReason)]}
+}
+
+// IsInvalidResponse reports whether an error is that of a response that has no meaning in HTTP.
+func IsInvalidResponse(err error) bool {
+	_, ok := errors.AsType[*InvalidResponseError](err)
+	return ok
+}
+
+// asInvalid returns an *InvalidResponseError for an error of net/http that reports a malformed field in a head or trailer, and
+// any other error as it is.
+func asInvalid(status int, err error) error {
+	if malformed, ok := errors.AsType[textproto.ProtocolError](err); ok {
+		return invalid(status, malformed.Error())
+	}
+	return err
+}
+
 // checkResponse returns an *InvalidResponseError for a response that net/http reads and that is none in HTTP/1. A server's
 // handler that passes such a status on panics, or tells its client that the connection now has another protocol.
 func checkResponse(resp *http.Response) error {
-	reason := ""
 	switch {
 	case resp.StatusCode == http.StatusSwitchingProtocols:
-		reason = "no switch of protocols was requested"
+		return invalid(resp.StatusCode, "no switch of protocols was requested")
 	case resp.StatusCode < minFinalStatus || resp.StatusCode > maxFinalStatus:
-		reason = "HTTP has no such final status"
+		return invalid(resp.StatusCode, "HTTP has no such final status")
 	case resp.ProtoMajor != 1:
-		reason = "its version is " + strconv.Quote(resp.Proto)
-	default:
-		return nil
+		return invalid(resp.StatusCode, "its version is "+strconv.Quote(resp.Proto))
 	}
-	metric.InvalidResponses.Inc()
-	return &InvalidResponseError{Status: resp.StatusCode, Reason: reason}
+	return checkNames(resp.StatusCode, resp.Header)
 }
 
-// Transport is an http.Transport that returns an *InvalidResponseError in place of a response that is none in HTTP. Only
-// NewTransport returns valid ones.
+// checkNames returns an *InvalidResponseError if a name in a head or trailer is none. net/http refuses names with control bytes
+// and takes those with blanks for names of their own, so that it ignores "Content-Length " when it looks for the body's end.
+func checkNames(status int, fields http.Header) error {
+	for name := range fields {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return invalid(status, "it has a field "+strconv.Quote(name))
+		}
+	}
+	return nil
+}
+
+// informationalCheck returns a trace that ends a request with an *InvalidResponseError if an informational response to it is
+// none in HTTP, or if there are too many.
+func informationalCheck() *httptrace.ClientTrace {
+	count := 0
+	return &httptrace.ClientTrace{Got1xxResponse: func(status int, fields textproto.MIMEHeader) error {
+		if count++; count > maxInformational {
+			return invalid(status, "it follows too many informational ones")
+		}
+		return checkNames(status, http.Header(fields))
+	}}
+}
+
+// trailerCheckedBody is the body of a response in chunks. Its Read returns an *InvalidResponseError in place of io.EOF if the
+// trailer is none in HTTP.
+type trailerCheckedBody struct {
+	io.ReadCloser
+	resp *http.Response
+}
+
+// Read implements io.Reader.
+func (b *trailerCheckedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, asInvalid(b.resp.StatusCode, err)
+	}
+	if invalid := checkNames(b.resp.StatusCode, b.resp.Trailer); invalid != nil {
+		return n, invalid
+	}
+	return n, io.EOF
+}
+
+// Transport is an http.Transport that returns an *InvalidResponseError in place of a response that is none in HTTP, or in
+// place of the end of its body if its trailer is none. Only NewTransport returns valid ones.
 type Transport struct{ *http.Transport }
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	resp, err := t.Transport.RoundTrip(req)
+	ctx := httptrace.WithClientTrace(req.Context(), informationalCheck())
+	resp, err := t.Transport.RoundTrip(req.WithContext(ctx))
 	if err != nil {
-		return nil, err
+		return nil, asInvalid(0, err)
 	}
 	if err := checkResponse(resp); err != nil {
 		resp.Body.Close()
 		return nil, err
 	}
+	if len(resp.TransferEncoding) > 0 {
+		resp.Body = &trailerCheckedBody{ReadCloser: resp.Body, resp: resp}
+	}
 	return resp, nil
 }
