An end before a reset is none while the request is being written

Callers saw: a server answered a long upload at once without a length, sent a part of its body, ended its bytes (FIN) and reset the connection while the upload was still being written. They got the part as a whole answer.

Cause: netx.VerifyEnd looked at the connection once, at the moment of its end. net/http closes it at the end of such a body, and with it the upload, so that nobody saw the reset that came later.

Of TestEndAfterFailedWrite the 8 cases "after the end" in which the write fails are wrong there.

Change: Where the end of a body is that of its connection, Read returns io.EOF only once the request is written, the peer has acknowledged its last byte, and the connection has not failed until then. It works since a peer that resets the connection acknowledges nothing more: what is written to it is never delivered. A closed connection ends the wait. The pieces of streams and large answers are passed on as before; answers with a length or in chunks wait for nothing (TestEarlyBodyWithLength).

Looked at: streams, large answers (both in the test), resumed streams, engines, stores (PUT of parts), the object API, reports and orders: the same transport. Idle connections: never after such a body.

--- a/internal/netx/end_test.go
+++ b/internal/netx/end_test.go
@@ -7,9 +7,12 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -43,7 +46,7 @@
 }
 
 // TestEndAfterFailedWrite guards against a part of a response that looks whole since its connection ends: the write of the
-// request has taken the only error by which the kernel reports a reset.
+// request has taken the only error by which the kernel reports a reset, or fails only after that end.
 func TestEndAfterFailedWrite(t *testing.T) {
 	for name, head := range map[string]string{
 		"no length": "HTTP/1.1 200 OK\r\n\r\n",
@@ -53,28 +56,61 @@
 	} {
 		for what, writeErr := range map[string]error{"sound": nil, "reset": syscall.ECONNRESET, "broken pipe": syscall.EPIPE} {
 			t.Run(name+" "+what, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					conn, written, resp := early(t, head+"a part", writeErr)
+					close(conn.answered)
+					<-written // or failed
+					_, err := io.ReadAll(resp.Body)
+					is.New(t).Equal(err == nil, writeErr == nil)
+				})
+			})
+			t.Run(name+" "+what+" after the end", func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					conn, written, resp := early(t, head+"a part", writeErr)
+					time.AfterFunc(time.Minute, func() { close(conn.answered) })
+					_, err := io.ReadAll(resp.Body)
+					<-written // or failed
+					is.New(t).Equal(err == nil, writeErr == nil)
+				})
+			})
+		}
+	}
+}
+
+// TestEarlyBodyWithLength guards against a response that is held back although its length shows that it is whole.
+func TestEarlyBodyWithLength(t *testing.T) {
+	for name, rest := range map[string]string{"length": "Content-Length: 5\r\n\r\nwhole", "chunks": "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				near, far := net.Pipe()
-				defer far.Close()
-				conn := &endingConn{Conn: near, bytes: strings.NewReader(head + "a part"), writeErr: writeErr,
-					asked: make(chan struct{}), answered: make(chan struct{})}
-				written := make(chan struct{})
-				ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) { close(written) }})
-				transport := NewTransport(TransportOptions{Dial: func(context.Context, string, string) (net.Conn, error) { return conn, nil }})
-				req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://t/", SingleUseBody(strings.NewReader(strings.Repeat("x", 1<<20))))
+				conn, _, resp := early(t, "HTTP/1.1 200 OK\r\n"+rest, nil)
+				defer close(conn.answered) // only then can the request be written
+				body, err := io.ReadAll(resp.Body)
 				is.NoErr(err)
-				resp, err := transport.RoundTrip(req)
-				is.NoErr(err)
-				defer resp.Body.Close()
-				close(conn.answered)
-				<-written // or failed
-				_, err = io.ReadAll(resp.Body)
-				is.Equal(err == nil, writeErr == nil)
+				is.Equal(string(body), "whole")
 			})
-		}
+		})
 	}
 }
 
+// early sends a long request that is answered with response, of which its server has read the head alone. Writes of the rest
+// wait until conn.answered is closed and end with writeErr; written is closed once that is so.
+func early(t *testing.T, response string, writeErr error) (conn *endingConn, written chan struct{}, resp *http.Response) {
+	is := is.New(t)
+	near, far := net.Pipe()
+	t.Cleanup(func() { far.Close() })
+	conn = &endingConn{Conn: near, bytes: strings.NewReader(response), writeErr: writeErr, asked: make(chan struct{}), answered: make(chan struct{})}
+	written = make(chan struct{})
+	ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) { close(written) }})
+	transport := NewTransport(TransportOptions{Dial: func(context.Context, string, string) (net.Conn, error) { return conn, nil }})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://t/", SingleUseBody(strings.NewReader(strings.Repeat("x", 1<<20))))
+	is.NoErr(err)
+	resp, err = transport.RoundTrip(req)
+	is.NoErr(err)
+	t.Cleanup(func() { resp.Body.Close() })
+	return conn, written, resp
+}
+
 // TestEndOfTCP guards against a reset that is taken for the peer's end after another call has taken its error, and against
 // an ordinary end that is taken for a reset.
 func TestEndOfTCP(t *testing.T) {
@@ -108,6 +144,46 @@
 	}
 }
 
+// TestEndBeforeAcknowledgement guards against an end that is relied on while the peer may still reset the connection: it has
+// not received all that was written.
+func TestEndBeforeAcknowledgement(t *testing.T) {
+	for name, c := range map[string]struct {
+		goOn  func(c *net.TCPConn, unread int)
+		clean bool
+	}{
+		"reads the rest": {func(c *net.TCPConn, unread int) { _, _ = io.CopyN(io.Discard, c, int64(unread)) }, true}, // the end shows whether it failed
+		"resets": {func(c *net.TCPConn, _ int) {
+			_ = c.SetLinger(0) // fails only if it is closed
+			c.Close()
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			dialled, accepted := tcpPair(t)
+			is.NoErr(dialled.SetWriteDeadline(time.Now().Add(50 * time.Millisecond)))
+			unread, err := dialled.Write(make([]byte, 64<<20)) // more than the kernel holds
+			is.True(errors.Is(err, os.ErrDeadlineExceeded))
+			is.NoErr(accepted.CloseWrite())
+			sent := make(chan struct{})
+			close(sent)
+			conn := newVerifiedConn(dialled)
+			conn.awaitSent(sent)
+			ended := make(chan error, 1)
+			go func() {
+				_, err := conn.Read(make([]byte, 1))
+				ended <- err
+			}()
+			select {
+			case err := <-ended:
+				t.Fatalf("ended with %v before the peer went on", err)
+			case <-time.After(20 * time.Millisecond):
+			}
+			c.goOn(accepted, unread)
+			is.Equal(errors.Is(<-ended, io.EOF), c.clean)
+		})
+	}
+}
+
 // tcpPair returns both ends of a connection.
 func tcpPair(t *testing.T) (dialled, accepted *net.TCPConn) {
 	is := is.New(t)
--- a/internal/netx/response.go
+++ b/internal/netx/response.go
@@ -7,6 +7,8 @@
 	"net/http/httptrace"
 	"net/textproto"
 	"strconv"
+	"sync"
+	"sync/atomic"
 
 	"golang.org/x/net/http/httpguts"
 
@@ -83,18 +85,6 @@
 	return nil
 }
 
-// informationalCheck returns a trace that ends a request with an *InvalidResponseError if an informational response to it is
-// none in HTTP, or if there are too many.
-func informationalCheck() *httptrace.ClientTrace {
-	count := 0
-	return &httptrace.ClientTrace{Got1xxResponse: func(status int, fields textproto.MIMEHeader) error {
-		if count++; count > maxInformational {
-			return invalid(status, "it follows too many informational ones")
-		}
-		return checkNames(status, http.Header(fields))
-	}}
-}
-
 // trailerCheckedBody is the body of a response in chunks. Its Read returns an *InvalidResponseError in place of io.EOF if the
 // trailer is none in HTTP.
 type trailerCheckedBody struct {
@@ -115,13 +105,14 @@
 }
 
 // Transport is an http.Transport that returns an *InvalidResponseError in place of a response that is none in HTTP, or in
-// place of the end of its body if its trailer is none. Only NewTransport returns valid ones.
+// place of the end of its body if its trailer is none, and an *AbruptEndError in place of an end that no one can rely on. Only
+// NewTransport returns valid ones.
 type Transport struct{ *http.Transport }
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	ctx := httptrace.WithClientTrace(req.Context(), informationalCheck())
-	resp, err := t.Transport.RoundTrip(req.WithContext(ctx))
+	rt := &roundTrip{sent: make(chan struct{})}
+	resp, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), rt.trace())))
 	if err != nil {
 		return nil, asInvalid(0, err)
 	}
@@ -129,8 +120,54 @@
 		resp.Body.Close()
 		return nil, err
 	}
-	if len(resp.TransferEncoding) > 0 {
+	switch {
+	case len(resp.TransferEncoding) > 0:
 		resp.Body = &trailerCheckedBody{ReadCloser: resp.Body, resp: resp}
+	case resp.ContentLength < 0:
+		rt.verifyBodyEnd()
 	}
 	return resp, nil
 }
+
+// roundTrip follows a request through net/http.
+type roundTrip struct {
+	conn          atomic.Pointer[verifiedConn] // that carries it
+	sent          chan struct{}                // closed once it is written
+	sentOnce      sync.Once
+	informational int // responses
+}
+
+// trace returns what net/http reports to.
+func (rt *roundTrip) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{GotConn: rt.gotConn, WroteRequest: rt.wroteRequest, Got1xxResponse: rt.gotInformational}
+}
+
+func (rt *roundTrip) gotConn(info httptrace.GotConnInfo) {
+	if conn, ok := info.Conn.(*verifiedConn); ok {
+		rt.conn.Store(conn)
+	}
+}
+
+// wroteRequest notes that the request is written. If that fails, net/http closes the connection.
+func (rt *roundTrip) wroteRequest(info httptrace.WroteRequestInfo) {
+	if info.Err == nil {
+		rt.sentOnce.Do(func() { close(rt.sent) })
+	}
+}
+
+// gotInformational returns an *InvalidResponseError, which ends the request, for an informational response that is none in
+// HTTP, or that is one too many.
+func (rt *roundTrip) gotInformational(status int, fields textproto.MIMEHeader) error {
+	if rt.informational++; rt.informational > maxInformational {
+		return invalid(status, "it follows too many informational ones")
+	}
+	return checkNames(status, http.Header(fields))
+}
+
+// verifyBodyEnd makes a body whose end is that of its connection end only once the request was delivered: a server that
+// resets the connection instead may have sent a part of the body.
+func (rt *roundTrip) verifyBodyEnd() {
+	if conn := rt.conn.Load(); conn != nil {
+		conn.awaitSent(rt.sent)
+	}
+}
