TestTunnelEndAfterFailedWrite resets a real connection

Its stand-in let Read return io.EOF as soon as Write had the error in hand, before Write had returned; the product covers this moment by the state of the kernel's connection, which the stand-in did not have. It is now a TCP connection that is reset: its Write takes the only error, Read sees the end from then on.

--- a/internal/peer/tunnel_test.go
+++ b/internal/peer/tunnel_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -122,31 +121,42 @@
 	}
 }
 
-// failingWrites is a connection of which the kernel has reported a reset to a write, so that a read sees an ordinary end.
-type failingWrites struct {
-	net.Conn
-	failed chan struct{}
+// resetConn is a connection that was reset. Its Write takes the only error by which the kernel reports that, and Read sees an
+// ordinary end from then on, also before Write has returned.
+type resetConn struct {
+	*net.TCPConn
+	errorTaken chan struct{} // closed once Write has taken it
 }
 
 // Write implements net.Conn.
-func (c *failingWrites) Write([]byte) (int, error) {
-	close(c.failed)
-	return 0, syscall.ECONNRESET
+func (c *resetConn) Write(p []byte) (n int, err error) {
+	for err == nil {
+		n, err = c.TCPConn.Write(p) // succeeds until the reset has arrived
+	}
+	close(c.errorTaken)
+	return n, err
 }
 
 // Read implements net.Conn.
-func (c *failingWrites) Read([]byte) (int, error) {
-	<-c.failed
-	return 0, io.EOF
+func (c *resetConn) Read(p []byte) (int, error) {
+	<-c.errorTaken
+	return c.TCPConn.Read(p)
 }
 
+// NetConn returns the wrapped connection.
+func (c *resetConn) NetConn() net.Conn { return c.TCPConn }
+
 // TestTunnelEndAfterFailedWrite guards against a part of an answer that looks whole at the user of a tunnel: the target has
 // reset the connection while the peer was writing to it.
 func TestTunnelEndAfterFailedWrite(t *testing.T) {
 	is := is.New(t)
 	f := newTunnelFixture(t, TunnelOpen)
-	f.wrapTarget = func(conn net.Conn) net.Conn { return &failingWrites{Conn: conn, failed: make(chan struct{})} }
-	user, _ := f.open(t)
+	f.wrapTarget = func(conn net.Conn) net.Conn {
+		return &resetConn{TCPConn: conn.(*net.TCPConn), errorTaken: make(chan struct{})}
+	}
+	user, target := f.open(t)
+	is.NoErr(target.(*net.TCPConn).SetLinger(0))
+	target.Close()
 	_, err := io.WriteString(user, "question")
 	is.NoErr(err)
 	_, err = user.Read(make([]byte, 1))
