TestEndBeforeAcknowledgement writes until the kernel takes no more

It failed once in 3 runs under -race: a write that is ended by its deadline may have been stopped by a slow processor, with all of its bytes acknowledged.

--- a/internal/netx/end_test.go
+++ b/internal/netx/end_test.go
@@ -160,9 +160,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			dialled, accepted := tcpPair(t)
-			is.NoErr(dialled.SetWriteDeadline(time.Now().Add(50 * time.Millisecond)))
-			unread, err := dialled.Write(make([]byte, 64<<20)) // more than the kernel holds
-			is.True(errors.Is(err, os.ErrDeadlineExceeded))
+			unread := fill(t, dialled)
 			is.NoErr(accepted.CloseWrite())
 			sent := make(chan struct{})
 			close(sent)
@@ -184,6 +182,20 @@
 	}
 }
 
+// fill writes to a connection that is not read until the kernel takes no more, and returns how many bytes it took.
+func fill(t *testing.T, conn *net.TCPConn) int {
+	is := is.New(t)
+	for total := 0; ; {
+		is.NoErr(conn.SetWriteDeadline(time.Now().Add(50 * time.Millisecond)))
+		n, err := conn.Write(make([]byte, 1<<20))
+		total += n
+		if n == 0 {
+			is.True(errors.Is(err, os.ErrDeadlineExceeded))
+			return total
+		}
+	}
+}
+
 // tcpPair returns both ends of a connection.
 func tcpPair(t *testing.T) (dialled, accepted *net.TCPConn) {
 	is := is.New(t)
