An end before a reset is none through a peer's tunnel either

Callers saw the same part of an early answer as a whole one if an instance that is partitioned from the targets reached the target through a peer.

Cause: the peer passed the target's end on when it saw it, and dropped what the target did not take after that; its user saw no failure. The user knows whether an answer ends with its connection, the peer alone whether the target has received the request.

Change: a user that has received the target's end, and whose answer has no other, sends the end of its own bytes; the peer verifies the connection to the target as a transport does and answers with a second end, or closes the tunnel. TunnelReply says whether the peer does so: one of an earlier release is not asked. VerifiedConn.VerifyDelivery is the one place where that is decided; a tunnel is a connection that can tell itself (DeliveryVerifier). The wait of 2 s is for the user's next message. What a peer does for one tunnel is a type of its own, carriedTunnel.

Looked at: both directions of a tunnel; its user leaving meanwhile (closes the connection to the target, which ends the wait); a target that takes nothing more (the kernel's limit).

--- a/internal/netx/end.go
+++ b/internal/netx/end.go
@@ -27,10 +27,21 @@
 // Unwrap returns the cause.
 func (e *AbruptEndError) Unwrap() error { return e.Cause }
 
-// VerifyEnd returns a connection whose Read returns io.EOF only if the peer has ended its bytes, and an *AbruptEndError in
-// its place if the connection has failed. A response without a length is whole if its connection ends (RFC 9112, section
-// 6.3), but Linux reports a reset only once: if Write takes the error, Read sees an ordinary end.
-func VerifyEnd(conn net.Conn) net.Conn { return newVerifiedConn(conn) }
+// VerifiedConn is a connection whose Read returns io.EOF only if the peer has ended its bytes, and an *AbruptEndError in its
+// place if the connection has failed. A response without a length is whole if its connection ends (RFC 9112, section 6.3), but
+// Linux reports a reset only once: if Write takes the error, Read sees an ordinary end. Use VerifyEnd.
+type VerifiedConn struct {
+	net.Conn
+	failOnce sync.Once
+	failure  error           // of a write, or net.ErrClosed; valid once failed is closed
+	failed   chan struct{}   // closed once a write has failed or the connection is closed
+	sent     <-chan struct{} // see awaitSent; nil: not awaited
+}
+
+// VerifyEnd returns a connection whose end is verified.
+func VerifyEnd(conn net.Conn) *VerifiedConn {
+	return &VerifiedConn{Conn: conn, failed: make(chan struct{})}
+}
 
 // verifyingDial returns a function that dials a connection and verifies its end.
 func verifyingDial(dial DialFunc) DialFunc {
@@ -43,25 +54,13 @@
 	}
 }
 
-type verifiedConn struct {
-	net.Conn
-	failOnce sync.Once
-	failure  error           // of a write, or net.ErrClosed; valid once failed is closed
-	failed   chan struct{}   // closed once a write has failed or the connection is closed
-	sent     <-chan struct{} // see awaitSent; nil: not awaited
-}
-
-func newVerifiedConn(conn net.Conn) *verifiedConn {
-	return &verifiedConn{Conn: conn, failed: make(chan struct{})}
-}
-
 // awaitSent makes Read return io.EOF only once sent is closed, the peer has acknowledged all that was written, and the
 // connection has not failed until then. A peer that ends its bytes and resets the connection later, while it is still being
 // written to, may have ended them midway. It must not be called while Read may reach the end.
-func (c *verifiedConn) awaitSent(sent <-chan struct{}) { c.sent = sent }
+func (c *VerifiedConn) awaitSent(sent <-chan struct{}) { c.sent = sent }
 
 // fail records the first failure.
-func (c *verifiedConn) fail(err error) {
+func (c *VerifiedConn) fail(err error) {
 	c.failOnce.Do(func() {
 		c.failure = err
 		close(c.failed)
@@ -69,10 +68,10 @@
 }
 
 // NetConn returns the wrapped connection.
-func (c *verifiedConn) NetConn() net.Conn { return c.Conn }
+func (c *VerifiedConn) NetConn() net.Conn { return c.Conn }
 
 // Write implements net.Conn.
-func (c *verifiedConn) Write(p []byte) (int, error) {
+func (c *VerifiedConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	if err != nil {
 		c.fail(err)
@@ -81,13 +80,13 @@
 }
 
 // Close implements net.Conn.
-func (c *verifiedConn) Close() error {
+func (c *VerifiedConn) Close() error {
 	c.fail(net.ErrClosed)
 	return c.Conn.Close()
 }
 
 // Read implements net.Conn.
-func (c *verifiedConn) Read(p []byte) (int, error) {
+func (c *VerifiedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if errors.Is(err, io.EOF) {
 		err = c.verifyEnd()
@@ -95,37 +94,55 @@
 	return n, err
 }
 
-// verifyEnd returns io.EOF, or the error that takes its place. A Write that has taken the kernel's error may not have
-// returned yet, so that the state of the connection is looked at too.
-func (c *verifiedConn) verifyEnd() error {
-	tcp, _ := unwrap(c.Conn).(*net.TCPConn)
-	if c.sent != nil {
-		c.awaitDelivery(tcp)
+// verifyEnd returns io.EOF, or the error that takes its place.
+func (c *VerifiedConn) verifyEnd() error {
+	err := c.verify()
+	if err == nil && c.sent != nil {
+		err = c.verifySent()
+	}
+	if err == nil {
+		return io.EOF
 	}
+	return err
+}
+
+// verifySent is VerifyDelivery once all is written.
+func (c *VerifiedConn) verifySent() error {
 	select {
+	case <-c.sent:
+		return c.VerifyDelivery()
 	case <-c.failed:
-		return &AbruptEndError{Cause: c.failure}
-	default:
+		return c.verify()
 	}
-	if tcp != nil && isReset(tcp) {
-		return &AbruptEndError{}
+}
+
+// DeliveryVerifier is a connection that knows whether its peer has received what was written.
+type DeliveryVerifier interface {
+	// VerifyDelivery waits until the peer has received all that was written. It returns an error if it can't receive it.
+	VerifyDelivery() error
+}
+
+// VerifyDelivery waits until the peer has acknowledged all that was written. It returns an *AbruptEndError if the connection
+// fails until then. Connections other than TCP and DeliveryVerifiers have no acknowledgements to wait for.
+func (c *VerifiedConn) VerifyDelivery() error {
+	switch conn := unwrap(c.Conn).(type) {
+	case DeliveryVerifier:
+		if err := conn.VerifyDelivery(); err != nil {
+			return &AbruptEndError{Cause: err}
+		}
+	case *net.TCPConn:
+		c.awaitAcknowledgements(conn)
 	}
-	return io.EOF
+	return c.verify()
 }
 
 // ackPollInterval is the time between two looks at what the peer has acknowledged, of which the kernel sends no notice.
 const ackPollInterval = time.Millisecond
 
-// awaitDelivery waits until all is sent and acknowledged, or the connection has failed. If tcp is nil, it does not wait for
-// acknowledgements.
-func (c *verifiedConn) awaitDelivery(tcp *net.TCPConn) {
-	select {
-	case <-c.sent:
-	case <-c.failed:
-		return
-	}
-	for tcp != nil && !isReset(tcp) {
-		if n, err := UnackedBytes(tcp); err != nil || n == 0 {
+// awaitAcknowledgements waits until the peer has acknowledged all that was written, or the connection has failed.
+func (c *VerifiedConn) awaitAcknowledgements(conn *net.TCPConn) {
+	for !isReset(conn) {
+		if n, err := UnackedBytes(conn); err != nil || n == 0 {
 			return // an error: the connection is closed
 		}
 		select {
@@ -136,6 +153,20 @@
 	}
 }
 
+// verify returns an *AbruptEndError if the connection has failed. A Write that has taken the kernel's error may not have
+// returned yet, so that the state of the connection is looked at too.
+func (c *VerifiedConn) verify() error {
+	select {
+	case <-c.failed:
+		return &AbruptEndError{Cause: c.failure}
+	default:
+	}
+	if tcp, ok := unwrap(c.Conn).(*net.TCPConn); ok && isReset(tcp) {
+		return &AbruptEndError{}
+	}
+	return nil
+}
+
 // tcpClose is the state of a connection that was reset or timed out, TCP_CLOSE in include/net/tcp_states.h of Linux. One
 // whose peer has ended its bytes, and that is not closed here, is in TCP_CLOSE_WAIT.
 const tcpClose = 7
--- a/internal/netx/end_test.go
+++ b/internal/netx/end_test.go
@@ -164,7 +164,7 @@
 			is.NoErr(accepted.CloseWrite())
 			sent := make(chan struct{})
 			close(sent)
-			conn := newVerifiedConn(dialled)
+			conn := VerifyEnd(dialled)
 			conn.awaitSent(sent)
 			ended := make(chan error, 1)
 			go func() {
--- a/internal/netx/response.go
+++ b/internal/netx/response.go
@@ -131,7 +131,7 @@
 
 // roundTrip follows a request through net/http.
 type roundTrip struct {
-	conn          atomic.Pointer[verifiedConn] // that carries it
+	conn          atomic.Pointer[VerifiedConn] // that carries it
 	sent          chan struct{}                // closed once it is written
 	sentOnce      sync.Once
 	informational int // responses
@@ -143,12 +143,13 @@
 }
 
 func (rt *roundTrip) gotConn(info httptrace.GotConnInfo) {
-	if conn, ok := info.Conn.(*verifiedConn); ok {
+	if conn, ok := info.Conn.(*VerifiedConn); ok {
 		rt.conn.Store(conn)
 	}
 }
 
-// wroteRequest notes that the request is written. If that fails, net/http closes the connection.
+// wroteRequest notes that the request is written. If that fails, net/http closes the connection. Of a body of unknown length
+// net/http still holds the last bytes, which it writes at once.
 func (rt *roundTrip) wroteRequest(info httptrace.WroteRequestInfo) {
 	if info.Err == nil {
 		rt.sentOnce.Do(func() { close(rt.sent) })
--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/shedhoist/shedhoist/internal/netx"
@@ -14,7 +15,9 @@
 // A tunnel carries the bytes of one connection to a target through a peer that reaches it. It uses
 // a connection of its own, with messages of the codec: TunnelRequest, TunnelReply, and then
 // tunnelData in both directions. The end of the target's bytes is a message, so that the end of
-// the tunnel itself, as when the peer is killed, is never taken for it.
+// the tunnel itself, as when the peer is killed, is never taken for it. A user that has received it may
+// send the end of its own bytes; the peer then answers with a second end once the target has received
+// them all, and closes the tunnel if the target can't.
 
 // TunnelStatus says whether a tunnel was opened, and why not.
 type TunnelStatus uint8
@@ -74,10 +77,11 @@
 
 // TunnelReply answers a TunnelRequest.
 type TunnelReply struct {
-	Status TunnelStatus `cbor:"1,keyasint"`
+	Status           TunnelStatus `cbor:"1,keyasint"`
+	VerifiesDelivery bool         `cbor:"2,keyasint,omitempty"` // the peer answers the end of the user's bytes
 }
 
-// tunnelData carries bytes in order. End says that the target closed its side after them.
+// tunnelData carries bytes in order. End says that the sender has no more of them.
 type tunnelData struct {
 	Bytes []byte `cbor:"1,keyasint,omitempty"`
 	End   bool   `cbor:"2,keyasint,omitempty"`
@@ -92,8 +96,9 @@
 const (
 	// maxTunnelMessage is the number of bytes of a connection in one message.
 	maxTunnelMessage = 16 << 10
-	// tunnelLinger bounds the wait for the other side to close a tunnel after its end was sent:
-	// closing first, with unread bytes, would reset the connection and lose the end.
+	// tunnelLinger bounds the wait for the user's next message, or for the user to close the tunnel,
+	// after an end was sent: closing first, with unread bytes, would reset the connection and lose
+	// the end.
 	tunnelLinger = 2 * time.Second
 )
 
@@ -123,7 +128,7 @@
 		conn.Close()
 		return fail(reply.Status, err)
 	}
-	return &tunnelConn{Conn: conn, frames: frames}, nil
+	return &tunnelConn{Conn: conn, frames: frames, peerVerifies: reply.VerifiesDelivery}, nil
 }
 
 // sendBytes writes data as messages of bounded size.
@@ -141,7 +146,8 @@
 // tunnelConn is the user's end of a tunnel. Its deadlines are those of the connection to the peer.
 type tunnelConn struct {
 	net.Conn
-	frames *frameConn
+	frames       *frameConn
+	peerVerifies bool // see TunnelReply
 
 	writing sync.Mutex
 	rest    []byte // received and not read yet
@@ -176,6 +182,25 @@
 	return c.frames.sendBytes(p)
 }
 
+// VerifyDelivery implements netx.DeliveryVerifier. It must be called after Read has returned io.EOF and the last Write. It
+// returns nil if the peer can't tell.
+func (c *tunnelConn) VerifyDelivery() error {
+	if !c.peerVerifies {
+		return nil
+	}
+	c.writing.Lock()
+	err := c.frames.send(tunnelBytes, tunnelData{End: true})
+	c.writing.Unlock()
+	if err != nil {
+		return err
+	}
+	err = c.frames.read(nil) // the second end
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
 // serveTunnel opens the connection that a peer asks for and carries its bytes until both sides have
 // ended. A user that closes its end ends the connection to the target, which drops its request then.
 func (s *Server) serveTunnel(user net.Conn) {
@@ -185,7 +210,7 @@
 		return
 	}
 	_ = user.SetReadDeadline(time.Time{}) // fails only if the connection is closed
-	reply := TunnelReply{Status: TunnelUnable}
+	reply := TunnelReply{Status: TunnelUnable, VerifiesDelivery: true}
 	var target net.Conn
 	if s.openTunnel != nil {
 		ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
@@ -196,54 +221,102 @@
 	}
 	if target != nil {
 		defer target.Close()
-		target = netx.VerifyEnd(target)
 	}
 	if err := frames.send(tunnelOpening, reply); err != nil || target == nil {
 		return
 	}
-	userEnded := make(chan struct{})
+	t := &carriedTunnel{user: user, frames: frames, target: netx.VerifyEnd(target), userEnded: make(chan struct{}), userGone: make(chan struct{})}
+	t.carry()
+}
+
+// carriedTunnel is a tunnel that this instance carries for a user.
+type carriedTunnel struct {
+	user        net.Conn
+	frames      *frameConn // of user
+	target      *netx.VerifiedConn
+	targetEnded atomic.Bool   // the user has been told that the target has ended its bytes
+	userEnded   chan struct{} // closed once the user has ended its bytes and all were written to the target
+	userGone    chan struct{} // closed once no more is read from the user
+}
+
+// carry returns once both sides have ended.
+func (t *carriedTunnel) carry() {
 	go func() {
-		defer close(userEnded)
-		defer target.Close()
-		carryToTarget(target, frames)
+		defer close(t.userGone)
+		defer t.target.Close()
+		t.carryToTarget()
 	}()
-	if carryFromTarget(frames, target) {
-		_ = user.SetReadDeadline(time.Now().Add(tunnelLinger)) // fails only if the connection is closed
-	} else {
-		user.Close() // without the end: the user must not take the bytes for all
+	if !t.carryFromTarget() || !t.sendTargetEnd() || !t.verifyDelivery() {
+		t.user.Close() // without the end: the user must not take the bytes for all
 	}
-	<-userEnded
+	<-t.userGone
 }
 
 // carryToTarget passes the user's bytes on until the user closes its end. Bytes that the target does
 // not take are dropped: its answer may still be on its way.
-func carryToTarget(target io.Writer, frames *frameConn) {
+func (t *carriedTunnel) carryToTarget() {
 	for taken := true; ; {
+		if t.targetEnded.Load() {
+			t.awaitUser()
+		}
 		var m tunnelData
-		if frames.read(&m) != nil {
+		if t.frames.read(&m) != nil {
 			return
 		}
+		if m.End {
+			break
+		}
 		if taken {
-			_, err := target.Write(m.Bytes)
+			_, err := t.target.Write(m.Bytes)
 			taken = err == nil
 		}
 	}
+	_ = t.user.SetReadDeadline(time.Time{}) // fails only if the connection is closed
+	close(t.userEnded)
+	_ = t.frames.read(nil) // fails once the user has closed its end
 }
 
-// carryFromTarget passes the target's bytes on, and their end. It reports whether they ended cleanly
-// and all was passed on.
-func carryFromTarget(frames *frameConn, target io.Reader) bool {
+// awaitUser bounds the wait for the user's next message.
+func (t *carriedTunnel) awaitUser() {
+	_ = t.user.SetReadDeadline(time.Now().Add(tunnelLinger)) // fails only if the connection is closed
+}
+
+// carryFromTarget passes the target's bytes on. It reports whether they ended cleanly and all were passed on.
+func (t *carriedTunnel) carryFromTarget() bool {
 	buf := make([]byte, maxTunnelMessage)
 	for {
-		n, err := target.Read(buf)
-		if _, sendErr := frames.sendBytes(buf[:n]); sendErr != nil {
+		n, err := t.target.Read(buf)
+		if _, sendErr := t.frames.sendBytes(buf[:n]); sendErr != nil {
 			return false
 		}
-		if errors.Is(err, io.EOF) {
-			return frames.send(tunnelBytes, tunnelData{End: true}) == nil
-		}
 		if err != nil {
-			return false
+			return errors.Is(err, io.EOF)
 		}
 	}
 }
+
+// sendTargetEnd tells the user that the target has ended its bytes. It reports whether that was sent.
+func (t *carriedTunnel) sendTargetEnd() bool {
+	t.targetEnded.Store(true)
+	t.awaitUser()
+	return t.sendEnd()
+}
+
+// verifyDelivery answers the user that asks whether the target has received all its bytes. It reports whether that was so, or
+// the user did not ask.
+func (t *carriedTunnel) verifyDelivery() bool {
+	select {
+	case <-t.userGone:
+		return true
+	case <-t.userEnded:
+	}
+	if t.target.VerifyDelivery() != nil {
+		return false
+	}
+	t.awaitUser()
+	return t.sendEnd()
+}
+
+func (t *carriedTunnel) sendEnd() bool {
+	return t.frames.send(tunnelBytes, tunnelData{End: true}) == nil
+}
--- a/internal/peer/tunnel_test.go
+++ b/internal/peer/tunnel_test.go
@@ -1,15 +1,19 @@
 package peer
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/shedhoist/shedhoist/internal/netx"
 )
 
 // tunnelFixture is a peer that opens tunnels to one target, and a pool that uses them.
@@ -164,6 +168,65 @@
 	is.True(!errors.Is(err, io.EOF))
 }
 
+// TestTunnelEarlyEnd guards against a part of an answer that looks whole at the user of a tunnel, since its target ends its
+// bytes and resets the connection later, while the peer is still writing to it; and against a whole answer that is refused or
+// a tunnel that ends since the rest of the request takes long.
+func TestTunnelEarlyEnd(t *testing.T) {
+	readRest := func(target *net.TCPConn) { _, _ = io.Copy(io.Discard, target) } // ends as the user closes the tunnel
+	for name, c := range map[string]struct {
+		end  func(target *net.TCPConn)
+		want bool
+	}{
+		"reset": {func(target *net.TCPConn) {
+			<-time.After(5 * time.Millisecond)
+			_ = target.SetLinger(0) // fails only if the connection is closed
+		}, false},
+		"reads the rest": {readRest, true},
+		"reads the rest slowly": {func(target *net.TCPConn) {
+			for range 5 {
+				<-time.After(tunnelLinger / 4)
+				_, _ = io.CopyN(io.Discard, target, 1<<20) // the user sees what failed
+			}
+			readRest(target)
+		}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newTunnelFixture(t, TunnelOpen)
+			go func() {
+				target, err := f.target.Accept()
+				if err != nil {
+					return // the test has ended
+				}
+				defer target.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(target)); err != nil {
+					return // the same
+				}
+				_, _ = io.WriteString(target, "HTTP/1.1 200 OK\r\n\r\na part") // the user sees what failed
+				_ = target.(*net.TCPConn).CloseWrite()                         // the same
+				c.end(target.(*net.TCPConn))
+			}()
+			transport := netx.NewTransport(netx.TransportOptions{Dial: func(ctx context.Context, _, address string) (net.Conn, error) {
+				return f.pool.DialTunnel(ctx, f.via, address)
+			}})
+			const upload = 32 << 20 // more than the kernel holds
+			body := netx.SingleUseBody(strings.NewReader(strings.Repeat("x", upload)))
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+f.target.Addr().String(), body)
+			is.NoErr(err)
+			req.ContentLength = upload
+			resp, err := transport.RoundTrip(req)
+			is.NoErr(err)
+			_, err = io.ReadAll(resp.Body)
+			if (err == nil) != c.want {
+				t.Errorf("the body ended with %v", err)
+			}
+			resp.Body.Close()
+			<-f.carried
+		})
+	}
+}
+
 // TestTunnelUserLeaves checks that a user that closes its end closes the connection to the target.
 func TestTunnelUserLeaves(t *testing.T) {
 	is := is.New(t)
