Informational responses are limited by their bytes, as before

A trace that looks at informational responses lifts net/http's limit of 64 KB for all heads of a request. An invalid response whose status could not be read says so in place of status 0.

--- a/internal/netx/response.go
+++ b/internal/netx/response.go
@@ -17,25 +17,27 @@
 
 // InvalidResponseError reports a response that has no meaning in HTTP, so that nothing of it may be passed on.
 type InvalidResponseError struct {
-	Status int // as it was sent; 0: not known
+	Status int // as it was sent, or unknownStatus
 	Reason string
 }
 
 // Error implements error.
 func (e *InvalidResponseError) Error() string {
+	if e.Status == unknownStatus {
+		return "invalid response: " + e.Reason
+	}
 	return "invalid response with status " + strconv.Itoa(e.Status) + ": " + e.Reason
 }
 
+// unknownStatus is the status of a response that could not be read.
+const unknownStatus = -1
+
 // Least and largest status code of a final response (RFC 9110, section 15).
 const (
 	minFinalStatus = 200
 	maxFinalStatus = 599
 )
 
-// maxInformational is how many informational responses may precede a final one. net/http does not limit the bytes of those
-// that a trace looks at.
-const maxInformational = 100
-
 // maxReason is how many bytes a reason may have: it may quote what the server sent.
 const maxReason = 200
 
@@ -104,6 +106,9 @@
 	return n, io.EOF
 }
 
+// minHeadBytes is the size of the smallest head of a response: "HTTP/1.1 100 \r\n\r\n".
+const minHeadBytes = 17
+
 // Transport is an http.Transport that returns an *InvalidResponseError in place of a response that is none in HTTP, or in
 // place of the end of its body if its trailer is none, and an *AbruptEndError in place of an end that no one can rely on. Only
 // NewTransport returns valid ones.
@@ -114,7 +119,7 @@
 	rt := &roundTrip{sent: make(chan struct{})}
 	resp, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), rt.trace())))
 	if err != nil {
-		return nil, asInvalid(0, err)
+		return nil, asInvalid(unknownStatus, err)
 	}
 	if err := checkResponse(resp); err != nil {
 		resp.Body.Close()
@@ -134,7 +139,7 @@
 	conn          atomic.Pointer[VerifiedConn] // that carries it
 	sent          chan struct{}                // closed once it is written
 	sentOnce      sync.Once
-	informational int // responses
+	informational int // bytes of the heads of informational responses, about
 }
 
 // trace returns what net/http reports to.
@@ -157,14 +162,26 @@
 }
 
 // gotInformational returns an *InvalidResponseError, which ends the request, for an informational response that is none in
-// HTTP, or that is one too many.
+// HTTP. It limits the heads of all of them together: net/http does so only where nobody looks at them.
 func (rt *roundTrip) gotInformational(status int, fields textproto.MIMEHeader) error {
-	if rt.informational++; rt.informational > maxInformational {
-		return invalid(status, "it follows too many informational ones")
+	rt.informational += headBytes(fields)
+	if rt.informational > maxResponseHeaderBytes {
+		return invalid(status, "the informational responses before it are too long")
 	}
 	return checkNames(status, http.Header(fields))
 }
 
+// headBytes returns about how many bytes the head of a response has.
+func headBytes(fields textproto.MIMEHeader) int {
+	n := minHeadBytes
+	for name, values := range fields {
+		for _, value := range values {
+			n += len(name) + len(": ") + len(value) + len("\r\n")
+		}
+	}
+	return n
+}
+
 // verifyBodyEnd makes a body whose end is that of its connection end only once the request was delivered: a server that
 // resets the connection instead may have sent a part of the body.
 func (rt *roundTrip) verifyBodyEnd() {
