The user of a tunnel ends its bytes as soon as they are written

The fix of ends through a peer asked the peer only once the answer had been read. A peer closes a tunnel 2 s after the last message, so that a whole answer without a length broke off if its caller took it slowly: TestTunnelEarlyEnd/answer_read_late and /early_answer_read_late, new, failed on that code.

The user sends the end of its bytes when they are written and the answer needs it; the peer says with the target's end, or with a second one, that the target has received them. What the user reads later was sent before.

--- a/internal/netx/end.go
+++ b/internal/netx/end.go
@@ -57,7 +57,23 @@
 // awaitSent makes Read return io.EOF only once sent is closed, the peer has acknowledged all that was written, and the
 // connection has not failed until then. A peer that ends its bytes and resets the connection later, while it is still being
 // written to, may have ended them midway. It must not be called while Read may reach the end.
-func (c *VerifiedConn) awaitSent(sent <-chan struct{}) { c.sent = sent }
+func (c *VerifiedConn) awaitSent(sent <-chan struct{}) {
+	c.sent = sent
+	if conn, ok := unwrap(c.Conn).(DeliveryVerifier); ok {
+		go c.endWrites(conn)
+	}
+}
+
+// endWrites tells a connection that all is written, once it is.
+func (c *VerifiedConn) endWrites(conn DeliveryVerifier) {
+	select {
+	case <-c.sent:
+		if err := conn.EndWrites(); err != nil {
+			c.fail(err)
+		}
+	case <-c.failed:
+	}
+}
 
 // fail records the first failure.
 func (c *VerifiedConn) fail(err error) {
@@ -116,9 +132,12 @@
 	}
 }
 
-// DeliveryVerifier is a connection that knows whether its peer has received what was written.
+// DeliveryVerifier is a connection that is told when all is written, and then knows whether its peer has received it.
 type DeliveryVerifier interface {
-	// VerifyDelivery waits until the peer has received all that was written. It returns an error if it can't receive it.
+	// EndWrites says that no Write follows. Others may use the connection meanwhile.
+	EndWrites() error
+	// VerifyDelivery waits until the peer has received all that was written. It returns an error if it can't receive it. It is
+	// called after Read has returned io.EOF.
 	VerifyDelivery() error
 }
 
--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -15,9 +15,9 @@
 // A tunnel carries the bytes of one connection to a target through a peer that reaches it. It uses
 // a connection of its own, with messages of the codec: TunnelRequest, TunnelReply, and then
 // tunnelData in both directions. The end of the target's bytes is a message, so that the end of
-// the tunnel itself, as when the peer is killed, is never taken for it. A user that has received it may
-// send the end of its own bytes; the peer then answers with a second end once the target has received
-// them all, and closes the tunnel if the target can't.
+// the tunnel itself, as when the peer is killed, is never taken for it. A user that has to know whether
+// the target has received its bytes sends their end. The peer then sends a delivered end once the target
+// has received them all, after the target's end or in its place, and closes the tunnel if it can't.
 
 // TunnelStatus says whether a tunnel was opened, and why not.
 type TunnelStatus uint8
@@ -78,13 +78,14 @@
 // TunnelReply answers a TunnelRequest.
 type TunnelReply struct {
 	Status           TunnelStatus `cbor:"1,keyasint"`
-	VerifiesDelivery bool         `cbor:"2,keyasint,omitempty"` // the peer answers the end of the user's bytes
+	VerifiesDelivery bool         `cbor:"2,keyasint,omitempty"` // the peer sends delivered ends
 }
 
 // tunnelData carries bytes in order. End says that the sender has no more of them.
 type tunnelData struct {
-	Bytes []byte `cbor:"1,keyasint,omitempty"`
-	End   bool   `cbor:"2,keyasint,omitempty"`
+	Bytes     []byte `cbor:"1,keyasint,omitempty"`
+	End       bool   `cbor:"2,keyasint,omitempty"`
+	Delivered bool   `cbor:"3,keyasint,omitempty"` // with End, from the peer: the target has received all of the user's bytes
 }
 
 // Names under which the bytes of tunnels are counted, see frameConn.write.
@@ -149,9 +150,10 @@
 	frames       *frameConn
 	peerVerifies bool // see TunnelReply
 
-	writing sync.Mutex
-	rest    []byte // received and not read yet
-	ended   bool
+	writing   sync.Mutex
+	rest      []byte // received and not read yet
+	ended     bool
+	delivered bool // see tunnelData
 }
 
 // Read implements net.Conn. It returns io.EOF only where the target has closed its side.
@@ -168,7 +170,7 @@
 		if err != nil {
 			return 0, err
 		}
-		c.rest, c.ended = m.Bytes, m.End
+		c.rest, c.ended, c.delivered = m.Bytes, m.End, m.Delivered
 	}
 	n := copy(p, c.rest)
 	c.rest = c.rest[n:]
@@ -182,19 +184,22 @@
 	return c.frames.sendBytes(p)
 }
 
-// VerifyDelivery implements netx.DeliveryVerifier. It must be called after Read has returned io.EOF and the last Write. It
-// returns nil if the peer can't tell.
-func (c *tunnelConn) VerifyDelivery() error {
+// EndWrites implements netx.DeliveryVerifier.
+func (c *tunnelConn) EndWrites() error {
 	if !c.peerVerifies {
 		return nil
 	}
 	c.writing.Lock()
-	err := c.frames.send(tunnelBytes, tunnelData{End: true})
-	c.writing.Unlock()
-	if err != nil {
-		return err
+	defer c.writing.Unlock()
+	return c.frames.send(tunnelBytes, tunnelData{End: true})
+}
+
+// VerifyDelivery implements netx.DeliveryVerifier. It returns nil if the peer can't tell.
+func (c *tunnelConn) VerifyDelivery() error {
+	if !c.peerVerifies || c.delivered {
+		return nil
 	}
-	err = c.frames.read(nil) // the second end
+	err := c.frames.read(nil) // the delivered end
 	if errors.Is(err, io.EOF) {
 		return io.ErrUnexpectedEOF
 	}
@@ -246,7 +251,7 @@
 		defer t.target.Close()
 		t.carryToTarget()
 	}()
-	if !t.carryFromTarget() || !t.sendTargetEnd() || !t.verifyDelivery() {
+	if !t.carryFromTarget() || !t.sendEnds() {
 		t.user.Close() // without the end: the user must not take the bytes for all
 	}
 	<-t.userGone
@@ -257,7 +262,7 @@
 func (t *carriedTunnel) carryToTarget() {
 	for taken := true; ; {
 		if t.targetEnded.Load() {
-			t.awaitUser()
+			t.limitWait()
 		}
 		var m tunnelData
 		if t.frames.read(&m) != nil {
@@ -271,13 +276,12 @@
 			taken = err == nil
 		}
 	}
-	_ = t.user.SetReadDeadline(time.Time{}) // fails only if the connection is closed
 	close(t.userEnded)
 	_ = t.frames.read(nil) // fails once the user has closed its end
 }
 
-// awaitUser bounds the wait for the user's next message.
-func (t *carriedTunnel) awaitUser() {
+// limitWait limits the wait for the user's next message.
+func (t *carriedTunnel) limitWait() {
 	_ = t.user.SetReadDeadline(time.Now().Add(tunnelLinger)) // fails only if the connection is closed
 }
 
@@ -295,28 +299,33 @@
 	}
 }
 
-// sendTargetEnd tells the user that the target has ended its bytes. It reports whether that was sent.
-func (t *carriedTunnel) sendTargetEnd() bool {
+// sendEnds tells the user that the target has ended its bytes, and that the target has received all of the user's once the
+// user has ended them. It reports false if the target can't receive them, or the user could not be told.
+func (t *carriedTunnel) sendEnds() bool {
+	select {
+	case <-t.userEnded:
+		return t.sendDeliveredEnd()
+	default:
+	}
 	t.targetEnded.Store(true)
-	t.awaitUser()
-	return t.sendEnd()
-}
-
-// verifyDelivery answers the user that asks whether the target has received all its bytes. It reports whether that was so, or
-// the user did not ask.
-func (t *carriedTunnel) verifyDelivery() bool {
+	t.limitWait()
+	if t.frames.send(tunnelBytes, tunnelData{End: true}) != nil {
+		return false
+	}
 	select {
+	case <-t.userEnded:
+		return t.sendDeliveredEnd()
 	case <-t.userGone:
 		return true
-	case <-t.userEnded:
 	}
+}
+
+// sendDeliveredEnd is called once the user has ended its bytes, and has to be waited for no more.
+func (t *carriedTunnel) sendDeliveredEnd() bool {
+	_ = t.user.SetReadDeadline(time.Time{}) // fails only if the connection is closed
 	if t.target.VerifyDelivery() != nil {
 		return false
 	}
-	t.awaitUser()
-	return t.sendEnd()
-}
-
-func (t *carriedTunnel) sendEnd() bool {
-	return t.frames.send(tunnelBytes, tunnelData{End: true}) == nil
+	defer t.limitWait()
+	return t.frames.send(tunnelBytes, tunnelData{End: true, Delivered: true}) == nil
 }
--- a/internal/peer/tunnel_test.go
+++ b/internal/peer/tunnel_test.go
@@ -169,26 +169,33 @@
 }
 
 // TestTunnelEarlyEnd guards against a part of an answer that looks whole at the user of a tunnel, since its target ends its
-// bytes and resets the connection later, while the peer is still writing to it; and against a whole answer that is refused or
-// a tunnel that ends since the rest of the request takes long.
+// bytes and resets the connection later, while the peer is still writing to it; and against a whole answer that is refused
+// since the rest of the request takes long, or its user is slow to read it.
 func TestTunnelEarlyEnd(t *testing.T) {
 	readRest := func(target *net.TCPConn) { _, _ = io.Copy(io.Discard, target) } // ends as the user closes the tunnel
+	reset := func(target *net.TCPConn) {
+		<-time.After(5 * time.Millisecond)
+		_ = target.SetLinger(0) // fails only if the connection is closed
+	}
 	for name, c := range map[string]struct {
-		end  func(target *net.TCPConn)
-		want bool
+		readFirst bool // the target reads the whole request before it answers
+		end       func(target *net.TCPConn)
+		pause     time.Duration // before the user reads the answer
+		want      bool
 	}{
-		"reset": {func(target *net.TCPConn) {
-			<-time.After(5 * time.Millisecond)
-			_ = target.SetLinger(0) // fails only if the connection is closed
-		}, false},
-		"reads the rest": {readRest, true},
-		"reads the rest slowly": {func(target *net.TCPConn) {
+		"reset":                   {end: reset},
+		"reset, answer read late": {end: reset, pause: 2 * tunnelLinger},
+		"reads the rest":          {end: readRest, want: true},
+		"reads the rest slowly": {end: func(target *net.TCPConn) {
 			for range 5 {
 				<-time.After(tunnelLinger / 4)
 				_, _ = io.CopyN(io.Discard, target, 1<<20) // the user sees what failed
 			}
 			readRest(target)
-		}, true},
+		}, want: true},
+		"answer read late":               {readFirst: true, end: readRest, pause: 2 * tunnelLinger, want: true},
+		"early answer read late":         {end: readRest, pause: 2 * tunnelLinger, want: true},
+		"answer of a target that closes": {readFirst: true, end: func(*net.TCPConn) {}, want: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -200,10 +207,14 @@
 					return // the test has ended
 				}
 				defer target.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(target)); err != nil {
+				req, err := http.ReadRequest(bufio.NewReader(target))
+				if err != nil {
 					return // the same
 				}
-				_, _ = io.WriteString(target, "HTTP/1.1 200 OK\r\n\r\na part") // the user sees what failed
+				if c.readFirst {
+					_, _ = io.Copy(io.Discard, req.Body) // the user sees what failed
+				}
+				_, _ = io.WriteString(target, "HTTP/1.1 200 OK\r\n\r\na part") // the same
 				_ = target.(*net.TCPConn).CloseWrite()                         // the same
 				c.end(target.(*net.TCPConn))
 			}()
@@ -216,12 +227,14 @@
 			is.NoErr(err)
 			req.ContentLength = upload
 			resp, err := transport.RoundTrip(req)
-			is.NoErr(err)
-			_, err = io.ReadAll(resp.Body)
+			if err == nil {
+				<-time.After(c.pause)
+				_, err = io.ReadAll(resp.Body)
+				resp.Body.Close()
+			}
 			if (err == nil) != c.want {
-				t.Errorf("the body ended with %v", err)
+				t.Errorf("the answer ended with %v", err)
 			}
-			resp.Body.Close()
 			<-f.carried
 		})
 	}
