No end of a body is awaited on a kept connection

The answer to a HEAD has neither a body nor, here, a length; net/http keeps its connection and reads for the next response while verifyBodyEnd marked the connection as one whose end is a body's.

Responses whose body is http.NoBody are left alone.

--- a/internal/netx/end_test.go
+++ b/internal/netx/end_test.go
@@ -1,6 +1,7 @@
 package netx
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -93,6 +94,43 @@
 	}
 }
 
+// TestResponseWithoutBodyKeepsConn guards against a kept connection on which the end of a body is awaited that there is none of:
+// net/http reads it for the next response meanwhile.
+func TestResponseWithoutBodyKeepsConn(t *testing.T) {
+	for name, head := range map[string]string{"no length": "\r\n", "chunks": "Transfer-Encoding: chunked\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			near, far := net.Pipe()
+			defer far.Close()
+			go func() {
+				requests := bufio.NewReader(far)
+				for {
+					if _, err := http.ReadRequest(requests); err != nil {
+						return // the test has ended
+					}
+					_, _ = io.WriteString(far, "HTTP/1.1 200 OK\r\n"+head) // the client sees what failed
+				}
+			}()
+			var conns []*VerifiedConn
+			dial := func(context.Context, string, string) (net.Conn, error) { return near, nil }
+			ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+				conns = append(conns, info.Conn.(*VerifiedConn))
+			}})
+			transport := NewTransport(TransportOptions{MaxIdlePerHost: 1, Dial: dial})
+			defer transport.CloseIdleConnections()
+			for range 2 {
+				req, err := http.NewRequestWithContext(ctx, http.MethodHead, "http://t/", nil)
+				is.NoErr(err)
+				resp, err := transport.RoundTrip(req)
+				is.NoErr(err)
+				resp.Body.Close()
+			}
+			is.Equal(conns[0], conns[1])
+			is.True(conns[0].sent == nil)
+		})
+	}
+}
+
 // early sends a long request that is answered with response, of which its server has read the head alone. Writes of the rest
 // wait until conn.answered is closed and end with writeErr; written is closed once that is so.
 func early(t *testing.T, response string, writeErr error) (conn *endingConn, written chan struct{}, resp *http.Response) {
--- a/internal/netx/transport.go
+++ b/internal/netx/transport.go
@@ -57,6 +57,7 @@
 		return nil, err
 	}
 	switch {
+	case resp.Body == http.NoBody: // net/http may have kept the connection already
 	case len(resp.TransferEncoding) > 0:
 		resp.Body = &trailerCheckedBody{ReadCloser: resp.Body, resp: resp}
 	case resp.ContentLength < 0:
