--- a/internal/netx/end_test.go
+++ b/internal/netx/end_test.go
@@ -152,10 +152,6 @@
 // TestEndOfTCP guards against a reset that is taken for the peer's end after another call has taken its error, and against
 // an ordinary end that is taken for a reset.
 func TestEndOfTCP(t *testing.T) {
-	reset := func(c *net.TCPConn) {
-		_ = c.SetLinger(0) // fails only if it is closed
-		c.Close()
-	}
 	for name, c := range map[string]struct {
 		end   func(*net.TCPConn)
 		clean bool
@@ -190,10 +186,7 @@
 		clean bool
 	}{
 		"reads the rest": {func(c *net.TCPConn, unread int) { _, _ = io.CopyN(io.Discard, c, int64(unread)) }, true}, // the end shows whether it failed
-		"resets": {func(c *net.TCPConn, _ int) {
-			_ = c.SetLinger(0) // fails only if it is closed
-			c.Close()
-		}, false},
+		"resets":         {func(c *net.TCPConn, _ int) { reset(c) }, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -220,6 +213,12 @@
 	}
 }
 
+// reset closes a connection so that its peer's is reset.
+func reset(c *net.TCPConn) {
+	_ = c.SetLinger(0) // fails only if it is closed
+	c.Close()
+}
+
 // fill writes to a connection that is not read until the kernel takes no more, and returns how many bytes it took.
 func fill(t *testing.T, conn *net.TCPConn) int {
 	is := is.New(t)
